Lay out the workspace and the contract of the decision cores

Cause: nothing stands yet; five lines of work need one vocabulary to meet. The cores take events and a clock reading and give actions; all input and output stays with whoever drives them. Conclusion: types and signatures only; the bodies follow.

--- /dev/null
+++ b/crates/core/src/catalogue/core.rs
@@ -0,0 +1,5 @@
+//! The catalogue state machine.
+
+/// Placeholder.
+#[derive(Debug)]
+pub struct Catalogue;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,57 @@
+//! Decision cores of bluebellstage.
+//!
+//! Every decision is a plain state machine without sockets, clocks, randomness or tasks: time and
+//! seeds come in as arguments, actions go out as values of [`Action`]. [`Instance`] composes the
+//! cores into one whole instance; the daemon drives it with real clocks and networks, tests drive
+//! several of them in memory.
+
+mod action;
+mod cx;
+mod error;
+mod event;
+mod ids;
+mod keys;
+mod map;
+mod message;
+mod ownership;
+mod platform;
+mod refusal;
+mod request;
+mod target;
+mod tuning;
+mod units;
+
+pub mod catalogue;
+pub mod engines;
+pub mod instance;
+pub mod journal;
+pub mod membership;
+pub mod rates;
+
+pub use self::action::{Action, Notice, RequestAction};
+pub use self::cx::Cx;
+pub use self::error::CoreError;
+pub use self::event::{Event, RequestEvent};
+pub use self::ids::{
+    AdapterId, BaseModel, CallId, ChangeId, FailureDomain, GroupId, IdempotencyKey, InstanceId,
+    KeyId, ObjectName, RequestId, ServiceId, TargetId, WorkspaceId,
+};
+pub use self::instance::Instance;
+pub use self::keys::KeyDigest;
+pub use self::map::{HomeKey, Map, Member, MemberRef, MemberState, PastMap};
+pub use self::message::PeerMessage;
+pub use self::ownership::Ownership;
+pub use self::platform::{
+    Expected, ListedInstance, PlatformAnswer, PlatformCall, PlatformOp, PlatformPurpose,
+    PlatformReply, Versioned,
+};
+pub use self::refusal::{Ran, Refusal, RefusalKind};
+pub use self::request::{CallerRequest, CallerWork, Finish, ServiceCall, StoredAnswer};
+pub use self::target::{
+    AdapterRef, EngineReport, OrderId, OrderOutcome, TargetInfo, TargetKind, TargetOrder,
+    TargetOrderKind,
+};
+pub use self::tuning::{Grouping, Placement, QueueOrder, RatePolicy, Tuning};
+pub use self::units::{
+    AdapterVersion, Fencing, Incarnation, ObjectVersion, Rate, Revision, Time, Tokens,
+};
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
