Place requests, grant permits and load adapters

Why: the engines core was a stub; callers' requests need an engine that holds their adapter.

An instance asks the home of a group of engines for a permit; the home keeps one queue for the group, orders loads under permits of the weight store's home, evicts only what a report proves unused, and grants when the adapter is resident. A new home first asks every instance what it holds and raises the engines' fencing number before it lets anything in.

Ruled out: permits that expire by a clock. Clocks of two instances are not comparable, so permits are outstanding until their holder ends them, and lives that left the map are settled by the engine's own report, asked after no earlier map can give standing.

--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -1,142 +1,271 @@
 //! The engines state machine.
 
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, VecDeque};
 
-use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    AdapterRef, BaseModel, Cx, InstanceId, OrderId, OrderOutcome, Refusal, RequestId, TargetId,
-    TargetInfo, Time, Tokens, Tuning, WorkspaceId,
+    Cx, GroupId, HomeKey, InstanceId, MemberRef, OrderId, OrderOutcome, RequestId, TargetId,
+    TargetInfo, Tuning,
 };
 
-use super::EnginesMessage;
-
-/// A request for a place in an engine.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct PermitAsk {
-    /// The caller's request.
-    pub request: RequestId,
-    /// Whose it is.
-    pub workspace: WorkspaceId,
-    /// What must run.
-    pub adapter: AdapterRef,
-    /// On which base model.
-    pub base_model: BaseModel,
-    /// Someone is waiting: goes before overnight work.
-    pub urgent: bool,
-    /// Estimated prompt length.
-    pub prompt: Tokens,
-    /// Longest answer.
-    pub max_answer: Tokens,
-    /// Hash of the prompt's start.
-    pub prefix: u64,
-}
-
-/// A place in an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Permit {
-    /// Which engine.
-    pub target: TargetId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// What must run.
-    pub adapter: AdapterRef,
-    /// Not to be used at or after this time.
-    pub send_before: Time,
-}
-
-/// The outcome of an ask.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PermitDecision {
-    /// Which request.
-    pub request: RequestId,
-    /// A permit, or a refusal.
-    pub outcome: Result<Permit, Refusal>,
-}
-
-/// How the use of a permit ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub enum PermitEnd {
-    /// The request ran, or its caller went away.
-    Used,
-    /// Nothing was sent.
-    NotUsed,
-    /// The engine no longer holds the adapter at this version.
-    WrongAdapter,
-    /// The engine refused the connection or broke off.
-    EngineFailed,
-    /// The engine is on its way out.
-    EngineLeaving,
-}
+use super::entry::Entry;
+use super::home::GroupHome;
+use super::io::Io;
+use super::store::StoreHome;
+use super::targets::Targets;
+use super::{EnginesMessage, PermitAsk, PermitDecision, PermitEnd};
 
 /// Places callers' requests, and schedules the engine groups that this instance is home of.
 #[derive(Debug)]
-pub struct Engines;
+pub struct Engines {
+    cfg: Tuning,
+    seed: u64,
+    listed: Vec<TargetInfo>,
+    targets: Targets,
+    entry: Entry,
+    homes: BTreeMap<GroupId, GroupHome>,
+    store: Option<StoreHome>,
+    next_order: u64,
+}
 
 impl Engines {
     /// No targets known, nothing waiting; `seed` drives the random baseline and nothing else.
     #[must_use]
-    pub fn new(_cfg: &Tuning, _seed: u64) -> Self {
-        todo!()
+    pub fn new(cfg: &Tuning, seed: u64) -> Self {
+        Self {
+            cfg: cfg.clone(),
+            seed,
+            listed: Vec::new(),
+            targets: Targets::default(),
+            entry: Entry::new(seed),
+            homes: BTreeMap::new(),
+            store: None,
+            next_order: 0,
+        }
     }
 
     /// A caller's request needs an engine; decided by a [`PermitDecision`].
-    pub fn ask(&mut self, _cx: &mut Cx<'_>, _ask: PermitAsk) -> Vec<PermitDecision> {
-        todo!()
+    pub fn ask(&mut self, cx: &mut Cx<'_>, ask: PermitAsk) -> Vec<PermitDecision> {
+        self.step(cx, |this, io| this.entry.ask(io, &this.targets, ask))
     }
 
     /// The caller of a waiting request went away, or its key was withdrawn.
-    pub fn cancel(&mut self, _cx: &mut Cx<'_>, _request: RequestId) {
-        todo!()
+    pub fn cancel(&mut self, cx: &mut Cx<'_>, request: RequestId) {
+        self.step(cx, |this, io| this.entry.cancel(io, request));
     }
 
     /// A permit's use ended.
     pub fn finished(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _request: RequestId,
-        _end: PermitEnd,
+        cx: &mut Cx<'_>,
+        request: RequestId,
+        end: PermitEnd,
     ) -> Vec<PermitDecision> {
-        todo!()
+        self.step(cx, |this, io| this.entry.finished(io, request, end))
     }
 
     /// The platform's list of targets, plain services included (ignored here).
-    pub fn set_targets(
-        &mut self,
-        _cx: &mut Cx<'_>,
-        _targets: &[TargetInfo],
-    ) -> Vec<PermitDecision> {
-        todo!()
+    pub fn set_targets(&mut self, cx: &mut Cx<'_>, targets: &[TargetInfo]) -> Vec<PermitDecision> {
+        self.step(cx, |this, io| {
+            this.listed = targets.to_vec();
+            this.regroup(io);
+        })
     }
 
     /// An order ended.
     pub fn order_ended(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _id: OrderId,
-        _target: &TargetId,
-        _outcome: OrderOutcome,
+        cx: &mut Cx<'_>,
+        id: OrderId,
+        target: &TargetId,
+        outcome: OrderOutcome,
     ) -> Vec<PermitDecision> {
-        todo!()
+        self.step(cx, |this, io| {
+            let home = this
+                .homes
+                .values_mut()
+                .find(|home| home.orders.contains_key(&id));
+            let Some(home) = home.filter(|home| home.engines.contains_key(target)) else {
+                return;
+            };
+            home.order_ended(io, id, outcome);
+            home.act(io);
+        })
     }
 
     /// A newer map is in force.
-    pub fn map_changed(&mut self, _cx: &mut Cx<'_>) -> Vec<PermitDecision> {
-        todo!()
+    pub fn map_changed(&mut self, cx: &mut Cx<'_>) -> Vec<PermitDecision> {
+        self.step(cx, |this, io| {
+            this.homes.retain(|_, home| home.survives(io));
+            for home in this.homes.values_mut() {
+                home.map_changed(io);
+            }
+            this.store.take_if(|store| !store.survives(io.cx.own));
+            this.regroup(io);
+            this.entry.map_changed(io, &this.targets);
+        })
     }
 
     /// Takes a message.
     pub fn message(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _from: &InstanceId,
-        _message: EnginesMessage,
+        cx: &mut Cx<'_>,
+        from: &InstanceId,
+        message: EnginesMessage,
     ) -> Vec<PermitDecision> {
-        todo!()
+        self.step(cx, |this, io| this.take(io, from, message))
     }
 
     /// Time passed.
-    pub fn tick(&mut self, _cx: &mut Cx<'_>) -> Vec<PermitDecision> {
-        todo!()
+    pub fn tick(&mut self, cx: &mut Cx<'_>) -> Vec<PermitDecision> {
+        self.step(cx, |this, io| {
+            this.entry.tick(io, &this.targets);
+            for home in this.homes.values_mut() {
+                home.act(io);
+            }
+            if let Some(store) = &mut this.store {
+                store.act(io);
+            }
+        })
+    }
+
+    /// Does `act`, then takes the messages that this instance has for itself.
+    fn step(
+        &mut self,
+        cx: &mut Cx<'_>,
+        act: impl FnOnce(&mut Self, &mut Io<'_, '_>),
+    ) -> Vec<PermitDecision> {
+        let mut local = VecDeque::new();
+        let mut decisions = Vec::new();
+        let cfg = self.cfg.clone();
+        let mut next_order = self.next_order;
+        let me = cx.own.me.id.clone();
+        let mut io = Io {
+            cx,
+            cfg: &cfg,
+            local: &mut local,
+            decisions: &mut decisions,
+            next_order: &mut next_order,
+        };
+        act(self, &mut io);
+        while let Some(message) = io.local.pop_front() {
+            self.take(&mut io, &me, message);
+        }
+        self.next_order = next_order;
+        decisions
+    }
+
+    /// Homes for the groups that are this instance's to schedule.
+    fn regroup(&mut self, io: &Io<'_, '_>) {
+        let own = io.cx.own;
+        self.targets = Targets::new(&self.listed, own.map.grouping);
+        for id in self.targets.groups.keys() {
+            let is_home = own.is_home(&HomeKey::Group(id.clone()));
+            if is_home && !self.homes.contains_key(id) {
+                let seed = self.seed ^ xxh3_64(id.as_str().as_bytes());
+                let home = GroupHome::new(id.clone(), io.cfg, own.revision(), seed);
+                self.homes.insert(id.clone(), home);
+            }
+        }
+        for (id, home) in &mut self.homes {
+            home.set_engines(self.targets.groups.get(id), io.now());
+        }
+        if self.store.is_none() && own.is_home(&HomeKey::WeightStore) {
+            self.store = Some(StoreHome::new(own.revision()));
+        }
+    }
+
+    fn take(&mut self, io: &mut Io<'_, '_>, from: &InstanceId, message: EnginesMessage) {
+        match message {
+            EnginesMessage::Queued {
+                number,
+                group,
+                status,
+            } => self.entry.queued(io, from, number, group, status),
+            EnginesMessage::TurnedAway { number, group, .. } => {
+                self.entry.turned_away(io, &self.targets, number, group);
+            }
+            EnginesMessage::Grant(grant) => self.entry.granted(io, from, *grant),
+            EnginesMessage::EndNoted { group, permit } => self.entry.end_noted(group, permit),
+            EnginesMessage::WhichPermits { group, revision } => {
+                self.entry.tell_held(io, from, group, revision);
+            }
+            EnginesMessage::Status { group, status } => self.entry.heard(group, status),
+            EnginesMessage::Wish(wish) => self.at_store(io, |store, io| store.wish(io, from, wish)),
+            EnginesMessage::Loaded {
+                group,
+                permit,
+                used,
+            } => self.at_store(io, |store, _| store.loaded(group, permit, used)),
+            message => self.take_as_home(io, from, message),
+        }
+    }
+
+    fn at_store(&mut self, io: &mut Io<'_, '_>, act: impl FnOnce(&mut StoreHome, &mut Io<'_, '_>)) {
+        if let Some(store) = &mut self.store {
+            act(store, io);
+            store.act(io);
+        }
+    }
+
+    fn take_as_home(&mut self, io: &mut Io<'_, '_>, from: &InstanceId, message: EnginesMessage) {
+        match message {
+            EnginesMessage::Ask(asked) => {
+                let group = asked.group.clone();
+                self.at_home(io, &group, |home, io| home.asked(io, from, *asked));
+            }
+            EnginesMessage::Cancel {
+                group,
+                incarnation,
+                number,
+            } => {
+                let holder = MemberRef {
+                    id: from.clone(),
+                    incarnation,
+                };
+                self.at_home(io, &group, |home, _| home.cancelled(holder, number));
+            }
+            EnginesMessage::Taken { group, permit } => {
+                self.at_home(io, &group, |home, _| home.taken(permit));
+            }
+            EnginesMessage::Ended { group, permit, end } => {
+                self.at_home(io, &group, |home, io| home.ended(io, from, permit, end));
+            }
+            EnginesMessage::Holding {
+                group,
+                revision,
+                incarnation,
+                permits,
+            } => {
+                let life = MemberRef {
+                    id: from.clone(),
+                    incarnation,
+                };
+                self.at_home(io, &group, |home, io| {
+                    home.holding(io, &life, revision, permits);
+                });
+            }
+            EnginesMessage::MayLoad {
+                group,
+                sequence,
+                permit,
+            } => self.at_home(io, &group, |home, io| {
+                home.may_load(io, from, sequence, permit);
+            }),
+            _ => {}
+        }
+    }
+
+    fn at_home(
+        &mut self,
+        io: &mut Io<'_, '_>,
+        group: &GroupId,
+        act: impl FnOnce(&mut GroupHome, &mut Io<'_, '_>),
+    ) {
+        if let Some(home) = self.homes.get_mut(group) {
+            act(home, io);
+            home.act(io);
+        }
     }
 }
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -4,8 +4,29 @@
 //! on them and lets requests in. The instance that holds the caller asks the home for a permit and
 //! then streams from the engine itself.
 
+mod ask;
+mod candidates;
 mod core;
+mod engine;
+mod entry;
+mod granting;
+mod home;
+mod io;
+mod loading;
 mod message;
+mod orders;
+mod popularity;
+mod queue;
+mod slot;
+mod store;
+mod taking;
+mod targets;
+mod tenure;
+mod timing;
+mod view;
 
-pub use self::core::{Engines, Permit, PermitAsk, PermitDecision, PermitEnd};
-pub use self::message::EnginesMessage;
+pub use self::ask::{Permit, PermitAsk, PermitDecision, PermitEnd};
+pub use self::core::Engines;
+pub use self::message::{
+    AskNumber, EnginesMessage, Grant, GroupStatus, HeldPermit, LoadWish, PermitRef, QueueAsk,
+};
--- /dev/null
+++ b/crates/core/src/engines/targets.rs
@@ -0,0 +1,74 @@
+//! The engines of the platform's list, by group.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::{BaseModel, GroupId, Grouping, TargetId, TargetInfo, TargetKind};
+
+/// An engine as the list shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct ListedEngine {
+    pub(super) address: SocketAddr,
+    pub(super) slots: u32,
+    pub(super) max_batch: u32,
+    pub(super) checks_fencing: bool,
+    pub(super) leaving: bool,
+}
+
+/// The engines of one group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct ListedGroup {
+    pub(super) base_model: BaseModel,
+    pub(super) engines: BTreeMap<TargetId, ListedEngine>,
+}
+
+impl ListedGroup {
+    /// Places in the batches of engines that stay.
+    pub(super) fn places(&self) -> u32 {
+        let staying = self.engines.values().filter(|engine| !engine.leaving);
+        staying.map(|engine| engine.max_batch).sum()
+    }
+}
+
+/// All engines of the list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct Targets {
+    pub(super) groups: BTreeMap<GroupId, ListedGroup>,
+}
+
+impl Targets {
+    pub(super) fn new(list: &[TargetInfo], grouping: Grouping) -> Self {
+        let mut targets = Self::default();
+        for info in list {
+            targets.add(info, grouping);
+        }
+        targets
+    }
+
+    fn add(&mut self, info: &TargetInfo, grouping: Grouping) {
+        let TargetKind::Engine {
+            base_model,
+            slots,
+            max_batch,
+            checks_fencing,
+        } = &info.kind
+        else {
+            return;
+        };
+        let Some(group) = info.group(grouping) else {
+            return;
+        };
+        let engine = ListedEngine {
+            address: info.address,
+            slots: *slots,
+            max_batch: *max_batch,
+            checks_fencing: *checks_fencing,
+            leaving: info.leaving,
+        };
+        let listed = self.groups.entry(group).or_insert_with(|| ListedGroup {
+            base_model: base_model.clone(),
+            engines: BTreeMap::new(),
+        });
+        listed.engines.insert(info.id.clone(), engine);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/engines.rs
@@ -0,0 +1,152 @@
+//! The engines' cores of several instances together, in memory.
+
+#[path = "support/engines/mod.rs"]
+mod support;
+
+use bluebellstage_core::{AdapterVersion, RefusalKind, TargetId, Tuning};
+
+use support::engine::Speed;
+use support::fleet::{EngineSpec, ask};
+use support::world::World;
+
+const SECOND: u64 = 1_000_000;
+
+const SPEED: Speed = Speed {
+    base: 5_000,
+    per_sequence: 200,
+    per_prefill_token: 10,
+};
+
+const SPEC: EngineSpec = EngineSpec {
+    slots: 2,
+    max_batch: 4,
+    checks_fencing: true,
+};
+
+fn world(nodes: usize, engines: u16) -> World {
+    let world = World::new(Tuning::default(), 1, nodes);
+    let mut world = world.engines(SPEC.many(engines, 1), SPEED);
+    world.run_for(4 * SECOND);
+    world
+}
+
+fn assert_all_done(world: &World) {
+    assert_eq!(world.record.violations, Vec::<String>::new());
+    let undone: Vec<_> = world
+        .record
+        .requests
+        .values()
+        .filter(|it| it.done.is_none())
+        .collect();
+    assert!(undone.is_empty(), "{undone:#?}");
+}
+
+#[test]
+fn a_request_waits_for_its_load_and_runs() {
+    let mut world = world(3, 1);
+    let request = world.ask(0, ask(1), 10);
+    world.run_for(2 * SECOND);
+    assert_all_done(&world);
+    assert_eq!(world.record.loads.len(), 1);
+    let record = &world.record.requests[&request];
+    let decided = record.decided.unwrap() - record.arrived;
+    assert!((250_000..320_000).contains(&decided), "{decided}");
+}
+
+#[test]
+fn many_waiters_share_one_load() {
+    let mut world = world(3, 1);
+    for node in [0, 1, 2, 0, 1, 2] {
+        world.ask(node, ask(1), 10);
+    }
+    world.run_for(3 * SECOND);
+    assert_all_done(&world);
+    assert_eq!(world.record.loads.len(), 1);
+}
+
+#[test]
+fn an_idle_adapter_makes_room_when_slots_are_full() {
+    let mut world = world(3, 1);
+    for index in 0..5 {
+        world.ask(0, ask(index), 10);
+        world.run_for(2 * SECOND);
+    }
+    assert_all_done(&world);
+    assert_eq!(world.record.unloads, 3);
+}
+
+#[test]
+fn busy_adapters_are_drained_for_one_that_waits() {
+    let mut world = world(2, 1);
+    for round in 0..40_u64 {
+        for index in 0..2 {
+            world.ask(0, ask(index), 20);
+        }
+        if round == 10 {
+            world.ask(1, ask(7), 20);
+        }
+        world.run_for(SECOND / 10);
+    }
+    world.run_for(20 * SECOND);
+    assert_all_done(&world);
+}
+
+#[test]
+fn versions_of_an_adapter_are_loaded_apart() {
+    let mut world = world(3, 1);
+    let old = ask(1);
+    let mut new = ask(1);
+    new.adapter.version = AdapterVersion(2);
+    world.ask(0, old, 10);
+    world.ask(0, new, 10);
+    world.run_for(3 * SECOND);
+    assert_all_done(&world);
+    assert_eq!(world.record.loads.len(), 2);
+}
+
+#[test]
+fn a_model_without_engines_is_refused_at_once() {
+    let mut world = World::new(Tuning::default(), 1, 2);
+    let request = world.ask(0, ask(1), 10);
+    let record = &world.record.requests[&request];
+    assert_eq!(record.refused, Some(RefusalKind::NoTarget));
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_work() {
+    let mut world = world(3, 2);
+    let leaving = TargetId::try_from("e0").unwrap();
+    for index in 0..4 {
+        world.ask(0, ask(index), 400);
+    }
+    world.run_for(2 * SECOND);
+    world.engine_leaves(&leaving, true);
+    let at = world.now;
+    for index in 0..4 {
+        world.ask(1, ask(index), 10);
+    }
+    world.run_for(20 * SECOND);
+    assert_all_done(&world);
+    let late =
+        |it: &&support::record::Record| it.arrived >= at && it.target.as_ref() == Some(&leaving);
+    assert_eq!(world.record.requests.values().filter(late).count(), 0);
+}
+
+#[test]
+fn a_killed_home_is_replaced_and_its_queue_goes_on() {
+    let mut world = world(3, 2);
+    for index in 0..4 {
+        world.ask(index as usize % 3, ask(index), 100);
+    }
+    world.run_for(SECOND / 10);
+    world.kill(0);
+    world.run_for(30 * SECOND);
+    let open: Vec<_> = world
+        .record
+        .requests
+        .values()
+        .filter(|it| it.node != 0 && it.done.is_none())
+        .collect();
+    assert!(open.is_empty(), "{open:#?}");
+    assert_eq!(world.record.violations, Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/core/tests/support/engines/record.rs
@@ -0,0 +1,43 @@
+//! What happened to each request, and what must never happen.
+
+use std::collections::BTreeMap;
+
+use bluebellstage_core::engines::PermitAsk;
+use bluebellstage_core::{RefusalKind, RequestId, TargetId};
+
+/// One caller's request; times in microseconds of the world's clock.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub ask: PermitAsk,
+    pub node: usize,
+    pub life: u64,
+    pub answer: u64,
+    pub arrived: u64,
+    pub decided: Option<u64>,
+    pub refused: Option<RefusalKind>,
+    pub target: Option<TargetId>,
+    pub first_token: Option<u64>,
+    pub done: Option<u64>,
+    pub attempts: u32,
+    /// When the load that it waited for was done.
+    pub load_done: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+pub struct Recorder {
+    pub requests: BTreeMap<RequestId, Record>,
+    /// Broken guarantees, in words.
+    pub violations: Vec<String>,
+    /// When each load reached an engine.
+    pub loads: Vec<u64>,
+    pub loads_in_flight: u64,
+    pub peak_in_flight: u64,
+    pub unloads: u64,
+    pub messages: u64,
+}
+
+impl Recorder {
+    pub fn violation(&mut self, now: u64, text: &str) {
+        self.violations.push(format!("{now}us: {text}"));
+    }
+}
