Fuzz the engines' cores of four instances

Why: permits, takeovers and evictions interleave in more ways than written tests reach.

Four instances and three fake engines in virtual time: lost, late and doubled messages, kills, freezes, cuts, new lives, engine restarts, leaving engines, a slow and a failing store, late reports. Checked: no unload of an adapter in use, a batch never exceeded, loads a second and in flight, every ask decided within its patience, everything served once all is well.

--- /dev/null
+++ b/crates/core/tests/engines_fuzz.rs
@@ -0,0 +1,153 @@
+//! Stateful fuzzing of the engines' cores against what must always hold.
+//!
+//! `BLUEBELLSTAGE_FUZZ_CASES=N` runs N cases of a fresh seed, which is printed;
+//! `BLUEBELLSTAGE_FUZZ_SEED=S` repeats it.
+
+#[path = "support/engines/mod.rs"]
+mod support;
+
+use std::sync::OnceLock;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use support::chaos::{NODES, Setup, Step, apply, heal, setups, steps};
+use support::fleet::ask;
+use support::world::World;
+
+const SECOND: u64 = 1_000_000;
+
+/// Cases of a run with the fixed seed.
+const FIXED_CASES: u32 = 40;
+
+/// The seed of runs that must always give the same verdict.
+const FIXED_SEED: u64 = 20_261_202;
+
+/// How much later than `queue_patience` an ask may be decided: one tick, and the node's standing
+/// still while it was frozen.
+const DECISION_BOUND: u64 = SECOND / 10;
+
+/// The run's configuration; drawn once, because each case asks for it.
+fn config() -> Config {
+    static CONFIG: OnceLock<Config> = OnceLock::new();
+    CONFIG.get_or_init(draw_config).clone()
+}
+
+fn draw_config() -> Config {
+    let number = |name| std::env::var(name).ok().and_then(|it| it.parse().ok());
+    let cases: Option<u64> = number("BLUEBELLSTAGE_FUZZ_CASES");
+    let fresh = || {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        u64::from(now.map(|it| it.subsec_nanos()).unwrap_or_default())
+    };
+    let seed = match (number("BLUEBELLSTAGE_FUZZ_SEED"), cases) {
+        (Some(seed), _) => seed,
+        (None, Some(_)) => fresh(),
+        (None, None) => FIXED_SEED,
+    };
+    println!("seed {seed}: repeat with BLUEBELLSTAGE_FUZZ_SEED={seed}");
+    Config {
+        cases: cases.map_or(FIXED_CASES, |it| u32::try_from(it).unwrap_or(u32::MAX)),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..Config::default()
+    }
+}
+
+/// All the reference needs to know is how the case began.
+#[derive(Debug)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = Setup;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Setup> {
+        setups().boxed()
+    }
+
+    fn transitions(_state: &Setup) -> BoxedStrategy<Step> {
+        steps().boxed()
+    }
+
+    fn apply(state: Setup, _step: &Step) -> Setup {
+        state
+    }
+}
+
+struct Fleet;
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = World;
+    type Reference = Reference;
+
+    fn init_test(setup: &Setup) -> World {
+        setup.build()
+    }
+
+    fn apply(mut world: World, _setup: &Setup, step: Step) -> World {
+        apply(&mut world, &step);
+        world
+    }
+
+    fn check_invariants(world: &World, _setup: &Setup) {
+        check(world);
+    }
+
+    fn teardown(mut world: World, _setup: Setup) {
+        check_recovery(&mut world);
+    }
+}
+
+fn check(world: &World) {
+    assert_eq!(world.record.violations, Vec::<String>::new());
+    check_loads(world);
+    check_decisions(world);
+}
+
+/// Load permits number at most the rate in any second, and each is used within a second.
+fn check_loads(world: &World) {
+    let rate = usize::try_from(world.cfg.store_loads_per_second).unwrap();
+    let most = world.record.most_loads_within(SECOND);
+    assert!(most <= 2 * rate, "{most} loads within a second");
+    let limit = 2 * u64::from(world.cfg.store_in_flight);
+    let peak = world.record.peak_in_flight;
+    assert!(peak <= limit, "{peak} loads in flight");
+}
+
+fn check_decisions(world: &World) {
+    let patience = u64::try_from(world.cfg.queue_patience.as_micros()).unwrap();
+    for record in world.record.requests.values() {
+        let node = &world.nodes[record.node];
+        let gone = !node.alive || node.life != record.life || record.cancelled;
+        let frozen = node.frozen_until + DECISION_BOUND > world.now;
+        let late = record.asked + patience + DECISION_BOUND < world.now;
+        let open = record.decided.is_none();
+        assert!(!late || !open || gone || frozen, "undecided: {record:#?}");
+    }
+}
+
+/// Once all is well, each adapter is served again, and nothing is left behind.
+fn check_recovery(world: &mut World) {
+    heal(world);
+    world.run_for(15 * SECOND);
+    let fresh: Vec<_> = (0..9)
+        .map(|index| world.ask(index as usize % NODES, ask(index), 5))
+        .collect();
+    world.run_for(20 * SECOND);
+    check(world);
+    for request in fresh {
+        let record = &world.record.requests[&request];
+        assert!(record.done.is_some(), "starved: {record:#?}");
+    }
+}
+
+proptest_state_machine::prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_adapter_is_unloaded_in_use_and_every_ask_is_decided(sequential 20..120 => Fleet);
+}
--- a/crates/core/tests/support/engines/mod.rs
+++ b/crates/core/tests/support/engines/mod.rs
@@ -5,6 +5,7 @@
     reason = "each test binary uses a part of the shared support"
 )]
 
+pub mod chaos;
 pub mod engine;
 pub mod fleet;
 pub mod membership;
--- a/crates/core/tests/support/engines/record.rs
+++ b/crates/core/tests/support/engines/record.rs
@@ -13,12 +13,15 @@
     pub life: u64,
     pub answer: u64,
     pub arrived: u64,
+    /// When the core was asked last; a request that did not run asks again.
+    pub asked: u64,
     pub decided: Option<u64>,
     pub refused: Option<RefusalKind>,
     pub target: Option<TargetId>,
     pub first_token: Option<u64>,
     pub done: Option<u64>,
     pub attempts: u32,
+    pub cancelled: bool,
     /// When the load that it waited for was done.
     pub load_done: Option<u64>,
 }
@@ -28,7 +31,7 @@
     pub requests: BTreeMap<RequestId, Record>,
     /// Broken guarantees, in words.
     pub violations: Vec<String>,
-    /// When each load reached an engine.
+    /// When each load was ordered.
     pub loads: Vec<u64>,
     pub loads_in_flight: u64,
     pub peak_in_flight: u64,
@@ -40,4 +43,13 @@
     pub fn violation(&mut self, now: u64, text: &str) {
         self.violations.push(format!("{now}us: {text}"));
     }
+
+    /// The most loads ordered within any `span` microseconds.
+    pub fn most_loads_within(&self, span: u64) -> usize {
+        let count = |from: &u64| {
+            let window = *from..(*from + span);
+            self.loads.iter().filter(|at| window.contains(at)).count()
+        };
+        self.loads.iter().map(count).max().unwrap_or_default()
+    }
 }
--- a/crates/core/tests/support/engines/world.rs
+++ b/crates/core/tests/support/engines/world.rs
@@ -212,12 +212,14 @@
             life: self.nodes[node].life,
             answer,
             arrived: self.now,
+            asked: self.now,
             decided: None,
             refused: None,
             target: None,
             first_token: None,
             done: None,
             attempts: 0,
+            cancelled: false,
             load_done: None,
         };
         self.record.requests.insert(request, record);
@@ -225,6 +227,25 @@
         request
     }
 
+    /// The caller of an undecided request goes away.
+    pub fn cancel(&mut self, request: RequestId) {
+        let Some(record) = self.record.requests.get_mut(&request) else {
+            return;
+        };
+        record.cancelled = true;
+        let node = record.node;
+        self.step(node, |core, cx| {
+            core.cancel(cx, request);
+            Vec::new()
+        });
+    }
+
+    /// Whether the map lists this life of a node that still lives.
+    pub fn is_in_map(&self, node: usize) -> bool {
+        let it = &self.nodes[node];
+        it.alive && self.platform.has(&it.id, it.life)
+    }
+
     /// Whether callers can reach node `node`.
     pub fn is_awake(&self, node: usize) -> bool {
         let it = &self.nodes[node];
