Add the catalogue, plain services and the composed instance

Cause: the cores need one type that composes them, so that a daemon, a test or a bench can drive a whole instance by events and actions alone. The catalogue commits a change by conditional update of its head and proves itself current by a majority or by a consistent read; an instance that adopted a newer map counts as unsure until it read the head again, because a change could otherwise survive only at instances that the new map dropped.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -5,7 +5,7 @@
 use crate::catalogue::ApplyOutcome;
 use crate::{
     AdapterRef, CallId, ChangeId, FailureDomain, InstanceId, Map, ObjectName, PeerMessage,
-    PlatformCall, Refusal, RequestId, Revision, StoredAnswer, TargetId, TargetOrder, Time,
+    PlatformCall, Refusal, RequestId, Revision, StoredAnswer, TargetId, TargetOrder, Time, Tokens,
 };
 
 /// Something that the shell is to do.
@@ -53,6 +53,8 @@
         address: SocketAddr,
         /// What must run.
         adapter: AdapterRef,
+        /// The longest answer to ask for; after a break less than the caller asked for.
+        max_answer: Tokens,
         /// Urgent work goes first inside the engine too.
         urgent: bool,
         /// Not to be sent at or after this time: the permit may be given to another by then.
@@ -88,6 +90,8 @@
     PeerSuspected(InstanceId),
     /// A newer catalogue revision is in force here.
     CatalogueAdopted(Revision),
+    /// The platform showed a catalogue head older than the one in force; it was ignored.
+    CatalogueBehind(Revision),
     /// An object of the platform does not parse.
     ObjectMalformed(ObjectName),
     /// An adapter's load was ordered.
--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -21,6 +21,14 @@
     Batch,
 }
 
+impl WorkClass {
+    /// Whether someone is waiting for it.
+    #[must_use]
+    pub const fn is_urgent(self) -> bool {
+        matches!(self, Self::Urgent)
+    }
+}
+
 /// A workspace.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -4,13 +4,17 @@
 //! snapshot pages under a megabyte. The head's revision only grows.
 
 mod change;
+mod compact;
 mod core;
 mod entry;
+mod head;
 mod message;
+mod reader;
 mod state;
+mod writer;
 
 pub use self::change::{ApplyOutcome, Change, ChangeRequest};
-pub use self::core::Catalogue;
+pub use self::core::{Catalogue, CatalogueStatus, UNSURE};
 pub use self::entry::{AdapterEntry, KeyEntry, ServiceEntry, WorkClass, WorkspaceEntry};
 pub use self::message::CatalogueMessage;
 pub use self::state::CatalogueState;
--- a/crates/core/src/catalogue/state.rs
+++ b/crates/core/src/catalogue/state.rs
@@ -34,6 +34,14 @@
         self.keys.get(self.keys_by_digest.get(digest)?)
     }
 
+    /// Whether the key of this name is the workspace's and not withdrawn.
+    #[must_use]
+    pub fn has_key(&self, id: &KeyId, workspace: &WorkspaceId) -> bool {
+        self.keys
+            .get(id)
+            .is_some_and(|entry| entry.workspace == *workspace)
+    }
+
     /// The adapter's entry.
     #[must_use]
     pub fn adapter(&self, id: &AdapterId) -> Option<&AdapterEntry> {
@@ -97,6 +105,18 @@
             .try_for_each(|change| trial.check(change))
     }
 
+    /// The entries that `changes`, taken from a snapshot of `revision`, build from nothing.
+    pub(super) fn restored(revision: Revision, changes: impl Iterator<Item = Change>) -> Self {
+        let mut state = Self {
+            revision,
+            ..Self::default()
+        };
+        for change in changes {
+            state.apply_one(change);
+        }
+        state
+    }
+
     fn apply_one(&mut self, change: Change) {
         match change {
             Change::PutWorkspace(entry) => {
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -1,5 +1,12 @@
 //! One whole instance, composed of the cores.
 
-/// Placeholder.
-#[derive(Debug)]
-pub struct Instance;
+mod core;
+mod decision;
+mod flight;
+mod requests;
+mod retry_budget;
+mod status;
+mod stop;
+
+pub use self::core::{EntryAnswer, Instance};
+pub use self::status::Status;
--- /dev/null
+++ b/crates/core/src/instance/status.rs
@@ -0,0 +1,82 @@
+//! Status and dump: what an instance shows of its state.
+
+use serde::Serialize;
+
+use crate::catalogue::CatalogueStatus;
+use crate::{HomeKey, Map, MemberRef, Time};
+
+use super::Instance;
+
+/// A summary of an instance for operators.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// This life of this instance.
+    pub me: MemberRef,
+    /// It can serve callers.
+    pub ready: bool,
+    /// It has a recent proof that its map is current.
+    pub standing: bool,
+    /// The map in force here.
+    pub map: Map,
+    /// The catalogue here.
+    pub catalogue: CatalogueStatus,
+    /// Workspaces that this instance is home of, and acts for now.
+    pub homes: Vec<HomeKey>,
+    /// Callers' requests under way here.
+    pub requests: usize,
+    /// Calls in doubt that it knows of as a home.
+    pub in_doubt: usize,
+    /// A planned stop is under way.
+    pub stopping: bool,
+}
+
+impl Instance {
+    /// A summary for operators.
+    #[must_use]
+    pub fn status(&self, now: Time) -> Status {
+        let own = self.own();
+        let workspaces = self
+            .catalogue()
+            .workspaces()
+            .map(|entry| HomeKey::Workspace(entry.id.clone()));
+        let keys = workspaces.chain([HomeKey::WeightStore, HomeKey::Catalogue]);
+        Status {
+            me: own.me.clone(),
+            ready: self.is_ready(now),
+            standing: own.has_standing(now),
+            map: own.map.clone(),
+            catalogue: self.catalogue.status(now),
+            homes: keys.filter(|key| own.acts(now, key)).collect(),
+            requests: self.flights.len(),
+            in_doubt: self.journal.in_doubt().len(),
+            stopping: self.stopping.is_some(),
+        }
+    }
+
+    /// All state of the cores, for a developer; keys and bodies are not part of it.
+    #[must_use]
+    pub fn dump(&self, now: Time) -> serde_json::Value {
+        let flights: Vec<_> = self
+            .flights
+            .iter()
+            .map(|(id, flight)| serde_json::json!({ "id": id.to_string(), "flight": flight }))
+            .collect();
+        serde_json::json!({
+            "now": now,
+            "status": self.status(now),
+            "ownership": self.own(),
+            "flights": flights,
+            "retry_budget": self.budget,
+            "stopping": self.stopping,
+            "services": self.services,
+            "catalogue": {
+                "workspaces": self.catalogue().workspaces().collect::<Vec<_>>(),
+                "services": self.catalogue().services().collect::<Vec<_>>(),
+                "keys": self.catalogue().keys().map(|key| serde_json::json!({
+                    "id": key.id, "workspace": key.workspace, "digest": format!("{:?}", key.digest),
+                })).collect::<Vec<_>>(),
+                "adapters": self.catalogue().adapters().count(),
+            },
+        })
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod journal;
 pub mod membership;
 pub mod rates;
+pub mod services;
 
 pub use self::action::{Action, Notice, RequestAction};
 pub use self::cx::Cx;
@@ -36,7 +37,7 @@
     AdapterId, BaseModel, CallId, ChangeId, FailureDomain, GroupId, IdempotencyKey, InstanceId,
     KeyId, ObjectName, RequestId, ServiceId, TargetId, WorkspaceId,
 };
-pub use self::instance::Instance;
+pub use self::instance::{EntryAnswer, Instance, Status};
 pub use self::keys::KeyDigest;
 pub use self::map::{HomeKey, Map, Member, MemberRef, MemberState, PastMap};
 pub use self::message::PeerMessage;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -28,6 +28,8 @@
     NotFound,
     /// The adapter exists, the version doesn't.
     VersionUnknown,
+    /// A call that may not be repeated came without an idempotency key.
+    IdempotencyKeyMissing,
     /// The request does not parse or lacks a field.
     Malformed,
     /// The body is over the limit.
@@ -108,6 +110,9 @@
             Self::KeyRefused => "the key is unknown or withdrawn: ask your operator for a new one",
             Self::NotFound => "your workspace has no such adapter or service: check the name in `model` or the path",
             Self::VersionUnknown => "the adapter has no such version: leave `@version` out to get the current one",
+            Self::IdempotencyKeyMissing => {
+                "a call that may not be repeated needs a name: send `Idempotency-Key`, and the same one when you ask again"
+            }
             Self::Malformed => "the request does not parse: compare it with docs/API.md",
             Self::TooLarge => "the body is over the limit: send less",
             Self::SenderTimeout => "the body came too slowly: send it again on a better connection",
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -24,8 +24,8 @@
         version: Option<AdapterVersion>,
         /// Estimated prompt length.
         prompt: Tokens,
-        /// The longest answer it accepts.
-        max_answer: Tokens,
+        /// The longest answer it accepts; none for the longest that the adapter gives.
+        max_answer: Option<Tokens>,
         /// Hash of the prompt's start, for prefix-cache affinity.
         prefix: u64,
     },
@@ -56,8 +56,10 @@
         /// The answer to keep for repeats; only for a call that may not be repeated.
         stored: Option<StoredAnswer>,
     },
-    /// Connection refused before a byte was written: provably not run.
+    /// Nothing was sent, because it no longer may be.
     NotSent,
+    /// The target refused the connection before a byte was written: provably not run.
+    Unreachable,
     /// The target refused before running it.
     Rejected {
         /// The target is on its way out.
--- /dev/null
+++ b/crates/core/src/services/replica.rs
@@ -0,0 +1,43 @@
+//! One replica of a plain service.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Map, MemberRef, TargetId, Time};
+
+/// A replica and what this instance has running on it.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Replica {
+    pub(super) id: TargetId,
+    pub(super) address: SocketAddr,
+    pub(super) concurrency: u32,
+    pub(super) leaving: bool,
+    pub(super) in_flight: u32,
+    pub(super) avoid_until: Time,
+}
+
+impl Replica {
+    /// How many calls this instance may have running on the replica.
+    ///
+    /// The parts of all active instances sum to the replica's concurrency; which instances get one
+    /// more than others differs from replica to replica.
+    pub(super) fn part(&self, map: &Map, me: &MemberRef) -> u32 {
+        let active: Vec<_> = map.active().collect();
+        let Some(position) = active.iter().position(|id| **id == me.id) else {
+            return 0;
+        };
+        let count = u32::try_from(active.len()).unwrap_or(u32::MAX);
+        let position = u32::try_from(position).unwrap_or(u32::MAX);
+        let turn =
+            u32::try_from(xxh3_64(self.id.as_str().as_bytes()) % u64::from(count)).unwrap_or(0);
+        let rank = (position + turn) % count;
+        self.concurrency / count + u32::from(rank < self.concurrency % count)
+    }
+
+    /// Whether new calls may go to it.
+    pub(super) fn is_open(&self, now: Time) -> bool {
+        !self.leaving && now >= self.avoid_until
+    }
+}
