--- a/crates/core/src/instance/requests.rs
+++ b/crates/core/src/instance/requests.rs
@@ -398,12 +398,12 @@
     fn generation_finished(&mut self, now: Time, id: RequestId, finish: &Finish) {
         match *finish {
             Finish::Complete { answer, .. } => {
-                self.end_generation(now, id, answer, PermitEnd::Used)
+                self.end_generation(now, id, answer, PermitEnd::Used);
             }
             Finish::CallerGone { delivered } => self.caller_gone(now, id, delivered),
             Finish::NotSent => self.retry(now, id, PermitEnd::NotUsed, None),
             Finish::Rejected { leaving: true } => {
-                self.retry(now, id, PermitEnd::EngineLeaving, None)
+                self.retry(now, id, PermitEnd::EngineLeaving, None);
             }
             Finish::Unreachable | Finish::Rejected { leaving: false } => {
                 self.retry(now, id, PermitEnd::EngineFailed, None);
--- /dev/null
+++ b/crates/core/tests/instances/main.rs
@@ -0,0 +1,11 @@
+//! Whole instances, several in memory, under failure.
+
+mod adapters;
+mod catalogue;
+mod filings;
+mod fleet;
+mod keys;
+mod outage;
+mod stop;
+mod whole_path;
+mod world;
