Follow the record of adoptions in the rates core

Cause: ownership now records which map a life adopted, not only that it adopted the one in force; a dropped borrower counts as stopped once it is known to have adopted the map in force.

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -110,6 +110,14 @@
         *former == self.me || self.adopted.iter().any(adopted_later)
     }
 
+    /// Whether `life` is known to have adopted the map in force, or a newer one.
+    #[must_use]
+    pub fn has_adopted(&self, life: &MemberRef) -> bool {
+        let current =
+            |adoption: &Adoption| adoption.life == *life && adoption.map >= self.map.revision;
+        self.adopted.iter().any(current)
+    }
+
     /// The earliest map that may still give standing to someone.
     #[must_use]
     pub fn retired_below(&self) -> Revision {
--- a/crates/core/src/rates/tenure.rs
+++ b/crates/core/src/rates/tenure.rs
@@ -271,8 +271,7 @@
     let mut lives = own.map.history.iter().flat_map(|past| &past.members);
     lives.all(|life| {
         let listed = own.map.member(&life.id);
-        listed.is_some_and(|member| member.incarnation == life.incarnation)
-            || own.adopted.contains(life)
+        listed.is_some_and(|member| member.incarnation == life.incarnation) || own.has_adopted(life)
     })
 }
 
--- a/crates/core/tests/instances/fleet/dispatch.rs
+++ b/crates/core/tests/instances/fleet/dispatch.rs
@@ -126,7 +126,7 @@
         node: usize,
         life: u64,
         id: RequestId,
-        action: &RequestAction,
+        action: RequestAction,
     ) {
         match action {
             RequestAction::Generate { .. } | RequestAction::Call { .. } => {
@@ -165,7 +165,7 @@
         node: usize,
         life: u64,
         id: RequestId,
-        action: RequestAction,
+        action: &RequestAction,
     ) {
         if !self.is_life(node, life) || self.callers[&id].answer.is_some() {
             return;
--- a/crates/core/tests/support/rates_fleet.rs
+++ b/crates/core/tests/support/rates_fleet.rs
@@ -5,8 +5,9 @@
 
 use bluebellstage_core::rates::{Limits, RateStep, Rates, RatesMessage, Share};
 use bluebellstage_core::{
-    Action, Cx, Grouping, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership,
-    PastMap, PeerMessage, Rate, Refusal, RequestId, Revision, Time, Tokens, Tuning, WorkspaceId,
+    Action, Adoption, Cx, Grouping, Incarnation, InstanceId, Map, Member, MemberRef, MemberState,
+    Ownership, PastMap, PeerMessage, Rate, Refusal, RequestId, Revision, Time, Tokens, Tuning,
+    WorkspaceId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -348,7 +349,7 @@
             .nodes
             .values()
             .filter(|node| node.own.map.revision == self.map.revision)
-            .map(|node| node.own.me.clone())
+            .map(|node| adoption(&node.own))
             .collect();
         let (now, map) = (self.now, self.map.clone());
         let (standing, retirement) = (self.cfg.standing, Duration::from_micros(self.retirement()));
@@ -359,7 +360,7 @@
             let local = node.local(now);
             if node.own.map.revision != map.revision && now >= node.adopts_at {
                 node.own.map = map.clone();
-                node.own.adopted = BTreeSet::from([node.own.me.clone()]);
+                node.own.adopted = BTreeSet::from([adoption(&node.own)]);
                 node.own.past_retired_at = Some(local + retirement);
             }
             if node.own.map.revision == map.revision {
@@ -545,3 +546,10 @@
         Time(u64::try_from(local).expect("clocks start late enough"))
     }
 }
+
+fn adoption(own: &Ownership) -> Adoption {
+    Adoption {
+        life: own.me.clone(),
+        map: own.map.revision,
+    }
+}
