Load at a part of the store's rate while its home is silent

Cause: with the platform away and the weight store's home dead nobody can take over, and no adapter was loaded any more: 12 of 24 drafts were left waiting. Ruled out: the rates (all were admitted) and the entry side (asks went to living groups and waited there for a load). Each group now loads at its part of the store's rate once the home has been silent for three seconds; a mere cut may double the rate, and the store then refuses. One test of a kill still fails.

--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -144,6 +144,7 @@
         let mut io = Io {
             cx,
             cfg: &cfg,
+            groups: self.targets.groups.len(),
             local: &mut local,
             decisions: &mut decisions,
             next_order: &mut next_order,
--- a/crates/core/src/engines/io.rs
+++ b/crates/core/src/engines/io.rs
@@ -15,6 +15,8 @@
 pub(super) struct Io<'a, 'b> {
     pub(super) cx: &'a mut Cx<'b>,
     pub(super) cfg: &'a Tuning,
+    /// How many groups of engines there are.
+    pub(super) groups: usize,
     pub(super) local: &'a mut VecDeque<EnginesMessage>,
     pub(super) decisions: &'a mut Vec<PermitDecision>,
     pub(super) next_order: &'a mut u64,
--- a/crates/core/src/engines/loading.rs
+++ b/crates/core/src/engines/loading.rs
@@ -11,6 +11,7 @@
 use super::message::LoadWish;
 use super::slot::{Slot, SlotState};
 use super::timing::{LOAD_START, WISH_REFRESH};
+use super::unpermitted::Unpermitted;
 use super::{EnginesMessage, PermitRef};
 
 /// A request that waited this long for a load gets a slot drained for it if none is idle.
@@ -33,6 +34,7 @@
     newest: Revision,
     /// Load permits that came lately: one that comes twice is used once.
     came: BTreeMap<PermitRef, Time>,
+    pub(super) unpermitted: Unpermitted,
 }
 
 impl Loading {
@@ -90,6 +92,7 @@
         }
         self.drain_for(&unserved, now);
         self.tell_wish(io, counts);
+        self.load_without_permit(io);
     }
 
     fn is_drained(&self, site: &Site) -> bool {
@@ -326,7 +329,12 @@
         self.loading.sent = (u32::MAX, u32::MAX);
     }
 
-    fn use_load_permit(&mut self, io: &mut Io<'_, '_>, permit: PermitRef, before: Time) -> bool {
+    pub(super) fn use_load_permit(
+        &mut self,
+        io: &mut Io<'_, '_>,
+        permit: PermitRef,
+        before: Time,
+    ) -> bool {
         let now = io.now();
         if !io.cx.own.acts(now, &self.key) {
             return false;
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -23,6 +23,7 @@
 mod targets;
 mod tenure;
 mod timing;
+mod unpermitted;
 mod view;
 
 pub use self::ask::{Permit, PermitAsk, PermitDecision, PermitEnd};
--- a/crates/core/src/instance/core.rs
+++ b/crates/core/src/instance/core.rs
@@ -108,12 +108,18 @@
     /// Which instances callers may use.
     #[must_use]
     pub fn entry(&self, now: Time) -> EntryAnswer {
-        let map = &self.own().map;
-        let active = map
-            .members
-            .iter()
-            .filter(|member| member.state == MemberState::Active);
-        let mut addresses: Vec<_> = active.map(|member| member.caller_address).collect();
+        let own = self.own();
+        let active = || {
+            own.map
+                .members
+                .iter()
+                .filter(|member| member.state == MemberState::Active)
+        };
+        let heard = active().filter(|member| !own.silent.contains(&member.id));
+        let mut addresses: Vec<_> = heard.map(|member| member.caller_address).collect();
+        if addresses.is_empty() {
+            addresses = active().map(|member| member.caller_address).collect();
+        }
         if !addresses.is_empty() {
             // Callers that ask at different moments start with different instances.
             let turn = usize::try_from(now.0).unwrap_or(usize::MAX) % addresses.len();
--- a/crates/core/src/membership/core.rs
+++ b/crates/core/src/membership/core.rs
@@ -367,6 +367,7 @@
         let suspect_after = self.cfg.suspect_after;
         let map = &self.ownership.map;
         let fresh = self.silence.observe(now, map, &self.peers, suspect_after);
+        self.ownership.silent.clone_from(self.silence.members());
         if !fresh.is_empty() {
             self.heartbeats.hurry();
         }
--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -31,6 +31,8 @@
     pub standing_until: Time,
     /// What the lives in the map and its history are known to have adopted.
     pub adopted: BTreeSet<Adoption>,
+    /// Members that this instance has not heard for a while; only a hint for whom to ask first.
+    pub silent: BTreeSet<InstanceId>,
     /// From this time on no map of the history gives anyone standing; none while that is not known.
     pub past_retired_at: Option<Time>,
 }
@@ -44,6 +46,7 @@
             map,
             standing_until: Time(0),
             adopted: BTreeSet::new(),
+            silent: BTreeSet::new(),
             past_retired_at: None,
         }
     }
--- a/crates/core/tests/support/engines/node.rs
+++ b/crates/core/tests/support/engines/node.rs
@@ -40,6 +40,7 @@
                 map: map.clone(),
                 standing_until: Time(0),
                 adopted: BTreeSet::new(),
+                silent: BTreeSet::new(),
                 past_retired_at: None,
             },
             offset,
--- a/crates/core/tests/support/rates_membership.rs
+++ b/crates/core/tests/support/rates_membership.rs
@@ -121,6 +121,7 @@
                 map: script.map.clone(),
                 standing_until: Time(0),
                 adopted: BTreeSet::new(),
+                silent: BTreeSet::new(),
                 past_retired_at: None,
             },
             stopped_until: 0,
