Run scenarios against real daemons and report the four measures

The load tool starts stand-ins and daemons as child processes, writes the catalogue, drives open-loop arrivals drawn beforehand from one seed, so that every variant meets the same ones, shows faults on a timeline, and writes report.json and a self-contained report.html. Not yet run against a daemon.

--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use argh::FromArgs;
@@ -23,6 +24,7 @@
     Engine(EngineArgs),
     Service(ServiceArgs),
     Store(StoreArgs),
+    Load(LoadArgs),
 }
 
 /// The platform: object API, lagging list of pods, controls.
@@ -205,3 +207,27 @@
         }
     }
 }
+
+/// Runs a scenario: real daemons and stand-ins as separate processes, and a report.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct LoadArgs {
+    /// the scenario file
+    #[argh(positional)]
+    pub scenario: PathBuf,
+    /// seed of the arrivals; default: the scenario's
+    #[argh(option)]
+    pub seed: Option<u64>,
+    /// where settings, logs and the report go; default: a folder under the system's temporary one
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+    /// path of the daemon; default: bluebellstaged beside this program
+    #[argh(option)]
+    pub daemon: Option<PathBuf>,
+    /// run only the variants with this name
+    #[argh(option)]
+    pub variant: Vec<String>,
+    /// seconds of arrivals in each variant; default: the scenario's
+    #[argh(option)]
+    pub seconds: Option<f64>,
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,7 +12,10 @@
 mod seen;
 mod server;
 
+pub mod caller;
 pub mod engine;
+pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod service;
 pub mod store;
--- /dev/null
+++ b/crates/standin/src/load/scenario.rs
@@ -0,0 +1,352 @@
+//! Scenarios: what a load run consists of.
+
+use std::path::Path;
+
+use eyre::{WrapErr, ensure};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::fleet::{EngineSpec, ServiceSpec, StoreSpec};
+
+/// Longest run of one variant, in seconds.
+const LONGEST_SECONDS: f64 = 600.0;
+
+/// A scenario file.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// What it is about.
+    #[serde(default)]
+    pub about: String,
+    /// Seed of all arrivals.
+    #[serde(default = "default_seed")]
+    pub seed: u64,
+    /// Time over which requests arrive in each variant, in seconds.
+    #[serde(default = "default_seconds")]
+    pub seconds: f64,
+    /// Time at the start that the figures leave out, in seconds.
+    #[serde(default)]
+    pub warmup_seconds: f64,
+    /// Our instances.
+    pub instances: Instances,
+    /// Settings of all instances.
+    #[serde(default)]
+    pub settings: Value,
+    /// Engines, alike but for name and failure domain.
+    pub engines: Group<EngineSpec>,
+    /// Plain services' replicas, alike but for name and failure domain.
+    #[serde(default)]
+    pub services: Vec<Group<ServiceSpec>>,
+    /// The weight store.
+    #[serde(default)]
+    pub store: StoreSpec,
+    /// How far the platform's list lags, in milliseconds.
+    #[serde(default = "default_list_lag")]
+    pub list_lag_ms: u64,
+    /// The workspaces.
+    pub workspaces: Vec<Workspace>,
+    /// Programs that call, for each workspace.
+    #[serde(default = "default_callers")]
+    pub callers: usize,
+    /// How popular adapters are.
+    pub popularity: Popularity,
+    /// What callers ask for.
+    pub work: Vec<WorkSpec>,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub faults: Vec<TimedFault>,
+    /// Runs, one after the other.
+    #[serde(default = "default_variants")]
+    pub variants: Vec<Variant>,
+}
+
+/// Our instances.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instances {
+    /// How many.
+    pub count: usize,
+    /// Failure domains, taken in turn.
+    pub failure_domains: Vec<String>,
+}
+
+/// Targets that are alike.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group<T> {
+    /// How many.
+    pub count: usize,
+    /// Failure domains, taken in turn.
+    pub failure_domains: Vec<String>,
+    /// What each is.
+    pub each: T,
+}
+
+/// A workspace.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Its name.
+    pub name: String,
+    /// Tokens a second.
+    pub rate: u64,
+    /// Tokens at once.
+    pub burst: u64,
+    /// Its share of the demand; shares are relative to each other.
+    pub share: f64,
+    /// Adapters for urgent work.
+    pub urgent_adapters: usize,
+    /// Adapters for batch work.
+    pub batch_adapters: usize,
+}
+
+/// How popular adapters are, within a workspace and class.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Popularity {
+    /// Exponent of Zipf's law.
+    pub zipf: f64,
+    /// Times at which the order of popularity is drawn anew, in seconds.
+    #[serde(default)]
+    pub shift_at: Vec<f64>,
+}
+
+/// A stream of arrivals.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkSpec {
+    /// Its name.
+    pub name: String,
+    /// Arrivals a second, over all workspaces.
+    pub per_second: f64,
+    /// What is asked for.
+    pub kind: WorkKind,
+    /// How long a caller goes on trying, in seconds.
+    #[serde(default = "default_patience")]
+    pub patience_seconds: f64,
+}
+
+/// What is asked for.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum WorkKind {
+    /// A generation by an adapter for urgent work.
+    Urgent(DraftSpec),
+    /// A generation by an adapter for batch work.
+    Batch(DraftSpec),
+    /// A call that may not be repeated.
+    File {
+        /// Which service.
+        service: String,
+    },
+    /// A call that may.
+    Read {
+        /// Which service.
+        service: String,
+    },
+}
+
+/// Lengths of a generation, drawn between the two.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DraftSpec {
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: (usize, usize),
+    /// Longest answer asked for, in tokens.
+    pub max_tokens: (usize, usize),
+}
+
+/// Something that goes wrong at a time.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimedFault {
+    /// When, in seconds from the start of the arrivals.
+    pub at: f64,
+    /// When it is over, in seconds after that; none for never.
+    #[serde(default)]
+    pub lasts: Option<f64>,
+    /// What.
+    pub what: FaultSpec,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultSpec {
+    /// An instance is killed; a new life of it starts when the fault is over.
+    KillInstance(usize),
+    /// An instance stops as planned; a new life of it starts when the fault is over.
+    StopInstance(usize),
+    /// An instance is frozen, and thawed when the fault is over.
+    FreezeInstance(usize),
+    /// The platform refuses all calls.
+    PlatformAway,
+    /// The platform answers so many milliseconds later.
+    PlatformSlow(u64),
+    /// The platform does what it is told to but its answers are lost.
+    PlatformLosesAnswers,
+    /// The weight store takes so many milliseconds longer.
+    StoreSlow(u64),
+    /// An engine restarts cold.
+    RestartEngine(usize),
+    /// An engine answers nobody.
+    FreezeEngine(usize),
+    /// A workspace asks for so many times its demand.
+    Surge {
+        /// Which workspace.
+        workspace: String,
+        /// How many times.
+        times: f64,
+    },
+}
+
+/// One run of the scenario.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Variant {
+    /// Its name.
+    pub name: String,
+    /// Settings of all instances, over the scenario's.
+    #[serde(default)]
+    pub settings: Value,
+    /// Whether the scenario's faults and surges are left out.
+    #[serde(default)]
+    pub without_faults: bool,
+}
+
+const fn default_seed() -> u64 {
+    1
+}
+
+const fn default_seconds() -> f64 {
+    30.0
+}
+
+const fn default_list_lag() -> u64 {
+    1_500
+}
+
+const fn default_callers() -> usize {
+    4
+}
+
+const fn default_patience() -> f64 {
+    10.0
+}
+
+fn default_variants() -> Vec<Variant> {
+    vec![Variant {
+        name: "default".into(),
+        settings: Value::Null,
+        without_faults: false,
+    }]
+}
+
+impl Scenario {
+    /// Reads and checks a scenario file.
+    ///
+    /// # Errors
+    /// If it can't be read, does not parse, or asks for something that can't be run.
+    pub fn read(path: &Path) -> eyre::Result<Self> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("{name} can't be read: name an existing file"))?;
+        let scenario = Self::parse(&text).wrap_err_with(|| format!("{name} is no scenario"))?;
+        Ok(scenario)
+    }
+
+    /// Checks the text of a scenario.
+    ///
+    /// # Errors
+    /// If it does not parse, or asks for something that can't be run.
+    pub fn parse(text: &str) -> eyre::Result<Self> {
+        let scenario: Self = serde_saphyr::from_str(text)?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> eyre::Result<()> {
+        let bounded = self.seconds > 0.0 && self.seconds <= LONGEST_SECONDS;
+        ensure!(
+            bounded,
+            "`seconds` is {}: set up to {LONGEST_SECONDS}",
+            self.seconds
+        );
+        ensure!(
+            self.warmup_seconds < self.seconds,
+            "`warmup_seconds` leaves nothing to measure: set less than `seconds`"
+        );
+        ensure!(
+            self.instances.count > 0 && !self.instances.failure_domains.is_empty(),
+            "`instances` needs a count and failure domains"
+        );
+        ensure!(
+            !self.engines.failure_domains.is_empty(),
+            "`engines` needs failure domains"
+        );
+        for fault in &self.faults {
+            self.check_fault(&fault.what)?;
+        }
+        self.work.iter().try_for_each(|work| self.check_work(work))
+    }
+
+    fn check_work(&self, work: &WorkSpec) -> eyre::Result<()> {
+        if let WorkKind::File { service } | WorkKind::Read { service } = &work.kind {
+            let known = self
+                .services
+                .iter()
+                .any(|group| group.each.service == *service);
+            ensure!(
+                known,
+                "work `{}` asks for no service of `services`",
+                work.name
+            );
+        }
+        Ok(())
+    }
+
+    fn check_fault(&self, fault: &FaultSpec) -> eyre::Result<()> {
+        match fault {
+            FaultSpec::KillInstance(index)
+            | FaultSpec::StopInstance(index)
+            | FaultSpec::FreezeInstance(index) => {
+                ensure!(
+                    *index < self.instances.count,
+                    "there is no instance {index}"
+                );
+            }
+            FaultSpec::RestartEngine(index) | FaultSpec::FreezeEngine(index) => {
+                ensure!(*index < self.engines.count, "there is no engine {index}");
+            }
+            FaultSpec::Surge { workspace, .. } => {
+                let known = self.workspaces.iter().any(|one| one.name == *workspace);
+                ensure!(known, "there is no workspace `{workspace}`");
+            }
+            FaultSpec::PlatformAway
+            | FaultSpec::PlatformSlow(_)
+            | FaultSpec::PlatformLosesAnswers
+            | FaultSpec::StoreSlow(_) => {}
+        }
+        Ok(())
+    }
+
+    /// The scenario without faults and surges.
+    #[must_use]
+    pub fn calm(&self) -> Self {
+        Self {
+            faults: Vec::new(),
+            ..self.clone()
+        }
+    }
+}
+
+impl<T: Clone> Group<T> {
+    /// Each member with its number from 1 and its failure domain.
+    pub(super) fn members(&self) -> impl Iterator<Item = (usize, String, T)> {
+        let domains = self.failure_domains.iter().cycle().take(self.count);
+        let numbered = domains.enumerate();
+        numbered.map(|(index, domain)| (index + 1, domain.clone(), self.each.clone()))
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins as processes of their own.
 
 mod args;
+mod load_command;
 
 use args::{Args, Command};
 use bluebellstage_standin::engine::Engine;
@@ -33,6 +34,7 @@
             serve("store", store.address()).await?;
             store.stop().await;
         }
+        Command::Load(args) => load_command::run(args).await?,
     }
     Ok(())
 }
