--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod journal;
 pub mod membership;
 pub mod rates;
+pub mod services;
 
 pub use self::action::{Action, Notice, RequestAction};
 pub use self::cx::Cx;
@@ -36,11 +37,11 @@
     AdapterId, BaseModel, CallId, ChangeId, FailureDomain, GroupId, IdempotencyKey, InstanceId,
     KeyId, ObjectName, RequestId, ServiceId, TargetId, WorkspaceId,
 };
-pub use self::instance::Instance;
+pub use self::instance::{EntryAnswer, Instance, Status};
 pub use self::keys::KeyDigest;
 pub use self::map::{HomeKey, Map, Member, MemberRef, MemberState, PastMap};
 pub use self::message::PeerMessage;
-pub use self::ownership::Ownership;
+pub use self::ownership::{Adoption, Ownership};
 pub use self::platform::{
     Expected, ListedInstance, PlatformAnswer, PlatformCall, PlatformOp, PlatformPurpose,
     PlatformReply, Versioned,
