Let a pushed adapter through the codec between instances

Cause: seen in a run of three daemons: each catalogue change with an adapter broke the connections to the peers ("delivery failed"), because an entry left out its field `also` when empty and the binary codec names no fields. Change to the contract: `also` is always written; reading is as before. The new test failed with the old attribute in place and passes now.

--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -66,7 +66,7 @@
     /// The version that runs where a caller names none.
     pub current: AdapterVersion,
     /// Earlier versions that callers may still name.
-    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    #[serde(default)]
     pub also: BTreeSet<AdapterVersion>,
     /// How pressing its work is.
     #[serde(default)]
