Take a peer's word on its catalogue from its latest answer

Cause: an instance that is not sure of its catalogue reports a revision above all others, and membership kept the highest revision ever told in a life. After the first change of the map every peer stayed "not sure" for good, so no majority could prove a catalogue current and an outage of the platform would have ended service after one standing period. The value now belongs to the answer to the latest question; of two answers the later question's counts, so reordered heartbeats change nothing. A majority that is not sure no longer counts as having a revision. Beside it: the status names the revision each instance has in force, which operators wait for after a change.

--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -9,4 +9,4 @@
 mod stop;
 
 pub use self::core::{EntryAnswer, Instance};
-pub use self::status::Status;
+pub use self::status::{InstanceCatalogue, Status};
--- a/crates/core/src/instance/status.rs
+++ b/crates/core/src/instance/status.rs
@@ -2,8 +2,8 @@
 
 use serde::Serialize;
 
-use crate::catalogue::CatalogueStatus;
-use crate::{HomeKey, Map, MemberRef, Time};
+use crate::catalogue::{CatalogueStatus, UNSURE};
+use crate::{HomeKey, InstanceId, Map, MemberRef, Revision, Time};
 
 use super::Instance;
 
@@ -20,6 +20,8 @@
     pub map: Map,
     /// The catalogue here.
     pub catalogue: CatalogueStatus,
+    /// What is known here of each instance's catalogue.
+    pub instances: Vec<InstanceCatalogue>,
     /// Workspaces that this instance is home of, and acts for now.
     pub homes: Vec<HomeKey>,
     /// Callers' requests under way here.
@@ -30,6 +32,15 @@
     pub stopping: bool,
 }
 
+/// The catalogue of one instance, as another knows it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct InstanceCatalogue {
+    /// Which instance.
+    pub id: InstanceId,
+    /// The revision that it has in force; none while it is not sure or has not said.
+    pub revision: Option<Revision>,
+}
+
 impl Instance {
     /// A summary for operators.
     #[must_use]
@@ -46,6 +57,7 @@
             standing: own.has_standing(now),
             map: own.map.clone(),
             catalogue: self.catalogue.status(now),
+            instances: self.catalogues(),
             homes: keys.filter(|key| own.acts(now, key)).collect(),
             requests: self.flights.len(),
             in_doubt: self.journal.in_doubt().len(),
@@ -53,6 +65,27 @@
         }
     }
 
+    fn catalogues(&self) -> Vec<InstanceCatalogue> {
+        let map = &self.own().map;
+        let mine = (self.own().me.clone(), Some(self.catalogue.reported()));
+        let told: Vec<_> = self
+            .membership
+            .told_catalogues()
+            .map(|(life, revision)| (life.clone(), revision))
+            .chain([mine])
+            .filter(|(life, _revision)| {
+                map.member(&life.id)
+                    .is_some_and(|member| member.incarnation == life.incarnation)
+            })
+            .collect();
+        told.into_iter()
+            .map(|(life, revision)| InstanceCatalogue {
+                id: life.id,
+                revision: revision.filter(|revision| *revision != UNSURE),
+            })
+            .collect()
+    }
+
     /// All state of the cores, for a developer; keys and bodies are not part of it.
     #[must_use]
     pub fn dump(&self, now: Time) -> serde_json::Value {
--- a/crates/core/src/membership/core.rs
+++ b/crates/core/src/membership/core.rs
@@ -160,6 +160,13 @@
         )
     }
 
+    /// The catalogue revision that each other life of the map last reported; none before its first
+    /// answer.
+    pub fn told_catalogues(&self) -> impl Iterator<Item = (&MemberRef, Option<Revision>)> {
+        let lives = self.peers.iter();
+        lives.map(|(life, peer)| (life, peer.told.map(|told| told.catalogue)))
+    }
+
     /// Whether a majority of the map's instances has `revision` of the catalogue in force.
     #[must_use]
     pub fn majority_has_catalogue(&self, revision: Revision) -> bool {
--- a/crates/core/src/membership/peers.rs
+++ b/crates/core/src/membership/peers.rs
@@ -15,8 +15,6 @@
     pub(super) sequence: u64,
     /// The newest map that it has adopted.
     pub(super) adopted: Revision,
-    /// The newest catalogue revision that it has in force.
-    pub(super) catalogue: Revision,
     /// Its latest answer to a heartbeat from here.
     pub(super) told: Option<Told>,
     /// Members that are silent to it.
@@ -33,6 +31,9 @@
     pub(super) asked: Time,
     /// The newest map that it had adopted.
     pub(super) map: Revision,
+    /// The catalogue revision that it reported. Not the highest ever: a peer that is not sure of its
+    /// own reports one above all others, and takes that back once it is.
+    pub(super) catalogue: Revision,
 }
 
 impl Peer {
@@ -41,7 +42,6 @@
             heard_at: now,
             sequence: 0,
             adopted: Revision(0),
-            catalogue: Revision(0),
             told: None,
             silent: Vec::new(),
         }
@@ -74,7 +74,8 @@
 
     /// Takes a heartbeat; `asked` is when the heartbeat that it echoes was sent.
     ///
-    /// Maps and catalogues only grow within a life, so late and doubled heartbeats do no harm.
+    /// Maps only grow within a life, and of answers the one to the latest question counts, so late
+    /// and doubled heartbeats do no harm.
     pub(super) fn hear(
         &mut self,
         now: Time,
@@ -86,13 +87,13 @@
             return;
         };
         peer.adopted = peer.adopted.max(heartbeat.map);
-        peer.catalogue = peer.catalogue.max(heartbeat.catalogue);
         if let Some(asked) = asked
             && peer.told.is_none_or(|told| told.asked < asked)
         {
             peer.told = Some(Told {
                 asked,
                 map: heartbeat.map,
+                catalogue: heartbeat.catalogue,
             });
         }
         if heartbeat.sequence > peer.sequence {
--- a/crates/core/src/membership/quorum.rs
+++ b/crates/core/src/membership/quorum.rs
@@ -1,5 +1,6 @@
 //! Majorities of the map's lives.
 
+use crate::catalogue::UNSURE;
 use crate::{Map, MemberRef, Revision, Time};
 
 use super::peers::Peers;
@@ -52,7 +53,7 @@
     };
     let asked = majority_time(map, told)?;
     let highest = lives(map)
-        .filter_map(|life| peers.get(&life).map(|peer| peer.catalogue))
+        .filter_map(|life| Some(peers.get(&life)?.told?.catalogue))
         .fold(mine, Revision::max);
     Some(CatalogueQuorum { asked, highest })
 }
@@ -71,7 +72,8 @@
         }
         peers
             .get(life)
-            .is_some_and(|peer| peer.catalogue >= revision)
+            .and_then(|peer| peer.told)
+            .is_some_and(|told| told.catalogue >= revision && told.catalogue != UNSURE)
     };
     is_majority(lives(map).filter(has).count(), map.members.len())
 }
