--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,239 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use bluebellstage_core::{ChangeId, KeyId, RequestId, WorkspaceId};
+
+/// Operate bluebellstage through the administration API of any of its instances.
+#[derive(Debug, FromArgs)]
+#[argh(
+    note = "The token is read from the environment variable BLUEBELLSTAGE_TOKEN, or from the file named by --token-file; it is never an argument, for arguments show in lists of processes.",
+    example = "bluebellstage --admin http://10.0.0.5:8082 status",
+    error_code(0, "done"),
+    error_code(1, "the command line or a file is wrong, or something unexpected failed"),
+    error_code(3, "the instance can't be reached, or refused the token"),
+    error_code(4, "refused: the catalogue moved on, contradicts the change, or lacks what was named"),
+    error_code(5, "the outcome is not known, or was not seen everywhere in time"),
+    error_code(6, "catalogue diff: there are changes")
+)]
+pub(crate) struct Args {
+    /// base URL of an instance's administration API; default: BLUEBELLSTAGE_ADMIN
+    #[argh(option)]
+    pub(crate) admin: Option<String>,
+
+    /// file that holds the token; default: BLUEBELLSTAGE_TOKEN
+    #[argh(option)]
+    pub(crate) token_file: Option<PathBuf>,
+
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    /// The catalogue.
+    Catalogue(CatalogueArgs),
+    /// Keys.
+    Key(KeyArgs),
+    /// Status.
+    Status(StatusArgs),
+    /// Dump.
+    Dump(DumpArgs),
+    /// Requests.
+    Request(RequestArgs),
+    /// Planned stop.
+    Drain(DrainArgs),
+}
+
+/// Read, compare or change the catalogue.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "catalogue")]
+pub(crate) struct CatalogueArgs {
+    #[argh(subcommand)]
+    pub(crate) command: CatalogueCommand,
+}
+
+/// What to do with the catalogue.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum CatalogueCommand {
+    /// Print it.
+    Get(CatalogueGetArgs),
+    /// Compare it.
+    Diff(CatalogueDiffArgs),
+    /// Change it.
+    Apply(CatalogueApplyArgs),
+}
+
+/// Print the catalogue in force as YAML that `apply` takes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub(crate) struct CatalogueGetArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Show what `apply` would change; exits 6 if there is anything.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub(crate) struct CatalogueDiffArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// the catalogue file
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+}
+
+/// Turn the catalogue in force into the one in the file; refused if the file's `revision` is no
+/// longer in force.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub(crate) struct CatalogueApplyArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// name of the change; the same name makes a retry harmless; default: drawn
+    #[argh(option)]
+    pub(crate) change_id: Option<ChangeId>,
+
+    /// the catalogue file
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+}
+
+/// Issue or withdraw workspaces' keys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+pub(crate) struct KeyArgs {
+    #[argh(subcommand)]
+    pub(crate) command: KeyCommand,
+}
+
+/// What to do with keys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum KeyCommand {
+    /// Issue one.
+    Issue(KeyIssueArgs),
+    /// Withdraw one.
+    Withdraw(KeyWithdrawArgs),
+    /// List them.
+    List(KeyListArgs),
+}
+
+/// Draw a key for a workspace and print it, this once: only its digest is kept.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "issue")]
+pub(crate) struct KeyIssueArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// public name of the key, by which it is withdrawn
+    #[argh(option)]
+    pub(crate) name: KeyId,
+
+    /// whose key it is
+    #[argh(positional)]
+    pub(crate) workspace: WorkspaceId,
+}
+
+/// Withdraw a key; what it still has waiting or running ends.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+pub(crate) struct KeyWithdrawArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// public name of the key
+    #[argh(positional)]
+    pub(crate) name: KeyId,
+}
+
+/// List keys by their public names.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub(crate) struct KeyListArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Show instances, homes, requests and the catalogue's revision, as this instance knows them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct StatusArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Print all state of this instance's process, as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub(crate) struct DumpArgs {
+    /// print JSON; a dump is never printed otherwise
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Show callers' requests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "request")]
+pub(crate) struct RequestArgs {
+    #[argh(subcommand)]
+    pub(crate) command: RequestCommand,
+}
+
+/// Which requests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum RequestCommand {
+    /// One.
+    Show(RequestShowArgs),
+    /// Those in doubt.
+    InDoubt(InDoubtArgs),
+}
+
+/// Show what this instance knows of one request.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct RequestShowArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// the request's `X-Request-Id`
+    #[argh(positional)]
+    pub(crate) id: RequestId,
+}
+
+/// List calls that may not be repeated and whose outcome is not known.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "in-doubt")]
+pub(crate) struct InDoubtArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Begin this instance's planned stop and wait for its end: no answer is cut off.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub(crate) struct DrainArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// seconds to wait for the end; default 120
+    #[argh(option, default = "120")]
+    pub(crate) wait_s: u64,
+}
--- /dev/null
+++ b/crates/cli/src/view.rs
@@ -0,0 +1,90 @@
+//! What an instance's administration API answers, as far as this tool reads it.
+
+use std::net::SocketAddr;
+
+use bluebellstage_core::catalogue::Document;
+use bluebellstage_core::journal::InDoubt;
+use bluebellstage_core::{
+    FailureDomain, HomeKey, InstanceId, KeyId, MemberRef, MemberState, Revision, WorkspaceId,
+};
+use serde::{Deserialize, Serialize};
+
+/// The catalogue in force.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Catalogue {
+    pub(crate) revision: Revision,
+    #[serde(flatten)]
+    pub(crate) document: Entries,
+    #[serde(default)]
+    pub(crate) keys: Vec<Key>,
+}
+
+/// The entries of a catalogue, among other fields.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(transparent)]
+pub(crate) struct Entries(pub(crate) serde_json::Map<String, serde_json::Value>);
+
+/// A key by its public name.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Key {
+    pub(crate) id: KeyId,
+    pub(crate) workspace: WorkspaceId,
+}
+
+/// An instance's status.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Status {
+    pub(crate) me: MemberRef,
+    pub(crate) ready: bool,
+    pub(crate) standing: bool,
+    pub(crate) map: Map,
+    pub(crate) catalogue: CatalogueStatus,
+    pub(crate) instances: Vec<InstanceCatalogue>,
+    pub(crate) homes: Vec<HomeKey>,
+    pub(crate) requests: u64,
+    pub(crate) in_doubt: u64,
+    pub(crate) stopping: bool,
+}
+
+/// The map in force.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Map {
+    pub(crate) revision: Revision,
+    pub(crate) members: Vec<Member>,
+}
+
+/// An instance of the map.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Member {
+    pub(crate) id: InstanceId,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) caller_address: SocketAddr,
+    pub(crate) state: MemberState,
+}
+
+/// The catalogue at the asked instance.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct CatalogueStatus {
+    pub(crate) revision: Revision,
+    pub(crate) fresh: bool,
+}
+
+/// The catalogue at an instance, as the asked one knows it.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct InstanceCatalogue {
+    pub(crate) id: InstanceId,
+    pub(crate) revision: Option<Revision>,
+}
+
+/// Calls in doubt.
+pub(crate) type InDoubtList = Vec<InDoubt>;
+
+impl Status {
+    /// Whether every instance is known to have `revision` in force.
+    pub(crate) fn is_everywhere(&self, revision: Revision) -> bool {
+        let has = |instance: &InstanceCatalogue| {
+            instance.revision.is_some_and(|known| known >= revision)
+        };
+        self.instances.iter().all(has)
+    }
+}
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -6,6 +6,7 @@
 mod change;
 mod compact;
 mod core;
+mod document;
 mod entry;
 mod head;
 mod message;
@@ -15,6 +16,7 @@
 
 pub use self::change::{ApplyOutcome, Change, ChangeRequest};
 pub use self::core::{Catalogue, CatalogueStatus, UNSURE};
+pub use self::document::Document;
 pub use self::entry::{AdapterEntry, KeyEntry, ServiceEntry, WorkClass, WorkspaceEntry};
 pub use self::message::CatalogueMessage;
 pub use self::state::CatalogueState;
--- a/crates/daemon/src/connection/admin/catalogue.rs
+++ b/crates/daemon/src/connection/admin/catalogue.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bluebellstage_core::catalogue::{ApplyOutcome, Change, ChangeRequest, KeyEntry};
+use bluebellstage_core::catalogue::{ApplyOutcome, Change, ChangeRequest, Document, KeyEntry};
 use bluebellstage_core::{ChangeId, KeyId, Revision};
 use rocket::data::{ByteUnit, Data};
 use rocket::http::Status;
@@ -12,7 +12,7 @@
 
 use crate::process::Shell;
 
-use super::document::{Document, Shown};
+use super::document::Shown;
 use super::guard::Operator;
 use super::{AdminError, Applied, json};
 
@@ -82,13 +82,12 @@
     data: Data<'_>,
 ) -> Result<Applied, AdminError> {
     let document: Document = read(data).await?;
-    let changes = operator.0.read(|core, _now| {
-        (
-            core.catalogue().revision,
-            document.changes_from(core.catalogue()),
-        )
+    let Operator(shell) = operator;
+    let (revision, in_force) = shell.read(|core, _now| {
+        let state = core.catalogue();
+        (state.revision, Document::of(state))
     });
-    let (revision, changes) = changes;
+    let changes = in_force.changes_to(&document);
     // The changes were computed against this revision; at any other they would mean another thing.
     if expected.0.is_some_and(|expected| expected != revision) {
         return Ok(Applied(ApplyOutcome::Stale { revision }));
@@ -101,7 +100,7 @@
         expected: Some(revision),
         changes,
     };
-    Ok(Applied(operator.0.change(request).await))
+    Ok(Applied(shell.change(request).await))
 }
 
 #[post("/changes", data = "<data>")]
