--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -14,16 +14,11 @@
 pub(crate) struct Catalogue {
     pub(crate) revision: Revision,
     #[serde(flatten)]
-    pub(crate) document: Entries,
+    pub(crate) document: Document,
     #[serde(default)]
     pub(crate) keys: Vec<Key>,
 }
 
-/// The entries of a catalogue, among other fields.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(transparent)]
-pub(crate) struct Entries(pub(crate) serde_json::Map<String, serde_json::Value>);
-
 /// A key by its public name.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct Key {
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -15,7 +15,7 @@
 mod writer;
 
 pub use self::change::{ApplyOutcome, Change, ChangeRequest};
-pub use self::core::{Catalogue, CatalogueStatus, UNSURE};
+pub use self::core::{Catalogue, CatalogueStatus};
 pub use self::document::Document;
 pub use self::entry::{AdapterEntry, KeyEntry, ServiceEntry, WorkClass, WorkspaceEntry};
 pub use self::message::CatalogueMessage;
--- a/crates/core/src/instance/status.rs
+++ b/crates/core/src/instance/status.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::catalogue::{CatalogueStatus, UNSURE};
+use crate::catalogue::CatalogueStatus;
 use crate::{HomeKey, InstanceId, Map, MemberRef, Revision, Time};
 
 use super::Instance;
@@ -81,7 +81,7 @@
         told.into_iter()
             .map(|(life, revision)| InstanceCatalogue {
                 id: life.id,
-                revision: revision.filter(|revision| *revision != UNSURE),
+                revision: revision.filter(|revision| *revision != Revision::UNSURE),
             })
             .collect()
     }
--- a/crates/core/src/membership/peers.rs
+++ b/crates/core/src/membership/peers.rs
@@ -15,6 +15,8 @@
     pub(super) sequence: u64,
     /// The newest map that it has adopted.
     pub(super) adopted: Revision,
+    /// The newest catalogue revision that it has in force.
+    pub(super) catalogue: Revision,
     /// Its latest answer to a heartbeat from here.
     pub(super) told: Option<Told>,
     /// Members that are silent to it.
@@ -31,8 +33,7 @@
     pub(super) asked: Time,
     /// The newest map that it had adopted.
     pub(super) map: Revision,
-    /// The catalogue revision that it reported. Not the highest ever: a peer that is not sure of its
-    /// own reports one above all others, and takes that back once it is.
+    /// The catalogue revision that it had in force, or that it was unsure.
     pub(super) catalogue: Revision,
 }
 
@@ -42,6 +43,7 @@
             heard_at: now,
             sequence: 0,
             adopted: Revision(0),
+            catalogue: Revision(0),
             told: None,
             silent: Vec::new(),
         }
@@ -74,8 +76,7 @@
 
     /// Takes a heartbeat; `asked` is when the heartbeat that it echoes was sent.
     ///
-    /// Maps only grow within a life, and of answers the one to the latest question counts, so late
-    /// and doubled heartbeats do no harm.
+    /// Maps and catalogues only grow within a life, so late and doubled heartbeats do no harm.
     pub(super) fn hear(
         &mut self,
         now: Time,
@@ -87,6 +88,9 @@
             return;
         };
         peer.adopted = peer.adopted.max(heartbeat.map);
+        if heartbeat.catalogue != Revision::UNSURE {
+            peer.catalogue = peer.catalogue.max(heartbeat.catalogue);
+        }
         if let Some(asked) = asked
             && peer.told.is_none_or(|told| told.asked < asked)
         {
--- a/crates/core/src/membership/quorum.rs
+++ b/crates/core/src/membership/quorum.rs
@@ -1,6 +1,5 @@
 //! Majorities of the map's lives.
 
-use crate::catalogue::UNSURE;
 use crate::{Map, MemberRef, Revision, Time};
 
 use super::peers::Peers;
@@ -38,6 +37,8 @@
 }
 
 /// What a majority of the map's lives, `me` among them, says of the catalogue.
+///
+/// A life that is unsure of its revision counts as one that has not answered.
 pub(super) fn catalogue(
     now: Time,
     map: &Map,
@@ -47,13 +48,14 @@
 ) -> Option<CatalogueQuorum> {
     let told = |life: &MemberRef| {
         if life == me {
-            return Some(now);
+            return (mine != Revision::UNSURE).then_some(now);
         }
-        Some(peers.get(life)?.told?.asked)
+        let told = peers.get(life)?.told?;
+        (told.catalogue != Revision::UNSURE).then_some(told.asked)
     };
     let asked = majority_time(map, told)?;
     let highest = lives(map)
-        .filter_map(|life| Some(peers.get(&life)?.told?.catalogue))
+        .filter_map(|life| peers.get(&life).map(|peer| peer.catalogue))
         .fold(mine, Revision::max);
     Some(CatalogueQuorum { asked, highest })
 }
@@ -72,8 +74,7 @@
         }
         peers
             .get(life)
-            .and_then(|peer| peer.told)
-            .is_some_and(|told| told.catalogue >= revision && told.catalogue != UNSURE)
+            .is_some_and(|peer| peer.catalogue >= revision)
     };
     is_majority(lives(map).filter(has).count(), map.members.len())
 }
--- a/crates/core/tests/support/engines/world.rs
+++ b/crates/core/tests/support/engines/world.rs
@@ -6,7 +6,7 @@
     Engines, EnginesMessage, Permit, PermitAsk, PermitDecision, PermitEnd,
 };
 use bluebellstage_core::{
-    Cx, InstanceId, MemberRef, OrderId, OrderOutcome, RequestId, TargetId, TargetInfo, TargetOrder,
+    Adoption, Cx, InstanceId, OrderId, OrderOutcome, RequestId, TargetId, TargetInfo, TargetOrder,
     Tuning,
 };
 use rand::{Rng, SeedableRng};
@@ -428,11 +428,14 @@
     }
 
     pub(super) fn observe(&mut self, node: usize) {
-        let adopted: BTreeSet<MemberRef> = self
+        let adopted: BTreeSet<Adoption> = self
             .nodes
             .iter()
             .filter(|it| it.own.map.revision == self.platform.map.revision)
-            .map(|it| it.own.me.clone())
+            .map(|it| Adoption {
+                life: it.own.me.clone(),
+                map: it.own.map.revision,
+            })
             .collect();
         if self.nodes[node].observe(self.now, &self.platform, &adopted) {
             self.step(node, Engines::map_changed);
