Send strayed asks back when their group's new home acts

Cause: asks of a dead home's group went to the next group and waited there for a load, while the new home had their adapters at hand. The new home's question for permits, which each instance gets as it begins to act, now brings them back. Ruled out: going by where an adapter was last let in alone; other instances may have served it.

--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -190,7 +190,8 @@
             EnginesMessage::Grant(grant) => self.entry.granted(io, from, *grant),
             EnginesMessage::EndNoted { group, permit } => self.entry.end_noted(group, permit),
             EnginesMessage::WhichPermits { group, revision } => {
-                self.entry.tell_held(io, from, group, revision);
+                self.entry.tell_held(io, from, group.clone(), revision);
+                self.entry.home_acts(io, &self.targets, &group);
             }
             EnginesMessage::Status { group, status } => self.entry.heard(group, status),
             EnginesMessage::Wish(wish) => self.at_store(io, |store, io| store.wish(io, from, wish)),
--- a/crates/core/src/engines/entry.rs
+++ b/crates/core/src/engines/entry.rs
@@ -283,6 +283,47 @@
         self.send_ends(io);
     }
 
+    /// A group's new home began to act: asks that wait elsewhere though this group comes first for
+    /// them go back to it.
+    ///
+    /// Guards against requests that went to the next group while a dead home was being replaced, and
+    /// wait there for a load that they do not need.
+    pub(super) fn home_acts(&mut self, io: &mut Io<'_, '_>, targets: &Targets, group: &GroupId) {
+        self.views.entry(group.clone()).or_default().avoid_until = io.now();
+        let strayed: Vec<AskNumber> = self
+            .open
+            .iter()
+            .filter(|(_, open)| match &open.stage {
+                Stage::Unplaced { .. } => true,
+                Stage::Sent { group: at, .. } | Stage::Queued { group: at, .. } => at != group,
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in strayed {
+            let Some(open) = self.open.get_mut(&number) else {
+                continue;
+            };
+            let tried = std::mem::take(&mut open.tried);
+            let ask = open.ask.clone();
+            if self.first_choice(io, targets, &ask).as_ref() == Some(group) {
+                self.move_on(io, targets, number, true);
+            } else if let Some(open) = self.open.get_mut(&number) {
+                open.tried = tried;
+            }
+        }
+    }
+
+    fn first_choice(&self, io: &Io<'_, '_>, targets: &Targets, ask: &PermitAsk) -> Option<GroupId> {
+        let candidates = Candidates {
+            targets,
+            views: &self.views,
+            seen: self.seen.get(&ask.adapter),
+            tried: &BTreeSet::new(),
+            now: io.now(),
+        };
+        candidates.choose(io.cfg.placement, &ask.base_model, &ask.adapter, self.random)
+    }
+
     fn replace(&mut self, io: &mut Io<'_, '_>, targets: &Targets, number: AskNumber) {
         if let Some(open) = self.open.remove(&number) {
             self.place(io, targets, open);
