Bound the time in which an order may be sent; fuzz whole instances

Cause: an order that was decided before a process froze left after its thaw, when another home had its engines; an engine that ignores fencing numbers would obey. Orders carry the end of their issuer's standing and the shell checks it right before the send. The fleet now holds back what a frozen process had decided and not sent: calls, orders, messages.

--- a/crates/core/src/engines/io.rs
+++ b/crates/core/src/engines/io.rs
@@ -51,6 +51,7 @@
             target: engine.id.clone(),
             address: engine.address,
             fencing: self.cx.own.fencing(),
+            send_before: self.cx.own.standing_until,
             kind,
         }));
         id
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     AdapterId, AdapterVersion, BaseModel, FailureDomain, Fencing, GroupId, Grouping, ServiceId,
-    TargetId,
+    TargetId, Time,
 };
 
 /// An adapter at one version: what an engine holds in a slot.
@@ -116,6 +116,12 @@
     pub address: SocketAddr,
     /// The issuer's fencing number: the revision of the map under which it is home.
     pub fencing: Fencing,
+    /// Not to be sent at or after this time.
+    ///
+    /// Guards against a process that is frozen between the decision and the send, while another
+    /// takes its engines over: an engine that ignores fencing numbers would then evict an adapter
+    /// in use. The issuer's standing ends at this time, and with it its right to order.
+    pub send_before: Time,
     /// What to do.
     pub kind: TargetOrderKind,
 }
--- a/crates/core/tests/instances/fleet/callers.rs
+++ b/crates/core/tests/instances/fleet/callers.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     pub node: usize,
+    pub key: String,
     pub work: CallerWork,
     pub asked: u64,
     pub answer: Option<Answer>,
--- a/crates/core/tests/instances/fleet/dispatch.rs
+++ b/crates/core/tests/instances/fleet/dispatch.rs
@@ -1,9 +1,9 @@
 //! The shell's part: carries actions out at the platform and the targets.
 
 use bluebellstage_core::{
-    Event, Finish, ListedInstance, ObjectName, PlatformAnswer, PlatformCall, PlatformReply,
-    RequestAction, RequestEvent, RequestId, StoredAnswer, TargetId, TargetOrder, TargetOrderKind,
-    Time, Tokens,
+    Event, Finish, ListedInstance, ObjectName, OrderOutcome, PlatformAnswer, PlatformCall,
+    PlatformReply, RequestAction, RequestEvent, RequestId, StoredAnswer, TargetId, TargetOrder,
+    TargetOrderKind, Time, Tokens,
 };
 use rand::Rng;
 
@@ -99,6 +99,23 @@
         self.platform.set_targets(self.now, list);
     }
 
+    pub(super) fn send_order(&mut self, node: usize, life: u64, order: TargetOrder) {
+        if !self.is_life(node, life) {
+            return;
+        }
+        if self.nodes[node].clock(self.now) < order.send_before {
+            self.later(Delivery::Order { node, life, order });
+            return;
+        }
+        let TargetOrder { id, target, .. } = order;
+        let event = Event::OrderEnded {
+            id,
+            target,
+            outcome: OrderOutcome::Failed,
+        };
+        self.later(Delivery::Event { node, life, event });
+    }
+
     pub(super) fn order(&mut self, node: usize, life: u64, order: TargetOrder) {
         let TargetOrder {
             id,
--- a/crates/core/tests/instances/fleet/drive.rs
+++ b/crates/core/tests/instances/fleet/drive.rs
@@ -38,6 +38,11 @@
         call: PlatformCall,
         asked: Time,
     },
+    SendOrder {
+        node: usize,
+        life: u64,
+        order: TargetOrder,
+    },
     Order {
         node: usize,
         life: u64,
@@ -96,6 +101,8 @@
     pub callers: BTreeMap<RequestId, Caller>,
     pub runs: Vec<Run>,
     pub outcomes: BTreeMap<ChangeId, ApplyOutcome>,
+    /// When the outcomes were told.
+    pub answered_at: BTreeMap<ChangeId, u64>,
     pub notices: Vec<(u64, InstanceId, Notice)>,
     pub(super) rng: ChaCha8Rng,
     pub(super) cfg: Tuning,
@@ -117,6 +124,7 @@
             callers: BTreeMap::new(),
             runs: Vec::new(),
             outcomes: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
             notices: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(builder.seed),
             cfg: builder.tuning,
@@ -207,6 +215,7 @@
                 call,
                 asked,
             } => self.platform_call(node, life, call, asked),
+            Delivery::SendOrder { node, life, order } => self.send_order(node, life, order),
             Delivery::Order { node, life, order } => self.order(node, life, order),
             Delivery::Dispatch {
                 node,
@@ -224,13 +233,27 @@
         }
     }
 
-    /// What a frozen process would do itself waits until it thaws.
+    /// What a frozen process would do itself waits until it thaws, and so does what it had decided
+    /// and not sent.
     pub(super) fn is_held(&self, delivery: &Delivery) -> bool {
         match delivery {
+            Delivery::Event {
+                node,
+                event: Event::Message { from, .. },
+                ..
+            } => {
+                self.nodes[*node].frozen
+                    || self
+                        .nodes
+                        .iter()
+                        .any(|node| node.id == *from && node.frozen)
+            }
             Delivery::Tick { node, .. }
             | Delivery::Event { node, .. }
+            | Delivery::Call { node, .. }
+            | Delivery::SendOrder { node, .. }
             | Delivery::Dispatch { node, .. } => self.nodes[*node].frozen,
-            Delivery::Call { .. } | Delivery::Order { .. } | Delivery::RunEnds { .. } => false,
+            Delivery::Order { .. } | Delivery::RunEnds { .. } => false,
         }
     }
 
@@ -286,9 +309,10 @@
                     asked,
                 });
             }
-            Action::Order(order) => self.later(Delivery::Order { node, life, order }),
+            Action::Order(order) => self.later(Delivery::SendOrder { node, life, order }),
             Action::Request { id, action } => self.request_action(node, life, id, action),
             Action::Applied { change, outcome } => {
+                self.answered_at.insert(change.clone(), self.now);
                 self.outcomes.insert(change, outcome);
             }
             Action::Notice(notice) => {
--- a/crates/core/tests/instances/fleet/faults.rs
+++ b/crates/core/tests/instances/fleet/faults.rs
@@ -85,9 +85,9 @@
     pub fn ask(&mut self, node: usize, key: &str, work: CallerWork) -> RequestId {
         self.requests += 1;
         let id = RequestId(self.requests);
-        let key = KeyDigest::of(key);
         let caller = Caller {
             node,
+            key: key.to_owned(),
             work: work.clone(),
             asked: self.now,
             answer: None,
@@ -100,7 +100,10 @@
         }
         let event = Event::Request {
             id,
-            event: RequestEvent::Arrived(CallerRequest { key, work }),
+            event: RequestEvent::Arrived(CallerRequest {
+                key: KeyDigest::of(key),
+                work,
+            }),
         };
         let life = self.nodes[node].incarnation.0;
         self.schedule(self.now, Delivery::Event { node, life, event });
--- a/crates/core/tests/instances/main.rs
+++ b/crates/core/tests/instances/main.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod catalogue;
+mod chaos;
 mod filings;
 mod fleet;
 mod keys;
