Say 'not run' only of requests that never reached a target

Cause: a generation whose engine broke off before the first token counted as delivered nothing, and a refusal that followed (standing lost, budget spent, key withdrawn) said that nothing ran. A request remembers that a target broke off on it, and each refusal is made truthful by that.

--- a/crates/core/src/instance/flight.rs
+++ b/crates/core/src/instance/flight.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 
 use crate::{
-    AdapterRef, BaseModel, KeyId, ServiceCall, ServiceId, TargetId, Time, Tokens, WorkspaceId,
+    AdapterRef, BaseModel, KeyId, Ran, Refusal, ServiceCall, ServiceId, TargetId, Time, Tokens,
+    WorkspaceId,
 };
 
 /// A request under way.
@@ -23,6 +24,8 @@
     pub(super) arrived: Time,
     /// How often it was sent to a target that then failed.
     pub(super) retries: u32,
+    /// A target broke off after it got the request: some of it may have run.
+    pub(super) may_have_run: bool,
 }
 
 /// What a request asks for, checked against the catalogue.
@@ -88,9 +91,18 @@
         matches!(&self.job, Job::Call { call, .. } if !call.idempotent)
     }
 
-    /// Whether the caller has a part of the answer.
-    pub(super) fn has_delivered(&self) -> bool {
-        matches!(&self.job, Job::Generate { delivered, .. } if *delivered > Tokens::default())
+    /// A refusal as far as it is true of this request.
+    ///
+    /// Guards against "not run" said of a request that ran at a target which broke off before its
+    /// first token came back.
+    pub(super) fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal.ran {
+            Ran::No if self.may_have_run => Refusal {
+                ran: Ran::Unknown,
+                ..refusal
+            },
+            Ran::No | Ran::Unknown => refusal,
+        }
     }
 
     /// What of the charge was not used, given what was delivered.
--- a/crates/core/src/instance/requests.rs
+++ b/crates/core/src/instance/requests.rs
@@ -147,6 +147,7 @@
             stage: Stage::Rate,
             arrived: now,
             retries: 0,
+            may_have_run: false,
         })
     }
 
@@ -427,6 +428,7 @@
             return;
         };
         flight.retries += 1;
+        flight.may_have_run |= delivered.is_some();
         let retries = flight.retries;
         if let Some(refusal) = self.no_longer_served(now, id) {
             self.refuse_charged(now, id, refusal);
@@ -436,16 +438,7 @@
             self.place(now, id);
             return;
         }
-        let ran = if delivered.is_some() {
-            Ran::Unknown
-        } else {
-            Ran::No
-        };
-        let refusal = Refusal {
-            kind: RefusalKind::TargetFailed,
-            ran,
-            retry_after: Some(RETRY_AFTER),
-        };
+        let refusal = Refusal::retry_after(RefusalKind::TargetFailed, RETRY_AFTER);
         self.refuse_charged(now, id, refusal);
     }
 
@@ -517,11 +510,13 @@
             return;
         };
         flight.retries += 1;
+        flight.may_have_run |= ran == Ran::Unknown;
         let retries = flight.retries;
-        if let Some(refusal) = self
-            .no_longer_served(now, id)
-            .filter(|_refusal| ran == Ran::No)
-        {
+        if once_only && ran == Ran::Unknown {
+            self.refuse_charged(now, id, Refusal::unknown(RefusalKind::InDoubt));
+            return;
+        }
+        if let Some(refusal) = self.no_longer_served(now, id) {
             self.refuse_charged(now, id, refusal);
             return;
         }
@@ -529,21 +524,8 @@
             self.place(now, id);
             return;
         }
-        let kind = if once_only && ran == Ran::Unknown {
-            RefusalKind::InDoubt
-        } else {
-            RefusalKind::TargetFailed
-        };
-        let retry_after = (ran == Ran::No).then_some(RETRY_AFTER);
-        self.refuse_charged(
-            now,
-            id,
-            Refusal {
-                kind,
-                ran,
-                retry_after,
-            },
-        );
+        let refusal = Refusal::retry_after(RefusalKind::TargetFailed, RETRY_AFTER);
+        self.refuse_charged(now, id, refusal);
     }
 
     /// Why a request that was served before no longer is, if so.
@@ -579,8 +561,9 @@
             // The shell finds out right before the send and reports that nothing was sent.
             Stage::Send { .. } => {}
             Stage::Rate | Stage::Place | Stage::Record { .. } => {
+                let refusal = flight.truthful(Refusal::not_run(RefusalKind::KeyRefused));
                 self.abandon(now, id);
-                self.refuse(id, Refusal::not_run(RefusalKind::KeyRefused));
+                self.refuse(id, refusal);
             }
         }
     }
@@ -609,22 +592,13 @@
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
-        let unused = if refusal.ran == Ran::No {
-            flight.charge
-        } else {
-            flight.unused()
+        let refusal = flight.truthful(refusal);
+        let unused = match refusal.ran {
+            Ran::No => flight.charge,
+            Ran::Unknown => flight.unused(),
         };
         self.rates
             .give_back(cx!(self, now), &flight.workspace, unused);
-        // Tokens that reached the caller did run, whatever ended the rest.
-        let refusal = if flight.has_delivered() {
-            Refusal {
-                ran: Ran::Unknown,
-                ..refusal
-            }
-        } else {
-            refusal
-        };
         self.refuse(id, refusal);
     }
 
--- a/crates/core/tests/instances/chaos.rs
+++ b/crates/core/tests/instances/chaos.rs
@@ -308,3 +308,22 @@
         panic!("{failure}");
     }
 }
+
+// An engine gets a request and restarts before the first token comes back; the instance loses its
+// standing at the same time. The request is not tried again, and its caller was told that nothing
+// ran.
+#[test]
+fn a_request_that_broke_off_is_not_called_not_run() {
+    let steps = [
+        Step::Load {
+            node: 0,
+            adapter: 1,
+            tokens: 117,
+        },
+        Step::Wait(491),
+        Step::RestartEngine(2),
+        Step::Freeze(0),
+        Step::Wait(1_349),
+    ];
+    run(0, &steps);
+}
