Let peers make up for a missed catalogue push

Cause: a push lost right before an outage left an instance refusing everybody until the platform was back, though its peers had the change. Ruled out: answering every report of an older revision, which answers itself many times over when changes come fast. Before: a_missed_push_is_made_up_for_by_peers_in_an_outage failed; after: it passes. New: a change that reached nobody is not called accepted; standing alone does not let old entries be served; a key withdrawn between decision and send.

--- a/crates/core/src/catalogue/core.rs
+++ b/crates/core/src/catalogue/core.rs
@@ -15,6 +15,7 @@
 use super::compact::Compaction;
 use super::head::{Head, head_object};
 use super::reader::{Reader, ReaderStep};
+use super::recent::Recent;
 use super::writer::{Writer, WriterStep};
 use super::{CatalogueMessage, CatalogueState, ChangeRequest};
 
@@ -47,6 +48,7 @@
     proof: Option<Proof>,
     reader: Reader,
     pushed: BTreeMap<Revision, ChangeRequest>,
+    recent: Recent,
     have: BTreeMap<InstanceId, Revision>,
     writer: Writer,
     compaction: Compaction,
@@ -90,6 +92,7 @@
             proof: None,
             reader: Reader::default(),
             pushed: BTreeMap::new(),
+            recent: Recent::default(),
             have: BTreeMap::new(),
             writer: Writer::default(),
             compaction: Compaction::default(),
@@ -177,6 +180,7 @@
             CatalogueMessage::Push { revision, change } => {
                 self.take_push(cx, from, revision, change);
             }
+            CatalogueMessage::Missing { revision } => self.make_up(cx, from, revision),
             CatalogueMessage::Have { revision } => self.take_have(cx, from, revision),
         }
     }
@@ -230,6 +234,7 @@
         let PlatformReply::Got(found) = answer.reply else {
             self.next_read = cx.now + READ_PAUSE;
             self.writer.head_failed(cx);
+            self.ask_peers(cx);
             return;
         };
         let known = match found {
@@ -344,6 +349,39 @@
             if self.state.apply(&change).is_err() {
                 return;
             }
+            self.recent.keep(self.state.revision, &change);
+        }
+    }
+
+    /// Asks the peers for changes that the platform can't give now.
+    ///
+    /// Guards against a push that was lost right before an outage: each heartbeat would tell this
+    /// instance that it is behind, and it would refuse everybody until the platform is back.
+    fn ask_peers(&self, cx: &mut Cx<'_>) {
+        if !self.loaded || self.wanted <= self.state.revision {
+            return;
+        }
+        for id in peers(cx) {
+            send(
+                cx,
+                &id,
+                CatalogueMessage::Missing {
+                    revision: self.state.revision,
+                },
+            );
+        }
+    }
+
+    fn make_up(&self, cx: &mut Cx<'_>, to: &InstanceId, revision: Revision) {
+        for (revision, change) in self.recent.after(revision) {
+            send(
+                cx,
+                to,
+                CatalogueMessage::Push {
+                    revision,
+                    change: change.clone(),
+                },
+            );
         }
     }
 
@@ -411,6 +449,7 @@
             return;
         }
         let revision = self.state.revision;
+        self.recent.keep(revision, request);
         for id in peers(cx) {
             send(
                 cx,
--- a/crates/core/src/catalogue/message.rs
+++ b/crates/core/src/catalogue/message.rs
@@ -16,6 +16,12 @@
         /// The change.
         change: ChangeRequest,
     },
+    /// The sender knows that it is behind and can't read the platform: it wants what comes after
+    /// this revision.
+    Missing {
+        /// The revision that it has in force.
+        revision: Revision,
+    },
     /// The sender has this revision in force.
     Have {
         /// Which revision.
--- a/crates/core/src/catalogue/mod.rs
+++ b/crates/core/src/catalogue/mod.rs
@@ -11,6 +11,7 @@
 mod head;
 mod message;
 mod reader;
+mod recent;
 mod state;
 mod writer;
 
--- a/crates/core/tests/instances/catalogue.rs
+++ b/crates/core/tests/instances/catalogue.rs
@@ -278,3 +278,69 @@
             .is_ready(fleet.nodes[4].clock(fleet.now))
     );
 }
+
+// The push of a change is lost on its way to one instance, and the platform goes away right after.
+// Its peers tell that instance in each heartbeat that it is behind, so it refuses everybody; but
+// they have the change, and can give it.
+#[test]
+fn a_missed_push_is_made_up_for_by_peers_in_an_outage() {
+    let mut fleet = founded(5, 7);
+    let (from, to) = (fleet.nodes[0].id.clone(), fleet.nodes[4].id.clone());
+    fleet.network.cut(&from, &to);
+    fleet.cut_platform(4);
+    fleet.change(0, rate_change(1));
+    fleet
+        .run_until(5_000, |fleet| accepted(fleet, 1).is_some())
+        .unwrap();
+    let revision = accepted(&fleet, 1).unwrap();
+    fleet.platform.health = Health::Refusing;
+    fleet.run_for(IN_FORCE_WITHIN_MILLIS);
+    let instance = fleet.nodes[4].instance.as_ref().unwrap();
+    assert!(
+        instance.is_ready(fleet.nodes[4].clock(fleet.now)),
+        "it serves though it missed the push"
+    );
+    assert!(instance.catalogue().revision >= revision);
+}
+
+// An instance has standing, for its peers confirm the map, and it knows that the catalogue moved
+// on, but neither the platform nor a peer can give it the change. It must stop serving by the old
+// entries.
+#[test]
+fn standing_alone_does_not_let_old_entries_be_served() {
+    let mut fleet = founded(3, 8);
+    fleet.cut_platform(2);
+    for number in 0..300 {
+        fleet.change(0, rate_change(number));
+        fleet.run_for(30);
+        let (from, to) = (fleet.nodes[0].id.clone(), fleet.nodes[2].id.clone());
+        fleet.network.cut(&from, &to);
+    }
+    fleet.run_for(IN_FORCE_WITHIN_MILLIS);
+    let instance = fleet.nodes[2].instance.as_ref().unwrap();
+    let now = fleet.nodes[2].clock(fleet.now);
+    assert!(instance.own().has_standing(now));
+    assert!(instance.catalogue().revision < Revision(200));
+    assert!(!instance.is_ready(now));
+}
+
+// An instance writes a change that none of its peers can hear of, neither from it nor from the
+// platform. Were it called accepted, it would revert with the next instance that the caller asks.
+#[test]
+fn a_change_that_reached_nobody_is_not_called_accepted() {
+    let mut fleet = founded(5, 9);
+    fleet.isolate(0);
+    (1..5).for_each(|node| fleet.cut_platform(node));
+    fleet.change(0, rate_change(1));
+    fleet.run_for(10_000);
+    assert_eq!(outcome(&fleet, 1), Some(&ApplyOutcome::Unknown));
+    fleet.network.heal();
+    fleet.run_for(5_000);
+    fleet.change(2, rate_change(1));
+    fleet.run_for(3_000);
+    assert_eq!(
+        accepted(&fleet, 1),
+        Some(Revision(2)),
+        "the retry finds it applied"
+    );
+}
--- a/crates/core/tests/instances/fleet/dispatch.rs
+++ b/crates/core/tests/instances/fleet/dispatch.rs
@@ -147,7 +147,9 @@
     ) {
         match action {
             RequestAction::Generate { .. } | RequestAction::Call { .. } => {
-                let delay = self.rng.random_range(0..300);
+                let delay = self
+                    .rng
+                    .random_range(self.dispatch_delay / 2..self.dispatch_delay);
                 self.schedule(
                     self.now + delay,
                     Delivery::Dispatch {
--- a/crates/core/tests/instances/fleet/drive.rs
+++ b/crates/core/tests/instances/fleet/drive.rs
@@ -96,6 +96,8 @@
     pub now: u64,
     pub platform: FakePlatform,
     pub network: Network,
+    /// Longest time between a decision to send and the send, in microseconds.
+    pub dispatch_delay: u64,
     pub nodes: Vec<Node>,
     pub targets: BTreeMap<TargetId, FakeTarget>,
     pub callers: BTreeMap<RequestId, Caller>,
@@ -119,6 +121,7 @@
             now: 0,
             platform: FakePlatform::new(builder.list_lag),
             network: Network::new(),
+            dispatch_delay: 300,
             nodes: (0..builder.instances).map(Node::new).collect(),
             targets: BTreeMap::new(),
             callers: BTreeMap::new(),
--- a/crates/core/tests/instances/keys.rs
+++ b/crates/core/tests/instances/keys.rs
@@ -168,3 +168,26 @@
         fleet.check();
     }
 }
+
+// A request has its permit and is about to be sent; the key is withdrawn in that moment. The
+// process is slow, so the send comes after the withdrawal is in force.
+#[test]
+fn a_key_withdrawn_between_decision_and_send_stops_the_send() {
+    let mut fleet = founded(7);
+    let warm = fleet.ask(1, NORTH, world::generate("north-1", 5));
+    fleet.run_for(2_000);
+    assert_eq!(fleet.answer_of(warm), Some(&Answer::Complete));
+    fleet.dispatch_delay = 900_000;
+    let request = fleet.ask(1, NORTH, world::generate("north-1", 5));
+    fleet.run_for(50);
+    withdraw(&mut fleet, 0);
+    fleet.run_for(WITHDRAWN_WITHIN_MILLIS);
+    assert_eq!(fleet.runs_of(request), 0);
+    let Some(Answer::Refused(refusal)) = fleet.answer_of(request) else {
+        panic!("{:?}", fleet.answer_of(request));
+    };
+    assert_eq!(
+        (refusal.kind, refusal.ran),
+        (RefusalKind::KeyRefused, Ran::No)
+    );
+}
