Fuzz membership against "never two acting homes"

Three to five instances in virtual time, each with its own clock (any offset, up to 1.2% fast or slow), against a platform with conditional updates, consistent reads and a lagging list. Killed, frozen (also with a read on its way) and thawed, restarted with nothing, replaced under the same name while the old life is frozen, stopped as planned, cut one-way, isolated, cut from the platform; messages lost, doubled, delayed up to 4 s; the platform away, hanging, slow beyond the caller's patience, or losing answers after the effect; any of these at once.

The oracle looks at every event, right after each thaw and at each moment at which a home may begin to act by time alone. Once faults end, every key must have its one home again within 20 s.

--- a/crates/core/tests/support/membership_net.rs
+++ b/crates/core/tests/support/membership_net.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::membership_weather::{MS, PlatformState};
-use super::membership_world::{TICK, World};
+use super::membership_world::{Life, TICK, World};
 
 /// A call without an answer by then is answered as unknown.
 const CALL_TIMEOUT: u64 = 1_500 * MS;
@@ -50,12 +50,9 @@
     pub fn arrive(&mut self, arrival: Arrival) {
         match arrival {
             Arrival::At { node, life, input } => {
-                let Some(running) = &self.nodes[node].life else {
+                let Some(node) = self.receiver(node, life) else {
                     return;
                 };
-                if life.is_some_and(|life| life != running.incarnation) {
-                    return;
-                }
                 if !self.nodes[node].frozen {
                     let ticks = matches!(input, Input::Tick);
                     self.step(node, input);
@@ -70,6 +67,16 @@
         }
     }
 
+    /// The running life that something arrives at: this very one, or whichever has the name now.
+    fn receiver(&self, node: usize, life: Option<Incarnation>) -> Option<usize> {
+        let Some(wanted) = life else {
+            return self.nodes[node].life.as_ref().map(|_| node);
+        };
+        let is_wanted = |life: &Life| life.incarnation == wanted;
+        let mut nodes = self.nodes.iter();
+        nodes.position(|node| node.life.as_ref().is_some_and(is_wanted))
+    }
+
     pub fn schedule_tick(&mut self, node: usize) {
         let Some(life) = &self.nodes[node].life else {
             return;
@@ -194,7 +201,9 @@
     fn serve(&mut self, flight: &Flight) {
         let reply = self.platform.serve(self.now, flight.call.op.clone());
         if self.watch && matches!(reply, PlatformReply::Written(_)) {
-            self.hint();
+            for node in 0..self.nodes.len() {
+                self.hint(node);
+            }
         }
         if !flight.awaited {
             return;
@@ -208,20 +217,19 @@
         self.answer(flight, reply, MS);
     }
 
-    fn hint(&mut self) {
-        for node in 0..self.nodes.len() {
-            let slot = &mut self.nodes[node];
-            if slot.frozen || slot.cut_from_platform {
-                continue;
-            }
-            let local = slot.clock.read(self.now);
-            let Some(life) = &mut slot.life else { continue };
-            let incarnation = life.incarnation;
-            let mut out = Vec::new();
-            life.membership.map_hint(local, &mut out);
-            for action in out {
-                self.carry_out(node, incarnation, action);
-            }
+    /// Tells an instance that the map object changed.
+    pub fn hint(&mut self, node: usize) {
+        let slot = &mut self.nodes[node];
+        let local = slot.clock.read(self.now);
+        let is_reached = !slot.frozen && !slot.cut_from_platform;
+        let Some(life) = slot.life.as_mut().filter(|_| is_reached) else {
+            return;
+        };
+        let incarnation = life.incarnation;
+        let mut out = Vec::new();
+        life.membership.map_hint(local, &mut out);
+        for action in out {
+            self.carry_out(node, incarnation, action);
         }
     }
 
--- a/crates/core/tests/support/membership_platform.rs
+++ b/crates/core/tests/support/membership_platform.rs
@@ -12,7 +12,7 @@
 /// The platform's state.
 #[derive(Debug, Default)]
 pub struct FakePlatform {
-    object: Option<Versioned>,
+    pub object: Option<Versioned>,
     last_version: u64,
     /// Who ran from which time on.
     running: Vec<(u64, BTreeSet<MemberRef>)>,
@@ -35,11 +35,6 @@
         }
     }
 
-    /// The stored map as text.
-    pub fn stored(&self) -> Option<&str> {
-        self.object.as_ref().map(|object| &*object.value)
-    }
-
     /// Notes that a life starts or ends.
     pub fn note_life(&mut self, now: u64, life: &MemberRef, runs: bool) {
         let mut running = self
--- a/crates/core/tests/support/membership_world.rs
+++ b/crates/core/tests/support/membership_world.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::membership::Membership;
 use bluebellstage_core::{
-    FailureDomain, HomeKey, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Revision,
+    FailureDomain, HomeKey, Incarnation, InstanceId, Member, MemberRef, MemberState, Revision,
     Tuning, WorkspaceId,
 };
 use rand::{Rng, SeedableRng};
@@ -59,6 +59,8 @@
     pub count_bytes: bool,
     pub watch: bool,
     cfg: Tuning,
+    /// Nodes from here on are former lives under a name that has a new one.
+    count: usize,
     pub cuts: Vec<(usize, usize)>,
     pub queue: BTreeMap<(u64, u64), Arrival>,
     pub next: u64,
@@ -68,7 +70,7 @@
 
 impl World {
     /// Instances that are not started yet; `seed` decides clocks, delays and losses.
-    pub fn new(count: usize, seed: u64, cfg: Tuning) -> Self {
+    fn new(count: usize, seed: u64, cfg: Tuning) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let nodes = (0..count)
             .map(|index| Node {
@@ -94,6 +96,7 @@
             count_bytes: false,
             watch: true,
             cfg,
+            count,
             cuts: Vec::new(),
             queue: BTreeMap::new(),
             next: 0,
@@ -102,13 +105,12 @@
         }
     }
 
-    /// A world in which all instances are active and every key has its home.
-    pub fn settled(count: usize, seed: u64) -> Self {
+    /// Instances that all start at once.
+    pub fn started(count: usize, seed: u64) -> Self {
         let mut world = Self::new(count, seed, Tuning::default());
         for node in 0..count {
             world.start(node);
         }
-        world.run_until_settled(30_000);
         world
     }
 
@@ -160,9 +162,19 @@
         self.nodes[node].frozen = self.nodes[node].life.is_some();
     }
 
-    /// Lets a frozen instance go on: what it could act on is looked at before anything it missed
-    /// reaches it.
+    /// Lets all lives of an instance go on.
     pub fn thaw(&mut self, node: usize) {
+        let id = self.nodes[node].id.clone();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].id == id {
+                self.thaw_one(node);
+            }
+        }
+    }
+
+    /// Lets a frozen life go on: what it could act on is looked at before anything it missed
+    /// reaches it.
+    fn thaw_one(&mut self, node: usize) {
         if !self.nodes[node].frozen {
             return;
         }
@@ -195,7 +207,7 @@
         self.weather = Weather::default();
         for node in 0..self.nodes.len() {
             self.nodes[node].cut_from_platform = false;
-            self.thaw(node);
+            self.thaw_one(node);
         }
     }
 
@@ -238,24 +250,33 @@
         (self.now - start) / MS
     }
 
-    /// Which instances the stored map lists.
-    pub fn listed(&self) -> Vec<usize> {
-        let stored = self.platform.stored().expect("a map is stored");
-        let map: Map = serde_json::from_str(stored).expect("the map parses");
-        let is_listed = |node: &Node| map.member(&node.id).is_some();
-        let nodes = self.nodes.iter().enumerate();
-        nodes
-            .filter(|(_, node)| is_listed(node))
-            .map(|(index, _)| index)
-            .collect()
-    }
-
     pub fn running(&self) -> usize {
         self.nodes.iter().filter(|node| node.life.is_some()).count()
     }
 
+    /// Ends all faults, then runs until every key has its home; gives the milliseconds of the
+    /// latter, or panics after `limit`.
+    pub fn recover(&mut self, limit: u64) -> u64 {
+        self.heal();
+        self.run(100);
+        for old in self.count..self.nodes.len() {
+            self.kill(old);
+        }
+        self.run_until(limit, "planned stops end", |world| !world.is_stopping());
+        if self.running() == 0 {
+            self.start(0);
+        }
+        self.run_until_settled(limit)
+    }
+
+    /// Whether a planned stop is under way.
+    fn is_stopping(&self) -> bool {
+        let mut lives = self.nodes.iter().filter_map(|node| node.life.as_ref());
+        lives.any(|life| life.stopping.is_some())
+    }
+
     fn all_active(&self) -> bool {
-        self.nodes.iter().all(|node| {
+        self.nodes.iter().take(self.count).all(|node| {
             node.life.as_ref().is_none_or(|life| {
                 let own = life.membership.ownership();
                 life.stopping.is_none()
