--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -25,6 +25,8 @@
     Service(ServiceArgs),
     Store(StoreArgs),
     Load(LoadArgs),
+    Demo(DemoArgs),
+    Instance(InstanceArgs),
 }
 
 /// The platform: object API, lagging list of pods, controls.
@@ -231,3 +233,21 @@
     #[argh(option)]
     pub seconds: Option<f64>,
 }
+
+/// Shows the system at work: fakes and three instances in this process, each step printed.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "the parser takes no unit structs"
+)]
+pub struct DemoArgs {}
+
+/// Runs one instance as the daemon does, so that tests of processes need no other program.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "instance")]
+pub struct InstanceArgs {
+    /// the settings file
+    #[argh(option)]
+    pub settings: PathBuf,
+}
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -21,7 +21,7 @@
     DaemonProgram, EngineSpec, FleetConfig, InstanceSpec, ServiceSpec, StoreSpec,
 };
 pub use self::process::{Process, Signal};
-pub(crate) use self::settings::merge;
+pub(crate) use self::settings::{merge, token_digest};
 pub use self::target::Control;
 use crate::Pod;
 
--- a/crates/standin/src/fleet/settings.rs
+++ b/crates/standin/src/fleet/settings.rs
@@ -54,7 +54,7 @@
 }
 
 /// SHA-256 digest of a token, as settings hold it.
-fn token_digest(token: &str) -> String {
+pub(crate) fn token_digest(token: &str) -> String {
     // Operators' tokens are digested as callers' keys are.
     let digest = serde_json::to_value(KeyDigest::of(token)).unwrap_or_default();
     let bytes = digest.as_array().cloned().unwrap_or_default();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod server;
 
 pub mod caller;
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod load;
--- a/crates/standin/src/load/variant.rs
+++ b/crates/standin/src/load/variant.rs
@@ -25,6 +25,9 @@
 /// Time after the last arrival for the last answers, beyond the longest patience.
 const TAIL: Duration = Duration::from_secs(25);
 
+/// Time for instances to read a list that shows all targets, beyond the list's lag.
+const SETTLE: Duration = Duration::from_secs(3);
+
 /// A request with all that became of it.
 #[derive(Clone, Debug)]
 pub(super) struct Record {
@@ -66,6 +69,7 @@
     let cfg = fleet_config(scenario, variant, programs, dir);
     let mut fleet = Fleet::start(cfg).await?;
     fleet.apply(&catalogue::changes(scenario)?).await?;
+    tokio::time::sleep(Duration::from_millis(scenario.list_lag_ms) + SETTLE).await;
     let addresses = fleet.caller_addresses();
     let arrivals = arrivals::draw(scenario, seed);
     let callers = callers(scenario, &addresses)?;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins as processes of their own.
 
 mod args;
+mod instance;
 mod load_command;
 
 use args::{Args, Command};
@@ -34,6 +35,8 @@
             serve("store", store.address()).await?;
             store.stop().await;
         }
+        Command::Demo(_) => bluebellstage_standin::demo::run(&mut std::io::stdout()).await?,
+        Command::Instance(args) => instance::run(&args.settings).await?,
         Command::Load(args) => load_command::run(args).await?,
     }
     Ok(())
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -67,7 +67,8 @@
         let shutdown = rocket.shutdown();
         let task = tokio::spawn(async move {
             if let Err(err) = rocket.launch().await {
-                log::error!("the stand-in ended: {err}");
+                // Streams that were open when it was told to stop count as a failed shutdown.
+                log::debug!("the stand-in ended: {err}");
             }
         });
         let port = rx
