--- a/crates/core/tests/support/engines/node.rs
+++ b/crates/core/tests/support/engines/node.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::engines::Engines;
 use bluebellstage_core::{
-    Action, Cx, Incarnation, InstanceId, Map, MemberRef, Ownership, Time, Tuning,
+    Action, Adoption, Cx, Incarnation, InstanceId, Map, MemberRef, Ownership, Time, Tuning,
 };
 
 use super::membership::Platform;
@@ -40,6 +40,7 @@
                 map: map.clone(),
                 standing_until: Time(0),
                 adopted: BTreeSet::new(),
+                silent: BTreeSet::new(),
                 past_retired_at: None,
             },
             offset,
@@ -51,12 +52,7 @@
     }
 
     /// Renews what membership would know by now; true if a newer map came in force.
-    pub fn observe(
-        &mut self,
-        now: u64,
-        platform: &Platform,
-        adopted: &BTreeSet<MemberRef>,
-    ) -> bool {
+    pub fn observe(&mut self, now: u64, platform: &Platform, adopted: &BTreeSet<Adoption>) -> bool {
         if now < self.cut_until {
             return false;
         }
