Steer the engines' fuzz towards takeovers under load

Cases now leave and return (homes move within a millisecond, without a silence), run under an ask every 50 ms, and have a store of two loads a second; after recovery no permit may be left out. The test of draining now needs a load beside adapters that are never idle; it waited for nothing before.

--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -130,6 +130,12 @@
         })
     }
 
+    /// Permits that this instance, as home of groups, counts as out.
+    #[must_use]
+    pub fn permits_out(&self) -> usize {
+        self.homes.values().map(|home| home.permits.len()).sum()
+    }
+
     /// Does `act`, then takes the messages that this instance has for itself.
     fn step(
         &mut self,
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -75,18 +75,24 @@
     assert_eq!(world.record.unloads, 3);
 }
 
+// A draft waits for ever though its store and engine are well: the slots' adapters always have work,
+// so none of them is ever idle.
 #[test]
 fn busy_adapters_are_drained_for_one_that_waits() {
     let mut world = world(2, 1);
-    for round in 0..40_u64 {
+    let mut waiting = None;
+    for round in 0..200_u64 {
         for index in 0..2 {
             world.ask(0, ask(index), 20);
         }
-        if round == 10 {
-            world.ask(1, ask(7), 20);
+        if round == 50 {
+            waiting = Some(world.ask(1, ask(7), 20));
         }
-        world.run_for(SECOND / 10);
+        world.run_for(SECOND / 25);
     }
+    let record = &world.record.requests[&waiting.unwrap()];
+    let waited = record.decided.unwrap_or(u64::MAX) - record.arrived;
+    assert!(waited < 2 * SECOND, "{waited}");
     world.run_for(20 * SECOND);
     assert_all_done(&world);
 }
--- a/crates/core/tests/engines_fuzz.rs
+++ b/crates/core/tests/engines_fuzz.rs
@@ -113,6 +113,7 @@
     let rate = usize::try_from(world.cfg.store_loads_per_second).unwrap();
     let most = world.record.most_loads_within(SECOND);
     assert!(most <= 2 * rate, "{most} loads within a second");
+    // A home that died had its own loads in flight when the next one began to permit.
     let limit = 2 * u64::from(world.cfg.store_in_flight);
     let peak = world.record.peak_in_flight;
     assert!(peak <= limit, "{peak} loads in flight");
@@ -143,6 +144,8 @@
         let record = &world.record.requests[&request];
         assert!(record.done.is_some(), "starved: {record:#?}");
     }
+    let out = world.permits_out();
+    assert_eq!(out, 0, "permits out though nothing runs");
 }
 
 proptest_state_machine::prop_state_machine! {
--- a/crates/core/tests/support/engines/chaos.rs
+++ b/crates/core/tests/support/engines/chaos.rs
@@ -1,6 +1,6 @@
 //! What can happen to a world, as values that a fuzzer draws.
 
-use bluebellstage_core::{AdapterVersion, Grouping, TargetId, Tokens, Tuning};
+use bluebellstage_core::{AdapterVersion, Grouping, MemberState, TargetId, Tokens, Tuning};
 use proptest::prelude::*;
 
 use super::engine::Speed;
@@ -37,6 +37,7 @@
     pub grouping: Grouping,
     pub checks_fencing: bool,
     pub report_lag_ms: u64,
+    pub store_in_flight: u32,
 }
 
 /// One step of a case.
@@ -79,6 +80,18 @@
     Cancel {
         index: usize,
     },
+    /// Runs with an ask every 50 ms at whatever node is awake.
+    Busy {
+        ms: u64,
+    },
+    /// A planned stop begins: the node is home of nothing any more.
+    Leave {
+        node: usize,
+    },
+    /// The node takes its part again.
+    Return {
+        node: usize,
+    },
 }
 
 pub fn setups() -> impl Strategy<Value = Setup> {
@@ -87,12 +100,13 @@
         Just(Grouping::FailureDomain),
         Just(Grouping::Pool),
     ];
-    (any::<u64>(), groupings, any::<bool>(), 0..900_u64).prop_map(
-        |(seed, grouping, checks_fencing, report_lag_ms)| Setup {
+    (any::<u64>(), groupings, any::<bool>(), 0..900_u64, 1..4_u32).prop_map(
+        |(seed, grouping, checks_fencing, report_lag_ms, store_in_flight)| Setup {
             seed,
             grouping,
             checks_fencing,
             report_lag_ms,
+            store_in_flight,
         },
     )
 }
@@ -102,6 +116,9 @@
     let stores = prop_oneof![Just(Store::Quick), Just(Store::Slow), Just(Store::Failing)];
     prop_oneof![
         24 => asks(),
+        8 => (200..2_500_u64).prop_map(|ms| Step::Busy { ms }),
+        3 => (0..NODES).prop_map(|node| Step::Leave { node }),
+        3 => (0..NODES).prop_map(|node| Step::Return { node }),
         12 => (1..2_500_u64).prop_map(|ms| Step::Run { ms }),
         1 => (0..NODES).prop_map(|node| Step::Kill { node }),
         2 => (0..NODES).prop_map(|node| Step::Rejoin { node }),
@@ -143,8 +160,8 @@
         let cfg = Tuning {
             grouping: self.grouping,
             queue_patience: std::time::Duration::from_secs(12),
-            store_loads_per_second: 6,
-            store_in_flight: 3,
+            store_loads_per_second: 2,
+            store_in_flight: self.store_in_flight,
             ..Tuning::default()
         };
         let spec = EngineSpec {
@@ -202,6 +219,9 @@
         Step::RestartEngine { engine } => world.restart_engine(&target(engine)),
         Step::EngineLeaves { engine, listed } => world.engine_leaves(&target(engine), listed),
         Step::Cancel { index } => cancel(world, index),
+        Step::Busy { ms } => busy(world, ms),
+        Step::Leave { node } => set_state(world, node, MemberState::Leaving),
+        Step::Return { node } => set_state(world, node, MemberState::Active),
     }
 }
 
@@ -215,6 +235,7 @@
     world.run_for(10_000 * MILLISECOND);
     for node in 0..NODES {
         rejoin(world, node);
+        set_state(world, node, MemberState::Active);
     }
     world.run_for(10_000 * MILLISECOND);
 }
@@ -223,8 +244,31 @@
     TargetId::try_from(format!("e{engine}").as_str()).unwrap()
 }
 
+fn busy(world: &mut World, ms: u64) {
+    for _ in 0..ms / 50 {
+        let node = world.draw(NODES);
+        if world.is_awake(node) {
+            let index = u32::try_from(world.draw(7)).unwrap();
+            let mut ask = ask(index);
+            ask.urgent = world.draw(2) == 0;
+            let answer = [2, 10, 40, 150][world.draw(4)];
+            world.ask(node, ask, answer);
+        }
+        world.run_for(50 * MILLISECOND);
+    }
+}
+
+/// Changes how far a node takes part, unless nobody would be left to be home of anything.
+fn set_state(world: &mut World, node: usize, state: MemberState) {
+    let active = |it: &usize| *it != node && world.is_active(*it);
+    let others = (0..NODES).filter(active).count();
+    if others > 0 && world.is_in_map(node) {
+        world.set_state(node, state);
+    }
+}
+
 fn kill(world: &mut World, node: usize) {
-    let others = (0..NODES).filter(|it| *it != node && world.is_in_map(*it));
+    let others = (0..NODES).filter(|it| *it != node && world.is_active(*it));
     if others.count() > 0 && world.nodes[node].alive {
         world.kill(node);
     }
--- a/crates/core/tests/support/engines/world.rs
+++ b/crates/core/tests/support/engines/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bluebellstage_core::MemberState;
 use bluebellstage_core::engines::{
     Engines, EnginesMessage, Permit, PermitAsk, PermitDecision, PermitEnd,
 };
@@ -246,6 +247,37 @@
         it.alive && self.platform.has(&it.id, it.life)
     }
 
+    pub fn is_active(&self, node: usize) -> bool {
+        let id = &self.nodes[node].id;
+        self.is_in_map(node) && self.platform.map.active().any(|it| it == id)
+    }
+
+    /// The node's part in the map changes; all adopt that without a takeover.
+    pub fn set_state(&mut self, node: usize, state: MemberState) {
+        let id = self.nodes[node].id.clone();
+        let known = self.platform.map.member(&id);
+        if known.is_none_or(|it| it.state == state) {
+            return;
+        }
+        self.platform.change(self.now, |members| {
+            for member in members.iter_mut().filter(|it| it.id == id) {
+                member.state = state;
+            }
+        });
+        self.announce();
+    }
+
+    /// A number below `below` from the world's seed.
+    pub fn draw(&mut self, below: usize) -> usize {
+        self.rng.random_range(0..below)
+    }
+
+    /// Permits that acting homes count as out.
+    pub fn permits_out(&self) -> usize {
+        let living = self.nodes.iter().filter(|it| it.alive);
+        living.map(|it| it.core.permits_out()).sum()
+    }
+
     /// Whether callers can reach node `node`.
     pub fn is_awake(&self, node: usize) -> bool {
         let it = &self.nodes[node];
