Copy a hot adapter to an engine with places; model the two deployments

Why: in the new model of the deployments the worst-served workspace's urgent p95 to the first token was 19.8 s at 70 % load: one adapter alone fills an engine, and its queue stayed there while two engines of the group had places.

Ruled out: a popularity exponent of 1.3 for a workspace's adapters.

--- a/crates/core/src/engines/loading.rs
+++ b/crates/core/src/engines/loading.rs
@@ -17,6 +17,12 @@
 /// A request that waited this long for a load gets a slot drained for it if none is idle.
 const DRAIN_AFTER: Duration = Duration::from_secs(1);
 
+/// An adapter is copied to a second engine when so many requests wait for it.
+const COPY_WAITING: u32 = 3;
+
+/// Places that an engine must have free to get a copy.
+const COPY_PLACES: u32 = 3;
+
 /// Least time between two changed wishes.
 const WISH_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -66,6 +72,8 @@
     urgent: bool,
     bound: Option<TargetId>,
     evicts: bool,
+    /// It is resident already, where there is no place.
+    copy: bool,
 }
 
 impl GroupHome {
@@ -122,10 +130,12 @@
             if !seen.insert((adapter, waiting.bound.as_ref())) {
                 continue;
             }
-            if self.is_at_hand(adapter, waiting.bound.as_ref()) {
+            let copy = self.is_at_hand(adapter, waiting.bound.as_ref());
+            if copy && !self.needs_copy(adapter, waiting.bound.as_ref(), now) {
                 continue;
             }
             wants.push(Want {
+                copy,
                 adapter: adapter.clone(),
                 urgent: waiting.ask.urgent,
                 bound: waiting.bound.clone(),
@@ -160,6 +170,24 @@
                 })
     }
 
+    /// Whether an adapter's queue is worth a second engine: those that hold it are full, and others
+    /// are not.
+    fn needs_copy(&self, adapter: &AdapterRef, bound: Option<&TargetId>, now: Time) -> bool {
+        if bound.is_some() || self.queue.demand(adapter).waiting < COPY_WAITING {
+            return false;
+        }
+        let open = || self.engines.values().filter(|engine| engine.is_open());
+        let full = open().all(|engine| match engine.slots.get(adapter) {
+            None => true,
+            Some(slot) => slot.is_resident() && engine.free_places() == 0,
+        });
+        full && open().any(|engine| self.takes_copy(engine) && engine.may_load(adapter, now))
+    }
+
+    fn takes_copy(&self, engine: &Engine) -> bool {
+        engine.free_places() >= COPY_PLACES && !self.loading.planned.contains_key(&engine.id)
+    }
+
     fn site(&self, io: &Io<'_, '_>, want: &Want, taken: &BTreeSet<TargetId>) -> Option<Site> {
         let now = io.now();
         let possible: Vec<&Engine> = self
@@ -169,6 +197,7 @@
             .filter(|engine| !taken.contains(&engine.id))
             .filter(|engine| !self.loading.planned.contains_key(&engine.id))
             .filter(|engine| engine.may_load(&want.adapter, now))
+            .filter(|engine| !want.copy || self.takes_copy(engine))
             .collect();
         let free = possible
             .iter()
@@ -230,7 +259,7 @@
             }
             return;
         }
-        for want in wants.iter().filter(|want| want.evicts) {
+        for want in wants.iter().filter(|want| want.evicts && !want.copy) {
             let waits_long = self
                 .queue
                 .iter()
--- a/crates/core/tests/support/engines/engine.rs
+++ b/crates/core/tests/support/engines/engine.rs
@@ -52,6 +52,8 @@
     pub tokens: u64,
     /// Requests sent towards it that have not ended in it, by request.
     pub underway: BTreeMap<(RequestId, u64), Run>,
+    /// When each adapter was loaded last.
+    pub loaded_at: BTreeMap<AdapterRef, u64>,
     fencing: Fencing,
     history: VecDeque<(u64, EngineReport)>,
 }
@@ -83,6 +85,7 @@
             busy_us: 0,
             tokens: 0,
             underway: BTreeMap::new(),
+            loaded_at: BTreeMap::new(),
             fencing: Fencing(0),
             history: VecDeque::new(),
         }
--- a/crates/core/tests/support/engines/mod.rs
+++ b/crates/core/tests/support/engines/mod.rs
@@ -13,4 +13,5 @@
 pub mod record;
 pub mod serving;
 pub mod shell;
+pub mod standing;
 pub mod world;
--- a/crates/core/tests/support/engines/record.rs
+++ b/crates/core/tests/support/engines/record.rs
@@ -22,8 +22,8 @@
     pub done: Option<u64>,
     pub attempts: u32,
     pub cancelled: bool,
-    /// When the load that it waited for was done.
-    pub load_done: Option<u64>,
+    /// How long it waited for a load of its adapter into the engine that served it.
+    pub stalled: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -37,6 +37,11 @@
     pub peak_in_flight: u64,
     pub unloads: u64,
     pub messages: u64,
+    /// Requests that no permit was decided for yet.
+    pub undecided: u64,
+    /// Sequences batched, and places for them, in iterations while a request waited.
+    pub batch_while_waiting: u64,
+    pub places_while_waiting: u64,
 }
 
 impl Recorder {
--- a/crates/core/tests/support/engines/serving.rs
+++ b/crates/core/tests/support/engines/serving.rs
@@ -101,12 +101,7 @@
         let outcome = engine.end_load(adapter, fails);
         engine.record(self.now, LAG_US);
         if outcome == OrderOutcome::Done {
-            let now = self.now;
-            self.record
-                .requests
-                .values_mut()
-                .filter(|it| it.decided.is_none() && it.ask.adapter == *adapter)
-                .for_each(|it| it.load_done = it.load_done.or(Some(now)));
+            engine.loaded_at.insert(adapter.clone(), self.now);
         }
         self.answer_order(node, life, order, outcome);
     }
@@ -182,6 +177,10 @@
             return;
         }
         let result = engine.end_iteration(took);
+        if self.record.undecided > 0 {
+            self.record.batch_while_waiting += result.batch;
+            self.record.places_while_waiting += u64::try_from(engine.max_batch).unwrap();
+        }
         if !result.done.is_empty() {
             engine
                 .underway
--- a/crates/core/tests/support/engines/shell.rs
+++ b/crates/core/tests/support/engines/shell.rs
@@ -65,9 +65,17 @@
             return;
         };
         record.decided = Some(now);
+        self.record.undecided = self.record.undecided.saturating_sub(1);
         match decision.outcome {
             Ok(permit) => {
                 record.target = Some(permit.target.clone());
+                let loaded = self
+                    .engines
+                    .get(&permit.target)
+                    .and_then(|engine| engine.loaded_at.get(&permit.adapter).copied());
+                if let Some(at) = loaded.filter(|at| *at > record.arrived) {
+                    record.stalled = Some(at - record.arrived);
+                }
                 let delay = self.rng.random_range(0..300);
                 let request = decision.request;
                 self.after(
@@ -167,6 +175,7 @@
             return;
         };
         record.decided = None;
+        self.record.undecided += 1;
         record.asked = self.now;
         let ask = record.ask.clone();
         self.step(node, |core, cx| core.ask(cx, ask));
--- a/crates/core/tests/support/engines/world.rs
+++ b/crates/core/tests/support/engines/world.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bluebellstage_core::MemberState;
 use bluebellstage_core::engines::{
     Engines, EnginesMessage, Permit, PermitAsk, PermitDecision, PermitEnd,
 };
@@ -221,9 +220,10 @@
             done: None,
             attempts: 0,
             cancelled: false,
-            load_done: None,
+            stalled: None,
         };
         self.record.requests.insert(request, record);
+        self.record.undecided += 1;
         self.step(node, |core, cx| core.ask(cx, ask));
         request
     }
@@ -234,6 +234,7 @@
             return;
         };
         record.cancelled = true;
+        self.record.undecided = self.record.undecided.saturating_sub(1);
         let node = record.node;
         self.step(node, |core, cx| {
             core.cancel(cx, request);
@@ -241,32 +242,6 @@
         });
     }
 
-    /// Whether the map lists this life of a node that still lives.
-    pub fn is_in_map(&self, node: usize) -> bool {
-        let it = &self.nodes[node];
-        it.alive && self.platform.has(&it.id, it.life)
-    }
-
-    pub fn is_active(&self, node: usize) -> bool {
-        let id = &self.nodes[node].id;
-        self.is_in_map(node) && self.platform.map.active().any(|it| it == id)
-    }
-
-    /// The node's part in the map changes; all adopt that without a takeover.
-    pub fn set_state(&mut self, node: usize, state: MemberState) {
-        let id = self.nodes[node].id.clone();
-        let known = self.platform.map.member(&id);
-        if known.is_none_or(|it| it.state == state) {
-            return;
-        }
-        self.platform.change(self.now, |members| {
-            for member in members.iter_mut().filter(|it| it.id == id) {
-                member.state = state;
-            }
-        });
-        self.announce();
-    }
-
     /// A number below `below` from the world's seed.
     pub fn draw(&mut self, below: usize) -> usize {
         self.rng.random_range(0..below)
@@ -284,28 +259,6 @@
         it.alive && it.frozen_until <= self.now
     }
 
-    /// The node stops for good; its peers drop it from the map after a while.
-    pub fn kill(&mut self, node: usize) {
-        self.nodes[node].alive = false;
-        self.drop_later(node);
-    }
-
-    /// The node stands still for a while; its peers drop it if that is long.
-    pub fn freeze(&mut self, node: usize, span_us: u64) {
-        self.nodes[node].frozen_until = self.now + span_us;
-        if span_us >= SUSPECT_US {
-            self.drop_later(node);
-        }
-    }
-
-    /// The node reaches nobody for a while; its peers drop it if that is long.
-    pub fn cut(&mut self, node: usize, span_us: u64) {
-        self.nodes[node].cut_until = self.now + span_us;
-        if span_us >= SUSPECT_US {
-            self.drop_later(node);
-        }
-    }
-
     /// A new life of a node that was dropped joins with nothing.
     pub fn rejoin(&mut self, node: usize) {
         let old = &self.nodes[node];
@@ -361,14 +314,6 @@
         self.step(node, |core, cx| core.set_targets(cx, &list));
     }
 
-    pub(super) fn drop_later(&mut self, node: usize) {
-        let event = Event::Drop {
-            id: self.nodes[node].id.clone(),
-            life: self.nodes[node].life,
-        };
-        self.after(SUSPECT_US, event);
-    }
-
     pub(super) fn announce(&mut self) {
         for node in 0..self.nodes.len() {
             let delay = self.rng.random_range(1_000..60_000);
@@ -468,18 +413,6 @@
         }
     }
 
-    pub(super) fn drop_member(&mut self, id: &InstanceId, life: u64) {
-        let node = self.nodes.iter().find(|it| it.id == *id && it.life == life);
-        let back = node
-            .is_some_and(|it| it.alive && it.frozen_until <= self.now && it.cut_until <= self.now);
-        if back || !self.platform.has(id, life) || self.platform.map.members.len() == 1 {
-            return;
-        }
-        self.platform
-            .change(self.now, |members| members.retain(|it| it.id != *id));
-        self.announce();
-    }
-
     pub(super) fn observe(&mut self, node: usize) {
         let adopted: BTreeSet<Adoption> = self
             .nodes
@@ -509,6 +442,3 @@
         }
     }
 }
-
-/// Silence after which peers drop a node.
-const SUSPECT_US: u64 = 1_600_000;
