Charge a load to the workspace that wants it

Why: loads are what runs short (three a second), but fairness counted only tokens: a workspace with many rare adapters took loads from all others.

A load now counts as 2,000 tokens of the workspace whose request it is for.

--- a/crates/core/examples/engines_model.rs
+++ b/crates/core/examples/engines_model.rs
@@ -1,6 +1,7 @@
 //! Policies for placement and queues, measured on the two deployments in virtual time.
 //!
-//! `cargo run --release -p bluebellstage-core --example engines_model [DEPLOYMENT] [SCENARIO]`
+//! `cargo run --release -p bluebellstage-core --example engines_model [DEPLOYMENT/SCENARIO]`
+//! `POLICY=domain` runs only the policies with that in their names.
 
 #[path = "engines_model/arrivals.rs"]
 mod arrivals;
@@ -38,7 +39,9 @@
 fn table(title: &str, deployment: &Deployment, scenario: Scenario) {
     println!("\n{title}, {} seeds: mean (least to most)", SEEDS.len());
     println!("{}", Summary::HEADER);
-    for policy in Policy::all() {
+    let chosen = std::env::var("POLICY").unwrap_or_default();
+    let all = Policy::all().into_iter();
+    for policy in all.filter(|policy| policy.name.contains(&chosen)) {
         let runs = runs(deployment, scenario, policy);
         println!("{:<22} {}", policy.name, Summary(&runs));
     }
--- a/crates/core/src/engines/loading.rs
+++ b/crates/core/src/engines/loading.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::{AdapterRef, HomeKey, InstanceId, Revision, TargetId, Time};
+use crate::{AdapterRef, HomeKey, InstanceId, Revision, TargetId, Time, Tokens, WorkspaceId};
 
 use super::engine::Engine;
 use super::home::GroupHome;
@@ -23,6 +23,9 @@
 /// Places that an engine must have free to get a copy.
 const COPY_PLACES: u32 = 3;
 
+/// What a load counts as when workspaces share a group fairly.
+const LOAD_COST: Tokens = Tokens(2_000);
+
 /// Least time between two changed wishes.
 const WISH_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -68,6 +71,7 @@
 
 /// A load that the queue asks for.
 struct Want {
+    workspace: WorkspaceId,
     adapter: AdapterRef,
     urgent: bool,
     bound: Option<TargetId>,
@@ -135,6 +139,7 @@
                 continue;
             }
             wants.push(Want {
+                workspace: waiting.ask.workspace.clone(),
                 copy,
                 adapter: adapter.clone(),
                 urgent: waiting.ask.urgent,
@@ -382,6 +387,7 @@
             return false;
         };
         self.loading.held.insert(permit, before);
+        self.queue.charge(&want.workspace, want.urgent, LOAD_COST);
         match site {
             Site::Free(target) => self.order_load(io, &target, want.adapter, permit),
             Site::Replace(target, victim) => {
--- a/crates/core/src/engines/queue.rs
+++ b/crates/core/src/engines/queue.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{AdapterRef, MemberRef, QueueOrder, TargetId, Time, WorkspaceId};
+use crate::{AdapterRef, MemberRef, QueueOrder, TargetId, Time, Tokens, WorkspaceId};
 
 use super::{AskNumber, PermitAsk};
 
@@ -118,7 +118,7 @@
     }
 
     pub(super) fn push(&mut self, waiting: Waiting) {
-        let line = self.line(&waiting.ask);
+        let line = self.line(waiting.ask.urgent);
         self.insert(line, waiting);
     }
 
@@ -171,8 +171,19 @@
         std::mem::take(&mut self.waiting).into_values().collect()
     }
 
-    fn line(&self, ask: &PermitAsk) -> Line {
-        match (self.order, ask.urgent) {
+    /// Counts a load towards what a workspace had, so that one that wants many falls behind others.
+    pub(super) fn charge(&mut self, workspace: &WorkspaceId, urgent: bool, tokens: Tokens) {
+        let line = self.line(urgent);
+        let clock = self.clocks.get(&line).copied().unwrap_or_default();
+        let finish = self
+            .finish_tags
+            .entry((line, workspace.clone()))
+            .or_default();
+        *finish = clock.max(*finish) + tokens.0;
+    }
+
+    fn line(&self, urgent: bool) -> Line {
+        match (self.order, urgent) {
             (QueueOrder::Fair, false) => Line::Batch,
             _ => Line::Urgent,
         }
