Test each guard of permits, evictions and loads by itself

Why: most guards taken out went past the fuzz: what one of them stops takes a late message, a late report and an eviction within the same second. A core with hand-made messages shows each directly.

--- a/crates/core/tests/support/engines/mod.rs
+++ b/crates/core/tests/support/engines/mod.rs
@@ -8,6 +8,7 @@
 pub mod chaos;
 pub mod engine;
 pub mod fleet;
+pub mod lone;
 pub mod membership;
 pub mod node;
 pub mod record;
