Measure what a permit costs; tell refused callers when to return

Why: an ask given up was told to return after a second whatever waited; and the choice of a group hashed every group twice for each ask.

A refusal for overload now says when the store and the engines can have served what waits, as the home last told: 30 asks waiting for loads at 3 a second give 10 s.

--- a/crates/core/src/engines/candidates.rs
+++ b/crates/core/src/engines/candidates.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{AdapterRef, BaseModel, GroupId, HomeKey, InstanceId, Ownership, Placement, Time};
+use crate::{AdapterRef, BaseModel, GroupId, HomeKey, Ownership, Placement, Time};
 
 use super::targets::{ListedGroup, Targets};
 use super::view::GroupView;
@@ -49,6 +49,15 @@
     ) -> Option<Choice> {
         let all = self.of_model(model);
         let preferred = self.pick(&all, placement, adapter, random)?;
+        if all
+            .iter()
+            .all(|id| !self.tried.contains(*id) && self.is_willing(id))
+        {
+            return Some(Choice {
+                group: preferred.clone(),
+                stray: false,
+            });
+        }
         let untried: Vec<&GroupId> = all
             .into_iter()
             .filter(|id| !self.tried.contains(*id))
@@ -101,17 +110,23 @@
 
     /// Whether a group's home is expected to answer.
     fn is_willing(&self, id: &GroupId) -> bool {
-        let silent = |home: &InstanceId| self.own.silent.contains(home);
-        let home = self.own.home(&HomeKey::Group(id.clone()));
         let avoid_until = self.views.get(id).map_or(Time(0), |it| it.avoid_until);
-        avoid_until <= self.now && !home.is_some_and(silent)
+        avoid_until <= self.now && !self.is_home_silent(id)
+    }
+
+    fn is_home_silent(&self, id: &GroupId) -> bool {
+        if self.own.silent.is_empty() {
+            return false;
+        }
+        let home = self.own.home(&HomeKey::Group(id.clone()));
+        home.is_some_and(|home| self.own.silent.contains(home))
     }
 
     /// A group that holds the adapter, else the first of the rendezvous order with a slot to spare,
     /// else the first of all; another than these only under a pressure that pays for a load.
     fn by_affinity<'b>(&self, groups: &[&'b GroupId], adapter: &AdapterRef) -> Option<&'b GroupId> {
         let mut order = groups.to_vec();
-        order.sort_by_key(|id| std::cmp::Reverse(rank(adapter, id)));
+        order.sort_by_cached_key(|id| std::cmp::Reverse(rank(adapter, id)));
         let view = |id: &GroupId| self.views.get(id);
         let holding: Vec<&GroupId> = order
             .iter()
--- a/crates/core/src/engines/entry.rs
+++ b/crates/core/src/engines/entry.rs
@@ -361,14 +361,22 @@
             .collect();
         for (request, stage) in late {
             self.cancel(io, request);
-            let kind = match stage {
-                Stage::Queued { .. } => RefusalKind::Overloaded,
-                Stage::Unplaced { .. } | Stage::Sent { .. } => RefusalKind::NoTarget,
-            };
-            io.decide(request, Err(Refusal::retry_after(kind, ASK_REFRESH)));
+            let refusal = self.refusal(io, &stage);
+            io.decide(request, Err(refusal));
         }
     }
 
+    fn refusal(&self, io: &Io<'_, '_>, stage: &Stage) -> Refusal {
+        let Stage::Queued { group, .. } = stage else {
+            return Refusal::retry_after(RefusalKind::NoTarget, ASK_REFRESH);
+        };
+        let view = self.views.get(group);
+        let span = view.map_or(ASK_REFRESH, |view| {
+            view.retry_after(io.cfg.store_loads_per_second)
+        });
+        Refusal::retry_after(RefusalKind::Overloaded, span)
+    }
+
     fn push_on(&mut self, io: &mut Io<'_, '_>, targets: &Targets, number: AskNumber) {
         let now = io.now();
         let Some(open) = self.open.get_mut(&number) else {
--- a/crates/core/src/engines/view.rs
+++ b/crates/core/src/engines/view.rs
@@ -1,11 +1,19 @@
 //! What an instance knows of a group from its home's answers.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::{AdapterRef, Time};
 
 use super::message::{GroupStatus, Residency};
 
+/// Seconds that a request is taken to hold its place.
+const SECONDS_PER_TURN: u32 = 4;
+
+/// Bounds of what a refused caller is told.
+const LEAST_RETRY: Duration = Duration::from_secs(1);
+const MOST_RETRY: Duration = Duration::from_mins(1);
+
 /// A group as last heard of.
 #[derive(Clone, Debug, Default)]
 pub(super) struct GroupView {
@@ -57,6 +65,14 @@
         self.status.is_none_or(|status| status.free_slots > 0)
     }
 
+    /// When asking again may help: once the store and the engines can have served what waits now.
+    pub(super) fn retry_after(&self, loads_per_second: u32) -> Duration {
+        let status = self.status.unwrap_or_default();
+        let loads = Duration::from_secs(1) * status.stalled / loads_per_second.max(1);
+        let turns = Duration::from_secs(1) * status.waiting / status.places.max(1);
+        (loads + turns * SECONDS_PER_TURN).clamp(LEAST_RETRY, MOST_RETRY)
+    }
+
     /// Requests that take a place or wait for one, or are on their way, in thousandths of the
     /// group's places. Those that wait for a load are not counted: they press on the store, not on
     /// the engines.
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -3,10 +3,14 @@
 #[path = "support/engines/mod.rs"]
 mod support;
 
-use bluebellstage_core::{AdapterVersion, RefusalKind, TargetId, Tuning};
+use std::time::Duration;
+
+use bluebellstage_core::engines::{AskNumber, EnginesMessage, GroupStatus};
+use bluebellstage_core::{AdapterVersion, Refusal, RefusalKind, TargetId, Tuning};
 
 use support::engine::Speed;
 use support::fleet::{EngineSpec, ask};
+use support::lone::{Lone, group};
 use support::world::World;
 
 const SECOND: u64 = 1_000_000;
@@ -177,3 +181,30 @@
         assert!(loads <= 13, "seed {seed}: {loads} loads of 12 adapters");
     }
 }
+
+// A caller is told to come back at once, over and over, though the store needs ten seconds for what
+// waits already.
+#[test]
+fn an_ask_is_given_up_in_time_and_told_when_to_return() {
+    let mut lone = Lone::entry(&SPEC);
+    lone.step(|core, cx| core.ask(cx, ask(1)));
+    let asked = lone.now;
+    let status = GroupStatus {
+        stalled: 30,
+        places: 4,
+        ..GroupStatus::default()
+    };
+    while lone.decisions.is_empty() {
+        let queued = EnginesMessage::Queued {
+            number: AskNumber(0),
+            group: group(),
+            status,
+        };
+        lone.hear("b", queued);
+        lone.pass(50);
+    }
+    assert_eq!(lone.now, asked + Tuning::default().queue_patience);
+    let refusal = lone.decisions.remove(0).outcome.unwrap_err();
+    let expected = Refusal::retry_after(RefusalKind::Overloaded, Duration::from_secs(10));
+    assert_eq!(refusal, expected);
+}
--- a/crates/core/tests/support/engines/node.rs
+++ b/crates/core/tests/support/engines/node.rs
@@ -1,6 +1,7 @@
 //! One instance: its core, its clock and its view of the map.
 
 use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use bluebellstage_core::engines::Engines;
 use bluebellstage_core::{
@@ -18,6 +19,8 @@
     pub cut_until: u64,
     pub core: Engines,
     pub own: Ownership,
+    /// Processor time that its core took.
+    pub spent: Duration,
     /// Its clock's reading at the world's start: readings of two nodes are never comparable.
     offset: u64,
 }
@@ -43,6 +46,7 @@
                 silent: BTreeSet::new(),
                 past_retired_at: None,
             },
+            spent: Duration::ZERO,
             offset,
         }
     }
@@ -78,7 +82,9 @@
             own: &self.own,
             out: &mut out,
         };
+        let started = Instant::now();
         let result = act(&mut self.core, &mut cx);
+        self.spent += started.elapsed();
         (result, out)
     }
 }
--- a/crates/core/tests/support/engines/record.rs
+++ b/crates/core/tests/support/engines/record.rs
@@ -37,6 +37,10 @@
     pub peak_in_flight: u64,
     pub unloads: u64,
     pub messages: u64,
+    /// Bytes of the messages, as JSON.
+    pub bytes: u64,
+    /// Reports asked of engines.
+    pub reports: u64,
     /// Requests that no permit was decided for yet.
     pub undecided: u64,
     /// Sequences batched, and places for them, in iterations while a request waited.
--- a/crates/core/tests/support/engines/shell.rs
+++ b/crates/core/tests/support/engines/shell.rs
@@ -28,6 +28,10 @@
             return;
         };
         self.record.messages += 1;
+        if self.count_bytes {
+            let bytes = serde_json::to_vec(&message).unwrap().len();
+            self.record.bytes += u64::try_from(bytes).unwrap();
+        }
         let Some(node) = self.nodes.iter().position(|it| it.id == *to) else {
             return;
         };
@@ -114,8 +118,10 @@
             );
             return;
         }
-        if matches!(order.kind, TargetOrderKind::Load(_)) {
-            self.record.loads.push(self.now);
+        match order.kind {
+            TargetOrderKind::Load(_) => self.record.loads.push(self.now),
+            TargetOrderKind::Report => self.record.reports += 1,
+            TargetOrderKind::Unload(_) => {}
         }
         let delay = self.engine_delay();
         self.after(delay, Event::EngineOrder { node, life, order });
--- a/crates/core/tests/support/engines/world.rs
+++ b/crates/core/tests/support/engines/world.rs
@@ -138,6 +138,8 @@
     pub platform: Platform,
     pub faults: Faults,
     pub record: Recorder,
+    /// Whether messages are measured.
+    pub count_bytes: bool,
     pub(super) rng: ChaCha8Rng,
     queue: BTreeMap<(u64, u64), (u64, Event)>,
     next_event: u64,
@@ -154,6 +156,7 @@
             engines: BTreeMap::new(),
             faults: Faults::default(),
             record: Recorder::default(),
+            count_bytes: false,
             rng: ChaCha8Rng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             next_event: 0,
