Deliver what a cancelled request's place is decided for

An instance that is also the group's home cancels a request; the place that comes free goes to another request of the same instance in the same step; `cancel` returns no decisions, so that permit's was dropped.

Also: a report that lags behind a restart no longer counts as another restart back to the former boot.

--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -27,6 +27,7 @@
     homes: BTreeMap<GroupId, GroupHome>,
     store: Option<StoreHome>,
     next_order: u64,
+    undelivered: Vec<PermitDecision>,
 }
 
 impl Engines {
@@ -42,6 +43,7 @@
             homes: BTreeMap::new(),
             store: None,
             next_order: 0,
+            undelivered: Vec::new(),
         }
     }
 
@@ -51,8 +53,23 @@
     }
 
     /// The caller of a waiting request went away, or its key was withdrawn.
+    ///
+    /// A place that comes free by this may go to another request of this instance; that decision comes
+    /// with the next step's.
     pub fn cancel(&mut self, cx: &mut Cx<'_>, request: RequestId) {
-        self.step(cx, |this, io| this.entry.cancel(io, request));
+        let decisions = self.step(cx, |this, io| this.cancel_one(io, request));
+        self.undelivered = decisions;
+    }
+
+    /// A permit that was decided but not delivered yet is handed back.
+    fn cancel_one(&mut self, io: &mut Io<'_, '_>, request: RequestId) {
+        let before = io.decisions.len();
+        io.decisions.retain(|decision| decision.request != request);
+        if io.decisions.len() < before {
+            self.entry.finished(io, request, PermitEnd::NotUsed);
+        } else {
+            self.entry.cancel(io, request);
+        }
     }
 
     /// A permit's use ended.
@@ -143,7 +160,7 @@
         act: impl FnOnce(&mut Self, &mut Io<'_, '_>),
     ) -> Vec<PermitDecision> {
         let mut local = VecDeque::new();
-        let mut decisions = Vec::new();
+        let mut decisions = std::mem::take(&mut self.undelivered);
         let cfg = self.cfg.clone();
         let mut next_order = self.next_order;
         let me = cx.own.me.id.clone();
--- a/crates/core/src/engines/engine.rs
+++ b/crates/core/src/engines/engine.rs
@@ -67,6 +67,8 @@
     /// Adapters that the newest report shows in use.
     pub(super) reported_use: BTreeSet<AdapterRef>,
     boot: u64,
+    /// The boot before the last restart: a late report may still speak of it.
+    former_boot: Option<u64>,
     missed: u32,
     pub(super) report_order: Option<OrderId>,
     pub(super) next_report: Time,
@@ -95,6 +97,7 @@
             inherited: BTreeSet::new(),
             reported_use: BTreeSet::new(),
             boot: 0,
+            former_boot: None,
             missed: 0,
             report_order: None,
             next_report: now,
@@ -233,12 +236,13 @@
     /// Takes a report asked at `asked`; true if the engine restarted.
     pub(super) fn report(&mut self, report: &EngineReport, asked: Time, now: Time) -> bool {
         self.missed = 0;
-        if self.known && asked < self.report_asked {
+        if self.known && (asked < self.report_asked || self.former_boot == Some(report.boot)) {
             return false;
         }
         self.report_asked = asked;
         let restarted = self.known && report.boot != self.boot;
         if restarted {
+            self.former_boot = Some(self.boot);
             self.slots.clear();
             self.unloaded.clear();
             self.fence = Fence::Unsent;
--- a/crates/core/tests/engines_fuzz.rs
+++ b/crates/core/tests/engines_fuzz.rs
@@ -13,7 +13,8 @@
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use support::chaos::{NODES, Setup, Step, apply, heal, setups, steps};
+use bluebellstage_core::Grouping;
+use support::chaos::{NODES, Net, Setup, Step, apply, heal, setups, steps};
 use support::fleet::ask;
 use support::world::World;
 
@@ -154,3 +155,69 @@
     #[test]
     fn no_adapter_is_unloaded_in_use_and_every_ask_is_decided(sequential 20..120 => Fleet);
 }
+
+fn drafts(node: usize, adapter: u32, version: u64, answer: u64) -> Step {
+    Step::Ask {
+        node,
+        adapter,
+        version,
+        workspace: 0,
+        urgent: false,
+        answer,
+    }
+}
+
+// A request waits for ever, though it was let in: an instance that is also the home cancels a request,
+// the place that comes free goes to another request of the same instance, and that permit's decision
+// came out of a step that returns none.
+#[test]
+fn a_permit_that_a_cancelled_request_frees_is_not_lost() {
+    let setup = Setup {
+        seed: 7_652_558_193_861_482_739,
+        grouping: Grouping::Pool,
+        checks_fencing: true,
+        report_lag_ms: 789,
+        store_in_flight: 3,
+    };
+    let leaves = |engine| Step::EngineLeaves {
+        engine,
+        listed: false,
+    };
+    let steps = [
+        Step::Busy { ms: 200 },
+        drafts(0, 3, 1, 1),
+        Step::Run { ms: 2404 },
+        Step::Cut { node: 0, ms: 1367 },
+        drafts(2, 4, 1, 1),
+        drafts(0, 0, 1, 1),
+        Step::Leave { node: 0 },
+        leaves(2),
+        Step::Cancel { index: 0 },
+        drafts(0, 0, 1, 1),
+        Step::Freeze { node: 0, ms: 2912 },
+        drafts(2, 0, 2, 1),
+        Step::RestartEngine { engine: 1 },
+        Step::Run { ms: 702 },
+        Step::Busy { ms: 350 },
+        leaves(1),
+        Step::Run { ms: 1599 },
+        drafts(1, 1, 1, 11),
+        Step::Network(Net::Late),
+        Step::Kill { node: 0 },
+        Step::Busy { ms: 1300 },
+        Step::Run { ms: 1467 },
+        Step::Return { node: 0 },
+        Step::Run { ms: 2279 },
+        Step::Busy { ms: 1162 },
+        leaves(2),
+        drafts(1, 4, 1, 42),
+        Step::Cancel { index: 132 },
+        Step::Run { ms: 1069 },
+    ];
+    let mut world = setup.build();
+    for step in &steps {
+        apply(&mut world, step);
+        check(&world);
+    }
+    check_recovery(&mut world);
+}
