Prove each guard of membership on its own

Found by the fuzz with two lives under one name: a life whose entry was taken by another that then died stayed out for ever; it takes its place again once the other is gone by the list.

Ruled out as a fault: standing by half of an even number of lives. Half and a majority still share a life, so that no test can fail; the majority stays as the plain rule.

--- a/crates/core/src/membership/core.rs
+++ b/crates/core/src/membership/core.rs
@@ -428,15 +428,14 @@
         self.ownership.is_member() || (!self.is_superseded() && self.rejoin.may_join(now))
     }
 
-    /// Another life took this one's entry: it must not take the entry back, or two processes
-    /// started under one name would replace each other for ever.
+    /// Another life took this one's entry, and is not gone: this one must not take the entry back,
+    /// or two processes started under one name would replace each other for ever.
     fn is_superseded(&self) -> bool {
-        self.was_listed
-            && self
-                .ownership
-                .map
-                .member(&self.me.id)
-                .is_some_and(|member| member.incarnation != self.me.incarnation)
+        let Some(entry) = self.ownership.map.member(&self.me.id) else {
+            return false;
+        };
+        let other = entry.member_ref();
+        self.was_listed && other != self.ownership.me && !self.presence.gone().contains(&other)
     }
 
     /// Whether all who are heard know that this instance leaves; or one hears it no more.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -19,6 +19,11 @@
     world
 }
 
+fn stored_map(world: &World) -> Map {
+    let stored = world.platform.object.as_ref().expect("a map is stored");
+    serde_json::from_str(&stored.value).expect("the map parses")
+}
+
 #[test]
 fn three_instances_start_together_and_share_all_keys() {
     let world = settled(3, 1);
@@ -84,11 +89,12 @@
         world.cut(2, other);
         world.cut(other, 2);
     }
-    world.run(20_000);
-    let stored = world.platform.object.as_ref().expect("a map is stored");
-    let map: Map = serde_json::from_str(&stored.value).expect("the map parses");
+    world.run(60_000);
+    let map = stored_map(&world);
     assert!(map.member(&world.nodes[0].id).is_some());
     assert!(map.member(&world.nodes[1].id).is_some());
+    // Each time it comes back its peers drop it again, so it must wait longer and longer.
+    assert!(map.revision.0 < 30, "{} revisions", map.revision);
     let took = world.recover(10_000);
     println!("back after a cut: {took} ms");
 }
@@ -102,7 +108,7 @@
         world.kill(node);
         world.start(node);
     }
-    let took = world.run_until_settled(20_000);
+    let took = world.run_until_settled(6_000);
     println!("all replaced at once: {took} ms");
 }
 
@@ -117,3 +123,93 @@
     let took = world.run_until_settled(20_000);
     println!("two of three gone: {took} ms");
 }
+
+/// All instances are frozen for five seconds, as when their hosts are. Each hears nobody when it
+/// thaws, and their words together would be a majority that drops the last to thaw.
+#[test]
+fn instances_that_thaw_one_after_the_other_drop_nobody() {
+    let mut world = settled(3, 8);
+    let before = stored_map(&world).revision;
+    for node in 0..3 {
+        world.freeze(node);
+    }
+    world.run(5_000);
+    for node in 0..3 {
+        world.thaw(node);
+        world.run(300);
+    }
+    world.run_until_settled(1_000);
+    assert_eq!(stored_map(&world).revision, before);
+}
+
+/// Twenty instances start together: more changes of the map than its history has room for, so
+/// that the later ones must wait until the earlier ones' history is taken out.
+#[test]
+fn twenty_instances_start_together() {
+    let mut world = World::started(20, 9);
+    let took = world.run_until_settled(20_000);
+    println!("twenty instances: {took} ms");
+}
+
+/// A leaver's farewell may be lost. It must not exit before all know that it stopped, or its keys
+/// would wait as long as after a crash.
+#[test]
+fn a_planned_leave_hands_over_while_messages_are_lost() {
+    for seed in 0..20 {
+        let mut world = settled(3, seed);
+        world.run(3_000);
+        world.weather.loss = 30;
+        world.stop(1);
+        world.run_until(1_900, "its keys have homes", |world| {
+            world.orphans() == 0 && world.running() == 2
+        });
+    }
+}
+
+/// A home was killed and taken over long ago. An instance that starts now must not wait T for it
+/// once more before it acts for its keys.
+#[test]
+fn a_newcomer_takes_its_part_without_a_gap_long_after_a_takeover() {
+    let mut world = settled(3, 10);
+    world.kill(0);
+    world.run(10_000);
+    world.start(0);
+    let mut gap = 0;
+    let mut longest = 0;
+    for _ in 0..300 {
+        world.run(10);
+        gap = if world.orphans() == 0 { 0 } else { gap + 10 };
+        longest = longest.max(gap);
+    }
+    println!("longest gap as a newcomer starts: {longest} ms");
+    assert!(longest <= 100);
+}
+
+/// A home is cut off right after its last proof of standing, while a newcomer takes over part of
+/// its keys. The home's clock is the slowest allowed and the newcomer's the fastest: without the
+/// allowance for drift the newcomer begins a moment before the home ends.
+#[test]
+fn clocks_that_drift_apart_do_not_let_two_homes_act() {
+    for seed in 0..30 {
+        let mut world = World::started(4, seed);
+        world.nodes[0].clock.ppm = -12_000;
+        world.nodes[3].clock.ppm = 12_000;
+        world.watch = false;
+        world.kill(3);
+        world.run_until_settled(10_000);
+        world.start(3);
+        for peer in 1..4 {
+            world.cut(0, peer);
+            world.cut(peer, 0);
+        }
+        while !stored_map(&world)
+            .active()
+            .any(|id| *id == world.nodes[3].id)
+        {
+            world.hint(0);
+            world.run(1);
+        }
+        world.nodes[0].cut_from_platform = true;
+        world.run(3_000);
+    }
+}
--- a/crates/core/tests/support/membership_faults.rs
+++ b/crates/core/tests/support/membership_faults.rs
@@ -78,7 +78,9 @@
 
     fn init_state() -> BoxedStrategy<Plan> {
         let settled = prop::bool::weighted(0.7);
-        (3..=5_usize, any::<u64>(), settled, any::<bool>())
+        // Not shrunk: the faults are made for this many instances.
+        let instances = (3..=5_usize).no_shrink();
+        (instances, any::<u64>(), settled, any::<bool>())
             .prop_map(|(instances, seed, settled, watch)| Plan {
                 instances,
                 seed,
