--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -21,6 +21,14 @@
     Batch,
 }
 
+impl WorkClass {
+    /// Whether someone is waiting for it.
+    #[must_use]
+    pub const fn is_urgent(self) -> bool {
+        matches!(self, Self::Urgent)
+    }
+}
+
 /// A workspace.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -58,7 +66,7 @@
     /// The version that runs where a caller names none.
     pub current: AdapterVersion,
     /// Earlier versions that callers may still name.
-    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    #[serde(default)]
     pub also: BTreeSet<AdapterVersion>,
     /// How pressing its work is.
     #[serde(default)]
