Put the terms that all instances share into the map

Cause: standing, drift and grouping came from each instance's settings; while a release with a shorter standing rolls out, a new home would wait by its own figure and act beside a former home that goes by the longer one. The instance that creates the map fixes them, the map's hold, and an instance whose settings differ says so (event 1107). Ruled out: refusing to join, which would stop a roll half way.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -5,7 +5,8 @@
 use crate::catalogue::ApplyOutcome;
 use crate::{
     AdapterRef, CallId, ChangeId, FailureDomain, InstanceId, Map, ObjectName, PeerMessage,
-    PlatformCall, Refusal, RequestId, Revision, StoredAnswer, TargetId, TargetOrder, Time, Tokens,
+    PlatformCall, Refusal, RequestId, Revision, StoredAnswer, TargetId, TargetOrder, Terms, Time,
+    Tokens,
 };
 
 /// Something that the shell is to do.
@@ -82,6 +83,8 @@
 pub enum Notice {
     /// A newer map is in force.
     MapAdopted(Box<Map>),
+    /// The map's terms differ from this instance's settings; the map's hold.
+    TermsDiffer(Terms),
     /// Standing was lost: this instance stops acting as a home.
     StandingLost,
     /// Standing is back.
--- a/crates/core/src/catalogue/core.rs
+++ b/crates/core/src/catalogue/core.rs
@@ -9,7 +9,7 @@
 use crate::platform::PlatformAnswer;
 use crate::{
     Action, CallId, Cx, HomeKey, InstanceId, Notice, ObjectVersion, PeerMessage, PlatformCall,
-    PlatformOp, PlatformPurpose, PlatformReply, Revision, Time, Tuning,
+    PlatformOp, PlatformPurpose, PlatformReply, Revision, Time,
 };
 
 use super::compact::Compaction;
@@ -32,9 +32,8 @@
 }
 
 /// Follows the catalogue, proves it current and writes operators' changes.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Catalogue {
-    standing: Duration,
     state: CatalogueState,
     loaded: bool,
     head: KnownHead,
@@ -74,32 +73,6 @@
 }
 
 impl Catalogue {
-    /// An instance that has read nothing yet.
-    #[must_use]
-    pub fn new(cfg: &Tuning) -> Self {
-        Self {
-            standing: cfg.standing,
-            state: CatalogueState::default(),
-            loaded: false,
-            head: KnownHead::default(),
-            adopted: Time::default(),
-            announced: Revision::default(),
-            fresh_until: Time::default(),
-            unsure_since: None,
-            head_read: None,
-            next_read: Time::default(),
-            wanted: Revision::default(),
-            proof: None,
-            reader: Reader::default(),
-            pushed: BTreeMap::new(),
-            recent: Recent::default(),
-            have: BTreeMap::new(),
-            writer: Writer::default(),
-            compaction: Compaction::default(),
-            calls: 0,
-        }
-    }
-
     /// The entries in force here.
     #[must_use]
     pub const fn state(&self) -> &CatalogueState {
@@ -168,7 +141,7 @@
 
     /// Time passed; `quorum` is what a majority says of the catalogue.
     pub fn tick(&mut self, cx: &mut Cx<'_>, quorum: Option<CatalogueQuorum>) {
-        self.take_quorum(quorum);
+        self.take_quorum(cx, quorum);
         self.read_if_due(cx);
         self.write_on(cx);
         self.compact(cx);
@@ -195,7 +168,7 @@
         }
     }
 
-    fn take_quorum(&mut self, quorum: Option<CatalogueQuorum>) {
+    fn take_quorum(&mut self, cx: &Cx<'_>, quorum: Option<CatalogueQuorum>) {
         let Some(quorum) = quorum else {
             return;
         };
@@ -206,7 +179,9 @@
             self.wanted = self.wanted.max(quorum.highest);
             return;
         }
-        self.fresh_until = self.fresh_until.max(quorum.asked + self.standing);
+        self.fresh_until = self
+            .fresh_until
+            .max(quorum.asked + cx.own.map.terms.standing);
     }
 
     fn read_if_due(&mut self, cx: &mut Cx<'_>) {
@@ -215,7 +190,7 @@
         }
         let behind =
             !self.loaded || self.wanted > self.state.revision || self.unsure_since.is_some();
-        let running_out = self.fresh_until.since(cx.now) < self.standing / 2;
+        let running_out = self.fresh_until.since(cx.now) < cx.own.map.terms.standing / 2;
         if behind || running_out || self.writer.wants_head() {
             self.read_head(cx);
         }
@@ -308,7 +283,9 @@
             .proof
             .take_if(|proof| proof.revision <= self.state.revision)
         {
-            self.fresh_until = self.fresh_until.max(proof.asked + self.standing);
+            self.fresh_until = self
+                .fresh_until
+                .max(proof.asked + cx.own.map.terms.standing);
             if self.unsure_since.is_some_and(|since| proof.asked >= since) {
                 self.unsure_since = None;
             }
@@ -426,7 +403,7 @@
         }
         let step = self.writer.step(cx, &self.head, &self.state);
         self.carry_out_write(cx, step);
-        self.writer.settle(cx, &self.have, self.standing);
+        self.writer.settle(cx, &self.have);
     }
 
     fn carry_out_write(&mut self, cx: &mut Cx<'_>, step: WriterStep) {
--- a/crates/core/src/catalogue/writer.rs
+++ b/crates/core/src/catalogue/writer.rs
@@ -269,14 +269,9 @@
     /// Guards against a change that is accepted and then unknown to every instance that is left. It
     /// takes a majority of a map that was proved current after the change was written: whoever
     /// joins later reads a head that holds it.
-    pub(super) fn settle(
-        &mut self,
-        cx: &mut Cx<'_>,
-        have: &BTreeMap<InstanceId, Revision>,
-        standing: Duration,
-    ) {
+    pub(super) fn settle(&mut self, cx: &mut Cx<'_>, have: &BTreeMap<InstanceId, Revision>) {
         let members = cx.own.map.members.len();
-        let proved = cx.own.standing_until - standing;
+        let proved = cx.own.standing_until - cx.own.map.terms.standing;
         let me = &cx.own.me.id;
         let mut settled = Vec::new();
         self.spreading.retain(|change| {
--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -160,7 +160,7 @@
     /// Homes for the groups that are this instance's to schedule.
     fn regroup(&mut self, io: &Io<'_, '_>) {
         let own = io.cx.own;
-        self.targets = Targets::new(&self.listed, own.map.grouping);
+        self.targets = Targets::new(&self.listed, own.map.terms.grouping);
         for id in self.targets.groups.keys() {
             let is_home = own.is_home(&HomeKey::Group(id.clone()));
             if is_home && !self.homes.contains_key(id) {
--- a/crates/core/src/instance/core.rs
+++ b/crates/core/src/instance/core.rs
@@ -74,7 +74,7 @@
     pub fn new(cfg: Tuning, me: Member, seed: u64, now: Time) -> Self {
         Self {
             membership: Membership::new(&cfg, me, now),
-            catalogue: Catalogue::new(&cfg),
+            catalogue: Catalogue::default(),
             rates: Rates::new(&cfg),
             engines: Engines::new(&cfg, seed),
             services: Services::new(&cfg),
--- a/crates/core/src/map.rs
+++ b/crates/core/src/map.rs
@@ -2,11 +2,14 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{FailureDomain, GroupId, Grouping, Incarnation, InstanceId, Revision, WorkspaceId};
+use crate::{
+    FailureDomain, GroupId, Grouping, Incarnation, InstanceId, Revision, Tuning, WorkspaceId,
+};
 
 /// One life of one instance.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
@@ -74,14 +77,38 @@
     pub active: Vec<InstanceId>,
 }
 
+/// Settings that all instances have to go by alike; the instance that creates the map fixes them.
+///
+/// Guards against settings that differ while a release is rolled out: instances that group engines
+/// differently would each hold themselves home of the same engine, and one that waits for a former
+/// home by a shorter standing than that home's own would act beside it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Terms {
+    /// How engines are grouped.
+    pub grouping: Grouping,
+    /// How long a proof of standing holds, counted from when its question was sent.
+    pub standing: Duration,
+    /// Bound on how much two clocks drift apart over one `standing`.
+    pub drift: Duration,
+}
+
+impl From<&Tuning> for Terms {
+    fn from(cfg: &Tuning) -> Self {
+        Self {
+            grouping: cfg.grouping,
+            standing: cfg.standing,
+            drift: cfg.drift,
+        }
+    }
+}
+
 /// The map object.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Map {
     /// Grows by one with each change.
     pub revision: Revision,
-    /// How engines are grouped; fixed by the instance that created the map, because instances that
-    /// group differently would each hold themselves home of the same engine.
-    pub grouping: Grouping,
+    /// What all instances have to go by alike.
+    pub terms: Terms,
     /// The instances, in order of their names.
     pub members: Vec<Member>,
     /// Earlier revisions not yet known to be retired everywhere, oldest first.
@@ -116,10 +143,10 @@
 impl Map {
     /// The map before anyone joined.
     #[must_use]
-    pub const fn empty(grouping: Grouping) -> Self {
+    pub const fn empty(terms: Terms) -> Self {
         Self {
             revision: Revision(0),
-            grouping,
+            terms,
             members: Vec::new(),
             history: Vec::new(),
         }
--- a/crates/core/src/membership/change.rs
+++ b/crates/core/src/membership/change.rs
@@ -61,7 +61,7 @@
     }
     Map {
         revision: map.revision.next(),
-        grouping: map.grouping,
+        terms: map.terms,
         members,
         history,
     }
--- a/crates/core/src/membership/core.rs
+++ b/crates/core/src/membership/core.rs
@@ -5,7 +5,7 @@
 use crate::platform::{PlatformAnswer, PlatformPurpose, PlatformReply};
 use crate::{
     Action, Adoption, Expected, InstanceId, Map, Member, MemberRef, MemberState, Notice, Ownership,
-    Revision, Time, Tuning, Versioned,
+    Revision, Terms, Time, Tuning, Versioned,
 };
 
 use super::change::{self, Wish};
@@ -48,7 +48,7 @@
     /// A fresh life of an instance that knows no map yet; `me.state` is `Joining`.
     #[must_use]
     pub fn new(cfg: &Tuning, me: Member, now: Time) -> Self {
-        let map = Map::empty(cfg.grouping);
+        let map = Map::empty(Terms::from(cfg));
         Self {
             cfg: cfg.clone(),
             ownership: Ownership::new(me.member_ref(), map),
@@ -300,6 +300,9 @@
         }
         out.push(Action::Notice(Notice::MapAdopted(Box::new(map.clone()))));
         let was_member = self.ownership.is_member();
+        if map.terms != self.ownership.map.terms {
+            out.push(Action::Notice(Notice::TermsDiffer(map.terms)));
+        }
         self.ownership.map = map;
         self.store.set_base(None, 0);
         if was_member && !self.ownership.is_member() {
@@ -332,7 +335,7 @@
     }
 
     fn retire(&mut self, now: Time) {
-        let wait = self.cfg.standing + self.cfg.drift;
+        let wait = self.ownership.map.terms.standing + self.ownership.map.terms.drift;
         let own = &mut self.ownership;
         self.retirement.observe(
             now,
@@ -358,7 +361,7 @@
         let own = &mut self.ownership;
         let told_at = quorum::map_confirmed_at(now, &own.map, &own.me, &self.peers);
         let proved_at = self.read_at.max(told_at);
-        own.standing_until = proved_at.map_or(Time::default(), |at| at + self.cfg.standing);
+        own.standing_until = proved_at.map_or(Time::default(), |at| at + own.map.terms.standing);
         let has_standing = own.has_standing(now);
         if has_standing != self.had_standing {
             out.push(Action::Notice(if has_standing {
@@ -457,7 +460,8 @@
                 || self.silence.members().contains(&member.id)
                 || told.is_some_and(|told| told.asked >= since)
         };
-        now.since(since) >= self.cfg.standing * 2 || self.ownership.map.members.iter().all(knows)
+        now.since(since) >= self.ownership.map.terms.standing * 2
+            || self.ownership.map.members.iter().all(knows)
     }
 
     fn read_map(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -469,7 +473,8 @@
         if self.store.expects_news() {
             return ReadReason::News;
         }
-        let ends_soon = now + self.cfg.standing / 2 >= self.ownership.standing_until;
+        let ends_soon =
+            now + self.ownership.map.terms.standing / 2 >= self.ownership.standing_until;
         if ends_soon {
             return ReadReason::Standing;
         }
--- a/crates/core/tests/instances/fleet/drive.rs
+++ b/crates/core/tests/instances/fleet/drive.rs
@@ -107,7 +107,8 @@
     pub answered_at: BTreeMap<ChangeId, u64>,
     pub notices: Vec<(u64, InstanceId, Notice)>,
     pub(super) rng: ChaCha8Rng,
-    pub(super) cfg: Tuning,
+    /// Settings of instances that start from now on.
+    pub cfg: Tuning,
     pub(super) lives: u64,
     pub(super) requests: u128,
     pub(super) queue: BinaryHeap<Reverse<Due>>,
--- a/crates/core/tests/support/engines/membership.rs
+++ b/crates/core/tests/support/engines/membership.rs
@@ -2,7 +2,7 @@
 
 use bluebellstage_core::{
     FailureDomain, Grouping, Incarnation, InstanceId, Map, Member, MemberState, PastMap, Revision,
-    Tuning,
+    Terms, Tuning,
 };
 
 /// The map object, and when each of its earlier revisions ended.
@@ -19,7 +19,10 @@
         Self {
             map: Map {
                 revision: Revision(1),
-                grouping,
+                terms: Terms {
+                    grouping,
+                    ..Terms::from(cfg)
+                },
                 members: Vec::new(),
                 history: Vec::new(),
             },
--- a/crates/core/tests/support/engines/shell.rs
+++ b/crates/core/tests/support/engines/shell.rs
@@ -89,7 +89,7 @@
         let group = self
             .engines
             .get(&order.target)
-            .and_then(|engine| engine.info.group(it.own.map.grouping));
+            .and_then(|engine| engine.info.group(it.own.map.terms.grouping));
         let acts =
             group.is_some_and(|group| it.own.acts(it.clock(self.now), &HomeKey::Group(group)));
         let (id, target, life) = (order.id, order.target.clone(), it.life);
--- a/crates/core/tests/support/membership_bench.rs
+++ b/crates/core/tests/support/membership_bench.rs
@@ -4,9 +4,9 @@
 
 use bluebellstage_core::membership::{Heartbeat, Membership, MembershipMessage};
 use bluebellstage_core::{
-    Action, CallId, Expected, FailureDomain, Grouping, HomeKey, Incarnation, InstanceId,
-    ListedInstance, Map, Member, MemberRef, MemberState, Notice, ObjectVersion, Ownership, PastMap,
-    PlatformAnswer, PlatformOp, PlatformPurpose, PlatformReply, Revision, Time, Tuning, Versioned,
+    Action, CallId, Expected, FailureDomain, HomeKey, Incarnation, InstanceId, ListedInstance, Map,
+    Member, MemberRef, MemberState, Notice, ObjectVersion, Ownership, PastMap, PlatformAnswer,
+    PlatformOp, PlatformPurpose, PlatformReply, Revision, Terms, Time, Tuning, Versioned,
     WorkspaceId,
 };
 
@@ -158,7 +158,7 @@
 pub fn map(revision: u64, ids: &[&str]) -> Map {
     Map {
         revision: Revision(revision),
-        grouping: Grouping::FailureDomain,
+        terms: Terms::from(&Tuning::default()),
         members: ids
             .iter()
             .map(|id| member(id, MemberState::Active))
--- a/crates/core/tests/support/rates_membership.rs
+++ b/crates/core/tests/support/rates_membership.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bluebellstage_core::{
-    Adoption, Grouping, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership,
-    PastMap, Revision, Time, Tuning,
+    Adoption, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership, PastMap,
+    Revision, Terms, Time, Tuning,
 };
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -55,7 +55,7 @@
         Self {
             map: Map {
                 revision: Revision(1),
-                grouping: Grouping::Pool,
+                terms: Terms::from(cfg),
                 members: (0..count)
                     .map(|number| member(instance(number), 1))
                     .collect(),
--- a/crates/daemon/src/process/carry.rs
+++ b/crates/daemon/src/process/carry.rs
@@ -79,6 +79,14 @@
                 let members = map.members.len();
                 log_event!(MapAdopted, "revision" = map.revision, "members" = members);
             }
+            Notice::TermsDiffer(terms) => {
+                let (standing_ms, drift_ms) = (terms.standing.as_millis(), terms.drift.as_millis());
+                log_event!(
+                    TermsDiffer,
+                    "standing_ms" = standing_ms,
+                    "drift_ms" = drift_ms
+                );
+            }
             Notice::StandingLost => {
                 self.metrics.standing(false);
                 log_event!(StandingLost);
--- a/crates/daemon/src/process/log_event.rs
+++ b/crates/daemon/src/process/log_event.rs
@@ -58,6 +58,8 @@
 
     /// A newer map is in force.
     MapAdopted = 1101, Info, "map adopted", ["revision", "members"];
+    /// The map's terms hold, not this instance's settings.
+    TermsDiffer = 1107, Warn, "settings differ from the map's terms, which hold", ["standing_ms", "drift_ms"];
     /// Standing was lost.
     StandingLost = 1102, Warn, "standing lost: not acting as a home", [];
     /// Standing is back.
