--- a/crates/core/src/journal/batch.rs
+++ b/crates/core/src/journal/batch.rs
@@ -60,6 +60,18 @@
         matches!(self.kind, ItemKind::Ask { .. })
     }
 
+    /// Tells the asker of an intent that the platform does not take it now.
+    pub fn platform_away(&self) -> Option<Reply> {
+        let message = JournalMessage::Verdict {
+            request: self.request(),
+            verdict: Verdict::PlatformAway,
+        };
+        self.is_ask().then(|| Reply {
+            to: self.from.clone(),
+            message,
+        })
+    }
+
     const fn key(&self) -> &IdempotencyKey {
         match &self.kind {
             ItemKind::Ask { ask, .. } => &ask.key,
--- a/crates/core/src/journal/caller.rs
+++ b/crates/core/src/journal/caller.rs
@@ -11,8 +11,11 @@
 /// An ask or a report without an answer is sent again after this time.
 const SEND_AGAIN: Duration = Duration::from_millis(250);
 
-/// A call that waits longer for the home's word is given up.
-const PATIENCE: Duration = Duration::from_secs(3);
+/// A call that waits longer for the home's word is given up; longer than a takeover takes.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// A call whose home said that it must wait is given up after this time.
+const SHORT_PATIENCE: Duration = Duration::from_secs(2);
 
 /// A call must be sent within this time after it was asked for, or not at all. An intent outlives
 /// it in the journal by far, so no sender that wakes up late finds its key given to another.
@@ -46,7 +49,7 @@
     state: CallState,
     since: Time,
     due: Time,
-    is_in_progress_elsewhere: bool,
+    obstacle: Option<RefusalKind>,
 }
 
 /// What is to be said to the home about a call.
@@ -68,7 +71,7 @@
             state: CallState::Asking,
             since: now,
             due: now,
-            is_in_progress_elsewhere: false,
+            obstacle: None,
         }
     }
 
@@ -114,7 +117,11 @@
             }
             Verdict::Go => Some(self.give_up(now)),
             Verdict::InProgress => {
-                self.is_in_progress_elsewhere = true;
+                self.obstacle = Some(RefusalKind::InProgress);
+                None
+            }
+            Verdict::PlatformAway => {
+                self.obstacle = Some(RefusalKind::PlatformUnavailable);
                 None
             }
             Verdict::Replay(answer) => Some(JournalStep::Replay(answer)),
@@ -126,7 +133,7 @@
     /// Gives the call up if it waited too long.
     pub fn lapse(&mut self, now: Time) -> Option<JournalStep> {
         let waits = matches!(self.state, CallState::Asking);
-        (waits && now >= self.since + PATIENCE).then(|| self.give_up(now))
+        (waits && now >= self.since + self.patience()).then(|| self.give_up(now))
     }
 
     /// Whether the journal is to hear of the call again; a call refused or replayed is done with.
@@ -152,16 +159,19 @@
         }
     }
 
+    const fn patience(&self) -> Duration {
+        match self.obstacle {
+            None => PATIENCE,
+            Some(_) => SHORT_PATIENCE,
+        }
+    }
+
     // "Not run" is true whatever became of the intent's write: only this instance could send the
     // call, and from here on it never will. The report frees the key.
     fn give_up(&mut self, now: Time) -> JournalStep {
         self.state = CallState::Ended(CallOutcome::NotRun);
         self.due = now;
-        let kind = if self.is_in_progress_elsewhere {
-            RefusalKind::InProgress
-        } else {
-            RefusalKind::PlatformUnavailable
-        };
+        let kind = self.obstacle.unwrap_or(RefusalKind::PlatformUnavailable);
         refuse(Refusal::retry_after(kind, RETRY_AFTER))
     }
 }
--- a/crates/core/src/journal/message.rs
+++ b/crates/core/src/journal/message.rs
@@ -53,6 +53,8 @@
     Replay(StoredAnswer),
     /// A call with this key is under way.
     InProgress,
+    /// The platform does not take the intent now; the home goes on trying.
+    PlatformAway,
     /// What became of an earlier call with this key is not known.
     InDoubt,
     /// The key was used for another call.
--- a/crates/core/src/journal/page.rs
+++ b/crates/core/src/journal/page.rs
@@ -184,7 +184,8 @@
         let Some(loaded) = &mut self.loaded else {
             return PageStep::Rest;
         };
-        let clock = loaded.content.clock + now.since(loaded.clock_since).as_secs();
+        let passed = now.since(loaded.clock_since).as_millis();
+        let clock = loaded.content.clock + u64::try_from(passed).unwrap_or(0);
         let mut batch = Batch::build(
             &loaded.content,
             clock,
@@ -247,18 +248,21 @@
         let Some((_id, flight)) = self.flight.take() else {
             return Ok(Vec::new());
         };
+        let is_away = reply == PlatformReply::Unavailable;
+        let mut replies = Vec::new();
         match flight {
-            Flight::Read => self.read(now, reply, name, workspace).map(|()| Vec::new()),
+            Flight::Read => self.read(now, reply, name, workspace)?,
             Flight::Write {
                 batch,
                 built_at,
                 bytes,
-            } => Ok(self.written(now, reply, *batch, built_at, bytes)),
-            Flight::Child { parent } => {
-                self.child_created(now, &reply, parent);
-                Ok(Vec::new())
-            }
+            } => replies = self.written(now, reply, *batch, built_at, bytes),
+            Flight::Child { parent } => self.child_created(now, &reply, parent),
+        }
+        if is_away {
+            replies.extend(self.waiting.iter().filter_map(Item::platform_away));
         }
+        Ok(replies)
     }
 
     fn read(
--- a/crates/core/tests/journal.rs
+++ b/crates/core/tests/journal.rs
@@ -1,6 +1,5 @@
 //! The journal on the plain path and at single failures.
 
-#[expect(dead_code, reason = "this file needs a part of it")]
 #[path = "support/journal_fleet.rs"]
 mod journal_fleet;
 #[expect(dead_code, reason = "this file needs a part of it")]
@@ -10,6 +9,8 @@
 #[path = "support/rates_membership.rs"]
 mod rates_membership;
 
+use std::time::Duration;
+
 use bluebellstage_core::journal::JournalStep;
 use bluebellstage_core::{InstanceId, RefusalKind, RequestId, Tuning};
 use journal_fleet::{Fleet, Service, answer, workspace};
@@ -43,7 +44,7 @@
     assert!(matches!(fleet.step_of(first), Some(JournalStep::Go { .. })));
     assert_eq!(
         fleet.step_of(again),
-        Some(&JournalStep::Replay(answer(first)))
+        Some(&JournalStep::Replay(answer(first, fleet.answer_bytes)))
     );
     fleet.check();
 }
@@ -150,3 +151,130 @@
     fleet.check();
     assert_eq!(fleet.runs.len(), 1);
 }
+
+#[test]
+fn call_whose_sender_is_gone_is_in_doubt_and_never_sent_again() {
+    // A filing would run twice: its sender had its `Go` and dies, nobody knows whether it sent it,
+    // and the caller repeats the call at another instance.
+    let mut fleet = fleet();
+    let home = fleet.home(&workspace(0));
+    let [one, two] = elsewhere(&fleet);
+    fleet.service_ms = 5_000;
+    fleet.ask(&one, &workspace(0), "k", 1);
+    fleet.run(500);
+    fleet.kill(&one);
+    fleet.drop_from_map(&one);
+    fleet.run(1_000);
+    let again = fleet.ask(&two, &workspace(0), "k", 1).expect("running");
+    fleet.run(1_000);
+    assert_eq!(kind(&fleet, again), Some(RefusalKind::InDoubt));
+    assert_eq!(fleet.journal(&home).in_doubt().len(), 1);
+    fleet.check();
+}
+
+#[test]
+fn late_ask_of_a_call_given_up_does_not_block_its_key() {
+    // A key would stay blocked for a day: a caller gave up waiting for another's run of the same
+    // call, that run proves not run, and then a doubled ask of the first caller arrives and is
+    // recorded as an intent that nobody will send.
+    let mut fleet = fleet();
+    let [one, two] = elsewhere(&fleet);
+    fleet.service = Service::Refuses;
+    fleet.service_ms = 6_000;
+    fleet.doubled_percent = 100;
+    fleet.ask(&one, &workspace(0), "k", 1);
+    fleet.run(500);
+    fleet.ask(&two, &workspace(0), "k", 1);
+    fleet.run(15_000);
+    fleet.service = Service::Answers;
+    fleet.service_ms = 10;
+    let again = fleet.ask(&one, &workspace(0), "k", 1).expect("running");
+    fleet.run(1_000);
+    assert!(matches!(fleet.step_of(again), Some(JournalStep::Go { .. })));
+}
+
+#[test]
+fn body_too_large_to_keep_is_left_out_of_a_repeat() {
+    let mut fleet = fleet();
+    let home = fleet.home(&workspace(0));
+    fleet.answer_bytes = 20_000;
+    fleet.ask(&home, &workspace(0), "k", 1);
+    fleet.run(500);
+    let again = fleet.ask(&home, &workspace(0), "k", 1).expect("running");
+    fleet.run(500);
+    let Some(JournalStep::Replay(answer)) = fleet.step_of(again) else {
+        panic!("a replay");
+    };
+    assert_eq!((answer.status, &answer.body), (200, &None));
+}
+
+#[test]
+fn outcome_is_kept_for_its_time_across_a_takeover_and_then_forgotten() {
+    let mut fleet = Fleet::new(
+        3,
+        5,
+        Tuning {
+            outcome_retention: Duration::from_secs(20),
+            ..Tuning::default()
+        },
+    );
+    let [one, _two] = elsewhere(&fleet);
+    let first = fleet.ask(&one, &workspace(0), "k", 1).expect("running");
+    fleet.run(10_000);
+    let home = fleet.home(&workspace(0));
+    fleet.kill(&home);
+    fleet.drop_from_map(&home);
+    fleet.run(8_000);
+    let again = fleet.ask(&one, &workspace(0), "k", 1).expect("running");
+    fleet.run(500);
+    let kept = JournalStep::Replay(answer(first, fleet.answer_bytes));
+    assert_eq!(fleet.step_of(again), Some(&kept));
+    fleet.run(25_000);
+    let later = fleet.ask(&one, &workspace(0), "k", 1).expect("running");
+    fleet.run(500);
+    assert!(matches!(fleet.step_of(later), Some(JournalStep::Go { .. })));
+}
+
+#[test]
+fn journal_of_many_answers_spreads_over_objects_and_survives_takeovers() {
+    // Filings would be refused for good, or run twice after a takeover: a workspace files more in
+    // a day than one object of the platform holds, and writes are lost while its journal splits.
+    let mut fleet = fleet();
+    fleet.answer_bytes = 12_000;
+    fleet.platform.lost_percent = 20;
+    let [one, two] = elsewhere(&fleet);
+    for round in 0..20 {
+        for number in 0..12 {
+            fleet.ask(&one, &workspace(0), &format!("k{round}-{number}"), 1);
+        }
+        fleet.run(400);
+    }
+    fleet.run(5_000);
+    let home = fleet.home(&workspace(0));
+    fleet.kill(&home);
+    fleet.drop_from_map(&home);
+    fleet.platform.lost_percent = 0;
+    fleet.run(5_000);
+    let first: Vec<_> = fleet.asked.keys().copied().collect();
+    for number in 0..first.len() {
+        fleet.ask(
+            &two,
+            &workspace(0),
+            &format!("k{}-{}", number / 12, number % 12),
+            1,
+        );
+    }
+    fleet.run(5_000);
+    fleet.check();
+    let (objects, longest) = fleet.platform.size();
+    assert!(objects >= 4, "{objects} objects");
+    assert!(longest < 1_000_000, "{longest} bytes");
+    let mut repeats = fleet
+        .asked
+        .iter()
+        .skip(first.len())
+        .map(|(_id, asked)| &asked.step);
+    assert!(repeats.all(|step| matches!(step, Some(JournalStep::Replay(_)))));
+    fleet.run(1_000);
+    assert!(fleet.journal(&two).is_quiet());
+}
--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -142,6 +142,33 @@
     fleet.check();
 }
 
+#[test]
+fn request_that_waits_through_a_freeze_is_not_charged_to_a_share_lent_on() {
+    // A workspace would exceed its rate: a request waits at an instance that freezes. The map drops
+    // the instance, and its share is lent on and spent. Thawed, its bucket has refilled, and it
+    // would spend the same share again before it learns of the map.
+    let mut fleet = fleet(3);
+    let borrower = other(&fleet);
+    fleet.request(&borrower, &workspace(0), 9_000);
+    fleet.run(300);
+    let waiting = fleet
+        .request(&borrower, &workspace(0), 4_000)
+        .expect("running");
+    fleet.run(10);
+    assert!(fleet.is_open(waiting));
+    fleet.freeze(&borrower, 6_000);
+    fleet.drop_from_map(&borrower);
+    fleet.run(5_800);
+    let home = home(&fleet);
+    for _ in 0..100 {
+        fleet.request(&home, &workspace(0), 100);
+    }
+    fleet.run(1_000);
+    assert_eq!(refusals(&fleet).first(), Some(&RefusalKind::RateExceeded));
+    assert!(refusals(&fleet).contains(&RefusalKind::NoStanding));
+    fleet.check();
+}
+
 #[test]
 fn home_killed_while_the_map_cannot_change_stops_no_holder() {
     // Callers would be refused for as long as the platform is away: the home of their workspace
--- a/crates/core/tests/support/journal_fleet.rs
+++ b/crates/core/tests/support/journal_fleet.rs
@@ -76,6 +76,8 @@
     running: Vec<Running>,
     pub platform: Platform<MemberRef>,
     pub service: Service,
+    pub service_ms: u64,
+    pub answer_bytes: usize,
     pub lost_percent: u32,
     pub doubled_percent: u32,
     pub longest_delay_ms: u64,
@@ -96,11 +98,11 @@
 }
 
 /// The service's answer to a request.
-pub fn answer(request: RequestId) -> StoredAnswer {
+pub fn answer(request: RequestId, bytes: usize) -> StoredAnswer {
     StoredAnswer {
         status: 200,
         content_type: "text/plain".into(),
-        body: Some(format!("ran as {request}").into()),
+        body: Some(format!("{:<bytes$}", request.to_string()).into()),
     }
 }
 
@@ -118,6 +120,8 @@
             running: Vec::new(),
             platform: Platform::new(),
             service: Service::Answers,
+            service_ms: 200,
+            answer_bytes: 20,
             lost_percent: 0,
             doubled_percent: 0,
             longest_delay_ms: 2,
@@ -189,15 +193,13 @@
 
     pub fn freeze(&mut self, id: &InstanceId, millis: u64) {
         if let Some(node) = self.nodes.get_mut(id) {
-            let until = self.now + millis * 1_000;
-            node.seat.stopped_until = node.seat.stopped_until.max(until);
+            node.seat.stop(self.now, millis, &mut self.rng);
         }
     }
 
     pub fn cut(&mut self, id: &InstanceId, millis: u64) {
         if let Some(node) = self.nodes.get_mut(id) {
-            let until = self.now + millis * 1_000;
-            node.seat.cut_until = node.seat.cut_until.max(until);
+            node.seat.cut(self.now, millis);
         }
     }
 
@@ -252,8 +254,13 @@
 
     /// Lets time pass, in steps of 5 ms.
     pub fn run(&mut self, millis: u64) {
-        for _ in 0..millis.div_ceil(5) {
-            self.now += 5_000;
+        self.run_by(millis, 5);
+    }
+
+    /// Lets time pass in longer steps.
+    pub fn run_by(&mut self, millis: u64, step: u64) {
+        for _ in 0..millis.div_ceil(step) {
+            self.now += step * 1_000;
             let adopted = adopted(&self.script, self.nodes.values().map(|node| &node.seat));
             for node in self.nodes.values_mut() {
                 node.seat.follow(self.now, &self.script, &adopted);
@@ -343,7 +350,7 @@
             } else {
                 CallOutcome::NotRun
             };
-            let at = now + self.rng.random_range(0..200_000);
+            let at = now + self.rng.random_range(0..self.service_ms * 1_000);
             self.running.push(Running {
                 at,
                 life: dispatch.life,
@@ -360,7 +367,7 @@
             self.runs.entry(call).or_default().push(request);
         }
         match self.service {
-            Service::Answers => CallOutcome::Answered(answer(request)),
+            Service::Answers => CallOutcome::Answered(answer(request, self.answer_bytes)),
             Service::Refuses => CallOutcome::NotRun,
             Service::Dies | Service::DiesIdle => CallOutcome::Unknown,
         }
@@ -484,13 +491,28 @@
                     let call = (asked.ask.workspace.clone(), asked.ask.key.clone());
                     let first = self.runs.get(&call).and_then(|runs| runs.first());
                     let first = *first.expect("only what ran is replayed");
-                    assert_eq!(*replayed, answer(first), "{request} got another answer");
+                    let kept = answer(first, self.answer_bytes);
+                    assert_eq!(*replayed, kept, "{request} got another answer");
                 }
                 _ => {}
             }
         }
     }
 
+    /// Every caller whose instance still runs has its answer.
+    pub fn check_all_decided(&self) {
+        for (request, asked) in &self.asked {
+            let lives = self
+                .nodes
+                .get(&asked.life.id)
+                .is_some_and(|node| node.seat.own.me == asked.life);
+            assert!(
+                asked.step.is_some() || !lives,
+                "{request} was never answered"
+            );
+        }
+    }
+
     pub fn step_of(&self, request: RequestId) -> Option<&JournalStep> {
         self.asked[&request].step.as_ref()
     }
--- a/crates/core/tests/support/rates_fleet.rs
+++ b/crates/core/tests/support/rates_fleet.rs
@@ -53,6 +53,7 @@
 }
 
 struct Asked {
+    instance: InstanceId,
     workspace: WorkspaceId,
     charge: Tokens,
     at: u64,
@@ -68,6 +69,7 @@
     pub network: Network,
     rng: ChaCha8Rng,
     asked: BTreeMap<RequestId, Asked>,
+    charged: BTreeMap<(InstanceId, WorkspaceId), u64>,
     pub outcomes: Vec<Outcome>,
     pub windows: BTreeMap<WorkspaceId, Windows>,
     next_request: u128,
@@ -98,6 +100,7 @@
             network: Network::GOOD,
             rng: ChaCha8Rng::seed_from_u64(seed),
             asked: BTreeMap::new(),
+            charged: BTreeMap::new(),
             outcomes: Vec::new(),
             windows: BTreeMap::new(),
             next_request: 1,
@@ -157,6 +160,7 @@
         let request = RequestId(self.next_request);
         self.next_request += 1;
         let asked = Asked {
+            instance: id.clone(),
             workspace: workspace.clone(),
             charge: Tokens(charge),
             at: self.now,
@@ -173,11 +177,14 @@
         Some(request)
     }
 
-    /// A finished request's unused tokens go back at the instance that charged them.
-    pub fn give_back(&mut self, id: &InstanceId, workspace: &WorkspaceId, unused: u64) {
+    /// Requests finish at the instance that charged them, and some of their tokens go back.
+    pub fn give_back(&mut self, id: &InstanceId, workspace: &WorkspaceId, percent: u64) {
         if !self.is_running(id) {
             return;
         }
+        let place = (id.clone(), workspace.clone());
+        let charged = self.charged.remove(&place).unwrap_or(0);
+        let unused = charged * percent / 100;
         self.windows
             .entry(workspace.clone())
             .or_default()
@@ -190,22 +197,22 @@
     /// The process is gone at once; the map follows with [`Fleet::drop_from_map`].
     pub fn kill(&mut self, id: &InstanceId) {
         self.nodes.remove(id);
+        self.charged
+            .retain(|(instance, _workspace), _tokens| instance != id);
         self.follow_limits();
     }
 
     /// The instance does nothing for so long, then goes on where it stood.
     pub fn freeze(&mut self, id: &InstanceId, millis: u64) {
         if let Some(node) = self.nodes.get_mut(id) {
-            let until = self.now + millis * 1_000;
-            node.seat.stopped_until = node.seat.stopped_until.max(until);
+            node.seat.stop(self.now, millis, &mut self.rng);
         }
     }
 
     /// The instance runs on, but reaches nobody.
     pub fn cut(&mut self, id: &InstanceId, millis: u64) {
         if let Some(node) = self.nodes.get_mut(id) {
-            let until = self.now + millis * 1_000;
-            node.seat.cut_until = node.seat.cut_until.max(until);
+            node.seat.cut(self.now, millis);
         }
     }
 
@@ -396,6 +403,8 @@
     fn decided(&mut self, request: RequestId, result: Result<(), Refusal>) {
         let asked = self.asked.remove(&request).expect("decided once");
         if result.is_ok() {
+            let place = (asked.instance, asked.workspace.clone());
+            *self.charged.entry(place).or_default() += asked.charge.0;
             let windows = self.windows.entry(asked.workspace).or_default();
             windows.admitted(self.now, asked.charge.0);
         }
--- a/crates/core/tests/support/rates_membership.rs
+++ b/crates/core/tests/support/rates_membership.rs
@@ -42,8 +42,8 @@
 /// One instance's place in it: what it knows, its clock, and what is wrong with it.
 pub struct Seat {
     pub own: Ownership,
-    pub stopped_until: u64,
-    pub cut_until: u64,
+    stopped_until: u64,
+    cut_until: u64,
     offset: u64,
     ppm: u64,
     adopts_at: u64,
@@ -131,9 +131,22 @@
         }
     }
 
+    /// Does nothing for so long, then goes on where it stood and learns of a new map a little later.
+    pub fn stop(&mut self, now: u64, millis: u64, rng: &mut ChaCha8Rng) {
+        self.stopped_until = self.stopped_until.max(now + millis * 1_000);
+        let thaws = self.stopped_until;
+        self.will_adopt(thaws, rng);
+    }
+
+    /// Reaches nobody for so long.
+    pub fn cut(&mut self, now: u64, millis: u64) {
+        self.cut_until = self.cut_until.max(now + millis * 1_000);
+    }
+
     /// Learns of a changed map some time soon.
     pub fn will_adopt(&mut self, now: u64, rng: &mut ChaCha8Rng) {
-        self.adopts_at = now + rng.random_range(0..ADOPTION_MS) * 1_000;
+        let soon = now.max(self.stopped_until) + rng.random_range(0..ADOPTION_MS) * 1_000;
+        self.adopts_at = self.adopts_at.max(soon);
     }
 
     /// Reads the map, unless it is stopped or cut off; `adopted` has the lives that have it.
@@ -147,7 +160,8 @@
             self.own.adopted = BTreeSet::from([self.own.me.clone()]);
             self.own.past_retired_at = Some(local + script.retirement());
         }
-        if self.own.map.revision == script.map.revision {
+        // Right after a stop its old map may be all it has, and no proof of standing is fresh.
+        if self.own.map.revision == script.map.revision && now >= self.adopts_at {
             self.own.adopted.extend(adopted.iter().cloned());
             self.own.standing_until = local + script.standing;
         }
