--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -29,7 +29,10 @@
 impl Admin {
     /// The instance that the arguments or the environment name.
     pub(crate) fn from_args(args: &Args) -> Result<Self, CliError> {
-        let base = args.admin.clone().or_else(|| std::env::var(ADMIN_VARIABLE).ok());
+        let base = args
+            .admin
+            .clone()
+            .or_else(|| std::env::var(ADMIN_VARIABLE).ok());
         let base = base.ok_or(CliError::NoAdmin)?;
         let http = Client::builder()
             .redirect(Policy::none())
@@ -82,7 +85,9 @@
 
     /// Begins a planned stop.
     pub(crate) async fn stop(&self) -> Result<(), CliError> {
-        let response = self.send(self.request(Method::POST, "/admin/v1/stop")).await?;
+        let response = self
+            .send(self.request(Method::POST, "/admin/v1/stop"))
+            .await?;
         if response.status().is_success() {
             return Ok(());
         }
@@ -90,7 +95,9 @@
     }
 
     async fn change_once(&self, request: &ChangeRequest) -> Result<ApplyOutcome, CliError> {
-        let sent = self.request(Method::POST, "/admin/v1/changes").json(request);
+        let sent = self
+            .request(Method::POST, "/admin/v1/changes")
+            .json(request);
         let response = self.send(sent).await?;
         match response.status().as_u16() {
             200 | 412 | 422 | 503 | 504 => {
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -11,18 +11,24 @@
     note = "The token is read from the environment variable BLUEBELLSTAGE_TOKEN, or from the file named by --token-file; it is never an argument, for arguments show in lists of processes.",
     example = "bluebellstage --admin http://10.0.0.5:8082 status",
     error_code(0, "done"),
-    error_code(1, "the command line or a file is wrong, or something unexpected failed"),
+    error_code(
+        1,
+        "the command line or a file is wrong, or something unexpected failed"
+    ),
     error_code(3, "the instance can't be reached, or refused the token"),
-    error_code(4, "refused: the catalogue moved on, contradicts the change, or lacks what was named"),
+    error_code(
+        4,
+        "refused: the catalogue moved on, contradicts the change, or lacks what was named"
+    ),
     error_code(5, "the outcome is not known, or was not seen everywhere in time"),
     error_code(6, "catalogue diff: there are changes")
 )]
 pub(crate) struct Args {
-    /// base URL of an instance's administration API; default: BLUEBELLSTAGE_ADMIN
+    /// base URL of an instance's administration API; default: `BLUEBELLSTAGE_ADMIN`
     #[argh(option)]
     pub(crate) admin: Option<String>,
 
-    /// file that holds the token; default: BLUEBELLSTAGE_TOKEN
+    /// file that holds the token; default: `BLUEBELLSTAGE_TOKEN`
     #[argh(option)]
     pub(crate) token_file: Option<PathBuf>,
 
@@ -180,7 +186,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dump")]
 pub(crate) struct DumpArgs {
-    /// print JSON; a dump is never printed otherwise
+    /// print the JSON on one line
     #[argh(switch)]
     pub(crate) json: bool,
 }
--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -77,9 +77,8 @@
 impl Status {
     /// Whether every instance is known to have `revision` in force.
     pub(crate) fn is_everywhere(&self, revision: Revision) -> bool {
-        let has = |instance: &InstanceCatalogue| {
-            instance.revision.is_some_and(|known| known >= revision)
-        };
+        let has =
+            |instance: &InstanceCatalogue| instance.revision.is_some_and(|known| known >= revision);
         self.instances.iter().all(has)
     }
 }
--- a/crates/core/src/catalogue/document.rs
+++ b/crates/core/src/catalogue/document.rs
@@ -62,7 +62,9 @@
     fn of(old: &[V], new: &[V], key: impl Fn(&V) -> &K) -> Self {
         let old: BTreeMap<_, _> = old.iter().map(|entry| (key(entry), entry)).collect();
         let new: BTreeMap<_, _> = new.iter().map(|entry| (key(entry), entry)).collect();
-        let put = new.iter().filter(|(id, entry)| old.get(*id) != Some(*entry));
+        let put = new
+            .iter()
+            .filter(|(id, entry)| old.get(*id) != Some(*entry));
         let removed = old.keys().filter(|id| !new.contains_key(*id));
         Self {
             put: put.map(|(_id, entry)| (*entry).clone()).collect(),
--- a/crates/daemon/src/process/log_event.rs
+++ b/crates/daemon/src/process/log_event.rs
@@ -2,6 +2,9 @@
 
 use log::Level;
 
+/// Where events go; nothing else of this process or its libraries logs there.
+pub(crate) const LOG_TARGET: &str = "bluebellstage::event";
+
 macro_rules! log_events {
     ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal, [$($field:literal),*];)+) => {
         /// A numbered log event.
@@ -130,10 +133,10 @@
 macro_rules! log_event {
     ($event:ident $(, $field:literal = $value:expr)* $(,)?) => {{
         let event = $crate::process::LogEvent::$event;
-        if ::log::log_enabled!(target: "bluebellstage", event.level()) {
+        if ::log::log_enabled!(target: $crate::process::LOG_TARGET, event.level()) {
             ::log::logger().log(
                 &::log::Record::builder()
-                    .target("bluebellstage")
+                    .target($crate::process::LOG_TARGET)
                     .level(event.level())
                     .key_values(&[
                         ("code", ::log::kv::Value::from(event.code())),
--- a/crates/daemon/src/process/logger.rs
+++ b/crates/daemon/src/process/logger.rs
@@ -7,6 +7,8 @@
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 
+use super::log_event::LOG_TARGET;
+
 const LEVEL_VARIABLE: &str = "BLUEBELLSTAGE_LOG";
 
 /// Sends numbered events to standard error; a logger that is there already stays.
@@ -16,7 +18,7 @@
 pub fn init_logger() {
     let _already_there = env_logger::Builder::new()
         .filter_level(LevelFilter::Off)
-        .filter_module("bluebellstage", level())
+        .filter_module(LOG_TARGET, level())
         .format(write_line)
         .try_init();
 }
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -19,7 +19,7 @@
 pub use self::log_event::LogEvent;
 pub use self::logger::init_logger;
 
-pub(crate) use self::log_event::log_event;
+pub(crate) use self::log_event::{LOG_TARGET, log_event};
 pub(crate) use self::metrics::Metrics;
 pub(crate) use self::shell::{RequestHandle, Shell};
 pub(crate) use self::targets::TargetClients;
