Apply a catalogue change once when its head is read before its write is answered

Cause: found by real instances: after its first change an instance refused all later ones as "the platform can't be reached". A read of the head had overtaken the answer to the head's own write; the entries followed the read, then the answer applied the change once more, and the entries' revision ran ahead of the head's for good. Real tasks answer in any order; the fleet in memory had not delivered these two the other way round. The new test failed without the guard (only the first change accepted) and passes with it.

--- a/crates/core/src/catalogue/core.rs
+++ b/crates/core/src/catalogue/core.rs
@@ -438,8 +438,16 @@
                 self.writer.asked(id);
             }
             WriterStep::Committed { head, request } => {
-                self.head = head;
-                self.committed(cx, &request);
+                let revision = head.head.revision;
+                // Guards against a change that is applied twice: a read of the head may overtake the
+                // write's own answer, and then the entries hold the change already. Their revision
+                // would run ahead of the head's, and no later change could follow it.
+                if revision > self.head.head.revision {
+                    self.head = head;
+                }
+                if revision == self.state.revision.next() {
+                    self.committed(cx, &request);
+                }
             }
         }
     }
