--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod bench;
+
 use std::net::SocketAddr;
 
 use reqwest::{Client, Method, Response};
