--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -160,7 +160,7 @@
     /// Homes for the groups that are this instance's to schedule.
     fn regroup(&mut self, io: &Io<'_, '_>) {
         let own = io.cx.own;
-        self.targets = Targets::new(&self.listed, own.map.grouping);
+        self.targets = Targets::new(&self.listed, own.map.terms.grouping);
         for id in self.targets.groups.keys() {
             let is_home = own.is_home(&HomeKey::Group(id.clone()));
             if is_home && !self.homes.contains_key(id) {
@@ -193,7 +193,11 @@
                 self.entry.tell_held(io, from, group.clone(), revision);
                 self.entry.home_acts(io, &self.targets, &group);
             }
-            EnginesMessage::Status { group, status } => self.entry.heard(group, status),
+            EnginesMessage::Status {
+                group,
+                status,
+                residency,
+            } => self.entry.told(group, status, residency),
             EnginesMessage::Wish(wish) => self.at_store(io, |store, io| store.wish(io, from, wish)),
             EnginesMessage::Loaded {
                 group,
