--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -38,113 +38,82 @@
     bench.http.post(url)
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn each_kind_of_bad_input_gets_its_typed_answer() {
-    let bench = bench().await;
-    let post = |path: &str| bench.call(0, Method::POST, path);
+/// A kind of bad input with the request that shows it.
+type Case = (&'static str, RequestBuilder);
+
+fn key_cases(bench: &Bench) -> Vec<Case> {
     let body = chat("letters", 3, false);
+    let without = || without_key(bench).json(&body);
+    let two = without().bearer_auth(KEY).bearer_auth(KEY);
+    vec![
+        ("no key", without()),
+        ("two keys", two),
+        ("another scheme", without().basic_auth("user", Some(KEY))),
+        ("unknown key", without().bearer_auth("bbs_guessed")),
+    ]
+}
+
+fn generation_cases(bench: &Bench) -> Vec<Case> {
+    let post = || bench.call(0, Method::POST, CHAT);
+    let asking = |model: &str, tokens: u64| post().json(&chat(model, tokens, false));
     let with = |field: &str, value: Value| {
-        let mut body = body.clone();
+        let mut body = chat("letters", 3, false);
         body[field] = value;
-        body
+        post().json(&body)
     };
-    let cases: Vec<(&str, RequestBuilder)> = vec![
-        ("no key", without_key(&bench).json(&body)),
-        (
-            "two keys",
-            without_key(&bench)
-                .json(&body)
-                .bearer_auth(KEY)
-                .bearer_auth(KEY),
-        ),
-        (
-            "another scheme",
-            without_key(&bench)
-                .json(&body)
-                .basic_auth("user", Some(KEY)),
-        ),
-        (
-            "unknown key",
-            without_key(&bench).json(&body).bearer_auth("bbs_guessed"),
-        ),
-        (
-            "another workspace's adapter",
-            post(CHAT).json(&chat("plans", 3, false)),
-        ),
-        (
-            "unknown adapter",
-            post(CHAT).json(&chat("nothing", 3, false)),
-        ),
-        (
-            "unknown version",
-            post(CHAT).json(&chat("letters@9", 3, false)),
-        ),
-        (
-            "malformed version",
-            post(CHAT).json(&chat("letters@new", 3, false)),
-        ),
-        (
-            "too long an answer",
-            post(CHAT).json(&chat("letters", 5_001, false)),
-        ),
-        (
-            "answer of no token",
-            post(CHAT).json(&chat("letters", 0, false)),
-        ),
-        ("body over the limit", post(CHAT).body("x".repeat(5_000))),
-        ("broken JSON", post(CHAT).body("{\"model\":")),
-        (
-            "no messages",
-            post(CHAT).json(&json!({ "model": "letters" })),
-        ),
-        (
-            "message without a role",
-            post(CHAT).json(&with("messages", json!([{ "content": "x" }]))),
-        ),
-        (
-            "key in the prompt",
-            post(CHAT).json(&with(
-                "messages",
-                json!([{ "role": "user", "content": KEY }]),
-            )),
-        ),
-        (
-            "key in a passed field",
-            post(CHAT).json(&with("stop", json!([KEY]))),
-        ),
-        (
-            "unknown service",
-            post("/v1/services/nothing/x")
-                .header("Idempotency-Key", "n")
-                .body("{}"),
-        ),
-        ("filing without a name", post(FILING).body("{}")),
-        (
-            "filing with a malformed name",
-            post(FILING).header("Idempotency-Key", "a b").body("{}"),
-        ),
-        (
-            "key in a query",
-            post(&format!("{FILING}?k={KEY}"))
-                .header("Idempotency-Key", "n")
-                .body("{}"),
+    let no_role = json!([{ "content": "x" }]);
+    let key_in_prompt = json!([{ "role": "user", "content": KEY }]);
+    vec![
+        ("another workspace's adapter", asking("plans", 3)),
+        ("unknown adapter", asking("nothing", 3)),
+        ("unknown version", asking("letters@9", 3)),
+        ("malformed version", asking("letters@new", 3)),
+        ("too long an answer", asking("letters", 5_001)),
+        ("answer of no token", asking("letters", 0)),
+        ("body over the limit", post().body("x".repeat(5_000))),
+        ("broken JSON", post().body("{\"model\":")),
+        ("no messages", post().json(&json!({ "model": "letters" }))),
+        ("message without a role", with("messages", no_role)),
+        ("key in the prompt", with("messages", key_in_prompt)),
+        ("key in a passed field", with("stop", json!([KEY]))),
+        (
+            "unknown path",
+            bench.call(0, Method::POST, "/v1/embeddings"),
         ),
+    ]
+}
+
+fn service_cases(bench: &Bench) -> Vec<Case> {
+    let file = |path: &str, name: &str| {
+        let call = bench.call(0, Method::POST, path);
+        call.header("Idempotency-Key", name).body("{}")
+    };
+    let with_key_in_query = format!("{FILING}?k={KEY}");
+    let with_key_in_path = format!("/v1/services/filings/{KEY}");
+    vec![
+        ("unknown service", file("/v1/services/nothing/x", "n")),
+        ("filing without a name", bench.call(0, Method::POST, FILING)),
+        ("filing with a malformed name", file(FILING, "a b")),
+        ("key in a query", file(&with_key_in_query, "n")),
         (
             "key in a path",
-            bench.call(0, Method::GET, &format!("/v1/services/filings/{KEY}")),
-        ),
-        (
-            "key in a body",
-            post(FILING).header("Idempotency-Key", "n").body(KEY),
-        ),
-        (
-            "key as a name",
-            post(FILING).header("Idempotency-Key", KEY).body("{}"),
+            bench.call(0, Method::GET, &with_key_in_path),
         ),
-        ("unknown path", post("/v1/embeddings").json(&body)),
+        ("key in a body", file(FILING, "n").body(KEY)),
+        ("key as a name", file(FILING, KEY)),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_kind_of_bad_input_gets_its_typed_answer() {
+    let bench = bench().await;
+    let cases = [
+        key_cases(&bench),
+        generation_cases(&bench),
+        service_cases(&bench),
     ];
     let mut table = vec![];
-    for (case, request) in cases {
+    for (case, request) in cases.into_iter().flatten() {
         table.push(format!("{case}: {}", answer(request).await));
     }
     insta::assert_snapshot!(table.join("\n"));
