Let callers hang up when their patience ends

A caller that got no answer held its connection for 20 s whatever its patience, so that a starved draft counted as a broken connection and times to the first token were clipped at 20 s. A caller now hangs up when the time that its kind of work allows is over, and the report counts that by itself.

The path test also sends a key inside a prompt and a query: both are refused at the door.

--- a/crates/standin/src/caller/mod.rs
+++ b/crates/standin/src/caller/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use reqwest::{Client, Response};
+use tokio::time::timeout;
 
 use self::answer::AnswerReader;
 use self::entry::EntryCache;
@@ -21,7 +22,10 @@
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// Time without a byte after which a caller takes its connection for dead.
-const SILENCE_LIMIT: Duration = Duration::from_secs(20);
+const SILENCE_LIMIT: Duration = Duration::from_mins(1);
+
+/// Patience of a caller that waits for as long as its connection lives.
+const NO_END: Duration = Duration::from_hours(1);
 
 /// Pause before another instance is tried where no time was named.
 const OTHER_PAUSE: Duration = Duration::from_millis(50);
@@ -64,7 +68,8 @@
         let begun = Instant::now();
         let mut trace = Trace::new(now());
         loop {
-            let attempt = self.attempt(key, work).await;
+            let left = patience.saturating_sub(begun.elapsed());
+            let attempt = self.attempt_within(key, work, left).await;
             let next = next(&attempt, work);
             let address = attempt.address;
             trace.attempts.push(attempt);
@@ -81,23 +86,39 @@
         }
     }
 
-    /// One attempt.
+    /// One attempt, without an end to its patience.
     pub async fn attempt(&self, key: &str, work: &Work) -> Attempt {
+        self.attempt_within(key, work, NO_END).await
+    }
+
+    /// One attempt at a given instance, without an end to its patience.
+    pub async fn attempt_at(&self, address: SocketAddr, key: &str, work: &Work) -> Attempt {
+        self.attempt_at_within(address, key, work, NO_END).await
+    }
+
+    async fn attempt_within(&self, key: &str, work: &Work, patience: Duration) -> Attempt {
         let Some(address) = self.entries.pick().await else {
             return Attempt::nowhere(now());
         };
-        self.attempt_at(address, key, work).await
+        self.attempt_at_within(address, key, work, patience).await
     }
 
-    /// One attempt at a given instance.
-    pub async fn attempt_at(&self, address: SocketAddr, key: &str, work: &Work) -> Attempt {
+    async fn attempt_at_within(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        work: &Work,
+        patience: Duration,
+    ) -> Attempt {
         let sent = now();
-        let response = work.request(&self.http, address, key).send().await;
+        let sending = work.request(&self.http, address, key).send();
+        let response = timeout(patience, sending).await;
         let mut attempt = Attempt::sent(sent, address);
         match response {
-            Ok(response) => read(&mut attempt, response, work).await,
-            Err(err) if err.is_connect() => attempt.outcome = Outcome::NotConnected,
-            Err(_) => attempt.outcome = Outcome::Broken,
+            Ok(Ok(response)) => read(&mut attempt, response, work).await,
+            Ok(Err(err)) if err.is_connect() => attempt.outcome = Outcome::NotConnected,
+            Ok(Err(_)) => attempt.outcome = Outcome::Broken,
+            Err(_elapsed) => attempt.outcome = Outcome::HungUp,
         }
         attempt.ended = now();
         attempt
@@ -129,7 +150,7 @@
 
 fn next(attempt: &Attempt, work: &Work) -> Next {
     match &attempt.outcome {
-        Outcome::Answered | Outcome::Failed(_) => Next::Done,
+        Outcome::Answered | Outcome::Failed(_) | Outcome::HungUp => Next::Done,
         Outcome::Refused(refused) => after_refusal(refused, work),
         // A filing goes out again under its own key, which makes the repeat safe.
         Outcome::NotConnected | Outcome::Nowhere | Outcome::Broken => Next::Again {
--- a/crates/standin/src/caller/outcome.rs
+++ b/crates/standin/src/caller/outcome.rs
@@ -54,6 +54,8 @@
     Failed(u16),
     /// The connection broke before the answer was whole.
     Broken,
+    /// The caller lost its patience before an answer began, and hung up.
+    HungUp,
     /// No connection was made: nothing was sent.
     NotConnected,
     /// Nobody said which instance to use.
--- a/crates/standin/src/load/ledger.rs
+++ b/crates/standin/src/load/ledger.rs
@@ -94,7 +94,7 @@
     let mut enter = |at, step| entries.push(Entry { at, step });
     match &attempt.outcome {
         Outcome::NotConnected | Outcome::Nowhere => {}
-        Outcome::Answered | Outcome::Broken | Outcome::Failed(_) => {
+        Outcome::Answered | Outcome::Broken | Outcome::HungUp | Outcome::Failed(_) => {
             enter(attempt.sent, Step::Charge(need));
             enter(attempt.ended, Step::Refund(unused(asked, attempt)));
         }
--- a/crates/standin/src/load/measures/mod.rs
+++ b/crates/standin/src/load/measures/mod.rs
@@ -125,6 +125,7 @@
             unfinished: self.run.unfinished,
             attempts: self.attempts().count(),
             broken: count(|outcome| *outcome == Outcome::Broken),
+            hung_up: count(|outcome| *outcome == Outcome::HungUp),
             not_connected: count(|outcome| *outcome == Outcome::NotConnected),
             nowhere: count(|outcome| *outcome == Outcome::Nowhere),
         }
--- a/crates/standin/src/load/page.rs
+++ b/crates/standin/src/load/page.rs
@@ -26,6 +26,7 @@
     row("unfinished", |one| one.requests.unfinished.to_string()),
     row("attempts", |one| one.requests.attempts.to_string()),
     row("connections broken", |one| one.requests.broken.to_string()),
+    row("callers hung up", |one| one.requests.hung_up.to_string()),
     row("load stalls", |one| one.load_stalls.stalled.to_string()),
     row("load stalls, share of drafts", |one| {
         percent(one.load_stalls.share)
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -78,6 +78,8 @@
     pub attempts: usize,
     /// Attempts whose connection broke.
     pub broken: usize,
+    /// Attempts whose caller lost its patience and hung up.
+    pub hung_up: usize,
     /// Attempts that met no listener.
     pub not_connected: usize,
     /// Attempts for which nobody said which instance to use.
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -75,6 +75,11 @@
         assert_eq!(unknown.refusals().collect::<Vec<_>>(), ["key_refused"]);
         let foreign = ask(&bench, OTHER_KEY, draft(0, "A plan.", 5)).await;
         assert_eq!(foreign.refusals().collect::<Vec<_>>(), ["not_found"]);
+        // What callers write reaches targets: a key among it is refused at the door.
+        let leak = ask(&bench, KEY, draft(0, &format!("My key is {KEY}."), 5)).await;
+        assert_eq!(leak.refusals().collect::<Vec<_>>(), ["malformed"]);
+        let leak = ask(&bench, KEY, reading(&format!("cases?key={KEY}"))).await;
+        assert_eq!(leak.refusals().collect::<Vec<_>>(), ["malformed"]);
         bench.finish(&traces).await;
     })
     .await;
