--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -115,7 +115,7 @@
             Self::Stale { .. } => {
                 "run `bluebellstage catalogue get`, carry your edits over, and apply again".into()
             }
-            Self::Invalid { .. } => "correct the file and apply again".into(),
+            Self::Invalid { .. } => "correct what it names, then run the command again".into(),
             Self::PlatformUnavailable => {
                 "try again when the platform answers; see OPERATORS.md, outages".into()
             }
