Write every numbered event, and settle what a reading of the shell found

Cause, each found by reading the code again: - A handler that panics was answered as "not run" by the default catcher; it may have sent something, so the answer says "unknown" now. - A cancel that overtakes its own request on another connection got "not found" and was taken for done; it is tried again. - One reading of the kernel's table of connections can skip a line while another goes; a caller counts as gone after two readings that lack it. - A dropped instance's peer connections went on feeding it. - Three events of the catalogue were never written; a test holds that now.

--- a/crates/daemon/src/connection/callers.rs
+++ b/crates/daemon/src/connection/callers.rs
@@ -75,13 +75,15 @@
 
 #[catch(default)]
 fn refuse(status: Status, _: &Request<'_>) -> (Status, Refused) {
-    let kind = match status.code {
-        404 => RefusalKind::NotFound,
-        413 => RefusalKind::TooLarge,
-        503 => RefusalKind::NoStanding,
-        _ => RefusalKind::Malformed,
+    let refused = match status.code {
+        404 => Refused::at_door(RefusalKind::NotFound),
+        413 => Refused::at_door(RefusalKind::TooLarge),
+        503 => Refused::at_door(RefusalKind::NoStanding),
+        // A handler that panicked may have sent something before.
+        500.. => Refused::in_the_middle(RefusalKind::TargetFailed),
+        _ => Refused::at_door(RefusalKind::Malformed),
     };
-    (status, Refused::at_door(kind))
+    (status, refused)
 }
 
 /// What a route does; written as a handler of its own because it needs the request's raw parts.
--- a/crates/daemon/src/connection/peer_server.rs
+++ b/crates/daemon/src/connection/peer_server.rs
@@ -2,6 +2,7 @@
 
 use std::future::ready;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use bluebellstage_core::{Event, InstanceId, PeerMessage};
 use futures::StreamExt;
@@ -11,11 +12,16 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::process::{Metrics, Shell};
 
 use super::counted::Counted;
 
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Largest frame between instances: a map or a batch, well under this.
 pub(super) const MAX_FRAME: usize = 8 << 20;
 
@@ -62,13 +68,19 @@
 
     /// Accepts other instances until the task is dropped.
     pub(crate) async fn accept(self, listener: TcpListener, metrics: Arc<Metrics>) {
+        // Dropped with this task: a connection must not go on feeding an instance that ended.
+        let mut connections = JoinSet::new();
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve_connection(stream, Arc::clone(&metrics)));
-                }
-                // Out of descriptors or the like: it passes, and the port stays open.
-                Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => {
+                        let server = self.clone();
+                        connections.spawn(server.serve_connection(stream, Arc::clone(&metrics)));
+                    }
+                    // Out of descriptors or the like: it passes, and the port stays open.
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                },
+                Some(_ended) = connections.join_next() => {}
             }
         }
     }
--- a/crates/daemon/src/connection/sockets.rs
+++ b/crates/daemon/src/connection/sockets.rs
@@ -75,13 +75,20 @@
 #[derive(Debug)]
 pub(crate) struct CallerSockets {
     port: u16,
-    snapshot: Mutex<Snapshot>,
+    snapshots: Mutex<Snapshots>,
 }
 
+/// The last two readings of the table, the newer one first.
+///
+/// The kernel hands a long table out in pieces and may skip a line when another one goes meanwhile:
+/// only a connection that two readings in a row lack counts as gone.
 #[derive(Debug, Default)]
+struct Snapshots([Option<Snapshot>; 2]);
+
+#[derive(Debug)]
 struct Snapshot {
-    taken: Option<Instant>,
-    open: Option<BTreeSet<SocketAddr>>,
+    taken: Instant,
+    open: BTreeSet<SocketAddr>,
 }
 
 impl CallerSockets {
@@ -89,20 +96,23 @@
     pub(crate) fn new(port: u16) -> Self {
         Self {
             port,
-            snapshot: Mutex::default(),
+            snapshots: Mutex::default(),
         }
     }
 
     /// Whether a caller whose request arrived at `arrived` has gone by now, as far as is known.
     ///
-    /// Only a table read after the arrival counts: an older one can't show the connection yet.
+    /// Only readings after the arrival count: an older one can't show the connection yet.
     pub(crate) fn is_gone(&self, caller: SocketAddr, arrived: Instant) -> bool {
-        let snapshot = self.snapshot.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(open) = &snapshot.open else {
-            return false;
-        };
         let caller = SocketAddr::new(caller.ip().to_canonical(), caller.port());
-        snapshot.taken.is_some_and(|taken| taken > arrived) && !open.contains(&caller)
+        let snapshots = self
+            .snapshots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let lacks =
+            |snapshot: &Snapshot| snapshot.taken > arrived && !snapshot.open.contains(&caller);
+        let Snapshots(both) = &*snapshots;
+        both.iter().all(|one| one.as_ref().is_some_and(lacks))
     }
 
     /// Reads the table until the task is dropped, as long as `is_wanted` says that someone waits.
@@ -117,11 +127,13 @@
             // On a thread for blocking work: a table of many connections takes milliseconds.
             let read = tokio::task::spawn_blocking(move || open_connections(port));
             let open = read.await.unwrap_or(None);
-            let mut snapshot = self.snapshot.lock().unwrap_or_else(PoisonError::into_inner);
-            *snapshot = Snapshot {
-                taken: Some(taken),
-                open,
-            };
+            let newer = open.map(|open| Snapshot { taken, open });
+            let mut snapshots = self
+                .snapshots
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let Snapshots([newest, older]) = &mut *snapshots;
+            *older = std::mem::replace(newest, newer);
         }
     }
 }
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -21,7 +21,8 @@
 
 /// A running instance; several may run in one process.
 ///
-/// Dropped, it ends at once as if killed. [`Daemon::stop`] and [`Daemon::wait`] end it as planned.
+/// [`Daemon::stop`] and [`Daemon::wait`] end it as planned. Dropped, it decides and accepts nothing
+/// more from that moment; answers under way may go on until their connections end.
 #[derive(Debug)]
 pub struct Daemon {
     shell: Arc<Shell>,
@@ -62,6 +63,14 @@
     /// # Errors
     /// [`StartError`] if a port is taken. No port stays open then.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let started = Self::open(settings).await;
+        if let Err(StartError::Port(PortError { address, cause })) = &started {
+            log_event!(PortRefused, "address" = address, "cause" = cause);
+        }
+        started
+    }
+
+    async fn open(settings: Settings) -> Result<Self, StartError> {
         let metrics = Arc::new(Metrics::new());
         let platform = PlatformClient::new(&settings.platform)?;
         let targets = TargetClients::new(&settings.limits)?;
--- a/crates/daemon/src/process/log_event.rs
+++ b/crates/daemon/src/process/log_event.rs
@@ -61,8 +61,6 @@
 
     /// A newer map is in force.
     MapAdopted = 1101, Info, "map adopted", ["revision", "members"];
-    /// The map's terms hold, not this instance's settings.
-    TermsDiffer = 1107, Warn, "settings differ from the map's terms, which hold", ["standing_ms", "drift_ms"];
     /// Standing was lost.
     StandingLost = 1102, Warn, "standing lost: not acting as a home", [];
     /// Standing is back.
@@ -73,6 +71,8 @@
     DomainLost = 1105, Error, "failure domain lost all its instances", ["failure_domain"];
     /// A workspace's share moved.
     ShareMoved = 1106, Debug, "share of a rate moved", ["call"];
+    /// The map's terms hold, not this instance's settings.
+    TermsDiffer = 1107, Warn, "settings differ from the map's terms, which hold", ["standing_ms", "drift_ms"];
 
     /// A newer catalogue is in force.
     CatalogueAdopted = 1201, Info, "catalogue adopted", ["revision"];
@@ -113,7 +113,7 @@
     WrongAdapter = 1506, Error, "engine ran another adapter or version", ["request", "target", "asked"];
 
     /// A request was answered.
-    RequestEnded = 1601, Debug, "request answered", ["request", "workspace", "status", "tokens", "ms"];
+    RequestEnded = 1601, Debug, "request answered", ["request", "tokens", "ms"];
     /// A request was refused.
     RequestRefused = 1602, Debug, "request refused", ["request", "kind", "ran"];
     /// A caller went away.
--- a/crates/daemon/src/request/engine.rs
+++ b/crates/daemon/src/request/engine.rs
@@ -8,7 +8,7 @@
 use futures::stream::BoxStream;
 use futures::{StreamExt, TryStreamExt};
 use reqwest::{Response, StatusCode};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::bytes::Bytes;
 
 use crate::process::Shell;
@@ -26,6 +26,8 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a cancel is tried; an engine that can't be reached ends the stream by itself.
 const CANCEL_TRIES: u32 = 3;
+/// Pause between two tries.
+const CANCEL_PAUSE: Duration = Duration::from_millis(100);
 
 /// Bytes of an answer as they arrive.
 pub(super) type Chunks = BoxStream<'static, Result<Bytes, reqwest::Error>>;
@@ -95,12 +97,12 @@
             for _ in 0..CANCEL_TRIES {
                 let request = self.shell.targets.pooled.delete(self.stream_url());
                 let sent = timeout(CANCEL_TIMEOUT, request.send()).await;
-                if let Ok(Ok(response)) = sent
-                    && (response.status().is_success()
-                        || response.status() == StatusCode::NOT_FOUND)
-                {
+                if sent.is_ok_and(|sent| sent.is_ok_and(|answer| answer.status().is_success())) {
                     return;
                 }
+                // Not found may mean not yet: the request may still be on its way on another
+                // connection.
+                sleep(CANCEL_PAUSE).await;
             }
         });
     }
--- a/crates/daemon/src/request/refused.rs
+++ b/crates/daemon/src/request/refused.rs
@@ -3,13 +3,13 @@
 use std::io::Cursor;
 use std::time::Duration;
 
-use bluebellstage_core::{Refusal, RefusalKind, RequestId};
+use bluebellstage_core::{Ran, Refusal, RefusalKind, RequestId};
 use rocket::http::{ContentType, Status};
 use rocket::response::{Responder, Response, Result};
 use rocket::{Request, response};
 use serde::Serialize;
 
-use crate::process::Metrics;
+use crate::process::{Metrics, log_event};
 
 /// A refusal on its way to the caller.
 #[derive(Clone, Debug)]
@@ -27,7 +27,7 @@
 struct ErrorBody {
     kind: RefusalKind,
     message: String,
-    ran: bluebellstage_core::Ran,
+    ran: Ran,
     retry_after_ms: Option<u64>,
 }
 
@@ -48,9 +48,25 @@
         }
     }
 
+    /// A refusal of a request that may have run.
+    pub(crate) const fn in_the_middle(kind: RefusalKind) -> Self {
+        Self {
+            refusal: Refusal::unknown(kind),
+            request: None,
+        }
+    }
+
     /// Logs and counts it.
     pub(crate) fn note(&self, metrics: &Metrics) {
-        metrics.refused(kind_name(self.refusal.kind));
+        let kind = kind_name(self.refusal.kind);
+        let request = self.request.map(|request| request.to_string());
+        log_event!(
+            RequestRefused,
+            "request" = request.unwrap_or_default(),
+            "kind" = kind,
+            "ran" = ran_name(self.refusal.ran)
+        );
+        metrics.refused(kind);
     }
 
     /// The JSON text.
@@ -121,6 +137,13 @@
     }
 }
 
+const fn ran_name(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "no",
+        Ran::Unknown => "unknown",
+    }
+}
+
 /// Rounded up: asking again earlier would be refused again.
 fn whole_seconds(span: Duration) -> u64 {
     millis(span).div_ceil(1_000)
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -421,6 +421,12 @@
     /// Tells the core that the answer is whole.
     fn complete(&mut self) {
         self.shell().metrics.tokens(self.delivered);
+        log_event!(
+            RequestEnded,
+            "request" = self.handle.id(),
+            "tokens" = self.delivered,
+            "ms" = self.arrived.elapsed().as_millis()
+        );
         self.handle.finished(Finish::Complete {
             answer: Tokens(self.delivered),
             stored: None,
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -13,9 +13,9 @@
 use rocket::response::{Responder, Response, Result as RocketResult};
 use rocket::{Request, response};
 use sha2::{Digest, Sha256};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
-use crate::process::{RequestHandle, Shell};
+use crate::process::{RequestHandle, Shell, log_event};
 
 use super::Refused;
 use super::generation::first_eight;
@@ -136,6 +136,7 @@
     let id = handle.id();
     let shell = std::sync::Arc::clone(handle.shell());
     let limit = shell.settings.limits.service_timeout;
+    let begun = Instant::now();
     let sending = timeout(limit, send(&shell, request, address, id));
     let sent = if request.is_idempotent() {
         tokio::select! {
@@ -149,6 +150,12 @@
     let delivered = Tokens(0);
     match sent.unwrap_or(Err(Finish::BrokenOff { delivered })) {
         Ok(answer) => {
+            log_event!(
+                RequestEnded,
+                "request" = id,
+                "tokens" = 0,
+                "ms" = begun.elapsed().as_millis()
+            );
             let stored = (!request.is_idempotent()).then(|| answer.to_store());
             handle.finished(Finish::Complete {
                 answer: Tokens(0),
--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -50,6 +50,31 @@
     assert_eq!(codes.len(), LogEvent::ALL.len());
 }
 
+#[test]
+fn every_event_is_written_somewhere() {
+    let mut sources = String::new();
+    read_sources(std::path::Path::new("src"), &mut sources);
+    let written: String = sources.split_whitespace().collect();
+    for event in LogEvent::ALL {
+        let call = format!("log_event!({event:?}");
+        assert!(
+            written.contains(&call),
+            "{event:?} is in the list and never written"
+        );
+    }
+}
+
+fn read_sources(directory: &std::path::Path, text: &mut String) {
+    for entry in std::fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            read_sources(&path, text);
+        } else {
+            text.push_str(&std::fs::read_to_string(path).unwrap());
+        }
+    }
+}
+
 /// Keeps every record of every library, at every level.
 struct Collector;
 
