Measure one instance and a small fleet beside their baselines

DESIGN.md names figures to reach; there was no command that gives them. `bench` measures the time to the first token that an instance adds, tokens and requests a second, the memory of 62,000 adapters, the control traffic of an idle fleet, the time until changes are in force everywhere and until work goes on after a kill, and prints each beside its baseline. The load tool also writes a trace of each request, and leaves surging workspaces out when it looks for the worst-served one.

--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -25,6 +25,7 @@
     Service(ServiceArgs),
     Store(StoreArgs),
     Load(LoadArgs),
+    Bench(BenchArgs),
     Demo(DemoArgs),
     Instance(InstanceArgs),
 }
@@ -251,3 +252,18 @@
     #[argh(option)]
     pub settings: PathBuf,
 }
+
+/// Measures one instance and a small fleet, beside their baselines.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct BenchArgs {
+    /// measure only this: latency, throughput, memory, control, changes or takeover
+    #[argh(option)]
+    pub only: Vec<String>,
+    /// where settings, logs and the figures go; default: a folder under the system's temporary one
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+    /// path of the daemon; default: bluebellstaged beside this program
+    #[argh(option)]
+    pub daemon: Option<PathBuf>,
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod seen;
 mod server;
 
+pub mod bench;
 pub mod caller;
 pub mod demo;
 pub mod engine;
--- a/crates/standin/src/load/measures/mod.rs
+++ b/crates/standin/src/load/measures/mod.rs
@@ -22,13 +22,25 @@
 const LIMIT_TOLERANCE: f64 = 1.001;
 
 /// The report of a run.
-pub(super) fn report(scenario: &Scenario, variant: &Variant, run: &Run) -> VariantReport {
-    Measures { scenario, run }.report(variant)
+pub(super) fn report(
+    scenario: &Scenario,
+    variant: &Variant,
+    run: &Run,
+    surging: &[String],
+) -> VariantReport {
+    let measures = Measures {
+        scenario,
+        run,
+        surging,
+    };
+    measures.report(variant)
 }
 
 struct Measures<'a> {
     scenario: &'a Scenario,
     run: &'a Run,
+    /// Workspaces that surge in some variant.
+    surging: &'a [String],
 }
 
 impl Measures<'_> {
@@ -52,7 +64,7 @@
             requests: self.requests(),
             load_stalls: self.load_stalls(),
             batch: self.batch(),
-            worst_served: worst_served(&workspaces, &self.urgent_answered()),
+            worst_served: worst_served(&workspaces, &self.urgent_answered(), self.surging),
             refusals,
             filings: self.filings(),
             faults,
@@ -273,13 +285,16 @@
     }
 }
 
-fn worst_served(workspaces: &[WorkspaceReport], answered: &[f64]) -> WorstServed {
+fn worst_served(
+    workspaces: &[WorkspaceReport],
+    answered: &[f64],
+    surging: &[String],
+) -> WorstServed {
     let p95 = |report: &WorkspaceReport| report.urgent_first_token.p95_ms;
     let served = || {
-        workspaces
-            .iter()
-            .zip(answered)
-            .filter(|(report, _)| report.urgent_first_token.count > 0)
+        workspaces.iter().zip(answered).filter(|(report, _)| {
+            report.urgent_first_token.count > 0 && !surging.contains(&report.name)
+        })
     };
     let worst = served().max_by(|(a, _), (b, _)| p95(a).total_cmp(&p95(b)));
     let best = served()
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -14,12 +14,14 @@
 mod scenario;
 mod summary;
 mod timeline;
+mod trace;
 mod variant;
 
 use std::path::Path;
 
 use eyre::WrapErr;
 
+pub(crate) use self::quantiles::Times;
 pub use self::quantiles::{Point, Quantiles};
 pub use self::report::{
     Batch, Faults, Filings, InstanceLoad, LoadStalls, PlatformLoad, Refusals, Report, Requests,
@@ -52,6 +54,7 @@
         debug_build: cfg!(debug_assertions),
         variants: Vec::new(),
     };
+    let surging = scenario.surging();
     for variant in &scenario.variants {
         let scenario = if variant.without_faults {
             scenario.calm()
@@ -60,9 +63,10 @@
         };
         let run = variant::run(&scenario, variant, seed, programs, dir).await;
         let run = run.wrap_err_with(|| format!("variant `{}` broke off", variant.name))?;
-        report
-            .variants
-            .push(measures::report(&scenario, variant, &run));
+        let trace = dir.join(format!("{}.trace.jsonl", variant.name));
+        trace::write(&scenario, &run, &trace)?;
+        let measured = measures::report(&scenario, variant, &run, &surging);
+        report.variants.push(measured);
         write(&report, dir)?;
     }
     Ok(report)
--- a/crates/standin/src/load/quantiles.rs
+++ b/crates/standin/src/load/quantiles.rs
@@ -13,7 +13,7 @@
 
 /// Times as they are collected.
 #[derive(Debug)]
-pub(super) struct Times(Histogram<u64>);
+pub(crate) struct Times(Histogram<u64>);
 
 /// A distribution of times, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -49,7 +49,7 @@
 }
 
 impl Times {
-    pub(super) fn add(&mut self, micros: Micros) {
+    pub(crate) fn add(&mut self, micros: Micros) {
         self.0.saturating_record(micros);
     }
 
@@ -57,7 +57,7 @@
         micros.into_iter().for_each(|one| self.add(one));
     }
 
-    pub(super) fn quantiles(&self) -> Quantiles {
+    pub(crate) fn quantiles(&self) -> Quantiles {
         let at = |quantile| millis(self.0.value_at_quantile(quantile));
         Quantiles {
             count: self.0.len(),
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -116,7 +116,8 @@
     pub cached: f64,
 }
 
-/// The workspace whose urgent drafts waited longest.
+/// The workspace whose urgent drafts waited longest; those that surge in the scenario are left out, in
+/// all variants.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct WorstServed {
     /// Its name.
--- a/crates/standin/src/load/scenario.rs
+++ b/crates/standin/src/load/scenario.rs
@@ -325,6 +325,15 @@
         Ok(())
     }
 
+    /// Names of the workspaces that surge.
+    pub(super) fn surging(&self) -> Vec<String> {
+        let surges = self.faults.iter().filter_map(|fault| match &fault.what {
+            FaultSpec::Surge { workspace, .. } => Some(workspace.clone()),
+            _ => None,
+        });
+        surges.collect()
+    }
+
     /// The scenario without faults and surges.
     #[must_use]
     pub fn calm(&self) -> Self {
--- a/crates/standin/src/load_command.rs
+++ b/crates/standin/src/load_command.rs
@@ -41,7 +41,7 @@
     Ok(())
 }
 
-fn programs(daemon: Option<PathBuf>) -> eyre::Result<Programs> {
+pub fn programs(daemon: Option<PathBuf>) -> eyre::Result<Programs> {
     let standin = std::env::current_exe().wrap_err("this program's own path is not known")?;
     let path = daemon.unwrap_or_else(|| standin.with_file_name(DAEMON));
     ensure!(
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins as processes of their own.
 
 mod args;
+mod bench_command;
 mod instance;
 mod load_command;
 
@@ -37,6 +38,7 @@
         }
         Command::Demo(_) => bluebellstage_standin::demo::run(&mut std::io::stdout()).await?,
         Command::Instance(args) => instance::run(&args.settings).await?,
+        Command::Bench(args) => bench_command::run(args).await?,
         Command::Load(args) => load_command::run(args).await?,
     }
     Ok(())
