--- a/crates/core/examples/rates_slopes.rs
+++ b/crates/core/examples/rates_slopes.rs
@@ -9,8 +9,8 @@
 
 use bluebellstage_core::rates::{Limits, Rates, RatesMessage};
 use bluebellstage_core::{
-    Action, Cx, Grouping, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership,
-    PastMap, PeerMessage, Rate, RequestId, Revision, Time, Tokens, Tuning, WorkspaceId,
+    Action, Adoption, Cx, Incarnation, InstanceId, Map, Member, MemberState, Ownership, PastMap,
+    PeerMessage, Rate, RequestId, Revision, Terms, Time, Tokens, Tuning, WorkspaceId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -69,18 +69,16 @@
         members.sort_by(|a, b| a.id.cmp(&b.id));
         let map = Map {
             revision: Revision(1),
-            grouping: Grouping::Pool,
+            terms: Terms::from(&Tuning::default()),
             members,
             history: Vec::new(),
         };
         let nodes = map.members.iter().map(|member| Node {
             rates: Rates::new(&Tuning::default()),
             own: Ownership {
-                me: member.member_ref(),
-                map: map.clone(),
                 standing_until: Time(u64::MAX),
-                adopted: BTreeSet::new(),
                 past_retired_at: Some(Time(0)),
+                ..Ownership::new(member.member_ref(), map.clone())
             },
         });
         let name = |number| format!("workspace-{number}").parse().expect("legal name");
@@ -181,7 +179,11 @@
         }];
         map.members.pop();
         map.revision = map.revision.next();
-        let adopted: BTreeSet<MemberRef> = map.members.iter().map(Member::member_ref).collect();
+        let adoption = |member: &Member| Adoption {
+            life: member.member_ref(),
+            map: map.revision,
+        };
+        let adopted: BTreeSet<Adoption> = map.members.iter().map(adoption).collect();
         for node in &mut self.nodes {
             node.own.map = map.clone();
             node.own.adopted.clone_from(&adopted);
