--- a/crates/core/examples/rates_slopes.rs
+++ b/crates/core/examples/rates_slopes.rs
@@ -129,9 +129,10 @@
         result
     }
 
-    // `per_step` requests arrive in each step, at instances and workspaces drawn evenly.
-    fn run(&mut self, steps: u32, per_step: u32) {
-        for _ in 0..steps {
+    // `per_second` requests arrive, at instances and workspaces drawn evenly.
+    fn run(&mut self, steps: u32, per_second: u32) {
+        for step in 0..steps {
+            let due = |step: u32| u64::from(step) * u64::from(per_second) / 100;
             self.now = self.now + STEP;
             self.steps += 1;
             for (from, to, message) in std::mem::take(&mut self.queue) {
@@ -141,7 +142,7 @@
                 };
                 self.step(to, |rates, cx| rates.message(cx, &from, message));
             }
-            for _ in 0..per_step {
+            for _ in due(step)..due(step + 1) {
                 self.request();
             }
             if self.steps.is_multiple_of(STEPS_PER_TICK) {
@@ -163,9 +164,9 @@
         });
     }
 
-    fn measure(&mut self, per_step: u32) -> Cost {
+    fn measure(&mut self, per_second: u32) -> Cost {
         self.cost = Cost::default();
-        self.run(SECONDS * 100, per_step);
+        self.run(SECONDS * 100, per_second);
         self.cost
     }
 
@@ -205,9 +206,9 @@
     let memory = resident_bytes().saturating_sub(before) / entries;
     let idle = bench.measure(0);
     // Each workspace asks for 80% of its rate: 8 requests a second of 100 tokens.
-    let per_step = u32::try_from(workspaces * 8 / 100).expect("small").max(1);
-    bench.measure(per_step);
-    let busy = bench.measure(per_step);
+    let requests = u32::try_from(workspaces * 8).expect("small");
+    bench.measure(requests);
+    let busy = bench.measure(requests);
     let change = bench.change_map();
     let nodes = instances as u64;
     let per_second = |value: u64| value / nodes / u64::from(SECONDS);
@@ -216,7 +217,7 @@
         "| {instances} | {workspaces} | {memory} | {} | {} | {} | {} | {} | {} | {} | {} |",
         per_second(idle.messages),
         per_second(micros(idle.spent)),
-        u64::from(per_step) * 100 / nodes,
+        u64::from(requests) / nodes,
         per_second(busy.messages),
         per_second(busy.bytes),
         per_second(micros(busy.spent)),
@@ -231,6 +232,12 @@
         "| instances | workspaces | memory, bytes a workspace | idle messages | idle us | requests | busy messages | busy bytes | busy us | bytes of a map change | us of a map change |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    // One row alone, in a fresh process, measures its memory best.
+    let mut asked = std::env::args().skip(1).filter_map(|raw| raw.parse().ok());
+    if let (Some(instances), Some(workspaces)) = (asked.next(), asked.next()) {
+        row(instances, workspaces);
+        return;
+    }
     for instances in [3, 8, 20, 60] {
         for workspaces in [5, 100, 500, 2_000] {
             row(instances, workspaces);
