Give the process tests a file for each kind of failure

One file had grown to 527 lines, and its support held deployment, traffic, content and evidence in one.

--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! What the tests of the stand-ins share.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
+#![expect(dead_code, reason = "each test file uses its own part")]
 
 pub mod bench;
+pub mod content;
+pub mod evidence;
+pub mod traffic;
 
 use std::net::SocketAddr;
 
