--- a/crates/standin/src/load/arrivals.rs
+++ b/crates/standin/src/load/arrivals.rs
@@ -5,8 +5,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::fault::FaultSpec;
 use super::popularity::ZipfDraw;
-use super::scenario::{DraftSpec, FaultSpec, Scenario, WorkKind, Workspace};
+use super::scenario::{DraftSpec, Scenario, WorkKind, Workspace};
 use crate::caller::{Draft, ServiceCall, Work};
 use crate::hash::hash;
 
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod catalogue;
 mod evidence;
+mod fault;
 mod ledger;
 mod measures;
 mod page;
@@ -13,6 +14,7 @@
 mod report;
 mod scenario;
 mod summary;
+mod tables;
 mod timeline;
 mod trace;
 mod variant;
@@ -21,6 +23,7 @@
 
 use eyre::WrapErr;
 
+pub use self::fault::{FaultSpec, TimedFault};
 pub(crate) use self::quantiles::Times;
 pub use self::quantiles::{Point, Quantiles};
 pub use self::report::{
@@ -28,8 +31,7 @@
     Second, VariantReport, WorkReport, WorkspaceReport, WorstServed,
 };
 pub use self::scenario::{
-    DraftSpec, FaultSpec, Group, Instances, Popularity, Scenario, TimedFault, Variant, WorkKind,
-    WorkSpec, Workspace,
+    DraftSpec, Group, Instances, Popularity, Scenario, Variant, WorkKind, WorkSpec, Workspace,
 };
 pub use self::variant::Programs;
 
--- a/crates/standin/src/load/timeline.rs
+++ b/crates/standin/src/load/timeline.rs
@@ -6,7 +6,8 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep_until};
 
-use super::scenario::{FaultSpec, Scenario};
+use super::fault::FaultSpec;
+use super::scenario::Scenario;
 use crate::fleet::{Control, Fleet, Signal};
 use crate::{CallKind, Fault, FaultKind};
 
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod probe;
 mod routes;
 mod state;
+mod watch;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -3,19 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::{self, BoxStream};
 use rocket::data::Data;
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{Route, State, delete, get, patch, post, put, routes};
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::calls::Counted;
-use super::objects::{Change, Object, Written};
+use super::objects::{Object, Written};
 use super::state::PlatformState;
+use super::watch::WatchCursor;
 use crate::reply::{Reply, StreamKind};
 use crate::{CallKind, Faults, Pod, SeenRequest};
 
@@ -159,47 +157,6 @@
     faults.guard(CallKind::Watch, effect).await
 }
 
-/// Where a watch stands.
-struct WatchCursor {
-    held: Arc<PlatformState>,
-    faults: Arc<Faults>,
-    versions: watch::Receiver<u64>,
-    namespace: Box<str>,
-    after: u64,
-    until: Instant,
-}
-
-impl WatchCursor {
-    fn lines(self) -> BoxStream<'static, Vec<u8>> {
-        stream::unfold(self, Self::next).boxed()
-    }
-
-    async fn next(mut self) -> Option<(Vec<u8>, Self)> {
-        loop {
-            self.versions.borrow_and_update();
-            let changes = self.held.changes_after(&self.namespace, self.after)?;
-            if let Some(last) = changes.last() {
-                self.after = last.version;
-                self.faults.thaw(CallKind::Watch).await;
-                return Some((lines(&changes), self));
-            }
-            timeout_at(self.until, self.versions.changed())
-                .await
-                .ok()?
-                .ok()?;
-        }
-    }
-}
-
-fn lines(changes: &[Change]) -> Vec<u8> {
-    let mut buf = Vec::new();
-    for change in changes {
-        buf.extend(serde_json::to_vec(change).unwrap_or_default());
-        buf.push(b'\n');
-    }
-    buf
-}
-
 #[derive(Serialize)]
 struct PodList {
     items: Vec<Pod>,
