--- a/crates/core/tests/support/engines/lone.rs
+++ b/crates/core/tests/support/engines/lone.rs
@@ -10,7 +10,7 @@
 use bluebellstage_core::{
     Action, AdapterRef, Adoption, Cx, EngineReport, GroupId, HomeKey, Incarnation, InstanceId, Map,
     Member, MemberRef, MemberState, OrderOutcome, Ownership, PastMap, PeerMessage, Revision,
-    TargetId, TargetInfo, TargetOrder, TargetOrderKind, Time, Tuning,
+    TargetId, TargetInfo, TargetOrder, TargetOrderKind, Terms, Time, Tuning,
 };
 
 use super::fleet::EngineSpec;
@@ -64,7 +64,7 @@
         };
         let map = Map {
             revision: Revision(5),
-            grouping: cfg.grouping,
+            terms: Terms::from(&cfg),
             members,
             history: Vec::new(),
         };
