Pin that half of an even number of lives is no majority

With a majority everywhere else, halving either the majority that gives standing or the one that retires a map lets no two homes act, because the two still share a life; so the fuzz can't see it. The plain rule is pinned by a proof instead, for standing and for the catalogue.

--- a/crates/core/tests/membership_proofs.rs
+++ b/crates/core/tests/membership_proofs.rs
@@ -50,6 +50,17 @@
     assert!(!bench.own().has_standing(bench.now));
 }
 
+#[test]
+fn half_of_an_even_number_of_lives_is_no_majority() {
+    let mut bench = Bench::adopted(map(5, &["a", "b", "c", "d"]));
+    bench.hear("b", beat(5, 1));
+    assert!(!bench.own().has_standing(bench.now));
+    assert!(!bench.membership.majority_has_catalogue(Revision(1)));
+    bench.hear("c", beat(5, 1));
+    assert!(bench.own().has_standing(bench.now));
+    assert!(bench.membership.majority_has_catalogue(Revision(1)));
+}
+
 /// A read is answered long after it was sent, because the process was frozen meanwhile.
 #[test]
 fn standing_counts_from_when_a_read_was_sent() {
--- a/crates/core/tests/support/membership_bench.rs
+++ b/crates/core/tests/support/membership_bench.rs
@@ -15,7 +15,7 @@
 /// A membership, its time and all that it wanted done.
 #[derive(Debug)]
 pub struct Bench {
-    membership: Membership,
+    pub membership: Membership,
     pub now: Time,
     pub out: Vec<Action>,
 }
