--- a/crates/core/tests/journal.rs
+++ b/crates/core/tests/journal.rs
@@ -283,3 +283,32 @@
     fleet.run(1_000);
     assert!(fleet.journal(&two).is_quiet());
 }
+
+#[test]
+fn write_that_met_a_conflict_lets_nothing_run() {
+    // A filing would run twice: the home holds a caller itself and freezes with that call's intent
+    // on its way. Another home takes over and lets a repeat of the call run. Then the intent's
+    // write reaches the platform, conflicts, and the first home thaws, still under its old map.
+    let mut fleet = fleet();
+    let home = fleet.home(&workspace(0));
+    let [one, _two] = elsewhere(&fleet);
+    fleet.ask(&home, &workspace(0), "other", 1);
+    fleet.run(500);
+    fleet.platform.next_delays_ms = Some((3_900, 4_000));
+    let first = fleet.ask(&home, &workspace(0), "k", 1).expect("running");
+    fleet.freeze(&home, 4_500);
+    fleet.drop_from_map(&home);
+    fleet.run(1_000);
+    let repeat = fleet.ask(&one, &workspace(0), "k", 1).expect("running");
+    fleet.run(2_700);
+    assert!(matches!(
+        fleet.step_of(repeat),
+        Some(JournalStep::Go { .. })
+    ));
+    fleet.run(6_000);
+    assert!(!matches!(
+        fleet.step_of(first),
+        Some(JournalStep::Go { .. })
+    ));
+    fleet.check();
+}
--- a/crates/core/tests/support/journal_platform.rs
+++ b/crates/core/tests/support/journal_platform.rs
@@ -36,6 +36,8 @@
     pub away_until: u64,
     pub lost_percent: u32,
     pub longest_delay_ms: u64,
+    /// The next call takes effect and is answered after these times.
+    pub next_delays_ms: Option<(u64, u64)>,
     pub writes: u64,
     pub reads: u64,
     pub bytes: u64,
@@ -50,6 +52,7 @@
             away_until: 0,
             lost_percent: 0,
             longest_delay_ms: 5,
+            next_delays_ms: None,
             writes: 0,
             reads: 0,
             bytes: 0,
@@ -67,8 +70,12 @@
         let delay = |rng: &mut ChaCha8Rng, millis: u64| rng.random_range(0..=millis * 1_000);
         let away = now < self.away_until;
         let is_lost = !away && rng.random_range(0..100) < self.lost_percent;
-        let effect_at = now + delay(rng, self.longest_delay_ms);
-        let answer_at = effect_at + delay(rng, self.longest_delay_ms);
+        let mut effect_at = now + delay(rng, self.longest_delay_ms);
+        let mut answer_at = effect_at + delay(rng, self.longest_delay_ms);
+        if let Some((effect_ms, answer_ms)) = self.next_delays_ms.take() {
+            effect_at = now + effect_ms * 1_000;
+            answer_at = now + answer_ms * 1_000;
+        }
         let effect_at = match (away, is_lost, rng.random_range(0..3)) {
             (true, ..) | (false, true, 0) => None,
             (false, true, 1) => Some(answer_at + delay(rng, LATEST_EFFECT_MS)),
