--- a/crates/core/src/map.rs
+++ b/crates/core/src/map.rs
@@ -2,11 +2,14 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{FailureDomain, GroupId, Grouping, Incarnation, InstanceId, Revision, WorkspaceId};
+use crate::{
+    FailureDomain, GroupId, Grouping, Incarnation, InstanceId, Revision, Tuning, WorkspaceId,
+};
 
 /// One life of one instance.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
@@ -74,14 +77,38 @@
     pub active: Vec<InstanceId>,
 }
 
+/// Settings that all instances have to go by alike; the instance that creates the map fixes them.
+///
+/// Guards against settings that differ while a release is rolled out: instances that group engines
+/// differently would each hold themselves home of the same engine, and one that waits for a former
+/// home by a shorter standing than that home's own would act beside it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Terms {
+    /// How engines are grouped.
+    pub grouping: Grouping,
+    /// How long a proof of standing holds, counted from when its question was sent.
+    pub standing: Duration,
+    /// Bound on how much two clocks drift apart over one `standing`.
+    pub drift: Duration,
+}
+
+impl From<&Tuning> for Terms {
+    fn from(cfg: &Tuning) -> Self {
+        Self {
+            grouping: cfg.grouping,
+            standing: cfg.standing,
+            drift: cfg.drift,
+        }
+    }
+}
+
 /// The map object.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Map {
     /// Grows by one with each change.
     pub revision: Revision,
-    /// How engines are grouped; fixed by the instance that created the map, because instances that
-    /// group differently would each hold themselves home of the same engine.
-    pub grouping: Grouping,
+    /// What all instances have to go by alike.
+    pub terms: Terms,
     /// The instances, in order of their names.
     pub members: Vec<Member>,
     /// Earlier revisions not yet known to be retired everywhere, oldest first.
@@ -114,6 +141,17 @@
 }
 
 impl Map {
+    /// The map before anyone joined.
+    #[must_use]
+    pub const fn empty(terms: Terms) -> Self {
+        Self {
+            revision: Revision(0),
+            terms,
+            members: Vec::new(),
+            history: Vec::new(),
+        }
+    }
+
     /// The entry of an instance.
     #[must_use]
     pub fn member(&self, id: &InstanceId) -> Option<&Member> {
@@ -128,6 +166,13 @@
             .map(|member| &member.id)
     }
 
+    /// All lives that the map or its history lists; one may come more than once.
+    pub fn known_lives(&self) -> impl Iterator<Item = MemberRef> {
+        let current = self.members.iter().map(Member::member_ref);
+        let past = self.history.iter().flat_map(|past| past.members.clone());
+        current.chain(past)
+    }
+
     /// The home of `key` under this revision; none while no instance is active.
     #[must_use]
     pub fn home(&self, key: &HomeKey) -> Option<&InstanceId> {
@@ -135,6 +180,16 @@
     }
 }
 
+impl From<&Map> for PastMap {
+    fn from(map: &Map) -> Self {
+        Self {
+            revision: map.revision,
+            members: map.members.iter().map(Member::member_ref).collect(),
+            active: map.active().cloned().collect(),
+        }
+    }
+}
+
 impl PastMap {
     /// The home of `key` under this earlier revision.
     #[must_use]
@@ -150,6 +205,6 @@
     key: &HomeKey,
     candidates: impl Iterator<Item = &'a InstanceId>,
 ) -> Option<&'a InstanceId> {
-    let key = key.to_string();
-    candidates.max_by_key(|id| (xxh3_64(format!("{key}\n{id}").as_bytes()), *id))
+    let seed = xxh3_64(key.to_string().as_bytes());
+    candidates.max_by_key(|id| (xxh3_64_with_seed(id.as_str().as_bytes(), seed), *id))
 }
--- a/crates/core/tests/support/rates_membership.rs
+++ b/crates/core/tests/support/rates_membership.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bluebellstage_core::{
-    Grouping, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership, PastMap,
-    Revision, Time, Tuning,
+    Adoption, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership, PastMap,
+    Revision, Terms, Time, Tuning,
 };
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -55,7 +55,7 @@
         Self {
             map: Map {
                 revision: Revision(1),
-                grouping: Grouping::Pool,
+                terms: Terms::from(cfg),
                 members: (0..count)
                     .map(|number| member(instance(number), 1))
                     .collect(),
@@ -121,6 +121,7 @@
                 map: script.map.clone(),
                 standing_until: Time(0),
                 adopted: BTreeSet::new(),
+                silent: BTreeSet::new(),
                 past_retired_at: None,
             },
             stopped_until: 0,
@@ -150,14 +151,14 @@
     }
 
     /// Reads the map, unless it is stopped or cut off; `adopted` has the lives that have it.
-    pub fn follow(&mut self, now: u64, script: &Script, adopted: &BTreeSet<MemberRef>) {
+    pub fn follow(&mut self, now: u64, script: &Script, adopted: &BTreeSet<Adoption>) {
         if self.stopped_until > now || self.cut_until > now {
             return;
         }
         let local = self.local(now);
         if self.own.map.revision != script.map.revision && now >= self.adopts_at {
             self.own.map = script.map.clone();
-            self.own.adopted = BTreeSet::from([self.own.me.clone()]);
+            self.own.adopted = BTreeSet::from([adoption(&self.own)]);
             self.own.past_retired_at = Some(local + script.retirement());
         }
         // Right after a stop its old map may be all it has, and no proof of standing is fresh.
@@ -190,9 +191,16 @@
 }
 
 /// Lives that have the map in force.
-pub fn adopted<'a>(script: &Script, seats: impl Iterator<Item = &'a Seat>) -> BTreeSet<MemberRef> {
+pub fn adopted<'a>(script: &Script, seats: impl Iterator<Item = &'a Seat>) -> BTreeSet<Adoption> {
     seats
         .filter(|seat| seat.own.map.revision == script.map.revision)
-        .map(|seat| seat.own.me.clone())
+        .map(|seat| adoption(&seat.own))
         .collect()
 }
+
+fn adoption(own: &Ownership) -> Adoption {
+    Adoption {
+        life: own.me.clone(),
+        map: own.map.revision,
+    }
+}
