Let a stop meet callers with old entry answers in the tests

Entry answers aged out after 500 ms, sooner than an instance gets out of the map: a stop that did not wait for them cut nobody, and the mutation survived. With 4 s it is caught by rolling_all_instances_cuts_no_request.

--- a/crates/standin/tests/support/bench.rs
+++ b/crates/standin/tests/support/bench.rs
@@ -48,7 +48,7 @@
             dir: dir.clone(),
             admin_token: "operator-of-the-bench".into(),
             instances: domains.map(instance).into(),
-            settings: json!({ "timing": { "list_ms": 300, "entry_max_age_ms": 500 } }),
+            settings: json!({ "timing": { "list_ms": 300, "entry_max_age_ms": 4_000 } }),
             engines: domains.map(engine).into(),
             services: domains.map(service).into(),
             store: StoreSpec {
