--- a/crates/core/tests/support/journal_fleet.rs
+++ b/crates/core/tests/support/journal_fleet.rs
@@ -7,27 +7,15 @@
 };
 use bluebellstage_core::{
     Action, Cx, IdempotencyKey, InstanceId, MemberRef, Notice, PeerMessage, PlatformAnswer, Ran,
-    Refusal, RequestId, StoredAnswer, Time, Tuning, WorkspaceId,
+    Refusal, RequestId, Time, Tuning, WorkspaceId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::journal_platform::Platform;
+use super::journal_service::{Asked, Call, Service, answer};
 use super::rates_membership::{Script, Seat, adopted, instance};
 
-/// What the fake service does with a call that reaches it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Service {
-    /// Runs it and answers.
-    Answers,
-    /// Can't be connected to.
-    Refuses,
-    /// Runs it and dies before it answers.
-    Dies,
-    /// Dies before it runs it; the sender can't tell.
-    DiesIdle,
-}
-
 struct Node {
     journal: Journal,
     seat: Seat,
@@ -54,16 +42,6 @@
     outcome: CallOutcome,
 }
 
-/// A request as the caller sees it.
-#[derive(Clone, Debug)]
-pub struct Asked {
-    pub ask: JournalAsk,
-    pub life: MemberRef,
-    pub step: Option<JournalStep>,
-    pub at: u64,
-    pub decided_at: Option<u64>,
-}
-
 /// Instances by name, the platform, the service, and what each call came to.
 pub struct Fleet {
     cfg: Tuning,
@@ -97,15 +75,6 @@
     IdempotencyKey::try_from(name).expect("legal name")
 }
 
-/// The service's answer to a request.
-pub fn answer(request: RequestId, bytes: usize) -> StoredAnswer {
-    StoredAnswer {
-        status: 200,
-        content_type: "text/plain".into(),
-        body: Some(format!("{:<bytes$}", request.to_string()).into()),
-    }
-}
-
 impl Fleet {
     pub fn new(count: usize, seed: u64, cfg: Tuning) -> Self {
         let now = 1_000_000;
@@ -175,6 +144,7 @@
             step: None,
             at: now,
             decided_at: None,
+            has_ended: false,
         };
         self.asked.insert(request, asked);
         let decisions = self.step(id, |journal, cx| journal.ask(cx, ask));
@@ -244,10 +214,6 @@
         self.script.map.members.len()
     }
 
-    pub fn is_member(&self, id: &InstanceId) -> bool {
-        self.script.map.member(id).is_some()
-    }
-
     pub fn journal(&self, id: &InstanceId) -> &Journal {
         &self.nodes.get(id).expect("a running instance").journal
     }
@@ -363,14 +329,10 @@
     fn serve(&mut self, request: RequestId) -> CallOutcome {
         let ask = &self.asked[&request].ask;
         let call = (ask.workspace.clone(), ask.key.clone());
-        if matches!(self.service, Service::Answers | Service::Dies) {
+        if self.service.runs() {
             self.runs.entry(call).or_default().push(request);
         }
-        match self.service {
-            Service::Answers => CallOutcome::Answered(answer(request, self.answer_bytes)),
-            Service::Refuses => CallOutcome::NotRun,
-            Service::Dies | Service::DiesIdle => CallOutcome::Unknown,
-        }
+        self.service.outcome(request, self.answer_bytes)
     }
 
     fn end_calls(&mut self) {
@@ -387,6 +349,7 @@
                 continue;
             }
             let request = running.request;
+            self.asked.get_mut(&request).expect("asked").has_ended = true;
             self.step(&running.life.id, |journal, cx| {
                 journal.finished(cx, request, running.outcome);
             });
@@ -516,4 +479,18 @@
     pub fn step_of(&self, request: RequestId) -> Option<&JournalStep> {
         self.asked[&request].step.as_ref()
     }
+
+    /// What became of each call so far, over all its repeats.
+    pub fn calls(&self) -> BTreeMap<IdempotencyKey, Call> {
+        let mut calls: BTreeMap<IdempotencyKey, Call> = BTreeMap::new();
+        for asked in self.asked.values() {
+            let lives = self
+                .nodes
+                .get(&asked.life.id)
+                .is_some_and(|node| node.seat.own.me == asked.life);
+            let call = calls.entry(asked.ask.key.clone()).or_default();
+            call.take(asked, lives);
+        }
+        calls
+    }
 }
