--- a/crates/standin/src/load/measures/mod.rs
+++ b/crates/standin/src/load/measures/mod.rs
@@ -167,6 +167,9 @@
             let findings = ledger::audit(workspace, own, self.run.begun, measured_from);
             report.wrongful = findings.wrongful.len();
             report.limit_used = findings.limit_used;
+            if self.surging.contains(&workspace.name) {
+                refusals.wrongful_surging += findings.wrongful.len();
+            }
             for kind in findings.wrongful {
                 *refusals.wrongful_by_kind.entry(kind).or_default() += 1;
                 refusals.wrongful += 1;
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -139,6 +139,8 @@
     pub wrongful_by_kind: BTreeMap<Box<str>, usize>,
     /// All within the rate.
     pub wrongful: usize,
+    /// Those of them that met a workspace which surges in the scenario.
+    pub wrongful_surging: usize,
     /// Share of all attempts.
     pub wrongful_share: f64,
 }
--- a/crates/standin/src/load/summary.rs
+++ b/crates/standin/src/load/summary.rs
@@ -29,7 +29,7 @@
         never.over_limit,
     ];
     format!(
-        "{}: {}/{} answered, load stalls {} ({:.1} s), batch efficiency {:.3}, worst-served {} p95 {:.0} ms, wrongful refusals {}, platform {:.1} calls/s, must-never counts {faults:?}",
+        "{}: {}/{} answered, load stalls {} ({:.1} s), batch efficiency {:.3}, worst-served {} p95 {:.0} ms, wrongful refusals {} ({} of them of surging workspaces), platform {:.1} calls/s, must-never counts {faults:?}",
         one.name,
         one.requests.answered,
         one.requests.total,
@@ -39,6 +39,7 @@
         one.worst_served.workspace,
         one.worst_served.first_token_p95_ms,
         one.refusals.wrongful,
+        one.refusals.wrongful_surging,
         one.platform.calls_per_second,
     )
 }
--- a/crates/standin/src/load/tables.rs
+++ b/crates/standin/src/load/tables.rs
@@ -58,6 +58,9 @@
         short(one.worst_served.best_p95_ms)
     }),
     row("wrongful refusals", |one| one.refusals.wrongful.to_string()),
+    row("those of workspaces that surge", |one| {
+        one.refusals.wrongful_surging.to_string()
+    }),
     row("wrongful refusals, share of attempts", |one| {
         percent(one.refusals.wrongful_share)
     }),
