--- /dev/null
+++ b/crates/core/src/instance/arrival.rs
@@ -0,0 +1,143 @@
+//! A caller's request as it arrives: checked against the catalogue, charged to its workspace.
+
+use crate::rates::{Limits, RateStep};
+use crate::{
+    AdapterId, AdapterRef, AdapterVersion, CallerRequest, CallerWork, Cx, Refusal, RefusalKind,
+    RequestId, ServiceCall, Time, Tokens, WorkspaceId,
+};
+
+use super::Instance;
+use super::core::cx;
+use super::flight::{Flight, Job, Stage};
+use super::requests::RETRY_AFTER;
+
+impl Instance {
+    pub(super) fn arrived(&mut self, now: Time, id: RequestId, request: CallerRequest) {
+        if self.flights.contains_key(&id) {
+            return;
+        }
+        self.budget.earn();
+        match self.admit(now, request) {
+            Ok(flight) => self.charge(now, id, flight),
+            Err(refusal) => self.refuse(id, refusal),
+        }
+    }
+
+    /// Checks a request against the catalogue.
+    pub(super) fn admit(&self, now: Time, request: CallerRequest) -> Result<Flight, Refusal> {
+        if self.has_ended() {
+            return Err(Refusal::retry_after(RefusalKind::Stopping, RETRY_AFTER));
+        }
+        if !self.own().has_standing(now) || !self.catalogue.is_fresh(now) {
+            return Err(Refusal::retry_after(RefusalKind::NoStanding, RETRY_AFTER));
+        }
+        let Some(key) = self.catalogue().key(&request.key) else {
+            return Err(Refusal::not_run(RefusalKind::KeyRefused));
+        };
+        let (key, workspace) = (key.id.clone(), key.workspace.clone());
+        let (job, charge) = match request.work {
+            CallerWork::Generate {
+                adapter,
+                version,
+                prompt,
+                max_answer,
+                prefix,
+            } => self.generation(&workspace, &adapter, version, prompt, max_answer, prefix)?,
+            CallerWork::Call(call) => self.call(&workspace, call)?,
+        };
+        Ok(Flight {
+            key,
+            workspace,
+            charge,
+            job,
+            stage: Stage::Rate,
+            arrived: now,
+            retries: 0,
+            may_have_run: false,
+        })
+    }
+
+    pub(super) fn generation(
+        &self,
+        workspace: &WorkspaceId,
+        adapter: &AdapterId,
+        version: Option<AdapterVersion>,
+        prompt: Tokens,
+        max_answer: Option<Tokens>,
+        prefix: u64,
+    ) -> Result<(Job, Tokens), Refusal> {
+        let entry = self
+            .catalogue()
+            .adapter(adapter)
+            .filter(|entry| entry.owner == *workspace);
+        let entry = entry.ok_or(Refusal::not_run(RefusalKind::NotFound))?;
+        let version = entry
+            .version(version)
+            .ok_or(Refusal::not_run(RefusalKind::VersionUnknown))?;
+        let max_answer = max_answer.unwrap_or(entry.max_answer);
+        if max_answer > entry.max_answer {
+            return Err(Refusal::not_run(RefusalKind::NeverAdmissible));
+        }
+        let job = Job::Generate {
+            adapter: AdapterRef {
+                id: adapter.clone(),
+                version,
+            },
+            base_model: entry.base_model.clone(),
+            urgent: entry.class.is_urgent(),
+            prompt,
+            max_answer,
+            prefix,
+            delivered: Tokens::default(),
+        };
+        Ok((job, prompt + max_answer))
+    }
+
+    pub(super) fn call(
+        &self,
+        workspace: &WorkspaceId,
+        call: ServiceCall,
+    ) -> Result<(Job, Tokens), Refusal> {
+        let entry = self.catalogue().service(&call.service);
+        let entry = entry.filter(|entry| entry.workspaces.contains(workspace));
+        let entry = entry.ok_or(Refusal::not_run(RefusalKind::NotFound))?;
+        // Without a name for it, a repeat of the call could not be told from a second call.
+        if !call.idempotent && call.idempotency_key.is_none() {
+            return Err(Refusal::not_run(RefusalKind::IdempotencyKeyMissing));
+        }
+        Ok((
+            Job::Call {
+                service: call.service.clone(),
+                call,
+            },
+            entry.charge,
+        ))
+    }
+
+    pub(super) fn charge(&mut self, now: Time, id: RequestId, flight: Flight) {
+        let limits = self.catalogue().workspace(&flight.workspace);
+        let Some(limits) = limits.map(|entry| Limits {
+            rate: entry.rate,
+            burst: entry.burst,
+        }) else {
+            self.refuse(id, Refusal::not_run(RefusalKind::KeyRefused));
+            return;
+        };
+        let step = if flight.charge == Tokens::default() {
+            RateStep::Admitted
+        } else {
+            self.rates
+                .admit(cx!(self, now), id, &flight.workspace, limits, flight.charge)
+        };
+        match step {
+            RateStep::Refused(refusal) => self.refuse(id, refusal),
+            RateStep::Waiting => {
+                self.flights.insert(id, flight);
+            }
+            RateStep::Admitted => {
+                self.flights.insert(id, flight);
+                self.place(now, id);
+            }
+        }
+    }
+}
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -1,7 +1,10 @@
 //! One whole instance, composed of the cores.
 
+mod arrival;
 mod core;
 mod decision;
+mod dispatch;
+mod ending;
 mod flight;
 mod requests;
 mod retry_budget;
--- a/crates/core/tests/membership_proofs.rs
+++ b/crates/core/tests/membership_proofs.rs
@@ -55,10 +55,11 @@
     let mut bench = Bench::adopted(map(5, &["a", "b", "c", "d"]));
     bench.hear("b", beat(5, 1));
     assert!(!bench.own().has_standing(bench.now));
-    assert!(!bench.membership.majority_has_catalogue(Revision(1)));
+    assert_eq!(bench.membership.majority_catalogue(), None);
     bench.hear("c", beat(5, 1));
     assert!(bench.own().has_standing(bench.now));
-    assert!(bench.membership.majority_has_catalogue(Revision(1)));
+    let quorum = bench.membership.majority_catalogue();
+    assert_eq!(quorum.map(|quorum| quorum.held), Some(Revision(1)));
 }
 
 /// A read is answered long after it was sent, because the process was frozen meanwhile.
