--- a/crates/core/tests/instances/adapters.rs
+++ b/crates/core/tests/instances/adapters.rs
@@ -6,14 +6,7 @@
 use crate::world::{self, NORTH, SOUTH};
 
 fn founded(seed: u64, slots: u32) -> Fleet {
-    let mut fleet = FleetBuilder::instances(3)
-        .engines(3, slots)
-        .seed(seed)
-        .build();
-    fleet.until_ready();
-    fleet.change(0, world::founding());
-    fleet.run_for(1_000);
-    fleet
+    world::found(FleetBuilder::instances(3).engines(3, slots).seed(seed))
 }
 
 fn target(name: &str) -> TargetId {
--- a/crates/core/tests/instances/catalogue.rs
+++ b/crates/core/tests/instances/catalogue.rs
@@ -10,11 +10,7 @@
 const IN_FORCE_WITHIN_MILLIS: u64 = 3_000;
 
 fn founded(instances: u16, seed: u64) -> Fleet {
-    let mut fleet = FleetBuilder::instances(instances).seed(seed).build();
-    fleet.until_ready();
-    fleet.change(0, world::founding());
-    fleet.run_for(1_000);
-    fleet
+    world::found(FleetBuilder::instances(instances).seed(seed))
 }
 
 fn rate_change(number: u64) -> ChangeRequest {
--- a/crates/core/tests/instances/chaos.rs
+++ b/crates/core/tests/instances/chaos.rs
@@ -90,14 +90,11 @@
 
 impl Run {
     fn new(seed: u64) -> Self {
-        let mut fleet = FleetBuilder::instances(INSTANCES.try_into().unwrap())
+        let builder = FleetBuilder::instances(INSTANCES.try_into().unwrap())
             .engines(3, 4)
             .service("filing", 2, 8)
-            .seed(seed)
-            .build();
-        fleet.until_ready();
-        fleet.change(0, world::founding());
-        fleet.run_for(1_000);
+            .seed(seed);
+        let fleet = world::found(builder);
         Self {
             fleet,
             changes: 0,
--- a/crates/core/tests/instances/filings.rs
+++ b/crates/core/tests/instances/filings.rs
@@ -6,14 +6,11 @@
 use crate::world::{self, NORTH, SOUTH};
 
 fn founded(seed: u64) -> Fleet {
-    let mut fleet = FleetBuilder::instances(4)
-        .service("filing", 2, 8)
-        .seed(seed)
-        .build();
-    fleet.until_ready();
-    fleet.change(0, world::founding());
-    fleet.run_for(1_000);
-    fleet
+    world::found(
+        FleetBuilder::instances(4)
+            .service("filing", 2, 8)
+            .seed(seed),
+    )
 }
 
 fn kind(fleet: &Fleet, request: RequestId) -> Option<RefusalKind> {
--- a/crates/core/tests/instances/keys.rs
+++ b/crates/core/tests/instances/keys.rs
@@ -10,15 +10,12 @@
 const WITHDRAWN_WITHIN_MILLIS: u64 = 3_000;
 
 fn founded(seed: u64) -> Fleet {
-    let mut fleet = FleetBuilder::instances(3)
-        .engines(3, 4)
-        .service("filing", 2, 4)
-        .seed(seed)
-        .build();
-    fleet.until_ready();
-    fleet.change(0, world::founding());
-    fleet.run_for(1_000);
-    fleet
+    world::found(
+        FleetBuilder::instances(3)
+            .engines(3, 4)
+            .service("filing", 2, 4)
+            .seed(seed),
+    )
 }
 
 fn withdraw(fleet: &mut Fleet, node: usize) {
--- a/crates/core/tests/instances/outage.rs
+++ b/crates/core/tests/instances/outage.rs
@@ -4,15 +4,12 @@
 use crate::world::{self, NORTH, SOUTH};
 
 fn founded(seed: u64) -> Fleet {
-    let mut fleet = FleetBuilder::instances(5)
-        .engines(3, 12)
-        .service("filing", 2, 8)
-        .seed(seed)
-        .build();
-    fleet.until_ready();
-    fleet.change(0, world::founding());
-    fleet.run_for(1_000);
-    fleet
+    world::found(
+        FleetBuilder::instances(5)
+            .engines(3, 12)
+            .service("filing", 2, 8)
+            .seed(seed),
+    )
 }
 
 // The platform is away for a minute. Drafts and lookups need nothing that must last.
--- a/crates/core/tests/instances/world.rs
+++ b/crates/core/tests/instances/world.rs
@@ -10,6 +10,8 @@
     Rate, ServiceCall, ServiceId, Tokens, WorkspaceId,
 };
 
+use crate::fleet::{Fleet, FleetBuilder};
+
 /// The key of workspace `north`.
 pub const NORTH: &str = "key-of-north";
 
@@ -88,6 +90,15 @@
     change("founding", changes)
 }
 
+/// A fleet whose instances all serve, with the small world in force.
+pub fn found(builder: FleetBuilder) -> Fleet {
+    let mut fleet = builder.build();
+    fleet.until_ready();
+    fleet.change(0, founding());
+    fleet.run_for(1_000);
+    fleet
+}
+
 pub fn generate(name: &str, answer: u64) -> CallerWork {
     CallerWork::Generate {
         adapter: adapter(name),
