Grant the first burst though the history is pruned; wait on for a home just found

Cause: membership takes retired maps out of the history that the cores see, so a first fleet's home could not tell that nobody had spent before and started empty: the first callers of a new deployment would have been refused. A life now remembers itself whether any map it followed had a home. Ruled out: a longer patience while the home is lost (7 s for 5 s: no change).

--- a/crates/core/src/rates/tenure.rs
+++ b/crates/core/src/rates/tenure.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::{Cx, InstanceId, Map, MemberState, Ownership, RatePolicy, Revision, Time, WorkspaceId};
+use crate::{Cx, InstanceId, MemberState, Ownership, RatePolicy, Revision, Time, WorkspaceId};
 
 use super::bucket::Parcel;
 use super::core::Rates;
@@ -21,6 +21,9 @@
     reported: BTreeSet<InstanceId>,
     untold: BTreeMap<InstanceId, Time>,
     is_settled: bool,
+    // Whether an earlier map had a home, or may have had one.
+    had_home: bool,
+    has_home: bool,
 }
 
 impl Tenure {
@@ -67,7 +70,10 @@
             self.let_go();
         }
         let peers = cx.own.map.active().filter(|id| **id != cx.own.me.id);
+        let had_home = self.may_have_had_home(cx.own);
         self.tenure = Tenure {
+            had_home,
+            has_home: cx.own.map.active().next().is_some(),
             revision: Some(cx.own.revision()),
             reported: BTreeSet::new(),
             untold: peers.map(|id| (id.clone(), cx.now)).collect(),
@@ -137,10 +143,10 @@
             let mut entry = Workspace::new(id.clone(), cx.now);
             entry.rebase(cx);
             if self.tenure.is_settled {
-                take_rest(cx, &mut entry);
+                take_rest(cx, &mut entry, self.tenure.had_home);
             }
             if self.policy == RatePolicy::EvenSplit {
-                hold_even_part(cx, &mut entry);
+                hold_even_part(cx, &mut entry, self.tenure.had_home);
             }
             self.workspaces.insert(id.clone(), entry);
         }
@@ -165,7 +171,7 @@
         }
         self.tenure.is_settled = true;
         for entry in self.workspaces.values_mut() {
-            take_rest(cx, entry);
+            take_rest(cx, entry, self.tenure.had_home);
         }
     }
 
@@ -198,6 +204,23 @@
         own.is_member() && (last + 1..own.revision().0).all(|number| listed(Revision(number)))
     }
 
+    // Whether anyone may have spent before the map in force. This life has to have followed the map
+    // from its first revision, or to find the ones that it missed in the history, and none of them
+    // may have had an active member.
+    fn may_have_had_home(&self, own: &Ownership) -> bool {
+        let Revision(last) = self.tenure.revision.unwrap_or_default();
+        let nobody = |revision| {
+            let past = own
+                .map
+                .history
+                .iter()
+                .find(|past| past.revision == revision);
+            past.is_some_and(|past| past.active.is_empty())
+        };
+        let is_seen = (last + 1..own.revision().0).all(|number| nobody(Revision(number)));
+        self.tenure.had_home || self.tenure.has_home || !is_seen
+    }
+
     fn let_go(&mut self) {
         for entry in self.workspaces.values_mut() {
             entry.bucket.clear();
@@ -206,14 +229,14 @@
 
     fn split_evenly(&mut self, cx: &Cx<'_>) {
         for entry in self.workspaces.values_mut() {
-            hold_even_part(cx, entry);
+            hold_even_part(cx, entry, self.tenure.had_home);
         }
     }
 }
 
 // Takes the rest of the workspace that nobody holds, without tokens: who held it may have spent
 // them. Only under the first map that ever had a home is it full, because nobody can have spent.
-fn take_rest(cx: &Cx<'_>, entry: &mut Workspace) {
+fn take_rest(cx: &Cx<'_>, entry: &mut Workspace, had_home: bool) {
     let Some(lending) = &entry.lending else {
         return;
     };
@@ -227,13 +250,13 @@
             tokens: MicroTokens::default(),
         },
     );
-    entry.is_unspent = rest == Share::WHOLE && is_first(&cx.own.map);
+    entry.is_unspent = rest == Share::WHOLE && !had_home;
     entry.fill_if_unspent(cx.now);
 }
 
 // Baseline: the same part for each active instance, for good. It trusts that all are at the same
 // map, so it holds the limits less strictly than lent shares do.
-fn hold_even_part(cx: &Cx<'_>, entry: &mut Workspace) {
+fn hold_even_part(cx: &Cx<'_>, entry: &mut Workspace, had_home: bool) {
     let active = cx.own.map.active().count() as u128;
     let is_active = cx.own.map.active().any(|id| *id == cx.own.me.id) && cx.own.is_member();
     let part = if is_active {
@@ -252,16 +275,10 @@
             tokens: MicroTokens::default(),
         },
     );
-    entry.is_unspent = held == Share::NONE && is_first(&cx.own.map);
+    entry.is_unspent = held == Share::NONE && !had_home;
     entry.fill_if_unspent(cx.now);
 }
 
-// Whether no earlier map had a home: revisions count from 1 and none is missing in the history.
-fn is_first(map: &Map) -> bool {
-    let is_whole = map.history.len() as u64 + 1 >= map.revision.0;
-    is_whole && map.history.iter().all(|past| past.active.is_empty())
-}
-
 // Whether every life that the map no longer lists has lost its standing.
 //
 // `Ownership::acts` alone does not say that: it knows of former homes, and a borrower that was
--- a/crates/core/src/rates/workspace.rs
+++ b/crates/core/src/rates/workspace.rs
@@ -23,7 +23,7 @@
 const TAKEOVER_PATIENCE: Duration = Duration::from_secs(5);
 
 /// After a lost home is found again, requests that waited for it have this time to be admitted.
-const FOUND_SPAN: Duration = Duration::from_millis(500);
+const FOUND_SPAN: Duration = Duration::from_secs(2);
 
 /// A request that waits for tokens.
 #[derive(Clone, Debug)]
