--- a/crates/core/src/catalogue/core.rs
+++ b/crates/core/src/catalogue/core.rs
@@ -9,7 +9,7 @@
 use crate::platform::PlatformAnswer;
 use crate::{
     Action, CallId, Cx, HomeKey, InstanceId, Notice, ObjectVersion, PeerMessage, PlatformCall,
-    PlatformOp, PlatformPurpose, PlatformReply, Revision, Time, Tuning,
+    PlatformOp, PlatformPurpose, PlatformReply, Revision, Time,
 };
 
 use super::compact::Compaction;
@@ -32,9 +32,8 @@
 }
 
 /// Follows the catalogue, proves it current and writes operators' changes.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Catalogue {
-    standing: Duration,
     state: CatalogueState,
     loaded: bool,
     head: KnownHead,
@@ -49,7 +48,8 @@
     reader: Reader,
     pushed: BTreeMap<Revision, ChangeRequest>,
     recent: Recent,
-    have: BTreeMap<InstanceId, Revision>,
+    /// The highest revision that a majority was known to have in force.
+    held: Revision,
     writer: Writer,
     compaction: Compaction,
     calls: u64,
@@ -74,32 +74,6 @@
 }
 
 impl Catalogue {
-    /// An instance that has read nothing yet.
-    #[must_use]
-    pub fn new(cfg: &Tuning) -> Self {
-        Self {
-            standing: cfg.standing,
-            state: CatalogueState::default(),
-            loaded: false,
-            head: KnownHead::default(),
-            adopted: Time::default(),
-            announced: Revision::default(),
-            fresh_until: Time::default(),
-            unsure_since: None,
-            head_read: None,
-            next_read: Time::default(),
-            wanted: Revision::default(),
-            proof: None,
-            reader: Reader::default(),
-            pushed: BTreeMap::new(),
-            recent: Recent::default(),
-            have: BTreeMap::new(),
-            writer: Writer::default(),
-            compaction: Compaction::default(),
-            calls: 0,
-        }
-    }
-
     /// The entries in force here.
     #[must_use]
     pub const fn state(&self) -> &CatalogueState {
@@ -159,8 +133,7 @@
     /// would prove an older revision current among themselves. A head read that was sent after the
     /// map came in force shows that change, so until then this instance is not sure.
     pub fn map_changed(&mut self, cx: &mut Cx<'_>) {
-        self.have
-            .retain(|id, _revision| cx.own.map.member(id).is_some());
+        self.held = Revision::default();
         self.unsure_since = Some(cx.now);
         self.next_read = cx.now;
         self.read_if_due(cx);
@@ -168,7 +141,7 @@
 
     /// Time passed; `quorum` is what a majority says of the catalogue.
     pub fn tick(&mut self, cx: &mut Cx<'_>, quorum: Option<CatalogueQuorum>) {
-        self.take_quorum(quorum);
+        self.take_quorum(cx, quorum);
         self.read_if_due(cx);
         self.write_on(cx);
         self.compact(cx);
@@ -178,27 +151,27 @@
     pub fn message(&mut self, cx: &mut Cx<'_>, from: &InstanceId, message: CatalogueMessage) {
         match message {
             CatalogueMessage::Push { revision, change } => {
-                self.take_push(cx, from, revision, change);
+                self.take_push(cx, revision, change);
             }
             CatalogueMessage::Missing { revision } => self.make_up(cx, from, revision),
-            CatalogueMessage::Have { revision } => self.take_have(cx, from, revision),
         }
     }
 
     /// Takes an answer to `CatalogueHead`, `CatalogueRead` or `CatalogueWrite`.
     pub fn platform(&mut self, cx: &mut Cx<'_>, answer: PlatformAnswer) {
         match answer.purpose {
-            PlatformPurpose::CatalogueHead => self.take_head(cx, answer),
+            PlatformPurpose::CatalogueHead => self.take_head(cx, &answer),
             PlatformPurpose::CatalogueRead => self.take_read(cx, &answer),
             PlatformPurpose::CatalogueWrite => self.take_write(cx, answer),
             _ => {}
         }
     }
 
-    fn take_quorum(&mut self, quorum: Option<CatalogueQuorum>) {
+    fn take_quorum(&mut self, cx: &Cx<'_>, quorum: Option<CatalogueQuorum>) {
         let Some(quorum) = quorum else {
             return;
         };
+        self.held = self.held.max(quorum.held);
         if !self.loaded || self.unsure_since.is_some() {
             return;
         }
@@ -206,7 +179,9 @@
             self.wanted = self.wanted.max(quorum.highest);
             return;
         }
-        self.fresh_until = self.fresh_until.max(quorum.asked + self.standing);
+        self.fresh_until = self
+            .fresh_until
+            .max(quorum.asked + cx.own.map.terms.standing);
     }
 
     fn read_if_due(&mut self, cx: &mut Cx<'_>) {
@@ -215,7 +190,7 @@
         }
         let behind =
             !self.loaded || self.wanted > self.state.revision || self.unsure_since.is_some();
-        let running_out = self.fresh_until.since(cx.now) < self.standing / 2;
+        let running_out = self.fresh_until.since(cx.now) < cx.own.map.terms.standing / 2;
         if behind || running_out || self.writer.wants_head() {
             self.read_head(cx);
         }
@@ -229,11 +204,13 @@
         self.call(cx, PlatformPurpose::CatalogueHead, op);
     }
 
-    fn take_head(&mut self, cx: &mut Cx<'_>, answer: PlatformAnswer) {
+    fn take_head(&mut self, cx: &mut Cx<'_>, answer: &PlatformAnswer) {
         self.head_read = None;
-        let PlatformReply::Got(found) = answer.reply else {
+        let PlatformReply::Got(found) = &answer.reply else {
             self.next_read = cx.now + READ_PAUSE;
-            self.writer.head_failed(cx);
+            if answer.reply == PlatformReply::Unavailable {
+                self.writer.head_refused(cx, answer.asked);
+            }
             self.ask_peers(cx);
             return;
         };
@@ -308,23 +285,19 @@
             .proof
             .take_if(|proof| proof.revision <= self.state.revision)
         {
-            self.fresh_until = self.fresh_until.max(proof.asked + self.standing);
+            self.fresh_until = self
+                .fresh_until
+                .max(proof.asked + cx.own.map.terms.standing);
             if self.unsure_since.is_some_and(|since| proof.asked >= since) {
                 self.unsure_since = None;
             }
         }
         self.writer.head_reached();
-        self.announce(cx);
+        self.adopted_if_newer(cx);
         self.write_on(cx);
     }
 
-    fn take_push(
-        &mut self,
-        cx: &mut Cx<'_>,
-        from: &InstanceId,
-        revision: Revision,
-        change: ChangeRequest,
-    ) {
+    fn take_push(&mut self, cx: &mut Cx<'_>, revision: Revision, change: ChangeRequest) {
         if revision > self.state.revision {
             self.pushed.insert(revision, change);
             self.wanted = self.wanted.max(revision);
@@ -333,10 +306,6 @@
             self.apply_pushed();
         }
         self.adopted_if_newer(cx);
-        let have = CatalogueMessage::Have {
-            revision: self.state.revision,
-        };
-        send(cx, from, have);
         self.read_if_due(cx);
     }
 
@@ -385,38 +354,15 @@
         }
     }
 
-    fn take_have(&mut self, cx: &mut Cx<'_>, from: &InstanceId, revision: Revision) {
-        let known = self.have.entry(from.clone()).or_default();
-        *known = (*known).max(revision);
-        self.wanted = self.wanted.max(revision);
-        self.write_on(cx);
-    }
-
-    fn announce(&mut self, cx: &mut Cx<'_>) {
-        if !self.adopted_if_newer(cx) {
-            return;
-        }
-        for id in peers(cx) {
-            send(
-                cx,
-                &id,
-                CatalogueMessage::Have {
-                    revision: self.state.revision,
-                },
-            );
-        }
-    }
-
-    fn adopted_if_newer(&mut self, cx: &mut Cx<'_>) -> bool {
+    fn adopted_if_newer(&mut self, cx: &mut Cx<'_>) {
         if self.announced == self.state.revision {
-            return false;
+            return;
         }
         self.announced = self.state.revision;
         self.adopted = cx.now;
         cx.out.push(Action::Notice(Notice::CatalogueAdopted(
             self.state.revision,
         )));
-        true
     }
 
     fn write_on(&mut self, cx: &mut Cx<'_>) {
@@ -426,7 +372,7 @@
         }
         let step = self.writer.step(cx, &self.head, &self.state);
         self.carry_out_write(cx, step);
-        self.writer.settle(cx, &self.have, self.standing);
+        self.writer.settle(cx, self.held);
     }
 
     fn carry_out_write(&mut self, cx: &mut Cx<'_>, step: WriterStep) {
@@ -438,8 +384,16 @@
                 self.writer.asked(id);
             }
             WriterStep::Committed { head, request } => {
-                self.head = head;
-                self.committed(cx, &request);
+                let revision = head.head.revision;
+                // Guards against a change that is applied twice: a read of the head may overtake the
+                // write's own answer, and then the entries hold the change already. Their revision
+                // would run ahead of the head's, and no later change could follow it.
+                if revision > self.head.head.revision {
+                    self.head = head;
+                }
+                if revision == self.state.revision.next() {
+                    self.committed(cx, &request);
+                }
             }
         }
     }
--- a/crates/core/tests/support/journal_fleet.rs
+++ b/crates/core/tests/support/journal_fleet.rs
@@ -7,27 +7,15 @@
 };
 use bluebellstage_core::{
     Action, Cx, IdempotencyKey, InstanceId, MemberRef, Notice, PeerMessage, PlatformAnswer, Ran,
-    Refusal, RequestId, StoredAnswer, Time, Tuning, WorkspaceId,
+    Refusal, RequestId, Time, Tuning, WorkspaceId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::journal_platform::Platform;
+use super::journal_service::{Asked, Call, Service, answer};
 use super::rates_membership::{Script, Seat, adopted, instance};
 
-/// What the fake service does with a call that reaches it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Service {
-    /// Runs it and answers.
-    Answers,
-    /// Can't be connected to.
-    Refuses,
-    /// Runs it and dies before it answers.
-    Dies,
-    /// Dies before it runs it; the sender can't tell.
-    DiesIdle,
-}
-
 struct Node {
     journal: Journal,
     seat: Seat,
@@ -54,16 +42,6 @@
     outcome: CallOutcome,
 }
 
-/// A request as the caller sees it.
-#[derive(Clone, Debug)]
-pub struct Asked {
-    pub ask: JournalAsk,
-    pub life: MemberRef,
-    pub step: Option<JournalStep>,
-    pub at: u64,
-    pub decided_at: Option<u64>,
-}
-
 /// Instances by name, the platform, the service, and what each call came to.
 pub struct Fleet {
     cfg: Tuning,
@@ -76,6 +54,8 @@
     running: Vec<Running>,
     pub platform: Platform<MemberRef>,
     pub service: Service,
+    pub service_ms: u64,
+    pub answer_bytes: usize,
     pub lost_percent: u32,
     pub doubled_percent: u32,
     pub longest_delay_ms: u64,
@@ -95,15 +75,6 @@
     IdempotencyKey::try_from(name).expect("legal name")
 }
 
-/// The service's answer to a request.
-pub fn answer(request: RequestId) -> StoredAnswer {
-    StoredAnswer {
-        status: 200,
-        content_type: "text/plain".into(),
-        body: Some(format!("ran as {request}").into()),
-    }
-}
-
 impl Fleet {
     pub fn new(count: usize, seed: u64, cfg: Tuning) -> Self {
         let now = 1_000_000;
@@ -118,6 +89,8 @@
             running: Vec::new(),
             platform: Platform::new(),
             service: Service::Answers,
+            service_ms: 200,
+            answer_bytes: 20,
             lost_percent: 0,
             doubled_percent: 0,
             longest_delay_ms: 2,
@@ -171,6 +144,7 @@
             step: None,
             at: now,
             decided_at: None,
+            has_ended: false,
         };
         self.asked.insert(request, asked);
         let decisions = self.step(id, |journal, cx| journal.ask(cx, ask));
@@ -189,15 +163,13 @@
 
     pub fn freeze(&mut self, id: &InstanceId, millis: u64) {
         if let Some(node) = self.nodes.get_mut(id) {
-            let until = self.now + millis * 1_000;
-            node.seat.stopped_until = node.seat.stopped_until.max(until);
+            node.seat.stop(self.now, millis, &mut self.rng);
         }
     }
 
     pub fn cut(&mut self, id: &InstanceId, millis: u64) {
         if let Some(node) = self.nodes.get_mut(id) {
-            let until = self.now + millis * 1_000;
-            node.seat.cut_until = node.seat.cut_until.max(until);
+            node.seat.cut(self.now, millis);
         }
     }
 
@@ -242,18 +214,19 @@
         self.script.map.members.len()
     }
 
-    pub fn is_member(&self, id: &InstanceId) -> bool {
-        self.script.map.member(id).is_some()
-    }
-
     pub fn journal(&self, id: &InstanceId) -> &Journal {
         &self.nodes.get(id).expect("a running instance").journal
     }
 
     /// Lets time pass, in steps of 5 ms.
     pub fn run(&mut self, millis: u64) {
-        for _ in 0..millis.div_ceil(5) {
-            self.now += 5_000;
+        self.run_by(millis, 5);
+    }
+
+    /// Lets time pass in longer steps.
+    pub fn run_by(&mut self, millis: u64, step: u64) {
+        for _ in 0..millis.div_ceil(step) {
+            self.now += step * 1_000;
             let adopted = adopted(&self.script, self.nodes.values().map(|node| &node.seat));
             for node in self.nodes.values_mut() {
                 node.seat.follow(self.now, &self.script, &adopted);
@@ -343,7 +316,7 @@
             } else {
                 CallOutcome::NotRun
             };
-            let at = now + self.rng.random_range(0..200_000);
+            let at = now + self.rng.random_range(0..self.service_ms * 1_000);
             self.running.push(Running {
                 at,
                 life: dispatch.life,
@@ -356,14 +329,10 @@
     fn serve(&mut self, request: RequestId) -> CallOutcome {
         let ask = &self.asked[&request].ask;
         let call = (ask.workspace.clone(), ask.key.clone());
-        if matches!(self.service, Service::Answers | Service::Dies) {
+        if self.service.runs() {
             self.runs.entry(call).or_default().push(request);
         }
-        match self.service {
-            Service::Answers => CallOutcome::Answered(answer(request)),
-            Service::Refuses => CallOutcome::NotRun,
-            Service::Dies | Service::DiesIdle => CallOutcome::Unknown,
-        }
+        self.service.outcome(request, self.answer_bytes)
     }
 
     fn end_calls(&mut self) {
@@ -380,6 +349,7 @@
                 continue;
             }
             let request = running.request;
+            self.asked.get_mut(&request).expect("asked").has_ended = true;
             self.step(&running.life.id, |journal, cx| {
                 journal.finished(cx, request, running.outcome);
             });
@@ -484,14 +454,43 @@
                     let call = (asked.ask.workspace.clone(), asked.ask.key.clone());
                     let first = self.runs.get(&call).and_then(|runs| runs.first());
                     let first = *first.expect("only what ran is replayed");
-                    assert_eq!(*replayed, answer(first), "{request} got another answer");
+                    let kept = answer(first, self.answer_bytes);
+                    assert_eq!(*replayed, kept, "{request} got another answer");
                 }
                 _ => {}
             }
         }
     }
 
+    /// Every caller whose instance still runs has its answer.
+    pub fn check_all_decided(&self) {
+        for (request, asked) in &self.asked {
+            let lives = self
+                .nodes
+                .get(&asked.life.id)
+                .is_some_and(|node| node.seat.own.me == asked.life);
+            assert!(
+                asked.step.is_some() || !lives,
+                "{request} was never answered"
+            );
+        }
+    }
+
     pub fn step_of(&self, request: RequestId) -> Option<&JournalStep> {
         self.asked[&request].step.as_ref()
     }
+
+    /// What became of each call so far, over all its repeats.
+    pub fn calls(&self) -> BTreeMap<IdempotencyKey, Call> {
+        let mut calls: BTreeMap<IdempotencyKey, Call> = BTreeMap::new();
+        for asked in self.asked.values() {
+            let lives = self
+                .nodes
+                .get(&asked.life.id)
+                .is_some_and(|node| node.seat.own.me == asked.life);
+            let call = calls.entry(asked.ask.key.clone()).or_default();
+            call.take(asked, lives);
+        }
+        calls
+    }
 }
--- a/crates/core/tests/support/rates_membership.rs
+++ b/crates/core/tests/support/rates_membership.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bluebellstage_core::{
-    Adoption, Grouping, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership,
-    PastMap, Revision, Time, Tuning,
+    Adoption, Incarnation, InstanceId, Map, Member, MemberRef, MemberState, Ownership, PastMap,
+    Revision, Terms, Time, Tuning,
 };
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -42,8 +42,8 @@
 /// One instance's place in it: what it knows, its clock, and what is wrong with it.
 pub struct Seat {
     pub own: Ownership,
-    pub stopped_until: u64,
-    pub cut_until: u64,
+    stopped_until: u64,
+    cut_until: u64,
     offset: u64,
     ppm: u64,
     adopts_at: u64,
@@ -55,7 +55,7 @@
         Self {
             map: Map {
                 revision: Revision(1),
-                grouping: Grouping::Pool,
+                terms: Terms::from(cfg),
                 members: (0..count)
                     .map(|number| member(instance(number), 1))
                     .collect(),
@@ -85,11 +85,11 @@
         });
     }
 
-    /// A member's planned stop begins.
-    pub fn leave(&mut self, now: u64, id: &InstanceId) {
+    /// A member's state changes: it is ready, or its planned stop begins.
+    pub fn set_state(&mut self, now: u64, id: &InstanceId, state: MemberState) {
         self.change(now, |map| {
             for member in map.members.iter_mut().filter(|member| member.id == *id) {
-                member.state = MemberState::Leaving;
+                member.state = state;
             }
         });
     }
@@ -132,9 +132,22 @@
         }
     }
 
+    /// Does nothing for so long, then goes on where it stood and learns of a new map a little later.
+    pub fn stop(&mut self, now: u64, millis: u64, rng: &mut ChaCha8Rng) {
+        self.stopped_until = self.stopped_until.max(now + millis * 1_000);
+        let thaws = self.stopped_until;
+        self.will_adopt(thaws, rng);
+    }
+
+    /// Reaches nobody for so long.
+    pub fn cut(&mut self, now: u64, millis: u64) {
+        self.cut_until = self.cut_until.max(now + millis * 1_000);
+    }
+
     /// Learns of a changed map some time soon.
     pub fn will_adopt(&mut self, now: u64, rng: &mut ChaCha8Rng) {
-        self.adopts_at = now + rng.random_range(0..ADOPTION_MS) * 1_000;
+        let soon = now.max(self.stopped_until) + rng.random_range(0..ADOPTION_MS) * 1_000;
+        self.adopts_at = self.adopts_at.max(soon);
     }
 
     /// Reads the map, unless it is stopped or cut off; `adopted` has the lives that have it.
@@ -148,7 +161,12 @@
             self.own.adopted = BTreeSet::from([adoption(&self.own)]);
             self.own.past_retired_at = Some(local + script.retirement());
         }
-        if self.own.map.revision == script.map.revision {
+        // What is known to be retired leaves the history, as membership does it.
+        if self.own.past_retired_at.is_some_and(|at| local >= at) {
+            self.own.map.history.clear();
+        }
+        // Right after a stop its old map may be all it has, and no proof of standing is fresh.
+        if self.own.map.revision == script.map.revision && now >= self.adopts_at {
             self.own.adopted.extend(adopted.iter().cloned());
             self.own.standing_until = local + script.standing;
         }
--- a/crates/daemon/src/process/log_event.rs
+++ b/crates/daemon/src/process/log_event.rs
@@ -2,6 +2,9 @@
 
 use log::Level;
 
+/// Where events go; nothing else of this process or its libraries logs there.
+pub(crate) const LOG_TARGET: &str = "bluebellstage::event";
+
 macro_rules! log_events {
     ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal, [$($field:literal),*];)+) => {
         /// A numbered log event.
@@ -68,6 +71,8 @@
     DomainLost = 1105, Error, "failure domain lost all its instances", ["failure_domain"];
     /// A workspace's share moved.
     ShareMoved = 1106, Debug, "share of a rate moved", ["call"];
+    /// The map's terms hold, not this instance's settings.
+    TermsDiffer = 1107, Warn, "settings differ from the map's terms, which hold", ["standing_ms", "drift_ms"];
 
     /// A newer catalogue is in force.
     CatalogueAdopted = 1201, Info, "catalogue adopted", ["revision"];
@@ -108,7 +113,7 @@
     WrongAdapter = 1506, Error, "engine ran another adapter or version", ["request", "target", "asked"];
 
     /// A request was answered.
-    RequestEnded = 1601, Debug, "request answered", ["request", "workspace", "status", "tokens", "ms"];
+    RequestEnded = 1601, Debug, "request answered", ["request", "tokens", "ms"];
     /// A request was refused.
     RequestRefused = 1602, Debug, "request refused", ["request", "kind", "ran"];
     /// A caller went away.
@@ -130,10 +135,10 @@
 macro_rules! log_event {
     ($event:ident $(, $field:literal = $value:expr)* $(,)?) => {{
         let event = $crate::process::LogEvent::$event;
-        if ::log::log_enabled!(target: "bluebellstage", event.level()) {
+        if ::log::log_enabled!(target: $crate::process::LOG_TARGET, event.level()) {
             ::log::logger().log(
                 &::log::Record::builder()
-                    .target("bluebellstage")
+                    .target($crate::process::LOG_TARGET)
                     .level(event.level())
                     .key_values(&[
                         ("code", ::log::kv::Value::from(event.code())),
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod catalogue;
 mod evidence;
+mod fault;
 mod ledger;
 mod measures;
 mod page;
@@ -13,21 +14,24 @@
 mod report;
 mod scenario;
 mod summary;
+mod tables;
 mod timeline;
+mod trace;
 mod variant;
 
 use std::path::Path;
 
 use eyre::WrapErr;
 
+pub use self::fault::{FaultSpec, TimedFault};
+pub(crate) use self::quantiles::Times;
 pub use self::quantiles::{Point, Quantiles};
 pub use self::report::{
     Batch, Faults, Filings, InstanceLoad, LoadStalls, PlatformLoad, Refusals, Report, Requests,
     Second, VariantReport, WorkReport, WorkspaceReport, WorstServed,
 };
 pub use self::scenario::{
-    DraftSpec, FaultSpec, Group, Instances, Popularity, Scenario, TimedFault, Variant, WorkKind,
-    WorkSpec, Workspace,
+    DraftSpec, Group, Instances, Popularity, Scenario, Variant, WorkKind, WorkSpec, Workspace,
 };
 pub use self::variant::Programs;
 
@@ -52,6 +56,7 @@
         debug_build: cfg!(debug_assertions),
         variants: Vec::new(),
     };
+    let surging = scenario.surging();
     for variant in &scenario.variants {
         let scenario = if variant.without_faults {
             scenario.calm()
@@ -60,9 +65,10 @@
         };
         let run = variant::run(&scenario, variant, seed, programs, dir).await;
         let run = run.wrap_err_with(|| format!("variant `{}` broke off", variant.name))?;
-        report
-            .variants
-            .push(measures::report(&scenario, variant, &run));
+        let trace = dir.join(format!("{}.trace.jsonl", variant.name));
+        trace::write(&scenario, &run, &trace)?;
+        let measured = measures::report(&scenario, variant, &run, &surging);
+        report.variants.push(measured);
         write(&report, dir)?;
     }
     Ok(report)
