--- a/crates/cli/src/commands/state.rs
+++ b/crates/cli/src/commands/state.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write;
 
+use bluebellstage_core::InstanceId;
+use bluebellstage_core::engines::GroupSummary;
 use serde_json::Value;
 
 use crate::admin::Admin;
@@ -70,5 +72,38 @@
             member.id, member.state, member.failure_domain, member.caller_address
         )?;
     }
+    status
+        .groups
+        .iter()
+        .try_for_each(|group| write_group(out, group))
+}
+
+fn write_group(out: &mut String, group: &GroupSummary) -> std::fmt::Result {
+    let home = group.home.as_ref().map_or("nobody", InstanceId::as_str);
+    let Some(schedule) = &group.schedule else {
+        return writeln!(
+            out,
+            "engines    {}  home {home}: ask there for its queue",
+            group.id
+        );
+    };
+    writeln!(
+        out,
+        "engines    {}  home {home}, {} waiting",
+        group.id, schedule.waiting
+    )?;
+    for engine in &schedule.engines {
+        let leaving = if engine.leaving { "  leaving" } else { "" };
+        writeln!(
+            out,
+            "  {}  {} of {} running  {} of {} slots filled, {} loading{leaving}",
+            engine.id,
+            engine.permits,
+            engine.max_batch,
+            engine.resident.len(),
+            engine.slots,
+            engine.loading.len(),
+        )?;
+    }
     Ok(())
 }
--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bluebellstage_core::catalogue::Document;
+use bluebellstage_core::engines::GroupSummary;
 use bluebellstage_core::journal::InDoubt;
 use bluebellstage_core::{
     FailureDomain, HomeKey, InstanceId, KeyId, MemberRef, MemberState, Revision, WorkspaceId,
@@ -36,6 +37,7 @@
     pub(crate) catalogue: CatalogueStatus,
     pub(crate) instances: Vec<InstanceCatalogue>,
     pub(crate) homes: Vec<HomeKey>,
+    pub(crate) groups: Vec<GroupSummary>,
     pub(crate) requests: u64,
     pub(crate) in_doubt: u64,
     pub(crate) stopping: bool,
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -139,6 +139,7 @@
     let bench = BenchBuilder::instances(2).start().await;
     let status = run(&bench, &["status", "--json"]).await;
     assert_eq!(status.json()["map"]["members"].as_array().unwrap().len(), 2);
+    assert!(status.json()["groups"].is_array());
     assert!(run(&bench, &["status"]).await.out.contains("has standing"));
     assert!(run(&bench, &["dump", "--json"]).await.json()["core"].is_object());
     let doubt = run(&bench, &["request", "in-doubt", "--json"]).await;
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -20,6 +20,7 @@
 mod queue;
 mod slot;
 mod store;
+mod summary;
 mod taking;
 mod targets;
 mod tenure;
@@ -33,3 +34,4 @@
     AskNumber, EnginesMessage, Grant, GroupStatus, HeldPermit, LoadWish, PermitRef, QueueAsk,
     Residency,
 };
+pub use self::summary::{EngineSummary, GroupSchedule, GroupSummary};
--- a/crates/core/src/instance/status.rs
+++ b/crates/core/src/instance/status.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use crate::catalogue::CatalogueStatus;
+use crate::engines::GroupSummary;
 use crate::{HomeKey, InstanceId, Map, MemberRef, Revision, Time};
 
 use super::Instance;
@@ -24,6 +25,8 @@
     pub instances: Vec<InstanceCatalogue>,
     /// Workspaces that this instance is home of, and acts for now.
     pub homes: Vec<HomeKey>,
+    /// Groups of engines.
+    pub groups: Vec<GroupSummary>,
     /// Callers' requests under way here.
     pub requests: usize,
     /// Calls in doubt that it knows of as a home.
@@ -59,6 +62,7 @@
             catalogue: self.catalogue.status(now),
             instances: self.catalogues(),
             homes: keys.filter(|key| own.acts(now, key)).collect(),
+            groups: self.engines.groups(own),
             requests: self.flights.len(),
             in_doubt: self.journal.in_doubt().len(),
             stopping: self.stopping.is_some(),
@@ -102,6 +106,8 @@
             "retry_budget": self.budget,
             "stopping": self.stopping,
             "services": self.services,
+            "shares": self.rates.shares(now),
+            "calls_in_doubt": self.journal.in_doubt(),
             "catalogue": {
                 "workspaces": self.catalogue().workspaces().collect::<Vec<_>>(),
                 "services": self.catalogue().services().collect::<Vec<_>>(),
