--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -221,7 +221,9 @@
                 status,
                 residency,
             } => self.entry.told(group, status, residency),
-            EnginesMessage::Wish(wish) => self.at_store(io, |store, io| store.wish(io, from, wish)),
+            EnginesMessage::LoadDemand(demand) => {
+                self.at_store(io, |store, io| store.demand(io, from, demand));
+            }
             EnginesMessage::Loaded {
                 group,
                 permit,
--- a/crates/core/src/engines/loading.rs
+++ b/crates/core/src/engines/loading.rs
@@ -8,9 +8,9 @@
 use super::engine::Engine;
 use super::home::GroupHome;
 use super::io::Io;
-use super::message::LoadWish;
+use super::message::LoadDemand;
 use super::slot::{Slot, SlotState};
-use super::timing::{LOAD_START, WISH_REFRESH};
+use super::timing::{DEMAND_REFRESH, LOAD_START};
 use super::unpermitted::Unpermitted;
 use super::{EnginesMessage, PermitRef};
 
@@ -26,17 +26,17 @@
 /// What a load counts as when workspaces share a group fairly.
 const LOAD_COST: Tokens = Tokens(2_000);
 
-/// Least time between two changed wishes.
-const WISH_INTERVAL: Duration = Duration::from_millis(20);
+/// Least time between two changed demands.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Load permits and wishes of a group.
+/// Load permits and demands of a group.
 #[derive(Debug, Default)]
 pub(super) struct Loading {
     /// Load permits held, with the time before which the load must be ordered.
     pub(super) held: BTreeMap<PermitRef, Time>,
     /// Loads that wait for their slot to be emptied.
     pub(super) planned: BTreeMap<TargetId, (AdapterRef, PermitRef)>,
-    wishes: VecDeque<(u64, Time)>,
+    demands: VecDeque<(u64, Time)>,
     sequence: u64,
     sent: (u32, u32),
     sent_at: Time,
@@ -104,7 +104,7 @@
             }
         }
         self.drain_for(&unserved, now);
-        self.tell_wish(io, counts);
+        self.tell_demand(io, counts);
         self.load_without_permit(io);
     }
 
@@ -305,12 +305,12 @@
         }
     }
 
-    fn tell_wish(&mut self, io: &mut Io<'_, '_>, counts: (u32, u32)) {
+    fn tell_demand(&mut self, io: &mut Io<'_, '_>, counts: (u32, u32)) {
         let now = io.now();
         let loading = &mut self.loading;
         let idle = counts == (0, 0) && loading.held.is_empty();
-        let due = now >= loading.sent_at + WISH_REFRESH && !idle;
-        let changed = counts != loading.sent && now >= loading.sent_at + WISH_INTERVAL;
+        let due = now >= loading.sent_at + DEMAND_REFRESH && !idle;
+        let changed = counts != loading.sent && now >= loading.sent_at + DEMAND_INTERVAL;
         let Some(home) = io.cx.own.home(&HomeKey::WeightStore).cloned() else {
             return;
         };
@@ -320,27 +320,27 @@
         loading.sequence += 1;
         loading.sent = counts;
         loading.sent_at = now;
-        loading.wishes.push_back((loading.sequence, now));
+        loading.demands.push_back((loading.sequence, now));
         while loading
-            .wishes
+            .demands
             .front()
             .is_some_and(|(_, at)| *at + LOAD_START <= now)
         {
-            loading.wishes.pop_front();
+            loading.demands.pop_front();
         }
-        let wish = LoadWish {
+        let demand = LoadDemand {
             group: self.id.clone(),
             sequence: loading.sequence,
             urgent: counts.0,
             batch: counts.1,
             loading: loading.held.keys().copied().collect(),
         };
-        io.send(&home, EnginesMessage::Wish(wish));
+        io.send(&home, EnginesMessage::LoadDemand(demand));
     }
 
     /// A load permit came: used for what is wanted most now, or handed back.
     ///
-    /// One that answers a wish sent longer than `LOAD_START` ago, or that comes from a former home
+    /// One that answers a demand sent longer than `LOAD_START` ago, or that comes from a former home
     /// of the store, is not used: the store's limits would be exceeded by loads that its home no
     /// longer counts.
     pub(super) fn may_load(
@@ -351,10 +351,10 @@
         permit: PermitRef,
     ) {
         let now = io.now();
-        let wished = self.loading.wishes.iter().find(|(it, _)| *it == sequence);
+        let asked_for = self.loading.demands.iter().find(|(it, _)| *it == sequence);
         let current = io.cx.own.home(&HomeKey::WeightStore) == Some(from)
             && permit.revision >= self.loading.newest;
-        let use_before = match wished {
+        let use_before = match asked_for {
             Some((_, at)) if current && now < *at + LOAD_START => *at + LOAD_START,
             _ => return,
         };
--- a/crates/core/src/engines/message.rs
+++ b/crates/core/src/engines/message.rs
@@ -95,10 +95,10 @@
 
 /// What a group's home wants of the weight store; the newest replaces all earlier.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct LoadWish {
+pub struct LoadDemand {
     /// The group.
     pub group: GroupId,
-    /// Rises with each wish of one life.
+    /// Rises with each demand of one life.
     pub sequence: u64,
     /// Loads wanted for requests that someone waits for.
     pub urgent: u32,
@@ -193,12 +193,12 @@
         residency: Residency,
     },
     /// What a group wants of the weight store.
-    Wish(LoadWish),
+    LoadDemand(LoadDemand),
     /// A permit to load one adapter.
     MayLoad {
         /// For which group.
         group: GroupId,
-        /// The wish that it answers.
+        /// The demand that it answers.
         sequence: u64,
         /// The load permit's name.
         permit: PermitRef,
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -31,7 +31,7 @@
 pub use self::ask::{Permit, PermitAsk, PermitDecision, PermitEnd};
 pub use self::core::Engines;
 pub use self::message::{
-    AskNumber, EnginesMessage, Grant, GroupStatus, HeldPermit, LoadWish, PermitRef, QueueAsk,
+    AskNumber, EnginesMessage, Grant, GroupStatus, HeldPermit, LoadDemand, PermitRef, QueueAsk,
     Residency,
 };
 pub use self::summary::{EngineSummary, GroupSchedule, GroupSummary};
--- a/crates/core/src/engines/store.rs
+++ b/crates/core/src/engines/store.rs
@@ -6,15 +6,15 @@
 use crate::{GroupId, HomeKey, InstanceId, Ownership, Revision, Time};
 
 use super::io::Io;
-use super::message::LoadWish;
+use super::message::LoadDemand;
 use super::tenure::was_home_throughout;
-use super::timing::{LOAD_START, WISH_EXPIRY};
+use super::timing::{DEMAND_EXPIRY, LOAD_START};
 use super::{EnginesMessage, PermitRef};
 
 /// The span in which at most `store_loads_per_second` loads are permitted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// The newest wish of a group.
+/// The newest demand of a group.
 #[derive(Debug)]
 struct Wanted {
     from: InstanceId,
@@ -34,7 +34,7 @@
 pub(super) struct StoreHome {
     revision: Revision,
     began: Option<Time>,
-    wishes: BTreeMap<GroupId, Wanted>,
+    demands: BTreeMap<GroupId, Wanted>,
     in_flight: BTreeMap<(GroupId, PermitRef), Time>,
     permitted: VecDeque<(PermitRef, Time)>,
     next_permit: u64,
@@ -46,7 +46,7 @@
         Self {
             revision,
             began: None,
-            wishes: BTreeMap::new(),
+            demands: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             permitted: VecDeque::new(),
             next_permit: 0,
@@ -60,25 +60,25 @@
         was_home_throughout(own, &HomeKey::WeightStore, since)
     }
 
-    pub(super) fn wish(&mut self, io: &Io<'_, '_>, from: &InstanceId, wish: LoadWish) {
+    pub(super) fn demand(&mut self, io: &Io<'_, '_>, from: &InstanceId, demand: LoadDemand) {
         let now = io.now();
-        let served = match self.wishes.get(&wish.group) {
-            Some(known) if known.from == *from && known.sequence > wish.sequence => return,
+        let served = match self.demands.get(&demand.group) {
+            Some(known) if known.from == *from && known.sequence > demand.sequence => return,
             Some(known) => known.served,
             None => 0,
         };
-        for permit in wish.loading {
-            self.in_flight.insert((wish.group.clone(), permit), now);
+        for permit in demand.loading {
+            self.in_flight.insert((demand.group.clone(), permit), now);
         }
         let wanted = Wanted {
             from: from.clone(),
-            sequence: wish.sequence,
-            urgent: wish.urgent,
-            batch: wish.batch,
+            sequence: demand.sequence,
+            urgent: demand.urgent,
+            batch: demand.batch,
             heard: now,
             served,
         };
-        self.wishes.insert(wish.group, wanted);
+        self.demands.insert(demand.group, wanted);
     }
 
     /// A load ended; one that was handed back unused leaves its part of the rate to others.
@@ -96,9 +96,10 @@
             return;
         }
         let began = *self.began.get_or_insert(now);
-        self.wishes
-            .retain(|_, wanted| now < wanted.heard + WISH_EXPIRY);
-        self.in_flight.retain(|_, heard| now < *heard + WISH_EXPIRY);
+        self.demands
+            .retain(|_, wanted| now < wanted.heard + DEMAND_EXPIRY);
+        self.in_flight
+            .retain(|_, heard| now < *heard + DEMAND_EXPIRY);
         if now < began + LOAD_START {
             return;
         }
@@ -124,9 +125,9 @@
         self.permitted.len() < rate && self.in_flight.len() < in_flight
     }
 
-    /// Urgent wishes first, then the group served least recently.
+    /// Urgent demands first, then the group served least recently.
     fn next_group(&self) -> Option<GroupId> {
-        self.wishes
+        self.demands
             .iter()
             .filter(|(_, wanted)| wanted.urgent + wanted.batch > 0)
             .min_by_key(|(_, wanted)| (wanted.urgent == 0, wanted.served))
@@ -143,7 +144,7 @@
         self.next_permit += 1;
         self.permitted.push_back((permit, now));
         self.in_flight.insert((group.clone(), permit), now);
-        let Some(wanted) = self.wishes.get_mut(&group) else {
+        let Some(wanted) = self.demands.get_mut(&group) else {
             return;
         };
         wanted.served = self.served;
--- a/crates/core/src/engines/timing.rs
+++ b/crates/core/src/engines/timing.rs
@@ -23,14 +23,14 @@
 /// Assumed bound on how old an engine's report is when it is given.
 pub(super) const REPORT_LAG: Duration = Duration::from_secs(1);
 
-/// A load permit must be used within this, counted from the wish it answers.
+/// A load permit must be used within this, counted from the demand it answers.
 pub(super) const LOAD_START: Duration = Duration::from_secs(1);
 
-/// A group repeats its wish this often while it has one.
-pub(super) const WISH_REFRESH: Duration = Duration::from_millis(400);
+/// A group repeats its demand this often while it has one.
+pub(super) const DEMAND_REFRESH: Duration = Duration::from_millis(400);
 
-/// The weight store's home forgets a wish, or a load in flight, not repeated for this long.
-pub(super) const WISH_EXPIRY: Duration = Duration::from_secs(2);
+/// The weight store's home forgets a demand, or a load in flight, not repeated for this long.
+pub(super) const DEMAND_EXPIRY: Duration = Duration::from_secs(2);
 
 /// A slot is not emptied sooner than this after it was filled: no thrashing.
 pub(super) const MIN_RESIDENCE: Duration = Duration::from_secs(1);
--- a/crates/core/src/membership/change.rs
+++ b/crates/core/src/membership/change.rs
@@ -15,7 +15,7 @@
 
 /// How an instance wants to stand in the map.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Wish {
+pub(super) enum Goal {
     /// Listed, but home of nothing yet.
     Join,
     /// Home of its part.
@@ -31,7 +31,7 @@
 pub(super) fn propose(
     map: &Map,
     me: &Member,
-    wish: Wish,
+    goal: Goal,
     dropped: &BTreeSet<InstanceId>,
 ) -> Option<Map> {
     let mut members: Vec<_> = map
@@ -40,7 +40,7 @@
         .filter(|member| !dropped.contains(&member.id))
         .cloned()
         .collect();
-    place(&mut members, me, wish);
+    place(&mut members, me, goal);
     members.sort_by(|a, b| a.id.cmp(&b.id));
     if members == map.members {
         return None;
@@ -67,12 +67,12 @@
     }
 }
 
-fn place(members: &mut Vec<Member>, me: &Member, wish: Wish) {
+fn place(members: &mut Vec<Member>, me: &Member, goal: Goal) {
     let listed = members
         .iter()
         .find(|member| member.id == me.id && member.incarnation == me.incarnation)
         .map(|member| member.state);
-    let Some(state) = next_state(listed, wish) else {
+    let Some(state) = next_state(listed, goal) else {
         if listed.is_some() {
             members.retain(|member| member.id != me.id);
         }
@@ -86,14 +86,14 @@
 }
 
 /// The state to take next; none for not being listed.
-const fn next_state(listed: Option<MemberState>, wish: Wish) -> Option<MemberState> {
-    match (wish, listed) {
-        (Wish::Join, None) => Some(MemberState::Joining),
-        (Wish::Join, Some(state)) => Some(state),
-        (Wish::Serve, _) => Some(MemberState::Active),
-        (Wish::Leave, Some(_)) | (Wish::Out, Some(MemberState::Joining | MemberState::Active)) => {
+const fn next_state(listed: Option<MemberState>, goal: Goal) -> Option<MemberState> {
+    match (goal, listed) {
+        (Goal::Join, None) => Some(MemberState::Joining),
+        (Goal::Join, Some(state)) => Some(state),
+        (Goal::Serve, _) => Some(MemberState::Active),
+        (Goal::Leave, Some(_)) | (Goal::Out, Some(MemberState::Joining | MemberState::Active)) => {
             Some(MemberState::Leaving)
         }
-        (Wish::Leave, None) | (Wish::Out, None | Some(MemberState::Leaving)) => None,
+        (Goal::Leave, None) | (Goal::Out, None | Some(MemberState::Leaving)) => None,
     }
 }
--- a/crates/core/src/membership/core.rs
+++ b/crates/core/src/membership/core.rs
@@ -8,7 +8,7 @@
     Terms, Time, Tuning, Versioned,
 };
 
-use super::change::{self, Wish};
+use super::change::{self, Goal};
 use super::heartbeats::{Heartbeats, Round};
 use super::peers::{Peer, Peers};
 use super::place::{Others, Place};
@@ -128,7 +128,7 @@
         self.place.drained();
     }
 
-    /// The map no longer lists this life, as it wished.
+    /// The map no longer lists this life, as it meant.
     #[must_use]
     pub fn has_left(&self) -> bool {
         self.place.wants_out() && self.store.is_settled() && !self.ownership.is_member()
@@ -365,9 +365,9 @@
 
     fn change_map(&mut self, now: Time, out: &mut Vec<Action>) {
         let dropped = self.droppable(now);
-        let wish = self.wish_now(now);
+        let goal = self.goal_now(now);
         let map = &self.ownership.map;
-        let next = change::propose(map, &self.me, wish, &dropped).or_else(|| self.tidied());
+        let next = change::propose(map, &self.me, goal, &dropped).or_else(|| self.tidied());
         let Some(next) = next else {
             return;
         };
@@ -401,14 +401,14 @@
             .droppable(now, &own.map, &own.me, &self.peers, gone)
     }
 
-    fn wish_now(&self, now: Time) -> Wish {
+    fn goal_now(&self, now: Time) -> Goal {
         let others = Others {
             peers: &self.peers,
             silence: &self.silence,
             presence: &self.presence,
         };
         let patience = self.cfg.standing * 2;
-        self.place.wish_now(now, &self.ownership, &others, patience)
+        self.place.goal_now(now, &self.ownership, &others, patience)
     }
 
     fn read_map(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/crates/core/src/membership/place.rs
+++ b/crates/core/src/membership/place.rs
@@ -4,7 +4,7 @@
 
 use crate::{Member, MemberState, Ownership, Time};
 
-use super::change::Wish;
+use super::change::Goal;
 use super::peers::Peers;
 use super::presence::Presence;
 use super::rejoin::Rejoin;
@@ -13,7 +13,7 @@
 /// What this life wants, and what became of it so far.
 #[derive(Debug)]
 pub(super) struct Place {
-    wish: Wish,
+    goal: Goal,
     /// The map has listed this life.
     was_listed: bool,
     /// When this life adopted a map that lists it as leaving.
@@ -32,7 +32,7 @@
 impl Place {
     pub(super) const fn new() -> Self {
         Self {
-            wish: Wish::Join,
+            goal: Goal::Join,
             was_listed: false,
             leaving_since: None,
             rejoin: Rejoin::new(),
@@ -40,23 +40,23 @@
     }
 
     pub(super) fn ready(&mut self) {
-        if self.wish == Wish::Join {
-            self.wish = Wish::Serve;
+        if self.goal == Goal::Join {
+            self.goal = Goal::Serve;
         }
     }
 
     pub(super) fn stop(&mut self) {
-        if self.wish != Wish::Out {
-            self.wish = Wish::Leave;
+        if self.goal != Goal::Out {
+            self.goal = Goal::Leave;
         }
     }
 
     pub(super) const fn drained(&mut self) {
-        self.wish = Wish::Out;
+        self.goal = Goal::Out;
     }
 
     pub(super) fn wants_out(&self) -> bool {
-        self.wish == Wish::Out
+        self.goal == Goal::Out
     }
 
     /// Takes note of a map that has just been adopted.
@@ -70,21 +70,21 @@
         }
     }
 
-    /// The wish that this life may pursue now; `patience` bounds the wait for a farewell's echo.
-    pub(super) fn wish_now(
+    /// The goal that this life may pursue now; `patience` bounds the wait for a farewell's echo.
+    pub(super) fn goal_now(
         &self,
         now: Time,
         own: &Ownership,
         others: &Others<'_>,
         patience: Duration,
-    ) -> Wish {
+    ) -> Goal {
         let may_join =
             || own.is_member() || (!self.is_superseded(own, others) && self.rejoin.may_join(now));
         let must_stay = || own.is_member() && !self.has_said_farewell(now, own, others, patience);
-        match self.wish {
-            Wish::Join | Wish::Serve if !may_join() => Wish::Out,
-            Wish::Out if must_stay() => Wish::Leave,
-            wish => wish,
+        match self.goal {
+            Goal::Join | Goal::Serve if !may_join() => Goal::Out,
+            Goal::Out if must_stay() => Goal::Leave,
+            goal => goal,
         }
     }
 
--- a/crates/core/tests/engines_guards.rs
+++ b/crates/core/tests/engines_guards.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use bluebellstage_core::engines::{EnginesMessage, HeldPermit, LoadWish, PermitEnd};
+use bluebellstage_core::engines::{EnginesMessage, HeldPermit, LoadDemand, PermitEnd};
 use bluebellstage_core::{EngineReport, OrderOutcome, RequestId, Revision, TargetOrderKind, Time};
 
 use support::fleet::{EngineSpec, adapter, ask};
@@ -302,19 +302,19 @@
     assert!(lone.grants().is_empty());
 }
 
-/// The load permits that the store's home gives within `millis` to group `g` of `b`, whose wish is
+/// The load permits that the store's home gives within `millis` to group `g` of `b`, whose demand is
 /// repeated.
 fn permitted(lone: &mut Lone, millis: u64) -> usize {
     let before = lone.sent.len();
     for round in 0..millis / 50 {
-        let wish = LoadWish {
+        let demand = LoadDemand {
             group: group(),
             sequence: round + 1,
             urgent: 20,
             batch: 0,
             loading: Vec::new(),
         };
-        lone.hear("b", EnginesMessage::Wish(wish));
+        lone.hear("b", EnginesMessage::LoadDemand(demand));
         lone.pass(50);
     }
     let given = |message: &EnginesMessage| matches!(message, EnginesMessage::MayLoad { .. });
@@ -338,14 +338,14 @@
 fn the_stores_home_counts_loads_in_flight() {
     let mut lone = Lone::home(&CHECKS);
     lone.pass(1_100);
-    let wish = LoadWish {
+    let demand = LoadDemand {
         group: group(),
         sequence: 1,
         urgent: 5,
         batch: 0,
         loading: (0..8).map(|number| permit(4, number)).collect(),
     };
-    lone.hear("b", EnginesMessage::Wish(wish));
+    lone.hear("b", EnginesMessage::LoadDemand(demand));
     lone.pass(1_000);
     let given = |message: &EnginesMessage| matches!(message, EnginesMessage::MayLoad { .. });
     assert!(
@@ -375,12 +375,12 @@
         lone.asked("c", 1, ask(1));
         lone.asked("c", 2, ask(2));
         lone.pass(50);
-        let wished = lone
+        let asked_for = lone
             .sent
             .iter()
             .rev()
             .find_map(|(_, message)| match message {
-                EnginesMessage::Wish(wish) => Some(wish.sequence),
+                EnginesMessage::LoadDemand(demand) => Some(demand.sequence),
                 _ => None,
             });
         if late {
@@ -388,7 +388,7 @@
         }
         let may = EnginesMessage::MayLoad {
             group: group(),
-            sequence: wished.expect("a wish"),
+            sequence: asked_for.expect("a demand"),
             permit: permit(5, 1),
         };
         lone.hear(store.as_str(), may.clone());
