Look at a server's error before it is dropped

Cause: the demo ended with a panic in a worker: Rocket panics when an error is dropped whose kind nobody looked at, and a connection that is open past a shutdown's mercy is such an error. The log line that would have shown it was off, and so did not look. Ruled out: the daemon's ports, whose error is looked at on one path and now on all. A stand-in's stop hands a panic of its server on. Before: demo_passes_all_its_steps failed with that hand-on alone; after: it passes, and the demo ends cleanly.

--- a/crates/daemon/src/connection/port.rs
+++ b/crates/daemon/src/connection/port.rs
@@ -22,7 +22,7 @@
 pub(crate) struct Port {
     address: SocketAddr,
     shutdown: rocket::Shutdown,
-    task: JoinHandle<Result<(), Box<rocket::Error>>>,
+    task: JoinHandle<Result<(), Box<str>>>,
 }
 
 /// A port that can't be opened.
@@ -104,7 +104,7 @@
         });
         let task = tokio::spawn(async move {
             let launched = rocket.attach(liftoff).launch().await;
-            launched.map(drop).map_err(Box::new)
+            launched.map(drop).map_err(|error| text_of(&error))
         });
         match rx.await {
             Ok((address, shutdown)) => Ok(Self {
@@ -135,15 +135,19 @@
     }
 }
 
-async fn failure(task: JoinHandle<Result<(), Box<rocket::Error>>>) -> Box<str> {
+async fn failure(task: JoinHandle<Result<(), Box<str>>>) -> Box<str> {
     match task.await {
         Ok(Ok(())) => "ended at once".into(),
-        Ok(Err(error)) => {
-            let text = error.to_string();
-            // Rocket panics when an error that was not looked at is dropped.
-            let _looked_at = error.kind();
-            text.into()
-        }
+        Ok(Err(text)) => text,
         Err(_) => "panicked".into(),
     }
 }
+
+/// The text of an error, which counts as looked at from then on.
+///
+/// Guards against a panic in a worker: Rocket panics when an error is dropped that nobody looked
+/// at, and connections that are open past a shutdown's mercy are such an error.
+fn text_of(error: &rocket::Error) -> Box<str> {
+    let _looked_at = error.kind();
+    error.to_string().into()
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -68,7 +68,9 @@
         let task = tokio::spawn(async move {
             if let Err(err) = rocket.launch().await {
                 // Streams that were open when it was told to stop count as a failed shutdown.
-                log::debug!("the stand-in ended: {err}");
+                // Rocket panics when such an error is dropped and nobody looked at its kind.
+                let kind = err.kind().to_string();
+                log::debug!("the stand-in ended: {kind}");
             }
         });
         let port = rx
@@ -84,6 +86,12 @@
     /// Stops to listen and closes what is open.
     pub async fn stop(self) {
         self.shutdown.notify();
-        drop(tokio::time::timeout(STOP_LIMIT, self.task).await);
+        let ended = tokio::time::timeout(STOP_LIMIT, self.task).await;
+        // A panic in the server's task would otherwise only show on standard error.
+        if let Ok(Err(failure)) = ended
+            && failure.is_panic()
+        {
+            std::panic::resume_unwind(failure.into_panic());
+        }
     }
 }
