--- /dev/null
+++ b/crates/gateway/src/decide/lease.rs
@@ -0,0 +1,238 @@
+//! The right to order loads on a shard of the engines: one instance at a time.
+//!
+//! The store's conditional writes arbitrate. A holder renews its lease object and acts only while
+//! the last renewal, counted from when it was sent, is younger than [`LEASE`]. Another instance
+//! takes over only after the object stood unchanged for longer than that; its conditional write
+//! makes the former holder's next renewal fail. Both sides measure with a clock that goes on in
+//! suspension.
+
+use std::time::Duration;
+
+use bluebellstage_core::{InstanceId, Revision, Time};
+use serde::{Deserialize, Serialize};
+
+/// Number of shards: as many instances at most order loads at once, and so much of the fleet waits
+/// when one of them dies.
+pub const SHARDS: u8 = 4;
+/// How long a renewal holds. Longer than most outages of the store, in which nobody could take
+/// over; shorter means a quicker takeover.
+pub const LEASE: Duration = Duration::from_millis(4_000);
+/// Pause between renewals.
+pub const RENEW_EVERY: Duration = Duration::from_millis(1_300);
+/// How much longer than [`LEASE`] a taker watches: covers clocks that run apart and the time that
+/// an order is on its way.
+const TAKE_MARGIN: Duration = Duration::from_millis(200);
+/// Pause between looks at a lease that somebody else holds.
+const LOOK_EVERY: Duration = Duration::from_millis(1_000);
+
+/// The lease object's content.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct LeaseRecord {
+    /// Who holds it; engines know the holder by this name.
+    pub holder: InstanceId,
+    /// Grows with each new holder, so that targets and peers can tell a later one.
+    pub fencing: u64,
+    /// Grows with each renewal, so that each one changes the object.
+    pub renewal: u64,
+    /// The holder gave it up.
+    pub released: bool,
+}
+
+/// What to do next about one shard's lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LeaseStep {
+    /// Nothing before this time.
+    Sleep(Time),
+    /// Read the lease object.
+    Read,
+    /// Write this record, at this revision; none: create it.
+    Write(LeaseRecord, Option<Revision>),
+}
+
+/// One shard's lease as seen by this instance.
+#[derive(Debug)]
+pub struct ShardLease {
+    me: InstanceId,
+    handover: Duration,
+    state: State,
+    quiet_until: Time,
+    next: Time,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    /// The object is unknown.
+    Unread,
+    /// Somebody's record, unchanged since the time.
+    Seen {
+        record: Option<LeaseRecord>,
+        revision: Option<Revision>,
+        since: Time,
+    },
+    /// Ours, renewed by a call that was sent at the time.
+    Held {
+        record: LeaseRecord,
+        revision: Revision,
+        renewed: Time,
+    },
+}
+
+impl ShardLease {
+    /// A lease that is unknown yet. Two holders leave `handover` between their orders.
+    #[must_use]
+    pub fn new(me: InstanceId, handover: Duration) -> Self {
+        Self {
+            me,
+            handover,
+            state: State::Unread,
+            quiet_until: Time::default(),
+            next: Time::default(),
+        }
+    }
+
+    /// The fencing number to order with, while this instance may.
+    #[must_use]
+    pub fn may_order(&self, now: Time) -> Option<u64> {
+        match &self.state {
+            State::Held {
+                record, renewed, ..
+            } if now.since(*renewed) < LEASE && now >= self.quiet_until => Some(record.fencing),
+            _ => None,
+        }
+    }
+
+    /// The lease is held, though orders may have to wait for the handover to pass.
+    #[must_use]
+    pub fn holds(&self, now: Time) -> bool {
+        matches!(&self.state, State::Held { renewed, .. } if now.since(*renewed) < LEASE)
+    }
+
+    /// What to do next. `wanted`: this instance is the one that should hold the lease.
+    #[must_use]
+    pub fn step(&self, wanted: bool, now: Time) -> LeaseStep {
+        if now < self.next {
+            return LeaseStep::Sleep(self.next);
+        }
+        match &self.state {
+            State::Held {
+                record,
+                revision,
+                renewed,
+            } => {
+                let due = *renewed + RENEW_EVERY;
+                if now < due {
+                    return LeaseStep::Sleep(due);
+                }
+                LeaseStep::Write(renewed_record(record), Some(*revision))
+            }
+            _ if !wanted => LeaseStep::Sleep(now + LOOK_EVERY),
+            State::Unread => LeaseStep::Read,
+            State::Seen {
+                record,
+                revision,
+                since,
+            } => self.claim(record.as_ref(), *revision, *since, now),
+        }
+    }
+
+    fn claim(
+        &self,
+        record: Option<&LeaseRecord>,
+        revision: Option<Revision>,
+        since: Time,
+        now: Time,
+    ) -> LeaseStep {
+        let free = record.is_none_or(|record| record.released || record.holder == self.me);
+        let expires = since + LEASE + TAKE_MARGIN;
+        if !free && now < expires {
+            return LeaseStep::Read;
+        }
+        let fencing = record.map_or(1, |record| record.fencing + 1);
+        let claim = LeaseRecord {
+            holder: self.me.clone(),
+            fencing,
+            renewal: 1,
+            released: false,
+        };
+        LeaseStep::Write(claim, revision)
+    }
+
+    /// The object was read; none: there is none.
+    pub fn read(&mut self, found: Option<(LeaseRecord, Revision)>, now: Time) {
+        let (record, revision) = match found {
+            Some((record, revision)) => (Some(record), Some(revision)),
+            None => (None, None),
+        };
+        let unchanged = match &self.state {
+            State::Seen {
+                revision: before,
+                since,
+                ..
+            } if *before == revision => Some(*since),
+            _ => None,
+        };
+        self.state = State::Seen {
+            record,
+            revision,
+            since: unchanged.unwrap_or(now),
+        };
+        let free = matches!(&self.state, State::Seen { record, .. }
+            if record.as_ref().is_none_or(|record| record.released || record.holder == self.me));
+        self.next = if free { now } else { now + LOOK_EVERY };
+    }
+
+    /// A write that was sent at `sent` took effect at `revision`.
+    pub fn wrote(&mut self, record: LeaseRecord, revision: Revision, sent: Time, now: Time) {
+        let before = match &self.state {
+            State::Seen { record, .. } => record.clone(),
+            State::Held { record, .. } => Some(record.clone()),
+            State::Unread => None,
+        };
+        if before.is_some_and(|before| before.holder != self.me) {
+            self.quiet_until = now + self.handover;
+        }
+        self.state = State::Held {
+            record,
+            revision,
+            renewed: sent,
+        };
+        self.next = now;
+    }
+
+    /// A write conflicted with another one, or nobody knows whether it took effect.
+    pub fn write_failed(&mut self, conflict: bool, now: Time) {
+        let still_held = self.holds(now) && !conflict;
+        if !still_held {
+            self.state = State::Unread;
+        }
+        self.next = now + Duration::from_millis(if conflict { 100 } else { 300 });
+    }
+
+    /// The record that gives the lease up, if it is held.
+    #[must_use]
+    pub fn release(&self, now: Time) -> Option<(LeaseRecord, Revision)> {
+        let State::Held {
+            record, revision, ..
+        } = &self.state
+        else {
+            return None;
+        };
+        let released = LeaseRecord {
+            released: true,
+            ..renewed_record(record)
+        };
+        self.holds(now).then_some((released, *revision))
+    }
+
+    /// The lease was given up, or is about to be: nothing is ordered any more.
+    pub fn forget(&mut self) {
+        self.state = State::Unread;
+    }
+}
+
+fn renewed_record(record: &LeaseRecord) -> LeaseRecord {
+    LeaseRecord {
+        renewal: record.renewal + 1,
+        ..record.clone()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/loader.rs
@@ -0,0 +1,371 @@
+//! Orders loads and unloads on one engine, for whoever holds the lease of its shard.
+//!
+//! An engine counts the orders that it accepted, and each order names the count that it expects.
+//! So of two orders that were sent for the same count only one is carried out, however late; an
+//! order without an answer can't break the account of slots.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bluebellstage_core::{AdapterVersion, BaseModel, Time};
+
+use super::adapter::{AdapterAt, AdapterKey};
+
+/// Adapters that an engine takes in at the same time.
+pub const MAX_COMING: usize = 4;
+/// Time until an adapter from the weight store can be used, as the engines state it; a little is
+/// added for the way there.
+const LOAD_FROM_STORE: Duration = Duration::from_millis(252);
+/// The same where the engine held it lately: a tenth of it.
+const LOAD_FROM_HOST: Duration = Duration::from_millis(27);
+/// Pause after a refusal before the engine's report is read: reports lag a tenth of a second.
+const REPORT_LAG: Duration = Duration::from_millis(130);
+/// Adapters used within this span aren't evicted while others are idle longer; most streams end
+/// within it.
+const BUSY_SPAN: Duration = Duration::from_millis(2_500);
+/// Pause before another try when nothing can be evicted.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Age at which a wish that nobody repeated is dropped.
+const WISH_LASTS: Duration = Duration::from_millis(1_500);
+/// Adapters that engines keep copies of in host memory; a later load is quick.
+const HOST_COPIES: usize = 160;
+
+/// What an engine says of itself when asked.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Orders that it has accepted since its start.
+    pub accepted: u64,
+    /// An order on a base model is under way.
+    pub busy: bool,
+    /// Base models that it holds.
+    pub models: Vec<BaseModel>,
+    /// Adapters that it holds.
+    pub adapters: Vec<AdapterAt>,
+    /// Adapters on their way to it.
+    pub coming: Vec<AdapterAt>,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// What to do.
+    pub what: OrderKind,
+    /// Orders that the engine must have accepted so far.
+    pub expected: u64,
+}
+
+/// What an engine is to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderKind {
+    /// Load a base model.
+    LoadModel(BaseModel),
+    /// Load an adapter, or replace it by this version; none: the newest.
+    LoadAdapter(AdapterKey, Option<AdapterVersion>),
+    /// Drop an adapter.
+    UnloadAdapter(AdapterKey),
+}
+
+/// How an engine took an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It carries the order out.
+    Accepted,
+    /// It was done at once, or held already.
+    Done,
+    /// Another order is under way, the count differs, or the adapter is in use.
+    Conflict,
+    /// A later holder has ordered, the engine is another one, or the order is malformed.
+    Refused,
+    /// No answer: it may be carried out later.
+    Unknown,
+}
+
+/// What to do next for an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LoadStep {
+    /// Nothing to do.
+    Idle,
+    /// Look again at this time.
+    Wait(Time),
+    /// Read the engine's report.
+    Read,
+    /// Send this order.
+    Send(Order),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Coming {
+    version: Option<AdapterVersion>,
+    ready: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    version: Option<AdapterVersion>,
+    first: Time,
+    last: Time,
+}
+
+/// The loader of one engine.
+#[derive(Debug)]
+pub struct Loader {
+    slots: usize,
+    accepted: Option<u64>,
+    resident: HashMap<AdapterKey, AdapterVersion>,
+    coming: HashMap<AdapterKey, Coming>,
+    wishes: HashMap<AdapterKey, Wish>,
+    used: HashMap<AdapterKey, Time>,
+    model_wanted: Option<BaseModel>,
+    not_before: Time,
+    changed: bool,
+}
+
+impl Loader {
+    /// A loader for an engine with room for `slots` adapters.
+    #[must_use]
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            accepted: None,
+            resident: HashMap::new(),
+            coming: HashMap::new(),
+            wishes: HashMap::new(),
+            used: HashMap::new(),
+            model_wanted: None,
+            not_before: Time::default(),
+            changed: false,
+        }
+    }
+
+    /// A request wants `key`, at `version` or newer.
+    pub fn wish(&mut self, key: AdapterKey, version: Option<AdapterVersion>, now: Time) {
+        let wish = self.wishes.entry(key).or_insert(Wish {
+            version,
+            first: now,
+            last: now,
+        });
+        wish.version = wish.version.max(version);
+        wish.last = now;
+    }
+
+    /// The engine lacks its base model.
+    pub fn wish_model(&mut self, model: BaseModel) {
+        self.model_wanted = Some(model);
+    }
+
+    /// A request was sent to `key` on this engine.
+    pub fn used(&mut self, key: &AdapterKey, now: Time) {
+        match self.used.get_mut(key) {
+            Some(at) => *at = now,
+            None => {
+                self.used.insert(key.clone(), now);
+            }
+        }
+    }
+
+    /// A request found `key` missing on this engine.
+    pub fn missing(&mut self, key: &AdapterKey) {
+        if self.resident.remove(key).is_some() {
+            self.accepted = None;
+            self.changed = true;
+        }
+    }
+
+    /// Adapters that can be used now.
+    #[must_use]
+    pub fn holdings(&self) -> Vec<AdapterAt> {
+        let pairs = self.resident.iter();
+        pairs
+            .map(|(key, version)| AdapterAt {
+                key: key.clone(),
+                version: *version,
+            })
+            .collect()
+    }
+
+    /// Whether the holdings changed since this was last asked.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Loads from the weight store that are under way.
+    #[must_use]
+    pub fn loading(&self) -> usize {
+        self.coming.len()
+    }
+
+    /// What to do next. `newest` tells the newest version of an adapter, where it has had several;
+    /// `store_free`: another load from the weight store keeps full speed.
+    pub fn step(
+        &mut self,
+        newest: impl Fn(&AdapterKey) -> Option<AdapterVersion>,
+        store_free: bool,
+        now: Time,
+    ) -> LoadStep {
+        self.arrive(&newest, now);
+        self.wishes.retain(|_, wish| now.since(wish.last) < WISH_LASTS);
+        if now < self.not_before {
+            return LoadStep::Wait(self.not_before);
+        }
+        let Some(expected) = self.accepted else {
+            return LoadStep::Read;
+        };
+        if let Some(model) = self.model_wanted.take() {
+            let what = OrderKind::LoadModel(model);
+            return LoadStep::Send(Order { what, expected });
+        }
+        let Some(key) = self.next_wish() else {
+            return self.earliest_arrival();
+        };
+        if self.coming.len() >= MAX_COMING || (!store_free && !self.has_copy(&key)) {
+            return match self.earliest_arrival() {
+                LoadStep::Idle => LoadStep::Wait(now + Duration::from_millis(20)),
+                step => step,
+            };
+        }
+        let replaces = self.resident.contains_key(&key);
+        if !replaces && self.resident.len() + self.coming.len() >= self.slots {
+            return self.evict(expected, now);
+        }
+        let version = newest(&key).max(self.wishes.get(&key).and_then(|wish| wish.version));
+        let what = OrderKind::LoadAdapter(key, version);
+        LoadStep::Send(Order { what, expected })
+    }
+
+    fn earliest_arrival(&self) -> LoadStep {
+        let ready = self.coming.values().map(|coming| coming.ready).min();
+        ready.map_or(LoadStep::Idle, LoadStep::Wait)
+    }
+
+    fn has_copy(&self, key: &AdapterKey) -> bool {
+        self.used.contains_key(key)
+    }
+
+    fn arrive(&mut self, newest: &impl Fn(&AdapterKey) -> Option<AdapterVersion>, now: Time) {
+        let arrived = self.coming.iter().filter(|(_, coming)| coming.ready <= now);
+        let arrived = arrived
+            .map(|(key, coming)| (key.clone(), coming.version))
+            .collect::<Vec<_>>();
+        for (key, version) in arrived {
+            self.coming.remove(&key);
+            let version = version.or_else(|| newest(&key));
+            self.used.insert(key.clone(), now);
+            self.resident
+                .insert(key, version.unwrap_or(AdapterVersion(1)));
+            self.changed = true;
+        }
+        let satisfied = |key: &AdapterKey, wish: &Wish| {
+            self.resident
+                .get(key)
+                .is_some_and(|version| wish.version.is_none_or(|wanted| *version >= wanted))
+        };
+        self.wishes.retain(|key, wish| !satisfied(key, wish));
+    }
+
+    fn next_wish(&self) -> Option<AdapterKey> {
+        let open = self
+            .wishes
+            .iter()
+            .filter(|(key, _)| !self.coming.contains_key(*key));
+        let oldest = open.min_by_key(|(_, wish)| wish.first);
+        oldest.map(|(key, _)| key.clone())
+    }
+
+    fn evict(&mut self, expected: u64, now: Time) -> LoadStep {
+        let last_use = |key: &AdapterKey| self.used.get(key).copied().unwrap_or_default();
+        let victim = self
+            .resident
+            .keys()
+            .filter(|key| !self.wishes.contains_key(*key))
+            .min_by_key(|key| last_use(key))
+            .cloned();
+        match victim {
+            Some(key) if now.since(last_use(&key)) > BUSY_SPAN => {
+                let what = OrderKind::UnloadAdapter(key);
+                LoadStep::Send(Order { what, expected })
+            }
+            _ => LoadStep::Wait(now + FULL_PAUSE),
+        }
+    }
+
+    /// An order was answered.
+    pub fn answered(&mut self, order: &Order, answer: OrderAnswer, now: Time) {
+        match answer {
+            OrderAnswer::Accepted => self.accepted = Some(order.expected + 1),
+            OrderAnswer::Done if matches!(order.what, OrderKind::UnloadAdapter(_)) => {
+                self.accepted = Some(order.expected + 1);
+            }
+            OrderAnswer::Done => self.read_after(Duration::ZERO, now),
+            OrderAnswer::Conflict | OrderAnswer::Refused => self.read_after(REPORT_LAG, now),
+            OrderAnswer::Unknown => self.read_after(REPORT_LAG * 2, now),
+        }
+        match (&order.what, answer) {
+            (OrderKind::LoadAdapter(key, version), OrderAnswer::Accepted) => {
+                let took = if self.has_copy(key) {
+                    LOAD_FROM_HOST
+                } else {
+                    LOAD_FROM_STORE
+                };
+                self.resident.remove(key);
+                let coming = Coming {
+                    version: *version,
+                    ready: now + took,
+                };
+                self.coming.insert(key.clone(), coming);
+                self.changed = true;
+            }
+            (OrderKind::LoadAdapter(key, version), OrderAnswer::Done) => {
+                let version = version.unwrap_or(AdapterVersion(1));
+                self.resident.insert(key.clone(), version);
+                self.changed = true;
+            }
+            (OrderKind::UnloadAdapter(key), OrderAnswer::Accepted | OrderAnswer::Done) => {
+                self.resident.remove(key);
+                self.changed = true;
+            }
+            (OrderKind::UnloadAdapter(key), OrderAnswer::Conflict) => self.used(&key.clone(), now),
+            _ => {}
+        }
+        self.forget_copies();
+    }
+
+    fn read_after(&mut self, pause: Duration, now: Time) {
+        self.accepted = None;
+        self.not_before = now + pause;
+    }
+
+    fn forget_copies(&mut self) {
+        if self.used.len() <= HOST_COPIES {
+            return;
+        }
+        let oldest = self.used.iter().min_by_key(|(_, at)| **at);
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.used.remove(&key);
+        }
+    }
+
+    /// The engine told its state, or didn't.
+    pub fn reported(&mut self, report: Option<Report>, now: Time) {
+        let Some(report) = report else {
+            self.not_before = now + Duration::from_millis(400);
+            return;
+        };
+        if report.busy {
+            self.not_before = now + Duration::from_millis(100);
+        }
+        self.accepted = Some(report.accepted);
+        self.resident = report
+            .adapters
+            .into_iter()
+            .map(|held| (held.key, held.version))
+            .collect();
+        let before = std::mem::take(&mut self.coming);
+        for coming in report.coming {
+            let known = before.get(&coming.key).map(|known| known.ready);
+            let ready = known.unwrap_or(now + LOAD_FROM_STORE);
+            let version = Some(coming.version);
+            self.coming.insert(coming.key, Coming { version, ready });
+        }
+        self.changed = true;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/mod.rs
@@ -0,0 +1,20 @@
+//! Decisions as plain state machines: time and randomness come in as arguments.
+
+pub mod adapter;
+pub mod call;
+pub mod config;
+pub mod event_stream;
+pub mod health;
+pub mod lease;
+pub mod loader;
+pub mod peers;
+pub mod placement;
+pub mod quota;
+pub mod registry;
+pub mod rendezvous;
+pub mod residency;
+pub mod retry_budget;
+pub mod routes;
+pub mod tables;
+pub mod target;
+pub mod versions;
--- /dev/null
+++ b/crates/gateway/src/decide/peers.rs
@@ -0,0 +1,161 @@
+//! The other instances: who lives, and what they tell.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::{FailureDomain, Incarnation, InstanceId, Revision, Time};
+use serde::{Deserialize, Serialize};
+
+/// An instance as it registers itself.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Member {
+    /// Its name; kept across restarts.
+    pub name: InstanceId,
+    /// This life of it.
+    pub incarnation: Incarnation,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where peers send datagrams.
+    pub gossip: SocketAddr,
+    /// Where peers read its configuration and targets.
+    pub control: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+}
+
+/// Silence after which a peer counts as down for callers and takeovers.
+///
+/// Eight rounds of gossip: that many datagrams in a row aren't lost by chance on a link that loses
+/// one in twenty.
+pub const DOWN_AFTER: Duration = Duration::from_millis(900);
+/// Silence after which a peer no longer counts in the division of quotas, budgets and connections.
+///
+/// Longer than a cut of a link usually lasts: such a peer still serves its callers.
+pub const GONE_AFTER: Duration = Duration::from_secs(20);
+
+/// What a peer last told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Its registration.
+    pub member: Member,
+    /// When it was last heard; none: known from the registry alone.
+    pub heard: Option<Time>,
+    /// It takes callers.
+    pub ready: bool,
+    /// Version of its configuration.
+    pub config: Revision,
+    /// Revision of its list of targets.
+    pub targets: Revision,
+    /// Requests that it has at each target, by the hash of the target's name.
+    pub in_flight: HashMap<u32, u16>,
+    /// Loads from the weight store that it has under way.
+    pub loads: u16,
+    /// Loader shards that it holds.
+    pub shards: Vec<u8>,
+}
+
+/// All peers, the own instance left out.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<InstanceId, Peer>,
+}
+
+impl Peers {
+    /// Takes in a registration from the store or from a peer's copy.
+    pub fn registered(&mut self, member: Member) {
+        match self.peers.get_mut(&member.name) {
+            Some(peer) if peer.heard.is_some() => {}
+            Some(peer) => peer.member = member,
+            None => {
+                self.peers
+                    .insert(member.name.clone(), Peer::registered(member));
+            }
+        }
+    }
+
+    /// Forgets a registration that is gone, unless the peer is still heard.
+    pub fn unregistered(&mut self, name: &InstanceId, now: Time) {
+        let heard = |peer: &Peer| peer.heard_within(DOWN_AFTER, now);
+        if self.peers.get(name).is_some_and(|peer| !heard(peer)) {
+            self.peers.remove(name);
+        }
+    }
+
+    /// A peer has ended as planned.
+    pub fn ended(&mut self, name: &InstanceId) {
+        self.peers.remove(name);
+    }
+
+    /// Takes in what a peer told.
+    pub fn heard(&mut self, peer: Peer) {
+        self.peers.insert(peer.member.name.clone(), peer);
+    }
+
+    /// The peer of that name.
+    #[must_use]
+    pub fn get(&self, name: &InstanceId) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// All peers, silent ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Peers that were heard lately.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        let live = move |peer: &&Peer| peer.heard_within(DOWN_AFTER, now);
+        self.peers.values().filter(live)
+    }
+
+    /// Instances that share quotas, budgets and connections, this one included.
+    #[must_use]
+    pub fn sharing(&self, now: Time) -> usize {
+        let shares = |peer: &&Peer| peer.heard_within(GONE_AFTER, now);
+        1 + self.peers.values().filter(shares).count()
+    }
+
+    /// Part of the sharing instances that can't be heard now, between 0 and 1.
+    #[must_use]
+    pub fn silent_share(&self, now: Time) -> f64 {
+        let sharing = self.sharing(now);
+        let silent = sharing - 1 - self.live(now).count();
+        let [silent, sharing] = [silent, sharing].map(|count| u32::try_from(count).unwrap_or(1));
+        f64::from(silent) / f64::from(sharing)
+    }
+
+    /// Requests that live peers have at the target with this name hash.
+    #[must_use]
+    pub fn in_flight(&self, target: u32, now: Time) -> u32 {
+        let counts = self.live(now).filter_map(|peer| peer.in_flight.get(&target));
+        counts.map(|count| u32::from(*count)).sum()
+    }
+
+    /// The live peer that holds a loader shard.
+    #[must_use]
+    pub fn holder(&self, shard: u8, now: Time) -> Option<&Peer> {
+        self.live(now).find(|peer| peer.shards.contains(&shard))
+    }
+}
+
+impl Peer {
+    fn registered(member: Member) -> Self {
+        Self {
+            member,
+            heard: None,
+            ready: false,
+            config: Revision::default(),
+            targets: Revision::default(),
+            in_flight: HashMap::new(),
+            loads: 0,
+            shards: Vec::new(),
+        }
+    }
+
+    /// Whether it was heard within `span` before `now`.
+    #[must_use]
+    pub fn heard_within(&self, span: Duration, now: Time) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < span)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/placement.rs
@@ -0,0 +1,206 @@
+//! Picks the target of a request.
+
+use std::time::Duration;
+
+use bluebellstage_core::{AdapterVersion, FailureDomain, TargetId, Time};
+
+use super::adapter::{AdapterKey, Wanted};
+use super::health::{Health, Standing};
+use super::rendezvous::{name_hash, weight};
+use super::residency::Residency;
+use super::target::Target;
+use super::versions::Versions;
+
+/// Fill of an engine, in parts of its slots, up to which requests stay where their adapter and
+/// prompt start are. An engine's step takes 14 % longer with all slots taken than with one, so a
+/// second copy pays late.
+const STAY_BELOW: f64 = 0.85;
+/// Fill beyond which an engine is no place for another adapter.
+const LOAD_BELOW: f64 = 0.8;
+/// What the way to another failure domain costs a plain request, in parts of a slot's work.
+const AWAY_COST: f64 = 0.15;
+
+/// A target with what this instance knows of its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The target.
+    pub target: &'a Target,
+    /// Requests there from all instances, as far as known.
+    pub in_flight: u32,
+    /// This instance may open or reuse a connection.
+    pub connectable: bool,
+    /// Whoever orders loads there can be asked.
+    pub loadable: bool,
+}
+
+/// What the choice goes by beside the candidates.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// What targets proved to be.
+    pub health: &'a Health,
+    /// Which engine holds which adapter.
+    pub residency: &'a Residency,
+    /// Newest versions.
+    pub versions: &'a Versions,
+    /// Where this instance runs.
+    pub failure_domain: &'a FailureDomain,
+    /// The clock.
+    pub now: Time,
+}
+
+/// The target of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Pick {
+    /// Send it there.
+    Send {
+        /// The target.
+        target: TargetId,
+        /// The adapter's version there.
+        version: Option<AdapterVersion>,
+        /// It is a trial of a target that failed.
+        trial: bool,
+        /// Another engine where the adapter should be loaded as well.
+        load_at: Option<TargetId>,
+    },
+    /// Have the adapter loaded there and look again.
+    Load(TargetId),
+    /// Everything that could run it is full.
+    Full,
+    /// Nothing can run it.
+    Nowhere,
+}
+
+impl Candidate<'_> {
+    fn fill(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.target.slots.max(1))
+    }
+}
+
+/// Picks a target for a plain request: the emptiest and quickest one, the own failure domain
+/// preferred.
+#[must_use]
+pub fn pick_plain(candidates: &[Candidate<'_>], known: &Known<'_>) -> Pick {
+    let usable = candidates
+        .iter()
+        .filter(|candidate| !candidate.target.leaving);
+    let mut best: Option<(f64, &Candidate<'_>, bool)> = None;
+    let mut any = false;
+    for candidate in usable {
+        any = true;
+        let standing = known.health.standing(&candidate.target.id, known.now);
+        if !candidate.connectable || standing == Standing::Ejected {
+            continue;
+        }
+        let trial = standing == Standing::Trial;
+        let away = candidate.target.failure_domain != *known.failure_domain;
+        let away = if away { AWAY_COST } else { 0.0 };
+        let slow = known.health.latency(&candidate.target.id).max(0.01);
+        let cost = (candidate.fill() + away + 0.1) * slow;
+        let cost = if trial { 0.0 } else { cost };
+        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            best = Some((cost, candidate, trial));
+        }
+    }
+    match best {
+        Some((_, candidate, trial)) => Pick::Send {
+            target: candidate.target.id.clone(),
+            version: None,
+            trial,
+            load_at: None,
+        },
+        None if any => Pick::Full,
+        None => Pick::Nowhere,
+    }
+}
+
+/// Picks an engine. Requests for one adapter go to the same engine while it has room, so that the
+/// adapter takes one slot in the fleet and its prompts are read once.
+#[must_use]
+pub fn pick_engine(
+    candidates: &[Candidate<'_>],
+    wanted: &Wanted,
+    prompt_start: Option<u64>,
+    known: &Known<'_>,
+) -> Pick {
+    let mut holders = candidates
+        .iter()
+        .filter(|candidate| !candidate.target.leaving)
+        .filter(|candidate| candidate.target.models.contains(wanted.model()))
+        .filter(|candidate| {
+            known.health.standing(&candidate.target.id, known.now) != Standing::Ejected
+        })
+        .collect::<Vec<_>>();
+    if holders.is_empty() {
+        return Pick::Nowhere;
+    }
+    let key = match wanted {
+        Wanted::Base(_) => prompt_start.unwrap_or(0),
+        Wanted::Adapter(key) => name_hash(key.adapter.as_str()),
+    };
+    holders.sort_by_key(|candidate| std::cmp::Reverse(weight(key, candidate.target.id.as_str())));
+    match wanted {
+        Wanted::Base(_) => send_first(&holders, known),
+        Wanted::Adapter(key) => pick_for_adapter(&holders, key, known),
+    }
+}
+
+fn send_first(holders: &[&Candidate<'_>], known: &Known<'_>) -> Pick {
+    let open = || holders.iter().filter(|candidate| candidate.connectable);
+    let roomy = open().find(|candidate| candidate.fill() < STAY_BELOW);
+    let chosen = roomy.or_else(|| open().min_by(|a, b| a.fill().total_cmp(&b.fill())));
+    chosen.map_or(Pick::Full, |candidate| send(candidate, None, None, known))
+}
+
+fn send(
+    candidate: &Candidate<'_>,
+    version: Option<AdapterVersion>,
+    load_at: Option<TargetId>,
+    known: &Known<'_>,
+) -> Pick {
+    let target = candidate.target.id.clone();
+    let trial = known.health.standing(&target, known.now) == Standing::Trial;
+    Pick::Send {
+        target,
+        version,
+        trial,
+        load_at,
+    }
+}
+
+fn pick_for_adapter(holders: &[&Candidate<'_>], key: &AdapterKey, known: &Known<'_>) -> Pick {
+    let version = |candidate: &Candidate<'_>| {
+        let version = known.residency.version(&candidate.target.id, key)?;
+        let usable = known.versions.may_begin(key, version, known.now);
+        usable.then_some(version)
+    };
+    let newest = |candidate: &&&Candidate<'_>| {
+        version(candidate).is_some_and(|version| known.versions.is_newest(key, version))
+    };
+    let residents = || {
+        let open = holders.iter().filter(|candidate| candidate.connectable);
+        open.filter(|candidate| version(candidate).is_some())
+    };
+    let current = residents().filter(newest);
+    if let Some(candidate) = current.clone().find(|candidate| candidate.fill() < STAY_BELOW) {
+        return send(candidate, version(candidate), None, known);
+    }
+    let absent = |candidate: &&&Candidate<'_>| {
+        known.residency.version(&candidate.target.id, key).is_none()
+    };
+    let place = holders
+        .iter()
+        .filter(|candidate| candidate.loadable)
+        .filter(|candidate| candidate.fill() < LOAD_BELOW)
+        .find(absent)
+        .or_else(|| holders.iter().find(|candidate| candidate.loadable));
+    let place = place.map(|candidate| candidate.target.id.clone());
+    let emptiest = residents().min_by(|a, b| a.fill().total_cmp(&b.fill()));
+    match (emptiest, place) {
+        (Some(candidate), place) => send(candidate, version(candidate), place, known),
+        (None, Some(place)) => Pick::Load(place),
+        (None, None) => Pick::Full,
+    }
+}
+
+/// Pause after which a request that waits for a load asks for it again; datagrams get lost.
+pub const ASK_AGAIN: Duration = Duration::from_millis(60);
--- /dev/null
+++ b/crates/gateway/src/decide/registry.rs
@@ -0,0 +1,102 @@
+//! The targets that may be used, from their registrations.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use bluebellstage_core::{Revision, TargetId, Time};
+
+use super::target::Target;
+
+/// How long a registration that vanished in an outage of the store may take to come back.
+///
+/// Registrations lapse while the store is away though their targets live; the platform has them
+/// back within 2 s of its return.
+const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+
+/// Registrations by name.
+#[derive(Debug, Default)]
+pub struct Registry {
+    targets: BTreeMap<TargetId, Target>,
+    vanished: HashMap<TargetId, Time>,
+    revision: Revision,
+    trusted_again: Time,
+}
+
+impl Registry {
+    /// Revision of the newest news.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The store can't be reached: registrations that vanish until a while after its return may
+    /// belong to targets that live.
+    pub fn store_lost(&mut self, now: Time) {
+        self.trusted_again = now + RETURN_GRACE;
+    }
+
+    /// The store could not be reached lately.
+    #[must_use]
+    pub fn store_away(&self, now: Time) -> bool {
+        now < self.trusted_again
+    }
+
+    /// Takes in a whole list.
+    pub fn replace(&mut self, targets: Vec<Target>, revision: Revision, now: Time) {
+        let absent = self
+            .targets
+            .keys()
+            .filter(|id| !targets.iter().any(|target| target.id == **id))
+            .cloned()
+            .collect::<Vec<_>>();
+        for id in absent {
+            self.remove(&id, revision, now);
+        }
+        for target in targets {
+            self.put(target, revision);
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes in one registration.
+    pub fn put(&mut self, target: Target, revision: Revision) {
+        self.vanished.remove(&target.id);
+        self.targets.insert(target.id.clone(), target);
+        self.revision = self.revision.max(revision);
+    }
+
+    /// A registration is gone.
+    pub fn remove(&mut self, id: &TargetId, revision: Revision, now: Time) {
+        self.revision = self.revision.max(revision);
+        if now < self.trusted_again && self.targets.contains_key(id) {
+            self.vanished.entry(id.clone()).or_insert(now + RETURN_GRACE);
+            return;
+        }
+        self.vanished.remove(id);
+        self.targets.remove(id);
+    }
+
+    /// The store's news up to `revision` are in.
+    pub fn seen(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Drops registrations that did not come back in time.
+    pub fn sweep(&mut self, now: Time) {
+        let expired = self.vanished.extract_if(|_, at| *at <= now);
+        for (id, _) in expired {
+            self.targets.remove(&id);
+        }
+    }
+
+    /// The target of that name.
+    #[must_use]
+    pub fn get(&self, id: &TargetId) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
+    /// All targets, leaving ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/residency.rs
@@ -0,0 +1,96 @@
+//! Which engine holds which adapter, as far as this instance knows.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bluebellstage_core::{AdapterVersion, TargetId, Time};
+use serde::{Deserialize, Serialize};
+
+use super::adapter::{AdapterAt, AdapterKey};
+use super::target::Target;
+
+/// Age of a loader's word after which the engine's own registration is believed again.
+const LOADER_WORD_LASTS: Duration = Duration::from_secs(6);
+
+/// Orders the words of an engine's loaders: a later lease first, then a later word.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct WordOrder {
+    /// Fencing number of the lease.
+    pub fencing: u64,
+    /// Count of words under that lease.
+    pub count: u64,
+}
+
+#[derive(Debug, Default)]
+struct Holdings {
+    adapters: HashMap<AdapterKey, AdapterVersion>,
+    order: WordOrder,
+    told: Option<Time>,
+    born: Option<u64>,
+}
+
+/// Holdings of all engines.
+#[derive(Debug, Default)]
+pub struct Residency {
+    engines: HashMap<TargetId, Holdings>,
+}
+
+fn collect(adapters: &[AdapterAt]) -> HashMap<AdapterKey, AdapterVersion> {
+    let pairs = adapters.iter().map(|held| (held.key.clone(), held.version));
+    pairs.collect()
+}
+
+impl Residency {
+    /// Takes in an engine's registration: the first word of a new life, later only where no loader
+    /// speaks for the engine.
+    pub fn registered(&mut self, target: &Target, now: Time) {
+        let holdings = self.engines.entry(target.id.clone()).or_default();
+        let loader_speaks = holdings
+            .told
+            .is_some_and(|told| now.since(told) < LOADER_WORD_LASTS);
+        if loader_speaks && holdings.born == target.born {
+            return;
+        }
+        holdings.adapters = collect(&target.adapters);
+        if holdings.born != target.born {
+            holdings.told = None;
+        }
+        holdings.born = target.born;
+    }
+
+    /// Takes in a loader's word; false if a later one is known.
+    pub fn told(
+        &mut self,
+        target: &TargetId,
+        order: WordOrder,
+        adapters: &[AdapterAt],
+        now: Time,
+    ) -> bool {
+        let holdings = self.engines.entry(target.clone()).or_default();
+        if order < holdings.order {
+            return false;
+        }
+        holdings.adapters = collect(adapters);
+        holdings.order = order;
+        holdings.told = Some(now);
+        true
+    }
+
+    /// Version of `key` at `target`, if it is there.
+    #[must_use]
+    pub fn version(&self, target: &TargetId, key: &AdapterKey) -> Option<AdapterVersion> {
+        self.engines.get(target)?.adapters.get(key).copied()
+    }
+
+    /// A target said that it doesn't hold `key`.
+    pub fn missing(&mut self, target: &TargetId, key: &AdapterKey) {
+        if let Some(holdings) = self.engines.get_mut(target) {
+            holdings.adapters.remove(key);
+        }
+    }
+
+    /// Forgets targets that are gone.
+    pub fn keep(&mut self, present: impl Fn(&TargetId) -> bool) {
+        self.engines.retain(|target, _| present(target));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/tables.rs
@@ -0,0 +1,326 @@
+//! All that an instance knows, and the decisions that need several parts of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellstage_core::{Revision, ServiceId, TargetId, Time, WorkspaceId};
+
+use super::adapter::Wanted;
+use super::call::Call;
+use super::config::{Config, Route};
+use super::health::Health;
+use super::lease::SHARDS;
+use super::peers::{Member, Peers};
+use super::placement::{Candidate, Known, Pick, pick_engine, pick_plain};
+use super::quota::{Charged, Quotas};
+use super::registry::Registry;
+use super::rendezvous::name_hash;
+use super::residency::Residency;
+use super::retry_budget::{RetryBudget, RetryCounts};
+use super::routes::{RouteTable, Routed, pick_service};
+use super::versions::Versions;
+
+/// Part of a target's connections that all instances together use: peers may not have heard yet
+/// of one that has just joined.
+const USED_CONNECTIONS: f64 = 0.85;
+/// Longest time that a refused caller is told to wait; later it has little time left.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3);
+
+/// All that an instance knows.
+#[derive(Debug)]
+pub struct Tables {
+    /// This instance.
+    pub me: Member,
+    /// The configuration in force.
+    pub routes: Arc<RouteTable>,
+    /// Targets.
+    pub registry: Registry,
+    /// Other instances.
+    pub peers: Peers,
+    /// Buckets of workspaces.
+    pub quotas: Quotas,
+    /// Requests and repeats.
+    pub retries: RetryCounts,
+    /// What targets proved to be.
+    pub health: Health,
+    /// Which engine holds which adapter.
+    pub residency: Residency,
+    /// Newest versions of adapters.
+    pub versions: Versions,
+    /// Shards on which this instance may order loads now.
+    pub shards: Vec<u8>,
+    /// Loads from the weight store that this instance has under way.
+    pub loads: u16,
+    /// A planned stop was asked for.
+    pub stopping: bool,
+    budget: RetryBudget,
+    in_flight: HashMap<TargetId, u32>,
+}
+
+/// A request that may go on.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    routes: Arc<RouteTable>,
+    route: usize,
+    /// The service that runs it.
+    pub service: ServiceId,
+    /// Who pays.
+    pub workspace: Option<WorkspaceId>,
+    /// What was charged.
+    pub charge: u64,
+    /// Rank, 0 first.
+    pub rank: u8,
+}
+
+impl Ticket {
+    /// The route.
+    #[must_use]
+    pub fn route(&self) -> &Route {
+        self.routes.route(self.route)
+    }
+
+    /// Version of the configuration that it was admitted under.
+    #[must_use]
+    pub fn config(&self) -> Revision {
+        self.routes.version()
+    }
+}
+
+/// Why a request is not served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    NotConfigured,
+    /// No route matches.
+    NoRoute,
+    /// The key is unknown.
+    UnknownKey,
+    /// The workspace's quota is used up.
+    OverQuota {
+        /// Time until it would fit.
+        retry_after: Duration,
+    },
+    /// All targets that could run it are full or fail.
+    Full,
+    /// No target of the service is known.
+    NoTarget,
+}
+
+impl Tables {
+    /// Knows nothing but itself.
+    #[must_use]
+    pub fn new(me: Member, budget: RetryBudget) -> Self {
+        Self {
+            me,
+            routes: Arc::default(),
+            registry: Registry::default(),
+            peers: Peers::default(),
+            quotas: Quotas::default(),
+            retries: RetryCounts::default(),
+            health: Health::default(),
+            residency: Residency::default(),
+            versions: Versions::default(),
+            shards: Vec::new(),
+            loads: 0,
+            stopping: false,
+            budget,
+            in_flight: HashMap::new(),
+        }
+    }
+
+    /// A configuration is known.
+    #[must_use]
+    pub fn configured(&self) -> bool {
+        self.routes.version() > Revision::default()
+    }
+
+    /// Callers may be sent here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.configured() && !self.stopping
+    }
+
+    /// Puts a configuration in force, unless it is older; true if it is newer.
+    pub fn adopt(&mut self, config: Config) -> bool {
+        if config.version <= self.routes.version() {
+            return false;
+        }
+        self.routes = Arc::new(RouteTable::new(Arc::new(config)));
+        true
+    }
+
+    /// Lets a request in, or says why not. `draw` is random.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the request may not go on.
+    pub fn admit(&mut self, call: &Call, draw: u64, now: Time) -> Result<Ticket, Refusal> {
+        if !self.configured() {
+            return Err(Refusal::NotConfigured);
+        }
+        let (route, workspace) = match self.routes.find(call) {
+            Routed::To { route, workspace } => (route, workspace),
+            Routed::NoRoute => return Err(Refusal::NoRoute),
+            Routed::UnknownKey => return Err(Refusal::UnknownKey),
+        };
+        let routes = Arc::clone(&self.routes);
+        let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
+        let workspace = workspace.map(|idx| routes.workspace(idx));
+        let mut charge = 0;
+        if let Some(workspace) = workspace
+            && let Some(quota) = workspace.quota
+        {
+            charge = quota.unit.charge(call.tokens);
+            let silent = self.peers.silent_share(now);
+            let charged = self
+                .quotas
+                .charge(&workspace.name, quota, charge, silent, now);
+            if let Charged::Over { retry_after } = charged {
+                let retry_after = retry_after.min(LONGEST_RETRY_AFTER);
+                return Err(Refusal::OverQuota { retry_after });
+            }
+        }
+        self.retries.request(service, now);
+        let rank = workspace.and_then(|workspace| workspace.rank);
+        Ok(Ticket {
+            service: service.clone(),
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+            charge,
+            rank: rank.unwrap_or(routes.route(route).rank),
+            route,
+            routes,
+        })
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn not_run(&mut self, ticket: &Ticket) {
+        if let Some(workspace) = &ticket.workspace {
+            self.quotas.give_back(workspace, ticket.charge);
+        }
+    }
+
+    /// Picks the target for a request, those in `tried` left out.
+    #[must_use]
+    pub fn pick(&self, ticket: &Ticket, call: &Call, tried: &[TargetId], now: Time) -> Pick {
+        let config = self.routes.config();
+        let limit = config
+            .service(&ticket.service)
+            .map_or(1, |service| self.connection_limit(service.max_connections, now));
+        let candidates = self
+            .registry
+            .all()
+            .filter(|target| target.service == ticket.service)
+            .filter(|target| !tried.contains(&target.id))
+            .map(|target| {
+                let own = self.own_in_flight(&target.id);
+                let others = self.peers.in_flight(short_hash(&target.id), now);
+                Candidate {
+                    target,
+                    in_flight: own + others,
+                    connectable: own < limit,
+                    loadable: self.loader_reachable(&target.id, now),
+                }
+            })
+            .collect::<Vec<_>>();
+        let known = Known {
+            health: &self.health,
+            residency: &self.residency,
+            versions: &self.versions,
+            failure_domain: &self.me.failure_domain,
+            now,
+        };
+        match &call.wanted {
+            Some(wanted) if is_engine(config, &ticket.service) => {
+                pick_engine(&candidates, wanted, call.prompt_start, &known)
+            }
+            _ => pick_plain(&candidates, &known),
+        }
+    }
+
+    /// Connections to one target that this instance may have, of `most` for all.
+    #[must_use]
+    pub fn connection_limit(&self, most: u32, now: Time) -> u32 {
+        let sharing = u32::try_from(self.peers.sharing(now)).unwrap_or(u32::MAX);
+        let share = f64::from(most) * USED_CONNECTIONS / f64::from(sharing);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share of a u32 fits one"
+        )]
+        let share = share as u32;
+        share.max(1)
+    }
+
+    fn loader_reachable(&self, target: &TargetId, now: Time) -> bool {
+        let shard = shard_of(target);
+        self.shards.contains(&shard) || self.peers.holder(shard, now).is_some()
+    }
+
+    /// Takes one repeat out of the service's budget; false if there is none left.
+    pub fn take_retry(&mut self, service: &ServiceId, now: Time) -> bool {
+        let sharing = self.peers.sharing(now);
+        self.retries.take(service, self.budget, sharing, now)
+    }
+
+    /// Requests of this instance at a target.
+    #[must_use]
+    pub fn own_in_flight(&self, target: &TargetId) -> u32 {
+        self.in_flight.get(target).copied().unwrap_or(0)
+    }
+
+    /// Requests of this instance at all targets.
+    pub fn all_in_flight(&self) -> impl Iterator<Item = (&TargetId, u32)> {
+        self.in_flight.iter().map(|(target, count)| (target, *count))
+    }
+
+    /// A request goes to a target.
+    pub fn begin(&mut self, target: &TargetId) {
+        *self.in_flight.entry(target.clone()).or_default() += 1;
+    }
+
+    /// A request has left a target.
+    pub fn end(&mut self, target: &TargetId) {
+        if let Some(count) = self.in_flight.get_mut(target) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(target);
+            }
+        }
+    }
+
+    /// Housekeeping; called a few times a second.
+    pub fn sweep(&mut self, now: Time) {
+        self.registry.sweep(now);
+        self.retries.prune(self.budget.window, now);
+        let registry = &self.registry;
+        self.health.keep(|target| registry.get(target).is_some());
+        self.residency.keep(|target| registry.get(target).is_some());
+    }
+
+    /// Whether requests of this kind need an adapter loaded before they can run.
+    #[must_use]
+    pub fn adapter_of(call: &Call) -> Option<&super::adapter::AdapterKey> {
+        match &call.wanted {
+            Some(Wanted::Adapter(key)) => Some(key),
+            _ => None,
+        }
+    }
+}
+
+fn is_engine(config: &Config, service: &ServiceId) -> bool {
+    let service = config.service(service);
+    service.is_some_and(|service| service.engine.is_some())
+}
+
+/// The loader shard that an engine belongs to; never changes.
+#[must_use]
+pub fn shard_of(target: &TargetId) -> u8 {
+    u8::try_from(name_hash(target.as_str()) % u64::from(SHARDS)).unwrap_or(0)
+}
+
+/// Short hash of a target's name, for datagrams.
+#[must_use]
+pub fn short_hash(target: &TargetId) -> u32 {
+    u32::try_from(name_hash(target.as_str()) >> 32).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/gateway/src/decide/versions.rs
@@ -0,0 +1,71 @@
+//! Announced versions of adapters.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bluebellstage_core::{AdapterVersion, Time};
+
+use super::adapter::{AdapterAt, AdapterKey};
+
+/// How long an older version may still begin requests after a newer one was announced.
+///
+/// Callers are promised the new one within 5 s of its announcement; the announcement may take a
+/// second to arrive here, and a request a second to begin.
+const OLD_VERSION_GRACE: Duration = Duration::from_millis(2_500);
+
+/// The newest version of each adapter that has had more than one.
+#[derive(Debug, Default)]
+pub struct Versions {
+    announced: HashMap<AdapterKey, Announced>,
+}
+
+#[derive(Debug)]
+struct Announced {
+    version: AdapterVersion,
+    at: Time,
+}
+
+impl Versions {
+    /// Takes in an announcement; false if it brings nothing new.
+    pub fn announce(&mut self, news: &AdapterAt, now: Time) -> bool {
+        let known = self.announced.get(&news.key);
+        if known.is_some_and(|known| known.version >= news.version) {
+            return false;
+        }
+        let announced = Announced {
+            version: news.version,
+            at: now,
+        };
+        self.announced.insert(news.key.clone(), announced);
+        true
+    }
+
+    /// The newest version; none if the adapter has only its first.
+    #[must_use]
+    pub fn newest(&self, key: &AdapterKey) -> Option<AdapterVersion> {
+        self.announced.get(key).map(|known| known.version)
+    }
+
+    /// All announced versions.
+    pub fn all(&self) -> impl Iterator<Item = AdapterAt> {
+        self.announced.iter().map(|(key, known)| AdapterAt {
+            key: key.clone(),
+            version: known.version,
+        })
+    }
+
+    /// Whether a copy at `version` is the newest.
+    #[must_use]
+    pub fn is_newest(&self, key: &AdapterKey, version: AdapterVersion) -> bool {
+        self.newest(key).is_none_or(|newest| version >= newest)
+    }
+
+    /// Whether a request may still begin on `version`.
+    #[must_use]
+    pub fn may_begin(&self, key: &AdapterKey, version: AdapterVersion, now: Time) -> bool {
+        let Some(known) = self.announced.get(key) else {
+            return true;
+        };
+        version >= known.version || now.since(known.at) < OLD_VERSION_GRACE
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/attempt.rs
@@ -0,0 +1,327 @@
+//! One attempt of a request at one target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellstage_core::{TargetId, Time};
+use bytes::Bytes;
+use http::{Request, request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::decide::call::{AnswerHead, Call, Forward};
+use crate::decide::health::Met;
+use crate::edge::{Edge, Protocol};
+
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::pool::Connection;
+use super::sockets::connect;
+
+/// Time for a connection; a full queue of new connections would cost a second.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// Longest answer that is read whole before it goes on.
+const LONGEST_BUFFERED: usize = 4 * 1_024 * 1_024;
+
+/// Counts a request at a target while it is there.
+#[derive(Debug)]
+pub(super) struct Flight<E: Edge> {
+    node: Arc<Node<E>>,
+    pub(super) target: TargetId,
+    began: Time,
+    judged: bool,
+}
+
+impl<E: Edge> Flight<E> {
+    fn begin(node: &Arc<Node<E>>, target: &TargetId, trial: bool) -> Self {
+        let mut tables = node.tables();
+        tables.begin(target);
+        if trial {
+            tables.health.trial(target);
+        }
+        drop(tables);
+        Self {
+            node: Arc::clone(node),
+            target: target.clone(),
+            began: node.now(),
+            judged: false,
+        }
+    }
+
+    /// Notes what the request met; the first word counts.
+    pub(super) fn met(&mut self, met: Met) {
+        if std::mem::replace(&mut self.judged, true) {
+            return;
+        }
+        self.judge(met);
+    }
+
+    fn judge(&self, met: Met) {
+        let now = self.node.now();
+        let ejected = self.node.tables().health.met(&self.target, met, now);
+        if ejected {
+            let target = self.target.to_string();
+            let met = format!("{met:?}");
+            event(
+                LogEvent::TargetEjected,
+                &[("target", &target), ("met", &met)],
+            );
+        }
+    }
+
+    /// Notes a failure, also after a good beginning.
+    pub(super) fn failed(&mut self) {
+        self.judged = true;
+        self.judge(Met::Failure);
+    }
+
+    /// Time since the request was sent.
+    pub(super) fn age(&self) -> Duration {
+        self.node.now().since(self.began)
+    }
+}
+
+impl<E: Edge> Drop for Flight<E> {
+    fn drop(&mut self) {
+        let mut tables = self.node.tables();
+        tables.end(&self.target);
+        if !self.judged {
+            tables.health.trial_void(&self.target);
+        }
+    }
+}
+
+/// An answer whose body is still to come.
+#[derive(Debug)]
+pub(super) struct Answer<E: Edge> {
+    pub(super) parts: response::Parts,
+    pub(super) head: AnswerHead,
+    pub(super) body: Incoming,
+    pub(super) flight: Flight<E>,
+    connection: Connection,
+}
+
+/// Why an attempt failed though it may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Failure {
+    /// The connection broke.
+    Broken,
+    /// No answer in time.
+    Silent,
+    /// An answer that isn't the target's own, or belongs to another request.
+    WrongAnswer,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(super) enum Attempt<E: Edge> {
+    /// The target answers.
+    Answer(Box<Answer<E>>),
+    /// The target says that it did not run the request; `misdirected`: it isn't the one that was
+    /// meant, or doesn't hold what was asked for.
+    NotRun { misdirected: bool },
+    /// There is no connection: nothing was sent.
+    Unreachable,
+    /// It may have run.
+    Failed(Failure),
+}
+
+/// What is sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sending<'a> {
+    pub(super) head: &'a request::Parts,
+    pub(super) body: &'a Bytes,
+    pub(super) call: &'a Call,
+    /// Use a kept connection.
+    pub(super) reuse: bool,
+    pub(super) trial: bool,
+    /// Longest wait for the head of the answer.
+    pub(super) patience: Duration,
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+pub(super) async fn send<E: Edge>(
+    node: &Arc<Node<E>>,
+    target: &TargetId,
+    sending: Sending<'_>,
+    forward: &Forward<'_>,
+) -> Attempt<E> {
+    let Some(address) = node.tables().registry.get(target).map(|known| known.address) else {
+        return Attempt::Unreachable;
+    };
+    let mut flight = Flight::begin(node, target, sending.trial);
+    let exchange = exchange(node, target, address, sending, forward);
+    let outcome = match tokio::time::timeout(sending.patience, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_elapsed) => Exchange::Failed(Failure::Silent),
+    };
+    match outcome {
+        Exchange::Answer(parts, body, connection) => {
+            let head = node.protocol.answer_head(&parts);
+            judge_head(sending, *parts, head, body, flight, connection)
+        }
+        Exchange::Unreachable => {
+            flight.met(Met::Unreachable);
+            Attempt::Unreachable
+        }
+        Exchange::Failed(failure) => {
+            if failure != Failure::Silent || sending.patience > LEAST_FAIR_WAIT {
+                flight.met(Met::Failure);
+            }
+            Attempt::Failed(failure)
+        }
+    }
+}
+
+/// A target that was waited for shorter than this isn't blamed for its silence.
+const LEAST_FAIR_WAIT: Duration = Duration::from_millis(200);
+
+fn judge_head<E: Edge>(
+    sending: Sending<'_>,
+    parts: response::Parts,
+    head: AnswerHead,
+    body: Incoming,
+    mut flight: Flight<E>,
+    connection: Connection,
+) -> Attempt<E> {
+    let misdirected = parts.status.as_u16() == 421;
+    let other = head.id.as_ref().is_some_and(|id| *id != sending.call.id);
+    if other {
+        flight.met(Met::Failure);
+        return Attempt::Failed(Failure::WrongAnswer);
+    }
+    if head.not_run || misdirected {
+        return Attempt::NotRun { misdirected };
+    }
+    let encoded = parts.headers.contains_key(http::header::CONTENT_ENCODING);
+    if parts.status.is_success() && (!head.signed || head.id.is_none() || encoded) {
+        flight.met(Met::Failure);
+        return Attempt::Failed(Failure::WrongAnswer);
+    }
+    Attempt::Answer(Box::new(Answer {
+        parts,
+        head,
+        body,
+        flight,
+        connection,
+    }))
+}
+
+enum Exchange {
+    Answer(Box<response::Parts>, Incoming, Connection),
+    Unreachable,
+    Failed(Failure),
+}
+
+async fn exchange<E: Edge>(
+    node: &Arc<Node<E>>,
+    target: &TargetId,
+    address: std::net::SocketAddr,
+    sending: Sending<'_>,
+    forward: &Forward<'_>,
+) -> Exchange {
+    let kept = sending.reuse.then(|| node.pool.take(target)).flatten();
+    let connection = match kept {
+        Some(connection) => Some(connection),
+        None => open(address).await,
+    };
+    let Some(mut connection) = connection else {
+        return Exchange::Unreachable;
+    };
+    let req = target_request(node, sending, forward);
+    match connection.tx.try_send_request(req).await {
+        Ok(answer) => {
+            let (parts, body) = answer.into_parts();
+            Exchange::Answer(Box::new(parts), body, connection)
+        }
+        Err(mut err) => match err.take_message() {
+            Some(_unsent) => Exchange::Unreachable,
+            None => Exchange::Failed(Failure::Broken),
+        },
+    }
+}
+
+async fn open(address: std::net::SocketAddr) -> Option<Connection> {
+    let stream = connect(address, CONNECT_WITHIN).await.ok()?;
+    Connection::over(stream).await.ok()
+}
+
+fn target_request<E: Edge>(
+    node: &Node<E>,
+    sending: Sending<'_>,
+    forward: &Forward<'_>,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(sending.body.clone()));
+    *req.method_mut() = sending.head.method.clone();
+    *req.uri_mut() = sending.head.uri.clone();
+    *req.headers_mut() = node.protocol.forward_headers(sending.head, forward);
+    req
+}
+
+impl<E: Edge> Answer<E> {
+    /// Reads the body whole; the connection is kept if it may be.
+    pub(super) async fn collect(
+        self,
+        within: Duration,
+    ) -> Result<(response::Parts, Bytes), Failure> {
+        let Self {
+            parts,
+            head,
+            body,
+            mut flight,
+            connection,
+        } = self;
+        let reading = Limited::new(body, LONGEST_BUFFERED).collect();
+        let read = tokio::time::timeout(within, reading).await;
+        let failure = match read {
+            Ok(Ok(body)) => {
+                let failed = parts.status.is_server_error();
+                flight.met(if failed {
+                    Met::Failure
+                } else {
+                    Met::Answer(flight.age())
+                });
+                keep(&flight, &head, connection);
+                return Ok((parts, body.to_bytes()));
+            }
+            Ok(Err(_broken)) => Failure::Broken,
+            Err(_elapsed) => Failure::Silent,
+        };
+        flight.met(Met::Failure);
+        Err(failure)
+    }
+
+    /// Splits the answer for streaming.
+    pub(super) fn into_stream(self) -> (response::Parts, Source<E>) {
+        let source = Source {
+            head: self.head,
+            body: self.body,
+            flight: self.flight,
+            connection: self.connection,
+        };
+        (self.parts, source)
+    }
+}
+
+/// The rest of a streamed answer.
+#[derive(Debug)]
+pub(super) struct Source<E: Edge> {
+    head: AnswerHead,
+    pub(super) body: Incoming,
+    pub(super) flight: Flight<E>,
+    connection: Connection,
+}
+
+impl<E: Edge> Source<E> {
+    /// The stream ended as it should.
+    pub(super) fn finish(self) {
+        keep(&self.flight, &self.head, self.connection);
+    }
+}
+
+fn keep<E: Edge>(flight: &Flight<E>, head: &AnswerHead, connection: Connection) {
+    if !head.closes {
+        let pool = &flight.node.pool;
+        pool.put(&flight.target, connection, head.idle_limit);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/caller.rs
@@ -0,0 +1,87 @@
+//! Short calls to the store, engines and peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::TargetId;
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+
+use crate::edge::Edge;
+use crate::error::GatewayError;
+
+use super::node::Node;
+use super::pool::Connection;
+use super::sockets::connect;
+
+/// Longest answer that is read.
+const LONGEST_ANSWER: usize = 8 * 1_024 * 1_024;
+/// Time for a connection.
+const CONNECT_WITHIN: Duration = Duration::from_millis(300);
+
+fn failed(address: SocketAddr, cause: impl ToString) -> GatewayError {
+    GatewayError::Exchange {
+        address,
+        cause: cause.to_string().into(),
+    }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    connection: &mut Connection,
+    req: Request<Bytes>,
+) -> Result<(StatusCode, Bytes), GatewayError> {
+    let sent = connection.tx.send_request(req.map(Full::new)).await;
+    let (head, body) = sent.map_err(|err| failed(address, err))?.into_parts();
+    let body = Limited::new(body, LONGEST_ANSWER).collect().await;
+    let body = body.map_err(|err| failed(address, err))?;
+    Ok((head.status, body.to_bytes()))
+}
+
+/// Calls a process on a connection of its own.
+///
+/// # Errors
+///
+/// No connection, no whole answer, or none within the time.
+pub async fn call(
+    address: SocketAddr,
+    req: Request<Bytes>,
+    within: Duration,
+) -> Result<(StatusCode, Bytes), GatewayError> {
+    let calling = async {
+        let stream = connect(address, CONNECT_WITHIN).await;
+        let stream = stream.map_err(|err| failed(address, err))?;
+        let connection = Connection::over(stream).await;
+        let mut connection = connection.map_err(|err| failed(address, err))?;
+        exchange(address, &mut connection, req).await
+    };
+    let answered = tokio::time::timeout(within, calling).await;
+    answered.map_err(|elapsed| failed(address, elapsed))?
+}
+
+/// Calls a target, on a kept connection if there is one.
+pub(super) async fn call_target<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+    req: Request<Bytes>,
+    within: Duration,
+) -> Result<(StatusCode, Bytes), GatewayError> {
+    let calling = async {
+        let mut connection = match node.pool.take(target) {
+            Some(connection) => connection,
+            None => {
+                let stream = connect(address, CONNECT_WITHIN).await;
+                let stream = stream.map_err(|err| failed(address, err))?;
+                let connection = Connection::over(stream).await;
+                connection.map_err(|err| failed(address, err))?
+            }
+        };
+        let answer = exchange(address, &mut connection, req).await?;
+        node.pool.put(target, connection, None);
+        Ok(answer)
+    };
+    let answered = tokio::time::timeout(within, calling).await;
+    answered.map_err(|elapsed| failed(address, elapsed))?
+}
--- /dev/null
+++ b/crates/gateway/src/net/front.rs
@@ -0,0 +1,416 @@
+//! Serves callers' requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellstage_core::{AdapterVersion, TargetId, Time};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::Rng;
+
+use crate::decide::call::{Call, Forward};
+use crate::decide::config::RouteKind;
+use crate::decide::placement::{ASK_AGAIN, Pick};
+use crate::decide::tables::{Tables, Ticket};
+use crate::edge::{Edge, Protocol};
+use crate::packet::{Wish, WishKind};
+
+use super::attempt::{Answer, Attempt, Sending, send};
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::refuse::{AnswerBody, answer, refusal, spread_retry_after, whole};
+use super::stream;
+
+/// Time kept back for our own answer to reach the caller before it gives up.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// Least time left that makes an attempt worth sending.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(15);
+/// Longest wait for an adapter, in parts of what the caller waits; beyond it another instance or a
+/// later try serves it sooner.
+const LOAD_WAIT_PART: f64 = 0.4;
+/// Longest wait for an adapter at all: a takeover of its loader takes no longer.
+const LOAD_WAIT_MOST: Duration = Duration::from_millis(5_000);
+/// Pause between looks for a free place at plain targets.
+const FULL_PAUSE: Duration = Duration::from_millis(15);
+/// Wait for the first sign of a plain target, in multiples of the route's target latency, before a
+/// repeatable request goes elsewhere.
+const PLAIN_PATIENCE: u32 = 3;
+/// The same for the first event of a stream.
+const STREAM_PATIENCE: u32 = 3;
+/// Least of these waits.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+
+/// A request with all that its attempts need.
+#[derive(Debug)]
+pub(super) struct Job<E: Edge> {
+    pub(super) node: Arc<Node<E>>,
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    pub(super) call: Call,
+    pub(super) ticket: Ticket,
+    pub(super) arrived: Time,
+    /// Targets that are out for this request.
+    pub(super) tried: Vec<TargetId>,
+    /// Attempts that ran or may have run.
+    pub(super) runs: u32,
+    /// Attempts that were sent.
+    pub(super) sends: u32,
+}
+
+/// How the search for an answer ended.
+pub(super) enum Found<E: Edge> {
+    /// A target answers.
+    Answer(Box<Answer<E>>),
+    /// The request has not run and won't.
+    NotRun(&'static str),
+    /// It may have run.
+    MayHaveRun(&'static str),
+    /// The time is up; it may have run.
+    TimeUp,
+}
+
+/// Serves one request.
+pub(super) async fn serve<E: Edge>(
+    node: Arc<Node<E>>,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = node.now();
+    let (head, body) = req.into_parts();
+    let call = match node.protocol.call(&head) {
+        Ok(call) => call,
+        Err(bad) => {
+            let status = StatusCode::BAD_REQUEST;
+            return answer(&node.protocol, status, &bad.to_string(), None);
+        }
+    };
+    let draw = rand::rng().random();
+    let admitted = node.tables().admit(&call, draw, arrived);
+    let ticket = match admitted {
+        Ok(ticket) => ticket,
+        Err(refused) => {
+            let reason = format!("{refused:?}");
+            event(
+                LogEvent::RequestRefused,
+                &[("request", &call.id), ("reason", &reason)],
+            );
+            return refusal(&node.protocol, refused);
+        }
+    };
+    let body = match read_body(&node, body).await {
+        Ok(body) => body,
+        Err(status) => {
+            node.tables().not_run(&ticket);
+            return answer(&node.protocol, status, "the body is too long or cut", None);
+        }
+    };
+    let job = Job {
+        node,
+        head,
+        body,
+        call,
+        ticket,
+        arrived,
+        tried: Vec::new(),
+        runs: 0,
+        sends: 0,
+    };
+    job.run().await
+}
+
+async fn read_body<E: Edge>(node: &Node<E>, body: Incoming) -> Result<Bytes, StatusCode> {
+    let limit = node.tables().routes.config().limits.body_bytes;
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_cut) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+impl<E: Edge> Job<E> {
+    async fn run(mut self) -> Response<AnswerBody> {
+        let kind = self.ticket.route().kind;
+        let mut spare = None;
+        loop {
+            let found = self.find().await;
+            let answered = match found {
+                Found::Answer(answered) => answered,
+                other => {
+                    return match spare.take() {
+                        Some((parts, body)) => self.pass(&parts, whole(body)),
+                        None => self.own_answer(&other),
+                    };
+                }
+            };
+            if kind.streams() && answered.parts.status.is_success() {
+                return stream::relay(self, *answered);
+            }
+            let target = answered.flight.target.clone();
+            match answered.collect(self.left()).await {
+                Ok((parts, body)) => {
+                    let again = parts.status.is_server_error() && self.may_repeat();
+                    if !again {
+                        return self.pass(&parts, whole(body));
+                    }
+                    spare = Some((parts, body));
+                    self.tried.push(target);
+                }
+                Err(failure) => {
+                    self.log_attempt(&target, &format!("{failure:?} in body"));
+                    if !self.may_repeat() {
+                        return self.own_answer(&Found::MayHaveRun("the target's answer broke off"));
+                    }
+                    self.tried.push(target);
+                }
+            }
+        }
+    }
+
+    /// The attempt that ran may be followed by another one.
+    pub(super) fn may_repeat(&self) -> bool {
+        let route = self.ticket.route();
+        route.kind.repeatable()
+            && self.runs < route.max_attempts
+            && self.left() > LEAST_ATTEMPT
+    }
+
+    /// Time left for the caller.
+    pub(super) fn left(&self) -> Duration {
+        let route = self.ticket.route().timeout;
+        let limit = self.call.patience.map_or(route, |own| own.min(route));
+        let passed = self.node.now().since(self.arrived);
+        limit.saturating_sub(passed + ANSWER_MARGIN)
+    }
+
+    /// Finds a target that answers.
+    pub(super) async fn find(&mut self) -> Found<E> {
+        let route_latency = self.ticket.route().target_latency;
+        let waits = self.call.patience.unwrap_or(self.ticket.route().timeout);
+        let load_until =
+            self.node.now() + waits.mul_f64(LOAD_WAIT_PART).min(LOAD_WAIT_MOST);
+        let full_until = self.node.now() + route_latency / 2;
+        loop {
+            if self.left() < LEAST_ATTEMPT {
+                return self.out_of_time();
+            }
+            let now = self.node.now();
+            let pick = self
+                .node
+                .tables()
+                .pick(&self.ticket, &self.call, &self.tried, now);
+            match pick {
+                Pick::Send {
+                    target,
+                    version,
+                    trial,
+                    load_at,
+                } => {
+                    if let Some(place) = load_at {
+                        self.wish(place, self.load_wish());
+                    }
+                    if let Some(found) = self.try_target(target, version, trial).await {
+                        return found;
+                    }
+                }
+                Pick::Load(target) => {
+                    if now > load_until {
+                        return self.unserved("its adapter could not be loaded in time");
+                    }
+                    self.wish(target, self.load_wish());
+                    self.node.loader_work.notify_waiters();
+                    let changed = self.node.changed.notified();
+                    let _woken = tokio::time::timeout(ASK_AGAIN, changed).await;
+                }
+                Pick::Full if now < full_until => tokio::time::sleep(FULL_PAUSE).await,
+                Pick::Full => return self.unserved("all targets are full"),
+                Pick::Nowhere => return self.unserved("no target can run it"),
+            }
+        }
+    }
+
+    fn unserved(&self, why: &'static str) -> Found<E> {
+        if self.runs == 0 {
+            Found::NotRun(why)
+        } else {
+            Found::MayHaveRun(why)
+        }
+    }
+
+    fn out_of_time(&self) -> Found<E> {
+        if self.runs == 0 {
+            Found::NotRun("no target took it in time")
+        } else {
+            Found::TimeUp
+        }
+    }
+
+    fn load_wish(&self) -> WishKind {
+        let key = Tables::adapter_of(&self.call);
+        let newest = key.and_then(|key| self.node.tables().versions.newest(key));
+        WishKind::Load(newest)
+    }
+
+    fn wish(&self, target: TargetId, kind: WishKind) {
+        if let Some(key) = Tables::adapter_of(&self.call) {
+            let key = key.clone();
+            self.node.wish(Wish { target, key, kind });
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        let route = self.ticket.route();
+        let left = self.left();
+        if !route.kind.repeatable() || self.runs + 1 >= route.max_attempts {
+            return left;
+        }
+        let times = if route.kind.streams() {
+            STREAM_PATIENCE
+        } else {
+            PLAIN_PATIENCE
+        };
+        (route.target_latency * times).max(LEAST_PATIENCE).min(left)
+    }
+
+    async fn try_target(
+        &mut self,
+        target: TargetId,
+        version: Option<AdapterVersion>,
+        trial: bool,
+    ) -> Option<Found<E>> {
+        let service = &self.ticket.service;
+        let now = self.node.now();
+        if self.sends > 0 && !self.node.tables().take_retry(service, now) {
+            return Some(self.unserved("the budget for repeats is used up"));
+        }
+        let kind = self.ticket.route().kind;
+        let forward = Forward {
+            time_left: self.left(),
+            target: target.as_str(),
+            workspace: self.ticket.workspace.as_ref(),
+            adapter_version: version.map(|version| version.0),
+            urgency: self.call.wanted.is_some().then(|| self.ticket.rank.min(9)),
+            resume_after: self.call.resume_after,
+        };
+        let sending = Sending {
+            head: &self.head,
+            body: &self.body,
+            call: &self.call,
+            reuse: kind != RouteKind::Unsafe,
+            trial,
+            patience: self.patience(),
+        };
+        self.sends += 1;
+        let attempt = send(&self.node, &target, sending, &forward).await;
+        match attempt {
+            Attempt::Answer(answered) => {
+                self.runs += 1;
+                self.wish(target, WishKind::Used);
+                Some(Found::Answer(answered))
+            }
+            Attempt::NotRun { misdirected } => {
+                self.log_not_run(&target, misdirected);
+                if misdirected {
+                    self.not_held(&target);
+                }
+                self.tried.push(target);
+                None
+            }
+            Attempt::Unreachable => {
+                self.sends -= 1;
+                self.log_attempt(&target, "no connection");
+                self.tried.push(target);
+                None
+            }
+            Attempt::Failed(failure) => {
+                self.runs += 1;
+                self.log_attempt(&target, &format!("{failure:?}"));
+                if !self.may_repeat() {
+                    return Some(Found::MayHaveRun("the target gave no whole answer"));
+                }
+                self.tried.push(target);
+                None
+            }
+        }
+    }
+
+    fn not_held(&self, target: &TargetId) {
+        if let Some(key) = Tables::adapter_of(&self.call) {
+            self.node.tables().residency.missing(target, key);
+        }
+        self.wish(target.clone(), WishKind::Missing);
+    }
+
+    fn log_not_run(&self, target: &TargetId, misdirected: bool) {
+        let target = target.to_string();
+        let reason = if misdirected { "misdirected" } else { "refused" };
+        event(
+            LogEvent::RequestNotRun,
+            &[
+                ("request", &self.call.id),
+                ("target", &target),
+                ("reason", reason),
+            ],
+        );
+    }
+
+    fn log_attempt(&self, target: &TargetId, cause: &str) {
+        let [target, runs] = [target.to_string(), self.runs.to_string()];
+        event(
+            LogEvent::AttemptFailed,
+            &[
+                ("request", &self.call.id),
+                ("target", &target),
+                ("cause", cause),
+                ("runs", &runs),
+            ],
+        );
+    }
+
+    fn own_answer(&self, found: &Found<E>) -> Response<AnswerBody> {
+        let (status, message, after) = match found {
+            Found::NotRun(why) => {
+                self.node.tables().not_run(&self.ticket);
+                let after = Some(spread_retry_after());
+                (StatusCode::SERVICE_UNAVAILABLE, *why, after)
+            }
+            Found::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
+            Found::TimeUp | Found::Answer(_) => {
+                (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
+            }
+        };
+        let ms = self.node.now().since(self.arrived).as_millis().to_string();
+        event(
+            LogEvent::RequestRefused,
+            &[
+                ("request", &self.call.id),
+                ("route", &self.ticket.route().name),
+                ("status", status.as_str()),
+                ("reason", message),
+                ("sends", &self.sends.to_string()),
+                ("config", &self.ticket.config().to_string()),
+                ("ms", &ms),
+            ],
+        );
+        answer(&self.node.protocol, status, message, after)
+    }
+
+    /// Passes a target's answer on.
+    pub(super) fn pass(
+        &self,
+        parts: &http::response::Parts,
+        body: AnswerBody,
+    ) -> Response<AnswerBody> {
+        let mut res = Response::new(body);
+        *res.status_mut() = parts.status;
+        *res.headers_mut() = self.node.protocol.answer_headers(parts);
+        event(
+            LogEvent::RequestAnswered,
+            &[
+                ("request", &self.call.id),
+                ("status", parts.status.as_str()),
+            ],
+        );
+        res
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/leases.rs
@@ -0,0 +1,158 @@
+//! Keeps the leases of the loader shards.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bluebellstage_core::{InstanceId, Revision, Time};
+
+use crate::decide::lease::{LeaseRecord, LeaseStep, SHARDS, ShardLease};
+use crate::decide::rendezvous::{first, name_hash};
+use crate::edge::{Content, Edge, Kind, ObjectStore};
+use crate::error::StoreError;
+
+use super::log::{LogEvent, event};
+use super::node::Node;
+
+/// Longest sleep of a lease's task.
+const LONGEST_SLEEP: Duration = Duration::from_millis(300);
+/// Time after the start in which peers are waited for, so that not the first one takes all.
+const MEET_PEERS: Duration = Duration::from_millis(700);
+
+/// The leases as seen by this instance.
+#[derive(Debug)]
+pub(super) struct Leases {
+    shards: Vec<Mutex<ShardLease>>,
+}
+
+impl Leases {
+    pub(super) fn new(me: &InstanceId, handover: Duration) -> Self {
+        let lease = |_| Mutex::new(ShardLease::new(me.clone(), handover));
+        Self {
+            shards: (0..SHARDS).map(lease).collect(),
+        }
+    }
+
+    fn lock(&self, shard: u8) -> MutexGuard<'_, ShardLease> {
+        let lease = &self.shards[usize::from(shard)];
+        lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The fencing number to order with on a shard, while this instance may.
+    pub(super) fn may_order(&self, shard: u8, now: Time) -> Option<u64> {
+        self.lock(shard).may_order(now)
+    }
+}
+
+fn object_name(shard: u8) -> String {
+    format!("shard-{shard}")
+}
+
+/// Keeps the lease of one shard until the process stops.
+pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, shard: u8) {
+    tokio::time::sleep(MEET_PEERS).await;
+    while !node.stopping() {
+        let now = node.now();
+        let wanted = wanted(&node, shard, now);
+        let step = node.leases.lock(shard).step(wanted, now);
+        match step {
+            LeaseStep::Sleep(until) => {
+                let pause = until.since(now).min(LONGEST_SLEEP);
+                tokio::time::sleep(pause.max(Duration::from_millis(5))).await;
+            }
+            LeaseStep::Read => read(&node, shard).await,
+            LeaseStep::Write(record, at) => write(&node, shard, record, at).await,
+        }
+        note(&node, shard);
+    }
+}
+
+/// This instance comes first for the shard among those that live.
+fn wanted<E: Edge>(node: &Node<E>, shard: u8, now: Time) -> bool {
+    let tables = node.tables();
+    if !tables.ready() {
+        return false;
+    }
+    let peers = tables.peers.live(now).filter(|peer| peer.ready);
+    let names = peers.map(|peer| peer.member.name.as_str());
+    let me = tables.me.name.as_str();
+    let key = name_hash(&object_name(shard));
+    first(key, names.chain([me])) == Some(me)
+}
+
+async fn read<E: Edge>(node: &Node<E>, shard: u8) {
+    let found = node.store.read(Kind::Leases, &object_name(shard)).await;
+    let now = node.now();
+    let mut lease = node.leases.lock(shard);
+    match found {
+        Ok(Some(object)) => match object.content {
+            Some(Content::Lease(record)) => lease.read(Some((record, object.revision)), now),
+            _ => lease.write_failed(false, now),
+        },
+        Ok(None) => lease.read(None, now),
+        Err(_away) => lease.write_failed(false, now),
+    }
+}
+
+async fn write<E: Edge>(node: &Node<E>, shard: u8, record: LeaseRecord, at: Option<Revision>) {
+    let sent = node.now();
+    let content = Content::Lease(record.clone());
+    let written = node
+        .store
+        .write(Kind::Leases, &object_name(shard), at, &content)
+        .await;
+    let now = node.now();
+    let mut lease = node.leases.lock(shard);
+    match written {
+        Ok(revision) => lease.wrote(record, revision, sent, now),
+        Err(err) => lease.write_failed(err == StoreError::Conflict, now),
+    }
+}
+
+/// Brings the tables in line with the lease and tells of changes.
+fn note<E: Edge>(node: &Node<E>, shard: u8) {
+    let may = node.leases.may_order(shard, node.now());
+    let mut tables = node.tables();
+    let had = tables.shards.contains(&shard);
+    if had == may.is_some() {
+        return;
+    }
+    if may.is_some() {
+        tables.shards.push(shard);
+    } else {
+        tables.shards.retain(|held| *held != shard);
+    }
+    drop(tables);
+    let told = if had {
+        LogEvent::LeaseLost
+    } else {
+        LogEvent::LeaseTaken
+    };
+    let fencing = may.map_or("none".into(), |fencing| fencing.to_string());
+    event(told, &[("shard", &shard.to_string()), ("fencing", &fencing)]);
+    node.loader_work.notify_waiters();
+}
+
+/// Gives all leases up, so that others need not wait for them to expire.
+pub(super) async fn release<E: Edge>(node: &Node<E>) {
+    node.tables().shards.clear();
+    for shard in 0..SHARDS {
+        let released = {
+            let mut lease = node.leases.lock(shard);
+            let released = lease.release(node.now());
+            lease.forget();
+            released
+        };
+        let Some((record, at)) = released else {
+            continue;
+        };
+        let content = Content::Lease(record);
+        let name = object_name(shard);
+        let written = node.store.write(Kind::Leases, &name, Some(at), &content);
+        if let Err(err) = written.await {
+            event(
+                LogEvent::StoreLost,
+                &[("call", "release"), ("cause", &err.to_string())],
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/loaders.rs
@@ -0,0 +1,321 @@
+//! Runs the loaders of the engines whose shards this instance holds.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bluebellstage_core::{TargetId, Time};
+
+use crate::decide::loader::{LoadStep, Loader, Order, OrderAnswer, OrderKind};
+use crate::decide::residency::WordOrder;
+use crate::decide::tables::{Tables, shard_of};
+use crate::decide::target::Target;
+use crate::edge::{Edge, Protocol};
+use crate::packet::{Holdings, Packet, Wish, WishKind};
+
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::caller::call_target;
+
+/// Adapters on their way from the weight store, over all engines, at which loads become slower.
+const STORE_AT_ONCE: usize = 8;
+/// Longest wait for an engine's answer.
+const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+/// Pause between words on holdings that did not change: a datagram may be lost.
+const REPEAT_WORD: Duration = Duration::from_millis(2_000);
+/// Pause between looks for engines without a loader.
+const LOOK: Duration = Duration::from_millis(100);
+/// Longest sleep of a loader.
+const LONGEST_SLEEP: Duration = Duration::from_millis(500);
+/// Load of the fleet, in parts of its slots, above which an engine that comes empty gets its base
+/// model from the weight store. Below it the others have room, and the load is not worth its
+/// place in the store's rate.
+const FETCH_MODEL_ABOVE: f64 = 0.35;
+/// Engines with the base model that are kept in any case.
+const LEAST_WITH_MODEL: usize = 3;
+/// Pause between two orders for the same engine's base model.
+const MODEL_PAUSE: Duration = Duration::from_secs(4);
+
+#[derive(Debug)]
+struct Running {
+    loader: Loader,
+    born: Option<u64>,
+    word: u64,
+    told: Time,
+    model_asked: Option<Time>,
+}
+
+/// The loaders that run here.
+#[derive(Debug, Default)]
+pub(super) struct Loaders {
+    running: Mutex<HashMap<TargetId, Running>>,
+}
+
+impl Loaders {
+    fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Running>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in wishes for engines whose loaders run here; others are dropped, as their sender
+    /// repeats them to the new holder.
+    pub(super) fn take(&self, wishes: Vec<Wish>, now: Time) {
+        let mut running = self.lock();
+        for wish in wishes {
+            let Some(entry) = running.get_mut(&wish.target) else {
+                continue;
+            };
+            match wish.kind {
+                WishKind::Load(version) => entry.loader.wish(wish.key, version, now),
+                WishKind::Used => entry.loader.used(&wish.key, now),
+                WishKind::Missing => entry.loader.missing(&wish.key),
+            }
+        }
+    }
+
+    fn loading(&self) -> usize {
+        let running = self.lock();
+        running.values().map(|entry| entry.loader.loading()).sum()
+    }
+}
+
+/// Starts a loader for each engine of the shards held, until the process ends.
+pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
+    loop {
+        for target in engines_without_loader(&node) {
+            tokio::spawn(load_for(Arc::clone(&node), target));
+        }
+        let loading = node.loaders.loading();
+        node.tables().loads = u16::try_from(loading).unwrap_or(u16::MAX);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn engines_without_loader<E: Edge>(node: &Node<E>) -> Vec<TargetId> {
+    let tables = node.tables();
+    let mut running = node.loaders.lock();
+    let mut found = Vec::new();
+    for target in tables.registry.all() {
+        let Some(slots) = adapter_slots(&tables, target) else {
+            continue;
+        };
+        if !tables.shards.contains(&shard_of(&target.id)) || running.contains_key(&target.id) {
+            continue;
+        }
+        let entry = Running {
+            loader: Loader::new(slots),
+            born: target.born,
+            word: 0,
+            told: Time::default(),
+            model_asked: None,
+        };
+        running.insert(target.id.clone(), entry);
+        found.push(target.id.clone());
+    }
+    found
+}
+
+fn adapter_slots(tables: &Tables, target: &Target) -> Option<usize> {
+    let service = tables.routes.config().service(&target.service)?;
+    let engine = service.engine.as_ref()?;
+    usize::try_from(engine.adapter_slots).ok()
+}
+
+async fn load_for<E: Edge>(node: Arc<Node<E>>, id: TargetId) {
+    while let Some((target, fencing)) = may_load(&node, &id) {
+        let woken = node.loader_work.notified();
+        match step(&node, &target) {
+            LoadStep::Idle => {
+                let _woken = tokio::time::timeout(LONGEST_SLEEP, woken).await;
+            }
+            LoadStep::Wait(until) => {
+                let pause = until.since(node.now()).clamp(SHORTEST_SLEEP, LONGEST_SLEEP);
+                let _woken = tokio::time::timeout(pause, woken).await;
+            }
+            LoadStep::Read => read(&node, &target).await,
+            LoadStep::Send(order) => {
+                if !order_now(&node, &target, &order, fencing).await {
+                    break;
+                }
+            }
+        }
+        tell(&node, &id, fencing);
+    }
+    node.loaders.lock().remove(&id);
+}
+
+/// Shortest sleep of a loader.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(2);
+
+/// The target and the fencing number, while this instance may order on it and it lives the same
+/// life.
+fn may_load<E: Edge>(node: &Node<E>, id: &TargetId) -> Option<(Target, u64)> {
+    let tables = node.tables();
+    let target = tables.registry.get(id)?.clone();
+    let shard = shard_of(id);
+    if !tables.shards.contains(&shard) {
+        return None;
+    }
+    let fencing = node.leases.may_order(shard, node.now())?;
+    let running = node.loaders.lock();
+    let same_life = running.get(id).is_some_and(|entry| entry.born == target.born);
+    same_life.then_some((target, fencing))
+}
+
+fn step<E: Edge>(node: &Node<E>, target: &Target) -> LoadStep {
+    let now = node.now();
+    let own = node.loaders.loading();
+    let tables = node.tables();
+    let others = tables.peers.live(now).map(|peer| usize::from(peer.loads));
+    let store_free = own + others.sum::<usize>() < STORE_AT_ONCE;
+    let model = missing_model(&tables, target, now);
+    let mut running = node.loaders.lock();
+    let Some(entry) = running.get_mut(&target.id) else {
+        return LoadStep::Idle;
+    };
+    let rested = entry
+        .model_asked
+        .is_none_or(|asked| now.since(asked) > MODEL_PAUSE);
+    if let Some(model) = model
+        && rested
+    {
+        entry.model_asked = Some(now);
+        entry.loader.wish_model(model);
+    }
+    if target.models.is_empty() && entry.model_asked.is_none() {
+        return LoadStep::Idle;
+    }
+    entry
+        .loader
+        .step(|key| tables.versions.newest(key), store_free, now)
+}
+
+/// The base model that the engine should load.
+fn missing_model(
+    tables: &Tables,
+    target: &Target,
+    now: Time,
+) -> Option<bluebellstage_core::BaseModel> {
+    if !target.models.is_empty() || target.leaving {
+        return None;
+    }
+    let service = tables.routes.config().service(&target.service)?;
+    let model = service.engine.as_ref()?.models.first()?;
+    if target.copies.contains(model) {
+        return Some(model.clone());
+    }
+    let holders = tables
+        .registry
+        .all()
+        .filter(|other| other.service == target.service && !other.leaving)
+        .filter(|other| other.models.contains(model))
+        .collect::<Vec<_>>();
+    let slots = holders.iter().map(|other| other.slots).sum::<u32>();
+    let busy = holders.iter().map(|other| {
+        let hash = crate::decide::tables::short_hash(&other.id);
+        tables.own_in_flight(&other.id) + tables.peers.in_flight(hash, now)
+    });
+    let fill = f64::from(busy.sum::<u32>()) / f64::from(slots.max(1));
+    let needed = holders.len() < LEAST_WITH_MODEL || fill > FETCH_MODEL_ABOVE;
+    needed.then(|| model.clone())
+}
+
+async fn read<E: Edge>(node: &Arc<Node<E>>, target: &Target) {
+    let req = node.protocol.report_request(target);
+    let answered = call_target(node, &target.id, target.address, req, ANSWER_WITHIN).await;
+    let report = match answered {
+        Ok((status, body)) if status.is_success() => node.protocol.report(&body),
+        Ok(_) | Err(_) => None,
+    };
+    if report.is_none() {
+        let id = target.id.to_string();
+        event(
+            LogEvent::OrderFailed,
+            &[("target", &id), ("cause", "no report")],
+        );
+    }
+    let now = node.now();
+    if let Some(entry) = node.loaders.lock().get_mut(&target.id) {
+        entry.loader.reported(report, now);
+    }
+}
+
+/// Sends an order; false if the lease does not allow it any more.
+async fn order_now<E: Edge>(
+    node: &Arc<Node<E>>,
+    target: &Target,
+    order: &Order,
+    fencing: u64,
+) -> bool {
+    let shard = shard_of(&target.id);
+    let holder = node.settings.member.name.to_string();
+    let req = node.protocol.order_request(target, order, &holder, fencing);
+    // The time may have passed in a suspension: the lease is looked at right before the send.
+    if node.leases.may_order(shard, node.now()) != Some(fencing) {
+        return false;
+    }
+    let answered = call_target(node, &target.id, target.address, req, ANSWER_WITHIN).await;
+    let (answer, status) = match answered {
+        Ok((status, _)) => (node.protocol.order_answer(status), status.to_string()),
+        Err(err) => (OrderAnswer::Unknown, err.to_string()),
+    };
+    let [id, what] = [target.id.to_string(), describe(&order.what)];
+    let taken = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
+    let told = if taken {
+        LogEvent::OrderSent
+    } else {
+        LogEvent::OrderFailed
+    };
+    let expected = order.expected.to_string();
+    event(
+        told,
+        &[
+            ("target", &id),
+            ("order", &what),
+            ("expected", &expected),
+            ("answer", &status),
+        ],
+    );
+    let now = node.now();
+    if let Some(entry) = node.loaders.lock().get_mut(&target.id) {
+        entry.loader.answered(order, answer, now);
+    }
+    true
+}
+
+fn describe(what: &OrderKind) -> String {
+    match what {
+        OrderKind::LoadModel(model) => format!("load {model}"),
+        OrderKind::LoadAdapter(key, Some(version)) => format!("load {key}@{version}"),
+        OrderKind::LoadAdapter(key, None) => format!("load {key}"),
+        OrderKind::UnloadAdapter(key) => format!("unload {key}"),
+    }
+}
+
+/// Tells all instances what the engine holds, when it changed and now and then.
+fn tell<E: Edge>(node: &Node<E>, id: &TargetId, fencing: u64) {
+    let now = node.now();
+    let word = {
+        let mut running = node.loaders.lock();
+        let Some(entry) = running.get_mut(id) else {
+            return;
+        };
+        let due = now.since(entry.told) > REPEAT_WORD;
+        if !entry.loader.take_changed() && !due {
+            return;
+        }
+        entry.told = now;
+        entry.word += 1;
+        Holdings {
+            target: id.clone(),
+            order: WordOrder {
+                fencing,
+                count: entry.word,
+            },
+            adapters: entry.loader.holdings(),
+        }
+    };
+    let residency = &mut node.tables().residency;
+    residency.told(id, word.order, &word.adapters, now);
+    node.send(None, Packet::Holdings(word));
+    node.changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/gateway/src/net/log.rs
@@ -0,0 +1,190 @@
+//! The numbered log events of the gateway; docs/EVENTS.md is held to this list by a test.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use log::Level;
+
+/// Where events go.
+pub const LOG_TARGET: &str = "bluebellstage::event";
+
+/// Events about requests that are written in one second; more are counted and left out, so that a
+/// storm of refusals doesn't spend the processor on telling of it.
+const REQUEST_EVENTS_PER_SECOND: u32 = 60;
+
+macro_rules! log_events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal;)+) => {
+        /// A numbered log event.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum LogEvent {$(
+            $(#[$doc])*
+            $name,
+        )+}
+
+        impl LogEvent {
+            /// All events, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$name),+];
+
+            /// The event's number; never reused for another event.
+            #[must_use]
+            pub const fn code(self) -> u16 {
+                match self {$(Self::$name => $code,)+}
+            }
+
+            /// How loud the event is.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self {$(Self::$name => Level::$level,)+}
+            }
+
+            /// The event in a few words.
+            #[must_use]
+            pub const fn summary(self) -> &'static str {
+                match self {$(Self::$name => $summary,)+}
+            }
+        }
+    };
+}
+
+log_events! {
+    /// The instance serves.
+    Started = 3001, Info, "instance started";
+    /// A planned stop was asked for.
+    StopAsked = 3002, Info, "planned stop asked for";
+    /// The instance ends.
+    Stopped = 3003, Info, "instance stopped";
+    /// A socket option can't be set.
+    SocketOption = 3004, Warn, "socket option can't be set";
+    /// A datagram was dropped because too many wait.
+    DatagramDropped = 3005, Warn, "datagram dropped: too many wait";
+    /// A datagram doesn't parse.
+    DatagramMalformed = 3006, Warn, "datagram doesn't parse";
+    /// Events were left out.
+    EventsLeftOut = 3007, Warn, "log events left out";
+    /// A new connection can't be accepted.
+    AcceptFailed = 3008, Warn, "connection can't be accepted";
+
+    /// A newer configuration is in force.
+    ConfigAdopted = 3101, Info, "configuration in force";
+    /// A target registered.
+    TargetAdded = 3102, Info, "target registered";
+    /// A target leaves.
+    TargetLeaving = 3103, Info, "target leaves: no new work for it";
+    /// A target's registration is gone.
+    TargetGone = 3104, Info, "target's registration is gone";
+    /// An object names nothing.
+    ObjectMalformed = 3105, Warn, "object doesn't parse and is ignored";
+    /// A newer version of an adapter was announced.
+    VersionAnnounced = 3106, Info, "adapter version announced";
+    /// A target is left alone for a while.
+    TargetEjected = 3107, Warn, "target ejected";
+
+    /// The store can't be reached.
+    StoreLost = 3201, Warn, "store can't be reached";
+    /// The store answers again.
+    StoreBack = 3202, Info, "store answers again";
+    /// A peer's copy was taken over.
+    PeerCopyTaken = 3203, Info, "newer state taken from a peer";
+    /// A peer's copy can't be read.
+    PeerCopyFailed = 3204, Warn, "peer's state can't be read";
+
+    /// A loader shard is held.
+    LeaseTaken = 3301, Info, "loader lease taken";
+    /// A loader shard is no longer held.
+    LeaseLost = 3302, Warn, "loader lease lost";
+    /// A load or unload was ordered.
+    OrderSent = 3303, Debug, "order sent to engine";
+    /// An engine did not take an order.
+    OrderFailed = 3304, Info, "order not taken by engine";
+
+    /// A request was refused.
+    RequestRefused = 3401, Info, "request refused";
+    /// A target did not run a request; it goes elsewhere.
+    RequestNotRun = 3402, Info, "target did not run request";
+    /// An attempt failed.
+    AttemptFailed = 3403, Info, "attempt failed";
+    /// A stream goes on at another target.
+    StreamResumed = 3404, Info, "stream goes on at another target";
+    /// A stream broke off and can't go on.
+    StreamBroken = 3405, Warn, "stream broken off";
+    /// A request was answered.
+    RequestAnswered = 3406, Debug, "request answered";
+}
+
+struct Bound {
+    since: Option<Instant>,
+    written: u32,
+    left_out: u32,
+}
+
+static BOUND: Mutex<Bound> = Mutex::new(Bound {
+    since: None,
+    written: 0,
+    left_out: 0,
+});
+
+/// Writes an event with its fields.
+pub fn event(event: LogEvent, fields: &[(&'static str, &str)]) {
+    if !log::log_enabled!(target: LOG_TARGET, event.level()) {
+        return;
+    }
+    if event.code() >= 3_300 && !within_bound() {
+        return;
+    }
+    write(event, fields);
+}
+
+fn write(event: LogEvent, fields: &[(&'static str, &str)]) {
+    let code = event.code();
+    let pairs = fields
+        .iter()
+        .map(|(name, value)| (*name, log::kv::Value::from(*value)))
+        .collect::<Vec<_>>();
+    log::logger().log(
+        &log::Record::builder()
+            .args(format_args!("{}", event.summary()))
+            .level(event.level())
+            .target(LOG_TARGET)
+            .key_values(&Fields { code, pairs: &pairs })
+            .build(),
+    );
+}
+
+struct Fields<'a> {
+    code: u16,
+    pairs: &'a [(&'static str, log::kv::Value<'a>)],
+}
+
+impl log::kv::Source for Fields<'_> {
+    fn visit<'kvs>(
+        &'kvs self,
+        visitor: &mut dyn log::kv::VisitSource<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        visitor.visit_pair("code".into(), self.code.into())?;
+        for (name, value) in self.pairs {
+            visitor.visit_pair((*name).into(), value.clone())?;
+        }
+        Ok(())
+    }
+}
+
+fn within_bound() -> bool {
+    let mut bound = BOUND.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let fresh = bound
+        .since
+        .is_none_or(|since| since.elapsed() > Duration::from_secs(1));
+    if fresh {
+        let left_out = std::mem::take(&mut bound.left_out);
+        bound.since = Some(Instant::now());
+        bound.written = 0;
+        if left_out > 0 {
+            write(LogEvent::EventsLeftOut, &[("count", &left_out.to_string())]);
+        }
+    }
+    if bound.written >= REQUEST_EVENTS_PER_SECOND {
+        bound.left_out += 1;
+        return false;
+    }
+    bound.written += 1;
+    true
+}
--- /dev/null
+++ b/crates/gateway/src/net/mod.rs
@@ -0,0 +1,25 @@
+//! Carries decisions out: sockets, tasks, signals.
+//!
+//! One lock guards all tables of an instance and is never held over an await; so there is no lock
+//! order to keep.
+
+pub mod caller;
+pub mod log;
+pub mod node;
+pub mod run;
+
+mod accept;
+mod attempt;
+mod control;
+mod directory;
+mod front;
+mod gossip;
+mod leases;
+mod loaders;
+
+mod pool;
+mod refuse;
+mod sockets;
+mod stop;
+mod stream;
+mod sync;
--- /dev/null
+++ b/crates/gateway/src/net/node.rs
@@ -0,0 +1,157 @@
+//! What the tasks of an instance share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bluebellstage_core::{InstanceId, Time};
+use tokio::sync::{Notify, mpsc};
+
+use crate::clock::boot_time;
+use crate::decide::peers::Member;
+use crate::decide::retry_budget::RetryBudget;
+use crate::decide::tables::Tables;
+use crate::edge::Edge;
+use crate::packet::{Packet, Wish};
+
+use super::leases::Leases;
+use super::loaders::Loaders;
+use super::pool::Pool;
+
+/// What an instance must know to start.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// How it registers itself.
+    pub member: Member,
+    /// Where the platform asks whether it is ready.
+    pub ready: Option<SocketAddr>,
+    /// Where callers ask which addresses to use.
+    pub directory: Option<SocketAddr>,
+    /// Where other instances may be found when the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Limit on repeats.
+    pub retry_budget: RetryBudget,
+    /// Pause that two holders of a loader shard leave between their orders.
+    pub handover: Duration,
+    /// Time between the order to stop and the kill.
+    pub stop_within: Duration,
+    /// How long callers may keep a list of addresses.
+    pub keep_addresses: Duration,
+}
+
+/// Requests that wait for adapters, on their way to the holder of the engine's shard.
+pub type Outgoing = (Option<InstanceId>, Packet);
+
+/// What the tasks of an instance share.
+#[derive(Debug)]
+pub struct Node<E: Edge> {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// How callers and targets speak.
+    pub protocol: E::Protocol,
+    /// Where lasting state is kept.
+    pub store: E::Store,
+    tables: Mutex<Tables>,
+    pub(super) pool: Pool,
+    pub(super) loaders: Loaders,
+    pub(super) leases: Leases,
+    /// A peer has newer state than this instance.
+    pub(super) peer_is_newer: Notify,
+    /// An adapter was loaded, a target came or went.
+    pub(super) changed: Notify,
+    /// A loader has something to do.
+    pub(super) loader_work: Notify,
+    /// The instance begins to stop.
+    pub(super) stop: Notify,
+    stopping: AtomicBool,
+    closing: AtomicBool,
+    pub(super) connections: AtomicUsize,
+    wishes: Mutex<Vec<Wish>>,
+    outgoing: mpsc::Sender<Outgoing>,
+}
+
+/// Datagrams that may wait to be sent; more are dropped, as on a full link.
+const OUTGOING_QUEUE: usize = 256;
+
+impl<E: Edge> Node<E> {
+    /// A node, and the datagrams that its tasks want sent.
+    pub fn new(
+        settings: NodeSettings,
+        protocol: E::Protocol,
+        store: E::Store,
+    ) -> (Self, mpsc::Receiver<Outgoing>) {
+        let tables = Tables::new(settings.member.clone(), settings.retry_budget);
+        let (outgoing, packets) = mpsc::channel(OUTGOING_QUEUE);
+        let leases = Leases::new(&settings.member.name, settings.handover);
+        let node = Self {
+            settings,
+            protocol,
+            store,
+            tables: Mutex::new(tables),
+            pool: Pool::default(),
+            loaders: Loaders::default(),
+            leases,
+            peer_is_newer: Notify::new(),
+            changed: Notify::new(),
+            loader_work: Notify::new(),
+            stop: Notify::new(),
+            stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            wishes: Mutex::default(),
+            outgoing,
+        };
+        (node, packets)
+    }
+
+    /// The tables, locked; a panic of another task while it held them leaves them usable.
+    pub fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The time.
+    #[expect(clippy::unused_self, reason = "callers shouldn't care where the clock is")]
+    pub fn now(&self) -> Time {
+        boot_time()
+    }
+
+    /// A planned stop is under way.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Connections are closed as soon as their requests are answered.
+    pub(super) fn closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn begin_closing(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.stop.notify_waiters();
+    }
+
+    pub(super) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.tables().stopping = true;
+        self.stop.notify_waiters();
+    }
+
+    /// Queues a datagram to one peer, or to all.
+    pub(super) fn send(&self, to: Option<InstanceId>, packet: Packet) {
+        if self.outgoing.try_send((to, packet)).is_err() {
+            super::log::event(super::log::LogEvent::DatagramDropped, &[]);
+        }
+    }
+
+    /// Queues news for the loaders; sent with the next round, or at once if `urgent`.
+    pub(super) fn wish(&self, wish: Wish) {
+        let mut wishes = self.wishes.lock().unwrap_or_else(PoisonError::into_inner);
+        wishes.push(wish);
+    }
+
+    pub(super) fn take_wishes(&self) -> Vec<Wish> {
+        let mut wishes = self.wishes.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *wishes)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/pool.rs
@@ -0,0 +1,106 @@
+//! Kept connections to targets.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bluebellstage_core::TargetId;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Part of a target's own idle limit for which a connection is used again. The target's clock
+/// started earlier than ours, and a request that meets the close may be lost.
+const USED_PART_OF_LIMIT: f64 = 0.6;
+/// Idle time after which a connection isn't used again where the target states no limit.
+const UNSTATED_LIMIT: Duration = Duration::from_millis(500);
+/// Longest idle time of any kept connection; silent breaks are met less often on fresh ones.
+const LONGEST_IDLE: Duration = Duration::from_secs(4);
+/// Kept connections to one target.
+const MOST_KEPT: usize = 16;
+
+/// A connection to a target; closed when dropped, so that work of a caller who left is cancelled.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) tx: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    /// It has carried a request before.
+    pub(super) reused: bool,
+}
+
+impl Connection {
+    pub(super) async fn over(stream: TcpStream) -> hyper::Result<Self> {
+        let (tx, driver) = Builder::new()
+            .max_buf_size(64 * 1_024)
+            .handshake(TokioIo::new(stream))
+            .await?;
+        let driving = async move {
+            // The exchange that uses the connection meets the same error and tells of it.
+            let _told_by_exchange = driver.await;
+        };
+        Ok(Self {
+            tx,
+            task: tokio::spawn(driving).abort_handle(),
+            reused: false,
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Kept {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Kept connections by target.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    kept: Mutex<HashMap<TargetId, Vec<Kept>>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last; older ones run out of time meanwhile.
+    pub(super) fn take(&self, target: &TargetId) -> Option<Connection> {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let stack = kept.get_mut(target)?;
+        let now = Instant::now();
+        while let Some(mut last) = stack.pop() {
+            if now < last.until && last.connection.tx.is_ready() {
+                last.connection.reused = true;
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was complete.
+    pub(super) fn put(&self, target: &TargetId, connection: Connection, limit: Option<Duration>) {
+        let stated = limit.map(|limit| limit.mul_f64(USED_PART_OF_LIMIT));
+        let idle = stated.unwrap_or(UNSTATED_LIMIT).min(LONGEST_IDLE);
+        let until = Instant::now() + idle;
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let stack = kept.entry(target.clone()).or_default();
+        if stack.len() < MOST_KEPT {
+            stack.push(Kept { connection, until });
+        }
+    }
+
+    /// Closes connections that won't be used again.
+    pub(super) fn sweep(&self) {
+        let now = Instant::now();
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        for stack in kept.values_mut() {
+            stack.retain(|kept| now < kept.until && !kept.connection.tx.is_closed());
+        }
+        kept.retain(|_, stack| !stack.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/refuse.rs
@@ -0,0 +1,80 @@
+//! Answers of our own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use rand::Rng;
+
+use crate::decide::tables::Refusal;
+use crate::edge::Protocol;
+
+/// Body of any answer.
+pub(super) type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A body that is at hand.
+pub(super) fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An answer of our own.
+pub(super) fn answer<P: Protocol>(
+    protocol: &P,
+    status: StatusCode,
+    message: &str,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    let mut res = Response::new(whole(protocol.own_body(message)));
+    *res.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Some(after) = retry_after {
+        let text = format!("{:.2}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::try_from(text) {
+            res.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    res
+}
+
+/// Shortest time until a refused caller returns.
+const RETRY_AFTER_LEAST: Duration = Duration::from_millis(150);
+/// Callers that are refused in the same moment come back over this span, not together.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(500);
+
+/// When a caller that met full or missing targets is to return.
+pub(super) fn spread_retry_after() -> Duration {
+    let part = rand::rng().random_range(0.0..1.0);
+    RETRY_AFTER_LEAST + RETRY_AFTER_SPREAD.mul_f64(part)
+}
+
+/// The answer to a refusal; every status below says that the request has not run.
+pub(super) fn refusal<P: Protocol>(protocol: &P, refusal: Refusal) -> Response<AnswerBody> {
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let soon = Some(spread_retry_after());
+    let (status, message, after) = match refusal {
+        Refusal::NotConfigured => (unavailable, "no configuration yet: try again", soon),
+        Refusal::NoRoute => (
+            StatusCode::NOT_FOUND,
+            "no route for this host and path: check both",
+            None,
+        ),
+        Refusal::UnknownKey => (
+            StatusCode::UNAUTHORIZED,
+            "unknown key: use one of your workspace's current keys",
+            None,
+        ),
+        Refusal::OverQuota { retry_after } => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the workspace's quota is used up: wait, or ask for a larger one",
+            Some(retry_after),
+        ),
+        Refusal::Full => (unavailable, "all targets are full: try again", soon),
+        Refusal::NoTarget => (unavailable, "no target can run this: try again", soon),
+    };
+    answer(protocol, status, message, after)
+}
--- /dev/null
+++ b/crates/gateway/src/net/run.rs
@@ -0,0 +1,79 @@
+//! Runs an instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use crate::decide::lease::SHARDS;
+use crate::edge::{Edge, Kind};
+use crate::error::GatewayError;
+
+use super::accept::{Door, serve};
+use super::log::{LogEvent, event};
+use super::node::{Node, NodeSettings};
+use super::sockets::listen;
+use super::{gossip, leases, loaders, stop, sync};
+
+/// Pause between housekeepings.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// Serves until a planned stop is done.
+///
+/// # Errors
+///
+/// An address can't be listened on, or signals can't be watched.
+pub async fn run<E: Edge>(
+    settings: NodeSettings,
+    protocol: E::Protocol,
+    store: E::Store,
+) -> Result<(), GatewayError> {
+    let (node, packets) = Node::<E>::new(settings, protocol, store);
+    let node = Arc::new(node);
+    let settings = &node.settings;
+    let doors = [
+        (Some(settings.member.front), Door::Front),
+        (Some(settings.member.control), Door::Control),
+        (settings.directory, Door::Directory),
+        (settings.ready, Door::Directory),
+    ];
+    for (address, door) in doors {
+        let Some(address) = address else { continue };
+        let listener = listen(address).map_err(|cause| GatewayError::Listen { address, cause })?;
+        tokio::spawn(serve(Arc::clone(&node), listener, door));
+    }
+    let address = settings.member.gossip;
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.map_err(|cause| GatewayError::Listen { address, cause })?;
+    tokio::spawn(gossip::run(Arc::clone(&node), socket, packets));
+    for kind in [
+        Kind::Config,
+        Kind::Targets,
+        Kind::AdapterVersions,
+        Kind::Members,
+    ] {
+        tokio::spawn(sync::follow(Arc::clone(&node), kind));
+    }
+    tokio::spawn(sync::register(Arc::clone(&node)));
+    tokio::spawn(sync::copy_from_peers(Arc::clone(&node)));
+    for shard in 0..SHARDS {
+        tokio::spawn(leases::run(Arc::clone(&node), shard));
+    }
+    tokio::spawn(loaders::run(Arc::clone(&node)));
+    tokio::spawn(sweep(Arc::clone(&node)));
+    let [name, front] = [
+        node.settings.member.name.to_string(),
+        node.settings.member.front.to_string(),
+    ];
+    event(LogEvent::Started, &[("instance", &name), ("front", &front)]);
+    stop::wait(node).await
+}
+
+async fn sweep<E: Edge>(node: Arc<Node<E>>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = node.now();
+        node.tables().sweep(now);
+        node.pool.sweep();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/sockets.rs
@@ -0,0 +1,54 @@
+//! Options of the sockets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Unacknowledged bytes or a connection that is being made fail after this long; without it a
+/// connection into a cut network hangs for minutes.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Idle time before a probe: an open connection may go silent for good without a reset.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+/// Connections that wait to be accepted; a full queue costs the caller a second.
+const BACKLOG: i32 = 1_024;
+
+/// Sets the options of a connection; one that can't be set costs speed or a later timeout, no more.
+pub(super) fn tune(stream: &TcpStream) {
+    let sock = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    let set = sock
+        .set_tcp_nodelay(true)
+        .and_then(|()| sock.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| sock.set_tcp_keepalive(&keepalive));
+    if let Err(err) = set {
+        super::log::event(
+            super::log::LogEvent::SocketOption,
+            &[("cause", &err.to_string())],
+        );
+    }
+}
+
+/// Listens on an address.
+pub(super) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let sock = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    sock.set_reuse_address(true)?;
+    sock.set_nonblocking(true)?;
+    sock.bind(&address.into())?;
+    sock.listen(BACKLOG)?;
+    TcpListener::from_std(sock.into())
+}
+
+/// Connects within a time.
+pub(super) async fn connect(address: SocketAddr, within: Duration) -> std::io::Result<TcpStream> {
+    let connecting = tokio::time::timeout(within, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_elapsed| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    tune(&stream);
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/gateway/src/net/stop.rs
@@ -0,0 +1,76 @@
+//! Planned stops.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::edge::{Edge, Kind, ObjectStore};
+use crate::error::GatewayError;
+
+use super::gossip::tell_status;
+use super::leases;
+use super::log::{LogEvent, event};
+use super::node::Node;
+
+/// Time kept back before the kill.
+const BEFORE_KILL: Duration = Duration::from_millis(500);
+/// Some callers keep a list of addresses three times as long as they are told.
+const KEPT_TIMES: u32 = 3;
+/// Pause between looks at open connections.
+const LOOK: Duration = Duration::from_millis(50);
+/// Longest time for the last words to the store.
+const LAST_WORDS: Duration = Duration::from_millis(700);
+
+/// Waits for the order to stop, then serves on until callers have gone elsewhere.
+pub(super) async fn wait<E: Edge>(node: Arc<Node<E>>) -> Result<(), GatewayError> {
+    let mut term = signal(SignalKind::terminate()).map_err(|cause| GatewayError::Signal { cause })?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|cause| GatewayError::Signal { cause })?;
+    loop {
+        tokio::select! {
+            _told = term.recv() => break,
+            // The settings hold what a process needs to start; nothing of them changes its work.
+            _reload = hup.recv() => {}
+        }
+    }
+    let connections = || node.connections.load(Ordering::Relaxed);
+    event(
+        LogEvent::StopAsked,
+        &[("connections", &connections().to_string())],
+    );
+    let asked = node.now();
+    node.begin_stop();
+    let leaving = {
+        let node = Arc::clone(&node);
+        async move {
+            let name = node.settings.member.name.to_string();
+            leases::release(&node).await;
+            node.store.remove(Kind::Members, &name).await
+        }
+    };
+    let leaving = tokio::spawn(tokio::time::timeout(LAST_WORDS, leaving));
+    let until = node.settings.stop_within.saturating_sub(BEFORE_KILL);
+    let answers_age = node.settings.keep_addresses * KEPT_TIMES;
+    let close_after = answers_age.min(until.saturating_sub(Duration::from_secs(1)));
+    loop {
+        let passed = node.now().since(asked);
+        if passed >= close_after {
+            node.begin_closing();
+        }
+        let idle = passed >= close_after && connections() == 0;
+        if passed >= until || idle {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    // What the store did not hear in time it learns from the next start, or never needs to.
+    let _told_or_late = leaving.await;
+    if let Ok(socket) = UdpSocket::bind("0.0.0.0:0").await {
+        tell_status(&node, &socket, true).await;
+    }
+    let waited = node.now().since(asked).as_millis().to_string();
+    event(LogEvent::Stopped, &[("waited_ms", &waited)]);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/net/stream.rs
@@ -0,0 +1,164 @@
+//! Relays a stream of events, and goes on at another target where the route allows it.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use http::Response;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+
+use crate::decide::event_stream::{Cut, EventCutter};
+use crate::decide::health::Met;
+use crate::edge::Edge;
+
+use super::attempt::{Answer, Source};
+use super::front::{Found, Job};
+use super::log::{LogEvent, event};
+use super::refuse::AnswerBody;
+
+/// Silence of a target, in multiples of the route's longest pause, after which its stream goes on
+/// elsewhere. Callers give up after eight.
+const SILENCE: u32 = 4;
+/// The same in multiples of the target latency, before the first event.
+const FIRST_SILENCE: u32 = 3;
+/// Least silence that counts.
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+
+#[derive(Debug)]
+struct Relay<E: Edge> {
+    job: Job<E>,
+    source: Option<Source<E>>,
+    cutter: EventCutter,
+    began: bool,
+}
+
+enum Next {
+    Piece(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+/// The answer to the caller; its events come as the target makes them.
+pub(super) fn relay<E: Edge>(job: Job<E>, answer: Answer<E>) -> Response<AnswerBody> {
+    let (parts, source) = answer.into_stream();
+    let cutter = EventCutter::new(job.call.resume_after);
+    let mut res = job.pass(&parts, super::refuse::whole(Bytes::new()));
+    let relay = Relay {
+        job,
+        source: Some(source),
+        cutter,
+        began: false,
+    };
+    let frames = unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(relay))),
+            Ok(None) => None,
+            Err(err) => Some((Err(err), None)),
+        }
+    });
+    *res.body_mut() = StreamBody::new(frames).boxed_unsync();
+    res
+}
+
+impl<E: Edge> Relay<E> {
+    /// The next events; none at the end.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let broken = match self.pull().await {
+                Next::Piece(piece) => match self.cutter.push(&piece) {
+                    Cut::Events(events) if events.is_empty() => continue,
+                    Cut::Events(events) => {
+                        self.note_event();
+                        return Ok(Some(events));
+                    }
+                    Cut::Broken => "events out of order",
+                },
+                Next::End if self.cutter.mid_event() => "the stream ended in an event",
+                Next::End if !self.began => "the stream ended before its first event",
+                Next::End => {
+                    if let Some(source) = self.source.take() {
+                        source.finish();
+                    }
+                    return Ok(None);
+                }
+                Next::Broken(why) => why,
+            };
+            self.go_on(broken).await?;
+        }
+    }
+
+    fn note_event(&mut self) {
+        let first = !std::mem::replace(&mut self.began, true);
+        if let Some(source) = &mut self.source
+            && first
+        {
+            let age = source.flight.age();
+            source.flight.met(Met::Answer(age));
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        let route = self.job.ticket.route();
+        let left = self.job.left();
+        if !self.job.may_repeat() {
+            return left;
+        }
+        let gap = route.target_gap.unwrap_or(route.target_latency) * SILENCE;
+        let first = route.target_latency * FIRST_SILENCE;
+        let span = if self.began { gap } else { gap.max(first) };
+        span.max(LEAST_SILENCE).min(left)
+    }
+
+    async fn pull(&mut self) -> Next {
+        let silence = self.silence();
+        let Some(source) = &mut self.source else {
+            return Next::Broken("no target");
+        };
+        let frame = tokio::time::timeout(silence, source.body.frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(piece) => Next::Piece(piece),
+                Err(_trailers) => Next::Piece(Bytes::new()),
+            },
+            Ok(Some(Err(_cut))) => Next::Broken("the target broke off"),
+            Ok(None) => Next::End,
+            Err(_elapsed) => Next::Broken("the target fell silent"),
+        }
+    }
+
+    /// Finds another target that goes on after the last event that the caller has.
+    async fn go_on(&mut self, why: &'static str) -> io::Result<()> {
+        if let Some(mut source) = self.source.take() {
+            source.flight.failed();
+            self.job.tried.push(source.flight.target.clone());
+            // Dropping the source closes its connection: the target stops before another begins.
+        }
+        self.cutter.drop_partial();
+        let last = self.cutter.last().map_or("none".into(), |id| id.to_string());
+        let id = self.job.call.id.clone();
+        let fields = [
+            ("request", &*id),
+            ("cause", why),
+            ("last_event", &last),
+        ];
+        if !self.job.may_repeat() {
+            event(LogEvent::StreamBroken, &fields);
+            return Err(io::Error::other(why));
+        }
+        self.job.call.resume_after = self.cutter.last();
+        match self.job.find().await {
+            Found::Answer(answer) if answer.parts.status.is_success() => {
+                event(LogEvent::StreamResumed, &fields);
+                self.source = Some(answer.into_stream().1);
+                Ok(())
+            }
+            _ => {
+                event(LogEvent::StreamBroken, &fields);
+                Err(io::Error::other(why))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net/sync.rs
@@ -0,0 +1,315 @@
+//! Follows the store, and peers while the store turns this instance away.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellstage_core::{InstanceId, Revision, TargetId};
+use bytes::Bytes;
+use http::{Request, header};
+
+use crate::decide::target::Target;
+use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
+use crate::error::{GatewayError, StoreError};
+
+use super::control::{COPY_PATH, Copy};
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::caller::call;
+
+/// Longest wait of a watch; each is a call that is paid for.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Pause after news of targets: their registrations change with each heartbeat, and each answer
+/// costs a call. A leaving target must be known within 2 s.
+const TARGETS_PAUSE: Duration = Duration::from_millis(900);
+/// Pause after other news, so that a burst of changes takes one call.
+const PAUSE: Duration = Duration::from_millis(100);
+/// First and longest pause after a call that failed.
+const RETRY_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(1_000)];
+/// Pause between two copies taken from peers.
+const COPY_PAUSE: Duration = Duration::from_millis(300);
+/// Time for a peer's copy.
+const COPY_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time that the store has at the start before peers are asked.
+const STORE_FIRST: Duration = Duration::from_millis(400);
+
+/// Follows one kind of objects until the process ends.
+pub(super) async fn follow<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
+    let mut after = None;
+    let mut pause = RETRY_PAUSE[0];
+    let mut lost = false;
+    loop {
+        let news = match after {
+            None => node.store.list(kind).await,
+            Some(after) => node.store.watch(kind, after, WATCH_WAIT).await,
+        };
+        match news {
+            Ok(listing) => {
+                if std::mem::take(&mut lost) {
+                    event(LogEvent::StoreBack, &[("kind", &format!("{kind:?}"))]);
+                }
+                pause = RETRY_PAUSE[0];
+                let whole = after.is_none();
+                after = Some(listing.revision);
+                let any = !listing.objects.is_empty();
+                apply(&node, kind, listing, whole);
+                if any && !whole {
+                    tokio::time::sleep(pause_after(kind)).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => after = None,
+            Err(err) => {
+                if !std::mem::replace(&mut lost, true) {
+                    let kind = format!("{kind:?}");
+                    let cause = err.to_string();
+                    event(LogEvent::StoreLost, &[("kind", &kind), ("cause", &cause)]);
+                }
+                if kind == Kind::Targets {
+                    let now = node.now();
+                    node.tables().registry.store_lost(now);
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE[1]);
+            }
+        }
+    }
+}
+
+fn pause_after(kind: Kind) -> Duration {
+    if kind == Kind::Targets {
+        TARGETS_PAUSE
+    } else {
+        PAUSE
+    }
+}
+
+fn apply<E: Edge>(node: &Node<E>, kind: Kind, listing: Listing, whole: bool) {
+    let revision = listing.revision;
+    if whole && kind == Kind::Targets {
+        let targets = listing.objects.into_iter().filter_map(target_of).collect();
+        replace_targets(node, targets, revision);
+        return;
+    }
+    for object in listing.objects {
+        apply_one(node, kind, object);
+    }
+    if kind == Kind::Targets {
+        node.tables().registry.seen(revision);
+    }
+    node.changed.notify_waiters();
+}
+
+fn target_of(object: Object) -> Option<Target> {
+    match object.content? {
+        Content::Target(target) => Some(*target),
+        Content::Malformed(cause) => {
+            tell_malformed(&object.name, &cause);
+            None
+        }
+        _ => None,
+    }
+}
+
+fn tell_malformed(name: &str, cause: &str) {
+    event(
+        LogEvent::ObjectMalformed,
+        &[("object", name), ("cause", cause)],
+    );
+}
+
+fn replace_targets<E: Edge>(node: &Node<E>, targets: Vec<Target>, revision: Revision) {
+    let now = node.now();
+    let mut tables = node.tables();
+    for target in &targets {
+        tables.residency.registered(target, now);
+    }
+    tables.registry.replace(targets, revision, now);
+    drop(tables);
+    node.changed.notify_waiters();
+}
+
+fn apply_one<E: Edge>(node: &Node<E>, kind: Kind, object: Object) {
+    let now = node.now();
+    if object.removed {
+        remove(node, kind, &object);
+        return;
+    }
+    match object.content.clone() {
+        Some(Content::Config(config)) => adopt(node, *config),
+        Some(Content::Target(target)) => put_target(node, *target, object.revision),
+        Some(Content::AdapterVersion(news)) => {
+            if node.tables().versions.announce(&news, now) {
+                let [adapter, version] = [news.key.to_string(), news.version.to_string()];
+                event(
+                    LogEvent::VersionAnnounced,
+                    &[("adapter", &adapter), ("version", &version)],
+                );
+                node.loader_work.notify_waiters();
+            }
+        }
+        Some(Content::Member(member)) => {
+            let mut tables = node.tables();
+            if member.name != tables.me.name {
+                tables.peers.registered(*member);
+            }
+        }
+        Some(Content::Malformed(cause)) => {
+            tell_malformed(&object.name, &cause);
+            if kind == Kind::Targets {
+                remove(node, kind, &object);
+            }
+        }
+        Some(Content::Lease(_)) | None => {}
+    }
+}
+
+fn remove<E: Edge>(node: &Node<E>, kind: Kind, object: &Object) {
+    let now = node.now();
+    match kind {
+        Kind::Targets => {
+            if let Ok(id) = TargetId::try_from(&*object.name) {
+                node.tables().registry.remove(&id, object.revision, now);
+                event(LogEvent::TargetGone, &[("target", &object.name)]);
+            }
+        }
+        Kind::Members => {
+            if let Ok(name) = InstanceId::try_from(&*object.name) {
+                node.tables().peers.unregistered(&name, now);
+            }
+        }
+        Kind::Config | Kind::AdapterVersions | Kind::Leases => {}
+    }
+}
+
+fn adopt<E: Edge>(node: &Node<E>, config: crate::decide::config::Config) {
+    let version = config.version.to_string();
+    if node.tables().adopt(config) {
+        event(LogEvent::ConfigAdopted, &[("version", &version)]);
+        node.changed.notify_waiters();
+    }
+}
+
+fn put_target<E: Edge>(node: &Node<E>, target: Target, revision: Revision) {
+    let now = node.now();
+    let mut tables = node.tables();
+    let before = tables.registry.get(&target.id);
+    let told = match before {
+        None => Some(LogEvent::TargetAdded),
+        Some(before) if !before.leaving && target.leaving => Some(LogEvent::TargetLeaving),
+        Some(_) => None,
+    };
+    if let Some(told) = told {
+        let [id, address] = [target.id.to_string(), target.address.to_string()];
+        event(told, &[("target", &id), ("address", &address)]);
+    }
+    tables.residency.registered(&target, now);
+    tables.registry.put(target, revision);
+}
+
+/// Registers this instance, until it is done or the process stops.
+pub(super) async fn register<E: Edge>(node: Arc<Node<E>>) {
+    let member = node.settings.member.clone();
+    let name = member.name.to_string();
+    let content = Content::Member(Box::new(member));
+    let mut pause = RETRY_PAUSE[0];
+    while !node.stopping() {
+        let before = node.store.read(Kind::Members, &name).await;
+        if let Ok(before) = before {
+            let at = before.map(|object| object.revision);
+            let written = node.store.write(Kind::Members, &name, at, &content).await;
+            if written.is_ok() {
+                return;
+            }
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(RETRY_PAUSE[1]);
+    }
+}
+
+/// Takes newer state from peers until the process ends.
+pub(super) async fn copy_from_peers<E: Edge>(node: Arc<Node<E>>) {
+    tokio::time::sleep(STORE_FIRST).await;
+    loop {
+        let configured = node.tables().configured();
+        let sources = if configured {
+            node.peer_is_newer.notified().await;
+            tokio::time::sleep(COPY_PAUSE).await;
+            newer_peers(&node)
+        } else {
+            starters(&node)
+        };
+        for address in sources {
+            match copy(address).await {
+                Ok(copy) => {
+                    take(&node, copy);
+                    event(LogEvent::PeerCopyTaken, &[("peer", &address.to_string())]);
+                    break;
+                }
+                Err(err) => event(
+                    LogEvent::PeerCopyFailed,
+                    &[("peer", &address.to_string()), ("cause", &err.to_string())],
+                ),
+            }
+        }
+        if !configured {
+            tokio::time::sleep(COPY_PAUSE).await;
+        }
+    }
+}
+
+/// Peers whose configuration is newer, or whose targets are while the own watch hears nothing.
+fn newer_peers<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
+    let tables = node.tables();
+    let now = node.now();
+    let away = tables.registry.store_away(now);
+    let newer = tables.peers.live(now).filter(|peer| {
+        peer.config > tables.routes.version()
+            || away && peer.targets > tables.registry.revision()
+    });
+    newer.map(|peer| peer.member.control).take(2).collect()
+}
+
+fn starters<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
+    let tables = node.tables();
+    let me = tables.me.control;
+    let peers = tables.peers.all().map(|peer| peer.member.control);
+    let seeds = node.settings.seeds.iter().copied();
+    seeds.chain(peers).filter(|seed| *seed != me).collect()
+}
+
+async fn copy(address: SocketAddr) -> Result<Copy, GatewayError> {
+    let req = Request::get(COPY_PATH)
+        .header(header::HOST, address.to_string())
+        .body(Bytes::new())
+        .map_err(|err| GatewayError::Exchange {
+            address,
+            cause: err.to_string().into(),
+        })?;
+    let (_, body) = call(address, req, COPY_WITHIN).await?;
+    serde_json::from_slice(&body).map_err(|err| GatewayError::Unreadable {
+        from: address.to_string().into(),
+        what: "a copy of its state",
+        cause: err.to_string().into(),
+    })
+}
+
+fn take<E: Edge>(node: &Node<E>, copy: Copy) {
+    let now = node.now();
+    if let Some(config) = copy.config {
+        adopt(node, config);
+    }
+    let mut tables = node.tables();
+    for news in &copy.versions {
+        tables.versions.announce(news, now);
+    }
+    for member in copy.members {
+        if member.name != tables.me.name {
+            tables.peers.registered(member);
+        }
+    }
+    let newer = copy.targets_revision > tables.registry.revision();
+    drop(tables);
+    if newer {
+        replace_targets(node, copy.targets, copy.targets_revision);
+    }
+}
