Order loads by what is in use, and keep leases through a cut

Cause: an unload of an adapter in use is accepted and then holds up every other order on that engine; one engine took no load from 1.8 s to 24.7 s. Reports lag, and a loader that believed an old one ordered 13 loads too many. Peers' charges that were given back counted twice. Ruled out: lost datagrams (the wishes arrived), the weight store's rate.

--- a/crates/gateway/src/decide/config.rs
+++ b/crates/gateway/src/decide/config.rs
@@ -92,6 +92,9 @@
     pub slots: u32,
     /// Adapters that fit, those being loaded included.
     pub adapter_slots: u32,
+    /// Adapters that may be on their way from the weight store to all engines together before each
+    /// takes longer.
+    pub adapter_loads_at_once: u32,
     /// Base models that may be loaded.
     pub models: Vec<BaseModel>,
     /// Time of a base model's load from the weight store, in milliseconds.
--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -14,11 +14,12 @@
 /// Number of shards: as many instances at most order loads at once, and so much of the fleet waits
 /// when one of them dies.
 pub const SHARDS: u8 = 4;
-/// How long a renewal holds. Longer than most outages of the store, in which nobody could take
-/// over; shorter means a quicker takeover.
-pub const LEASE: Duration = Duration::from_millis(4_000);
-/// Pause between renewals.
-pub const RENEW_EVERY: Duration = Duration::from_millis(1_300);
+/// How long a renewal holds: longer than most outages of the store and cuts from it, which last
+/// about five seconds and in which nobody could take over. A takeover after a death takes as long,
+/// but then the engines of the other shards take the loads.
+pub const LEASE: Duration = Duration::from_millis(8_000);
+/// Pause between renewals; each is a call that is paid for.
+pub const RENEW_EVERY: Duration = Duration::from_millis(2_000);
 /// How much longer than [`LEASE`] a taker watches: covers clocks that run apart and the time that
 /// an order is on its way.
 const TAKE_MARGIN: Duration = Duration::from_millis(200);
@@ -125,8 +126,10 @@
                 }
                 LeaseStep::Write(renewed_record(record), Some(*revision))
             }
-            _ if !wanted => LeaseStep::Sleep(now + LOOK_EVERY),
             State::Unread => LeaseStep::Read,
+            State::Seen { record, .. } if !wanted && !self.is_mine(record.as_ref()) => {
+                LeaseStep::Sleep(now + LOOK_EVERY)
+            }
             State::Seen {
                 record,
                 revision,
@@ -135,6 +138,12 @@
         }
     }
 
+    /// The record names this instance, in an earlier life or before a conflict; engines know both
+    /// as one holder, so it goes on without a pause.
+    fn is_mine(&self, record: Option<&LeaseRecord>) -> bool {
+        record.is_some_and(|record| record.holder == self.me && !record.released)
+    }
+
     fn claim(
         &self,
         record: Option<&LeaseRecord>,
--- a/crates/gateway/src/decide/loader.rs
+++ b/crates/gateway/src/decide/loader.rs
@@ -15,14 +15,22 @@
 pub const MAX_COMING: usize = 4;
 /// Time until an adapter from the weight store can be used, as the engines state it; a little is
 /// added for the way there.
-const LOAD_FROM_STORE: Duration = Duration::from_millis(252);
+const LOAD_FROM_STORE: Duration = Duration::from_millis(254);
 /// The same where the engine held it lately: a tenth of it.
 const LOAD_FROM_HOST: Duration = Duration::from_millis(27);
+/// Time after an expected arrival in which a request that finds the adapter missing only shows that
+/// the load takes longer than expected.
+const LATE_ARRIVAL: Duration = Duration::from_millis(1_500);
+/// Pause before a late adapter is expected again.
+const LATE_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a refusal before the engine's report is read: reports lag a tenth of a second.
 const REPORT_LAG: Duration = Duration::from_millis(130);
-/// Adapters used within this span aren't evicted while others are idle longer; most streams end
-/// within it.
-const BUSY_SPAN: Duration = Duration::from_millis(2_500);
+/// An adapter that was used within this span isn't evicted: the news of another request may be on
+/// its way.
+const BUSY_SPAN: Duration = Duration::from_millis(400);
+/// Age at which a request that began and was not reported as ended counts as ended: its datagram
+/// was lost, or its instance died. Few requests last longer.
+const LOST_END: Duration = Duration::from_secs(15);
 /// Pause before another try when nothing can be evicted.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Age at which a wish that nobody repeated is dropped.
@@ -93,10 +101,32 @@
     Send(Order),
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    last: Time,
+    open: u32,
+}
+
+impl Use {
+    /// Unloading it would wait for its requests and hold up all other orders meanwhile.
+    fn busy(&self, now: Time) -> bool {
+        let open = self.open > 0 && now.since(self.last) < LOST_END;
+        open || now.since(self.last) < BUSY_SPAN
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Resident {
+    version: AdapterVersion,
+    since: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Coming {
     version: Option<AdapterVersion>,
     ready: Time,
+    /// When it was first expected, if that has passed.
+    first: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -111,10 +141,12 @@
 pub struct Loader {
     slots: usize,
     accepted: Option<u64>,
-    resident: HashMap<AdapterKey, AdapterVersion>,
+    /// Least count that a report must show to be newer than what is known.
+    least: u64,
+    resident: HashMap<AdapterKey, Resident>,
     coming: HashMap<AdapterKey, Coming>,
     wishes: HashMap<AdapterKey, Wish>,
-    used: HashMap<AdapterKey, Time>,
+    used: HashMap<AdapterKey, Use>,
     model_wanted: Option<BaseModel>,
     not_before: Time,
     changed: bool,
@@ -127,6 +159,7 @@
         Self {
             slots,
             accepted: None,
+            least: 0,
             resident: HashMap::new(),
             coming: HashMap::new(),
             wishes: HashMap::new(),
@@ -154,20 +187,44 @@
     }
 
     /// A request was sent to `key` on this engine.
-    pub fn used(&mut self, key: &AdapterKey, now: Time) {
-        match self.used.get_mut(key) {
-            Some(at) => *at = now,
-            None => {
-                self.used.insert(key.clone(), now);
-            }
-        }
+    pub fn begun(&mut self, key: &AdapterKey, now: Time) {
+        self.touch(key, now).open += 1;
+    }
+
+    /// A request that was sent to `key` is over.
+    pub fn ended(&mut self, key: &AdapterKey, now: Time) {
+        let used = self.touch(key, now);
+        used.open = used.open.saturating_sub(1);
+    }
+
+    fn touch(&mut self, key: &AdapterKey, now: Time) -> &mut Use {
+        let used = self.used.entry(key.clone()).or_insert(Use {
+            last: now,
+            open: 0,
+        });
+        used.last = now;
+        used
+    }
+
+    fn busy(&self, key: &AdapterKey, now: Time) -> bool {
+        self.used.get(key).is_some_and(|used| used.busy(now))
     }
 
     /// A request found `key` missing on this engine.
-    pub fn missing(&mut self, key: &AdapterKey) {
-        if self.resident.remove(key).is_some() {
-            self.accepted = None;
-            self.changed = true;
+    pub fn missing(&mut self, key: &AdapterKey, now: Time) {
+        let Some(resident) = self.resident.remove(key) else {
+            return;
+        };
+        self.changed = true;
+        if now.since(resident.since) < LATE_ARRIVAL {
+            let late = Coming {
+                version: Some(resident.version),
+                ready: now + LATE_PAUSE,
+                first: resident.since,
+            };
+            self.coming.insert(key.clone(), late);
+        } else {
+            self.read_after(Duration::ZERO, now);
         }
     }
 
@@ -176,9 +233,9 @@
     pub fn holdings(&self) -> Vec<AdapterAt> {
         let pairs = self.resident.iter();
         pairs
-            .map(|(key, version)| AdapterAt {
+            .map(|(key, held)| AdapterAt {
                 key: key.clone(),
-                version: *version,
+                version: held.version,
             })
             .collect()
     }
@@ -214,7 +271,7 @@
             let what = OrderKind::LoadModel(model);
             return LoadStep::Send(Order { what, expected });
         }
-        let Some(key) = self.next_wish() else {
+        let Some(key) = self.next_wish(now) else {
             return self.earliest_arrival();
         };
         if self.coming.len() >= MAX_COMING || (!store_free && !self.has_copy(&key)) {
@@ -223,8 +280,12 @@
                 step => step,
             };
         }
-        let replaces = self.resident.contains_key(&key);
-        if !replaces && self.resident.len() + self.coming.len() >= self.slots {
+        if self.resident.contains_key(&key) {
+            // An older version makes way first: the engine may count both while it replaces.
+            let what = OrderKind::UnloadAdapter(key);
+            return LoadStep::Send(Order { what, expected });
+        }
+        if self.resident.len() + self.coming.len() >= self.slots {
             return self.evict(expected, now);
         }
         let version = newest(&key).max(self.wishes.get(&key).and_then(|wish| wish.version));
@@ -244,56 +305,65 @@
     fn arrive(&mut self, newest: &impl Fn(&AdapterKey) -> Option<AdapterVersion>, now: Time) {
         let arrived = self.coming.iter().filter(|(_, coming)| coming.ready <= now);
         let arrived = arrived
-            .map(|(key, coming)| (key.clone(), coming.version))
+            .map(|(key, coming)| (key.clone(), *coming))
             .collect::<Vec<_>>();
-        for (key, version) in arrived {
+        for (key, coming) in arrived {
             self.coming.remove(&key);
-            let version = version.or_else(|| newest(&key));
-            self.used.insert(key.clone(), now);
-            self.resident
-                .insert(key, version.unwrap_or(AdapterVersion(1)));
+            let version = coming.version.or_else(|| newest(&key));
+            let resident = Resident {
+                version: version.unwrap_or(AdapterVersion(1)),
+                since: if coming.first == Time::default() {
+                    now
+                } else {
+                    coming.first
+                },
+            };
+            self.touch(&key, now);
+            self.resident.insert(key, resident);
             self.changed = true;
         }
         let satisfied = |key: &AdapterKey, wish: &Wish| {
             self.resident
                 .get(key)
-                .is_some_and(|version| wish.version.is_none_or(|wanted| *version >= wanted))
+                .is_some_and(|held| wish.version.is_none_or(|wanted| held.version >= wanted))
         };
         self.wishes.retain(|key, wish| !satisfied(key, wish));
     }
 
-    fn next_wish(&self) -> Option<AdapterKey> {
+    /// The oldest wish that can be granted; a new version waits until the old one is idle.
+    fn next_wish(&self, now: Time) -> Option<AdapterKey> {
         let open = self
             .wishes
             .iter()
-            .filter(|(key, _)| !self.coming.contains_key(*key));
+            .filter(|(key, _)| !self.coming.contains_key(*key))
+            .filter(|(key, _)| !(self.resident.contains_key(*key) && self.busy(key, now)));
         let oldest = open.min_by_key(|(_, wish)| wish.first);
         oldest.map(|(key, _)| key.clone())
     }
 
     fn evict(&mut self, expected: u64, now: Time) -> LoadStep {
-        let last_use = |key: &AdapterKey| self.used.get(key).copied().unwrap_or_default();
+        let last_use = |key: &AdapterKey| self.used.get(key).map(|used| used.last);
         let victim = self
             .resident
             .keys()
-            .filter(|key| !self.wishes.contains_key(*key))
+            .filter(|key| !self.wishes.contains_key(*key) && !self.busy(key, now))
             .min_by_key(|key| last_use(key))
             .cloned();
         match victim {
-            Some(key) if now.since(last_use(&key)) > BUSY_SPAN => {
+            Some(key) => {
                 let what = OrderKind::UnloadAdapter(key);
                 LoadStep::Send(Order { what, expected })
             }
-            _ => LoadStep::Wait(now + FULL_PAUSE),
+            None => LoadStep::Wait(now + FULL_PAUSE),
         }
     }
 
     /// An order was answered.
     pub fn answered(&mut self, order: &Order, answer: OrderAnswer, now: Time) {
         match answer {
-            OrderAnswer::Accepted => self.accepted = Some(order.expected + 1),
+            OrderAnswer::Accepted => self.count_to(order.expected + 1),
             OrderAnswer::Done if matches!(order.what, OrderKind::UnloadAdapter(_)) => {
-                self.accepted = Some(order.expected + 1);
+                self.count_to(order.expected + 1);
             }
             OrderAnswer::Done => self.read_after(Duration::ZERO, now),
             OrderAnswer::Conflict | OrderAnswer::Refused => self.read_after(REPORT_LAG, now),
@@ -310,25 +380,42 @@
                 let coming = Coming {
                     version: *version,
                     ready: now + took,
+                    first: Time::default(),
                 };
                 self.coming.insert(key.clone(), coming);
                 self.changed = true;
             }
             (OrderKind::LoadAdapter(key, version), OrderAnswer::Done) => {
-                let version = version.unwrap_or(AdapterVersion(1));
-                self.resident.insert(key.clone(), version);
+                let resident = Resident {
+                    version: version.unwrap_or(AdapterVersion(1)),
+                    since: now,
+                };
+                self.resident.insert(key.clone(), resident);
                 self.changed = true;
             }
             (OrderKind::UnloadAdapter(key), OrderAnswer::Accepted | OrderAnswer::Done) => {
                 self.resident.remove(key);
                 self.changed = true;
             }
-            (OrderKind::UnloadAdapter(key), OrderAnswer::Conflict) => self.used(&key.clone(), now),
+            (OrderKind::UnloadAdapter(key), OrderAnswer::Conflict) => {
+                self.touch(key, now);
+            }
+            (OrderKind::LoadAdapter(key, _), OrderAnswer::Conflict) => {
+                if let Some(wish) = self.wishes.get_mut(key) {
+                    // Others go first, so that one adapter can't hold up an engine.
+                    wish.first = now;
+                }
+            }
             _ => {}
         }
         self.forget_copies();
     }
 
+    fn count_to(&mut self, count: u64) {
+        self.accepted = Some(count);
+        self.least = count;
+    }
+
     fn read_after(&mut self, pause: Duration, now: Time) {
         self.accepted = None;
         self.not_before = now + pause;
@@ -338,7 +425,7 @@
         if self.used.len() <= HOST_COPIES {
             return;
         }
-        let oldest = self.used.iter().min_by_key(|(_, at)| **at);
+        let oldest = self.used.iter().min_by_key(|(_, used)| used.last);
         if let Some(key) = oldest.map(|(key, _)| key.clone()) {
             self.used.remove(&key);
         }
@@ -350,21 +437,36 @@
             self.not_before = now + Duration::from_millis(400);
             return;
         };
+        if report.accepted < self.least {
+            // The report is older than the last answer: what it says of slots is out of date, and
+            // loads ordered by it would not fit.
+            self.not_before = now + REPORT_LAG;
+            return;
+        }
         if report.busy {
             self.not_before = now + Duration::from_millis(100);
         }
-        self.accepted = Some(report.accepted);
-        self.resident = report
-            .adapters
-            .into_iter()
-            .map(|held| (held.key, held.version))
+        self.count_to(report.accepted);
+        let held = report.adapters.into_iter();
+        let since = now - LATE_ARRIVAL;
+        self.resident = held
+            .map(|held| {
+                let version = held.version;
+                (held.key, Resident { version, since })
+            })
             .collect();
         let before = std::mem::take(&mut self.coming);
         for coming in report.coming {
             let known = before.get(&coming.key).map(|known| known.ready);
             let ready = known.unwrap_or(now + LOAD_FROM_STORE);
             let version = Some(coming.version);
-            self.coming.insert(coming.key, Coming { version, ready });
+            let first = Time::default();
+            let coming_now = Coming {
+                version,
+                ready,
+                first,
+            };
+            self.coming.insert(coming.key, coming_now);
         }
         self.changed = true;
     }
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -43,6 +43,8 @@
     pub heard: Option<Time>,
     /// It takes callers.
     pub ready: bool,
+    /// The store answers it.
+    pub store_answers: bool,
     /// Version of its configuration.
     pub config: Revision,
     /// Revision of its list of targets.
@@ -145,6 +147,7 @@
             member,
             heard: None,
             ready: false,
+            store_answers: false,
             config: Revision::default(),
             targets: Revision::default(),
             in_flight: HashMap::new(),
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, Time, WorkspaceId};
+use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
 
 use super::config::Quota;
 
@@ -21,20 +21,36 @@
 pub enum Charged {
     /// The request may go on.
     Within,
+    /// The request may go on after this pause; it is charged already, so others queue behind it.
+    After(Duration),
     /// The quota is used up; worth another try after this long.
     Over {
         /// Time until the charge would fit.
         retry_after: Duration,
+        /// Units that are left; below zero where charges of peers came in late.
+        left: i64,
     },
 }
 
+/// Charges up to this part of the burst count as small.
+const SMALL_PART: f64 = 0.04;
+/// Part of the burst that large charges leave: a filing costs a fifth of a draft's tokens and would
+/// find the bucket empty whenever drafts use it up.
+const KEPT_PART: f64 = 0.1;
+
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    life: Incarnation,
+    spent: Spent,
+}
+
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
     level: f64,
     at: Time,
     own: Spent,
-    peers: HashMap<InstanceId, Spent>,
+    peers: HashMap<InstanceId, Told>,
 }
 
 /// Buckets of all workspaces.
@@ -48,6 +64,11 @@
     units as f64
 }
 
+#[expect(clippy::cast_possible_truncation, reason = "a fraction of a token is nothing")]
+fn whole(units: f64) -> i64 {
+    units as i64
+}
+
 impl Bucket {
     fn new(quota: Quota, now: Time) -> Self {
         Self {
@@ -69,13 +90,14 @@
 
 impl Quotas {
     /// Charges `units` to `workspace`. `silent_share` is the part of all instances that were heard
-    /// lately but not now.
+    /// lately but not now. A request that would fit within `longest_pause` is let in after it.
     pub fn charge(
         &mut self,
         workspace: &WorkspaceId,
         quota: Quota,
         units: u64,
         silent_share: f64,
+        longest_pause: Duration,
         now: Time,
     ) -> Charged {
         let bucket = self
@@ -85,16 +107,24 @@
         bucket.refill(now, silent_share);
         bucket.quota = quota;
         bucket.level = bucket.level.min(number(quota.burst.0));
-        let fits = bucket.level >= number(units).min(number(quota.burst.0));
-        if fits {
+        let burst = number(quota.burst.0);
+        let small = number(units) <= burst * SMALL_PART;
+        let kept = if small { 0.0 } else { burst * KEPT_PART };
+        let missing = (number(units) + kept).min(burst) - bucket.level;
+        let rate = number(quota.rate.0) * (1.0 - silent_share);
+        let pause = missing / rate.max(1.0);
+        if pause <= longest_pause.as_secs_f64() {
             bucket.level -= number(units);
             bucket.own += units;
-            return Charged::Within;
+            return if missing <= 0.0 {
+                Charged::Within
+            } else {
+                Charged::After(Duration::from_secs_f64(pause))
+            };
         }
-        let missing = number(units).min(number(quota.burst.0)) - bucket.level;
-        let rate = number(quota.rate.0).max(1.0);
         Charged::Over {
-            retry_after: Duration::from_secs_f64((missing / rate).clamp(0.05, 30.0)),
+            retry_after: Duration::from_secs_f64(pause.clamp(0.05, 30.0)),
+            left: whole(bucket.level),
         }
     }
 
@@ -112,20 +142,23 @@
         spent.filter(|(_, spent)| *spent > 0)
     }
 
-    /// Takes in what `peer` has charged since it started. A count below the last one heard is
-    /// from a new life of the peer, or from charges given back.
-    pub fn heard(&mut self, peer: &InstanceId, workspace: &WorkspaceId, spent: Spent) {
+    /// Takes in what `peer` has charged since it started, charges given back left out. The first
+    /// count of a peer's life is where counting begins.
+    pub fn heard(
+        &mut self,
+        peer: &InstanceId,
+        life: Incarnation,
+        workspace: &WorkspaceId,
+        spent: Spent,
+    ) {
         let Some(bucket) = self.buckets.get_mut(workspace) else {
             return;
         };
-        let Some(before) = bucket.peers.insert(peer.clone(), spent) else {
+        let told = Told { life, spent };
+        let before = bucket.peers.insert(peer.clone(), told);
+        let Some(before) = before.filter(|before| before.life == life) else {
             return;
         };
-        let news = if spent >= before {
-            number(spent - before)
-        } else {
-            0.0
-        };
-        bucket.level -= news;
+        bucket.level -= number(spent) - number(before.spent);
     }
 }
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, ServiceId, TargetId, Time, WorkspaceId};
+use bluebellstage_core::{Rate, Revision, ServiceId, TargetId, Time, WorkspaceId};
 
 use super::adapter::Wanted;
 use super::call::Call;
@@ -24,6 +24,9 @@
 /// Part of a target's connections that all instances together use: peers may not have heard yet
 /// of one that has just joined.
 const USED_CONNECTIONS: f64 = 0.85;
+/// Part of a route's target latency for which a request waits for its workspace's quota: a refused
+/// caller would lose more on its way back, and an engine still answers in the rest.
+const QUOTA_PAUSE_PART: f64 = 0.4;
 /// Longest time that a refused caller is told to wait; later it has little time left.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3);
 
@@ -69,6 +72,8 @@
     pub workspace: Option<WorkspaceId>,
     /// What was charged.
     pub charge: u64,
+    /// Time until the quota has room for it.
+    pub pause: Duration,
     /// Rank, 0 first.
     pub rank: u8,
 }
@@ -100,6 +105,12 @@
     OverQuota {
         /// Time until it would fit.
         retry_after: Duration,
+        /// Units that are left.
+        left: i64,
+        /// Units that the request counts as.
+        charge: u64,
+        /// Units a second that the workspace has.
+        rate: Rate,
     },
     /// All targets that could run it are full or fail.
     Full,
@@ -168,17 +179,26 @@
         let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
         let workspace = workspace.map(|idx| routes.workspace(idx));
         let mut charge = 0;
+        let mut pause = Duration::ZERO;
         if let Some(workspace) = workspace
             && let Some(quota) = workspace.quota
         {
             charge = quota.unit.charge(call.tokens);
             let silent = self.peers.silent_share(now);
-            let charged = self
-                .quotas
-                .charge(&workspace.name, quota, charge, silent, now);
-            if let Charged::Over { retry_after } = charged {
-                let retry_after = retry_after.min(LONGEST_RETRY_AFTER);
-                return Err(Refusal::OverQuota { retry_after });
+            let longest_pause = routes.route(route).target_latency.mul_f64(QUOTA_PAUSE_PART);
+            let name = &workspace.name;
+            let quotas = &mut self.quotas;
+            match quotas.charge(name, quota, charge, silent, longest_pause, now) {
+                Charged::Within => {}
+                Charged::After(wait) => pause = wait,
+                Charged::Over { retry_after, left } => {
+                    return Err(Refusal::OverQuota {
+                        retry_after: retry_after.min(LONGEST_RETRY_AFTER),
+                        left,
+                        charge,
+                        rate: quota.rate,
+                    });
+                }
             }
         }
         self.retries.request(service, now);
@@ -187,6 +207,7 @@
             service: service.clone(),
             workspace: workspace.map(|workspace| workspace.name.clone()),
             charge,
+            pause,
             rank: rank.unwrap_or(routes.route(route).rank),
             route,
             routes,
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -9,9 +9,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use crate::decide::adapter::AdapterKey;
 use crate::decide::call::{AnswerHead, Call, Forward};
 use crate::decide::health::Met;
+use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
+use crate::packet::{Wish, WishKind};
 
 use super::log::{LogEvent, event};
 use super::node::Node;
@@ -28,23 +31,37 @@
 pub(super) struct Flight<E: Edge> {
     node: Arc<Node<E>>,
     pub(super) target: TargetId,
+    adapter: Option<AdapterKey>,
     began: Time,
     judged: bool,
 }
 
 impl<E: Edge> Flight<E> {
-    fn begin(node: &Arc<Node<E>>, target: &TargetId, trial: bool) -> Self {
+    fn begin(node: &Arc<Node<E>>, target: &TargetId, sending: Sending<'_>) -> Self {
         let mut tables = node.tables();
         tables.begin(target);
-        if trial {
+        if sending.trial {
             tables.health.trial(target);
         }
         drop(tables);
-        Self {
+        let flight = Self {
             node: Arc::clone(node),
             target: target.clone(),
+            adapter: Tables::adapter_of(sending.call).cloned(),
             began: node.now(),
             judged: false,
+        };
+        flight.tell_loader(WishKind::Begun);
+        flight
+    }
+
+    fn tell_loader(&self, kind: WishKind) {
+        if let Some(key) = &self.adapter {
+            self.node.wish(Wish {
+                target: self.target.clone(),
+                key: key.clone(),
+                kind,
+            });
         }
     }
 
@@ -88,6 +105,8 @@
         if !self.judged {
             tables.health.trial_void(&self.target);
         }
+        drop(tables);
+        self.tell_loader(WishKind::Ended);
     }
 }
 
@@ -149,7 +168,7 @@
     let Some(address) = node.tables().registry.get(target).map(|known| known.address) else {
         return Attempt::Unreachable;
     };
-    let mut flight = Flight::begin(node, target, sending.trial);
+    let mut flight = Flight::begin(node, target, sending);
     let exchange = exchange(node, target, address, sending, forward);
     let outcome = match tokio::time::timeout(sending.patience, exchange).await {
         Ok(outcome) => outcome,
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -27,11 +27,11 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// Least time left that makes an attempt worth sending.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(15);
-/// Longest wait for an adapter, in parts of what the caller waits; beyond it another instance or a
-/// later try serves it sooner.
+/// Longest wait for an adapter, in parts of what the caller waits.
 const LOAD_WAIT_PART: f64 = 0.4;
-/// Longest wait for an adapter at all: a takeover of its loader takes no longer.
-const LOAD_WAIT_MOST: Duration = Duration::from_millis(5_000);
+/// Longest wait for an adapter at all. Callers give a stream up after two seconds without an event;
+/// one that is told earlier comes back.
+const LOAD_WAIT_MOST: Duration = Duration::from_millis(1_400);
 /// Pause between looks for a free place at plain targets.
 const FULL_PAUSE: Duration = Duration::from_millis(15);
 /// Wait for the first sign of a plain target, in multiples of the route's target latency, before a
@@ -105,6 +105,9 @@
             return answer(&node.protocol, status, "the body is too long or cut", None);
         }
     };
+    if !ticket.pause.is_zero() {
+        tokio::time::sleep(ticket.pause).await;
+    }
     let job = Job {
         node,
         head,
@@ -215,6 +218,7 @@
                 }
                 Pick::Load(target) => {
                     if now > load_until {
+                        self.log_attempt(&target, "adapter not loaded in time");
                         return self.unserved("its adapter could not be loaded in time");
                     }
                     self.wish(target, self.load_wish());
@@ -305,15 +309,16 @@
         match attempt {
             Attempt::Answer(answered) => {
                 self.runs += 1;
-                self.wish(target, WishKind::Used);
                 Some(Found::Answer(answered))
             }
             Attempt::NotRun { misdirected } => {
                 self.log_not_run(&target, misdirected);
-                if misdirected {
+                if misdirected && Tables::adapter_of(&self.call).is_some() {
+                    // The adapter is late or was evicted: the engine itself may serve it yet.
                     self.not_held(&target);
+                } else {
+                    self.tried.push(target);
                 }
-                self.tried.push(target);
                 None
             }
             Attempt::Unreachable => {
@@ -356,6 +361,8 @@
 
     fn log_attempt(&self, target: &TargetId, cause: &str) {
         let [target, runs] = [target.to_string(), self.runs.to_string()];
+        let adapter = Tables::adapter_of(&self.call).map(ToString::to_string);
+        let adapter = adapter.unwrap_or_default();
         event(
             LogEvent::AttemptFailed,
             &[
@@ -363,6 +370,7 @@
                 ("target", &target),
                 ("cause", cause),
                 ("runs", &runs),
+                ("adapter", &adapter),
             ],
         );
     }
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::InstanceId;
+use bluebellstage_core::{InstanceId, Time};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use crate::decide::peers::{GONE_AFTER, Peer};
+use crate::decide::peers::{GONE_AFTER, Member, Peer};
 use crate::decide::tables::{Tables, shard_of, short_hash};
 use crate::edge::Edge;
-use crate::packet::{MAX_DATAGRAM_BYTES, Packet, Status, Wish};
+use crate::packet::{MAX_DATAGRAM_BYTES, Packet, Status, Wish, WishKind};
 
 use super::log::{LogEvent, event};
 use super::node::{Node, Outgoing};
@@ -59,7 +59,7 @@
 ) -> usize {
     let (status, addresses) = {
         let tables = node.tables();
-        (status(&tables, ended), addresses(&tables, node))
+        (status(&tables, ended, node.now()), addresses(&tables, node))
     };
     let buf = encode(&Packet::Status(Box::new(status)));
     for address in &addresses {
@@ -75,12 +75,13 @@
     known.map(|peer| peer.member.gossip).collect()
 }
 
-fn status(tables: &Tables, ended: bool) -> Status {
+fn status(tables: &Tables, ended: bool, now: Time) -> Status {
     let spent = tables.quotas.spent();
     let in_flight = tables.all_in_flight();
     Status {
         member: tables.me.clone(),
         ready: tables.ready() && !ended,
+        store_answers: !tables.registry.store_away(now),
         ended,
         config: tables.routes.version(),
         targets: tables.registry.revision(),
@@ -159,7 +160,8 @@
                     }
                 };
                 let batch = by_holder.entry(holder).or_default();
-                if !batch.contains(&wish) {
+                let repeated = matches!(wish.kind, WishKind::Load(_)) && batch.contains(&wish);
+                if !repeated {
                     batch.push(wish);
                 }
             }
@@ -225,7 +227,10 @@
         return;
     }
     for (workspace, spent) in &status.spent {
-        tables.quotas.heard(&status.member.name, workspace, *spent);
+        let Member {
+            name, incarnation, ..
+        } = &status.member;
+        tables.quotas.heard(name, *incarnation, workspace, *spent);
     }
     if status.ended {
         tables.peers.ended(&status.member.name);
@@ -236,6 +241,7 @@
         member: status.member,
         heard: Some(now),
         ready: status.ready,
+        store_answers: status.store_answers,
         config: status.config,
         targets: status.targets,
         in_flight: status.in_flight.into_iter().collect(),
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -18,6 +18,9 @@
 /// Time after the start in which peers are waited for, so that not the first one takes all.
 const MEET_PEERS: Duration = Duration::from_millis(700);
 
+/// Added for each shard, so that one instance doesn't claim several before the others hear of it.
+const BETWEEN_SHARDS: Duration = Duration::from_millis(250);
+
 /// The leases as seen by this instance.
 #[derive(Debug)]
 pub(super) struct Leases {
@@ -49,7 +52,7 @@
 
 /// Keeps the lease of one shard until the process stops.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, shard: u8) {
-    tokio::time::sleep(MEET_PEERS).await;
+    tokio::time::sleep(MEET_PEERS + BETWEEN_SHARDS * u32::from(shard)).await;
     while !node.stopping() {
         let now = node.now();
         let wanted = wanted(&node, shard, now);
@@ -66,17 +69,22 @@
     }
 }
 
-/// This instance comes first for the shard among those that live.
+/// This instance comes first for the shard among those that live, hear the store and hold none
+/// yet; so the shards spread over instances, and one that is cut from the store is replaced.
 fn wanted<E: Edge>(node: &Node<E>, shard: u8, now: Time) -> bool {
     let tables = node.tables();
-    if !tables.ready() {
+    if !tables.ready() || tables.registry.store_away(now) {
         return false;
     }
-    let peers = tables.peers.live(now).filter(|peer| peer.ready);
-    let names = peers.map(|peer| peer.member.name.as_str());
     let me = tables.me.name.as_str();
+    let peers = tables.peers.live(now);
+    let peers = peers.filter(|peer| peer.ready && peer.store_answers);
+    let peers = peers.map(|peer| (peer.member.name.as_str(), peer.shards.is_empty()));
+    let all = peers.chain([(me, tables.shards.is_empty())]).collect::<Vec<_>>();
+    let any_free = all.iter().any(|(_, free)| *free);
+    let names = all.iter().filter(|(_, free)| *free || !any_free);
     let key = name_hash(&object_name(shard));
-    first(key, names.chain([me])) == Some(me)
+    first(key, names.map(|(name, _)| *name)) == Some(me)
 }
 
 async fn read<E: Edge>(node: &Node<E>, shard: u8) {
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -17,8 +17,6 @@
 use super::node::Node;
 use super::caller::call_target;
 
-/// Adapters on their way from the weight store, over all engines, at which loads become slower.
-const STORE_AT_ONCE: usize = 8;
 /// Longest wait for an engine's answer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(400);
 /// Pause between words on holdings that did not change: a datagram may be lost.
@@ -66,8 +64,9 @@
             };
             match wish.kind {
                 WishKind::Load(version) => entry.loader.wish(wish.key, version, now),
-                WishKind::Used => entry.loader.used(&wish.key, now),
-                WishKind::Missing => entry.loader.missing(&wish.key),
+                WishKind::Begun => entry.loader.begun(&wish.key, now),
+                WishKind::Ended => entry.loader.ended(&wish.key, now),
+                WishKind::Missing => entry.loader.missing(&wish.key, now),
             }
         }
     }
@@ -165,8 +164,7 @@
     let now = node.now();
     let own = node.loaders.loading();
     let tables = node.tables();
-    let others = tables.peers.live(now).map(|peer| usize::from(peer.loads));
-    let store_free = own + others.sum::<usize>() < STORE_AT_ONCE;
+    let store_free = own < loads_at_once(&tables, target);
     let model = missing_model(&tables, target, now);
     let mut running = node.loaders.lock();
     let Some(entry) = running.get_mut(&target.id) else {
@@ -189,6 +187,25 @@
         .step(|key| tables.versions.newest(key), store_free, now)
 }
 
+/// Adapters that this instance may have on their way from the weight store: its part of what the
+/// store carries at full speed, by the engines of its shards.
+fn loads_at_once(tables: &Tables, target: &Target) -> usize {
+    let config = tables.routes.config();
+    let service = config.service(&target.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let most = engine.map_or(1, |engine| engine.adapter_loads_at_once);
+    let same = tables
+        .registry
+        .all()
+        .filter(|other| other.service == target.service);
+    let (own, all) = same.fold((0, 0), |(own, all), other| {
+        let held = tables.shards.contains(&shard_of(&other.id));
+        (own + usize::from(held), all + 1)
+    });
+    let share = usize::try_from(most).unwrap_or(1) * own / all.max(1);
+    share.max(1)
+}
+
 /// The base model that the engine should load.
 fn missing_model(
     tables: &Tables,
--- a/crates/gateway/src/net/refuse.rs
+++ b/crates/gateway/src/net/refuse.rs
@@ -68,7 +68,7 @@
             "unknown key: use one of your workspace's current keys",
             None,
         ),
-        Refusal::OverQuota { retry_after } => (
+        Refusal::OverQuota { retry_after, .. } => (
             StatusCode::TOO_MANY_REQUESTS,
             "the workspace's quota is used up: wait, or ask for a larger one",
             Some(retry_after),
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -21,7 +21,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause after news of targets: their registrations change with each heartbeat, and each answer
 /// costs a call. A leaving target must be known within 2 s.
-const TARGETS_PAUSE: Duration = Duration::from_millis(900);
+const TARGETS_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pause after other news, so that a burst of changes takes one call.
 const PAUSE: Duration = Duration::from_millis(100);
 /// First and longest pause after a call that failed.
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -29,6 +29,8 @@
     pub member: Member,
     /// It takes callers.
     pub ready: bool,
+    /// The store answers it.
+    pub store_answers: bool,
     /// It is stopping for good and may be forgotten at once.
     pub ended: bool,
     /// Version of its configuration.
@@ -62,7 +64,9 @@
     /// A request waits for it, at this version or newer.
     Load(Option<AdapterVersion>),
     /// A request was sent to it.
-    Used,
+    Begun,
+    /// A request that was sent to it is over.
+    Ended,
     /// The engine said that it doesn't hold it.
     Missing,
 }
