Answer addresses for one second, and refuse what comes late to a stop

Cause: callers keep a list of addresses three times as long as they are told. Ruled out: the target, which was at work. With a second's keeping they are gone after three, and a later request is told to go elsewhere, not run.

--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -97,6 +97,8 @@
 pub enum Refusal {
     /// No configuration is known yet.
     NotConfigured,
+    /// The instance stops and may not finish what comes now.
+    Stopping,
     /// No route matches.
     NoRoute,
     /// The key is unknown.
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -13,7 +13,7 @@
 use crate::decide::call::{Call, Forward};
 use crate::decide::config::RouteKind;
 use crate::decide::placement::{ASK_AGAIN, Pick};
-use crate::decide::tables::{Tables, Ticket};
+use crate::decide::tables::{Refusal, Tables, Ticket};
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Wish, WishKind};
 
@@ -86,7 +86,11 @@
         }
     };
     let draw = rand::rng().random();
-    let admitted = node.tables().admit(&call, draw, arrived);
+    let admitted = if node.closing() {
+        Err(Refusal::Stopping)
+    } else {
+        node.tables().admit(&call, draw, arrived)
+    };
     let ticket = match admitted {
         Ok(ticket) => ticket,
         Err(refused) => {
--- a/crates/gateway/src/net/refuse.rs
+++ b/crates/gateway/src/net/refuse.rs
@@ -58,6 +58,7 @@
     let soon = Some(spread_retry_after());
     let (status, message, after) = match refusal {
         Refusal::NotConfigured => (unavailable, "no configuration yet: try again", soon),
+        Refusal::Stopping => (unavailable, "this instance stops: use another one", soon),
         Refusal::NoRoute => (
             StatusCode::NOT_FOUND,
             "no route for this host and path: check both",
--- a/crates/gateway/src/net/stop.rs
+++ b/crates/gateway/src/net/stop.rs
@@ -16,9 +16,12 @@
 use super::node::Node;
 
 /// Time kept back before the kill.
-const BEFORE_KILL: Duration = Duration::from_millis(500);
-/// Some callers keep a list of addresses three times as long as they are told.
+const BEFORE_KILL: Duration = Duration::from_millis(300);
+/// Some callers keep a list of addresses three times as long as they are told. A request that comes
+/// later still is refused: a stream may last longer than the time that is left.
 const KEPT_TIMES: u32 = 3;
+/// Added to that: a request is on its way.
+const ON_THE_WAY: Duration = Duration::from_millis(200);
 /// Pause between looks at open connections.
 const LOOK: Duration = Duration::from_millis(50);
 /// Longest time for the last words to the store.
@@ -52,11 +55,11 @@
     };
     let leaving = tokio::spawn(tokio::time::timeout(LAST_WORDS, leaving));
     let until = node.settings.stop_within.saturating_sub(BEFORE_KILL);
-    let answers_age = node.settings.keep_addresses * KEPT_TIMES;
+    let answers_age = node.settings.keep_addresses * KEPT_TIMES + ON_THE_WAY;
     let close_after = answers_age.min(until.saturating_sub(Duration::from_secs(1)));
     loop {
         let passed = node.now().since(asked);
-        if passed >= close_after {
+        if passed >= close_after && !node.closing() {
             node.begin_closing();
         }
         let idle = passed >= close_after && connections() == 0;
