Send an unanswered order again at once; let a scout test a doubted adapter

Requests waiting for a hot adapter that came late were all refused together and used up the budget for repeats.

--- a/crates/gateway/src/decide/loader.rs
+++ b/crates/gateway/src/decide/loader.rs
@@ -84,7 +84,8 @@
     Conflict,
     /// A later holder has ordered, the engine is another one, or the order is malformed.
     Refused,
-    /// No answer: it may be carried out later.
+    /// No answer: it may be carried out later. The next order names the same count, so that the
+    /// engine takes only one of them; if it has taken this one already, the next one conflicts.
     Unknown,
 }
 
@@ -399,8 +400,8 @@
         }
     }
 
-    /// An order was answered.
-    pub fn answered(&mut self, order: &Order, answer: OrderAnswer, now: Time) {
+    /// An order was answered. A load from the weight store takes `stretch` times as long as alone.
+    pub fn answered(&mut self, order: &Order, answer: OrderAnswer, stretch: f64, now: Time) {
         match answer {
             OrderAnswer::Accepted => self.count_to(order.expected + 1),
             OrderAnswer::Done if matches!(order.what, OrderKind::UnloadAdapter(_)) => {
@@ -408,14 +409,14 @@
             }
             OrderAnswer::Done => self.read_after(Duration::ZERO, now),
             OrderAnswer::Conflict | OrderAnswer::Refused => self.read_after(REPORT_LAG, now),
-            OrderAnswer::Unknown => self.read_after(REPORT_LAG * 2, now),
+            OrderAnswer::Unknown => self.accepted = Some(order.expected),
         }
         match (&order.what, answer) {
             (OrderKind::LoadAdapter(key, version), OrderAnswer::Accepted) => {
                 let took = if self.has_copy(key) {
                     LOAD_FROM_HOST
                 } else {
-                    LOAD_FROM_STORE
+                    LOAD_FROM_STORE.mul_f64(stretch)
                 };
                 self.resident.remove(key);
                 let coming = Coming {
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -169,7 +169,7 @@
 
 fn pick_for_adapter(holders: &[&Candidate<'_>], key: &AdapterKey, known: &Known<'_>) -> Pick {
     let version = |candidate: &Candidate<'_>| {
-        let version = known.residency.version(&candidate.target.id, key)?;
+        let version = known.residency.version(&candidate.target.id, key, known.now)?;
         let usable = known.versions.may_begin(key, version, known.now);
         usable.then_some(version)
     };
@@ -185,7 +185,10 @@
         return send(candidate, version(candidate), None, known);
     }
     let absent = |candidate: &&&Candidate<'_>| {
-        known.residency.version(&candidate.target.id, key).is_none()
+        known
+            .residency
+            .version(&candidate.target.id, key, known.now)
+            .is_none()
     };
     let place = holders
         .iter()
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -12,6 +12,13 @@
 /// Age of a loader's word after which the engine's own registration is believed again.
 const LOADER_WORD_LASTS: Duration = Duration::from_secs(6);
 
+/// How long nothing is sent to an adapter that an engine said it doesn't hold; then one request goes
+/// as a scout, and the others go when it is answered.
+///
+/// Dozens of requests may wait for a hot adapter. When its load took longer than expected all of
+/// them were refused at once, again and again, and used up the budget for repeats.
+const DOUBT: Duration = Duration::from_millis(60);
+
 /// Orders the words of an engine's loaders: a later lease first, then a later word.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct WordOrder {
@@ -33,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct Residency {
     engines: HashMap<TargetId, Holdings>,
+    /// Adapters that were found missing, with the time until which nothing is sent.
+    doubts: HashMap<(TargetId, AdapterKey), Time>,
 }
 
 fn collect(adapters: &[AdapterAt]) -> HashMap<AdapterKey, AdapterVersion> {
@@ -76,17 +85,48 @@
         true
     }
 
-    /// Version of `key` at `target`, if it is there.
+    /// Version of `key` at `target`, if it is there and may be used.
     #[must_use]
-    pub fn version(&self, target: &TargetId, key: &AdapterKey) -> Option<AdapterVersion> {
-        self.engines.get(target)?.adapters.get(key).copied()
+    pub fn version(
+        &self,
+        target: &TargetId,
+        key: &AdapterKey,
+        now: Time,
+    ) -> Option<AdapterVersion> {
+        let version = self.engines.get(target)?.adapters.get(key).copied()?;
+        if self.doubts.is_empty() {
+            return Some(version);
+        }
+        let doubt = self.doubts.get(&(target.clone(), key.clone()));
+        doubt.is_none_or(|until| *until <= now).then_some(version)
     }
 
-    /// A target said that it doesn't hold `key`.
-    pub fn missing(&mut self, target: &TargetId, key: &AdapterKey) {
-        if let Some(holdings) = self.engines.get_mut(target) {
-            holdings.adapters.remove(key);
+    /// A request goes to `key` at `target`: if that is in doubt, it is the scout.
+    pub fn sent(&mut self, target: &TargetId, key: &AdapterKey, now: Time) {
+        if self.doubts.is_empty() {
+            return;
         }
+        if let Some(until) = self.doubts.get_mut(&(target.clone(), key.clone())) {
+            *until = now + DOUBT;
+        }
+    }
+
+    /// A request runs on `key` at `target`.
+    pub fn proved(&mut self, target: &TargetId, key: &AdapterKey) {
+        if !self.doubts.is_empty() {
+            self.doubts.remove(&(target.clone(), key.clone()));
+        }
+    }
+
+    /// A target said that it doesn't hold `key`.
+    pub fn missing(&mut self, target: &TargetId, key: &AdapterKey, now: Time) {
+        let place = (target.clone(), key.clone());
+        self.doubts.insert(place, now + DOUBT);
+    }
+
+    /// Forgets old doubts.
+    pub fn sweep(&mut self, now: Time) {
+        self.doubts.retain(|_, until| now.since(*until) < DOUBT * 4);
     }
 
     /// Forgets targets that are gone.
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -318,6 +318,7 @@
     /// Housekeeping; called a few times a second.
     pub fn sweep(&mut self, now: Time) {
         self.registry.sweep(now);
+        self.residency.sweep(now);
         self.retries.prune(self.budget.window, now);
         let registry = &self.registry;
         self.health.keep(|target| registry.get(target).is_some());
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -43,12 +43,16 @@
         if sending.trial {
             tables.health.trial(target);
         }
+        let now = node.now();
+        if let Some(key) = Tables::adapter_of(sending.call) {
+            tables.residency.sent(target, key, now);
+        }
         drop(tables);
         let flight = Self {
             node: Arc::clone(node),
             target: target.clone(),
             adapter: Tables::adapter_of(sending.call).cloned(),
-            began: node.now(),
+            began: now,
             judged: false,
         };
         flight.tell_loader(WishKind::Begun);
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -313,6 +313,10 @@
         match attempt {
             Attempt::Answer(answered) => {
                 self.runs += 1;
+                if let Some(key) = Tables::adapter_of(&self.call) {
+                    self.node.tables().residency.proved(&target, key);
+                    self.node.changed.notify_waiters();
+                }
                 Some(Found::Answer(answered))
             }
             Attempt::NotRun { misdirected } => {
@@ -345,7 +349,8 @@
 
     fn not_held(&self, target: &TargetId) {
         if let Some(key) = Tables::adapter_of(&self.call) {
-            self.node.tables().residency.missing(target, key);
+            let now = self.node.now();
+            self.node.tables().residency.missing(target, key, now);
         }
         self.wish(target.clone(), WishKind::Missing);
     }
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -16,7 +16,8 @@
 
 /// Longest sleep of a lease's task.
 const LONGEST_SLEEP: Duration = Duration::from_millis(300);
-/// Time after the start in which peers are waited for, so that not the first one takes all.
+/// Time after the start in which peers are waited for, so that not the first one takes all; a lease
+/// held before a restart is taken at once.
 const MEET_PEERS: Duration = Duration::from_millis(700);
 
 /// Added for each shard, so that one instance doesn't claim several before the others hear of it.
@@ -53,10 +54,10 @@
 
 /// Keeps the lease of one shard until the process stops.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, shard: u8) {
-    tokio::time::sleep(MEET_PEERS + BETWEEN_SHARDS * u32::from(shard)).await;
+    let meets_until = node.now() + MEET_PEERS + BETWEEN_SHARDS * u32::from(shard);
     while !node.stopping() {
         let now = node.now();
-        let wanted = wanted(&node, shard, now);
+        let wanted = now > meets_until && wanted(&node, shard, now);
         let step = node.leases.lock(shard).step(wanted, now);
         match step {
             LeaseStep::Sleep(until) => {
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -27,8 +27,11 @@
 /// Adapters waiting at one holder beyond which it keeps to its share: in a long queue each load
 /// that runs longer holds up all behind it.
 const LONG_QUEUE: usize = 4;
-/// Longest wait for an engine's answer.
-const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+/// Longest wait for an engine's report.
+const REPORT_WITHIN: Duration = Duration::from_millis(400);
+/// Longest wait for the answer to an order. Engines answer in 3 ms; one that answers later than
+/// this is taken to have lost it, which is safe, and the adapter's requests wait no longer.
+const ORDER_WITHIN: Duration = Duration::from_millis(90);
 /// Pause between words on holdings that did not change: a datagram may be lost.
 const REPEAT_WORD: Duration = Duration::from_millis(2_000);
 /// Pause between looks for engines without a loader.
@@ -257,7 +260,7 @@
 
 async fn read<E: Edge>(node: &Arc<Node<E>>, target: &Target) {
     let req = node.protocol.report_request(target);
-    let answered = call_target(node, &target.id, target.address, req, ANSWER_WITHIN).await;
+    let answered = call_target(node, &target.id, target.address, req, REPORT_WITHIN).await;
     let report = match answered {
         Ok((status, body)) if status.is_success() => node.protocol.report(&body),
         Ok(_) | Err(_) => None,
@@ -289,11 +292,12 @@
     if node.leases.may_order(shard, node.now()) != Some(fencing) {
         return false;
     }
-    let answered = call_target(node, &target.id, target.address, req, ANSWER_WITHIN).await;
+    let answered = call_target(node, &target.id, target.address, req, ORDER_WITHIN).await;
     let (answer, status) = match answered {
         Ok((status, _)) => (node.protocol.order_answer(status), status.to_string()),
         Err(err) => (OrderAnswer::Unknown, err.to_string()),
     };
+    let stretch = stretch(node, target);
     let [id, what] = [target.id.to_string(), describe(&order.what)];
     let taken = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
     let told = if taken {
@@ -313,11 +317,27 @@
     );
     let now = node.now();
     if let Some(entry) = node.loaders.lock().get_mut(&target.id) {
-        entry.loader.answered(order, answer, now);
+        entry.loader.answered(order, answer, stretch, now);
     }
     true
 }
 
+/// How much longer a load from the weight store takes than alone, by the loads known to be under
+/// way.
+fn stretch<E: Edge>(node: &Node<E>, target: &Target) -> f64 {
+    let (own, _) = node.loaders.load();
+    let now = node.now();
+    let tables = node.tables();
+    let peers = tables.peers.live(now).map(|peer| usize::from(peer.loads));
+    let all = own + peers.sum::<usize>() + 1;
+    let config = tables.routes.config();
+    let service = config.service(&target.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let at_once = engine.map_or(1, |engine| engine.adapter_loads_at_once).max(1);
+    let all = u32::try_from(all).unwrap_or(u32::MAX);
+    (f64::from(all) / f64::from(at_once)).max(1.0)
+}
+
 fn describe(what: &OrderKind) -> String {
     match what {
         OrderKind::LoadModel(model) => format!("load {model}"),
