--- a/crates/gateway/src/decide/loader.rs
+++ b/crates/gateway/src/decide/loader.rs
@@ -25,6 +25,11 @@
 const LATE_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a refusal before the engine's report is read: reports lag a tenth of a second.
 const REPORT_LAG: Duration = Duration::from_millis(130);
+/// Added to the pause with each order in a row that is not answered, after the first: an engine
+/// that has crashed refuses connections at once, and would be asked hundreds of times a second.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(120);
+/// Longest time by which a report lags.
+const LONGEST_LAG: Duration = Duration::from_millis(1_000);
 /// An adapter that was used within this span isn't evicted: the news of another request may be on
 /// its way.
 const BUSY_SPAN: Duration = Duration::from_millis(400);
@@ -159,6 +164,8 @@
     accepted: Option<u64>,
     /// Least count that a report must show to be newer than what is known.
     least: u64,
+    /// Since when reports show less.
+    stale_since: Option<Time>,
     resident: HashMap<AdapterKey, Resident>,
     coming: HashMap<AdapterKey, Coming>,
     wishes: HashMap<AdapterKey, Wish>,
@@ -166,6 +173,8 @@
     model_wanted: Option<BaseModel>,
     not_before: Time,
     must_read: bool,
+    /// Orders without an answer since the last one with one.
+    unanswered: u32,
     changed: bool,
 }
 
@@ -177,6 +186,7 @@
             slots,
             accepted: None,
             least: 0,
+            stale_since: None,
             resident: HashMap::new(),
             coming: HashMap::new(),
             wishes: HashMap::new(),
@@ -184,6 +194,7 @@
             model_wanted: None,
             not_before: Time::default(),
             must_read: false,
+            unanswered: 0,
             changed: false,
         }
     }
@@ -402,14 +413,25 @@
 
     /// An order was answered. A load from the weight store takes `stretch` times as long as alone.
     pub fn answered(&mut self, order: &Order, answer: OrderAnswer, stretch: f64, now: Time) {
+        let unanswered = if answer == OrderAnswer::Unknown {
+            self.unanswered + 1
+        } else {
+            0
+        };
+        self.unanswered = unanswered;
         match answer {
             OrderAnswer::Accepted => self.count_to(order.expected + 1),
+            // An unload of what is not there is done, too, and not counted: if the next order
+            // conflicts, the report settles it.
             OrderAnswer::Done if matches!(order.what, OrderKind::UnloadAdapter(_)) => {
-                self.count_to(order.expected + 1);
+                self.accepted = Some(order.expected + 1);
             }
             OrderAnswer::Done => self.read_after(Duration::ZERO, now),
             OrderAnswer::Conflict | OrderAnswer::Refused => self.read_after(REPORT_LAG, now),
-            OrderAnswer::Unknown => self.accepted = Some(order.expected),
+            OrderAnswer::Unknown => {
+                self.accepted = Some(order.expected);
+                self.not_before = now + UNANSWERED_PAUSE * unanswered.saturating_sub(1).min(4);
+            }
         }
         match (&order.what, answer) {
             (OrderKind::LoadAdapter(key, version), OrderAnswer::Accepted) => {
@@ -479,10 +501,15 @@
         };
         if report.accepted < self.least {
             // The report is older than the last answer: what it says of slots is out of date, and
-            // loads ordered by it would not fit.
-            self.not_before = now + REPORT_LAG;
-            return;
+            // loads ordered by it would not fit. One that still says so later is right: the engine
+            // counts otherwise, and loads must not stop for good.
+            let since = *self.stale_since.get_or_insert(now);
+            if now.since(since) < LONGEST_LAG {
+                self.not_before = now + REPORT_LAG;
+                return;
+            }
         }
+        self.stale_since = None;
         if report.busy {
             self.not_before = now + Duration::from_millis(100);
         }
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -161,3 +161,43 @@
     loader.wish(adapter("a2"), None, at(12));
     assert_eq!(sent(step(&mut loader, at(13))), load("a2"));
 }
+
+/// An engine loads nothing for 20 s, and a sixth of the drafts is refused: an unload of an adapter
+/// that was not there was answered as done and not counted, so that every later report looked older
+/// than the last answer.
+#[test]
+fn an_unload_that_the_engine_did_not_count_does_not_stop_loads() {
+    let mut loader = Loader::new(1);
+    loader.reported(Some(report(5, &["a1"])), at(0));
+    loader.wish(adapter("a2"), None, at(1_000));
+    let LoadStep::Send(unload) = step(&mut loader, at(1_000)) else {
+        panic!("no order");
+    };
+    loader.answered(&unload, OrderAnswer::Done, 1.0, at(1_001));
+    let LoadStep::Send(order) = step(&mut loader, at(1_002)) else {
+        panic!("no order");
+    };
+    loader.answered(&order, OrderAnswer::Conflict, 1.0, at(1_003));
+    assert_eq!(step(&mut loader, at(1_200)), LoadStep::Read);
+    loader.reported(Some(report(5, &[])), at(1_201));
+    let LoadStep::Send(again) = step(&mut loader, at(1_202)) else {
+        panic!("loads have stopped");
+    };
+    assert_eq!(again.expected, 5);
+}
+
+/// A crashed engine refuses connections at once, and its loader asked it 480 times a second.
+#[test]
+fn orders_that_nobody_answers_become_rarer() {
+    let mut loader = Loader::new(2);
+    loader.reported(Some(report(0, &[])), at(0));
+    let mut sent = 0;
+    for ms in 0..4_000 {
+        loader.wish(adapter("a1"), None, at(ms));
+        if let LoadStep::Send(order) = step(&mut loader, at(ms)) {
+            loader.answered(&order, OrderAnswer::Unknown, 1.0, at(ms));
+            sent += 1;
+        }
+    }
+    assert!((5..15).contains(&sent), "{sent}");
+}
