--- a/crates/gateway/src/decide/health.rs
+++ b/crates/gateway/src/decide/health.rs
@@ -25,7 +25,7 @@
 /// Outcomes that are needed before a target is judged.
 const LEAST_OUTCOMES: u32 = 5;
 /// First ejection.
-const EJECT_FIRST: Duration = Duration::from_millis(1_000);
+const EJECT_FIRST: Duration = Duration::from_secs(1);
 /// Longest ejection; a target that was repaired is tried this much later at the latest.
 const EJECT_MOST: Duration = Duration::from_secs(4);
 /// Ejection of a target that takes no connection.
@@ -64,7 +64,11 @@
         let record = self.records.entry(target.clone()).or_default();
         let was_trial = std::mem::take(&mut record.probing);
         record.outcomes = record.outcomes.saturating_add(1);
-        let failed = if matches!(met, Met::Answer(_)) { 0.0 } else { 1.0 };
+        let failed = if matches!(met, Met::Answer(_)) {
+            0.0
+        } else {
+            1.0
+        };
         record.failing += NEWEST * (failed - record.failing);
         match met {
             Met::Answer(after) => {
@@ -128,7 +132,9 @@
     /// Recent time to an answer, in seconds; zero before the first.
     #[must_use]
     pub fn latency(&self, target: &TargetId) -> f64 {
-        self.records.get(target).map_or(0.0, |record| record.latency)
+        self.records
+            .get(target)
+            .map_or(0.0, |record| record.latency)
     }
 
     /// Forgets targets that are gone.
--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -17,14 +17,14 @@
 /// How long a renewal holds: longer than most outages of the store and cuts from it, which last
 /// about five seconds and in which nobody could take over. A takeover after a death takes as long,
 /// but then the engines of the other shards take the loads.
-pub const LEASE: Duration = Duration::from_millis(8_000);
+pub const LEASE: Duration = Duration::from_secs(8);
 /// Pause between renewals; each is a call that is paid for.
-pub const RENEW_EVERY: Duration = Duration::from_millis(2_000);
+pub const RENEW_EVERY: Duration = Duration::from_secs(2);
 /// How much longer than [`LEASE`] a taker watches: covers clocks that run apart and the time that
 /// an order is on its way.
 const TAKE_MARGIN: Duration = Duration::from_millis(200);
 /// Pause between looks at a lease that somebody else holds.
-const LOOK_EVERY: Duration = Duration::from_millis(1_000);
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 
 /// The lease object's content.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -56,6 +56,8 @@
     me: InstanceId,
     handover: Duration,
     state: State,
+    /// The last that is known of the object is that this instance held it.
+    was_mine: bool,
     quiet_until: Time,
     next: Time,
 }
@@ -86,6 +88,7 @@
             me,
             handover,
             state: State::Unread,
+            was_mine: false,
             quiet_until: Time::default(),
             next: Time::default(),
         }
@@ -126,6 +129,7 @@
                 }
                 LeaseStep::Write(renewed_record(record), Some(*revision))
             }
+            State::Unread if !wanted && !self.was_mine => LeaseStep::Sleep(now + LOOK_EVERY),
             State::Unread => LeaseStep::Read,
             State::Seen { record, .. } if !wanted && !self.is_mine(record.as_ref()) => {
                 LeaseStep::Sleep(now + LOOK_EVERY)
@@ -168,6 +172,7 @@
 
     /// The object was read; none: there is none.
     pub fn read(&mut self, found: Option<(LeaseRecord, Revision)>, now: Time) {
+        self.was_mine = false;
         let (record, revision) = match found {
             Some((record, revision)) => (Some(record), Some(revision)),
             None => (None, None),
@@ -200,6 +205,7 @@
         if before.is_some_and(|before| before.holder != self.me) {
             self.quiet_until = now + self.handover;
         }
+        self.was_mine = true;
         self.state = State::Held {
             record,
             revision,
@@ -235,6 +241,7 @@
 
     /// The lease was given up, or is about to be: nothing is ordered any more.
     pub fn forget(&mut self) {
+        self.was_mine = false;
         self.state = State::Unread;
     }
 }
--- a/crates/gateway/src/decide/loader.rs
+++ b/crates/gateway/src/decide/loader.rs
@@ -29,7 +29,7 @@
 /// that has crashed refuses connections at once, and would be asked hundreds of times a second.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(120);
 /// Longest time by which a report lags.
-const LONGEST_LAG: Duration = Duration::from_millis(1_000);
+const LONGEST_LAG: Duration = Duration::from_secs(1);
 /// An adapter that was used within this span isn't evicted: the news of another request may be on
 /// its way.
 const BUSY_SPAN: Duration = Duration::from_millis(400);
@@ -229,10 +229,10 @@
     }
 
     fn touch(&mut self, key: &AdapterKey, now: Time) -> &mut Use {
-        let used = self.used.entry(key.clone()).or_insert(Use {
-            last: now,
-            open: 0,
-        });
+        let used = self
+            .used
+            .entry(key.clone())
+            .or_insert(Use { last: now, open: 0 });
         used.last = now;
         used
     }
@@ -300,7 +300,8 @@
         now: Time,
     ) -> LoadStep {
         self.arrive(&newest, now);
-        self.wishes.retain(|_, wish| now.since(wish.last) < WISH_LASTS);
+        self.wishes
+            .retain(|_, wish| now.since(wish.last) < WISH_LASTS);
         if now < self.not_before {
             return LoadStep::Wait(self.not_before);
         }
@@ -446,7 +447,6 @@
                     ready: now + took,
                 };
                 self.coming.insert(key.clone(), coming);
-                self.changed = true;
             }
             (OrderKind::LoadAdapter(key, version), OrderAnswer::Done) => {
                 let version = version.unwrap_or(AdapterVersion(1));
@@ -454,9 +454,9 @@
                 self.resident.insert(key.clone(), resident);
                 self.changed = true;
             }
+            // The word on what arrives in its place tells of it, too: it was idle.
             (OrderKind::UnloadAdapter(key), OrderAnswer::Accepted | OrderAnswer::Done) => {
                 self.resident.remove(key);
-                self.changed = true;
             }
             (OrderKind::UnloadAdapter(key), OrderAnswer::Conflict) => {
                 self.touch(key, now);
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -7,6 +7,8 @@
 use bluebellstage_core::{FailureDomain, Incarnation, InstanceId, Revision, Time};
 use serde::{Deserialize, Serialize};
 
+use super::rendezvous::{ShortHash, weight};
+
 /// An instance as it registers itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Member {
@@ -26,9 +28,20 @@
 
 /// Silence after which a peer counts as down for callers and takeovers.
 ///
-/// Eight rounds of gossip: that many datagrams in a row aren't lost by chance on a link that loses
-/// one in twenty.
-pub const DOWN_AFTER: Duration = Duration::from_millis(900);
+/// Eight rounds of gossip in a small fleet, three in one of 75 instances: that many datagrams in a
+/// row aren't lost by chance on a link that loses one in twenty.
+pub const DOWN_AFTER: Duration = Duration::from_millis(1_100);
+/// Pause between rounds of gossip in a small fleet. Quotas lag by it, and a dead peer is noticed
+/// after several.
+const ROUND: Duration = Duration::from_millis(100);
+/// Pause added for each instance beyond [`SMALL_FLEET`]: every one tells every other, and a round of
+/// 75 instances is 5,550 datagrams.
+const ROUND_PER_PEER: Duration = Duration::from_millis(4);
+/// Instances beyond which rounds are slower.
+const SMALL_FLEET: usize = 10;
+/// Longest pause between rounds; a peer is taken for down after three of them.
+const LONGEST_ROUND: Duration = Duration::from_millis(350);
+
 /// Silence after which a peer no longer counts in the division of quotas, budgets and connections.
 ///
 /// Longer than a cut of a link usually lasts: such a peer still serves its callers.
@@ -49,8 +62,12 @@
     pub config: Revision,
     /// Revision of its list of targets.
     pub targets: Revision,
-    /// Requests that it has at each target, by the hash of the target's name.
-    pub in_flight: HashMap<u32, u16>,
+    /// Digest of what that list says.
+    pub targets_digest: u32,
+    /// Sum of the adapter versions that it knows to be announced.
+    pub versions: u64,
+    /// Requests that it has at each target, by the target's hash.
+    pub in_flight: HashMap<ShortHash, u16>,
     /// Loads from the weight store that it has under way.
     pub loads: u16,
     /// Loader shards that it holds.
@@ -94,6 +111,36 @@
         self.peers.insert(peer.member.name.clone(), peer);
     }
 
+    /// The registration behind a short hash, if it is of that life.
+    #[must_use]
+    pub fn member(&self, from: ShortHash, life: u64) -> Option<&Member> {
+        let mut members = self.peers.values().map(|peer| &peer.member);
+        members.find(|member| {
+            member.incarnation.0 == life && ShortHash::of(member.name.as_str()) == from
+        })
+    }
+
+    /// Takes in who a peer is; a new life replaces the old one.
+    pub fn introduced(&mut self, member: Member) {
+        let known = self.peers.get(&member.name);
+        if known.is_none_or(|peer| peer.member != member) {
+            self.peers
+                .insert(member.name.clone(), Peer::registered(member));
+        }
+    }
+
+    /// Whether `me` is among the `count` instances that come first for `key`, of those that live
+    /// and that the store answers.
+    #[must_use]
+    pub fn among_first(&self, me: &InstanceId, key: u64, count: usize, now: Time) -> bool {
+        let own = weight(key, me.as_str());
+        let able = self
+            .live(now)
+            .filter(|peer| peer.ready && peer.store_answers);
+        let before = able.filter(|peer| weight(key, peer.member.name.as_str()) > own);
+        before.count() < count
+    }
+
     /// The peer of that name.
     #[must_use]
     pub fn get(&self, name: &InstanceId) -> Option<&Peer> {
@@ -118,6 +165,14 @@
         1 + self.peers.values().filter(shares).count()
     }
 
+    /// Pause between rounds of gossip.
+    #[must_use]
+    pub fn round(&self, now: Time) -> Duration {
+        let more = self.sharing(now).saturating_sub(SMALL_FLEET);
+        let more = u32::try_from(more).unwrap_or(u32::MAX);
+        (ROUND + ROUND_PER_PEER.saturating_mul(more)).min(LONGEST_ROUND)
+    }
+
     /// Part of the sharing instances that can't be heard now, between 0 and 1.
     #[must_use]
     pub fn silent_share(&self, now: Time) -> f64 {
@@ -127,10 +182,12 @@
         f64::from(silent) / f64::from(sharing)
     }
 
-    /// Requests that live peers have at the target with this name hash.
+    /// Requests that live peers have at a target.
     #[must_use]
-    pub fn in_flight(&self, target: u32, now: Time) -> u32 {
-        let counts = self.live(now).filter_map(|peer| peer.in_flight.get(&target));
+    pub fn in_flight(&self, target: ShortHash, now: Time) -> u32 {
+        let counts = self
+            .live(now)
+            .filter_map(|peer| peer.in_flight.get(&target));
         counts.map(|count| u32::from(*count)).sum()
     }
 
@@ -150,6 +207,8 @@
             store_answers: false,
             config: Revision::default(),
             targets: Revision::default(),
+            targets_digest: 0,
+            versions: 0,
             in_flight: HashMap::new(),
             loads: 0,
             shards: Vec::new(),
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -17,6 +17,9 @@
 const STAY_BELOW: f64 = 0.85;
 /// Fill beyond which an engine is no place for another adapter.
 const LOAD_BELOW: f64 = 0.8;
+/// Copies of an adapter that are asked for at once when all that hold it are full: as many as there
+/// are, so that a hot one spreads over ten engines in a second.
+const MOST_NEW_COPIES: usize = 4;
 /// What the way to another failure domain costs a plain request, in parts of a slot's work.
 const AWAY_COST: f64 = 0.15;
 
@@ -44,6 +47,8 @@
     pub versions: &'a Versions,
     /// Where this instance runs.
     pub failure_domain: &'a FailureDomain,
+    /// Random, evenly spread.
+    pub draw: f64,
     /// The clock.
     pub now: Time,
 }
@@ -59,8 +64,8 @@
         version: Option<AdapterVersion>,
         /// It is a trial of a target that failed.
         trial: bool,
-        /// Another engine where the adapter should be loaded as well.
-        load_at: Option<TargetId>,
+        /// Other engines where the adapter should be loaded as well.
+        load_at: Vec<TargetId>,
     },
     /// Have the adapter loaded there and look again.
     Load(TargetId),
@@ -106,7 +111,7 @@
             target: candidate.target.id.clone(),
             version: None,
             trial,
-            load_at: None,
+            load_at: Vec::new(),
         },
         None if any => Pick::Full,
         None => Pick::Nowhere,
@@ -148,13 +153,15 @@
     let open = || holders.iter().filter(|candidate| candidate.connectable);
     let roomy = open().find(|candidate| candidate.fill() < STAY_BELOW);
     let chosen = roomy.or_else(|| open().min_by(|a, b| a.fill().total_cmp(&b.fill())));
-    chosen.map_or(Pick::Full, |candidate| send(candidate, None, None, known))
+    chosen.map_or(Pick::Full, |candidate| {
+        send(candidate, None, Vec::new(), known)
+    })
 }
 
 fn send(
     candidate: &Candidate<'_>,
     version: Option<AdapterVersion>,
-    load_at: Option<TargetId>,
+    load_at: Vec<TargetId>,
     known: &Known<'_>,
 ) -> Pick {
     let target = candidate.target.id.clone();
@@ -169,7 +176,9 @@
 
 fn pick_for_adapter(holders: &[&Candidate<'_>], key: &AdapterKey, known: &Known<'_>) -> Pick {
     let version = |candidate: &Candidate<'_>| {
-        let version = known.residency.version(&candidate.target.id, key, known.now)?;
+        let version = known
+            .residency
+            .version(&candidate.target.id, key, known.now)?;
         let usable = known.versions.may_begin(key, version, known.now);
         usable.then_some(version)
     };
@@ -180,30 +189,63 @@
         let open = holders.iter().filter(|candidate| candidate.connectable);
         open.filter(|candidate| version(candidate).is_some())
     };
-    let current = residents().filter(newest);
-    if let Some(candidate) = current.clone().find(|candidate| candidate.fill() < STAY_BELOW) {
-        return send(candidate, version(candidate), None, known);
+    let roomy = residents()
+        .filter(newest)
+        .filter(|candidate| candidate.fill() < STAY_BELOW)
+        .collect::<Vec<_>>();
+    if let Some(candidate) = draw_by_room(&roomy, known.draw) {
+        return send(candidate, version(candidate), Vec::new(), known);
     }
     let absent = |candidate: &&&Candidate<'_>| {
-        known
+        let there = known
             .residency
-            .version(&candidate.target.id, key, known.now)
-            .is_none()
+            .version(&candidate.target.id, key, known.now);
+        there.is_none()
     };
-    let place = holders
+    let copies = residents().count().clamp(1, MOST_NEW_COPIES);
+    let places = holders
         .iter()
         .filter(|candidate| candidate.loadable)
         .filter(|candidate| candidate.fill() < LOAD_BELOW)
-        .find(absent)
-        .or_else(|| holders.iter().find(|candidate| candidate.loadable));
-    let place = place.map(|candidate| candidate.target.id.clone());
+        .filter(absent)
+        .take(copies);
+    let mut places = places
+        .map(|candidate| candidate.target.id.clone())
+        .collect::<Vec<_>>();
+    if places.is_empty() {
+        let any = holders.iter().find(|candidate| candidate.loadable);
+        places.extend(any.map(|candidate| candidate.target.id.clone()));
+    }
     let emptiest = residents().min_by(|a, b| a.fill().total_cmp(&b.fill()));
-    match (emptiest, place) {
-        (Some(candidate), place) => send(candidate, version(candidate), place, known),
-        (None, Some(place)) => Pick::Load(place),
+    match (emptiest, places.pop()) {
+        (Some(candidate), place) => {
+            places.extend(place);
+            send(candidate, version(candidate), places, known)
+        }
+        (None, Some(place)) => Pick::Load(places.into_iter().next().unwrap_or(place)),
         (None, None) => Pick::Full,
     }
 }
 
+/// Draws one of the candidates, by their free slots.
+///
+/// What instances know of each other's requests is a fraction of a second old: were the first or
+/// the emptiest engine taken, all instances would take the same one at once.
+fn draw_by_room<'a>(candidates: &[&'a &Candidate<'a>], draw: f64) -> Option<&'a Candidate<'a>> {
+    let room = |candidate: &Candidate<'_>| (1.0 - candidate.fill()).max(0.01);
+    let total = candidates
+        .iter()
+        .map(|candidate| room(candidate))
+        .sum::<f64>();
+    let mut left = draw * total;
+    for candidate in candidates {
+        left -= room(candidate);
+        if left <= 0.0 {
+            return Some(candidate);
+        }
+    }
+    candidates.last().map(|candidate| **candidate)
+}
+
 /// Pause after which a request that waits for a load asks for it again; datagrams get lost.
 pub const ASK_AGAIN: Duration = Duration::from_millis(60);
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -1,8 +1,9 @@
 //! Quotas of workspaces, held over all instances together.
 //!
 //! Every instance keeps a bucket for each workspace. It takes its own charges out at once and its
-//! peers' charges when their counts arrive, about a tenth of a second later. What a peer that fell
-//! silent may spend meanwhile is taken out as an even share of the rate, and that peer, which hears
+//! peers' charges when their counts arrive, a fraction of a second later; until then it assumes that
+//! they go on as lately, so that a workspace far beyond its rate isn't let in by all at once whenever
+//! the bucket has something. What a peer that fell silent may spend meanwhile is taken out as an even share of the rate, and that peer, which hears
 //! nobody either, spends no more than such a share. Charges that arrive late drive the bucket below
 //! zero, so an overrun is paid back and doesn't add up.
 
@@ -12,10 +13,20 @@
 use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
 
 use super::config::Quota;
+use super::rendezvous::ShortHash;
 
 /// Spending of one workspace, counted since the process started.
 pub type Spent = u64;
 
+/// How well an instance knows what its peers spend.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sharing {
+    /// Part of all instances that were heard lately but not now, between 0 and 1.
+    pub silent: f64,
+    /// Mean age of what the others told.
+    pub lag: Duration,
+}
+
 /// Answer to a charge.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Charged {
@@ -32,6 +43,9 @@
     },
 }
 
+/// Span over which the rate of peers is smoothed.
+const PEER_RATE_SPAN: Duration = Duration::from_millis(800);
+
 /// Charges up to this part of the burst count as small.
 const SMALL_PART: f64 = 0.04;
 /// Part of the burst that large charges leave: a filing costs a fifth of a draft's tokens and would
@@ -50,7 +64,11 @@
     level: f64,
     at: Time,
     own: Spent,
+    own_changed: Time,
     peers: HashMap<InstanceId, Told>,
+    /// What all peers spend in a second, smoothed.
+    peer_rate: f64,
+    peer_rate_at: Time,
 }
 
 /// Buckets of all workspaces.
@@ -64,7 +82,10 @@
     units as f64
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "a fraction of a token is nothing")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a fraction of a token is nothing"
+)]
 fn whole(units: f64) -> i64 {
     units as i64
 }
@@ -76,10 +97,26 @@
             level: number(quota.burst.0),
             at: now,
             own: 0,
+            own_changed: now,
             peers: HashMap::new(),
+            peer_rate: 0.0,
+            peer_rate_at: now,
         }
     }
 
+    /// Peers told of `units` more. Their rate fades over [`PEER_RATE_SPAN`].
+    fn peer_spent(&mut self, units: f64, now: Time) {
+        self.fade_peer_rate(now);
+        self.level -= units;
+        self.peer_rate += units / PEER_RATE_SPAN.as_secs_f64();
+    }
+
+    fn fade_peer_rate(&mut self, now: Time) {
+        let passed = now.since(self.peer_rate_at).as_secs_f64();
+        self.peer_rate *= (-passed / PEER_RATE_SPAN.as_secs_f64()).exp();
+        self.peer_rate_at = now;
+    }
+
     fn refill(&mut self, now: Time, silent_share: f64) {
         let rate = number(self.quota.rate.0) * (1.0 - silent_share);
         self.level += rate * now.since(self.at).as_secs_f64();
@@ -89,17 +126,17 @@
 }
 
 impl Quotas {
-    /// Charges `units` to `workspace`. `silent_share` is the part of all instances that were heard
-    /// lately but not now. A request that would fit within `longest_pause` is let in after it.
+    /// Charges `units` to `workspace`. A request that would fit within `longest_pause` is let in after it.
     pub fn charge(
         &mut self,
         workspace: &WorkspaceId,
         quota: Quota,
         units: u64,
-        silent_share: f64,
+        sharing: Sharing,
         longest_pause: Duration,
         now: Time,
     ) -> Charged {
+        let silent_share = sharing.silent;
         let bucket = self
             .buckets
             .entry(workspace.clone())
@@ -110,12 +147,16 @@
         let burst = number(quota.burst.0);
         let small = number(units) <= burst * SMALL_PART;
         let kept = if small { 0.0 } else { burst * KEPT_PART };
-        let missing = (number(units) + kept).min(burst) - bucket.level;
+        bucket.fade_peer_rate(now);
+        let untold = bucket.peer_rate * sharing.lag.as_secs_f64();
+        let level = bucket.level - untold;
+        let missing = (number(units) + kept).min(burst) - level;
         let rate = number(quota.rate.0) * (1.0 - silent_share);
         let pause = missing / rate.max(1.0);
         if pause <= longest_pause.as_secs_f64() {
             bucket.level -= number(units);
             bucket.own += units;
+            bucket.own_changed = now;
             return if missing <= 0.0 {
                 Charged::Within
             } else {
@@ -133,13 +174,22 @@
         if let Some(bucket) = self.buckets.get_mut(workspace) {
             bucket.level = (bucket.level + number(units)).min(number(bucket.quota.burst.0));
             bucket.own = bucket.own.saturating_sub(units);
+            bucket.own_changed = bucket.at;
         }
     }
 
-    /// What this process has charged, for its peers.
-    pub fn spent(&self) -> impl Iterator<Item = (&WorkspaceId, Spent)> {
-        let spent = self.buckets.iter().map(|(name, bucket)| (name, bucket.own));
-        spent.filter(|(_, spent)| *spent > 0)
+    /// What this process has charged, for its peers, where it changed within `span`: long enough
+    /// that a lost datagram is made up for by the next ones.
+    pub fn spent_lately(
+        &self,
+        span: Duration,
+        now: Time,
+    ) -> impl Iterator<Item = (ShortHash, Spent)> {
+        let lately = self
+            .buckets
+            .iter()
+            .filter(move |(_, bucket)| now.since(bucket.own_changed) < span);
+        lately.map(|(name, bucket)| (ShortHash::of(name.as_str()), bucket.own))
     }
 
     /// Takes in what `peer` has charged since it started, charges given back left out. The first
@@ -148,10 +198,13 @@
         &mut self,
         peer: &InstanceId,
         life: Incarnation,
-        workspace: &WorkspaceId,
+        workspace: ShortHash,
         spent: Spent,
+        now: Time,
     ) {
-        let Some(bucket) = self.buckets.get_mut(workspace) else {
+        let mut buckets = self.buckets.iter_mut();
+        let bucket = buckets.find(|(name, _)| ShortHash::of(name.as_str()) == workspace);
+        let Some((_, bucket)) = bucket else {
             return;
         };
         let told = Told { life, spent };
@@ -159,6 +212,6 @@
         let Some(before) = before.filter(|before| before.life == life) else {
             return;
         };
-        bucket.level -= number(spent) - number(before.spent);
+        bucket.peer_spent(number(spent) - number(before.spent), now);
     }
 }
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -5,6 +5,7 @@
 
 use bluebellstage_core::{Revision, TargetId, Time};
 
+use super::rendezvous::{name_hash, weight};
 use super::target::Target;
 
 /// How long a registration that vanished in an outage of the store may take to come back.
@@ -69,7 +70,9 @@
     pub fn remove(&mut self, id: &TargetId, revision: Revision, now: Time) {
         self.revision = self.revision.max(revision);
         if now < self.trusted_again && self.targets.contains_key(id) {
-            self.vanished.entry(id.clone()).or_insert(now + RETURN_GRACE);
+            self.vanished
+                .entry(id.clone())
+                .or_insert(now + RETURN_GRACE);
             return;
         }
         self.vanished.remove(id);
@@ -89,6 +92,24 @@
         }
     }
 
+    /// Digest of what matters to a request: two instances with the same one send to the same
+    /// targets. Heartbeats of targets change the revision, not this.
+    #[must_use]
+    pub fn digest(&self) -> u32 {
+        let folded = self.targets.values().fold(0, |digest, target| {
+            let address = target.address.to_string();
+            let life = target.born.unwrap_or(0);
+            let models = u64::try_from(target.models.len()).unwrap_or(0);
+            let state = u64::from(target.leaving) + models * 2;
+            let own = weight(
+                life.wrapping_mul(64).wrapping_add(state),
+                target.id.as_str(),
+            );
+            digest ^ own ^ name_hash(&address)
+        });
+        u32::try_from(folded >> 32).unwrap_or(0)
+    }
+
     /// The target of that name.
     #[must_use]
     pub fn get(&self, id: &TargetId) -> Option<&Target> {
--- a/crates/gateway/src/decide/rendezvous.rs
+++ b/crates/gateway/src/decide/rendezvous.rs
@@ -1,5 +1,6 @@
 //! Rendezvous hashing: everyone finds the same order without talking.
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Stable hash of a name.
@@ -8,6 +9,20 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Short hash of a name, for datagrams. Two of a few hundred names share one by chance about once
+/// in 50,000 fleets.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct ShortHash(u32);
+
+impl ShortHash {
+    /// Hash of a name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(u32::try_from(name_hash(name) >> 32).unwrap_or(0))
+    }
+}
+
 /// Weight of `candidate` for `key`; the highest comes first.
 #[must_use]
 pub fn weight(key: u64, candidate: &str) -> u64 {
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -10,7 +10,7 @@
 use super::target::Target;
 
 /// Age of a loader's word after which the engine's own registration is believed again.
-const LOADER_WORD_LASTS: Duration = Duration::from_secs(6);
+const LOADER_WORD_LASTS: Duration = Duration::from_secs(12);
 
 /// How long nothing is sent to an adapter that an engine said it doesn't hold; then one request goes
 /// as a scout, and the others go when it is answered.
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -11,11 +11,11 @@
 use super::config::{Config, Route};
 use super::health::Health;
 use super::lease::SHARDS;
-use super::peers::{Member, Peers};
+use super::peers::{Member, Peer, Peers};
 use super::placement::{Candidate, Known, Pick, pick_engine, pick_plain};
-use super::quota::{Charged, Quotas};
+use super::quota::{Charged, Quotas, Sharing};
 use super::registry::Registry;
-use super::rendezvous::name_hash;
+use super::rendezvous::{ShortHash, name_hash};
 use super::residency::Residency;
 use super::retry_budget::{RetryBudget, RetryCounts};
 use super::routes::{RouteTable, Routed, pick_service};
@@ -27,6 +27,11 @@
 /// Part of a route's target latency for which a request waits for its workspace's quota: a refused
 /// caller would lose more on its way back, and an engine still answers in the rest.
 const QUOTA_PAUSE_PART: f64 = 0.4;
+/// Instances that follow the store: each watch is paid for at every heartbeat of a target, and two
+/// may be cut off from the store at once.
+const FOLLOWERS: usize = 3;
+/// What followers are drawn by.
+const FOLLOWER_KEY: &str = "follower";
 /// Longest time that a refused caller is told to wait; later it has little time left.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3);
 
@@ -188,11 +193,14 @@
             && let Some(quota) = workspace.quota
         {
             charge = quota.unit.charge(call.tokens);
-            let silent = self.peers.silent_share(now);
+            let sharing = Sharing {
+                silent: self.peers.silent_share(now),
+                lag: self.peers.round(now) / 2,
+            };
             let longest_pause = routes.route(route).target_latency.mul_f64(QUOTA_PAUSE_PART);
             let name = &workspace.name;
             let quotas = &mut self.quotas;
-            match quotas.charge(name, quota, charge, silent, longest_pause, now) {
+            match quotas.charge(name, quota, charge, sharing, longest_pause, now) {
                 Charged::Within => {}
                 Charged::After(wait) => pause = wait,
                 Charged::Over { retry_after, left } => {
@@ -226,13 +234,20 @@
         }
     }
 
-    /// Picks the target for a request, those in `tried` left out.
+    /// Picks the target for a request, those in `tried` left out. `draw` is random, from 0 to 1.
     #[must_use]
-    pub fn pick(&self, ticket: &Ticket, call: &Call, tried: &[TargetId], now: Time) -> Pick {
+    pub fn pick(
+        &self,
+        ticket: &Ticket,
+        call: &Call,
+        tried: &[TargetId],
+        draw: f64,
+        now: Time,
+    ) -> Pick {
         let config = self.routes.config();
-        let limit = config
-            .service(&ticket.service)
-            .map_or(1, |service| self.connection_limit(service.max_connections, now));
+        let limit = config.service(&ticket.service).map_or(1, |service| {
+            self.connection_limit(service.max_connections, now)
+        });
         let candidates = self
             .registry
             .all()
@@ -240,7 +255,7 @@
             .filter(|target| !tried.contains(&target.id))
             .map(|target| {
                 let own = self.own_in_flight(&target.id);
-                let others = self.peers.in_flight(short_hash(&target.id), now);
+                let others = self.peers.in_flight(ShortHash::of(target.id.as_str()), now);
                 Candidate {
                     target,
                     in_flight: own + others,
@@ -254,6 +269,7 @@
             residency: &self.residency,
             versions: &self.versions,
             failure_domain: &self.me.failure_domain,
+            draw,
             now,
         };
         match &call.wanted {
@@ -283,6 +299,23 @@
         self.shards.contains(&shard) || self.peers.holder(shard, now).is_some()
     }
 
+    /// Whether this instance follows the store. A few do, the others take what they have from them;
+    /// one that knows no configuration, or hears nobody who follows, does it itself.
+    #[must_use]
+    pub fn follows_store(&self, now: Time) -> bool {
+        let key = name_hash(FOLLOWER_KEY);
+        !self.configured() || self.peers.among_first(&self.me.name, key, FOLLOWERS, now)
+    }
+
+    /// Whether `peer` knows something of the store that this instance doesn't.
+    #[must_use]
+    pub fn is_behind(&self, peer: &Peer) -> bool {
+        let other_targets = peer.targets > self.registry.revision()
+            && peer.targets_digest != self.registry.digest();
+        let newer_config = peer.config > self.routes.version();
+        newer_config || other_targets || peer.versions > self.versions.total()
+    }
+
     /// Takes one repeat out of the service's budget; false if there is none left.
     pub fn take_retry(&mut self, service: &ServiceId, now: Time) -> bool {
         let sharing = self.peers.sharing(now);
@@ -297,7 +330,9 @@
 
     /// Requests of this instance at all targets.
     pub fn all_in_flight(&self) -> impl Iterator<Item = (&TargetId, u32)> {
-        self.in_flight.iter().map(|(target, count)| (target, *count))
+        self.in_flight
+            .iter()
+            .map(|(target, count)| (target, *count))
     }
 
     /// A request goes to a target.
@@ -345,9 +380,3 @@
 pub fn shard_of(target: &TargetId) -> u8 {
     u8::try_from(name_hash(target.as_str()) % u64::from(SHARDS)).unwrap_or(0)
 }
-
-/// Short hash of a target's name, for datagrams.
-#[must_use]
-pub fn short_hash(target: &TargetId) -> u32 {
-    u32::try_from(name_hash(target.as_str()) >> 32).unwrap_or(0)
-}
--- a/crates/gateway/src/decide/versions.rs
+++ b/crates/gateway/src/decide/versions.rs
@@ -46,6 +46,13 @@
         self.announced.get(key).map(|known| known.version)
     }
 
+    /// Sum of all announced versions: the higher of two instances knows something that the other
+    /// doesn't.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.announced.values().map(|known| known.version.0).sum()
+    }
+
     /// All announced versions.
     pub fn all(&self) -> impl Iterator<Item = AdapterAt> {
         self.announced.iter().map(|(key, known)| AdapterAt {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -165,10 +165,6 @@
     ) -> impl Future<Output = Result<Revision, StoreError>> + Send;
 
     /// Removes an object.
-    fn remove(
-        &self,
-        kind: Kind,
-        name: &str,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn remove(&self, kind: Kind, name: &str)
+    -> impl Future<Output = Result<(), StoreError>> + Send;
 }
-
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -169,7 +169,12 @@
     sending: Sending<'_>,
     forward: &Forward<'_>,
 ) -> Attempt<E> {
-    let Some(address) = node.tables().registry.get(target).map(|known| known.address) else {
+    let Some(address) = node
+        .tables()
+        .registry
+        .get(target)
+        .map(|known| known.address)
+    else {
         return Attempt::Unreachable;
     };
     let mut flight = Flight::begin(node, target, sending);
--- a/crates/gateway/src/net/caller.rs
+++ b/crates/gateway/src/net/caller.rs
@@ -1,5 +1,6 @@
 //! Short calls to the store, engines and peers.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,22 +21,29 @@
 /// Time for a connection.
 const CONNECT_WITHIN: Duration = Duration::from_millis(300);
 
-fn failed(address: SocketAddr, cause: impl ToString) -> GatewayError {
+fn failed(address: SocketAddr, cause: &dyn fmt::Display) -> GatewayError {
     GatewayError::Exchange {
         address,
         cause: cause.to_string().into(),
     }
 }
 
+async fn open(address: SocketAddr) -> Result<Connection, GatewayError> {
+    let stream = connect(address, CONNECT_WITHIN).await;
+    let stream = stream.map_err(|err| failed(address, &err))?;
+    let connection = Connection::over(stream).await;
+    connection.map_err(|err| failed(address, &err))
+}
+
 async fn exchange(
     address: SocketAddr,
     connection: &mut Connection,
     req: Request<Bytes>,
 ) -> Result<(StatusCode, Bytes), GatewayError> {
     let sent = connection.tx.send_request(req.map(Full::new)).await;
-    let (head, body) = sent.map_err(|err| failed(address, err))?.into_parts();
+    let (head, body) = sent.map_err(|err| failed(address, &err))?.into_parts();
     let body = Limited::new(body, LONGEST_ANSWER).collect().await;
-    let body = body.map_err(|err| failed(address, err))?;
+    let body = body.map_err(|err| failed(address, &err))?;
     Ok((head.status, body.to_bytes()))
 }
 
@@ -50,14 +58,11 @@
     within: Duration,
 ) -> Result<(StatusCode, Bytes), GatewayError> {
     let calling = async {
-        let stream = connect(address, CONNECT_WITHIN).await;
-        let stream = stream.map_err(|err| failed(address, err))?;
-        let connection = Connection::over(stream).await;
-        let mut connection = connection.map_err(|err| failed(address, err))?;
+        let mut connection = open(address).await?;
         exchange(address, &mut connection, req).await
     };
     let answered = tokio::time::timeout(within, calling).await;
-    answered.map_err(|elapsed| failed(address, elapsed))?
+    answered.map_err(|elapsed| failed(address, &elapsed))?
 }
 
 /// Calls a target, on a kept connection if there is one.
@@ -71,17 +76,12 @@
     let calling = async {
         let mut connection = match node.pool.take(target) {
             Some(connection) => connection,
-            None => {
-                let stream = connect(address, CONNECT_WITHIN).await;
-                let stream = stream.map_err(|err| failed(address, err))?;
-                let connection = Connection::over(stream).await;
-                connection.map_err(|err| failed(address, err))?
-            }
+            None => open(address).await?,
         };
         let answer = exchange(address, &mut connection, req).await?;
         node.pool.put(target, connection, None);
         Ok(answer)
     };
     let answered = tokio::time::timeout(within, calling).await;
-    answered.map_err(|elapsed| failed(address, elapsed))?
+    answered.map_err(|elapsed| failed(address, &elapsed))?
 }
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -18,6 +18,9 @@
 /// Path of the copy on the control address.
 pub(super) const COPY_PATH: &str = "/peer/copy";
 
+/// Query that names the version of the configuration that the peer has.
+pub(super) const HAVE_CONFIG: &str = "config=";
+
 /// What the store told an instance, for peers that the store turns away.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Copy {
@@ -35,11 +38,12 @@
     }
     let copy = {
         let tables = node.tables();
-        let config = tables.configured().then(|| tables.routes.config().as_ref().clone());
+        let newer = tables.routes.version() > peers_version(req);
+        let config = newer.then(|| tables.routes.config().as_ref().clone());
         let peers = tables.peers.all().map(|peer| peer.member.clone());
         Copy {
             config,
-            targets: tables.registry.all().cloned().collect(),
+            targets: tables.registry.all().map(without_adapters).collect(),
             targets_revision: tables.registry.revision(),
             versions: tables.versions.all().collect(),
             members: peers.chain([tables.me.clone()]).collect(),
@@ -55,3 +59,19 @@
         ),
     }
 }
+
+fn peers_version(req: &Request<Incoming>) -> Revision {
+    let query = req.uri().query().unwrap_or("");
+    let version = query.strip_prefix(HAVE_CONFIG);
+    version
+        .and_then(|version| version.parse().ok())
+        .unwrap_or_default()
+}
+
+/// What an engine holds changes all the time, and its loader tells it.
+fn without_adapters(target: &Target) -> Target {
+    Target {
+        adapters: Vec::new(),
+        ..target.clone()
+    }
+}
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -99,7 +99,7 @@
                 LogEvent::RequestRefused,
                 &[("request", &call.id), ("reason", &reason)],
             );
-            return refusal(&node.protocol, refused);
+            return refusal(&node.protocol, &refused);
         }
     };
     let body = match read_body(&node, body).await {
@@ -166,7 +166,8 @@
                 Err(failure) => {
                     self.log_attempt(&target, &format!("{failure:?} in body"));
                     if !self.may_repeat() {
-                        return self.own_answer(&Found::MayHaveRun("the target's answer broke off"));
+                        return self
+                            .own_answer(&Found::MayHaveRun("the target's answer broke off"));
                     }
                     self.tried.push(target);
                 }
@@ -177,9 +178,7 @@
     /// The attempt that ran may be followed by another one.
     pub(super) fn may_repeat(&self) -> bool {
         let route = self.ticket.route();
-        route.kind.repeatable()
-            && self.runs < route.max_attempts
-            && self.left() > LEAST_ATTEMPT
+        route.kind.repeatable() && self.runs < route.max_attempts && self.left() > LEAST_ATTEMPT
     }
 
     /// Time left for the caller.
@@ -194,18 +193,18 @@
     pub(super) async fn find(&mut self) -> Found<E> {
         let route_latency = self.ticket.route().target_latency;
         let waits = self.call.patience.unwrap_or(self.ticket.route().timeout);
-        let load_until =
-            self.node.now() + waits.mul_f64(LOAD_WAIT_PART).min(LOAD_WAIT_MOST);
+        let load_until = self.node.now() + waits.mul_f64(LOAD_WAIT_PART).min(LOAD_WAIT_MOST);
         let full_until = self.node.now() + route_latency / 2;
         loop {
             if self.left() < LEAST_ATTEMPT {
                 return self.out_of_time();
             }
             let now = self.node.now();
+            let draw = rand::rng().random_range(0.0..1.0);
             let pick = self
                 .node
                 .tables()
-                .pick(&self.ticket, &self.call, &self.tried, now);
+                .pick(&self.ticket, &self.call, &self.tried, draw, now);
             match pick {
                 Pick::Send {
                     target,
@@ -213,7 +212,7 @@
                     trial,
                     load_at,
                 } => {
-                    if let Some(place) = load_at {
+                    for place in load_at {
                         self.wish(place, self.load_wish());
                     }
                     if let Some(found) = self.try_target(target, version, trial).await {
@@ -357,7 +356,11 @@
 
     fn log_not_run(&self, target: &TargetId, misdirected: bool) {
         let target = target.to_string();
-        let reason = if misdirected { "misdirected" } else { "refused" };
+        let reason = if misdirected {
+            "misdirected"
+        } else {
+            "refused"
+        };
         event(
             LogEvent::RequestNotRun,
             &[
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -9,24 +9,23 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use crate::decide::peers::{GONE_AFTER, Member, Peer};
-use crate::decide::tables::{Tables, shard_of, short_hash};
+use crate::decide::peers::{GONE_AFTER, Peer};
+use crate::decide::rendezvous::ShortHash;
+use crate::decide::tables::{Tables, shard_of};
 use crate::edge::Edge;
 use crate::packet::{MAX_DATAGRAM_BYTES, Packet, Status, Wish};
 
 use super::log::{LogEvent, event};
 use super::node::{Node, Outgoing};
 
-/// Pause between rounds in a small fleet. Quotas lag by it, and a dead peer is noticed after
-/// several.
-const ROUND: Duration = Duration::from_millis(100);
-/// Pause added for each peer beyond the first ten, so that a round of 75 instances costs no more
-/// than 2 % of a core.
-const ROUND_PER_PEER: Duration = Duration::from_millis(2);
+/// Span after its start in which an instance introduces itself in each round.
+const NEW_FOR: Duration = Duration::from_millis(1_500);
+/// Pause between introductions later: a peer that missed them asks.
+const INTRODUCE_EVERY: Duration = Duration::from_secs(5);
+/// Age of news that is still told, so that a lost datagram is made up for.
+const NEWS_LASTS: Duration = Duration::from_millis(1_500);
 /// Pause between sends of wishes; a request that misses its adapter waits for it.
 const WISH_ROUND: Duration = Duration::from_millis(4);
-/// Instances beyond which rounds are slower.
-const SMALL_FLEET: usize = 10;
 
 /// Sends and receives datagrams until the process ends.
 pub(super) async fn run<E: Edge>(
@@ -44,28 +43,35 @@
 }
 
 async fn rounds<E: Edge>(node: &Node<E>, socket: &UdpSocket) {
+    let started = node.now();
+    let mut introduced = started;
     loop {
-        let peers = tell_status(node, socket, false).await;
-        let more = u32::try_from(peers.saturating_sub(SMALL_FLEET)).unwrap_or(0);
-        tokio::time::sleep(ROUND + ROUND_PER_PEER * more).await;
+        let now = node.now();
+        let new = now.since(started) < NEW_FOR;
+        if new || now.since(introduced) > INTRODUCE_EVERY {
+            introduced = now;
+            node.send(None, introduction(node));
+        }
+        tell_status(node, socket, false).await;
+        let pause = node.tables().peers.round(now);
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// Tells all peers how this instance is; gives their number.
-pub(super) async fn tell_status<E: Edge>(
-    node: &Node<E>,
-    socket: &UdpSocket,
-    ended: bool,
-) -> usize {
+fn introduction<E: Edge>(node: &Node<E>) -> Packet {
+    Packet::Introduction(Box::new(node.settings.member.clone()))
+}
+
+/// Tells all peers how this instance is.
+pub(super) async fn tell_status<E: Edge>(node: &Node<E>, socket: &UdpSocket, ended: bool) {
     let (status, addresses) = {
         let tables = node.tables();
         (status(&tables, ended, node.now()), addresses(&tables, node))
     };
-    let buf = encode(&Packet::Status(Box::new(status)));
+    let buf = encode(&Packet::Status(status));
     for address in &addresses {
         send_to(socket, &buf, *address).await;
     }
-    addresses.len()
 }
 
 fn addresses<E: Edge>(tables: &Tables, node: &Node<E>) -> Vec<SocketAddr> {
@@ -76,20 +82,22 @@
 }
 
 fn status(tables: &Tables, ended: bool, now: Time) -> Status {
-    let spent = tables.quotas.spent();
     let in_flight = tables.all_in_flight();
     Status {
-        member: tables.me.clone(),
+        from: ShortHash::of(tables.me.name.as_str()),
+        life: tables.me.incarnation.0,
         ready: tables.ready() && !ended,
         store_answers: !tables.registry.store_away(now),
         ended,
         config: tables.routes.version(),
         targets: tables.registry.revision(),
-        spent: spent.map(|(name, spent)| (name.clone(), spent)).collect(),
+        targets_digest: tables.registry.digest(),
+        versions: tables.versions.total(),
+        spent: tables.quotas.spent_lately(NEWS_LASTS, now).collect(),
         in_flight: in_flight
             .map(|(target, count)| {
                 let count = u16::try_from(count).unwrap_or(u16::MAX);
-                (short_hash(target), count)
+                (ShortHash::of(target.as_str()), count)
             })
             .collect(),
         loads: tables.loads,
@@ -101,10 +109,7 @@
     match bincode::serialize(packet) {
         Ok(buf) => buf,
         Err(err) => {
-            event(
-                LogEvent::DatagramMalformed,
-                &[("cause", &err.to_string())],
-            );
+            event(LogEvent::DatagramMalformed, &[("cause", &err.to_string())]);
             Vec::new()
         }
     }
@@ -181,11 +186,15 @@
 const WISHES_IN_A_DATAGRAM: usize = 16;
 
 async fn receive<E: Edge>(node: &Arc<Node<E>>, socket: &UdpSocket) {
-    let mut buf = vec![0; MAX_DATAGRAM_BYTES * 4];
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => match bincode::deserialize::<Packet>(&buf[..len]) {
-                Ok(packet) => take(node, packet),
+                Ok(packet) => {
+                    if let Some(reply) = take(node, packet) {
+                        send_to(socket, &encode(&reply), from).await;
+                    }
+                }
                 Err(err) => event(
                     LogEvent::DatagramMalformed,
                     &[("from", &from.to_string()), ("cause", &err.to_string())],
@@ -197,56 +206,74 @@
     }
 }
 
-fn take<E: Edge>(node: &Arc<Node<E>>, packet: Packet) {
+/// Takes a datagram in; gives what is to be answered.
+fn take<E: Edge>(node: &Arc<Node<E>>, packet: Packet) -> Option<Packet> {
     match packet {
-        Packet::Status(status) => take_status(node, *status),
+        Packet::Status(status) => return take_status(node, status),
+        Packet::WhoIsThere => return Some(introduction(node)),
+        Packet::Introduction(member) => {
+            let mut tables = node.tables();
+            if member.name != tables.me.name {
+                tables.peers.introduced(*member);
+            }
+        }
         Packet::Wishes(wishes) => {
             node.loaders.take(wishes, node.now());
             node.loader_work.notify_waiters();
         }
         Packet::Holdings(word) => {
             let now = node.now();
-            let news =
-                node.tables()
-                    .residency
-                    .told(&word.target, word.order, &word.adapters, now);
+            let adapters = word.adapters();
+            let mut tables = node.tables();
+            let news = tables
+                .residency
+                .told(&word.target, word.order, &adapters, now);
+            drop(tables);
             if news {
                 node.changed.notify_waiters();
             }
         }
     }
+    None
 }
 
-fn take_status<E: Edge>(node: &Arc<Node<E>>, status: Status) {
+fn take_status<E: Edge>(node: &Arc<Node<E>>, status: Status) -> Option<Packet> {
     let now = node.now();
     let mut tables = node.tables();
-    if status.member.name == tables.me.name {
-        return;
+    if status.from == ShortHash::of(tables.me.name.as_str()) {
+        return None;
     }
-    for (workspace, spent) in &status.spent {
-        let Member {
-            name, incarnation, ..
-        } = &status.member;
-        tables.quotas.heard(name, *incarnation, workspace, *spent);
+    let Some(member) = tables.peers.member(status.from, status.life).cloned() else {
+        return Some(Packet::WhoIsThere);
+    };
+    for (workspace, spent) in status.spent {
+        let life = member.incarnation;
+        tables
+            .quotas
+            .heard(&member.name, life, workspace, spent, now);
     }
     if status.ended {
-        tables.peers.ended(&status.member.name);
-        return;
+        tables.peers.ended(&member.name);
+        return None;
     }
-    let newer = status.config > tables.routes.version() || status.targets > tables.registry.revision();
-    tables.peers.heard(Peer {
-        member: status.member,
+    let peer = Peer {
+        member,
         heard: Some(now),
         ready: status.ready,
         store_answers: status.store_answers,
         config: status.config,
         targets: status.targets,
+        targets_digest: status.targets_digest,
+        versions: status.versions,
         in_flight: status.in_flight.into_iter().collect(),
         loads: status.loads,
         shards: status.shards,
-    });
+    };
+    let behind = tables.is_behind(&peer);
+    tables.peers.heard(peer);
     drop(tables);
-    if newer {
+    if behind {
         node.peer_is_newer.notify_one();
     }
+    None
 }
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -52,8 +52,29 @@
     format!("shard-{shard}")
 }
 
+/// Reads all leases in one call, so that one held before a restart is taken at once, then keeps each.
+pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
+    if let Ok(listing) = node.store.list(Kind::Leases).await {
+        let now = node.now();
+        for shard in 0..SHARDS {
+            let name = object_name(shard);
+            let found = listing.objects.iter().find(|object| *object.name == *name);
+            match found.map(|object| (object.revision, object.content.clone())) {
+                Some((revision, Some(Content::Lease(record)))) => {
+                    node.leases.lock(shard).read(Some((record, revision)), now);
+                }
+                Some(_) => {}
+                None => node.leases.lock(shard).read(None, now),
+            }
+        }
+    }
+    for shard in 0..SHARDS {
+        tokio::spawn(keep(Arc::clone(&node), shard));
+    }
+}
+
 /// Keeps the lease of one shard until the process stops.
-pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, shard: u8) {
+async fn keep<E: Edge>(node: Arc<Node<E>>, shard: u8) {
     let meets_until = node.now() + MEET_PEERS + BETWEEN_SHARDS * u32::from(shard);
     while !node.stopping() {
         let now = node.now();
@@ -80,12 +101,14 @@
     }
     let me = tables.me.name.as_str();
     let able = |peer: &&Peer| peer.ready && peer.store_answers;
-    if tables.peers.holder(shard, now).filter(able).is_some() {
+    if tables.peers.holder(shard, now).as_ref().is_some_and(able) {
         return false;
     }
     let peers = tables.peers.live(now).filter(able);
     let peers = peers.map(|peer| (peer.member.name.as_str(), peer.shards.is_empty()));
-    let all = peers.chain([(me, tables.shards.is_empty())]).collect::<Vec<_>>();
+    let all = peers
+        .chain([(me, tables.shards.is_empty())])
+        .collect::<Vec<_>>();
     let any_free = all.iter().any(|(_, free)| *free);
     let names = all.iter().filter(|(_, free)| *free || !any_free);
     let key = name_hash(&object_name(shard));
@@ -141,7 +164,10 @@
         LogEvent::LeaseTaken
     };
     let fencing = may.map_or("none".into(), |fencing| fencing.to_string());
-    event(told, &[("shard", &shard.to_string()), ("fencing", &fencing)]);
+    event(
+        told,
+        &[("shard", &shard.to_string()), ("fencing", &fencing)],
+    );
     node.loader_work.notify_waiters();
 }
 
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -7,15 +7,16 @@
 use bluebellstage_core::{TargetId, Time};
 
 use crate::decide::loader::{LoadStep, Loader, Order, OrderAnswer, OrderKind};
+use crate::decide::rendezvous::ShortHash;
 use crate::decide::residency::WordOrder;
 use crate::decide::tables::{Tables, shard_of};
 use crate::decide::target::Target;
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Holdings, Packet, Wish, WishKind};
 
+use super::caller::call_target;
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::caller::call_target;
 
 /// Loads that the holders together allow themselves, as a fraction of those at full speed, while
 /// few wait: shares are uneven, and a load that waits for its turn loses more than one that runs
@@ -33,7 +34,7 @@
 /// this is taken to have lost it, which is safe, and the adapter's requests wait no longer.
 const ORDER_WITHIN: Duration = Duration::from_millis(90);
 /// Pause between words on holdings that did not change: a datagram may be lost.
-const REPEAT_WORD: Duration = Duration::from_millis(2_000);
+const REPEAT_WORD: Duration = Duration::from_secs(4);
 /// Pause between looks for engines without a loader.
 const LOOK: Duration = Duration::from_millis(100);
 /// Longest sleep of a loader.
@@ -173,7 +174,9 @@
     }
     let fencing = node.leases.may_order(shard, node.now())?;
     let running = node.loaders.lock();
-    let same_life = running.get(id).is_some_and(|entry| entry.born == target.born);
+    let same_life = running
+        .get(id)
+        .is_some_and(|entry| entry.born == target.born);
     same_life.then_some((target, fencing))
 }
 
@@ -250,7 +253,7 @@
         .collect::<Vec<_>>();
     let slots = holders.iter().map(|other| other.slots).sum::<u32>();
     let busy = holders.iter().map(|other| {
-        let hash = crate::decide::tables::short_hash(&other.id);
+        let hash = ShortHash::of(other.id.as_str());
         tables.own_in_flight(&other.id) + tables.peers.in_flight(hash, now)
     });
     let fill = f64::from(busy.sum::<u32>()) / f64::from(slots.max(1));
@@ -333,7 +336,9 @@
     let config = tables.routes.config();
     let service = config.service(&target.service);
     let engine = service.and_then(|service| service.engine.as_ref());
-    let at_once = engine.map_or(1, |engine| engine.adapter_loads_at_once).max(1);
+    let at_once = engine
+        .map_or(1, |engine| engine.adapter_loads_at_once)
+        .max(1);
     let all = u32::try_from(all).unwrap_or(u32::MAX);
     (f64::from(all) / f64::from(at_once)).max(1.0)
 }
@@ -361,18 +366,18 @@
         }
         entry.told = now;
         entry.word += 1;
-        Holdings {
-            target: id.clone(),
-            order: WordOrder {
-                fencing,
-                count: entry.word,
-            },
-            adapters: entry.loader.holdings(now),
-        }
+        let order = WordOrder {
+            fencing,
+            count: entry.word,
+        };
+        let adapters = entry.loader.holdings(now);
+        (order, adapters)
     };
-    node.tables()
-        .residency
-        .told(id, word.order, &word.adapters, now);
+    let (order, adapters) = word;
+    let mut tables = node.tables();
+    tables.residency.told(id, order, &adapters, now);
+    drop(tables);
+    let word = Holdings::new(id.clone(), order, adapters);
     node.send(None, Packet::Holdings(word));
     node.changed.notify_waiters();
 }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -10,7 +10,7 @@
 
 /// Events about requests that are written in one second; more are counted and left out, so that a
 /// storm of refusals doesn't spend the processor on telling of it.
-const REQUEST_EVENTS_PER_SECOND: u32 = 6000;
+const REQUEST_EVENTS_PER_SECOND: u32 = 60;
 
 macro_rules! log_events {
     ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal;)+) => {
@@ -145,7 +145,10 @@
             .args(format_args!("{}", event.summary()))
             .level(event.level())
             .target(LOG_TARGET)
-            .key_values(&Fields { code, pairs: &pairs })
+            .key_values(&Fields {
+                code,
+                pairs: &pairs,
+            })
             .build(),
     );
 }
@@ -169,7 +172,9 @@
 }
 
 fn within_bound() -> bool {
-    let mut bound = BOUND.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut bound = BOUND
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
     let fresh = bound
         .since
         .is_none_or(|since| since.elapsed() > Duration::from_secs(1));
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -111,7 +111,6 @@
     }
 
     /// The time.
-    #[expect(clippy::unused_self, reason = "callers shouldn't care where the clock is")]
     pub fn now(&self) -> Time {
         boot_time()
     }
--- a/crates/gateway/src/net/refuse.rs
+++ b/crates/gateway/src/net/refuse.rs
@@ -53,10 +53,10 @@
 }
 
 /// The answer to a refusal; every status below says that the request has not run.
-pub(super) fn refusal<P: Protocol>(protocol: &P, refusal: Refusal) -> Response<AnswerBody> {
+pub(super) fn refusal<P: Protocol>(protocol: &P, refusal: &Refusal) -> Response<AnswerBody> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     let soon = Some(spread_retry_after());
-    let (status, message, after) = match refusal {
+    let (status, message, after) = match *refusal {
         Refusal::NotConfigured => (unavailable, "no configuration yet: try again", soon),
         Refusal::Stopping => (unavailable, "this instance stops: use another one", soon),
         Refusal::NoRoute => (
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -5,7 +5,6 @@
 
 use tokio::net::UdpSocket;
 
-use crate::decide::lease::SHARDS;
 use crate::edge::{Edge, Kind};
 use crate::error::GatewayError;
 
@@ -56,9 +55,7 @@
     }
     tokio::spawn(sync::register(Arc::clone(&node)));
     tokio::spawn(sync::copy_from_peers(Arc::clone(&node)));
-    for shard in 0..SHARDS {
-        tokio::spawn(leases::run(Arc::clone(&node), shard));
-    }
+    tokio::spawn(leases::run(Arc::clone(&node)));
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
     let [name, front] = [
--- a/crates/gateway/src/net/sockets.rs
+++ b/crates/gateway/src/net/sockets.rs
@@ -8,7 +8,7 @@
 
 /// Unacknowledged bytes or a connection that is being made fail after this long; without it a
 /// connection into a cut network hangs for minutes.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle time before a probe: an open connection may go silent for good without a reset.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 /// Connections that wait to be accepted; a full queue costs the caller a second.
--- a/crates/gateway/src/net/stop.rs
+++ b/crates/gateway/src/net/stop.rs
@@ -29,7 +29,8 @@
 
 /// Waits for the order to stop, then serves on until callers have gone elsewhere.
 pub(super) async fn wait<E: Edge>(node: Arc<Node<E>>) -> Result<(), GatewayError> {
-    let mut term = signal(SignalKind::terminate()).map_err(|cause| GatewayError::Signal { cause })?;
+    let mut term =
+        signal(SignalKind::terminate()).map_err(|cause| GatewayError::Signal { cause })?;
     let mut hup = signal(SignalKind::hangup()).map_err(|cause| GatewayError::Signal { cause })?;
     loop {
         tokio::select! {
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -137,13 +137,12 @@
             // Dropping the source closes its connection: the target stops before another begins.
         }
         self.cutter.drop_partial();
-        let last = self.cutter.last().map_or("none".into(), |id| id.to_string());
+        let last = self
+            .cutter
+            .last()
+            .map_or("none".into(), |id| id.to_string());
         let id = self.job.call.id.clone();
-        let fields = [
-            ("request", &*id),
-            ("cause", why),
-            ("last_event", &last),
-        ];
+        let fields = [("request", &*id), ("cause", why), ("last_event", &last)];
         if !self.job.may_repeat() {
             event(LogEvent::StreamBroken, &fields);
             return Err(io::Error::other(why));
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -12,21 +12,26 @@
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
 use crate::error::{GatewayError, StoreError};
 
-use super::control::{COPY_PATH, Copy};
+use super::caller::call;
+use super::control::{COPY_PATH, Copy, HAVE_CONFIG};
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::caller::call;
 
 /// Longest wait of a watch; each is a call that is paid for. The store keeps 20 s of history: a
 /// longer wait may end in a list.
 const WATCH_WAIT: Duration = Duration::from_secs(17);
+/// The same for targets. They report every second or so: a watch that hears nothing for longer has
+/// lost its connection, and others must follow in this instance's place.
+const TARGETS_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after news of targets: their registrations change with each heartbeat, and each answer
-/// costs a call. A leaving target must be known within 2 s.
-const TARGETS_PAUSE: Duration = Duration::from_millis(1_200);
+/// costs a call. A leaving target must be known everywhere within 2 s.
+const TARGETS_PAUSE: Duration = Duration::from_millis(800);
+/// Pause between looks whether this instance is to follow the store.
+const ROLE_LOOK: Duration = Duration::from_millis(150);
 /// Pause after other news, so that a burst of changes takes one call.
 const PAUSE: Duration = Duration::from_millis(100);
 /// First and longest pause after a call that failed.
-const RETRY_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(1_000)];
+const RETRY_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_secs(1)];
 /// Pause between two copies taken from peers.
 const COPY_PAUSE: Duration = Duration::from_millis(300);
 /// Time for a peer's copy.
@@ -34,15 +39,25 @@
 /// Time that the store has at the start before peers are asked.
 const STORE_FIRST: Duration = Duration::from_millis(400);
 
-/// Follows one kind of objects until the process ends.
+/// Follows one kind of objects until the process ends, whenever this instance is to.
 pub(super) async fn follow<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
     let mut after = None;
     let mut pause = RETRY_PAUSE[0];
     let mut lost = false;
+    let wait = if kind == Kind::Targets {
+        TARGETS_WAIT
+    } else {
+        WATCH_WAIT
+    };
     loop {
+        let now = node.now();
+        if after.is_some() && !node.tables().follows_store(now) {
+            tokio::time::sleep(ROLE_LOOK).await;
+            continue;
+        }
         let news = match after {
             None => node.store.list(kind).await,
-            Some(after) => node.store.watch(kind, after, WATCH_WAIT).await,
+            Some(after) => node.store.watch(kind, after, wait).await,
         };
         match news {
             Ok(listing) => {
@@ -131,13 +146,19 @@
 
 fn apply_one<E: Edge>(node: &Node<E>, kind: Kind, object: Object) {
     let now = node.now();
-    if object.removed {
-        remove(node, kind, &object);
+    let Object {
+        name,
+        revision,
+        removed,
+        content,
+    } = object;
+    if removed {
+        remove(node, kind, &name, revision);
         return;
     }
-    match object.content.clone() {
+    match content {
         Some(Content::Config(config)) => adopt(node, *config),
-        Some(Content::Target(target)) => put_target(node, *target, object.revision),
+        Some(Content::Target(target)) => put_target(node, *target, revision),
         Some(Content::AdapterVersion(news)) => {
             if node.tables().versions.announce(&news, now) {
                 let [adapter, version] = [news.key.to_string(), news.version.to_string()];
@@ -155,26 +176,26 @@
             }
         }
         Some(Content::Malformed(cause)) => {
-            tell_malformed(&object.name, &cause);
+            tell_malformed(&name, &cause);
             if kind == Kind::Targets {
-                remove(node, kind, &object);
+                remove(node, kind, &name, revision);
             }
         }
         Some(Content::Lease(_)) | None => {}
     }
 }
 
-fn remove<E: Edge>(node: &Node<E>, kind: Kind, object: &Object) {
+fn remove<E: Edge>(node: &Node<E>, kind: Kind, name: &str, revision: Revision) {
     let now = node.now();
     match kind {
         Kind::Targets => {
-            if let Ok(id) = TargetId::try_from(&*object.name) {
-                node.tables().registry.remove(&id, object.revision, now);
-                event(LogEvent::TargetGone, &[("target", &object.name)]);
+            if let Ok(id) = TargetId::try_from(name) {
+                node.tables().registry.remove(&id, revision, now);
+                event(LogEvent::TargetGone, &[("target", name)]);
             }
         }
         Kind::Members => {
-            if let Ok(name) = InstanceId::try_from(&*object.name) {
+            if let Ok(name) = InstanceId::try_from(name) {
                 node.tables().peers.unregistered(&name, now);
             }
         }
@@ -213,17 +234,19 @@
     let name = member.name.to_string();
     let content = Content::Member(Box::new(member));
     let mut pause = RETRY_PAUSE[0];
+    let mut at = None;
     while !node.stopping() {
-        let before = node.store.read(Kind::Members, &name).await;
-        if let Ok(before) = before {
-            let at = before.map(|object| object.revision);
-            let written = node.store.write(Kind::Members, &name, at, &content).await;
-            if written.is_ok() {
-                return;
+        match node.store.write(Kind::Members, &name, at, &content).await {
+            Ok(_revision) => return,
+            Err(StoreError::Conflict) => {
+                let before = node.store.read(Kind::Members, &name).await;
+                at = before.ok().flatten().map(|object| object.revision);
+            }
+            Err(_away) => {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE[1]);
             }
         }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(RETRY_PAUSE[1]);
     }
 }
 
@@ -240,7 +263,8 @@
             starters(&node)
         };
         for address in sources {
-            match copy(address).await {
+            let have = node.tables().routes.version();
+            match copy(address, have).await {
                 Ok(copy) => {
                     take(&node, copy);
                     event(LogEvent::PeerCopyTaken, &[("peer", &address.to_string())]);
@@ -258,16 +282,15 @@
     }
 }
 
-/// Peers whose configuration is newer, or whose targets are while the own watch hears nothing.
+/// Peers that know something of the store that this instance doesn't; those of the own failure
+/// domain first, so that a copy crosses between two once.
 fn newer_peers<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
     let tables = node.tables();
     let now = node.now();
-    let away = tables.registry.store_away(now);
-    let newer = tables.peers.live(now).filter(|peer| {
-        peer.config > tables.routes.version()
-            || away && peer.targets > tables.registry.revision()
-    });
-    newer.map(|peer| peer.member.control).take(2).collect()
+    let newer = tables.peers.live(now).filter(|peer| tables.is_behind(peer));
+    let mut newer = newer.map(|peer| &peer.member).collect::<Vec<_>>();
+    newer.sort_by_key(|member| member.failure_domain != tables.me.failure_domain);
+    newer.iter().map(|member| member.control).take(2).collect()
 }
 
 fn starters<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
@@ -278,8 +301,8 @@
     seeds.chain(peers).filter(|seed| *seed != me).collect()
 }
 
-async fn copy(address: SocketAddr) -> Result<Copy, GatewayError> {
-    let req = Request::get(COPY_PATH)
+async fn copy(address: SocketAddr, have: Revision) -> Result<Copy, GatewayError> {
+    let req = Request::get(format!("{COPY_PATH}?{HAVE_CONFIG}{have}"))
         .header(header::HOST, address.to_string())
         .body(Bytes::new())
         .map_err(|err| GatewayError::Exchange {
@@ -308,9 +331,10 @@
             tables.peers.registered(member);
         }
     }
-    let newer = copy.targets_revision > tables.registry.revision();
-    drop(tables);
-    if newer {
-        replace_targets(node, copy.targets, copy.targets_revision);
+    if copy.targets_revision > tables.registry.revision() {
+        let registry = &mut tables.registry;
+        registry.replace(copy.targets, copy.targets_revision, now);
+        drop(tables);
+        node.changed.notify_waiters();
     }
 }
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -1,21 +1,29 @@
 //! Datagrams between instances.
+//!
+//! Every instance tells all others how it is, several times a second, so each byte counts as many
+//! times as there are pairs: names go as short hashes, and only what changed lately is told.
 
-use bluebellstage_core::{AdapterVersion, Revision, TargetId, WorkspaceId};
+use bluebellstage_core::{AdapterId, AdapterVersion, BaseModel, Revision, TargetId};
 use serde::{Deserialize, Serialize};
 
 use crate::decide::adapter::{AdapterAt, AdapterKey};
 use crate::decide::peers::Member;
 use crate::decide::quota::Spent;
+use crate::decide::rendezvous::ShortHash;
 use crate::decide::residency::WordOrder;
 
-/// Longest datagram that is sent; fits a network's usual packet.
-pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Longest datagram that is read.
+pub const MAX_DATAGRAM_BYTES: usize = 8 * 1_024;
 
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Packet {
     /// What an instance tells all others in each round.
-    Status(Box<Status>),
+    Status(Status),
+    /// Who an instance is; goes to all after its start and now and then, and to whoever asks.
+    Introduction(Box<Member>),
+    /// A status came from somebody unknown: who is it?
+    WhoIsThere,
     /// Requests wait for adapters on an engine; goes to the holder of its shard.
     Wishes(Vec<Wish>),
     /// What an engine holds; from the holder of its shard to all.
@@ -26,7 +34,9 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Status {
     /// Who tells.
-    pub member: Member,
+    pub from: ShortHash,
+    /// This life of it.
+    pub life: u64,
     /// It takes callers.
     pub ready: bool,
     /// The store answers it.
@@ -37,10 +47,14 @@
     pub config: Revision,
     /// Revision of its list of targets.
     pub targets: Revision,
-    /// What each workspace has spent there since it started.
-    pub spent: Vec<(WorkspaceId, Spent)>,
-    /// Its requests at each target, by the hash of the target's name.
-    pub in_flight: Vec<(u32, u16)>,
+    /// Digest of what that list says.
+    pub targets_digest: u32,
+    /// Sum of the adapter versions that it knows to be announced; only grows.
+    pub versions: u64,
+    /// What workspaces have spent there since it started, where that changed lately.
+    pub spent: Vec<(ShortHash, Spent)>,
+    /// Its requests at each target.
+    pub in_flight: Vec<(ShortHash, u16)>,
     /// Loads from the weight store that it has under way.
     pub loads: u16,
     /// Loader shards that it holds.
@@ -78,6 +92,47 @@
     pub target: TargetId,
     /// Place among all such words on this engine.
     pub order: WordOrder,
-    /// Adapters that can be used.
-    pub adapters: Vec<AdapterAt>,
+    /// Adapters that can be used, by their base model.
+    pub models: Vec<(BaseModel, Vec<(AdapterId, u32)>)>,
+}
+
+impl Holdings {
+    /// Packs the adapters of an engine.
+    #[must_use]
+    pub fn new(target: TargetId, order: WordOrder, adapters: Vec<AdapterAt>) -> Self {
+        let mut models = Vec::<(BaseModel, Vec<_>)>::new();
+        for held in adapters {
+            let version = u32::try_from(held.version.0).unwrap_or(u32::MAX);
+            let adapter = (held.key.adapter, version);
+            match models
+                .iter_mut()
+                .find(|(model, _)| *model == held.key.model)
+            {
+                Some((_, adapters)) => adapters.push(adapter),
+                None => models.push((held.key.model, vec![adapter])),
+            }
+        }
+        Self {
+            target,
+            order,
+            models,
+        }
+    }
+
+    /// The adapters, unpacked.
+    #[must_use]
+    pub fn adapters(&self) -> Vec<AdapterAt> {
+        let models = self.models.iter();
+        models
+            .flat_map(|(model, adapters)| {
+                adapters.iter().map(|(adapter, version)| AdapterAt {
+                    key: AdapterKey {
+                        model: model.clone(),
+                        adapter: adapter.clone(),
+                    },
+                    version: AdapterVersion(u64::from(*version)),
+                })
+            })
+            .collect()
+    }
 }
--- /dev/null
+++ b/crates/gateway/tests/following.rs
@@ -0,0 +1,103 @@
+//! Tests of who follows the store, and of what the others take from those who do.
+
+mod support;
+
+use bluebellstage_core::Revision;
+use bluebellstage_gateway::decide::peers::Peer;
+use support::{adapter_at, at, config, peer, tables, target};
+
+fn fleet(count: usize) -> Vec<Peer> {
+    (0..count)
+        .map(|idx| peer(&format!("i{idx}"), at(0)))
+        .collect()
+}
+
+/// An old version of an adapter goes on being used, more than five seconds after the new one was
+/// announced: the instance doesn't follow the store itself and took only configurations and targets
+/// from those who do.
+#[test]
+fn an_instance_is_behind_a_peer_that_knows_a_newer_adapter_version() {
+    let mut tables = tables();
+    let mut follower = peer("i1", at(0));
+    assert!(!tables.is_behind(&follower));
+    follower.versions = 2;
+    assert!(tables.is_behind(&follower));
+    tables.versions.announce(&adapter_at("a1", 2), at(1));
+    assert!(!tables.is_behind(&follower));
+}
+
+#[test]
+fn an_instance_is_behind_a_newer_configuration() {
+    let tables = tables();
+    let newer = Peer {
+        config: Revision(2),
+        ..peer("i1", at(0))
+    };
+    assert!(tables.is_behind(&newer));
+}
+
+#[test]
+fn heartbeats_of_targets_alone_put_nobody_behind() {
+    let mut tables = tables();
+    tables.registry.put(target("t1", "court"), Revision(5));
+    let same = Peer {
+        targets: Revision(9),
+        targets_digest: tables.registry.digest(),
+        ..peer("i1", at(0))
+    };
+    assert!(!tables.is_behind(&same));
+    let mut leaving = target("t1", "court");
+    leaving.leaving = true;
+    tables.registry.put(leaving, Revision(10));
+    let newer = Peer {
+        targets: Revision(11),
+        ..same
+    };
+    assert!(tables.is_behind(&newer));
+}
+
+#[test]
+fn three_of_a_fleet_follow_the_store() {
+    let names = (0..8).map(|idx| format!("i{idx}")).collect::<Vec<_>>();
+    let follows = |me: &str| {
+        let mut tables = tables();
+        tables.me = support::member(me, "north");
+        for peer in fleet(8) {
+            if peer.member.name.as_str() != me {
+                tables.peers.heard(peer);
+            }
+        }
+        tables.follows_store(at(1))
+    };
+    let followers = names.iter().filter(|name| follows(name)).count();
+    assert_eq!(followers, 3);
+}
+
+/// All three followers are cut off from the store: the others must not go on with what they had.
+#[test]
+fn others_follow_when_the_store_does_not_answer_the_followers() {
+    let mut tables = tables();
+    for mut peer in fleet(8) {
+        peer.store_answers = false;
+        tables.peers.heard(peer);
+    }
+    assert!(tables.follows_store(at(1)));
+}
+
+#[test]
+fn an_instance_without_a_configuration_follows_by_itself() {
+    let mut tables = tables();
+    for peer in fleet(8) {
+        tables.peers.heard(peer);
+    }
+    tables.routes = std::sync::Arc::default();
+    assert!(tables.follows_store(at(1)));
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut tables = tables();
+    assert!(tables.adopt(config(7)));
+    assert!(!tables.adopt(config(6)));
+    assert_eq!(tables.routes.version(), Revision(7));
+}
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -100,6 +100,7 @@
     let mut first = lease("one");
     take(&mut store, &mut first, at(0));
     let mut reborn = lease("one");
+    reborn.read(store.object.clone(), at(999));
     for ms in [1_000, 1_001, 1_002] {
         store.run(&mut reborn, false, at(ms));
     }
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -6,8 +6,9 @@
 use bluebellstage_gateway::decide::loader::{LoadStep, Loader, OrderAnswer, OrderKind, Report};
 use support::{adapter, adapter_at, at};
 
-const NO_VERSIONS: fn(&bluebellstage_gateway::decide::adapter::AdapterKey) -> Option<AdapterVersion> =
-    |_| None;
+const NO_VERSIONS: fn(
+    &bluebellstage_gateway::decide::adapter::AdapterKey,
+) -> Option<AdapterVersion> = |_| None;
 
 fn step(loader: &mut Loader, now: Time) -> LoadStep {
     loader.step(NO_VERSIONS, true, now)
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -5,10 +5,16 @@
 use std::time::Duration;
 
 use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
-use bluebellstage_gateway::decide::quota::{Charged, Quotas};
+use bluebellstage_gateway::decide::quota::{Charged, Quotas, Sharing};
+use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use support::{at, quota};
 
 const NO_PAUSE: Duration = Duration::ZERO;
+const LONG: Duration = Duration::from_mins(1);
+
+fn short() -> ShortHash {
+    ShortHash::of(north().as_str())
+}
 
 fn north() -> WorkspaceId {
     WorkspaceId::try_from("north").unwrap()
@@ -19,18 +25,26 @@
 }
 
 fn charge(quotas: &mut Quotas, units: u64, now: Time) -> Charged {
-    quotas.charge(&north(), quota(1_000, 1_000), units, 0.0, NO_PAUSE, now)
+    quotas.charge(
+        &north(),
+        quota(1_000, 1_000),
+        units,
+        Sharing::default(),
+        NO_PAUSE,
+        now,
+    )
 }
 
 /// Tells every instance what the others have spent.
-fn gossip(fleet: &mut [Quotas]) {
+fn gossip(fleet: &mut [Quotas], now: Time) {
     let spent = fleet
         .iter()
-        .map(|quotas| quotas.spent().map(|(_, spent)| spent).next().unwrap_or(0))
+        .map(|quotas| quotas.spent_lately(LONG, now).next())
+        .map(|told| told.map_or(0, |(_, spent)| spent))
         .collect::<Vec<_>>();
     for (idx, quotas) in fleet.iter_mut().enumerate() {
         for (other, spent) in spent.iter().enumerate().filter(|(other, _)| *other != idx) {
-            quotas.heard(&name(other), Incarnation(1), &north(), *spent);
+            quotas.heard(&name(other), Incarnation(1), short(), *spent, now);
         }
     }
 }
@@ -46,7 +60,7 @@
     }
     for ms in 0..16_000_u64 {
         if ms % 100 == 0 {
-            gossip(&mut fleet);
+            gossip(&mut fleet, at(ms));
         }
         if ms % 8 == 0 {
             let idx = usize::try_from(ms / 8 % 8).unwrap();
@@ -62,7 +76,16 @@
 fn a_request_that_fits_in_a_moment_waits_for_it() {
     let mut quotas = Quotas::default();
     let pause = Duration::from_millis(200);
-    let mut charge = |now| quotas.charge(&north(), quota(1_000, 1_000), 450, 0.0, pause, now);
+    let mut charge = |now| {
+        quotas.charge(
+            &north(),
+            quota(1_000, 1_000),
+            450,
+            Sharing::default(),
+            pause,
+            now,
+        )
+    };
     assert_eq!(charge(at(0)), Charged::Within);
     assert_eq!(charge(at(0)), Charged::Within);
     assert!(matches!(charge(at(300)), Charged::After(_)));
@@ -92,7 +115,7 @@
     charge(&mut quotas, 0, at(0));
     for round in 0..20 {
         let spent = if round % 2 == 0 { 500 } else { 0 };
-        quotas.heard(&name(1), Incarnation(1), &north(), spent);
+        quotas.heard(&name(1), Incarnation(1), short(), spent, at(0));
     }
     assert_eq!(charge(&mut quotas, 800, at(0)), Charged::Within);
 }
@@ -101,19 +124,26 @@
 fn a_peer_that_restarts_is_counted_from_its_first_word() {
     let mut quotas = Quotas::default();
     charge(&mut quotas, 0, at(0));
-    quotas.heard(&name(1), Incarnation(1), &north(), 100_000);
-    quotas.heard(&name(1), Incarnation(2), &north(), 10);
-    quotas.heard(&name(1), Incarnation(2), &north(), 110);
+    quotas.heard(&name(1), Incarnation(1), short(), 100_000, at(0));
+    quotas.heard(&name(1), Incarnation(2), short(), 10, at(0));
+    quotas.heard(&name(1), Incarnation(2), short(), 110, at(0));
     assert_eq!(charge(&mut quotas, 790, at(0)), Charged::Within);
-    assert!(matches!(charge(&mut quotas, 110, at(0)), Charged::Over { .. }));
+    assert!(matches!(
+        charge(&mut quotas, 110, at(0)),
+        Charged::Over { .. }
+    ));
 }
 
 #[test]
 fn an_instance_cut_off_from_half_of_the_others_spends_half() {
     let mut quotas = Quotas::default();
     let mut run = 0;
+    let half = Sharing {
+        silent: 0.5,
+        ..Sharing::default()
+    };
     for ms in (0..8_000).step_by(10) {
-        let charged = quotas.charge(&north(), quota(1_000, 1_000), 50, 0.5, NO_PAUSE, at(ms));
+        let charged = quotas.charge(&north(), quota(1_000, 1_000), 50, half, NO_PAUSE, at(ms));
         run += if charged == Charged::Within { 50 } else { 0 };
     }
     assert!((4_000..=5_050).contains(&run), "{run}");
@@ -123,8 +153,51 @@
 fn a_lower_quota_is_in_force_with_the_next_charge() {
     let mut quotas = Quotas::default();
     charge(&mut quotas, 10, at(0));
-    let lower = quotas.charge(&north(), quota(10, 10), 10, 0.0, NO_PAUSE, at(1));
+    let lower = quotas.charge(
+        &north(),
+        quota(10, 10),
+        10,
+        Sharing::default(),
+        NO_PAUSE,
+        at(1),
+    );
     assert_eq!(lower, Charged::Within);
-    let next = quotas.charge(&north(), quota(10, 10), 10, 0.0, NO_PAUSE, at(2));
+    let next = quotas.charge(
+        &north(),
+        quota(10, 10),
+        10,
+        Sharing::default(),
+        NO_PAUSE,
+        at(2),
+    );
     assert!(matches!(next, Charged::Over { .. }));
 }
+
+/// A workspace at six times its rate comes through 75 instances that hear of each other three times
+/// a second: whenever the bucket had something, all of them let requests in at once.
+#[test]
+fn a_large_fleet_with_old_news_stays_within_a_tenth_of_the_quota_too() {
+    let mut fleet = (0..75).map(|_| Quotas::default()).collect::<Vec<_>>();
+    let sharing = Sharing {
+        silent: 0.0,
+        lag: Duration::from_millis(175),
+    };
+    let wide = quota(100_000, 100_000);
+    let mut run = 0;
+    for ms in 0..16_000_u64 {
+        if ms % 350 == 0 {
+            gossip(&mut fleet, at(ms));
+        }
+        for part in 0..2 {
+            let idx = usize::try_from((ms * 2 + part) % 75).unwrap();
+            let quotas = &mut fleet[idx];
+            let charged = quotas.charge(&north(), wide, 300, sharing, NO_PAUSE, at(ms));
+            let counted = ms >= 8_000 && charged == Charged::Within;
+            run += if counted { 300 } else { 0 };
+        }
+    }
+    assert!(
+        (600_000..=900_000 + 90_000 + 17_000).contains(&run),
+        "{run}"
+    );
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -58,6 +58,8 @@
         store_answers: true,
         config: Revision(1),
         targets: Revision(1),
+        targets_digest: 0,
+        versions: 0,
         in_flight: std::collections::HashMap::new(),
         loads: 0,
         shards: vec![0, 1, 2, 3],
