Copy from any peer, in small parts; keep slots for loads of a former life

Ruled out: the store (version 25 was in force on followers 40 ms before its acknowledgement was seen).

--- a/crates/gateway/src/decide/loader.rs
+++ b/crates/gateway/src/decide/loader.rs
@@ -28,6 +28,9 @@
 /// Added to the pause with each order in a row that is not answered, after the first: an engine
 /// that has crashed refuses connections at once, and would be asked hundreds of times a second.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(120);
+/// Longest time after which an order without an answer is carried out, by the users' sheet of
+/// disruptions, and a little more.
+const LATE_ORDER: Duration = Duration::from_secs(13);
 /// Longest time by which a report lags.
 const LONGEST_LAG: Duration = Duration::from_secs(1);
 /// An adapter that was used within this span isn't evicted: the news of another request may be on
@@ -107,6 +110,17 @@
     Send(Order),
 }
 
+/// A load without an answer that may yet be carried out, when the engine's count is as it names.
+///
+/// Within one life of the engine such an order only takes the place of another one for the same
+/// count. After a restart the count begins anew under the same name: the old load comes on top of
+/// what was ordered since, and the engine crashes if that filled it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LateLoad {
+    expected: u64,
+    until: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Use {
     last: Time,
@@ -173,6 +187,10 @@
     model_wanted: Option<BaseModel>,
     not_before: Time,
     must_read: bool,
+    /// Loads without an answer in this life of the engine.
+    late: Vec<LateLoad>,
+    /// The same from its former life.
+    late_before: Vec<LateLoad>,
     /// Orders without an answer since the last one with one.
     unanswered: u32,
     changed: bool,
@@ -194,11 +212,38 @@
             model_wanted: None,
             not_before: Time::default(),
             must_read: false,
+            late: Vec::new(),
+            late_before: Vec::new(),
             unanswered: 0,
             changed: false,
         }
     }
 
+    /// Keeps slots for loads that were ordered in the engine's former life.
+    #[must_use]
+    pub fn after(mut self, former: &Self) -> Self {
+        self.late_before = former
+            .late
+            .iter()
+            .chain(&former.late_before)
+            .copied()
+            .collect();
+        self
+    }
+
+    /// Slots that are kept for loads of the former life that may yet come.
+    fn kept_slots(&self, accepted: u64, now: Time) -> usize {
+        let mut counts = self
+            .late_before
+            .iter()
+            .filter(|late| late.until > now && late.expected >= accepted)
+            .map(|late| late.expected)
+            .collect::<Vec<_>>();
+        counts.sort_unstable();
+        counts.dedup();
+        counts.len().min(self.slots / 2)
+    }
+
     /// A request wants `key`, at `version` or newer.
     pub fn wish(&mut self, key: AdapterKey, version: Option<AdapterVersion>, now: Time) {
         let wish = self.wishes.entry(key).or_insert(Wish {
@@ -327,7 +372,8 @@
             let what = OrderKind::UnloadAdapter(key);
             return LoadStep::Send(Order { what, expected });
         }
-        if self.resident.len() + self.coming.len() >= self.slots {
+        let slots = self.slots - self.kept_slots(expected, now);
+        if self.resident.len() + self.coming.len() >= slots {
             return self.evict(expected, now);
         }
         let version = newest(&key).max(self.wishes.get(&key).and_then(|wish| wish.version));
@@ -431,6 +477,14 @@
             OrderAnswer::Conflict | OrderAnswer::Refused => self.read_after(REPORT_LAG, now),
             OrderAnswer::Unknown => {
                 self.accepted = Some(order.expected);
+                if matches!(order.what, OrderKind::LoadAdapter(..)) {
+                    let until = now + LATE_ORDER;
+                    self.late.retain(|late| late.until > now);
+                    self.late.push(LateLoad {
+                        expected: order.expected,
+                        until,
+                    });
+                }
                 self.not_before = now + UNANSWERED_PAUSE * unanswered.saturating_sub(1).min(4);
             }
         }
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -1,5 +1,7 @@
 //! Gives peers a copy of what the store told.
 
+use std::fmt;
+
 use bluebellstage_core::Revision;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -9,6 +11,7 @@
 use crate::decide::adapter::AdapterAt;
 use crate::decide::config::Config;
 use crate::decide::peers::Member;
+use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 use crate::edge::Edge;
 
@@ -18,15 +21,51 @@
 /// Path of the copy on the control address.
 pub(super) const COPY_PATH: &str = "/peer/copy";
 
-/// Query that names the version of the configuration that the peer has.
-pub(super) const HAVE_CONFIG: &str = "config=";
+/// What a peer has already, as the query of its question.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Have {
+    pub(super) config: Revision,
+    pub(super) targets_digest: u32,
+    pub(super) versions: u64,
+    /// It knows its peers.
+    pub(super) members: bool,
+}
+
+impl fmt::Display for Have {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let members = u8::from(self.members);
+        let Self {
+            config,
+            targets_digest,
+            versions,
+            ..
+        } = self;
+        write!(f, "{config}.{targets_digest}.{versions}.{members}")
+    }
+}
+
+impl Have {
+    /// Reads the query; what it lacks is sent.
+    fn parse(query: &str) -> Self {
+        let mut parts = query
+            .split('.')
+            .map(|part| part.parse::<u64>().unwrap_or(0));
+        let mut next = || parts.next().unwrap_or(0);
+        Self {
+            config: Revision(next()),
+            targets_digest: u32::try_from(next()).unwrap_or(0),
+            versions: next(),
+            members: next() > 0,
+        }
+    }
+}
 
-/// What the store told an instance, for peers that the store turns away.
-#[derive(Debug, Deserialize, Serialize)]
+/// What the store told an instance, for peers that don't follow it; parts that the peer has are left
+/// out.
+#[derive(Debug, Default, Deserialize, Serialize)]
 pub(super) struct Copy {
     pub(super) config: Option<Config>,
-    pub(super) targets: Vec<Target>,
-    pub(super) targets_revision: Revision,
+    pub(super) targets: Option<(Revision, Vec<Target>)>,
     pub(super) versions: Vec<AdapterAt>,
     pub(super) members: Vec<Member>,
 }
@@ -36,20 +75,9 @@
     if req.uri().path() != COPY_PATH {
         return own_answer(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     }
-    let copy = {
-        let tables = node.tables();
-        let newer = tables.routes.version() > peers_version(req);
-        let config = newer.then(|| tables.routes.config().as_ref().clone());
-        let peers = tables.peers.all().map(|peer| peer.member.clone());
-        Copy {
-            config,
-            targets: tables.registry.all().map(without_adapters).collect(),
-            targets_revision: tables.registry.revision(),
-            versions: tables.versions.all().collect(),
-            members: peers.chain([tables.me.clone()]).collect(),
-        }
-    };
-    match serde_json::to_vec(&copy) {
+    let have = Have::parse(req.uri().query().unwrap_or(""));
+    let copy = copy(&node.tables(), have);
+    match bincode::serialize(&copy) {
         Ok(body) => Response::new(whole(Bytes::from(body))),
         Err(err) => own_answer(
             &node.protocol,
@@ -60,12 +88,26 @@
     }
 }
 
-fn peers_version(req: &Request<Incoming>) -> Revision {
-    let query = req.uri().query().unwrap_or("");
-    let version = query.strip_prefix(HAVE_CONFIG);
-    version
-        .and_then(|version| version.parse().ok())
-        .unwrap_or_default()
+fn copy(tables: &Tables, have: Have) -> Copy {
+    let config = tables.routes.version() > have.config;
+    let targets = tables.registry.digest() != have.targets_digest;
+    let versions = tables.versions.total() > have.versions;
+    let mut copy = Copy::default();
+    if config {
+        copy.config = Some(tables.routes.config().as_ref().clone());
+    }
+    if targets {
+        let all = tables.registry.all().map(without_adapters).collect();
+        copy.targets = Some((tables.registry.revision(), all));
+    }
+    if versions {
+        copy.versions = tables.versions.all().collect();
+    }
+    if !have.members {
+        let peers = tables.peers.all().map(|peer| peer.member.clone());
+        copy.members = peers.chain([tables.me.clone()]).collect();
+    }
+    copy
 }
 
 /// What an engine holds changes all the time, and its loader tells it.
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -55,6 +55,8 @@
     word: u64,
     told: Time,
     model_asked: Option<Time>,
+    /// Its task runs; one that doesn't is kept for what it knows of unanswered orders.
+    active: bool,
 }
 
 /// The loaders that run here.
@@ -73,7 +75,7 @@
     pub(super) fn take(&self, wishes: Vec<Wish>, now: Time) {
         let mut running = self.lock();
         for wish in wishes {
-            let Some(entry) = running.get_mut(&wish.target) else {
+            let Some(entry) = running.get_mut(&wish.target).filter(|entry| entry.active) else {
                 continue;
             };
             match wish.kind {
@@ -88,7 +90,8 @@
     /// Loads under way, and adapters that wait for one.
     fn load(&self) -> (usize, usize) {
         let running = self.lock();
-        let loaders = running.values().map(|entry| &entry.loader);
+        let active = running.values().filter(|entry| entry.active);
+        let loaders = active.map(|entry| &entry.loader);
         loaders.fold((0, 0), |(loading, waiting), loader| {
             (loading + loader.loading(), waiting + loader.waiting())
         })
@@ -110,16 +113,24 @@
 fn engines_without_loader<E: Edge>(node: &Node<E>) -> Vec<TargetId> {
     let tables = node.tables();
     let mut running = node.loaders.lock();
+    running.retain(|id, entry| entry.active || tables.registry.get(id).is_some());
     let mut found = Vec::new();
     for target in tables.registry.all() {
         let Some(slots) = adapter_slots(&tables, target) else {
             continue;
         };
-        if !tables.shards.contains(&shard_of(&target.id)) || running.contains_key(&target.id) {
+        let former = running.get(&target.id);
+        let active = former.is_some_and(|entry| entry.active);
+        if active || !tables.shards.contains(&shard_of(&target.id)) {
             continue;
         }
+        let mut loader = Loader::new(slots);
+        if let Some(former) = former {
+            loader = loader.after(&former.loader);
+        }
         let entry = Running {
-            loader: Loader::new(slots),
+            loader,
+            active: true,
             born: target.born,
             word: 0,
             told: Time::default(),
@@ -157,7 +168,9 @@
         }
         tell(&node, &id, fencing);
     }
-    node.loaders.lock().remove(&id);
+    if let Some(entry) = node.loaders.lock().get_mut(&id) {
+        entry.active = false;
+    }
 }
 
 /// Shortest sleep of a loader.
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -7,13 +7,15 @@
 use bluebellstage_core::{InstanceId, Revision, TargetId};
 use bytes::Bytes;
 use http::{Request, header};
+use rand::seq::SliceRandom;
 
+use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
 use crate::error::{GatewayError, StoreError};
 
 use super::caller::call;
-use super::control::{COPY_PATH, Copy, HAVE_CONFIG};
+use super::control::{COPY_PATH, Copy, Have};
 use super::log::{LogEvent, event};
 use super::node::Node;
 
@@ -34,8 +36,10 @@
 const RETRY_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_secs(1)];
 /// Pause between two copies taken from peers.
 const COPY_PAUSE: Duration = Duration::from_millis(300);
-/// Time for a peer's copy.
-const COPY_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time for a peer's copy; another peer is asked after it.
+const COPY_WITHIN: Duration = Duration::from_millis(600);
+/// Peers that are asked in turn.
+const COPY_SOURCES: usize = 4;
 /// Time that the store has at the start before peers are asked.
 const STORE_FIRST: Duration = Duration::from_millis(400);
 
@@ -263,7 +267,7 @@
             starters(&node)
         };
         for address in sources {
-            let have = node.tables().routes.version();
+            let have = have(&node.tables());
             match copy(address, have).await {
                 Ok(copy) => {
                     take(&node, copy);
@@ -289,8 +293,11 @@
     let now = node.now();
     let newer = tables.peers.live(now).filter(|peer| tables.is_behind(peer));
     let mut newer = newer.map(|peer| &peer.member).collect::<Vec<_>>();
+    // Whoever is first in some order would be asked by all at once, and answer none in time.
+    newer.shuffle(&mut rand::rng());
     newer.sort_by_key(|member| member.failure_domain != tables.me.failure_domain);
-    newer.iter().map(|member| member.control).take(2).collect()
+    let addresses = newer.iter().map(|member| member.control);
+    addresses.take(COPY_SOURCES).collect()
 }
 
 fn starters<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
@@ -301,8 +308,17 @@
     seeds.chain(peers).filter(|seed| *seed != me).collect()
 }
 
-async fn copy(address: SocketAddr, have: Revision) -> Result<Copy, GatewayError> {
-    let req = Request::get(format!("{COPY_PATH}?{HAVE_CONFIG}{have}"))
+fn have(tables: &Tables) -> Have {
+    Have {
+        config: tables.routes.version(),
+        targets_digest: tables.registry.digest(),
+        versions: tables.versions.total(),
+        members: tables.peers.all().next().is_some(),
+    }
+}
+
+async fn copy(address: SocketAddr, have: Have) -> Result<Copy, GatewayError> {
+    let req = Request::get(format!("{COPY_PATH}?{have}"))
         .header(header::HOST, address.to_string())
         .body(Bytes::new())
         .map_err(|err| GatewayError::Exchange {
@@ -310,7 +326,7 @@
             cause: err.to_string().into(),
         })?;
     let (_, body) = call(address, req, COPY_WITHIN).await?;
-    serde_json::from_slice(&body).map_err(|err| GatewayError::Unreadable {
+    bincode::deserialize(&body).map_err(|err| GatewayError::Unreadable {
         from: address.to_string().into(),
         what: "a copy of its state",
         cause: err.to_string().into(),
@@ -331,10 +347,11 @@
             tables.peers.registered(member);
         }
     }
-    if copy.targets_revision > tables.registry.revision() {
-        let registry = &mut tables.registry;
-        registry.replace(copy.targets, copy.targets_revision, now);
-        drop(tables);
-        node.changed.notify_waiters();
+    if let Some((revision, targets)) = copy.targets
+        && revision > tables.registry.revision()
+    {
+        tables.registry.replace(targets, revision, now);
     }
+    drop(tables);
+    node.changed.notify_waiters();
 }
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -202,3 +202,33 @@
     }
     assert!((5..15).contains(&sent), "{sent}");
 }
+
+/// An engine crashes because it was ordered to load more than fits. It had restarted under its old
+/// name, where its count of orders begins anew; a load that nobody had answered before was carried
+/// out when the count came by, on top of those that had filled it since.
+#[test]
+fn slots_are_kept_for_loads_that_were_not_answered_before_a_restart() {
+    let mut before = Loader::new(3);
+    before.reported(Some(report(2, &[])), at(0));
+    before.wish(adapter("a9"), None, at(1));
+    let LoadStep::Send(order) = step(&mut before, at(1)) else {
+        panic!("no order");
+    };
+    before.answered(&order, OrderAnswer::Unknown, 1.0, at(90));
+
+    let mut loader = Loader::new(3).after(&before);
+    loader.reported(Some(report(0, &[])), at(2_000));
+    for (ms, name) in [(2_001, "a1"), (2_002, "a2")] {
+        loader.wish(adapter(name), None, at(ms));
+        let LoadStep::Send(order) = step(&mut loader, at(ms)) else {
+            panic!("no order");
+        };
+        loader.answered(&order, OrderAnswer::Accepted, 1.0, at(ms));
+    }
+    loader.wish(adapter("a3"), None, at(4_000));
+    let kept = step(&mut loader, at(4_000));
+    assert!(
+        !matches!(&kept, LoadStep::Send(order) if order.what == load("a3")),
+        "{kept:?}"
+    );
+}
