Give duties to the strongest machines

Ruled out: the engines (others' orders were answered in 3 ms), late orders (over at 20 s). The test the_strongest_machines_come_first failed to compile before, as there was no strength.

--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -24,8 +24,26 @@
     pub control: SocketAddr,
     /// Where it runs.
     pub failure_domain: FailureDomain,
+    /// What its machine can do, in hundredths of a processor core.
+    pub strength: Strength,
 }
 
+impl Member {
+    /// Place in the order for a duty named by `key`; the highest comes first.
+    ///
+    /// A duty costs several times what callers cost an instance: on a machine of an eighth of a core
+    /// a third of the orders to engines ran out of time. So the strongest machines come first.
+    #[must_use]
+    pub fn precedence(&self, key: u64) -> (Strength, u64) {
+        (self.strength, weight(key, self.name.as_str()))
+    }
+}
+
+/// What a machine can do, in hundredths of a processor core.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Strength(pub u32);
+
 /// Silence after which a peer counts as down for callers and takeovers.
 ///
 /// Eight rounds of gossip in a small fleet, three in one of 75 instances: that many datagrams in a
@@ -132,12 +150,12 @@
     /// Whether `me` is among the `count` instances that come first for `key`, of those that live
     /// and that the store answers.
     #[must_use]
-    pub fn among_first(&self, me: &InstanceId, key: u64, count: usize, now: Time) -> bool {
-        let own = weight(key, me.as_str());
+    pub fn among_first(&self, me: &Member, key: u64, count: usize, now: Time) -> bool {
+        let own = me.precedence(key);
         let able = self
             .live(now)
             .filter(|peer| peer.ready && peer.store_answers);
-        let before = able.filter(|peer| weight(key, peer.member.name.as_str()) > own);
+        let before = able.filter(|peer| peer.member.precedence(key) > own);
         before.count() < count
     }
 
--- a/crates/gateway/src/decide/rendezvous.rs
+++ b/crates/gateway/src/decide/rendezvous.rs
@@ -28,8 +28,3 @@
 pub fn weight(key: u64, candidate: &str) -> u64 {
     xxh3_64_with_seed(candidate.as_bytes(), key)
 }
-
-/// The candidate that comes first for `key`.
-pub fn first<'a>(key: u64, candidates: impl Iterator<Item = &'a str>) -> Option<&'a str> {
-    candidates.max_by_key(|candidate| weight(key, candidate))
-}
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -304,7 +304,7 @@
     #[must_use]
     pub fn follows_store(&self, now: Time) -> bool {
         let key = name_hash(FOLLOWER_KEY);
-        !self.configured() || self.peers.among_first(&self.me.name, key, FOLLOWERS, now)
+        !self.configured() || self.peers.among_first(&self.me, key, FOLLOWERS, now)
     }
 
     /// Whether `peer` knows something of the store that this instance doesn't.
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -7,7 +7,7 @@
 
 use crate::decide::lease::{LeaseRecord, LeaseStep, SHARDS, ShardLease};
 use crate::decide::peers::Peer;
-use crate::decide::rendezvous::{first, name_hash};
+use crate::decide::rendezvous::name_hash;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
 
@@ -99,20 +99,20 @@
     if !tables.ready() || tables.registry.store_away(now) {
         return false;
     }
-    let me = tables.me.name.as_str();
     let able = |peer: &&Peer| peer.ready && peer.store_answers;
     if tables.peers.holder(shard, now).as_ref().is_some_and(able) {
         return false;
     }
     let peers = tables.peers.live(now).filter(able);
-    let peers = peers.map(|peer| (peer.member.name.as_str(), peer.shards.is_empty()));
+    let peers = peers.map(|peer| (&peer.member, peer.shards.is_empty()));
     let all = peers
-        .chain([(me, tables.shards.is_empty())])
+        .chain([(&tables.me, tables.shards.is_empty())])
         .collect::<Vec<_>>();
     let any_free = all.iter().any(|(_, free)| *free);
-    let names = all.iter().filter(|(_, free)| *free || !any_free);
+    let candidates = all.iter().filter(|(_, free)| *free || !any_free);
     let key = name_hash(&object_name(shard));
-    first(key, names.map(|(name, _)| *name)) == Some(me)
+    let first = candidates.max_by_key(|(member, _)| member.precedence(key));
+    first.is_some_and(|(member, _)| member.name == tables.me.name)
 }
 
 async fn read<E: Edge>(node: &Node<E>, shard: u8) {
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bluebellstage_core::Revision;
-use bluebellstage_gateway::decide::peers::Peer;
+use bluebellstage_gateway::decide::peers::{Peer, Strength};
 use support::{adapter_at, at, config, peer, tables, target};
 
 fn fleet(count: usize) -> Vec<Peer> {
@@ -73,6 +73,21 @@
     assert_eq!(followers, 3);
 }
 
+/// A third of all orders to engines ran out of time: their holder ran on an eighth of a core, beside
+/// machines of half a core.
+#[test]
+fn the_strongest_machines_come_first() {
+    let mut tables = tables();
+    for mut peer in fleet(8) {
+        peer.member.strength = Strength(12);
+        tables.peers.heard(peer);
+    }
+    tables.me.strength = Strength(50);
+    assert!(tables.follows_store(at(1)));
+    tables.me.strength = Strength(1);
+    assert!(!tables.follows_store(at(1)));
+}
+
 /// All three followers are cut off from the store: the others must not go on with what they had.
 #[test]
 fn others_follow_when_the_store_does_not_answer_the_followers() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use bluebellstage_gateway::decide::config::{
     Config, EngineLimits, Limits, Quota, QuotaUnit, Route, RouteKind, Service, Workspace,
 };
-use bluebellstage_gateway::decide::peers::{Member, Peer};
+use bluebellstage_gateway::decide::peers::{Member, Peer, Strength};
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::decide::target::Target;
@@ -47,6 +47,7 @@
         gossip: "10.0.0.1:81".parse().unwrap(),
         control: "10.0.0.1:82".parse().unwrap(),
         failure_domain: FailureDomain::try_from(domain).unwrap(),
+        strength: Strength(25),
     }
 }
 
