Use ejected targets if every one is ejected; test the choice of targets

Cause: when all servers of a service failed alike, each was ejected and every request refused though half would have been served. The test servers_are_used_if_all_of_them_fail failed before.

--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -22,6 +22,10 @@
 const MOST_NEW_COPIES: usize = 4;
 /// What the way to another failure domain costs a plain request, in parts of a slot's work.
 const AWAY_COST: f64 = 0.15;
+/// What an empty target costs, in the same parts: with it a quick one goes before a slow one.
+const EMPTY_COST: f64 = 0.1;
+/// Latency that a target without outcomes is taken to have, in seconds.
+const LEAST_LATENCY: f64 = 0.01;
 
 /// A target with what this instance knows of its load.
 #[derive(Clone, Copy, Debug)]
@@ -85,37 +89,50 @@
 /// preferred.
 #[must_use]
 pub fn pick_plain(candidates: &[Candidate<'_>], known: &Known<'_>) -> Pick {
-    let usable = candidates
+    let staying = candidates
         .iter()
-        .filter(|candidate| !candidate.target.leaving);
-    let mut best: Option<(f64, &Candidate<'_>, bool)> = None;
-    let mut any = false;
-    for candidate in usable {
-        any = true;
-        let standing = known.health.standing(&candidate.target.id, known.now);
-        if !candidate.connectable || standing == Standing::Ejected {
-            continue;
-        }
-        let trial = standing == Standing::Trial;
-        let away = candidate.target.failure_domain != *known.failure_domain;
-        let away = if away { AWAY_COST } else { 0.0 };
-        let slow = known.health.latency(&candidate.target.id).max(0.01);
-        let cost = (candidate.fill() + away + 0.1) * slow;
-        let cost = if trial { 0.0 } else { cost };
-        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-            best = Some((cost, candidate, trial));
-        }
+        .filter(|candidate| !candidate.target.leaving)
+        .collect::<Vec<_>>();
+    if staying.is_empty() {
+        return Pick::Nowhere;
+    }
+    let open = in_standing(staying, known)
+        .into_iter()
+        .filter(|candidate| candidate.connectable);
+    let best = open.min_by(|a, b| plain_cost(a, known).total_cmp(&plain_cost(b, known)));
+    best.map_or(Pick::Full, |candidate| {
+        send(candidate, None, Vec::new(), known)
+    })
+}
+
+/// What a request costs at a plain target, against others; a trial comes first.
+fn plain_cost(candidate: &Candidate<'_>, known: &Known<'_>) -> f64 {
+    let target = &candidate.target;
+    if known.health.standing(&target.id, known.now) == Standing::Trial {
+        return 0.0;
     }
-    match best {
-        Some((_, candidate, trial)) => Pick::Send {
-            target: candidate.target.id.clone(),
-            version: None,
-            trial,
-            load_at: Vec::new(),
-        },
-        None if any => Pick::Full,
-        None => Pick::Nowhere,
+    let away = target.failure_domain != *known.failure_domain;
+    let away = if away { AWAY_COST } else { 0.0 };
+    let slow = known.health.latency(&target.id).max(LEAST_LATENCY);
+    (candidate.fill() + away + EMPTY_COST) * slow
+}
+
+/// Those that aren't ejected; all of them if every one is: servers that all fail half of their
+/// requests still serve the other half.
+fn in_standing<'a, 'b>(
+    candidates: Vec<&'a Candidate<'b>>,
+    known: &Known<'_>,
+) -> Vec<&'a Candidate<'b>> {
+    let ejected = |candidate: &&Candidate<'_>| {
+        known.health.standing(&candidate.target.id, known.now) == Standing::Ejected
+    };
+    if candidates.iter().all(ejected) {
+        return candidates;
     }
+    candidates
+        .into_iter()
+        .filter(|candidate| !ejected(candidate))
+        .collect()
 }
 
 /// Picks an engine. Requests for one adapter go to the same engine while it has room, so that the
@@ -127,17 +144,15 @@
     prompt_start: Option<u64>,
     known: &Known<'_>,
 ) -> Pick {
-    let mut holders = candidates
+    let holders = candidates
         .iter()
         .filter(|candidate| !candidate.target.leaving)
         .filter(|candidate| candidate.target.models.contains(wanted.model()))
-        .filter(|candidate| {
-            known.health.standing(&candidate.target.id, known.now) != Standing::Ejected
-        })
         .collect::<Vec<_>>();
     if holders.is_empty() {
         return Pick::Nowhere;
     }
+    let mut holders = in_standing(holders, known);
     let key = match wanted {
         Wanted::Base(_) => prompt_start.unwrap_or(0),
         Wanted::Adapter(key) => name_hash(key.adapter.as_str()),
--- /dev/null
+++ b/crates/gateway/tests/placement.rs
@@ -0,0 +1,252 @@
+//! Tests of the choice of a target.
+
+mod support;
+
+use std::time::Duration;
+
+use bluebellstage_core::{AdapterVersion, Revision, TargetId, Time};
+use bluebellstage_gateway::decide::call::Call;
+use bluebellstage_gateway::decide::health::Met;
+use bluebellstage_gateway::decide::placement::Pick;
+use bluebellstage_gateway::decide::residency::WordOrder;
+use bluebellstage_gateway::decide::tables::{Refusal, Tables, shard_of};
+use support::{adapter, adapter_at, at, call, draft, tables, target};
+
+fn id(name: &str) -> TargetId {
+    TargetId::try_from(name).unwrap()
+}
+
+fn writers(tables: &mut Tables, count: usize) {
+    for idx in 0..count {
+        let target = target(&format!("e{idx}"), "writers");
+        tables.residency.registered(&target, at(0));
+        tables.registry.put(target, Revision(1));
+    }
+    tables.shards = vec![0, 1, 2, 3];
+}
+
+fn holds(tables: &mut Tables, engine: &str, name: &str, version: u64) {
+    let order = WordOrder {
+        fencing: 1,
+        count: version,
+    };
+    let adapters = [adapter_at(name, version)];
+    tables.residency.told(&id(engine), order, &adapters, at(0));
+}
+
+fn pick(tables: &mut Tables, call: &Call, draw: f64, now: Time) -> Pick {
+    let ticket = tables.admit(call, 0, now).unwrap();
+    tables.pick(&ticket, call, &[], draw, now)
+}
+
+fn sent_to(pick: &Pick) -> &str {
+    match pick {
+        Pick::Send { target, .. } => target.as_str(),
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+#[test]
+fn a_draft_goes_where_its_adapter_is() {
+    let mut tables = tables();
+    writers(&mut tables, 9);
+    holds(&mut tables, "e4", "a1", 1);
+    let pick = pick(&mut tables, &draft("a1"), 0.5, at(1));
+    assert_eq!(sent_to(&pick), "e4");
+}
+
+#[test]
+fn all_instances_load_an_adapter_on_the_same_engine() {
+    let mut tables = tables();
+    writers(&mut tables, 9);
+    let first = pick(&mut tables, &draft("a1"), 0.1, at(1));
+    let second = pick(&mut tables, &draft("a1"), 0.9, at(1));
+    assert!(matches!(first, Pick::Load(_)));
+    assert_eq!(first, second);
+}
+
+/// Engines fall over each other's requests: 75 instances hear of each other three times a second
+/// and all took the first engine that had room.
+#[test]
+fn copies_of_a_hot_adapter_are_drawn_by_their_room() {
+    let mut tables = tables();
+    writers(&mut tables, 3);
+    for engine in ["e0", "e1", "e2"] {
+        holds(&mut tables, engine, "a1", 1);
+    }
+    let mut counts = std::collections::BTreeMap::<String, u32>::new();
+    for draw in 0..100 {
+        let pick = pick(&mut tables, &draft("a1"), f64::from(draw) / 100.0, at(1));
+        *counts.entry(sent_to(&pick).into()).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count >= 30), "{counts:?}");
+}
+
+#[test]
+fn a_full_engine_sends_on_and_asks_for_another_copy() {
+    let mut tables = tables();
+    writers(&mut tables, 3);
+    holds(&mut tables, "e1", "a1", 1);
+    for _ in 0..4 {
+        tables.begin(&id("e1"));
+    }
+    let Pick::Send {
+        target, load_at, ..
+    } = pick(&mut tables, &draft("a1"), 0.5, at(1))
+    else {
+        panic!("not sent");
+    };
+    assert_eq!(target, id("e1"));
+    assert_eq!(load_at.len(), 1);
+    assert_ne!(load_at[0], id("e1"));
+}
+
+/// A mother gets a clause by the old weights, long after the operators were told that the new ones
+/// are in force.
+#[test]
+fn an_old_version_is_not_begun_once_its_grace_is_over() {
+    let mut tables = tables();
+    writers(&mut tables, 2);
+    holds(&mut tables, "e0", "a1", 1);
+    tables.versions.announce(&adapter_at("a1", 2), at(0));
+    let early = pick(&mut tables, &draft("a1"), 0.5, at(1_000));
+    assert!(matches!(&early, Pick::Send { load_at, .. } if load_at == &[id("e1")]));
+    let late = pick(&mut tables, &draft("a1"), 0.5, at(3_000));
+    assert_eq!(late, Pick::Load(id("e1")));
+    holds(&mut tables, "e1", "a1", 2);
+    let Pick::Send { version, .. } = pick(&mut tables, &draft("a1"), 0.5, at(3_001)) else {
+        panic!("not sent");
+    };
+    assert_eq!(version, Some(AdapterVersion(2)));
+}
+
+/// Dozens of requests wait for a hot adapter that comes late; all were refused at once, again and
+/// again, and used up the budget for repeats.
+#[test]
+fn one_request_tests_an_adapter_that_was_found_missing() {
+    let mut tables = tables();
+    writers(&mut tables, 1);
+    holds(&mut tables, "e0", "a1", 1);
+    let key = adapter("a1");
+    tables.residency.missing(&id("e0"), &key, at(0));
+    assert!(matches!(
+        pick(&mut tables, &draft("a1"), 0.5, at(10)),
+        Pick::Load(_)
+    ));
+    assert_eq!(sent_to(&pick(&mut tables, &draft("a1"), 0.5, at(61))), "e0");
+    tables.residency.sent(&id("e0"), &key, at(61));
+    assert!(matches!(
+        pick(&mut tables, &draft("a1"), 0.5, at(62)),
+        Pick::Load(_)
+    ));
+    tables.residency.proved(&id("e0"), &key);
+    assert_eq!(sent_to(&pick(&mut tables, &draft("a1"), 0.5, at(63))), "e0");
+}
+
+#[test]
+fn nobody_is_asked_to_load_where_no_loader_can_be_reached() {
+    let mut tables = tables();
+    writers(&mut tables, 1);
+    tables.shards = (0..4)
+        .filter(|shard| *shard != shard_of(&id("e0")))
+        .collect();
+    assert_eq!(pick(&mut tables, &draft("a1"), 0.5, at(1)), Pick::Full);
+}
+
+fn court(tables: &mut Tables) {
+    for name in ["c0", "c1", "c2"] {
+        tables.registry.put(target(name, "court"), Revision(1));
+    }
+}
+
+#[test]
+fn a_filing_goes_to_the_emptiest_server() {
+    let mut tables = tables();
+    court(&mut tables);
+    tables.begin(&id("c0"));
+    tables.begin(&id("c2"));
+    let filing = call("/file/1", Some("key-1"));
+    assert_eq!(sent_to(&pick(&mut tables, &filing, 0.5, at(1))), "c1");
+}
+
+/// A server fails half of its requests while its health check is good.
+#[test]
+fn a_failing_server_is_left_alone_and_tried_again() {
+    let mut tables = tables();
+    court(&mut tables);
+    let mut ejected = 0;
+    for ms in 0..10 {
+        let now = at(ms);
+        ejected += u32::from(tables.health.met(&id("c0"), Met::Failure, now));
+        for name in ["c1", "c2"] {
+            let quick = Duration::from_millis(20);
+            tables.health.met(&id(name), Met::Answer(quick), now);
+        }
+    }
+    assert!(ejected > 0);
+    let filing = call("/file/1", Some("key-1"));
+    assert_ne!(sent_to(&pick(&mut tables, &filing, 0.5, at(11))), "c0");
+    let later = pick(&mut tables, &filing, 0.5, at(20_000));
+    assert!(matches!(&later, Pick::Send { target, trial: true, .. } if *target == id("c0")));
+}
+
+/// All servers fail alike: refusing everything would serve nobody.
+#[test]
+fn servers_are_used_if_all_of_them_fail() {
+    let mut tables = tables();
+    court(&mut tables);
+    for ms in 0..10 {
+        for name in ["c0", "c1", "c2"] {
+            tables.health.met(&id(name), Met::Failure, at(ms));
+        }
+    }
+    let filing = call("/file/1", Some("key-1"));
+    let picked = pick(&mut tables, &filing, 0.5, at(11));
+    assert!(matches!(picked, Pick::Send { .. }), "{picked:?}");
+}
+
+/// Registrations lapse while the store is away, though their servers live.
+#[test]
+fn targets_that_vanish_in_an_outage_are_used_until_they_had_time_to_return() {
+    let mut tables = tables();
+    court(&mut tables);
+    tables.registry.store_lost(at(0));
+    tables.registry.replace(Vec::new(), Revision(2), at(100));
+    let filing = call("/file/1", Some("key-1"));
+    assert!(matches!(
+        pick(&mut tables, &filing, 0.5, at(200)),
+        Pick::Send { .. }
+    ));
+    tables.sweep(at(2_400));
+    assert_eq!(pick(&mut tables, &filing, 0.5, at(2_400)), Pick::Nowhere);
+}
+
+#[test]
+fn a_target_that_leaves_gets_no_new_work() {
+    let mut tables = tables();
+    court(&mut tables);
+    for name in ["c0", "c1"] {
+        let mut leaving = target(name, "court");
+        leaving.leaving = true;
+        tables.registry.put(leaving, Revision(2));
+    }
+    let filing = call("/file/1", Some("key-1"));
+    assert_eq!(sent_to(&pick(&mut tables, &filing, 0.5, at(1))), "c2");
+}
+
+#[test]
+fn what_no_configuration_allows_is_refused_before_anything_is_charged() {
+    let mut tables = tables();
+    let refused = |tables: &mut Tables, path, key| tables.admit(&call(path, key), 0, at(0)).err();
+    assert_eq!(
+        refused(&mut tables, "/none/1", None),
+        Some(Refusal::NoRoute)
+    );
+    assert_eq!(
+        refused(&mut tables, "/file/1", None),
+        Some(Refusal::UnknownKey)
+    );
+    tables.routes = std::sync::Arc::default();
+    let unknown = refused(&mut tables, "/file/1", Some("key-1"));
+    assert_eq!(unknown, Some(Refusal::NotConfigured));
+}
