--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -131,8 +131,10 @@
 
     /// Finds another target that goes on after the last event that the caller has.
     async fn go_on(&mut self, why: &'static str) -> io::Result<()> {
+        let mut target = String::new();
         if let Some(mut source) = self.source.take() {
             source.flight.failed();
+            target = source.flight.target.to_string();
             self.job.tried.push(source.flight.target.clone());
             // Dropping the source closes its connection: the target stops before another begins.
         }
@@ -142,7 +144,12 @@
             .last()
             .map_or("none".into(), |id| id.to_string());
         let id = self.job.call.id.clone();
-        let fields = [("request", &*id), ("cause", why), ("last_event", &last)];
+        let fields = [
+            ("request", &*id),
+            ("target", &target),
+            ("cause", why),
+            ("last_event", &last),
+        ];
         if !self.job.may_repeat() {
             event(LogEvent::StreamBroken, &fields);
             return Err(io::Error::other(why));
