--- a/crates/gateway/src/decide/loader.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -4,11 +4,16 @@
 //! So of two orders that were sent for the same count only one is carried out, however late; an
 //! order without an answer can't break the account of slots.
 
+mod entry;
+mod order;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, BaseModel, Time};
 
+use self::entry::{Coming, LateLoad, Resident, Use, Wish};
+pub use self::order::{Order, OrderAnswer, OrderKind, Report};
 use super::adapter::{AdapterAt, AdapterKey};
 
 /// Adapters that an engine takes in at the same time.
@@ -33,12 +38,6 @@
 const LATE_ORDER: Duration = Duration::from_secs(13);
 /// Longest time by which a report lags.
 const LONGEST_LAG: Duration = Duration::from_secs(1);
-/// An adapter that was used within this span isn't evicted: the news of another request may be on
-/// its way.
-const BUSY_SPAN: Duration = Duration::from_millis(400);
-/// Age at which a request that began and was not reported as ended counts as ended: its datagram
-/// was lost, or its instance died. Few requests last longer.
-const LOST_END: Duration = Duration::from_secs(15);
 /// Pause before another try when nothing can be evicted.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Age at which a wish that nobody repeated is dropped.
@@ -46,57 +45,6 @@
 /// Adapters that engines keep copies of in host memory; a later load is quick.
 const HOST_COPIES: usize = 160;
 
-/// What an engine says of itself when asked.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Report {
-    /// Orders that it has accepted since its start.
-    pub accepted: u64,
-    /// An order on a base model is under way.
-    pub busy: bool,
-    /// Base models that it holds.
-    pub models: Vec<BaseModel>,
-    /// Adapters that it holds.
-    pub adapters: Vec<AdapterAt>,
-    /// Adapters on their way to it.
-    pub coming: Vec<AdapterAt>,
-}
-
-/// An order to an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Order {
-    /// What to do.
-    pub what: OrderKind,
-    /// Orders that the engine must have accepted so far.
-    pub expected: u64,
-}
-
-/// What an engine is to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum OrderKind {
-    /// Load a base model.
-    LoadModel(BaseModel),
-    /// Load an adapter, or replace it by this version; none: the newest.
-    LoadAdapter(AdapterKey, Option<AdapterVersion>),
-    /// Drop an adapter.
-    UnloadAdapter(AdapterKey),
-}
-
-/// How an engine took an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderAnswer {
-    /// It carries the order out.
-    Accepted,
-    /// It was done at once, or held already.
-    Done,
-    /// Another order is under way, the count differs, or the adapter is in use.
-    Conflict,
-    /// A later holder has ordered, the engine is another one, or the order is malformed.
-    Refused,
-    /// No answer: it may be carried out later. The next order names the same count, so that the
-    /// engine takes only one of them; if it has taken this one already, the next one conflicts.
-    Unknown,
-}
-
 /// What to do next for an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LoadStep {
@@ -110,67 +58,6 @@
     Send(Order),
 }
 
-/// A load without an answer that may yet be carried out, when the engine's count is as it names.
-///
-/// Within one life of the engine such an order only takes the place of another one for the same
-/// count. After a restart the count begins anew under the same name: the old load comes on top of
-/// what was ordered since, and the engine crashes if that filled it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LateLoad {
-    expected: u64,
-    until: Time,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Use {
-    last: Time,
-    open: u32,
-}
-
-impl Use {
-    /// Unloading it would wait for its requests and hold up all other orders meanwhile.
-    fn busy(&self, now: Time) -> bool {
-        let open = self.open > 0 && now.since(self.last) < LOST_END;
-        open || now.since(self.last) < BUSY_SPAN
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Resident {
-    version: AdapterVersion,
-    since: Time,
-    /// A request found it missing.
-    doubted: bool,
-    /// No request is sent to it before.
-    usable_from: Time,
-}
-
-impl Resident {
-    fn new(version: AdapterVersion, since: Time) -> Self {
-        Self {
-            version,
-            since,
-            doubted: false,
-            usable_from: Time::default(),
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Coming {
-    version: Option<AdapterVersion>,
-    ready: Time,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Wish {
-    version: Option<AdapterVersion>,
-    first: Time,
-    last: Time,
-    /// Times it was uttered: by each request that waits, again and again.
-    asks: u32,
-}
-
 /// The loader of one engine.
 #[derive(Debug)]
 pub struct Loader {
