Serve metrics of an instance on the platform

Requests by kind and status, refusals by reason, time to the head of an answer, attempts by outcome, ejections, orders by answer, calls that follow the store, and gauges of what is in force.

--- a/crates/gateway/src/decide/loader/order.rs
+++ b/crates/gateway/src/decide/loader/order.rs
@@ -54,3 +54,17 @@
     /// engine takes only one of them; if it has taken this one already, the next one conflicts.
     Unknown,
 }
+
+impl OrderAnswer {
+    /// A short name, for metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Done => "done",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -129,6 +129,22 @@
     NoTarget,
 }
 
+impl Refusal {
+    /// A short name, for metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::NotConfigured => "not_configured",
+            Self::Stopping => "stopping",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::OverQuota { .. } => "over_quota",
+            Self::Full => "full",
+            Self::NoTarget => "no_target",
+        }
+    }
+}
+
 impl Tables {
     /// Knows nothing but itself.
     #[must_use]
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -81,6 +81,7 @@
         let now = self.node.now();
         let ejected = self.node.tables().health.met(&self.target, met, now);
         if ejected {
+            self.node.metrics.ejected();
             let target = self.target.to_string();
             let met = format!("{met:?}");
             event(
@@ -183,6 +184,7 @@
         Ok(outcome) => outcome,
         Err(_elapsed) => Exchange::Failed(Failure::Silent),
     };
+    node.metrics.attempted(outcome.name());
     match outcome {
         Exchange::Answer(parts, body, connection) => {
             let head = node.protocol.answer_head(&parts);
@@ -241,6 +243,18 @@
     Failed(Failure),
 }
 
+impl Exchange {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(..) => "answer",
+            Self::Unreachable => "unreachable",
+            Self::Failed(Failure::Broken) => "broken",
+            Self::Failed(Failure::Silent) => "silent",
+            Self::Failed(Failure::WrongAnswer) => "wrong_answer",
+        }
+    }
+}
+
 async fn exchange<E: Edge>(
     node: &Arc<Node<E>>,
     target: &TargetId,
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -1,6 +1,7 @@
 //! Gives peers a copy of what the store told.
 
 use std::fmt;
+use std::sync::atomic::Ordering;
 
 use bluebellstage_core::Revision;
 use bytes::Bytes;
@@ -21,6 +22,9 @@
 /// Path of the copy on the control address.
 pub(super) const COPY_PATH: &str = "/peer/copy";
 
+/// Path of the metrics, on the control address and on one of their own.
+const METRICS_PATH: &str = "/metrics";
+
 /// What a peer has already, as the query of its question.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Have {
@@ -72,6 +76,13 @@
 
 /// Answers a peer.
 pub(super) fn answer<E: Edge>(node: &Node<E>, req: &Request<Incoming>) -> Response<AnswerBody> {
+    if req.uri().path() == METRICS_PATH {
+        let connections = node.connections.load(Ordering::Relaxed);
+        let tables = node.tables();
+        let peers = tables.peers.live(node.now()).count();
+        let text = node.metrics.text(&tables, peers, connections);
+        return Response::new(whole(Bytes::from(text)));
+    }
     if req.uri().path() != COPY_PATH {
         return own_answer(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -95,6 +95,7 @@
         Ok(ticket) => ticket,
         Err(refused) => {
             let reason = format!("{refused:?}");
+            node.metrics.refused(refused.name());
             event(
                 LogEvent::RequestRefused,
                 &[("request", &call.id), ("reason", &reason)],
@@ -387,6 +388,12 @@
         );
     }
 
+    fn note_answer(&self, status: StatusCode) {
+        let after = self.node.now().since(self.arrived);
+        let kind = self.ticket.route().kind;
+        self.node.metrics.answered(kind, status.as_u16(), after);
+    }
+
     fn elapsed_ms(&self) -> String {
         self.node.now().since(self.arrived).as_millis().to_string()
     }
@@ -403,6 +410,7 @@
                 (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
             }
         };
+        self.note_answer(status);
         event(
             LogEvent::RequestRefused,
             &[
@@ -429,6 +437,7 @@
         *res.headers_mut() = self.node.protocol.answer_headers(parts);
         let workspace = self.ticket.workspace.as_ref().map(ToString::to_string);
         let workspace = workspace.unwrap_or_default();
+        self.note_answer(parts.status);
         event(
             LogEvent::RequestAnswered,
             &[
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -313,6 +313,7 @@
         Ok((status, _)) => (node.protocol.order_answer(status), status.to_string()),
         Err(err) => (OrderAnswer::Unknown, err.to_string()),
     };
+    node.metrics.ordered(answer.name());
     let stretch = stretch(node, target);
     let [id, what] = [target.id.to_string(), describe(&order.what)];
     let taken = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -63,6 +63,8 @@
     EventsLeftOut = 3007, Warn, "log events left out";
     /// A new connection can't be accepted.
     AcceptFailed = 3008, Warn, "connection can't be accepted";
+    /// The metrics' port can't be opened.
+    MetricsPortRefused = 3009, Warn, "metrics port can't be opened";
 
     /// A newer configuration is in force.
     ConfigAdopted = 3101, Info, "configuration in force";
--- /dev/null
+++ b/crates/gateway/src/net/metrics.rs
@@ -0,0 +1,138 @@
+//! Metrics under the names that the field uses, scraped as Prometheus text.
+
+use std::fmt;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::decide::config::RouteKind;
+use crate::decide::tables::Tables;
+
+/// Bounds of the buckets of durations, in seconds: 1 ms to 15 s, the longest that callers wait.
+const SECONDS_BUCKETS: &[f64] = &[
+    0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0,
+];
+
+/// Instruments of this process.
+pub(super) struct Metrics {
+    registry: Registry,
+    // Keeps the instruments' pipeline alive.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    answer_time: Histogram<f64>,
+    attempts: Counter<u64>,
+    ejections: Counter<u64>,
+    orders: Counter<u64>,
+    store_news: Counter<u64>,
+    config_version: Gauge<u64>,
+    targets: Gauge<u64>,
+    peers: Gauge<u64>,
+    connections: Gauge<u64>,
+    shards: Gauge<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+fn kind_name(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Safe => "safe",
+        RouteKind::Unsafe => "unsafe",
+        RouteKind::ResumableStream => "resumable_stream",
+        RouteKind::SingleStream => "single_stream",
+    }
+}
+
+fn count(number: usize) -> u64 {
+    u64::try_from(number).unwrap_or(u64::MAX)
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own, so that several instances fit in one process.
+    pub(super) fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a registry without names refuses none");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bluebellstage");
+        let counter = |name, says| meter.u64_counter(name).with_description(says).build();
+        let gauge = |name, says| meter.u64_gauge(name).with_description(says).build();
+        Self {
+            requests: counter("bluebellstage.requests", "Requests answered, by status"),
+            refusals: counter("bluebellstage.refusals", "Requests refused, by reason"),
+            answer_time: meter
+                .f64_histogram("bluebellstage.answer_time")
+                .with_description("From a request's arrival to the head of its answer")
+                .with_unit("s")
+                .with_boundaries(SECONDS_BUCKETS.to_vec())
+                .build(),
+            attempts: counter("bluebellstage.attempts", "Attempts at targets, by outcome"),
+            ejections: counter("bluebellstage.ejections", "Targets left alone for a while"),
+            orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
+            store_news: counter("bluebellstage.store_calls", "Watches and lists, by outcome"),
+            config_version: gauge("bluebellstage.config_version", "Configuration in force"),
+            targets: gauge("bluebellstage.targets", "Targets known"),
+            peers: gauge("bluebellstage.live_peers", "Other instances heard lately"),
+            connections: gauge("bluebellstage.connections", "Connections of callers"),
+            shards: gauge("bluebellstage.loader_shards", "Loader shards held"),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// A request was answered.
+    pub(super) fn answered(&self, kind: RouteKind, status: u16, after: Duration) {
+        let kind = KeyValue::new("kind", kind_name(kind));
+        let status = KeyValue::new("status", i64::from(status));
+        self.requests.add(1, &[kind.clone(), status]);
+        self.answer_time.record(after.as_secs_f64(), &[kind]);
+    }
+
+    /// A request was refused.
+    pub(super) fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// An attempt at a target ended.
+    pub(super) fn attempted(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A target was ejected.
+    pub(super) fn ejected(&self) {
+        self.ejections.add(1, &[]);
+    }
+
+    /// An engine answered an order, or didn't.
+    pub(super) fn ordered(&self, answer: &'static str) {
+        self.orders.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
+    /// A watch or list of the store ended.
+    pub(super) fn store_called(&self, outcome: &'static str) {
+        self.store_news.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// All metrics as text.
+    pub(super) fn text(&self, tables: &Tables, peers: usize, connections: usize) -> String {
+        self.config_version.record(tables.routes.version().0, &[]);
+        self.targets
+            .record(count(tables.registry.all().count()), &[]);
+        self.peers.record(count(peers), &[]);
+        self.connections.record(count(connections), &[]);
+        self.shards.record(count(tables.shards.len()), &[]);
+        let families = self.registry.gather();
+        let encoded = TextEncoder::new().encode_to_string(&families);
+        encoded.unwrap_or_else(|err| format!("# metrics can't be written: {err}\n"))
+    }
+}
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod leases;
 mod loaders;
+mod metrics;
 
 mod pool;
 mod refuse;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -17,6 +17,7 @@
 
 use super::leases::Leases;
 use super::loaders::Loaders;
+use super::metrics::Metrics;
 use super::pool::Pool;
 
 /// What an instance must know to start.
@@ -28,6 +29,8 @@
     pub ready: Option<SocketAddr>,
     /// Where callers ask which addresses to use.
     pub directory: Option<SocketAddr>,
+    /// Where metrics are scraped.
+    pub metrics: Option<SocketAddr>,
     /// Where other instances may be found when the store is away.
     pub seeds: Vec<SocketAddr>,
     /// Limit on repeats.
@@ -55,6 +58,7 @@
     tables: Mutex<Tables>,
     pub(super) pool: Pool,
     pub(super) loaders: Loaders,
+    pub(super) metrics: Metrics,
     pub(super) leases: Leases,
     /// A peer has newer state than this instance.
     pub(super) peer_is_newer: Notify,
@@ -91,6 +95,7 @@
             tables: Mutex::new(tables),
             pool: Pool::default(),
             loaders: Loaders::default(),
+            metrics: Metrics::new(),
             leases,
             peer_is_newer: Notify::new(),
             changed: Notify::new(),
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -41,6 +41,22 @@
         let listener = listen(address).map_err(|cause| GatewayError::Listen { address, cause })?;
         tokio::spawn(serve(Arc::clone(&node), listener, door));
     }
+    if let Some(address) = settings.metrics {
+        // Another process of this machine may have the port: callers are served all the same, and
+        // the control address tells the metrics, too.
+        match listen(address) {
+            Ok(listener) => {
+                tokio::spawn(serve(Arc::clone(&node), listener, Door::Control));
+            }
+            Err(err) => event(
+                LogEvent::MetricsPortRefused,
+                &[
+                    ("address", &address.to_string()),
+                    ("cause", &err.to_string()),
+                ],
+            ),
+        }
+    }
     let address = settings.member.gossip;
     let socket = UdpSocket::bind(address).await;
     let socket = socket.map_err(|cause| GatewayError::Listen { address, cause })?;
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -63,6 +63,12 @@
             None => node.store.list(kind).await,
             Some(after) => node.store.watch(kind, after, wait).await,
         };
+        let outcome = match &news {
+            Ok(_) => "answered",
+            Err(StoreError::HistoryGone) => "history_gone",
+            Err(_) => "failed",
+        };
+        node.metrics.store_called(outcome);
         match news {
             Ok(listing) => {
                 if std::mem::take(&mut lost) {
