Tell a request's story from the logs of many instances

`bluebellstage explain ID FILES...` needs no instance: it orders the lines about one request and says them in plain words; without files it reads standard input, as the argument library takes `-` for an option.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -52,6 +52,8 @@
     Request(RequestArgs),
     /// Planned stop.
     Drain(DrainArgs),
+    /// A request's story.
+    Explain(ExplainArgs),
 }
 
 /// Read, compare or change the catalogue.
@@ -243,3 +245,16 @@
     #[argh(option, default = "120")]
     pub(crate) wait_s: u64,
 }
+
+/// Tell a request's story from the logs of instances on the users' platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainArgs {
+    /// the request's id, as the caller sent it
+    #[argh(positional)]
+    pub(crate) request: String,
+
+    /// files with logs; none: standard input
+    #[argh(positional)]
+    pub(crate) logs: Vec<PathBuf>,
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod catalogue;
 mod change;
 mod drain;
+mod explain;
 mod key;
 mod request;
 mod state;
@@ -13,6 +14,9 @@
 
 /// Runs the command that the arguments name.
 pub(crate) async fn run(args: &Args) -> Result<Exit, CliError> {
+    if let Command::Explain(args) = &args.command {
+        return explain::run(args);
+    }
     let admin = Admin::from_args(args)?;
     match &args.command {
         Command::Catalogue(args) => catalogue::run(&admin, &args.command).await,
@@ -21,5 +25,6 @@
         Command::Dump(args) => state::dump(&admin, args).await,
         Command::Request(args) => request::run(&admin, &args.command).await,
         Command::Drain(args) => drain::run(&admin, args).await,
+        Command::Explain(args) => explain::run(args),
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -43,6 +43,9 @@
     /// No token is given.
     #[error("no token is given")]
     NoToken,
+    /// The logs don't name the request.
+    #[error("no line names request {request}")]
+    NoLines { request: Box<str> },
     /// A file can't be read.
     #[error("{file} can't be read: {cause}")]
     Unreadable { file: Box<str>, cause: Box<str> },
@@ -85,12 +88,14 @@
     /// The exit code.
     pub(crate) const fn exit(&self) -> Exit {
         match self {
-            Self::NoAdmin | Self::NoToken | Self::Unreadable { .. } | Self::Malformed { .. } => {
-                Exit::Failed
-            }
             Self::Unreachable { .. } | Self::TokenRefused { .. } => Exit::Unreachable,
             Self::Answered { status, .. } if *status < 500 => Exit::Refused,
-            Self::Answered { .. } => Exit::Failed,
+            Self::NoAdmin
+            | Self::NoToken
+            | Self::NoLines { .. }
+            | Self::Unreadable { .. }
+            | Self::Malformed { .. }
+            | Self::Answered { .. } => Exit::Failed,
             Self::Stale { .. } | Self::Invalid { .. } | Self::PlatformUnavailable => Exit::Refused,
             Self::OutcomeUnknown { .. }
             | Self::NotEverywhere { .. }
@@ -103,6 +108,9 @@
         match self {
             Self::NoAdmin => "name one with --admin URL or BLUEBELLSTAGE_ADMIN".into(),
             Self::NoToken => "set BLUEBELLSTAGE_TOKEN or name a file with --token-file".into(),
+            Self::NoLines { .. } => {
+                "name the logs of all instances; lines may have been left out (BS3007)".into()
+            }
             Self::Unreadable { .. } => "name a readable file".into(),
             Self::Malformed { .. } => {
                 "compare the file with what `bluebellstage catalogue get` prints".into()
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,53 @@
+//! `explain` on logs of instances.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+/// Lines of a run on the users' platform with a hot workspace, slow servers and crashing engines.
+const LOG: &str = r#"2026-06-04T14:44:08.696Z INFO code=BS3401 request=r1 reason="OverQuota { workspace: WorkspaceId(\"jelo642\"), left: -3098, charge: 3046 }" msg="request refused"
+2026-06-04T14:44:13.473Z INFO code=BS3401 request=r2 route=r-n53h8h5 status=502 reason="the target gave no whole answer" sends=1 config=6 ms=1080 msg="request refused"
+2026-06-04T14:44:13.472Z INFO code=BS3403 request=r2 target=i-a306a9acab cause=Silent runs=1 adapter="" msg="attempt failed"
+2026-06-04T14:44:12.272Z WARN code=BS3405 request=r3 target=i-1 cause="the target fell silent" last_event=9 msg="stream broken off"
+2026-06-04T14:44:12.000Z INFO code=BS3101 version=7 msg="configuration in force"
+"#;
+
+fn explain(request: &str) -> (bool, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_bluebellstage"))
+        .args(["explain", request])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut stdin = child.stdin.take().unwrap();
+    stdin.write_all(LOG.as_bytes()).unwrap();
+    drop(stdin);
+    let ended = child.wait_with_output().unwrap();
+    let text = [ended.stdout, ended.stderr].concat();
+    (ended.status.success(), String::from_utf8(text).unwrap())
+}
+
+#[test]
+fn a_refusal_by_quota_names_workspace_and_charge() {
+    insta::assert_snapshot!(explain("r1").1, @r#"2026-06-04T14:44:08.696Z stdin: refused before anything was sent: OverQuota { workspace: WorkspaceId("jelo642"), left: -3098, charge: 3046 }"#);
+}
+
+#[test]
+fn a_filing_answered_502_tells_its_attempt_first() {
+    insta::assert_snapshot!(explain("r2").1, @r"
+    2026-06-04T14:44:13.472Z stdin: the attempt at i-a306a9acab failed (Silent); 1 so far may have run
+    2026-06-04T14:44:13.473Z stdin: answered 502 after 1080 ms and 1 sends: the target gave no whole answer
+    ");
+}
+
+#[test]
+fn a_broken_stream_tells_how_far_it_came() {
+    insta::assert_snapshot!(explain("r3").1, @"2026-06-04T14:44:12.272Z stdin: its stream from i-1 broke (the target fell silent) after event 9 and can't go on");
+}
+
+#[test]
+fn a_request_that_no_line_names_is_an_error_with_a_remedy() {
+    let (succeeded, text) = explain("r9");
+    assert!(!succeeded);
+    assert!(text.contains("name the logs of all instances"), "{text}");
+}
