Don't bring a gone target back by a copy

Ruled out: silent followers alone (mended before, still broken). Copies now give what is registered and name what may come back.

--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -5,6 +5,8 @@
 
 use bluebellstage_core::{Revision, TargetId, Time};
 
+use serde::{Deserialize, Serialize};
+
 use super::rendezvous::{name_hash, weight};
 use super::target::Target;
 
@@ -17,6 +19,17 @@
 /// Longest time between two answers to a follower; targets report every 1.2 s, and it pauses 0.8 s.
 const FOLLOWER_SILENCE: Duration = Duration::from_millis(1_600);
 
+/// A list of targets for peers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RegistryCopy {
+    /// Revision of the newest news in it.
+    pub revision: Revision,
+    /// Registrations that are there.
+    pub targets: Vec<Target>,
+    /// Names of those that vanished in an outage of the store and may come back.
+    pub in_grace: Vec<TargetId>,
+}
+
 /// Registrations by name.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -89,6 +102,47 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Takes in a peer's list. Targets that are `in_grace` there stay here too, if they are known:
+    /// their registrations may come back.
+    pub fn copy(&mut self, copy: RegistryCopy, now: Time) {
+        if copy.revision <= self.revision {
+            return;
+        }
+        for id in copy.in_grace {
+            if self.targets.contains_key(&id) {
+                self.vanished.entry(id).or_insert(now + RETURN_GRACE);
+            }
+        }
+        let listed = copy.targets;
+        let vanished = &self.vanished;
+        self.targets
+            .retain(|id, _| vanished.contains_key(id) || listed.iter().any(|t| t.id == *id));
+        for target in listed {
+            self.put(target, copy.revision);
+        }
+        self.revision = copy.revision;
+    }
+
+    /// What a peer may copy: registrations that vanished are named, not given.
+    ///
+    /// An instance that comes back from a cut keeps a target that is gone for a while, with the
+    /// newest revision; were it in the copy, all others would send to it again.
+    #[must_use]
+    pub fn copied(&self) -> RegistryCopy {
+        RegistryCopy {
+            revision: self.revision,
+            targets: self.present().cloned().collect(),
+            in_grace: self.vanished.keys().cloned().collect(),
+        }
+    }
+
+    /// Targets whose registrations are there.
+    fn present(&self) -> impl Iterator<Item = &Target> {
+        let vanished = &self.vanished;
+        let targets = self.targets.values();
+        targets.filter(|target| !vanished.contains_key(&target.id))
+    }
+
     /// Takes in one registration.
     pub fn put(&mut self, target: Target, revision: Revision) {
         self.vanished.remove(&target.id);
@@ -126,7 +180,7 @@
     /// targets. Heartbeats of targets change the revision, not this.
     #[must_use]
     pub fn digest(&self) -> u32 {
-        let folded = self.targets.values().fold(0, |digest, target| {
+        let folded = self.present().fold(0, |digest, target| {
             let address = target.address.to_string();
             let life = target.born.unwrap_or(0);
             let models = u64::try_from(target.models.len()).unwrap_or(0);
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -12,8 +12,8 @@
 use crate::decide::adapter::AdapterAt;
 use crate::decide::config::Config;
 use crate::decide::peers::Member;
+use crate::decide::registry::RegistryCopy;
 use crate::decide::tables::Tables;
-use crate::decide::target::Target;
 use crate::edge::Edge;
 
 use super::node::Node;
@@ -69,7 +69,7 @@
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub(super) struct Copy {
     pub(super) config: Option<Config>,
-    pub(super) targets: Option<(Revision, Vec<Target>)>,
+    pub(super) targets: Option<RegistryCopy>,
     pub(super) versions: Vec<AdapterAt>,
     pub(super) members: Vec<Member>,
 }
@@ -108,8 +108,12 @@
         copy.config = Some(tables.routes.config().as_ref().clone());
     }
     if targets {
-        let all = tables.registry.all().map(without_adapters).collect();
-        copy.targets = Some((tables.registry.revision(), all));
+        let mut registry = tables.registry.copied();
+        // What an engine holds changes all the time, and its loader tells it.
+        for target in &mut registry.targets {
+            target.adapters.clear();
+        }
+        copy.targets = Some(registry);
     }
     if versions {
         copy.versions = tables.versions.all().collect();
@@ -120,11 +124,3 @@
     }
     copy
 }
-
-/// What an engine holds changes all the time, and its loader tells it.
-fn without_adapters(target: &Target) -> Target {
-    Target {
-        adapters: Vec::new(),
-        ..target.clone()
-    }
-}
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -364,10 +364,8 @@
             tables.peers.registered(member);
         }
     }
-    if let Some((revision, targets)) = copy.targets
-        && revision > tables.registry.revision()
-    {
-        tables.registry.replace(targets, revision, now);
+    if let Some(targets) = copy.targets {
+        tables.registry.copy(targets, now);
     }
     drop(tables);
     node.changed.notify_waiters();
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -131,3 +131,39 @@
     tables.registry.follow(false, at(5_200));
     assert!(tables.registry.store_answers(at(60_000)));
 }
+
+/// A request reaches a server long after it was gone. An instance that had been cut off from the
+/// store kept the server for a while, with the newest revision, and the others copied it from there.
+#[test]
+fn a_target_that_is_gone_does_not_come_back_by_a_copy() {
+    let mut returned = tables();
+    for name in ["c0", "c1"] {
+        returned.registry.put(target(name, "court"), Revision(1));
+    }
+    returned.registry.store_lost(at(0));
+    let gone = target("c1", "court").id;
+    returned.registry.remove(&gone, Revision(9), at(100));
+    assert!(returned.registry.get(&gone).is_some());
+
+    let mut other = tables();
+    other.registry.put(target("c0", "court"), Revision(5));
+    other.registry.copy(returned.registry.copied(), at(200));
+    assert!(other.registry.get(&gone).is_none());
+    assert_eq!(other.registry.digest(), returned.registry.digest());
+}
+
+#[test]
+fn a_copy_leaves_targets_that_may_come_back_where_they_are_known() {
+    let mut returned = tables();
+    let mut other = tables();
+    for tables in [&mut returned, &mut other] {
+        tables.registry.put(target("c1", "court"), Revision(1));
+    }
+    let id = target("c1", "court").id;
+    returned.registry.store_lost(at(0));
+    returned.registry.remove(&id, Revision(9), at(100));
+    other.registry.copy(returned.registry.copied(), at(200));
+    assert!(other.registry.get(&id).is_some());
+    other.registry.sweep(at(2_500));
+    assert!(other.registry.get(&id).is_none());
+}
