--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -31,8 +31,9 @@
 impl Member {
     /// Place in the order for a duty named by `key`; the highest comes first.
     ///
-    /// A duty costs several times what callers cost an instance: on a machine of an eighth of a core
-    /// a third of the orders to engines ran out of time. So the strongest machines come first.
+    /// A duty costs an instance more than its callers do. With holders drawn regardless of their
+    /// machines, of which most had an eighth of a core, 918 orders to engines ran out of time in 24 s
+    /// of a heavy day on 75 instances. So the strongest come first.
     #[must_use]
     pub fn precedence(&self, key: u64) -> (Strength, u64) {
         (self.strength, weight(key, self.name.as_str()))
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -44,7 +44,7 @@
 }
 
 /// Part of the burst that a new bucket holds. An instance that restarts can't know that the others'
-/// buckets are empty; with a full one each of 25 that restarted let a hot workspace in for a second.
+/// buckets are empty; with a full one it would let a hot workspace in for a second's worth of tokens.
 const START_PART: f64 = 0.25;
 
 /// Span over which the rate of peers is smoothed.
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -73,8 +73,8 @@
     assert_eq!(followers, 3);
 }
 
-/// A third of all orders to engines ran out of time: their holder ran on an eighth of a core, beside
-/// machines of half a core.
+/// Hundreds of orders to engines ran out of time: holders were drawn regardless of their machines,
+/// most of which had an eighth of a core, beside some of half a core.
 #[test]
 fn the_strongest_machines_come_first() {
     let mut tables = tables();
