Take over changed settings at SIGHUP and without it

Cause: SIGHUP was swallowed without a line, and a changed file was noticed at the next start alone, where an error in it takes the instance down. The settings source is now an edge of the process like the store. What identifies an instance to its peers waits for a restart and is named; seeds, retry budget, stop time and the time that callers keep addresses are taken over at once.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod quota;
 pub mod registry;
+pub mod reload;
 pub mod rendezvous;
 pub mod residency;
 pub mod retry_budget;
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Puts another limit on repeats in force.
+    pub fn set_retry_budget(&mut self, budget: RetryBudget) {
+        self.budget = budget;
+    }
+
     /// A configuration is known.
     #[must_use]
     pub fn configured(&self) -> bool {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -17,7 +17,8 @@
 use crate::decide::loader::{Order, OrderAnswer, Report};
 use crate::decide::peers::Member;
 use crate::decide::target::Target;
-use crate::error::StoreError;
+use crate::error::{GatewayError, StoreError};
+use crate::settings::NodeSettings;
 
 /// A deployment: its formats and its store.
 pub trait Edge: Debug + Send + Sync + 'static {
@@ -25,6 +26,8 @@
     type Protocol: Protocol;
     /// Where lasting state is kept.
     type Store: ObjectStore;
+    /// Where the settings are.
+    type Settings: SettingsSource;
 }
 
 /// A request that isn't one.
@@ -81,6 +84,16 @@
     fn is_readiness(&self, head: &request::Parts) -> bool;
 }
 
+/// Where the settings of the process are.
+pub trait SettingsSource: Debug + Send + Sync + 'static {
+    /// Reads the settings as they are now.
+    ///
+    /// # Errors
+    ///
+    /// They can't be read, or don't say what they must.
+    fn read(&self) -> Result<NodeSettings, GatewayError>;
+}
+
 /// The kinds of objects that an instance reads or writes.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Kind {
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -15,6 +15,9 @@
         /// The system's message.
         cause: io::Error,
     },
+    /// The settings can't be read, or are wrong.
+    #[error("{0}")]
+    Settings(Box<str>),
     /// A signal handler can't be set.
     #[error("can't watch for signals ({cause}): run where signals may be handled")]
     Signal {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod log_line;
 pub mod net;
 pub mod packet;
+pub mod settings;
 
 pub use self::error::GatewayError;
--- a/crates/gateway/src/net/directory.rs
+++ b/crates/gateway/src/net/directory.rs
@@ -41,7 +41,7 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return own_answer(&node.protocol, status, "no instance is ready", after);
     }
-    let keep = node.settings.keep_addresses;
+    let keep = node.terms().keep_addresses;
     let mut res = Response::new(whole(node.protocol.resolved(&addresses, keep)));
     let json = HeaderValue::from_static("application/json");
     res.headers_mut().insert(header::CONTENT_TYPE, json);
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -8,10 +8,13 @@
 /// Where events go.
 pub const LOG_TARGET: &str = "bluebellstage::event";
 
-/// Events about requests that are written in one second; more are counted and left out, so that a
+/// Events about requests and orders that are written in one second; more are counted and left out, so that a
 /// storm of refusals doesn't spend the processor on telling of it.
 const REQUEST_EVENTS_PER_SECOND: u32 = 60;
 
+/// Events from this number on come with each request or order to an engine.
+const FIRST_FREQUENT: u16 = 3_303;
+
 macro_rules! log_events {
     ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal;)+) => {
         /// A numbered log event.
@@ -31,6 +34,12 @@
                 match self {$(Self::$name => $code,)+}
             }
 
+            /// Whether it comes with each request or order, so that its volume must be bounded.
+            #[must_use]
+            pub const fn is_frequent(self) -> bool {
+                self.code() >= FIRST_FREQUENT
+            }
+
             /// How loud the event is.
             #[must_use]
             pub const fn level(self) -> Level {
@@ -66,6 +75,11 @@
     /// The metrics' port can't be opened.
     MetricsPortRefused = 3009, Warn, "metrics port can't be opened";
 
+    /// Settings were read again.
+    SettingsReloaded = 3010, Info, "settings read again";
+    /// Settings can't be used; those in force stay.
+    SettingsRefused = 3011, Warn, "settings refused";
+
     /// A newer configuration is in force.
     ConfigAdopted = 3101, Info, "configuration in force";
     /// A target registered.
@@ -130,7 +144,7 @@
     if !log::log_enabled!(target: LOG_TARGET, event.level()) {
         return;
     }
-    if event.code() >= 3_300 && !within_bound() {
+    if event.is_frequent() && !within_bound() {
         return;
     }
     write(event, fields);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -20,6 +20,7 @@
 
 mod pool;
 mod refuse;
+mod reload;
 mod sockets;
 mod stop;
 mod stream;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -1,56 +1,31 @@
 //! What the tasks of an instance share.
 
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use bluebellstage_core::{InstanceId, Time};
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::boot_time;
-use crate::decide::peers::Member;
-use crate::decide::retry_budget::RetryBudget;
 use crate::decide::tables::Tables;
 use crate::edge::Edge;
 use crate::packet::{Packet, Wish};
+use crate::settings::{NodeSettings, Terms};
 
 use super::leases::Leases;
 use super::loaders::Loaders;
 use super::metrics::Metrics;
 use super::pool::Pool;
 
-/// What an instance must know to start.
-#[derive(Clone, Debug)]
-pub struct NodeSettings {
-    /// How it registers itself.
-    pub member: Member,
-    /// Where the platform asks whether it is ready.
-    pub ready: Option<SocketAddr>,
-    /// Where callers ask which addresses to use.
-    pub directory: Option<SocketAddr>,
-    /// Where metrics are scraped.
-    pub metrics: Option<SocketAddr>,
-    /// Where other instances may be found when the store is away.
-    pub seeds: Vec<SocketAddr>,
-    /// Limit on repeats.
-    pub retry_budget: RetryBudget,
-    /// Pause that two holders of a loader shard leave between their orders.
-    pub handover: Duration,
-    /// Time between the order to stop and the kill.
-    pub stop_within: Duration,
-    /// How long callers may keep a list of addresses.
-    pub keep_addresses: Duration,
-}
-
 /// Requests that wait for adapters, on their way to the holder of the engine's shard.
 pub type Outgoing = (Option<InstanceId>, Packet);
 
 /// What the tasks of an instance share.
 #[derive(Debug)]
 pub struct Node<E: Edge> {
-    /// Settings.
+    /// The settings that it started with; [`Node::terms`] says what has changed of them.
     pub settings: NodeSettings,
+    terms: Mutex<Terms>,
     /// How callers and targets speak.
     pub protocol: E::Protocol,
     /// Where lasting state is kept.
@@ -85,10 +60,11 @@
         protocol: E::Protocol,
         store: E::Store,
     ) -> (Self, mpsc::Receiver<Outgoing>) {
-        let tables = Tables::new(settings.member.clone(), settings.retry_budget);
+        let tables = Tables::new(settings.member.clone(), settings.terms.retry_budget);
         let (outgoing, packets) = mpsc::channel(OUTGOING_QUEUE);
         let leases = Leases::new(&settings.member.name, settings.handover);
         let node = Self {
+            terms: Mutex::new(settings.terms.clone()),
             settings,
             protocol,
             store,
@@ -115,6 +91,17 @@
         self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The terms in force. A lock of its own: hold none of the tables' while it is taken.
+    pub fn terms(&self) -> MutexGuard<'_, Terms> {
+        self.terms.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts other terms in force.
+    pub(super) fn take_terms(&self, terms: Terms) {
+        self.tables().set_retry_budget(terms.retry_budget);
+        *self.terms() = terms;
+    }
+
     /// The time.
     pub fn now(&self) -> Time {
         boot_time()
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -7,12 +7,13 @@
 
 use crate::edge::{Edge, Kind};
 use crate::error::GatewayError;
+use crate::settings::NodeSettings;
 
 use super::accept::{Door, serve};
 use super::log::{LogEvent, event};
-use super::node::{Node, NodeSettings};
+use super::node::Node;
 use super::sockets::listen;
-use super::{gossip, leases, loaders, stop, sync};
+use super::{gossip, leases, loaders, reload, stop, sync};
 
 /// Pause between housekeepings.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -24,6 +25,7 @@
 /// An address can't be listened on, or signals can't be watched.
 pub async fn run<E: Edge>(
     settings: NodeSettings,
+    source: E::Settings,
     protocol: E::Protocol,
     store: E::Store,
 ) -> Result<(), GatewayError> {
@@ -74,6 +76,7 @@
     tokio::spawn(leases::run(Arc::clone(&node)));
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
+    reload::run(Arc::clone(&node), source)?;
     let [name, front] = [
         node.settings.member.name.to_string(),
         node.settings.member.front.to_string(),
--- a/crates/gateway/src/net/stop.rs
+++ b/crates/gateway/src/net/stop.rs
@@ -31,14 +31,7 @@
 pub(super) async fn wait<E: Edge>(node: Arc<Node<E>>) -> Result<(), GatewayError> {
     let mut term =
         signal(SignalKind::terminate()).map_err(|cause| GatewayError::Signal { cause })?;
-    let mut hup = signal(SignalKind::hangup()).map_err(|cause| GatewayError::Signal { cause })?;
-    loop {
-        tokio::select! {
-            _told = term.recv() => break,
-            // The settings hold what a process needs to start; nothing of them changes its work.
-            _reload = hup.recv() => {}
-        }
-    }
+    term.recv().await;
     let connections = || node.connections.load(Ordering::Relaxed);
     event(
         LogEvent::StopAsked,
@@ -55,8 +48,9 @@
         }
     };
     let leaving = tokio::spawn(tokio::time::timeout(LAST_WORDS, leaving));
-    let until = node.settings.stop_within.saturating_sub(BEFORE_KILL);
-    let answers_age = node.settings.keep_addresses * KEPT_TIMES + ON_THE_WAY;
+    let terms = node.terms().clone();
+    let until = terms.stop_within.saturating_sub(BEFORE_KILL);
+    let answers_age = terms.keep_addresses * KEPT_TIMES + ON_THE_WAY;
     let close_after = answers_age.min(until.saturating_sub(Duration::from_secs(1)));
     loop {
         let passed = node.now().since(asked);
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -318,11 +318,15 @@
 }
 
 fn starters<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
+    let seeds = node.terms().seeds.clone();
     let tables = node.tables();
     let me = tables.me.control;
     let peers = tables.peers.all().map(|peer| peer.member.control);
-    let seeds = node.settings.seeds.iter().copied();
-    seeds.chain(peers).filter(|seed| *seed != me).collect()
+    seeds
+        .into_iter()
+        .chain(peers)
+        .filter(|seed| *seed != me)
+        .collect()
 }
 
 fn have(tables: &Tables) -> Have {
--- /dev/null
+++ b/crates/gateway/tests/reload.rs
@@ -0,0 +1,71 @@
+//! Which changed settings are taken over at once, and which wait for a restart.
+
+use std::time::Duration;
+
+use bluebellstage_core::Incarnation;
+use bluebellstage_gateway::decide::peers::{Member, Strength};
+use bluebellstage_gateway::decide::reload::{Reload, compare};
+use bluebellstage_gateway::decide::retry_budget::RetryBudget;
+use bluebellstage_gateway::settings::{NodeSettings, Terms};
+
+fn settings() -> NodeSettings {
+    let address = ([127, 0, 0, 1], 1).into();
+    NodeSettings {
+        member: Member {
+            name: "front-0".parse().unwrap(),
+            incarnation: Incarnation(7),
+            front: address,
+            gossip: address,
+            control: address,
+            failure_domain: "north".parse().unwrap(),
+            strength: Strength(25),
+        },
+        ready: None,
+        directory: None,
+        metrics: None,
+        handover: Duration::from_secs(3),
+        terms: Terms {
+            seeds: Vec::new(),
+            retry_budget: RetryBudget {
+                ratio: 0.2,
+                window: Duration::from_secs(10),
+                slack: 50.0,
+            },
+            stop_within: Duration::from_secs(8),
+            keep_addresses: Duration::from_secs(1),
+        },
+    }
+}
+
+fn compared(change: impl FnOnce(&mut NodeSettings)) -> Reload {
+    let running = settings();
+    let mut read = running.clone();
+    change(&mut read);
+    compare(&running, &running.terms, read)
+}
+
+#[test]
+fn a_reading_in_another_life_is_unchanged() {
+    let again = compared(|read| read.member.incarnation = Incarnation(8));
+    assert_eq!(again, Reload::Unchanged);
+}
+
+#[test]
+fn a_term_is_taken_over() {
+    let changed = compared(|read| read.terms.retry_budget.slack = 20.0);
+    let Reload::Changed { terms, at_restart } = changed else {
+        panic!("{changed:?}");
+    };
+    assert_eq!(terms.unwrap().retry_budget.slack, 20.0);
+    assert!(at_restart.is_empty());
+}
+
+#[test]
+fn what_peers_know_the_process_by_waits_for_a_restart() {
+    let changed = compared(|read| read.handover = Duration::from_secs(4));
+    let waiting = Reload::Changed {
+        terms: None,
+        at_restart: vec!["handover"],
+    };
+    assert_eq!(changed, waiting);
+}
