Keep only what lapsed in an outage, and for the same time everywhere

Ruled out: the followers were late (three had the removal within 0.7 s of its acknowledgement). Now only what the first answer after 2.3 s of outage lacks gets the grace; it ends 1.8 s after that answer, at peers too; copies are asked of instances that the store answers first.

--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -10,11 +10,18 @@
 use super::rendezvous::{name_hash, weight};
 use super::target::Target;
 
-/// How long a registration that vanished in an outage of the store may take to come back.
+/// How long after the store's return a registration that lapsed in its outage may take to come back.
 ///
 /// Registrations lapse while the store is away though their targets live; the platform has them
-/// back within 2 s of its return.
-const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+/// back within about 2 s of its return. This instance notices the return up to 1.2 s late, and 3 s
+/// after it the bound on leaving targets holds again, so a little less than the 2 s are given.
+const RETURN_GRACE: Duration = Duration::from_millis(1_800);
+/// Shortest outage in which a registration can lapse: targets report every 1.2 s and lapse after
+/// three reports that are missing, the first of which may have been due when it began.
+const SHORTEST_LAPSE: Duration = Duration::from_millis(2_300);
+/// How long after a call that failed the store counts as away; the longest pause between two calls
+/// is 1 s, and an answer takes up to 1.2 s.
+const AWAY_AFTER_FAILURE: Duration = Duration::from_millis(2_200);
 
 /// Longest time between two answers to a follower; targets report every 1.2 s, and it pauses 0.8 s.
 const FOLLOWER_SILENCE: Duration = Duration::from_millis(1_600);
@@ -26,8 +33,8 @@
     pub revision: Revision,
     /// Registrations that are there.
     pub targets: Vec<Target>,
-    /// Names of those that vanished in an outage of the store and may come back.
-    pub in_grace: Vec<TargetId>,
+    /// Names of those that vanished in an outage of the store, with the time left to come back.
+    pub in_grace: Vec<(TargetId, Duration)>,
 }
 
 /// Registrations by name.
@@ -36,7 +43,11 @@
     targets: BTreeMap<TargetId, Target>,
     vanished: HashMap<TargetId, Time>,
     revision: Revision,
-    trusted_again: Time,
+    away_until: Time,
+    /// The store's last answer to this instance was a failure.
+    lost: bool,
+    /// While the first answer after an outage is taken in: until when what vanished may come back.
+    grace_until: Option<Time>,
     followed_since: Option<Time>,
     last_news: Time,
 }
@@ -48,10 +59,11 @@
         self.revision
     }
 
-    /// The store can't be reached: registrations that vanish until a while after its return may
-    /// belong to targets that live.
+    /// The store can't be reached.
     pub fn store_lost(&mut self, now: Time) {
-        self.trusted_again = now + RETURN_GRACE;
+        self.away_until = now + AWAY_AFTER_FAILURE;
+        self.lost = true;
+        self.grace_until = None;
     }
 
     /// This instance begins or ends to follow the store.
@@ -63,8 +75,15 @@
         }
     }
 
-    /// The store has answered what it was asked about targets.
+    /// The store has answered what it was asked about targets; called before the answer is taken in.
+    ///
+    /// What the first answer after a long enough outage lacks may belong to targets that live. What
+    /// vanishes later has left: were it kept as well, an instance back from a cut of its own would
+    /// send to a target more than 2 s after it was gone.
     pub fn heard_store(&mut self, now: Time) {
+        let before = self.followed_since.unwrap_or_default().max(self.last_news);
+        let lapses = std::mem::take(&mut self.lost) && now.since(before) >= SHORTEST_LAPSE;
+        self.grace_until = lapses.then(|| now + RETURN_GRACE);
         self.last_news = now;
     }
 
@@ -82,7 +101,7 @@
     /// The store could not be reached lately.
     #[must_use]
     pub fn store_away(&self, now: Time) -> bool {
-        now < self.trusted_again
+        now < self.away_until
     }
 
     /// Takes in a whole list.
@@ -108,9 +127,9 @@
         if copy.revision <= self.revision {
             return;
         }
-        for id in copy.in_grace {
+        for (id, left) in copy.in_grace {
             if self.targets.contains_key(&id) {
-                self.vanished.entry(id).or_insert(now + RETURN_GRACE);
+                self.vanished.entry(id).or_insert(now + left);
             }
         }
         let listed = copy.targets;
@@ -128,11 +147,14 @@
     /// An instance that comes back from a cut keeps a target that is gone for a while, with the
     /// newest revision; were it in the copy, all others would send to it again.
     #[must_use]
-    pub fn copied(&self) -> RegistryCopy {
+    pub fn copied(&self, now: Time) -> RegistryCopy {
+        let vanished = self.vanished.iter();
         RegistryCopy {
             revision: self.revision,
             targets: self.present().cloned().collect(),
-            in_grace: self.vanished.keys().cloned().collect(),
+            in_grace: vanished
+                .map(|(id, until)| (id.clone(), until.since(now)))
+                .collect(),
         }
     }
 
@@ -153,10 +175,10 @@
     /// A registration is gone.
     pub fn remove(&mut self, id: &TargetId, revision: Revision, now: Time) {
         self.revision = self.revision.max(revision);
-        if now < self.trusted_again && self.targets.contains_key(id) {
-            self.vanished
-                .entry(id.clone())
-                .or_insert(now + RETURN_GRACE);
+        if let Some(until) = self.grace_until.filter(|until| now < *until)
+            && self.targets.contains_key(id)
+        {
+            self.vanished.entry(id.clone()).or_insert(until);
             return;
         }
         self.vanished.remove(id);
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::atomic::Ordering;
 
-use bluebellstage_core::Revision;
+use bluebellstage_core::{Revision, Time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -87,7 +87,7 @@
         return own_answer(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     }
     let have = Have::parse(req.uri().query().unwrap_or(""));
-    let copy = copy(&node.tables(), have);
+    let copy = copy(&node.tables(), have, node.now());
     match bincode::serialize(&copy) {
         Ok(body) => Response::new(whole(Bytes::from(body))),
         Err(err) => own_answer(
@@ -99,7 +99,7 @@
     }
 }
 
-fn copy(tables: &Tables, have: Have) -> Copy {
+fn copy(tables: &Tables, have: Have, now: Time) -> Copy {
     let config = tables.routes.version() > have.config;
     let targets = tables.registry.digest() != have.targets_digest;
     let versions = tables.versions.total() > have.versions;
@@ -108,7 +108,7 @@
         copy.config = Some(tables.routes.config().as_ref().clone());
     }
     if targets {
-        let mut registry = tables.registry.copied();
+        let mut registry = tables.registry.copied(now);
         // What an engine holds changes all the time, and its loader tells it.
         for target in &mut registry.targets {
             target.adapters.clear();
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -309,11 +309,15 @@
     let tables = node.tables();
     let now = node.now();
     let newer = tables.peers.live(now).filter(|peer| tables.is_behind(peer));
-    let mut newer = newer.map(|peer| &peer.member).collect::<Vec<_>>();
+    let mut newer = newer.collect::<Vec<_>>();
     // Whoever is first in some order would be asked by all at once, and answer none in time.
     newer.shuffle(&mut rand::rng());
-    newer.sort_by_key(|member| member.failure_domain != tables.me.failure_domain);
-    let addresses = newer.iter().map(|member| member.control);
+    // One that has just lost the store keeps targets for a while that the others know to be gone.
+    newer.sort_by_key(|peer| {
+        let away = peer.member.failure_domain != tables.me.failure_domain;
+        (!peer.store_answers, away)
+    });
+    let addresses = newer.iter().map(|peer| peer.member.control);
     addresses.take(COPY_SOURCES).collect()
 }
 
