--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -36,6 +36,11 @@
 /// Longest time after which an order without an answer is carried out, by the users' sheet of
 /// disruptions, and a little more.
 const LATE_ORDER: Duration = Duration::from_secs(13);
+/// One slot in so many is kept free while loads of the engine's former life may come of which this
+/// instance knows nothing: a holder that died took the list of its unanswered orders along. An
+/// engine that such a load overfills crashes. Several of them come one after the other only if each
+/// names the engine's very count; four of 30 slots, two of 13.
+const UNKNOWN_PART: usize = 8;
 /// Longest time by which a report lags.
 const LONGEST_LAG: Duration = Duration::from_secs(1);
 /// Pause before another try when nothing can be evicted.
@@ -74,6 +79,8 @@
     model_wanted: Option<BaseModel>,
     not_before: Time,
     must_read: bool,
+    /// Until then loads may come that another holder ordered in the engine's former life.
+    unknown_until: Time,
     /// Loads without an answer in this life of the engine.
     late: Vec<LateLoad>,
     /// The same from its former life.
@@ -99,6 +106,7 @@
             model_wanted: None,
             not_before: Time::default(),
             must_read: false,
+            unknown_until: Time::default(),
             late: Vec::new(),
             late_before: Vec::new(),
             unanswered: 0,
@@ -106,6 +114,13 @@
         }
     }
 
+    /// Takes into account when the engine's present life was first seen.
+    #[must_use]
+    pub fn in_life_since(mut self, since: Time) -> Self {
+        self.unknown_until = since + LATE_ORDER;
+        self
+    }
+
     /// Keeps slots for loads that were ordered in the engine's former life.
     #[must_use]
     pub fn after(mut self, former: &Self) -> Self {
@@ -128,7 +143,12 @@
             .collect::<Vec<_>>();
         counts.sort_unstable();
         counts.dedup();
-        counts.len().min(self.slots / 2)
+        let unknown = if now < self.unknown_until {
+            self.slots.div_ceil(UNKNOWN_PART)
+        } else {
+            0
+        };
+        counts.len().max(unknown).min(self.slots / 2)
     }
 
     /// A request wants `key`, at `version` or newer.
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -42,6 +42,8 @@
 pub struct Registry {
     targets: BTreeMap<TargetId, Target>,
     vanished: HashMap<TargetId, Time>,
+    /// When this instance first saw each target's present life.
+    lives: HashMap<TargetId, Time>,
     revision: Revision,
     away_until: Time,
     /// The store's last answer to this instance was a failure.
@@ -116,7 +118,7 @@
             self.remove(&id, revision, now);
         }
         for target in targets {
-            self.put(target, revision);
+            self.put(target, revision, now);
         }
         self.revision = self.revision.max(revision);
     }
@@ -137,7 +139,7 @@
         self.targets
             .retain(|id, _| vanished.contains_key(id) || listed.iter().any(|t| t.id == *id));
         for target in listed {
-            self.put(target, copy.revision);
+            self.put(target, copy.revision, now);
         }
         self.revision = copy.revision;
     }
@@ -166,8 +168,12 @@
     }
 
     /// Takes in one registration.
-    pub fn put(&mut self, target: Target, revision: Revision) {
+    pub fn put(&mut self, target: Target, revision: Revision, now: Time) {
         self.vanished.remove(&target.id);
+        let before = self.targets.get(&target.id);
+        if before.is_none_or(|before| before.born != target.born) {
+            self.lives.insert(target.id.clone(), now);
+        }
         self.targets.insert(target.id.clone(), target);
         self.revision = self.revision.max(revision);
     }
@@ -196,6 +202,8 @@
         for (id, _) in expired {
             self.targets.remove(&id);
         }
+        let targets = &self.targets;
+        self.lives.retain(|id, _| targets.contains_key(id));
     }
 
     /// Digest of what matters to a request: two instances with the same one send to the same
@@ -222,6 +230,12 @@
         self.targets.get(id)
     }
 
+    /// When this instance first saw the present life of a target: no earlier than it began.
+    #[must_use]
+    pub fn life_since(&self, id: &TargetId) -> Option<Time> {
+        self.lives.get(id).copied()
+    }
+
     /// All targets, leaving ones included.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -124,7 +124,8 @@
         if active || !tables.shards.contains(&shard_of(&target.id)) {
             continue;
         }
-        let mut loader = Loader::new(slots);
+        let seen = tables.registry.life_since(&target.id).unwrap_or_default();
+        let mut loader = Loader::new(slots).in_life_since(seen);
         if let Some(former) = former {
             loader = loader.after(&former.loader);
         }
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -246,7 +246,7 @@
         event(told, &[("target", &id), ("address", &address)]);
     }
     tables.residency.registered(&target, now);
-    tables.registry.put(target, revision);
+    tables.registry.put(target, revision, now);
 }
 
 /// Registers this instance, until it is done or the process stops.
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -39,7 +39,9 @@
 #[test]
 fn heartbeats_of_targets_alone_put_nobody_behind() {
     let mut tables = tables();
-    tables.registry.put(target("t1", "court"), Revision(5));
+    tables
+        .registry
+        .put(target("t1", "court"), Revision(5), at(0));
     let same = Peer {
         targets: Revision(9),
         targets_digest: tables.registry.digest(),
@@ -48,7 +50,7 @@
     assert!(!tables.is_behind(&same));
     let mut leaving = target("t1", "court");
     leaving.leaving = true;
-    tables.registry.put(leaving, Revision(10));
+    tables.registry.put(leaving, Revision(10), at(0));
     let newer = Peer {
         targets: Revision(11),
         ..same
@@ -138,7 +140,9 @@
 fn a_target_that_is_gone_does_not_come_back_by_a_copy() {
     let mut returned = tables();
     for name in ["c0", "c1"] {
-        returned.registry.put(target(name, "court"), Revision(1));
+        returned
+            .registry
+            .put(target(name, "court"), Revision(1), at(0));
     }
     returned.registry.store_lost(at(0));
     returned.registry.heard_store(at(4_000));
@@ -147,7 +151,9 @@
     assert!(returned.registry.get(&gone).is_some());
 
     let mut other = tables();
-    other.registry.put(target("c0", "court"), Revision(5));
+    other
+        .registry
+        .put(target("c0", "court"), Revision(5), at(0));
     other
         .registry
         .copy(returned.registry.copied(at(4_200)), at(4_200));
@@ -160,7 +166,9 @@
     let mut returned = tables();
     let mut other = tables();
     for tables in [&mut returned, &mut other] {
-        tables.registry.put(target("c1", "court"), Revision(1));
+        tables
+            .registry
+            .put(target("c1", "court"), Revision(1), at(0));
     }
     let id = target("c1", "court").id;
     returned.registry.store_lost(at(0));
@@ -185,7 +193,9 @@
 #[test]
 fn what_vanishes_after_the_return_has_left() {
     let mut tables = tables();
-    tables.registry.put(target("c1", "court"), Revision(1));
+    tables
+        .registry
+        .put(target("c1", "court"), Revision(1), at(0));
     let id = target("c1", "court").id;
     tables.registry.store_lost(at(3_000));
     tables.registry.heard_store(at(4_000));
@@ -199,7 +209,9 @@
 #[test]
 fn what_vanishes_between_two_refusals_has_left() {
     let mut tables = tables();
-    tables.registry.put(target("c1", "court"), Revision(1));
+    tables
+        .registry
+        .put(target("c1", "court"), Revision(1), at(0));
     let id = target("c1", "court").id;
     tables.registry.heard_store(at(3_000));
     tables.registry.store_lost(at(3_500));
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use bluebellstage_core::{AdapterVersion, Time};
+use bluebellstage_core::{AdapterVersion, Revision, Time};
 use bluebellstage_gateway::decide::loader::{LoadStep, Loader, OrderAnswer, OrderKind, Report};
 use support::{adapter, adapter_at, at};
 
@@ -232,3 +232,35 @@
         "{kept:?}"
     );
 }
+
+/// An engine crashes because a load comes on top of all that it holds. Its holder died with the list
+/// of its unanswered orders, the engine was restarted under its name, and the new holder filled it.
+/// Seconds later one of the old loads arrives and names the engine's new count.
+#[test]
+fn slots_are_kept_for_loads_of_a_holder_that_died() {
+    let held = ["a1", "a2", "a3", "a4", "a5", "a6", "a7"];
+    let mut loader = Loader::new(8).in_life_since(at(0));
+    loader.reported(Some(report(9, &held)), at(2_000));
+    loader.wish(adapter("a9"), None, at(4_000));
+    let first = sent(step(&mut loader, at(4_000)));
+    assert!(matches!(first, OrderKind::UnloadAdapter(_)), "{first:?}");
+
+    let mut later = Loader::new(8).in_life_since(at(0));
+    later.reported(Some(report(9, &held)), at(13_000));
+    later.wish(adapter("a9"), None, at(13_001));
+    assert_eq!(sent(step(&mut later, at(13_001))), load("a9"));
+}
+
+/// Whoever has known the engine in its present life for long enough gives away no slot.
+#[test]
+fn a_target_that_only_reports_goes_on_in_its_life() {
+    let mut tables = support::tables();
+    let mut engine = support::target("e1", "writers");
+    let id = engine.id.clone();
+    tables.registry.put(engine.clone(), Revision(1), at(0));
+    tables.registry.put(engine.clone(), Revision(2), at(5_000));
+    assert_eq!(tables.registry.life_since(&id), Some(at(0)));
+    engine.born = Some(99);
+    tables.registry.put(engine, Revision(3), at(9_000));
+    assert_eq!(tables.registry.life_since(&id), Some(at(9_000)));
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -20,7 +20,7 @@
     for idx in 0..count {
         let target = target(&format!("e{idx}"), "writers");
         tables.residency.registered(&target, at(0));
-        tables.registry.put(target, Revision(1));
+        tables.registry.put(target, Revision(1), at(0));
     }
     tables.shards = vec![0, 1, 2, 3];
 }
@@ -155,7 +155,9 @@
 
 fn court(tables: &mut Tables) {
     for name in ["c0", "c1", "c2"] {
-        tables.registry.put(target(name, "court"), Revision(1));
+        tables
+            .registry
+            .put(target(name, "court"), Revision(1), at(0));
     }
 }
 
@@ -211,14 +213,15 @@
     let mut tables = tables();
     court(&mut tables);
     tables.registry.store_lost(at(0));
-    tables.registry.replace(Vec::new(), Revision(2), at(100));
+    tables.registry.heard_store(at(4_000));
+    tables.registry.replace(Vec::new(), Revision(2), at(4_001));
     let filing = call("/file/1", Some("key-1"));
     assert!(matches!(
-        pick(&mut tables, &filing, 0.5, at(200)),
+        pick(&mut tables, &filing, 0.5, at(5_700)),
         Pick::Send { .. }
     ));
-    tables.sweep(at(2_400));
-    assert_eq!(pick(&mut tables, &filing, 0.5, at(2_400)), Pick::Nowhere);
+    tables.sweep(at(5_900));
+    assert_eq!(pick(&mut tables, &filing, 0.5, at(5_900)), Pick::Nowhere);
 }
 
 #[test]
@@ -228,7 +231,7 @@
     for name in ["c0", "c1"] {
         let mut leaving = target(name, "court");
         leaving.leaving = true;
-        tables.registry.put(leaving, Revision(2));
+        tables.registry.put(leaving, Revision(2), at(0));
     }
     let filing = call("/file/1", Some("key-1"));
     assert_eq!(sent_to(&pick(&mut tables, &filing, 0.5, at(1))), "c2");
