--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -45,11 +45,12 @@
 #[serde(transparent)]
 pub struct Strength(pub u32);
 
-/// Silence after which a peer counts as down for callers and takeovers.
-///
-/// Eight rounds of gossip in a small fleet, three in one of 75 instances: that many datagrams in a
-/// row aren't lost by chance on a link that loses one in twenty.
+/// Least silence after which a peer counts as down for callers and takeovers: eight rounds of gossip
+/// in a small fleet.
 pub const DOWN_AFTER: Duration = Duration::from_millis(1_100);
+/// The same in rounds of gossip, in a large fleet: three datagrams in a row aren't lost by chance on
+/// a link that loses one in twenty.
+const DOWN_AFTER_ROUNDS: f64 = 3.15;
 /// Pause between rounds of gossip in a small fleet. Quotas lag by it, and a dead peer is noticed
 /// after several.
 const ROUND: Duration = Duration::from_millis(100);
@@ -58,8 +59,9 @@
 const ROUND_PER_PEER: Duration = Duration::from_millis(4);
 /// Instances beyond which rounds are slower.
 const SMALL_FLEET: usize = 10;
-/// Longest pause between rounds; a peer is taken for down after three of them.
-const LONGEST_ROUND: Duration = Duration::from_millis(350);
+/// Longest pause between rounds; a fleet of 300 reaches it. Each instance then takes in 240 datagrams
+/// a second, where the round of a fleet of 75 would be 855.
+const LONGEST_ROUND: Duration = Duration::from_millis(1_250);
 
 /// Silence after which a peer no longer counts in the division of quotas, budgets and connections.
 ///
@@ -96,12 +98,24 @@
 }
 
 /// All peers, the own instance left out.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
-    peers: BTreeMap<InstanceId, Peer>,
+    known: BTreeMap<InstanceId, Peer>,
     /// Requests of all peers at each target. The sum is kept, not made for each request: over 75
     /// peers and 93 targets that took 7,000 look-ups for every choice of a target.
     requests: HashMap<ShortHash, u32>,
+    /// Silence after which a peer counts as down in a fleet of this size.
+    down_after: Duration,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            known: BTreeMap::new(),
+            requests: HashMap::new(),
+            down_after: DOWN_AFTER,
+        }
+    }
 }
 
 fn subtract(sums: &mut HashMap<ShortHash, u32>, counts: &HashMap<ShortHash, u16>) {
@@ -115,11 +129,11 @@
 impl Peers {
     /// Takes in a registration from the store or from a peer's copy.
     pub fn registered(&mut self, member: Member) {
-        match self.peers.get_mut(&member.name) {
+        match self.known.get_mut(&member.name) {
             Some(peer) if peer.heard.is_some() => {}
             Some(peer) => peer.member = member,
             None => {
-                self.peers
+                self.known
                     .insert(member.name.clone(), Peer::registered(member));
             }
         }
@@ -127,15 +141,15 @@
 
     /// Forgets a registration that is gone, unless the peer is still heard.
     pub fn unregistered(&mut self, name: &InstanceId, now: Time) {
-        let heard = |peer: &Peer| peer.heard_within(DOWN_AFTER, now);
-        if self.peers.get(name).is_some_and(|peer| !heard(peer)) {
+        let heard = |peer: &Peer| peer.heard_within(self.down_after, now);
+        if self.known.get(name).is_some_and(|peer| !heard(peer)) {
             self.ended(name);
         }
     }
 
     /// A peer has ended as planned.
     pub fn ended(&mut self, name: &InstanceId) {
-        if let Some(peer) = self.peers.remove(name) {
+        if let Some(peer) = self.known.remove(name) {
             subtract(&mut self.requests, &peer.in_flight);
         }
     }
@@ -144,15 +158,18 @@
         for (target, count) in &peer.in_flight {
             *self.requests.entry(*target).or_default() += u32::from(*count);
         }
-        if let Some(before) = self.peers.insert(peer.member.name.clone(), peer) {
+        if let Some(before) = self.known.insert(peer.member.name.clone(), peer) {
             subtract(&mut self.requests, &before.in_flight);
         }
     }
 
     /// Takes the requests of peers that fell silent out of the sums, and forgets empty ones.
     pub fn sweep(&mut self, now: Time) {
-        let silent = self.peers.values_mut();
-        let silent = silent.filter(|peer| !peer.heard_within(DOWN_AFTER, now));
+        let rounds = self.round(now).mul_f64(DOWN_AFTER_ROUNDS);
+        self.down_after = rounds.max(DOWN_AFTER);
+        let down_after = self.down_after;
+        let silent = self.known.values_mut();
+        let silent = silent.filter(|peer| !peer.heard_within(down_after, now));
         for peer in silent {
             subtract(&mut self.requests, &peer.in_flight);
             peer.in_flight.clear();
@@ -168,7 +185,7 @@
     /// The registration behind a short hash, if it is of that life.
     #[must_use]
     pub fn member(&self, from: ShortHash, life: u64) -> Option<&Member> {
-        let mut members = self.peers.values().map(|peer| &peer.member);
+        let mut members = self.known.values().map(|peer| &peer.member);
         members.find(|member| {
             member.incarnation.0 == life && ShortHash::of(member.name.as_str()) == from
         })
@@ -176,7 +193,7 @@
 
     /// Takes in who a peer is; a new life replaces the old one.
     pub fn introduced(&mut self, member: Member) {
-        let known = self.peers.get(&member.name);
+        let known = self.known.get(&member.name);
         if known.is_none_or(|peer| peer.member != member) {
             self.insert(Peer::registered(member));
         }
@@ -197,25 +214,26 @@
     /// The peer of that name.
     #[must_use]
     pub fn get(&self, name: &InstanceId) -> Option<&Peer> {
-        self.peers.get(name)
+        self.known.get(name)
     }
 
     /// All peers, silent ones included.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
+        self.known.values()
     }
 
     /// Peers that were heard lately.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
-        let live = move |peer: &&Peer| peer.heard_within(DOWN_AFTER, now);
-        self.peers.values().filter(live)
+        let down_after = self.down_after;
+        let live = move |peer: &&Peer| peer.heard_within(down_after, now);
+        self.known.values().filter(live)
     }
 
     /// Instances that share quotas, budgets and connections, this one included.
     #[must_use]
     pub fn sharing(&self, now: Time) -> usize {
         let shares = |peer: &&Peer| peer.heard_within(GONE_AFTER, now);
-        1 + self.peers.values().filter(shares).count()
+        1 + self.known.values().filter(shares).count()
     }
 
     /// Pause between rounds of gossip.
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -16,7 +16,8 @@
 use crate::packet::{MAX_DATAGRAM_BYTES, Packet, Status, Wish};
 
 use super::log::{LogEvent, event};
-use super::node::{Node, Outgoing};
+use super::node::{Node, Outgoing, Receiver};
+use super::words;
 
 /// Span after its start in which an instance introduces itself in each round.
 const NEW_FOR: Duration = Duration::from_millis(1_500);
@@ -24,6 +25,9 @@
 const INTRODUCE_EVERY: Duration = Duration::from_secs(5);
 /// Age of news that is still told, so that a lost datagram is made up for.
 const NEWS_LASTS: Duration = Duration::from_millis(1_500);
+/// Pause between two rounds even when there is news: a release of many targets is a change in each
+/// of their heartbeats.
+const LEAST_ROUND: Duration = Duration::from_millis(100);
 /// Pause between sends of wishes; a request that misses its adapter waits for it.
 const WISH_ROUND: Duration = Duration::from_millis(4);
 
@@ -39,6 +43,7 @@
         rounds(&node, &socket),
         send_queued(&node, &socket, packets),
         send_wishes(&node),
+        words::run(&node),
     );
 }
 
@@ -50,11 +55,14 @@
         let new = now.since(started) < NEW_FOR;
         if new || now.since(introduced) > INTRODUCE_EVERY {
             introduced = now;
-            node.send(None, introduction(node));
+            node.send(Receiver::All, introduction(node));
         }
         tell_status(node, socket, false).await;
         let pause = node.tables().peers.round(now);
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(pause.min(LEAST_ROUND)).await;
+        let rest = pause.saturating_sub(LEAST_ROUND);
+        // Others learn from these rounds that there is something to copy.
+        let _news_or_time = tokio::time::timeout(rest, node.news.notified()).await;
     }
 }
 
@@ -131,11 +139,12 @@
         let addresses = {
             let tables = node.tables();
             match &to {
-                Some(name) => {
+                Receiver::Peer(name) => {
                     let peer = tables.peers.get(name);
                     peer.map(|peer| peer.member.gossip).into_iter().collect()
                 }
-                None => addresses(&tables, node),
+                Receiver::Address(address) => vec![*address],
+                Receiver::All => addresses(&tables, node),
             }
         };
         for address in addresses {
@@ -171,10 +180,11 @@
         }
         for (holder, batch) in by_holder {
             match holder {
-                None => node.loaders.take(batch, node.now()),
+                None => node.loaders.take(batch, None, node.now()),
                 Some(name) => {
                     for part in batch.chunks(WISHES_IN_A_DATAGRAM) {
-                        node.send(Some(name.clone()), Packet::Wishes(part.to_vec()));
+                        let wishes = Packet::Wishes(part.to_vec());
+                        node.send(Receiver::Peer(name.clone()), wishes);
                     }
                 }
             }
@@ -192,7 +202,7 @@
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => match bincode::deserialize::<Packet>(&buf[..len]) {
                 Ok(packet) => {
-                    if let Some(reply) = take(node, packet) {
+                    if let Some(reply) = take(node, packet, from) {
                         send_to(socket, &encode(&reply), from).await;
                     }
                 }
@@ -208,7 +218,7 @@
 }
 
 /// Takes a datagram in; gives what is to be answered.
-fn take<E: Edge>(node: &Arc<Node<E>>, packet: Packet) -> Option<Packet> {
+fn take<E: Edge>(node: &Arc<Node<E>>, packet: Packet, from: SocketAddr) -> Option<Packet> {
     match packet {
         Packet::Status(status) => return take_status(node, status),
         Packet::WhoIsThere => return Some(introduction(node)),
@@ -219,18 +229,21 @@
             }
         }
         Packet::Wishes(wishes) => {
-            node.loaders.take(wishes, node.now());
+            node.loaders.take(wishes, Some(from), node.now());
             node.loader_work.notify_waiters();
         }
-        Packet::Holdings(word) => {
+        Packet::Holdings(words) => {
             let now = node.now();
-            let adapters = word.adapters();
             let mut tables = node.tables();
-            let news = tables
-                .residency
-                .told(&word.target, word.order, &adapters, now);
+            let news = words.iter().filter(|word| {
+                let adapters = word.adapters();
+                tables
+                    .residency
+                    .told(&word.target, word.order, &adapters, now)
+            });
+            let news = news.count();
             drop(tables);
-            if news {
+            if news > 0 {
                 node.changed.notify_waiters();
             }
         }
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -1,6 +1,7 @@
 //! Runs the loaders of the engines whose shards this instance holds.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 
 use super::caller::call_target;
 use super::log::{LogEvent, event};
-use super::node::Node;
+use super::node::{Node, Receiver};
 
 /// Loads that the holders together allow themselves, as a fraction of those at full speed, while
 /// few wait: shares are uneven, and a load that waits for its turn loses more than one that runs
@@ -33,8 +34,13 @@
 /// Longest wait for the answer to an order. Engines answer in 3 ms, and a machine whose processor
 /// share is used up stands still for most of 100 ms; an order that takes longer than this is taken for lost, which is safe, and the adapter's requests wait no longer.
 const ORDER_WITHIN: Duration = Duration::from_millis(130);
-/// Pause between words on holdings that did not change: a datagram may be lost.
+/// Least pause between words on holdings that did not change: a datagram may be lost.
 const REPEAT_WORD: Duration = Duration::from_secs(4);
+/// The same for each engine of an instance: 750 engines, as many as it may hold before 3,000, are
+/// told of again within 30 s, 25 words or two datagrams a second to each peer.
+const REPEAT_PER_ENGINE: Duration = Duration::from_millis(40);
+/// Age of a wish up to which its sender is told at once what the engine holds.
+const ASKED_LATELY: Duration = Duration::from_millis(1_500);
 /// Pause between looks for engines without a loader.
 const LOOK: Duration = Duration::from_millis(100);
 /// Longest sleep of a loader.
@@ -55,10 +61,17 @@
     word: u64,
     told: Time,
     model_asked: Option<Time>,
+    /// Where instances are whose requests waited for an adapter of it lately.
+    askers: HashMap<SocketAddr, Time>,
     /// Its task runs; one that doesn't is kept for what it knows of unanswered orders.
     active: bool,
 }
 
+fn repeat_word(engines: usize) -> Duration {
+    let engines = u32::try_from(engines).unwrap_or(u32::MAX);
+    REPEAT_PER_ENGINE.saturating_mul(engines).max(REPEAT_WORD)
+}
+
 /// The loaders that run here.
 #[derive(Debug, Default)]
 pub(super) struct Loaders {
@@ -72,12 +85,15 @@
 
     /// Takes in wishes for engines whose loaders run here; others are dropped, as their sender
     /// repeats them to the new holder.
-    pub(super) fn take(&self, wishes: Vec<Wish>, now: Time) {
+    pub(super) fn take(&self, wishes: Vec<Wish>, from: Option<SocketAddr>, now: Time) {
         let mut running = self.lock();
         for wish in wishes {
             let Some(entry) = running.get_mut(&wish.target).filter(|entry| entry.active) else {
                 continue;
             };
+            if let (WishKind::Load(_), Some(from)) = (wish.kind, from) {
+                entry.askers.insert(from, now);
+            }
             match wish.kind {
                 WishKind::Load(version) => entry.loader.wish(wish.key, version, now),
                 WishKind::Begun => entry.loader.begun(&wish.key, now),
@@ -87,6 +103,29 @@
         }
     }
 
+    /// The word on what an engine holds, if one is due, and who waits for it.
+    fn word(&self, id: &TargetId, fencing: u64, now: Time) -> Option<(Holdings, Vec<SocketAddr>)> {
+        let mut running = self.lock();
+        let engines = running.len();
+        let entry = running.get_mut(id)?;
+        let due = now.since(entry.told) > repeat_word(engines);
+        if !entry.loader.take_changed() && !due {
+            return None;
+        }
+        entry.told = now;
+        entry.word += 1;
+        let order = WordOrder {
+            fencing,
+            count: entry.word,
+        };
+        let adapters = entry.loader.holdings(now);
+        entry
+            .askers
+            .retain(|_, asked| now.since(*asked) < ASKED_LATELY);
+        let askers = entry.askers.keys().copied().collect();
+        Some((Holdings::new(id.clone(), order, adapters), askers))
+    }
+
     /// Loads under way, and adapters that wait for one.
     fn load(&self) -> (usize, usize) {
         let running = self.lock();
@@ -136,6 +175,7 @@
             word: 0,
             told: Time::default(),
             model_asked: None,
+            askers: HashMap::new(),
         };
         running.insert(target.id.clone(), entry);
         found.push(target.id.clone());
@@ -363,32 +403,21 @@
     }
 }
 
-/// Tells all instances what the engine holds, when it changed and now and then.
+/// Tells the instances what the engine holds, when it changed and now and then: those at once that
+/// wait for one of its adapters, the others with the next batch.
 fn tell<E: Edge>(node: &Node<E>, id: &TargetId, fencing: u64) {
     let now = node.now();
-    let word = {
-        let mut running = node.loaders.lock();
-        let Some(entry) = running.get_mut(id) else {
-            return;
-        };
-        let due = now.since(entry.told) > REPEAT_WORD;
-        if !entry.loader.take_changed() && !due {
-            return;
-        }
-        entry.told = now;
-        entry.word += 1;
-        let order = WordOrder {
-            fencing,
-            count: entry.word,
-        };
-        let adapters = entry.loader.holdings(now);
-        (order, adapters)
+    let Some((word, askers)) = node.loaders.word(id, fencing, now) else {
+        return;
     };
-    let (order, adapters) = word;
+    let adapters = word.adapters();
     let mut tables = node.tables();
-    tables.residency.told(id, order, &adapters, now);
+    tables.residency.told(id, word.order, &adapters, now);
     drop(tables);
-    let word = Holdings::new(id.clone(), order, adapters);
-    node.send(None, Packet::Holdings(word));
+    for asker in askers {
+        let packet = Packet::Holdings(vec![word.clone()]);
+        node.send(Receiver::Address(asker), packet);
+    }
+    node.words.queue(word);
     node.changed.notify_waiters();
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -25,3 +25,4 @@
 mod stop;
 mod stream;
 mod sync;
+mod words;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -1,5 +1,6 @@
 //! What the tasks of an instance share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -16,9 +17,21 @@
 use super::loaders::Loaders;
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::words::Words;
+
+/// Whom a datagram goes to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Receiver {
+    /// All instances.
+    All,
+    /// One instance.
+    Peer(InstanceId),
+    /// Whoever sent from this address.
+    Address(SocketAddr),
+}
 
-/// Requests that wait for adapters, on their way to the holder of the engine's shard.
-pub type Outgoing = (Option<InstanceId>, Packet);
+/// A datagram that waits to be sent.
+pub type Outgoing = (Receiver, Packet);
 
 /// What the tasks of an instance share.
 #[derive(Debug)]
@@ -33,10 +46,13 @@
     tables: Mutex<Tables>,
     pub(super) pool: Pool,
     pub(super) loaders: Loaders,
+    pub(super) words: Words,
     pub(super) metrics: Metrics,
     pub(super) leases: Leases,
     /// A peer has newer state than this instance.
     pub(super) peer_is_newer: Notify,
+    /// The store told of something that peers lack.
+    pub(super) news: Notify,
     /// An adapter was loaded, a target came or went.
     pub(super) changed: Notify,
     /// A loader has something to do.
@@ -71,9 +87,11 @@
             tables: Mutex::new(tables),
             pool: Pool::default(),
             loaders: Loaders::default(),
+            words: Words::default(),
             metrics: Metrics::new(),
             leases,
             peer_is_newer: Notify::new(),
+            news: Notify::new(),
             changed: Notify::new(),
             loader_work: Notify::new(),
             stop: Notify::new(),
@@ -128,8 +146,8 @@
         self.stop.notify_waiters();
     }
 
-    /// Queues a datagram to one peer, or to all.
-    pub(super) fn send(&self, to: Option<InstanceId>, packet: Packet) {
+    /// Queues a datagram.
+    pub(super) fn send(&self, to: Receiver, packet: Packet) {
         if self.outgoing.try_send((to, packet)).is_err() {
             super::log::event(super::log::LogEvent::DatagramDropped, &[]);
         }
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -126,15 +126,28 @@
         replace_targets(node, targets, revision);
         return;
     }
+    let before = known(&node.tables());
     for object in listing.objects {
         apply_one(node, kind, object);
     }
     if kind == Kind::Targets {
         node.tables().registry.seen(revision);
     }
+    if known(&node.tables()) != before {
+        node.news.notify_one();
+    }
     node.changed.notify_waiters();
 }
 
+/// What peers compare to tell whether this instance knows something that they lack.
+fn known(tables: &Tables) -> (Revision, u32, u64) {
+    (
+        tables.routes.version(),
+        tables.registry.digest(),
+        tables.versions.total(),
+    )
+}
+
 fn target_of(object: Object) -> Option<Target> {
     match object.content? {
         Content::Target(target) => Some(*target),
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -26,8 +26,8 @@
     WhoIsThere,
     /// Requests wait for adapters on an engine; goes to the holder of its shard.
     Wishes(Vec<Wish>),
-    /// What an engine holds; from the holder of its shard to all.
-    Holdings(Holdings),
+    /// What engines hold; from the holder of their shard.
+    Holdings(Vec<Holdings>),
 }
 
 /// State of an instance.
@@ -87,6 +87,13 @@
     Missing,
 }
 
+/// Encoded bytes of an adapter beside its name: the name's length and the version.
+const LENGTH_AND_VERSION: usize = 12;
+/// Encoded bytes of the lengths of a model's name and of its list.
+const LENGTHS: usize = 16;
+/// Encoded bytes of a word's order and of the lengths of its name and list.
+const WORD_HEAD: usize = 32;
+
 /// What an engine holds, by its loader.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Holdings {
@@ -121,6 +128,17 @@
         }
     }
 
+    /// Bytes that it takes in a datagram, or a little more.
+    #[must_use]
+    pub fn estimated_bytes(&self) -> usize {
+        let models = self.models.iter().map(|(model, adapters)| {
+            let adapters = adapters.iter();
+            let adapters = adapters.map(|(adapter, _)| adapter.as_str().len() + LENGTH_AND_VERSION);
+            model.as_str().len() + LENGTHS + adapters.sum::<usize>()
+        });
+        self.target.as_str().len() + WORD_HEAD + models.sum::<usize>()
+    }
+
     /// The adapters, unpacked.
     #[must_use]
     pub fn adapters(&self) -> Vec<AdapterAt> {
