Show an instance's state on the platform; name what decided a refusal

An instance on the platform had no dump, and the tool's status spoke to the daemon alone; a refusal by quota was logged as a printed struct. GET /dump on the control address tells the state without keys; bluebellstage instance ADDRESS prints it. BS3401 has a field for each input.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -54,6 +55,8 @@
     Drain(DrainArgs),
     /// A request's story.
     Explain(ExplainArgs),
+    /// An instance on the platform.
+    Instance(InstanceArgs),
 }
 
 /// Read, compare or change the catalogue.
@@ -246,6 +249,19 @@
     pub(crate) wait_s: u64,
 }
 
+/// Show an instance on the users' platform: configuration, targets, peers, quotas.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "instance")]
+pub(crate) struct InstanceArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// the instance's control address, as IP:PORT
+    #[argh(positional)]
+    pub(crate) control: SocketAddr,
+}
+
 /// Tell a request's story from the logs of instances on the users' platform.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -45,6 +45,13 @@
                 self.field("sends"),
                 self.field("reason"),
             ),
+            "BS3401" if self.field("reason") == "over_quota" => format!(
+                "refused by the quota of {}: it counts as {}, {} were left, {} come in a second",
+                self.field("workspace"),
+                self.field("charge"),
+                self.field("left"),
+                self.field("rate"),
+            ),
             "BS3401" => format!("refused before anything was sent: {}", self.field("reason")),
             "BS3402" => format!(
                 "{} did not run it ({}); it may go elsewhere",
--- /dev/null
+++ b/crates/cli/src/commands/instance.rs
@@ -0,0 +1,131 @@
+//! `instance`: shows an instance on the users' platform.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_gateway::decide::dump::{
+    Dump, PeerDump, QuotaDump, Stage, StoreLink, TargetDump,
+};
+use bluebellstage_gateway::decide::health::Standing;
+use reqwest::Client;
+use reqwest::redirect::Policy;
+
+use crate::args::InstanceArgs;
+use crate::error::{CliError, Exit};
+use crate::output::pretty;
+
+/// An instance answers from memory; one that takes longer is stuck.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn unreachable(address: SocketAddr, error: &reqwest::Error) -> CliError {
+    CliError::Unreachable {
+        url: address.to_string().into(),
+        cause: error.to_string().into(),
+    }
+}
+
+async fn read(address: SocketAddr) -> Result<Dump, CliError> {
+    let http = Client::builder()
+        .redirect(Policy::none())
+        .no_proxy()
+        .timeout(TIMEOUT)
+        .build()
+        .map_err(|error| unreachable(address, &error))?;
+    let answered = http.get(format!("http://{address}/dump")).send().await;
+    let answered = answered.map_err(|error| unreachable(address, &error))?;
+    let dump = answered.json().await;
+    dump.map_err(|error| unreachable(address, &error))
+}
+
+/// Prints the state of the instance at a control address.
+pub(super) async fn run(args: &InstanceArgs) -> Result<Exit, CliError> {
+    let dump = read(args.control).await?;
+    if args.json {
+        let value = serde_json::to_value(&dump).unwrap_or_default();
+        println!("{}", pretty(&value));
+    } else {
+        print!("{}", text(&dump));
+    }
+    Ok(Exit::Done)
+}
+
+fn text(dump: &Dump) -> String {
+    let mut out = String::new();
+    // Writing to a string does not fail.
+    let _infallible = write_dump(&mut out, dump);
+    out
+}
+
+fn write_dump(out: &mut String, dump: &Dump) -> std::fmt::Result {
+    let stage = match dump.stage {
+        Stage::Starting => "starting: no configuration yet",
+        Stage::Ready => "ready",
+        Stage::Stopping => "stopping",
+    };
+    let store = match dump.store {
+        StoreLink::Followed => "followed here",
+        StoreLink::Copied => "copied from peers",
+        StoreLink::Away => "does not answer here",
+    };
+    writeln!(
+        out,
+        "instance   {} in {} ({stage})",
+        dump.instance, dump.failure_domain
+    )?;
+    writeln!(out, "config     version {}", dump.config)?;
+    writeln!(
+        out,
+        "store      {store}, targets at {}",
+        dump.targets_revision
+    )?;
+    writeln!(
+        out,
+        "loading    shards {:?}, {} loads under way",
+        dump.shards, dump.loads
+    )?;
+    dump.targets
+        .iter()
+        .try_for_each(|target| write_target(out, target))?;
+    dump.peers
+        .iter()
+        .try_for_each(|peer| write_peer(out, peer))?;
+    dump.quotas
+        .iter()
+        .try_for_each(|quota| write_quota(out, quota))
+}
+
+fn write_target(out: &mut String, target: &TargetDump) -> std::fmt::Result {
+    let standing = match target.standing {
+        Standing::Good => "",
+        Standing::Trial => "  on trial",
+        Standing::Ejected => "  ejected",
+    };
+    let leaving = if target.leaving { "  leaving" } else { "" };
+    writeln!(
+        out,
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{leaving}",
+        target.id, target.service, target.in_flight, target.slots, target.adapters
+    )
+}
+
+fn write_peer(out: &mut String, peer: &PeerDump) -> std::fmt::Result {
+    let heard = peer.silent_ms.map_or_else(
+        || "never heard".into(),
+        |silent| format!("heard {silent} ms ago"),
+    );
+    let ready = if peer.ready { "ready" } else { "not ready" };
+    writeln!(
+        out,
+        "peer       {}  {heard}  {ready}  config {}",
+        peer.name, peer.config
+    )
+}
+
+fn write_quota(out: &mut String, quota: &QuotaDump) -> std::fmt::Result {
+    writeln!(
+        out,
+        "workspace  {}  {} left, {} a second",
+        quota.workspace, quota.left, quota.rate
+    )
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod change;
 mod drain;
 mod explain;
+mod instance;
 mod key;
 mod request;
 mod state;
@@ -17,6 +18,9 @@
     if let Command::Explain(args) = &args.command {
         return explain::run(args);
     }
+    if let Command::Instance(args) = &args.command {
+        return instance::run(args).await;
+    }
     let admin = Admin::from_args(args)?;
     match &args.command {
         Command::Catalogue(args) => catalogue::run(&admin, &args.command).await,
@@ -26,5 +30,6 @@
         Command::Request(args) => request::run(&admin, &args.command).await,
         Command::Drain(args) => drain::run(&admin, args).await,
         Command::Explain(args) => explain::run(args),
+        Command::Instance(args) => instance::run(args).await,
     }
 }
--- a/crates/gateway/src/decide/health.rs
+++ b/crates/gateway/src/decide/health.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
+use serde::{Deserialize, Serialize};
 
 /// What a request met at a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -48,7 +49,8 @@
 }
 
 /// Whether a target may get a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Standing {
     /// Like any other.
     Good,
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod change_log;
 pub mod config;
+pub mod dump;
 pub mod event_stream;
 pub mod health;
 pub mod lease;
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -13,6 +13,7 @@
 use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
 
 use super::config::Quota;
+use super::dump::QuotaDump;
 use super::rendezvous::ShortHash;
 
 /// Spending of one workspace, counted since the process started.
@@ -189,6 +190,19 @@
         }
     }
 
+    /// What is left of each quota as of its last charge, by name.
+    #[must_use]
+    pub fn dump(&self) -> Vec<QuotaDump> {
+        let dumped = self.buckets.iter().map(|(name, bucket)| QuotaDump {
+            workspace: name.clone(),
+            rate: bucket.quota.rate,
+            left: whole(bucket.level),
+        });
+        let mut dumped = dumped.collect::<Vec<_>>();
+        dumped.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        dumped
+    }
+
     /// What this process has charged, for its peers, where it changed within `span`: long enough
     /// that a lost datagram is made up for by the next ones.
     pub fn spent_lately(
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -101,6 +101,13 @@
         doubt.is_none_or(|until| *until <= now).then_some(version)
     }
 
+    /// Adapters that `target` holds.
+    #[must_use]
+    pub fn count(&self, target: &TargetId) -> usize {
+        let holdings = self.engines.get(target);
+        holdings.map_or(0, |holdings| holdings.adapters.len())
+    }
+
     /// A request goes to `key` at `target`: if that is in doubt, it is the scout.
     pub fn sent(&mut self, target: &TargetId, key: &AdapterKey, now: Time) {
         if self.doubts.is_empty() {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -130,7 +130,7 @@
 }
 
 impl Refusal {
-    /// A short name, for metrics.
+    /// A short name, for metrics and the log.
     #[must_use]
     pub const fn name(&self) -> &'static str {
         match self {
@@ -143,6 +143,28 @@
             Self::NoTarget => "no_target",
         }
     }
+
+    /// What decided it, by name, for the log.
+    #[must_use]
+    pub fn inputs(&self) -> Vec<(&'static str, String)> {
+        let Self::OverQuota {
+            workspace,
+            retry_after,
+            left,
+            charge,
+            rate,
+        } = self
+        else {
+            return Vec::new();
+        };
+        vec![
+            ("workspace", workspace.to_string()),
+            ("charge", charge.to_string()),
+            ("left", left.to_string()),
+            ("rate", rate.0.to_string()),
+            ("retry_after_ms", retry_after.as_millis().to_string()),
+        ]
+    }
 }
 
 impl Tables {
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -1,4 +1,4 @@
-//! Gives peers a copy of what the store told.
+//! Gives peers a copy of what the store told, and operators metrics and a dump of the state.
 
 use std::fmt;
 use std::sync::atomic::Ordering;
@@ -25,6 +25,9 @@
 /// Path of the metrics, on the control address and on one of their own.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the state for operators, on the control address.
+const DUMP_PATH: &str = "/dump";
+
 /// What a peer has already, as the query of its question.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Have {
@@ -90,6 +93,13 @@
         let text = node.metrics.text(&tables, peers, connections);
         return Response::new(whole(Bytes::from(text)));
     }
+    if req.uri().path() == DUMP_PATH {
+        let dump = node.tables().dump(node.now());
+        return match serde_json::to_vec(&dump) {
+            Ok(body) => Response::new(whole(Bytes::from(body))),
+            Err(err) => failed(node, &err),
+        };
+    }
     if req.uri().path() != COPY_PATH {
         return own_answer(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     }
@@ -97,15 +107,15 @@
     let copy = copy(&node.tables(), have, node.now());
     match bincode::serialize(&copy) {
         Ok(body) => Response::new(whole(Bytes::from(body))),
-        Err(err) => own_answer(
-            &node.protocol,
-            StatusCode::INTERNAL_SERVER_ERROR,
-            &err.to_string(),
-            None,
-        ),
+        Err(err) => failed(node, &err),
     }
 }
 
+fn failed<E: Edge>(node: &Node<E>, err: &dyn fmt::Display) -> Response<AnswerBody> {
+    let status = StatusCode::INTERNAL_SERVER_ERROR;
+    own_answer(&node.protocol, status, &err.to_string(), None)
+}
+
 fn copy(tables: &Tables, have: Have, now: Time) -> Copy {
     let config = tables.routes.version() > have.config;
     let targets = tables.registry.digest() != have.targets_digest;
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -94,12 +94,12 @@
     let ticket = match admitted {
         Ok(ticket) => ticket,
         Err(refused) => {
-            let reason = format!("{refused:?}");
             node.metrics.refused(refused.name());
-            event(
-                LogEvent::RequestRefused,
-                &[("request", &call.id), ("reason", &reason)],
-            );
+            let inputs = refused.inputs();
+            let inputs = inputs.iter().map(|(name, value)| (*name, value.as_str()));
+            let fields = [("request", &*call.id), ("reason", refused.name())];
+            let fields = fields.into_iter().chain(inputs).collect::<Vec<_>>();
+            event(LogEvent::RequestRefused, &fields);
             return refusal(&node.protocol, &refused);
         }
     };
