Spread the first lists of targets over a large fleet

By calculation 300 instances listing 3,000 targets in six calls each, beside four other calls, are 3,000 calls at once where the store takes 2,000 a second, and a list that is turned away on one page begins anew. Fleets of 100 and more take turns over 5 ms an instance and take the list from a peer that has it; pauses after a refusal differ between instances.

--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -7,6 +7,7 @@
 use bluebellstage_core::{InstanceId, Revision, TargetId};
 use bytes::Bytes;
 use http::{Request, header};
+use rand::Rng;
 use rand::seq::SliceRandom;
 
 use crate::decide::tables::Tables;
@@ -43,9 +44,63 @@
 /// Time that the store has at the start before peers are asked.
 const STORE_FIRST: Duration = Duration::from_millis(400);
 
+/// Instances that may list all targets at once after a start: a list of 1,000 is two calls, and the
+/// store reads 2,000 a second.
+const LIST_AT_ONCE: usize = 100;
+/// Time over which the lists of a larger fleet are spread, for each instance. Of 300 that had started
+/// at once each listed 3,000 targets in six calls; the store turned most of them away, lists that
+/// broke off began anew, and callers were served again after 30 s.
+const SPREAD_LISTS: Duration = Duration::from_millis(5);
+/// Looks for the list of instances, and the pause between them: the store answers in some 8 ms, and a
+/// fleet that starts for the first time has no list.
+const MEMBER_LOOKS: u32 = 5;
+const MEMBER_LOOK: Duration = Duration::from_millis(10);
+/// Pause between looks whether a peer has told the targets meanwhile.
+const COPY_LOOK: Duration = Duration::from_millis(50);
+
+/// Waits for this instance's turn to list the targets. Gives the revision to follow them from, if a
+/// peer told them first.
+async fn first_targets<E: Edge>(node: &Node<E>) -> Option<Revision> {
+    let fleet = known_fleet(node).await;
+    if fleet < LIST_AT_ONCE {
+        return None;
+    }
+    let fleet = u32::try_from(fleet).unwrap_or(u32::MAX);
+    let turn = SPREAD_LISTS.saturating_mul(fleet);
+    let turn = node.now() + turn.mul_f64(rand::rng().random_range(0.0..1.0));
+    while node.now() < turn {
+        let known = node.tables().registry.revision();
+        if known > Revision::default() {
+            return Some(known);
+        }
+        tokio::time::sleep(COPY_LOOK).await;
+    }
+    None
+}
+
+/// Size of the fleet as the store's list of instances tells it, which is one call.
+async fn known_fleet<E: Edge>(node: &Node<E>) -> usize {
+    for _ in 0..MEMBER_LOOKS {
+        let fleet = node.tables().peers.all().count();
+        if fleet > 0 {
+            return fleet;
+        }
+        tokio::time::sleep(MEMBER_LOOK).await;
+    }
+    0
+}
+
+/// A pause that differs between instances that were turned away together.
+fn spread(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 /// Follows one kind of objects until the process ends, whenever this instance is to.
 pub(super) async fn follow<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
-    let mut after = None;
+    let mut after = match kind {
+        Kind::Targets => first_targets(&node).await,
+        _ => None,
+    };
     let mut pause = RETRY_PAUSE[0];
     let mut lost = false;
     let wait = if kind == Kind::Targets {
@@ -104,7 +159,7 @@
                     let now = node.now();
                     node.tables().registry.store_lost(now);
                 }
-                tokio::time::sleep(pause).await;
+                tokio::time::sleep(spread(pause)).await;
                 pause = (pause * 2).min(RETRY_PAUSE[1]);
             }
         }
