--- a/crates/daemon/src/process/log_event.rs
+++ b/crates/daemon/src/process/log_event.rs
@@ -1,51 +1,8 @@
 //! The numbered log events; docs/EVENTS.md is held to this list by a test.
 
-use log::Level;
+pub(crate) use bluebellstage_telemetry::LOG_TARGET;
 
-/// Where events go; nothing else of this process or its libraries logs there.
-pub(crate) const LOG_TARGET: &str = "bluebellstage::event";
-
-macro_rules! log_events {
-    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal, [$($field:literal),*];)+) => {
-        /// A numbered log event.
-        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub enum LogEvent {$(
-            $(#[$doc])*
-            $name,
-        )+}
-
-        impl LogEvent {
-            /// All events, by number.
-            pub const ALL: &'static [Self] = &[$(Self::$name),+];
-
-            /// The event's number; never reused for another event.
-            #[must_use]
-            pub const fn code(self) -> u16 {
-                match self {$(Self::$name => $code,)+}
-            }
-
-            /// How loud the event is.
-            #[must_use]
-            pub const fn level(self) -> Level {
-                match self {$(Self::$name => Level::$level,)+}
-            }
-
-            /// The event in a few words.
-            #[must_use]
-            pub const fn summary(self) -> &'static str {
-                match self {$(Self::$name => $summary,)+}
-            }
-
-            /// Names of the fields that come with it.
-            #[must_use]
-            pub const fn fields(self) -> &'static [&'static str] {
-                match self {$(Self::$name => &[$($field),*],)+}
-            }
-        }
-    };
-}
-
-log_events! {
+bluebellstage_telemetry::log_events! {
     /// The ports are open and the instance is joining.
     Started = 1001, Info, "instance started", ["instance", "incarnation", "caller", "peer", "admin"];
     /// A planned stop was asked for.
--- a/crates/daemon/src/process/metrics.rs
+++ b/crates/daemon/src/process/metrics.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
+use bluebellstage_telemetry::instruments::Instruments;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 /// Bounds of the buckets of durations, in seconds: 0.5 ms to 60 s.
 const SECONDS_BUCKETS: &[f64] = &[
@@ -15,9 +14,7 @@
 /// Instruments of this process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    // Keeps the instruments' pipeline alive.
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     tokens: Counter<u64>,
@@ -38,97 +35,58 @@
 impl Metrics {
     /// Instruments with a registry of their own, so that several instances fit in one process.
     pub(crate) fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .expect("a registry without names refuses none");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("bluebellstage");
+        let instruments = Instruments::new();
         Self {
-            registry,
-            _provider: provider,
-            requests: counter(
-                &meter,
-                "bluebellstage.requests",
-                "Requests ended, by outcome",
-            ),
-            refusals: counter(
-                &meter,
-                "bluebellstage.refusals",
-                "Requests refused, by kind",
-            ),
-            tokens: counter(
-                &meter,
-                "bluebellstage.tokens",
-                "Tokens delivered to callers",
-            ),
-            time_to_first_token: seconds(
-                &meter,
+            requests: instruments.counter("bluebellstage.requests", "Requests ended, by outcome"),
+            refusals: instruments.counter("bluebellstage.refusals", "Requests refused, by kind"),
+            tokens: instruments.counter("bluebellstage.tokens", "Tokens delivered to callers"),
+            time_to_first_token: instruments.seconds(
                 "bluebellstage.time_to_first_token",
                 "From a request's arrival to its first token",
+                SECONDS_BUCKETS,
             ),
-            queue_time: seconds(
-                &meter,
+            queue_time: instruments.seconds(
                 "bluebellstage.queue_time",
                 "From a request's arrival to its dispatch",
+                SECONDS_BUCKETS,
             ),
-            load_stalls: seconds(
-                &meter,
+            load_stalls: instruments.seconds(
                 "bluebellstage.load_stall",
                 "How long loads of adapters held requests up",
+                SECONDS_BUCKETS,
             ),
-            loads: counter(
-                &meter,
-                "bluebellstage.adapter_loads",
-                "Adapter loads, by outcome",
-            ),
-            platform_calls: counter(
-                &meter,
+            loads: instruments.counter("bluebellstage.adapter_loads", "Adapter loads, by outcome"),
+            platform_calls: instruments.counter(
                 "bluebellstage.platform_calls",
                 "Calls to the platform, by operation and outcome",
             ),
-            control_sent: counter(
-                &meter,
+            control_sent: instruments.counter(
                 "bluebellstage.control_sent_bytes",
                 "Bytes sent to other instances",
             ),
-            messages_dropped: counter(
-                &meter,
+            messages_dropped: instruments.counter(
                 "bluebellstage.control_dropped_messages",
                 "Messages to other instances dropped",
             ),
-            standing: gauge(
-                &meter,
-                "bluebellstage.standing",
-                "1 while this instance may act",
-            ),
-            map_revision: gauge(&meter, "bluebellstage.map_revision", "Map in force here"),
-            catalogue_revision: gauge(
-                &meter,
+            standing: instruments.gauge("bluebellstage.standing", "1 while this instance may act"),
+            map_revision: instruments.gauge("bluebellstage.map_revision", "Map in force here"),
+            catalogue_revision: instruments.gauge(
                 "bluebellstage.catalogue_revision",
                 "Catalogue in force here",
             ),
-            open_requests: gauge(
-                &meter,
-                "bluebellstage.open_requests",
-                "Requests under way here",
-            ),
-            batch_occupancy: gauge(
-                &meter,
+            open_requests: instruments
+                .gauge("bluebellstage.open_requests", "Requests under way here"),
+            batch_occupancy: instruments.gauge(
                 "bluebellstage.batch_occupancy",
                 "Requests in each engine's batch, as last reported",
             ),
+            instruments,
         }
     }
 
     /// All metrics as Prometheus text.
     pub(crate) fn scrape(&self) -> String {
-        let mut text = String::new();
-        // A writer to memory fails only on a malformed metric; what was written so far stands.
-        let _malformed = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text);
-        text
+        self.instruments.text()
     }
 
     pub(crate) fn request_ended(&self, class: &'static str, outcome: &'static str) {
@@ -197,20 +155,3 @@
         self.batch_occupancy.record(u64::from(requests), &labels);
     }
 }
-
-fn counter(meter: &Meter, name: &'static str, what: &'static str) -> Counter<u64> {
-    meter.u64_counter(name).with_description(what).build()
-}
-
-fn gauge(meter: &Meter, name: &'static str, what: &'static str) -> Gauge<u64> {
-    meter.u64_gauge(name).with_description(what).build()
-}
-
-fn seconds(meter: &Meter, name: &'static str, what: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_description(what)
-        .with_unit("s")
-        .with_boundaries(SECONDS_BUCKETS.to_vec())
-        .build()
-}
--- /dev/null
+++ b/crates/gateway/src/net/copying.rs
@@ -0,0 +1,137 @@
+//! Takes what peers know of the store and this instance doesn't.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use rand::seq::SliceRandom;
+
+use crate::decide::tables::Tables;
+use crate::edge::Edge;
+use crate::error::GatewayError;
+
+use super::caller::call;
+use super::control::{COPY_PATH, Copy, Have};
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::sync::adopt;
+
+/// Pause between two copies taken from peers.
+const COPY_PAUSE: Duration = Duration::from_millis(300);
+/// Time for a peer's copy; another peer is asked after it.
+const COPY_WITHIN: Duration = Duration::from_millis(600);
+/// Peers that are asked in turn.
+const COPY_SOURCES: usize = 4;
+/// Time that the store has at the start before peers are asked.
+const STORE_FIRST: Duration = Duration::from_millis(400);
+
+/// Takes newer state from peers until the process ends.
+pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
+    tokio::time::sleep(STORE_FIRST).await;
+    loop {
+        let configured = node.tables().configured();
+        let sources = if configured {
+            node.peer_is_newer.notified().await;
+            tokio::time::sleep(COPY_PAUSE).await;
+            newer_peers(&node)
+        } else {
+            starters(&node)
+        };
+        for address in sources {
+            let have = have(&node.tables());
+            match copy(address, have).await {
+                Ok(copy) => {
+                    take(&node, copy);
+                    event(LogEvent::PeerCopyTaken, &[("peer", &address.to_string())]);
+                    break;
+                }
+                Err(err) => event(
+                    LogEvent::PeerCopyFailed,
+                    &[("peer", &address.to_string()), ("cause", &err.to_string())],
+                ),
+            }
+        }
+        if !configured {
+            tokio::time::sleep(COPY_PAUSE).await;
+        }
+    }
+}
+
+/// Peers that know something of the store that this instance doesn't; those of the own failure
+/// domain first, so that a copy crosses between two once.
+fn newer_peers<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
+    let tables = node.tables();
+    let now = node.now();
+    let newer = tables.peers.live(now).filter(|peer| tables.is_behind(peer));
+    let mut newer = newer.collect::<Vec<_>>();
+    // Whoever is first in some order would be asked by all at once, and answer none in time.
+    newer.shuffle(&mut rand::rng());
+    // One that has just lost the store keeps targets for a while that the others know to be gone.
+    newer.sort_by_key(|peer| {
+        let away = peer.member.failure_domain != tables.me.failure_domain;
+        (!peer.store_answers, away)
+    });
+    let addresses = newer.iter().map(|peer| peer.member.control);
+    addresses.take(COPY_SOURCES).collect()
+}
+
+fn starters<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
+    let seeds = node.terms().seeds.clone();
+    let tables = node.tables();
+    let me = tables.me.control;
+    let peers = tables.peers.all().map(|peer| peer.member.control);
+    seeds
+        .into_iter()
+        .chain(peers)
+        .filter(|seed| *seed != me)
+        .collect()
+}
+
+fn have(tables: &Tables) -> Have {
+    Have {
+        config: tables.routes.version(),
+        targets: tables.registry.copied_up_to(),
+        targets_digest: tables.registry.digest(),
+        versions: tables.versions.total(),
+        members: tables.peers.all().next().is_some(),
+    }
+}
+
+async fn copy(address: SocketAddr, have: Have) -> Result<Copy, GatewayError> {
+    let req = Request::get(format!("{COPY_PATH}?{have}"))
+        .header(header::HOST, address.to_string())
+        .body(Bytes::new())
+        .map_err(|err| GatewayError::Exchange {
+            address,
+            cause: err.to_string().into(),
+        })?;
+    let (_, body) = call(address, req, COPY_WITHIN).await?;
+    bincode::deserialize(&body).map_err(|err| GatewayError::Unreadable {
+        from: address.to_string().into(),
+        what: "a copy of its state",
+        cause: err.to_string().into(),
+    })
+}
+
+fn take<E: Edge>(node: &Node<E>, copy: Copy) {
+    let now = node.now();
+    if let Some(config) = copy.config {
+        adopt(node, config);
+    }
+    let mut tables = node.tables();
+    for news in &copy.versions {
+        tables.versions.announce(news, now);
+    }
+    for member in copy.members {
+        if member.name != tables.me.name {
+            tables.peers.registered(member);
+        }
+    }
+    if let Some(targets) = copy.targets {
+        tables.registry.copy(targets, now);
+    }
+    drop(tables);
+    node.changed.notify_waiters();
+}
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -3,10 +3,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use log::Level;
-
-/// Where events go.
-pub const LOG_TARGET: &str = "bluebellstage::event";
+pub use bluebellstage_telemetry::LOG_TARGET;
 
 /// Events about requests and orders that are written in one second; more are counted and left out, so that a
 /// storm of refusals doesn't spend the processor on telling of it.
@@ -15,47 +12,7 @@
 /// Events from this number on come with each request or order to an engine.
 const FIRST_FREQUENT: u16 = 3_303;
 
-macro_rules! log_events {
-    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $summary:literal;)+) => {
-        /// A numbered log event.
-        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-        pub enum LogEvent {$(
-            $(#[$doc])*
-            $name,
-        )+}
-
-        impl LogEvent {
-            /// All events, by number.
-            pub const ALL: &'static [Self] = &[$(Self::$name),+];
-
-            /// The event's number; never reused for another event.
-            #[must_use]
-            pub const fn code(self) -> u16 {
-                match self {$(Self::$name => $code,)+}
-            }
-
-            /// Whether it comes with each request or order, so that its volume must be bounded.
-            #[must_use]
-            pub const fn is_frequent(self) -> bool {
-                self.code() >= FIRST_FREQUENT
-            }
-
-            /// How loud the event is.
-            #[must_use]
-            pub const fn level(self) -> Level {
-                match self {$(Self::$name => Level::$level,)+}
-            }
-
-            /// The event in a few words.
-            #[must_use]
-            pub const fn summary(self) -> &'static str {
-                match self {$(Self::$name => $summary,)+}
-            }
-        }
-    };
-}
-
-log_events! {
+bluebellstage_telemetry::log_events! {
     /// The instance serves.
     Started = 3001, Info, "instance started";
     /// A planned stop was asked for.
@@ -127,6 +84,14 @@
     RequestAnswered = 3406, Debug, "request answered";
 }
 
+impl LogEvent {
+    /// Whether it comes with each request or order, so that its volume must be bounded.
+    #[must_use]
+    pub const fn is_frequent(self) -> bool {
+        self.code() >= FIRST_FREQUENT
+    }
+}
+
 struct Bound {
     since: Option<Instant>,
     written: u32,
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -3,10 +3,9 @@
 use std::fmt;
 use std::time::Duration;
 
+use bluebellstage_telemetry::instruments::Instruments;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::decide::config::RouteKind;
 use crate::decide::tables::Tables;
@@ -18,9 +17,7 @@
 
 /// Instruments of this process.
 pub(super) struct Metrics {
-    registry: Registry,
-    // Keeps the instruments' pipeline alive.
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     answer_time: Histogram<f64>,
@@ -57,25 +54,17 @@
 impl Metrics {
     /// Instruments with a registry of their own, so that several instances fit in one process.
     pub(super) fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .expect("a registry without names refuses none");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("bluebellstage");
-        let counter = |name, says| meter.u64_counter(name).with_description(says).build();
-        let gauge = |name, says| meter.u64_gauge(name).with_description(says).build();
+        let instruments = Instruments::new();
+        let counter = |name, says| instruments.counter(name, says);
+        let gauge = |name, says| instruments.gauge(name, says);
         Self {
             requests: counter("bluebellstage.requests", "Requests answered, by status"),
             refusals: counter("bluebellstage.refusals", "Requests refused, by reason"),
-            answer_time: meter
-                .f64_histogram("bluebellstage.answer_time")
-                .with_description("From a request's arrival to the head of its answer")
-                .with_unit("s")
-                .with_boundaries(SECONDS_BUCKETS.to_vec())
-                .build(),
+            answer_time: instruments.seconds(
+                "bluebellstage.answer_time",
+                "From a request's arrival to the head of its answer",
+                SECONDS_BUCKETS,
+            ),
             attempts: counter("bluebellstage.attempts", "Attempts at targets, by outcome"),
             ejections: counter("bluebellstage.ejections", "Targets left alone for a while"),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
@@ -85,8 +74,7 @@
             peers: gauge("bluebellstage.live_peers", "Other instances heard lately"),
             connections: gauge("bluebellstage.connections", "Connections of callers"),
             shards: gauge("bluebellstage.loader_shards", "Loader shards held"),
-            registry,
-            _provider: provider,
+            instruments,
         }
     }
 
@@ -131,8 +119,6 @@
         self.peers.record(count(peers), &[]);
         self.connections.record(count(connections), &[]);
         self.shards.record(count(tables.shards.len()), &[]);
-        let families = self.registry.gather();
-        let encoded = TextEncoder::new().encode_to_string(&families);
-        encoded.unwrap_or_else(|err| format!("# metrics can't be written: {err}\n"))
+        self.instruments.text()
     }
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -11,10 +11,12 @@
 mod accept;
 mod attempt;
 mod control;
+mod copying;
 mod directory;
 mod front;
 mod gossip;
 mod leases;
+mod listing_turn;
 mod loaders;
 mod metrics;
 
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -13,7 +13,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::sockets::listen;
-use super::{gossip, leases, loaders, reload, stop, sync};
+use super::{copying, gossip, leases, loaders, reload, stop, sync};
 
 /// Pause between housekeepings.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -72,7 +72,7 @@
         tokio::spawn(sync::follow(Arc::clone(&node), kind));
     }
     tokio::spawn(sync::register(Arc::clone(&node)));
-    tokio::spawn(sync::copy_from_peers(Arc::clone(&node)));
+    tokio::spawn(copying::run(Arc::clone(&node)));
     tokio::spawn(leases::run(Arc::clone(&node)));
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
