Log settings that were taken over without a signal

Cause: what was told was compared with the keys that wait for a restart, which are none where only terms changed, so the change was in force without a line. The test without a signal asks for the line now; it failed before (37 s) and passes.

--- a/crates/gateway/src/net/reload.rs
+++ b/crates/gateway/src/net/reload.rs
@@ -40,28 +40,38 @@
 /// What a look at the settings found.
 enum Outcome {
     Unchanged,
-    Taken { at_restart: String },
-    Refused { cause: String },
+    /// `now`: some are in force now.
+    Taken {
+        now: bool,
+        at_restart: String,
+    },
+    Refused {
+        cause: String,
+    },
 }
 
 impl Outcome {
     fn text(&self) -> String {
         match self {
             Self::Unchanged => String::new(),
-            Self::Taken { at_restart } => at_restart.clone(),
+            Self::Taken { at_restart, .. } => at_restart.clone(),
             Self::Refused { cause } => cause.clone(),
         }
     }
 
     /// Keys that wait for a restart, and a file that stays unreadable, are told of once.
     fn is_news(&self, told: &str) -> bool {
-        !matches!(self, Self::Unchanged) && self.text() != told
+        match self {
+            Self::Unchanged => false,
+            Self::Taken { now: true, .. } => true,
+            Self::Taken { .. } | Self::Refused { .. } => self.text() != told,
+        }
     }
 
     fn tell(&self) {
         match self {
             Self::Unchanged => event(LogEvent::SettingsReloaded, &[("at_restart", "")]),
-            Self::Taken { at_restart } => {
+            Self::Taken { at_restart, .. } => {
                 event(LogEvent::SettingsReloaded, &[("at_restart", at_restart)]);
             }
             Self::Refused { cause } => event(LogEvent::SettingsRefused, &[("cause", cause)]),
@@ -82,10 +92,12 @@
     match compared {
         Reload::Unchanged => Outcome::Unchanged,
         Reload::Changed { terms, at_restart } => {
+            let now = terms.is_some();
             if let Some(terms) = terms {
                 node.take_terms(terms);
             }
             Outcome::Taken {
+                now,
                 at_restart: at_restart.join(","),
             }
         }
