--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -3,9 +3,10 @@
 //! Every instance keeps a bucket for each workspace. It takes its own charges out at once and its
 //! peers' charges when their counts arrive, a fraction of a second later; until then it assumes that
 //! they go on as lately, so that a workspace far beyond its rate isn't let in by all at once whenever
-//! the bucket has something. What a peer that fell silent may spend meanwhile is taken out as an even share of the rate, and that peer, which hears
-//! nobody either, spends no more than such a share. Charges that arrive late drive the bucket below
-//! zero, so an overrun is paid back and doesn't add up.
+//! the bucket has something. What a peer that fell silent may spend meanwhile is taken out as an even
+//! share of the rate, and that peer, which hears nobody either, spends no more than such a share.
+//! Charges that arrive late drive the bucket below zero, so an overrun is paid back and doesn't add
+//! up.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -32,7 +32,8 @@
 /// Longest wait for an engine's report.
 const REPORT_WITHIN: Duration = Duration::from_millis(400);
 /// Longest wait for the answer to an order. Engines answer in 3 ms, and a machine whose processor
-/// share is used up stands still for most of 100 ms; an order that takes longer than this is taken for lost, which is safe, and the adapter's requests wait no longer.
+/// share is used up stands still for most of 100 ms. An order that takes longer than this is taken
+/// for lost, which is safe, and the adapter's requests wait no longer.
 const ORDER_WITHIN: Duration = Duration::from_millis(130);
 /// Least pause between words on holdings that did not change: a datagram may be lost.
 const REPEAT_WORD: Duration = Duration::from_secs(4);
