--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -235,15 +235,14 @@
         Packet::Holdings(words) => {
             let now = node.now();
             let mut tables = node.tables();
-            let news = words.iter().filter(|word| {
+            let mut news = false;
+            for word in words {
                 let adapters = word.adapters();
-                tables
-                    .residency
-                    .told(&word.target, word.order, &adapters, now)
-            });
-            let news = news.count();
+                let residency = &mut tables.residency;
+                news |= residency.told(&word.target, word.order, &adapters, now);
+            }
             drop(tables);
-            if news > 0 {
+            if news {
                 node.changed.notify_waiters();
             }
         }
