--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -195,9 +195,10 @@
     /// given.
     ///
     /// An instance that comes back from a cut keeps a target that is gone for a while, with the
-    /// newest revision; were it in the copy, all others would send to it again. With whole lists
-    /// alone, 3,000 targets before 300 instances were 450 KB a copy, and each took over 0.6 s: a
-    /// new configuration was in force after 5.1 s.
+    /// newest revision; were it in the copy, all others would send to it again.
+    ///
+    /// With whole lists alone a configuration was in force after 5.1 s on 302 instances before 3,000
+    /// targets, and the busiest instance moved 5.6 MB a second; a whole list is 450 KB by calculation.
     #[must_use]
     pub fn copied(&self, have: Revision, now: Time) -> RegistryCopy {
         let vanished = self.vanished.iter();
