Begin nothing on an adapter version that goes out of date in the engine's queue

Cause: the choice of an engine went by the age of the announcement alone. Ruled out: a late announcement (the instance had it 0.1 s after the store).

Each instance now counts the prompt tokens of its requests that engines have not begun, tells peers their sum, and learns from what began how fast each engine reads and how long it let requests wait. An old version gets only what begins within its grace by that; what has not begun 3.8 s after the announcement is taken back.

The test of the choice was seen failing with the wait taken out.

--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -23,6 +23,8 @@
     pub wanted: Option<Wanted>,
     /// Prompt tokens plus the longest answer; none: the workspace's plain charge applies.
     pub tokens: Option<Tokens>,
+    /// Prompt tokens that an engine reads before the first event.
+    pub prompt: Tokens,
     /// Hash of the shared start of the prompt; requests with the same one reuse an engine's cache.
     pub prompt_start: Option<u64>,
     /// Number of the last event that the caller already has.
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -150,7 +150,7 @@
 
     fn dump_targets(&self, now: Time) -> Vec<TargetDump> {
         let dumped = self.registry.all().map(|target| {
-            let others = self.peers.in_flight(ShortHash::of(target.id.as_str()));
+            let others = self.peers.load(ShortHash::of(target.id.as_str())).requests;
             TargetDump {
                 id: target.id.clone(),
                 service: target.service.clone(),
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod loader;
 pub mod peers;
 pub mod placement;
+pub mod prompt_queues;
 pub mod quota;
 pub mod registry;
 pub mod reload;
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -68,6 +68,27 @@
 /// Longer than a cut of a link usually lasts: such a peer still serves its callers.
 pub const GONE_AFTER: Duration = Duration::from_secs(20);
 
+/// What an instance, or all of them, have at a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens of those that have not begun.
+    pub prompts: u32,
+}
+
+impl Load {
+    fn add(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prompts = self.prompts.saturating_add(other.prompts);
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.prompts = self.prompts.saturating_sub(other.prompts);
+    }
+}
+
 /// What a peer last told.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -87,8 +108,8 @@
     pub targets_digest: u32,
     /// Sum of the adapter versions that it knows to be announced.
     pub versions: u64,
-    /// Requests that it has at each target, by the target's hash.
-    pub in_flight: HashMap<ShortHash, u16>,
+    /// What it has at each target, by the target's hash.
+    pub in_flight: HashMap<ShortHash, Load>,
     /// Loads from the weight store that it has under way.
     pub loads: u16,
     /// Loader shards on which it orders.
@@ -103,7 +124,7 @@
     known: BTreeMap<InstanceId, Peer>,
     /// Requests of all peers at each target. The sum is kept, not made for each request: over 75
     /// peers and 93 targets that took 7,000 look-ups for every choice of a target.
-    requests: HashMap<ShortHash, u32>,
+    sums: HashMap<ShortHash, Load>,
     /// Silence after which a peer counts as down in a fleet of this size.
     down_after: Duration,
 }
@@ -112,16 +133,16 @@
     fn default() -> Self {
         Self {
             known: BTreeMap::new(),
-            requests: HashMap::new(),
+            sums: HashMap::new(),
             down_after: DOWN_AFTER,
         }
     }
 }
 
-fn subtract(sums: &mut HashMap<ShortHash, u32>, counts: &HashMap<ShortHash, u16>) {
-    for (target, count) in counts {
+fn subtract(sums: &mut HashMap<ShortHash, Load>, loads: &HashMap<ShortHash, Load>) {
+    for (target, load) in loads {
         if let Some(sum) = sums.get_mut(target) {
-            *sum = sum.saturating_sub(u32::from(*count));
+            sum.subtract(*load);
         }
     }
 }
@@ -150,16 +171,16 @@
     /// A peer has ended as planned.
     pub fn ended(&mut self, name: &InstanceId) {
         if let Some(peer) = self.known.remove(name) {
-            subtract(&mut self.requests, &peer.in_flight);
+            subtract(&mut self.sums, &peer.in_flight);
         }
     }
 
     fn insert(&mut self, peer: Peer) {
-        for (target, count) in &peer.in_flight {
-            *self.requests.entry(*target).or_default() += u32::from(*count);
+        for (target, load) in &peer.in_flight {
+            self.sums.entry(*target).or_default().add(*load);
         }
         if let Some(before) = self.known.insert(peer.member.name.clone(), peer) {
-            subtract(&mut self.requests, &before.in_flight);
+            subtract(&mut self.sums, &before.in_flight);
         }
     }
 
@@ -171,10 +192,10 @@
         let silent = self.known.values_mut();
         let silent = silent.filter(|peer| !peer.heard_within(down_after, now));
         for peer in silent {
-            subtract(&mut self.requests, &peer.in_flight);
+            subtract(&mut self.sums, &peer.in_flight);
             peer.in_flight.clear();
         }
-        self.requests.retain(|_, sum| *sum > 0);
+        self.sums.retain(|_, sum| *sum != Load::default());
     }
 
     /// Takes in what a peer told.
@@ -253,10 +274,10 @@
         f64::from(silent) / f64::from(sharing)
     }
 
-    /// Requests that peers have at a target, as they last told.
+    /// What peers have at a target, as they last told.
     #[must_use]
-    pub fn in_flight(&self, target: ShortHash) -> u32 {
-        self.requests.get(&target).copied().unwrap_or(0)
+    pub fn load(&self, target: ShortHash) -> Load {
+        self.sums.get(&target).copied().unwrap_or_default()
     }
 
     /// The live peer that holds a loader shard.
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -34,6 +34,10 @@
     pub target: &'a Target,
     /// Requests there from all instances, as far as known.
     pub in_flight: u32,
+    /// Time until prompts that wait there are read.
+    pub wait: Duration,
+    /// Longest time that a request took to begin there lately.
+    pub longest_wait: Duration,
     /// This instance may open or reuse a connection.
     pub connectable: bool,
     /// Whoever orders loads there can be asked.
@@ -51,6 +55,8 @@
     pub versions: &'a Versions,
     /// Where this instance runs.
     pub failure_domain: &'a FailureDomain,
+    /// Time to the first event that the request's route aims at.
+    pub target_latency: Duration,
     /// Random, evenly spread.
     pub draw: f64,
     /// The clock.
@@ -194,7 +200,12 @@
         let version = known
             .residency
             .version(&candidate.target.id, key, known.now)?;
-        let usable = known.versions.may_begin(key, version, known.now);
+        let usable = known.versions.may_begin(
+            key,
+            version,
+            candidate.wait.max(candidate.longest_wait),
+            known.now,
+        );
         usable.then_some(version)
     };
     let newest = |candidate: &&&Candidate<'_>| {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -11,8 +11,9 @@
 use super::config::{Config, Route};
 use super::health::Health;
 use super::lease::SHARDS;
-use super::peers::{Member, Peer, Peers};
+use super::peers::{Load, Member, Peer, Peers};
 use super::placement::{Candidate, Known, Pick, pick_engine, pick_plain};
+use super::prompt_queues::{PromptQueues, WaitingKey};
 use super::quota::{Charged, Quotas, Sharing};
 use super::registry::Registry;
 use super::rendezvous::{ShortHash, name_hash};
@@ -56,6 +57,8 @@
     pub residency: Residency,
     /// Newest versions of adapters.
     pub versions: Versions,
+    /// Requests that engines have not begun.
+    pub queues: PromptQueues,
     /// Shards on which this instance may order loads now.
     pub shards: Vec<u8>,
     /// Shards whose leases this instance holds, also while it may not order yet.
@@ -181,6 +184,7 @@
             health: Health::default(),
             residency: Residency::default(),
             versions: Versions::default(),
+            queues: PromptQueues::default(),
             shards: Vec::new(),
             claims: Vec::new(),
             loads: 0,
@@ -306,10 +310,13 @@
             .filter(|target| !tried.contains(&target.id))
             .map(|target| {
                 let own = self.own_in_flight(&target.id);
-                let others = self.peers.in_flight(ShortHash::of(target.id.as_str()));
+                let others = self.peers.load(ShortHash::of(target.id.as_str()));
+                let prompts = self.queues.own(&target.id) + u64::from(others.prompts);
                 Candidate {
                     target,
-                    in_flight: own + others,
+                    in_flight: own + others.requests,
+                    wait: self.queues.reading(&target.id, prompts),
+                    longest_wait: self.queues.longest_wait(&target.id, now),
                     connectable: own < limit,
                     loadable: self.loader_reachable(&target.id, now),
                 }
@@ -320,6 +327,7 @@
             residency: &self.residency,
             versions: &self.versions,
             failure_domain: &self.me.failure_domain,
+            target_latency: ticket.route().target_latency,
             draw,
             now,
         };
@@ -379,11 +387,22 @@
         self.in_flight.get(target).copied().unwrap_or(0)
     }
 
-    /// Requests of this instance at all targets.
-    pub fn all_in_flight(&self) -> impl Iterator<Item = (&TargetId, u32)> {
-        self.in_flight
-            .iter()
-            .map(|(target, count)| (target, *count))
+    /// What this instance has at each target.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&TargetId, Load)> {
+        self.in_flight.iter().map(|(target, requests)| {
+            let load = Load {
+                requests: *requests,
+                prompts: u32::try_from(self.queues.own(target)).unwrap_or(u32::MAX),
+            };
+            (target, load)
+        })
+    }
+
+    /// A request goes to an engine; it waits there until it begins.
+    pub fn sent_prompt(&mut self, target: &TargetId, call: &Call, now: Time) -> WaitingKey {
+        let others = self.peers.load(ShortHash::of(target.as_str())).prompts;
+        self.queues
+            .sent(target, call.prompt.0, u64::from(others), now)
     }
 
     /// A request goes to a target.
@@ -410,6 +429,7 @@
         let registry = &self.registry;
         self.health.keep(|target| registry.get(target).is_some());
         self.residency.keep(|target| registry.get(target).is_some());
+        self.queues.keep(|target| registry.get(target).is_some());
     }
 
     /// Whether requests of this kind need an adapter loaded before they can run.
--- a/crates/gateway/src/decide/versions.rs
+++ b/crates/gateway/src/decide/versions.rs
@@ -12,6 +12,12 @@
 /// Callers are promised the new one within 5 s of its announcement; the announcement may take a
 /// second to arrive here, and a request a second to begin.
 const OLD_VERSION_GRACE: Duration = Duration::from_millis(2_500);
+/// Age of an announcement at which a request that an engine has not begun on an older version is
+/// taken back.
+///
+/// It waits there behind others' prompts, and began 5.1 s after the announcement. The rest of the
+/// 5 s is for the announcement's way here and for the engine to see the connection closed.
+const TAKEN_BACK_AFTER: Duration = Duration::from_millis(3_800);
 
 /// The newest version of each adapter that has had more than one.
 #[derive(Debug, Default)]
@@ -67,12 +73,25 @@
         self.newest(key).is_none_or(|newest| version >= newest)
     }
 
-    /// Whether a request may still begin on `version`.
+    /// Whether a request may be sent to `version` on an engine that begins it within `wait`.
     #[must_use]
-    pub fn may_begin(&self, key: &AdapterKey, version: AdapterVersion, now: Time) -> bool {
+    pub fn may_begin(
+        &self,
+        key: &AdapterKey,
+        version: AdapterVersion,
+        wait: Duration,
+        now: Time,
+    ) -> bool {
         let Some(known) = self.announced.get(key) else {
             return true;
         };
-        version >= known.version || now.since(known.at) < OLD_VERSION_GRACE
+        version >= known.version || now.since(known.at) + wait < OLD_VERSION_GRACE
+    }
+
+    /// When a request on `version` must have begun; none while that is the newest.
+    #[must_use]
+    pub fn must_begin_by(&self, key: &AdapterKey, version: AdapterVersion) -> Option<Time> {
+        let known = self.announced.get(key)?;
+        (version < known.version).then(|| known.at + TAKEN_BACK_AFTER)
     }
 }
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{TargetId, Time};
+use bluebellstage_core::{AdapterVersion, TargetId, Time};
 use bytes::Bytes;
 use http::{Request, request, response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,6 +12,7 @@
 use crate::decide::adapter::AdapterKey;
 use crate::decide::call::{AnswerHead, Call, Forward};
 use crate::decide::health::Met;
+use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Wish, WishKind};
@@ -32,7 +33,9 @@
     node: Arc<Node<E>>,
     pub(super) target: TargetId,
     adapter: Option<AdapterKey>,
-    began: Time,
+    /// Its place in the engine's queue; none once it has begun, and at plain targets.
+    waiting: Option<WaitingKey>,
+    sent: Time,
     judged: bool,
 }
 
@@ -47,12 +50,16 @@
         if let Some(key) = Tables::adapter_of(sending.call) {
             tables.residency.sent(target, key, now);
         }
+        let call = sending.call;
+        let prompts = call.wanted.is_some();
+        let waiting = prompts.then(|| tables.sent_prompt(target, call, now));
         drop(tables);
         let flight = Self {
             node: Arc::clone(node),
             target: target.clone(),
             adapter: Tables::adapter_of(sending.call).cloned(),
-            began: now,
+            waiting,
+            sent: now,
             judged: false,
         };
         flight.tell_loader(WishKind::Begun);
@@ -69,6 +76,13 @@
         }
     }
 
+    /// The engine has begun: it answers with the first event.
+    fn begun(&mut self) {
+        if let Some(waiting) = self.waiting.take() {
+            self.node.tables().queues.began(waiting, self.node.now());
+        }
+    }
+
     /// Notes what the request met; the first word counts.
     pub(super) fn met(&mut self, met: Met) {
         if std::mem::replace(&mut self.judged, true) {
@@ -99,7 +113,7 @@
 
     /// Time since the request was sent.
     pub(super) fn age(&self) -> Duration {
-        self.node.now().since(self.began)
+        self.node.now().since(self.sent)
     }
 }
 
@@ -107,6 +121,9 @@
     fn drop(&mut self) {
         let mut tables = self.node.tables();
         tables.end(&self.target);
+        if let Some(waiting) = self.waiting.take() {
+            tables.queues.gone(waiting);
+        }
         if !self.judged {
             tables.health.trial_void(&self.target);
         }
@@ -132,6 +149,8 @@
     Broken,
     /// No answer in time.
     Silent,
+    /// It had not begun when its adapter's version went out of date.
+    Outdated,
     /// An answer that isn't the target's own, or belongs to another request.
     WrongAnswer,
 }
@@ -159,6 +178,8 @@
     /// Use a kept connection.
     pub(super) reuse: bool,
     pub(super) trial: bool,
+    /// The adapter's version that is asked for.
+    pub(super) version: Option<AdapterVersion>,
     /// Longest wait for the head of the answer.
     pub(super) patience: Duration,
 }
@@ -180,9 +201,12 @@
     };
     let mut flight = Flight::begin(node, target, sending);
     let exchange = exchange(node, target, address, sending, forward);
-    let outcome = match tokio::time::timeout(sending.patience, exchange).await {
-        Ok(outcome) => outcome,
-        Err(_elapsed) => Exchange::Failed(Failure::Silent),
+    let outcome = tokio::select! {
+        outcome = tokio::time::timeout(sending.patience, exchange) => match outcome {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => Exchange::Failed(Failure::Silent),
+        },
+        () = outdated(node, sending) => Exchange::Failed(Failure::Outdated),
     };
     node.metrics.attempted(outcome.name());
     match outcome {
@@ -194,6 +218,7 @@
             flight.met(Met::Unreachable);
             Attempt::Unreachable
         }
+        Exchange::Failed(Failure::Outdated) => Attempt::Failed(Failure::Outdated),
         Exchange::Failed(failure) => {
             if failure != Failure::Silent || sending.patience > LEAST_FAIR_WAIT {
                 flight.met(Met::Failure);
@@ -203,6 +228,24 @@
     }
 }
 
+/// Pause between looks whether a newer version was announced for a request that waits.
+const VERSION_LOOK: Duration = Duration::from_millis(250);
+
+/// Ends when the request must not begin any more, as its adapter's version is out of date.
+async fn outdated<E: Edge>(node: &Node<E>, sending: Sending<'_>) {
+    let (Some(key), Some(version)) = (Tables::adapter_of(sending.call), sending.version) else {
+        return std::future::pending().await;
+    };
+    loop {
+        let by = node.tables().versions.must_begin_by(key, version);
+        let left = by.map_or(VERSION_LOOK, |by| by.since(node.now()).min(VERSION_LOOK));
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
+    }
+}
+
 /// A target that was waited for shorter than this isn't blamed for its silence.
 const LEAST_FAIR_WAIT: Duration = Duration::from_millis(200);
 
@@ -228,6 +271,9 @@
         flight.met(Met::Failure);
         return Attempt::Failed(Failure::WrongAnswer);
     }
+    if parts.status.is_success() {
+        flight.begun();
+    }
     Attempt::Answer(Box::new(Answer {
         parts,
         head,
@@ -250,6 +296,7 @@
             Self::Unreachable => "unreachable",
             Self::Failed(Failure::Broken) => "broken",
             Self::Failed(Failure::Silent) => "silent",
+            Self::Failed(Failure::Outdated) => "outdated",
             Self::Failed(Failure::WrongAnswer) => "wrong_answer",
         }
     }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -306,6 +306,7 @@
             call: &self.call,
             reuse: kind != RouteKind::Unsafe,
             trial,
+            version,
             patience: self.patience(),
         };
         self.sends += 1;
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -90,7 +90,6 @@
 }
 
 fn status(tables: &Tables, ended: bool, now: Time) -> Status {
-    let in_flight = tables.all_in_flight();
     Status {
         from: ShortHash::of(tables.me.name.as_str()),
         life: tables.me.incarnation.0,
@@ -102,11 +101,9 @@
         targets_digest: tables.registry.digest(),
         versions: tables.versions.total(),
         spent: tables.quotas.spent_lately(NEWS_LASTS, now).collect(),
-        in_flight: in_flight
-            .map(|(target, count)| {
-                let count = u16::try_from(count).unwrap_or(u16::MAX);
-                (ShortHash::of(target.as_str()), count)
-            })
+        in_flight: tables
+            .own_loads()
+            .map(|(target, load)| (ShortHash::of(target.as_str()), load))
             .collect(),
         loads: tables.loads,
         shards: tables.shards.clone(),
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -305,7 +305,7 @@
     let slots = holders.iter().map(|other| other.slots).sum::<u32>();
     let busy = holders.iter().map(|other| {
         let hash = ShortHash::of(other.id.as_str());
-        tables.own_in_flight(&other.id) + tables.peers.in_flight(hash)
+        tables.own_in_flight(&other.id) + tables.peers.load(hash).requests
     });
     let fill = f64::from(busy.sum::<u32>()) / f64::from(slots.max(1));
     let needed = holders.len() < LEAST_WITH_MODEL || fill > FETCH_MODEL_ABOVE;
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::adapter::{AdapterAt, AdapterKey};
-use crate::decide::peers::Member;
+use crate::decide::peers::{Load, Member};
 use crate::decide::quota::Spent;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::residency::WordOrder;
@@ -53,8 +53,8 @@
     pub versions: u64,
     /// What workspaces have spent there since it started, where that changed lately.
     pub spent: Vec<(ShortHash, Spent)>,
-    /// Its requests at each target.
-    pub in_flight: Vec<(ShortHash, u16)>,
+    /// What it has at each target.
+    pub in_flight: Vec<(ShortHash, Load)>,
     /// Loads from the weight store that it has under way.
     pub loads: u16,
     /// Loader shards on which it orders.
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bluebellstage_core::Revision;
-use bluebellstage_gateway::decide::peers::{Peer, Strength};
+use bluebellstage_gateway::decide::peers::{Load, Peer, Strength};
 use support::{adapter_at, at, config, peer, tables, target};
 
 fn fleet(count: usize) -> Vec<Peer> {
@@ -314,14 +314,19 @@
     let hash = bluebellstage_gateway::decide::rendezvous::ShortHash::of("c0");
     for (name, count) in [("i1", 3), ("i2", 4), ("i1", 5)] {
         let mut peer = peer(name, at(0));
-        peer.in_flight.insert(hash, count);
+        let load = Load {
+            requests: count,
+            prompts: 10 * count,
+        };
+        peer.in_flight.insert(hash, load);
         tables.peers.heard(peer);
     }
-    assert_eq!(tables.peers.in_flight(hash), 9);
+    assert_eq!(tables.peers.load(hash).requests, 9);
     tables.peers.ended(&peer("i2", at(0)).member.name);
-    assert_eq!(tables.peers.in_flight(hash), 5);
+    assert_eq!(tables.peers.load(hash).requests, 5);
+    assert_eq!(tables.peers.load(hash).prompts, 50);
     tables.peers.sweep(at(2_000));
-    assert_eq!(tables.peers.in_flight(hash), 0);
+    assert_eq!(tables.peers.load(hash).requests, 0);
     tables.peers.heard(peer("i1", at(2_100)));
-    assert_eq!(tables.peers.in_flight(hash), 0);
+    assert_eq!(tables.peers.load(hash).requests, 0);
 }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -120,6 +120,40 @@
     assert_eq!(version, Some(AdapterVersion(2)));
 }
 
+/// A guarantee is drafted by the old weights, 5.1 s after the new ones were announced. The request
+/// was sent to them in time, but waited behind others' prompts at an engine whose queue was long.
+#[test]
+fn an_old_version_gets_nothing_that_waits_past_its_grace() {
+    let mut tables = tables();
+    writers(&mut tables, 2);
+    holds(&mut tables, "e0", "a1", 1);
+    tables.versions.announce(&adapter_at("a1", 2), at(0));
+    let soon = pick(&mut tables, &draft("a1"), 0.5, at(1_500));
+    assert_eq!(sent_to(&soon), "e0");
+    let waiting = tables.queues.sent(&id("e0"), 1_000, 0, at(100));
+    let slow = pick(&mut tables, &draft("a1"), 0.5, at(1_500));
+    assert_eq!(slow, Pick::Load(id("e1")));
+    tables.queues.began(waiting, at(1_600));
+    let remembered = pick(&mut tables, &draft("a1"), 0.5, at(1_700));
+    assert_eq!(remembered, Pick::Load(id("e1")));
+}
+
+/// The same, where the newer version was announced only after the request had been sent.
+#[test]
+fn a_request_that_has_not_begun_on_an_old_version_is_taken_back_in_time() {
+    let mut tables = tables();
+    let key = adapter("a1");
+    let by = |tables: &Tables, version| {
+        let versions = &tables.versions;
+        versions.must_begin_by(&key, AdapterVersion(version))
+    };
+    assert_eq!(by(&tables, 1), None);
+    tables.versions.announce(&adapter_at("a1", 2), at(1_000));
+    let promised = at(1_000) + Duration::from_secs(5);
+    assert!(by(&tables, 1).is_some_and(|by| by + Duration::from_secs(1) < promised));
+    assert_eq!(by(&tables, 2), None);
+}
+
 /// Dozens of requests wait for a hot adapter that comes late; all were refused at once, again and
 /// again, and used up the budget for repeats.
 #[test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -150,6 +150,7 @@
         key: key.map(Into::into),
         wanted: None,
         tokens: None,
+        prompt: Tokens(0),
         prompt_start: None,
         resume_after: None,
     }
