Keep two places for unknown late loads, and prove the account while they may come

After a restart under the same name two loads of the former life came 0.6 s apart; one place of four was kept for them, and no order came between to show that the engine's count had gone on.

Two places at least are kept, the report is read after 250 ms without a proof of the account, and an engine that a late load has filled is emptied again.

--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -41,6 +41,13 @@
 /// engine that such a load overfills crashes. Several of them come one after the other only if each
 /// names the engine's very count; four of 30 slots, two of 13.
 const UNKNOWN_PART: usize = 8;
+/// Least such slots: of two late loads one after the other the second may come before the first one
+/// shows in a report.
+const LEAST_UNKNOWN: usize = 2;
+/// Age of the last proof of the account after which the report is read again while late loads may
+/// come. Nobody hears of them, and an engine that takes no other order would be filled by them one
+/// by one.
+const PROVE_EVERY: Duration = Duration::from_millis(250);
 /// Longest time by which a report lags.
 const LONGEST_LAG: Duration = Duration::from_secs(1);
 /// Pause before another try when nothing can be evicted.
@@ -79,6 +86,8 @@
     model_wanted: Option<BaseModel>,
     not_before: Time,
     must_read: bool,
+    /// When the engine last proved the account, by a report or by taking an order.
+    proved: Time,
     /// Until then loads may come that another holder ordered in the engine's former life.
     unknown_until: Time,
     /// Loads without an answer in this life of the engine.
@@ -106,6 +115,7 @@
             model_wanted: None,
             not_before: Time::default(),
             must_read: false,
+            proved: Time::default(),
             unknown_until: Time::default(),
             late: Vec::new(),
             late_before: Vec::new(),
@@ -144,7 +154,7 @@
         counts.sort_unstable();
         counts.dedup();
         let unknown = if now < self.unknown_until {
-            self.slots.div_ceil(UNKNOWN_PART)
+            self.slots.div_ceil(UNKNOWN_PART).max(LEAST_UNKNOWN)
         } else {
             0
         };
@@ -260,7 +270,16 @@
         let Some(expected) = self.accepted.filter(|_| !self.must_read) else {
             return LoadStep::Read;
         };
+        let kept = self.kept_slots(expected, now);
+        if kept > 0 && now.since(self.proved) > PROVE_EVERY {
+            return LoadStep::Read;
+        }
         self.wake_late(now);
+        let slots = self.slots - kept;
+        if self.resident.len() + self.coming.len() > slots {
+            // A late load has taken a kept slot; the next one would be too many.
+            return self.evict(expected, now);
+        }
         if let Some(model) = self.model_wanted.take() {
             let what = OrderKind::LoadModel(model);
             return LoadStep::Send(Order { what, expected });
@@ -279,7 +298,6 @@
             let what = OrderKind::UnloadAdapter(key);
             return LoadStep::Send(Order { what, expected });
         }
-        let slots = self.slots - self.kept_slots(expected, now);
         if self.resident.len() + self.coming.len() >= slots {
             return self.evict(expected, now);
         }
@@ -374,7 +392,10 @@
         };
         self.unanswered = unanswered;
         match answer {
-            OrderAnswer::Accepted => self.count_to(order.expected + 1),
+            OrderAnswer::Accepted => {
+                self.count_to(order.expected + 1);
+                self.proved = now;
+            }
             // An unload of what is not there is done, too, and not counted: if the next order
             // conflicts, the report settles it.
             OrderAnswer::Done if matches!(order.what, OrderKind::UnloadAdapter(_)) => {
@@ -471,6 +492,7 @@
             }
         }
         self.stale_since = None;
+        self.proved = now;
         if report.busy {
             self.not_before = now + Duration::from_millis(100);
         }
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -242,6 +242,8 @@
     let mut loader = Loader::new(8).in_life_since(at(0));
     loader.reported(Some(report(9, &held)), at(2_000));
     loader.wish(adapter("a9"), None, at(4_000));
+    assert_eq!(step(&mut loader, at(4_000)), LoadStep::Read);
+    loader.reported(Some(report(9, &held)), at(4_000));
     let first = sent(step(&mut loader, at(4_000)));
     assert!(matches!(first, OrderKind::UnloadAdapter(_)), "{first:?}");
 
@@ -264,3 +266,19 @@
     tables.registry.put(engine, Revision(3), at(9_000));
     assert_eq!(tables.registry.life_since(&id), Some(at(9_000)));
 }
+
+/// An engine crashes because late loads of its former life fill it one by one. Nobody else orders
+/// anything there, so nothing shows that its count of orders goes on.
+#[test]
+fn an_engine_that_late_loads_may_fill_is_read_again_and_emptied() {
+    let mut loader = Loader::new(6).in_life_since(at(0));
+    loader.reported(Some(report(4, &["a1", "a2", "a3", "a4"])), at(1_000));
+    assert_eq!(step(&mut loader, at(1_100)), LoadStep::Idle);
+    assert_eq!(step(&mut loader, at(1_300)), LoadStep::Read);
+    let filled = ["a1", "a2", "a3", "a4", "a5"];
+    loader.reported(Some(report(5, &filled)), at(1_300));
+    let order = sent(step(&mut loader, at(1_400)));
+    assert!(matches!(order, OrderKind::UnloadAdapter(_)), "{order:?}");
+    loader.reported(Some(report(5, &filled)), at(14_000));
+    assert_eq!(step(&mut loader, at(15_000)), LoadStep::Idle);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod engine;
+
 use std::time::Duration;
 
 use bluebellstage_core::{
