Refuse at once what engines would begin too late, and let refused callers return sooner

A request that would begin later than 1.25 of its route's target latency (1.3 times that for the first rank, which engines put first) at the least busy engine that has its adapter is refused at once, with the excess as Retry-After; requests move on, and copies are asked for, from 0.5 of the latency on.

--- a/crates/gateway/src/decide/adapter_choice.rs
+++ b/crates/gateway/src/decide/adapter_choice.rs
@@ -57,8 +57,12 @@
         let emptiest = self
             .residents()
             .min_by(|a, b| crowding(a).total_cmp(&crowding(b)));
-        match emptiest {
-            Some(candidate) => self.send(candidate, self.places_for_copies()),
+        match emptiest.map(|candidate| (candidate, candidate.too_late(self.known))) {
+            Some((candidate, Duration::ZERO)) => self.send(candidate, self.places_for_copies()),
+            Some((_, excess)) => Pick::Late {
+                excess,
+                load_at: self.places_for_copies(),
+            },
             None => self.nearest_place().map_or(Pick::Full, Pick::Load),
         }
     }
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -21,11 +21,18 @@
 const LOAD_BELOW: f64 = 0.8;
 /// Wait for the prompts that stand before, in parts of the route's target latency, up to which
 /// requests stay. Long prompts fill an engine when a fifth of its slots is taken. A copy elsewhere
-/// costs a load and a place, so it is made late: with 0.25 a calm day had 825 loads from the weight
-/// store in place of 476, and was worth 0.612 in place of 0.716; with 0.8, 0.699.
-const STAY_WITHIN: f64 = 0.8;
+/// costs a load and a place, so it is not made for each short queue: with 0.25 a calm day had 825
+/// loads from the weight store in place of 476, and was worth 0.612 in place of 0.716.
+const STAY_WITHIN: f64 = 0.5;
 /// The same, beyond which an engine is no place for another copy.
 const LOAD_WITHIN: f64 = 0.3;
+/// Time to the first event, in parts of the route's target latency, beyond which a request is
+/// refused where nothing would begin it sooner. A longer queue makes all that stand in it late and
+/// serves no more of them; a little over 1, as what is told of queues is out of date. Without it
+/// three heavy days were worth 0.428, with 0.8 0.419, with 1.0 0.435, with 1.5 0.448.
+const BEGIN_WITHIN: f64 = 1.25;
+/// How much longer the queue may be for requests of the first rank: engines put them first.
+const FIRST_RANK_FACTOR: f64 = 1.3;
 /// What the way to another failure domain costs a plain request, in parts of a slot's work.
 const AWAY_COST: f64 = 0.15;
 /// What an empty target costs, in the same parts: with it a quick one goes before a slow one.
@@ -42,6 +49,8 @@
     pub in_flight: u32,
     /// Time until prompts that wait there are read.
     pub wait: Duration,
+    /// Time to read the request's own prompt.
+    pub reading: Duration,
     /// Longest time that a request took to begin there lately.
     pub longest_wait: Duration,
     /// This instance may open or reuse a connection.
@@ -65,6 +74,8 @@
     pub failure_domain: &'a FailureDomain,
     /// Time to the first event that the request's route aims at.
     pub target_latency: Duration,
+    /// Rank of the request, 0 first.
+    pub rank: u8,
     /// Where the adapter was asked for lately.
     pub asked: Option<&'a TargetId>,
     /// Random, evenly spread.
@@ -91,6 +102,13 @@
     Load(TargetId),
     /// Everything that could run it is full.
     Full,
+    /// Engines that hold its adapter would begin it too late.
+    Late {
+        /// By how much the least busy of them would.
+        excess: Duration,
+        /// Engines where the adapter should be loaded as well.
+        load_at: Vec<TargetId>,
+    },
     /// Nothing can run it.
     Nowhere,
 }
@@ -111,6 +129,14 @@
         (self.fill() / STAY_BELOW).max(waiting)
     }
 
+    /// By how much the request would begin too late; zero if it wouldn't.
+    pub(super) fn too_late(&self, known: &Known<'_>) -> Duration {
+        let first = known.rank == 0;
+        let longer = if first { FIRST_RANK_FACTOR } else { 1.0 };
+        let limit = known.target_latency.mul_f64(BEGIN_WITHIN * longer);
+        (self.wait + self.reading).saturating_sub(limit)
+    }
+
     /// Whether another adapter may be loaded there beside others that have it.
     pub(super) fn takes_another(&self, known: &Known<'_>) -> bool {
         self.fill() < LOAD_BELOW && self.lateness(known) < LOAD_WITHIN
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -36,6 +36,8 @@
 /// carries at once. A load that comes later serves its request late, and takes the turn of one that
 /// would be in time: with 1.4 s for all a heavy day was worth 0.490, with 0.6 s of 0.8 s 0.526.
 const CROWDED_LOAD_WAIT: f64 = 0.75;
+/// Why a request is refused that would stand in too long a queue.
+const TOO_LATE: &str = "engines would begin it too late: try again";
 /// Pause between looks for a free place at plain targets.
 const FULL_PAUSE: Duration = Duration::from_millis(15);
 /// Wait for the first sign of a plain target, in multiples of the route's target latency, before a
@@ -69,6 +71,8 @@
     Answer(Box<Answer<E>>),
     /// The request has not run and won't.
     NotRun(&'static str),
+    /// The same: every engine that could run it would begin too late, by so much.
+    Late(Duration),
     /// It may have run.
     MayHaveRun(&'static str),
     /// The time is up; it may have run.
@@ -216,9 +220,7 @@
                     trial,
                     load_at,
                 } => {
-                    for place in load_at {
-                        self.wish(place, self.load_wish());
-                    }
+                    self.wish_all(load_at);
                     if let Some(found) = self.try_target(target, version, trial).await {
                         return found;
                     }
@@ -233,6 +235,10 @@
                     let changed = self.node.changed.notified();
                     let _woken = tokio::time::timeout(ASK_AGAIN, changed).await;
                 }
+                Pick::Late { excess, load_at } => {
+                    self.wish_all(load_at);
+                    return self.late(excess);
+                }
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_PAUSE).await,
                 Pick::Full => return self.unserved("all targets are full"),
                 Pick::Nowhere => return self.unserved("no target can run it"),
@@ -253,6 +259,14 @@
         waits.mul_f64(LOAD_WAIT_PART).min(most)
     }
 
+    fn late(&self, excess: Duration) -> Found<E> {
+        if self.runs == 0 {
+            Found::Late(excess)
+        } else {
+            Found::MayHaveRun(TOO_LATE)
+        }
+    }
+
     fn unserved(&self, why: &'static str) -> Found<E> {
         if self.runs == 0 {
             Found::NotRun(why)
@@ -275,6 +289,12 @@
         WishKind::Load(newest)
     }
 
+    fn wish_all(&self, places: Vec<TargetId>) {
+        for place in places {
+            self.wish(place, self.load_wish());
+        }
+    }
+
     fn wish(&self, target: TargetId, kind: WishKind) {
         if let Some(key) = Tables::adapter_of(&self.call) {
             let key = key.clone();
@@ -422,6 +442,11 @@
                 let after = Some(spread_retry_after());
                 (StatusCode::SERVICE_UNAVAILABLE, *why, after)
             }
+            Found::Late(excess) => {
+                self.node.tables().not_run(&self.ticket);
+                let after = Some(*excess + spread_retry_after());
+                (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
+            }
             Found::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
             Found::TimeUp | Found::Answer(_) => {
                 (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -179,6 +179,36 @@
     assert_eq!(sent_to(&pick(&mut tables, &draft("a1"), 0.5, at(63))), "e0");
 }
 
+/// Every answer of a heavy day is late: engines take all that comes, and each request stands behind a
+/// second of others' prompts.
+#[test]
+fn a_request_that_would_begin_too_late_is_refused_at_once() {
+    let mut tables = tables();
+    writers(&mut tables, 1);
+    holds(&mut tables, "e0", "a1", 1);
+    let known = tables.queues.sent(&id("e0"), 1_000, 0, at(0));
+    tables.queues.began(known, at(100));
+    for _request in 0..6 {
+        tables.queues.sent(&id("e0"), 1_000, 0, at(200));
+    }
+    assert_eq!(
+        sent_to(&pick(&mut tables, &draft("a1"), 0.5, at(201))),
+        "e0"
+    );
+    for _request in 0..3 {
+        tables.queues.sent(&id("e0"), 1_000, 0, at(201));
+    }
+    let late = pick(&mut tables, &draft("a1"), 0.5, at(202));
+    let Pick::Late { excess, .. } = late else {
+        panic!("not refused: {late:?}");
+    };
+    let expected = Duration::from_millis(900 - 813);
+    assert!(
+        excess.abs_diff(expected) < Duration::from_millis(2),
+        "{excess:?}"
+    );
+}
+
 /// A hot adapter's engine reads prompts for seconds while others idle: a fifth of its slots is taken,
 /// so it did not count as full.
 #[test]
