Tell in the lease which lives of engines began long ago

Cause: places are kept for orders to an engine's former life for 13 s after its present one is first seen. An instance that restarts, or takes a shard over, sees every life for the first time: after all instances had been killed each engine had four of its six places for 13 s, and after each planned restart of a holder a quarter of the engines. Ruled out: the engines' own clocks (born), as time of day may jump and decides nothing here.

The lease's record names the lives of its engines that its holders know to have begun over 13 s ago; whoever holds it next, or again, keeps no places on these.

--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -11,6 +11,8 @@
 use bluebellstage_core::{InstanceId, Revision, Time};
 use serde::{Deserialize, Serialize};
 
+use super::rendezvous::ShortHash;
+
 /// Number of shards: as many instances at most order loads at once, and so much of the fleet waits
 /// when one of them dies.
 pub const SHARDS: u8 = 4;
@@ -38,6 +40,11 @@
     pub renewal: u64,
     /// The holder gave it up.
     pub released: bool,
+    /// Lives of the shard's engines that began so long ago that no order to a former life can come
+    /// any more. Whoever takes over, or restarts, has not seen them begin: it kept two places of six
+    /// free on each engine for 13 s.
+    #[serde(default)]
+    pub settled: Vec<ShortHash>,
 }
 
 /// What to do next about one shard's lease.
@@ -57,6 +64,8 @@
     me: InstanceId,
     handover: Duration,
     state: State,
+    /// Settled lives that the next write tells.
+    settled: Vec<ShortHash>,
     /// The last that is known of the object is that this instance held it.
     was_mine: bool,
     quiet_until: Time,
@@ -89,6 +98,7 @@
             me,
             handover,
             state: State::Unread,
+            settled: Vec::new(),
             was_mine: false,
             quiet_until: Time::default(),
             next: Time::default(),
@@ -112,6 +122,28 @@
         matches!(&self.state, State::Held { renewed, .. } if now.since(*renewed) < LEASE)
     }
 
+    /// Lives that were settled when the lease was written last; none unless it is held.
+    #[must_use]
+    pub fn settled(&self) -> &[ShortHash] {
+        match &self.state {
+            State::Held { record, .. } => &record.settled,
+            State::Unread | State::Seen { .. } => &[],
+        }
+    }
+
+    /// The next write tells of these lives.
+    pub fn settle(&mut self, lives: Vec<ShortHash>) {
+        self.settled = lives;
+    }
+
+    fn renewed(&self, record: &LeaseRecord) -> LeaseRecord {
+        LeaseRecord {
+            renewal: record.renewal + 1,
+            settled: self.settled.clone(),
+            ..record.clone()
+        }
+    }
+
     /// What to do next. `wanted`: this instance is the one that should hold the lease.
     #[must_use]
     pub fn step(&self, wanted: bool, now: Time) -> LeaseStep {
@@ -128,7 +160,7 @@
                 if now < due {
                     return LeaseStep::Sleep(due);
                 }
-                LeaseStep::Write(renewed_record(record), Some(*revision))
+                LeaseStep::Write(self.renewed(record), Some(*revision))
             }
             State::Unread if !wanted && !self.was_mine => LeaseStep::Sleep(now + LOOK_EVERY),
             State::Unread => LeaseStep::Read,
@@ -179,6 +211,7 @@
             fencing,
             renewal: 1,
             released: false,
+            settled: record.map_or_else(Vec::new, |record| record.settled.clone()),
         };
         LeaseStep::Write(claim, revision)
     }
@@ -255,7 +288,7 @@
         };
         let released = LeaseRecord {
             released: true,
-            ..renewed_record(record)
+            ..self.renewed(record)
         };
         self.holds(now).then_some((released, *revision))
     }
@@ -266,10 +299,3 @@
         self.state = State::Unread;
     }
 }
-
-fn renewed_record(record: &LeaseRecord) -> LeaseRecord {
-    LeaseRecord {
-        renewal: record.renewal + 1,
-        ..record.clone()
-    }
-}
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -38,7 +38,7 @@
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(120);
 /// Longest time after which an order without an answer is carried out, by the users' sheet of
 /// disruptions, and a little more.
-const LATE_ORDER: Duration = Duration::from_secs(13);
+pub const LATE_ORDER: Duration = Duration::from_secs(13);
 /// One slot in so many is kept free while loads of the engine's former life may come of which this
 /// instance knows nothing: a holder that died took the list of its unanswered orders along. An
 /// engine that such a load overfills crashes. Several of them come one after the other only if each
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::change_log::ChangeLog;
-use super::rendezvous::{name_hash, weight};
+use super::rendezvous::{ShortHash, name_hash, weight};
 use super::target::Target;
 
 /// How long after the store's return a registration that lapsed in its outage may take to come back.
@@ -330,6 +330,25 @@
         self.lives.get(id).copied()
     }
 
+    /// Lives among `targets` that began more than `age` ago, or that `before` names as such.
+    #[must_use]
+    pub fn settled(
+        &self,
+        targets: impl Fn(&TargetId) -> bool,
+        before: &[ShortHash],
+        age: Duration,
+        now: Time,
+    ) -> Vec<ShortHash> {
+        let theirs = self.targets.values().filter(|target| targets(&target.id));
+        let settled = theirs.filter_map(|target| {
+            let life = target.life()?;
+            let seen = self.lives.get(&target.id);
+            let old = seen.is_some_and(|seen| now.since(*seen) > age);
+            (old || before.contains(&life)).then_some(life)
+        });
+        settled.collect()
+    }
+
     /// All targets, leaving ones included.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/gateway/src/decide/target.rs
+++ b/crates/gateway/src/decide/target.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::adapter::AdapterAt;
+use super::rendezvous::ShortHash;
 
 /// A target as it last described itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -33,6 +34,13 @@
 }
 
 impl Target {
+    /// Names this life of it; none if it doesn't say when it started.
+    #[must_use]
+    pub fn life(&self) -> Option<ShortHash> {
+        let born = self.born?;
+        Some(ShortHash::of(&format!("{}/{born}", self.id)))
+    }
+
     /// Whether `other` says the same but for the adapters that it holds, which change all the time
     /// and are told by its loader.
     #[must_use]
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -4,11 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, Revision, Time};
+use bluebellstage_core::{InstanceId, Revision, TargetId, Time};
 
 use crate::decide::lease::{LeaseRecord, LeaseStep, SHARDS, ShardLease};
+use crate::decide::loader::LATE_ORDER;
 use crate::decide::peers::Peer;
-use crate::decide::rendezvous::name_hash;
+use crate::decide::rendezvous::{ShortHash, name_hash};
+use crate::decide::tables::shard_of;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
 
@@ -50,6 +52,11 @@
         lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lives of a shard's engines that no late order to a former life can meet, as of the last write.
+    pub(super) fn settled(&self, shard: u8) -> Vec<ShortHash> {
+        self.lock(shard).settled().to_vec()
+    }
+
     /// The fencing number to order with on a shard, while this instance may.
     pub(super) fn may_order(&self, shard: u8, now: Time) -> Option<u64> {
         self.lock(shard).may_order(now)
@@ -88,7 +95,13 @@
     while !node.leases.given_up() && (!node.stopping() || holds(&node, shard)) {
         let now = node.now();
         let wanted = now > meets_until && wanted(&node, shard, now);
-        let step = node.leases.lock(shard).step(wanted, now);
+        let before = node.leases.settled(shard);
+        let settled = settled(&node, shard, &before, now);
+        let step = {
+            let mut lease = node.leases.lock(shard);
+            lease.settle(settled);
+            lease.step(wanted, now)
+        };
         match step {
             LeaseStep::Sleep(until) => {
                 let pause = until.since(now).min(LONGEST_SLEEP);
@@ -101,6 +114,12 @@
     }
 }
 
+fn settled<E: Edge>(node: &Node<E>, shard: u8, before: &[ShortHash], now: Time) -> Vec<ShortHash> {
+    let ours = |target: &TargetId| shard_of(target) == shard;
+    let tables = node.tables();
+    tables.registry.settled(ours, before, LATE_ORDER, now)
+}
+
 fn holds<E: Edge>(node: &Node<E>, shard: u8) -> bool {
     node.leases.lock(shard).holds(node.now())
 }
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -1,12 +1,13 @@
 //! Runs the loaders of the engines whose shards this instance holds.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
 
+use crate::decide::lease::SHARDS;
 use crate::decide::loader::{LoadStep, Loader, Order, OrderAnswer, OrderKind};
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::residency::WordOrder;
@@ -162,6 +163,8 @@
 }
 
 fn engines_without_loader<E: Edge>(node: &Node<E>) -> Vec<TargetId> {
+    let settled = (0..SHARDS).flat_map(|shard| node.leases.settled(shard));
+    let settled = settled.collect::<HashSet<_>>();
     let tables = node.tables();
     let mut running = node.loaders.lock();
     running.retain(|id, entry| entry.active || tables.registry.get(id).is_some());
@@ -175,9 +178,14 @@
         if active || !tables.shards.contains(&shard_of(&target.id)) {
             continue;
         }
-        let seen = tables.registry.life_since(&target.id).unwrap_or_default();
+        let known = target.life().is_some_and(|life| settled.contains(&life));
+        let seen = tables.registry.life_since(&target.id);
+        let seen = seen.filter(|_| !known);
         let shown = running.values().map(|entry| entry.loader.copies()).min();
-        let mut loader = Loader::new(slots).in_life_since(seen);
+        let mut loader = Loader::new(slots);
+        if let Some(seen) = seen {
+            loader = loader.in_life_since(seen);
+        }
         if let Some(copies) = shown {
             loader = loader.keeping(copies);
         }
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -195,3 +195,43 @@
         "{taken:?}"
     );
 }
+
+/// After a restart of all instances each engine had two of six places kept free for 13 s, for orders to
+/// a former life that had ended long before: nobody knew any more when the present one began.
+#[test]
+fn lives_that_began_long_ago_are_told_to_whoever_holds_the_lease_next() {
+    let mut tables = support::tables();
+    for name in ["e0", "e1"] {
+        let engine = support::target(name, "writers");
+        tables.registry.put(engine, Revision(1), at(0));
+    }
+    let age = Duration::from_secs(13);
+    let all = |_: &bluebellstage_core::TargetId| true;
+    let young = tables.registry.settled(all, &[], age, at(12_000));
+    assert_eq!(young, []);
+    let lives = tables.registry.settled(all, &[], age, at(14_000));
+    assert_eq!(lives.len(), 2);
+
+    let mut store = Store::default();
+    let mut first = lease("one");
+    take(&mut store, &mut first, at(14_000));
+    first.settle(lives.clone());
+    store.run(&mut first, true, at(16_000));
+    let mut reborn = lease("one");
+    take(&mut store, &mut reborn, at(17_000));
+    assert_eq!(reborn.settled(), lives);
+
+    let mut fresh = support::tables();
+    for name in ["e0", "e1"] {
+        let mut engine = support::target(name, "writers");
+        if name == "e1" {
+            engine.born = Some(99);
+        }
+        fresh.registry.put(engine, Revision(2), at(17_000));
+    }
+    let known = fresh
+        .registry
+        .settled(all, reborn.settled(), age, at(17_100));
+    let unchanged = support::target("e0", "writers").life();
+    assert_eq!(known, Vec::from_iter(unchanged));
+}
