Play heavy loads in virtual time, and decide how long to ask for an adapter apart from the network

Callers with retries, seven instances whose news is a tenth of a second old, engines that read prompts one after the other and a weight store that all share, around the real tables, choices and loaders.

--- a/crates/gateway/src/decide/loader/wish.rs
+++ b/crates/gateway/src/decide/loader/wish.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::{AdapterVersion, Time};
 
-use crate::decide::placement::ASK_AGAIN;
+use crate::decide::load_wait::ASK_AGAIN;
 
 /// Age at which a wish that nobody repeated is dropped: three repeats are lost or late.
 ///
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod event_stream;
 pub mod health;
 pub mod lease;
+pub mod load_wait;
 pub mod loader;
 pub mod peers;
 pub mod placement;
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -247,6 +247,3 @@
         load_at,
     }
 }
-
-/// Pause after which a request that waits for a load asks for it again; datagrams get lost.
-pub const ASK_AGAIN: Duration = Duration::from_millis(60);
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -12,7 +12,8 @@
 
 use crate::decide::call::{Call, Forward};
 use crate::decide::config::RouteKind;
-use crate::decide::placement::{ASK_AGAIN, Pick};
+use crate::decide::load_wait::{ASK_AGAIN, LoadWait, load_wait};
+use crate::decide::placement::Pick;
 use crate::decide::tables::{Refusal, Tables, Ticket};
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Wish, WishKind};
@@ -27,19 +28,6 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// Least time left that makes an attempt worth sending.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(15);
-/// Longest time to ask for an adapter, in parts of what the caller waits.
-const LOAD_WAIT_PART: f64 = 0.4;
-/// The same at all. Callers give a stream up after two seconds without an event; one that is told
-/// earlier comes back.
-const LONGEST_ASKING: Duration = Duration::from_millis(1_050);
-/// The same in parts of the route's target latency, while many adapters wait for the weight store. A
-/// load that comes later serves its request late, and takes the turn of one that would be in time:
-/// with 1.4 s for all a heavy day was worth 0.490, with 0.6 s of 0.8 s 0.526.
-const CROWDED_ASKING: f64 = 0.4;
-/// How long a request that asks no more waits for a load that may be under way: 250 ms at full speed,
-/// a little more as holders know of each other late. Refused while its load came, it left a place
-/// taken for nobody; three heavy days were worth 0.437, and 0.462 with it.
-const LOAD_UNDER_WAY: Duration = Duration::from_millis(350);
 /// Why a request is refused that would stand in too long a queue.
 const TOO_LATE: &str = "engines would begin it too late: try again";
 /// Pause between looks for a free place at plain targets.
@@ -230,14 +218,13 @@
                     }
                 }
                 Pick::Load(target) => {
-                    let asks = self.longest_asking(now);
-                    let waited = now.since(began);
-                    if waited > asks + LOAD_UNDER_WAY {
-                        self.log_attempt(&target, "adapter not loaded in time");
-                        return self.unserved("its adapter could not be loaded in time");
-                    }
-                    if waited <= asks {
-                        self.wish(target, self.load_wish());
+                    match self.load_wait(began, now) {
+                        LoadWait::Ask => self.wish(target, self.load_wish()),
+                        LoadWait::Wait => {}
+                        LoadWait::GiveUp => {
+                            self.log_attempt(&target, "adapter not loaded in time");
+                            return self.unserved("its adapter could not be loaded in time");
+                        }
                     }
                     self.node.loader_work.notify_waiters();
                     let changed = self.node.changed.notified();
@@ -254,17 +241,15 @@
         }
     }
 
-    /// How long the request asks for its adapter, before it only waits for a load under way.
-    fn longest_asking(&self, now: Time) -> Duration {
-        let waits = self.call.patience.unwrap_or(self.ticket.route().timeout);
+    fn load_wait(&self, began: Time, now: Time) -> LoadWait {
+        let route = self.ticket.route();
         let crowded = self.node.tables().loads_crowded(&self.ticket, now);
-        let most = if crowded {
-            let latency = self.ticket.route().target_latency;
-            latency.mul_f64(CROWDED_ASKING)
-        } else {
-            LONGEST_ASKING
-        };
-        waits.mul_f64(LOAD_WAIT_PART).min(most)
+        load_wait(
+            now.since(began),
+            self.call.patience.unwrap_or(route.timeout),
+            route.target_latency,
+            crowded,
+        )
     }
 
     fn late(&self, excess: Duration) -> Found<E> {
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -32,6 +32,8 @@
     late: Vec<(Time, Order)>,
     /// The most adapters that it was ever told to hold.
     pub most: usize,
+    /// Time of the next load.
+    pub load_takes: Duration,
     /// Starts; the count of orders begins anew with each.
     pub starts: u64,
 }
@@ -45,6 +47,7 @@
             past: VecDeque::new(),
             late: Vec::new(),
             most: 0,
+            load_takes: LOAD,
             starts: 1,
         }
     }
@@ -121,7 +124,7 @@
             return OrderAnswer::Done;
         }
         self.state.accepted += 1;
-        let ready = now + LOAD;
+        let ready = now + self.load_takes;
         self.state.coming.insert(key.clone(), (version, ready));
         let told = self.state.held.len() + self.state.coming.len();
         self.most = self.most.max(told);
@@ -141,6 +144,11 @@
         OrderAnswer::Done
     }
 
+    /// Loads under way.
+    pub fn coming(&self) -> usize {
+        self.state.coming.len()
+    }
+
     fn open_on(&self, key: &AdapterKey) -> u32 {
         self.open.get(key).copied().unwrap_or(0)
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod desk;
 pub mod engine;
 
 use std::time::Duration;
