Tell where the time of all requests went, from the logs

bluebellstage losses reads the logs of any number of instances and counts requests in time, late (by what took most of their time: quota, adapter, target, attempts), refused and failed, by cause, second, route, workspace or target, as text or JSON. Lines of other programs, cut lines and bytes that are no text are counted and passed over. For that the line on an answered request gained its target, the times of its parts and the route's aim; its number a second is bounded as before.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -55,6 +55,8 @@
     Drain(DrainArgs),
     /// A request's story.
     Explain(ExplainArgs),
+    /// Where all requests' time went.
+    Losses(LossesArgs),
     /// An instance on the platform.
     Instance(InstanceArgs),
 }
@@ -262,6 +264,54 @@
     pub(crate) control: SocketAddr,
 }
 
+/// Tell where the time of late, refused and failed requests went, from the logs of instances on the
+/// users' platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub(crate) struct LossesArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// how to group: cause, second, route, workspace or target; default: cause
+    #[argh(option, default = "LossesBy::Cause")]
+    pub(crate) by: LossesBy,
+
+    /// files with logs; none: standard input
+    #[argh(positional)]
+    pub(crate) logs: Vec<PathBuf>,
+}
+
+/// How losses are grouped, beside their cause.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LossesBy {
+    /// By cause alone.
+    Cause,
+    /// By the second of the log.
+    Second,
+    /// By route.
+    Route,
+    /// By workspace.
+    Workspace,
+    /// By target.
+    Target,
+}
+
+impl std::str::FromStr for LossesBy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "cause" => Ok(Self::Cause),
+            "second" => Ok(Self::Second),
+            "route" => Ok(Self::Route),
+            "workspace" => Ok(Self::Workspace),
+            "target" => Ok(Self::Target),
+            _ => Err("name cause, second, route, workspace or target".into()),
+        }
+    }
+}
+
 /// Tell a request's story from the logs of instances on the users' platform.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,8 @@
 mod explain;
 mod instance;
 mod key;
+mod log_lines;
+mod losses;
 mod request;
 mod state;
 
@@ -18,6 +20,9 @@
     if let Command::Explain(args) = &args.command {
         return explain::run(args);
     }
+    if let Command::Losses(args) = &args.command {
+        return losses::run(args);
+    }
     if let Command::Instance(args) = &args.command {
         return instance::run(args).await;
     }
@@ -30,6 +35,7 @@
         Command::Request(args) => request::run(&admin, &args.command).await,
         Command::Drain(args) => drain::run(&admin, args).await,
         Command::Explain(args) => explain::run(args),
+        Command::Losses(args) => losses::run(args),
         Command::Instance(args) => instance::run(args).await,
     }
 }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -55,6 +55,10 @@
     pub(super) runs: u32,
     /// Attempts that were sent.
     pub(super) sends: u32,
+    /// Time for which its adapter was waited for.
+    pub(super) load_waited: Duration,
+    /// The target of the last attempt, and when it was sent.
+    pub(super) last_send: Option<(TargetId, Time)>,
 }
 
 /// How the search for an answer ended.
@@ -123,6 +127,8 @@
         tried: Vec::new(),
         runs: 0,
         sends: 0,
+        load_waited: Duration::ZERO,
+        last_send: None,
     };
     job.run().await
 }
@@ -229,6 +235,7 @@
                     self.node.loader_work.notify_waiters();
                     let changed = self.node.changed.notified();
                     let _woken = tokio::time::timeout(ASK_AGAIN, changed).await;
+                    self.load_waited += self.node.now().since(now);
                 }
                 Pick::Late { excess, load_at } => {
                     self.wish_all(load_at);
@@ -339,6 +346,7 @@
             patience: self.patience(),
         };
         self.sends += 1;
+        self.last_send = Some((target.clone(), now));
         let attempt = send(&self.node, &target, sending, &forward).await;
         match attempt {
             Attempt::Answer(answered) => {
@@ -473,6 +481,11 @@
         let workspace = self.ticket.workspace.as_ref().map(ToString::to_string);
         let workspace = workspace.unwrap_or_default();
         self.note_answer(parts.status);
+        let (target, at_target) = match &self.last_send {
+            Some((target, sent)) => (target.to_string(), self.node.now().since(*sent)),
+            None => (String::new(), Duration::ZERO),
+        };
+        let millis = |span: Duration| span.as_millis().to_string();
         event(
             LogEvent::RequestAnswered,
             &[
@@ -482,6 +495,11 @@
                 ("workspace", &workspace),
                 ("charge", &self.ticket.charge.to_string()),
                 ("sends", &self.sends.to_string()),
+                ("target", &target),
+                ("pause_ms", &millis(self.ticket.pause)),
+                ("load_ms", &millis(self.load_waited)),
+                ("target_ms", &millis(at_target)),
+                ("aim_ms", &millis(self.ticket.route().target_latency)),
                 ("ms", &self.elapsed_ms()),
             ],
         );
