--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -4,18 +4,21 @@
 //! So of two orders that were sent for the same count only one is carried out, however late; an
 //! order without an answer can't break the account of slots.
 
+mod copies;
 mod entry;
 mod order;
+mod places;
 mod wish;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, BaseModel, Time};
-use serde::{Deserialize, Serialize};
 
+use self::copies::MOST_USED;
 use self::entry::{Coming, LateLoad, Resident, Use};
 pub use self::order::{Order, OrderAnswer, OrderKind, Report};
+pub use self::places::Places;
 use self::wish::Wish;
 use super::adapter::{AdapterAt, AdapterKey};
 
@@ -55,28 +58,6 @@
 const LONGEST_LAG: Duration = Duration::from_secs(1);
 /// Pause before another try when nothing can be evicted.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
-/// Adapters that are remembered as used on one engine, for what it may keep copies of in host
-/// memory.
-const MOST_USED: usize = 400;
-/// Part of the copies that an engine is taken to keep beyond which a quick load is a reason to take
-/// it for keeping one more.
-const NEAR_LIMIT: f64 = 0.8;
-
-/// How an engine's places for adapters are taken.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Places {
-    /// Empty ones, and those whose adapter is idle.
-    pub free: u8,
-    /// Adapters that wait for one.
-    pub waiting: u8,
-    /// Adapters of which the engine is taken to keep copies in host memory.
-    pub copies: u8,
-}
-
-fn to_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
-
 /// What to do next for an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LoadStep {
@@ -155,19 +136,6 @@
         self
     }
 
-    /// Begins with what another engine of the same kind showed of its host memory.
-    #[must_use]
-    pub fn keeping(mut self, copies: usize) -> Self {
-        self.copies = copies.max(self.slots);
-        self
-    }
-
-    /// Adapters of which the engine is taken to keep copies in host memory.
-    #[must_use]
-    pub const fn copies(&self) -> usize {
-        self.copies
-    }
-
     /// Keeps slots for loads that were ordered in the engine's former life.
     #[must_use]
     pub fn after(mut self, former: &Self) -> Self {
@@ -219,10 +187,8 @@
         let used = self.touch(key, now);
         used.open = used.open.saturating_sub(1);
         let proof = self.resident.get_mut(key);
-        if let Some(rank) = proof.and_then(|held| held.from_copy.take())
-            && to_f64(rank) > to_f64(self.copies) * NEAR_LIMIT
-        {
-            self.copies = (self.copies + 1).min(MOST_USED);
+        if let Some(rank) = proof.and_then(|held| held.from_copy.take()) {
+            self.had_copy(rank);
         }
     }
 
@@ -245,10 +211,7 @@
             return;
         };
         self.changed = true;
-        if let Some(rank) = resident.from_copy.take() {
-            // It had no copy any more: the load came from the weight store.
-            self.copies = rank.saturating_sub(1).max(self.slots);
-        }
+        let lacked_copy = resident.from_copy.take();
         let first_time = !std::mem::replace(&mut resident.doubted, true);
         if first_time && now.since(resident.since) < LATE_ARRIVAL {
             resident.usable_from = now + LATE_PAUSE;
@@ -258,6 +221,9 @@
             resident.usable_from = Time(u64::MAX);
             self.must_read = true;
         }
+        if let Some(rank) = lacked_copy {
+            self.lacked_copy(rank);
+        }
     }
 
     /// Adapters that can be used now.
@@ -294,24 +260,6 @@
         open.filter(|key| !self.coming.contains_key(*key)).count()
     }
 
-    /// How many more adapters fit now, and how many wait for a place.
-    #[must_use]
-    pub fn places(&self, now: Time) -> Places {
-        let kept = self.kept_slots(self.accepted.unwrap_or(0), now);
-        let usable = self.slots - kept;
-        let taken = self
-            .resident
-            .keys()
-            .filter(|key| self.wishes.contains_key(*key) || self.busy(key, now));
-        let free = usable.saturating_sub(taken.count() + self.coming.len());
-        let small = |count: usize| u8::try_from(count).unwrap_or(u8::MAX);
-        Places {
-            free: small(free),
-            waiting: small(self.waiting()),
-            copies: small(self.copies),
-        }
-    }
-
     /// What to do next. `newest` tells the newest version of an adapter, where it has had several;
     /// `store_free`: another load from the weight store keeps full speed.
     pub fn step(
@@ -384,18 +332,6 @@
         }
     }
 
-    /// Place of `key` among the adapters that the engine held, by their last use; 1: the latest.
-    fn copy_rank(&self, key: &AdapterKey) -> Option<usize> {
-        let last = self.used.get(key)?.last;
-        let later = self.used.values().filter(|used| used.last > last);
-        Some(later.count() + 1)
-    }
-
-    fn has_copy(&self, key: &AdapterKey) -> bool {
-        let rank = self.copy_rank(key);
-        rank.is_some_and(|rank| rank <= self.copies)
-    }
-
     fn arrive(&mut self, newest: &impl Fn(&AdapterKey) -> Option<AdapterVersion>, now: Time) {
         let arrived = self.coming.iter().filter(|(_, coming)| coming.ready <= now);
         let arrived = arrived
@@ -535,16 +471,6 @@
         self.not_before = now + pause;
     }
 
-    fn forget_copies(&mut self) {
-        if self.used.len() <= MOST_USED {
-            return;
-        }
-        let oldest = self.used.iter().min_by_key(|(_, used)| used.last);
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-            self.used.remove(&key);
-        }
-    }
-
     /// The engine told its state, or didn't.
     pub fn reported(&mut self, report: Option<Report>, now: Time) {
         let Some(report) = report else {
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod placement;
 pub mod prompt_queues;
 pub mod quota;
+pub mod refusal;
 pub mod registry;
 pub mod reload;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/gateway/src/net/answers.rs
@@ -0,0 +1,128 @@
+//! What a request's caller is answered, and what is logged of it.
+
+use std::time::Duration;
+
+use bluebellstage_core::TargetId;
+use http::{Response, StatusCode};
+
+use crate::decide::tables::Tables;
+use crate::edge::{Edge, Protocol};
+
+use super::front::{Found, Job, TOO_LATE};
+use super::log::{LogEvent, event};
+use super::refuse::{AnswerBody, answer, spread_retry_after};
+
+impl<E: Edge> Job<E> {
+    pub(super) fn log_not_run(&self, target: &TargetId, misdirected: bool) {
+        let target = target.to_string();
+        let reason = if misdirected {
+            "misdirected"
+        } else {
+            "refused"
+        };
+        event(
+            LogEvent::RequestNotRun,
+            &[
+                ("request", &self.call.id),
+                ("target", &target),
+                ("reason", reason),
+            ],
+        );
+    }
+
+    pub(super) fn log_attempt(&self, target: &TargetId, cause: &str) {
+        let [target, runs] = [target.to_string(), self.runs.to_string()];
+        let adapter = Tables::adapter_of(&self.call).map(ToString::to_string);
+        let adapter = adapter.unwrap_or_default();
+        event(
+            LogEvent::AttemptFailed,
+            &[
+                ("request", &self.call.id),
+                ("target", &target),
+                ("cause", cause),
+                ("runs", &runs),
+                ("adapter", &adapter),
+            ],
+        );
+    }
+
+    pub(super) fn note_answer(&self, status: StatusCode) {
+        let after = self.node.now().since(self.arrived);
+        let kind = self.ticket.route().kind;
+        self.node.metrics.answered(kind, status.as_u16(), after);
+    }
+
+    pub(super) fn elapsed_ms(&self) -> String {
+        self.node.now().since(self.arrived).as_millis().to_string()
+    }
+
+    pub(super) fn own_answer(&self, found: &Found<E>) -> Response<AnswerBody> {
+        let (status, message, after) = match found {
+            Found::NotRun(why) => {
+                self.node.tables().not_run(&self.ticket);
+                let after = Some(spread_retry_after());
+                (StatusCode::SERVICE_UNAVAILABLE, *why, after)
+            }
+            Found::Late(excess) => {
+                self.node.tables().not_run(&self.ticket);
+                let after = Some(*excess + spread_retry_after());
+                (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
+            }
+            Found::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
+            Found::TimeUp | Found::Answer(_) => {
+                (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
+            }
+        };
+        self.note_answer(status);
+        event(
+            LogEvent::RequestRefused,
+            &[
+                ("request", &self.call.id),
+                ("route", &self.ticket.route().name),
+                ("status", status.as_str()),
+                ("reason", message),
+                ("sends", &self.sends.to_string()),
+                ("config", &self.ticket.config().to_string()),
+                ("ms", &self.elapsed_ms()),
+            ],
+        );
+        answer(&self.node.protocol, status, message, after)
+    }
+
+    /// Passes a target's answer on.
+    pub(super) fn pass(
+        &self,
+        parts: &http::response::Parts,
+        body: AnswerBody,
+    ) -> Response<AnswerBody> {
+        let mut res = Response::new(body);
+        *res.status_mut() = parts.status;
+        *res.headers_mut() = self.node.protocol.answer_headers(parts);
+        let workspace = self.ticket.workspace.as_ref().map(ToString::to_string);
+        let workspace = workspace.unwrap_or_default();
+        self.note_answer(parts.status);
+        let (target, at_target) = match &self.last_send {
+            Some((target, sent)) => (target.to_string(), self.node.now().since(*sent)),
+            None => (String::new(), Duration::ZERO),
+        };
+        let millis = |span: Duration| span.as_millis().to_string();
+        event(
+            LogEvent::RequestAnswered,
+            &[
+                ("request", &self.call.id),
+                ("route", &self.ticket.route().name),
+                ("status", parts.status.as_str()),
+                ("workspace", &workspace),
+                ("charge", &self.ticket.charge.to_string()),
+                ("sends", &self.sends.to_string()),
+                ("target", &target),
+                ("pause_ms", &millis(self.ticket.pause)),
+                ("load_ms", &millis(self.load_waited)),
+                ("target_ms", &millis(at_target)),
+                ("aim_ms", &millis(self.ticket.route().target_latency)),
+                ("ms", &self.elapsed_ms()),
+            ],
+        );
+        res
+    }
+}
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -21,7 +21,7 @@
 use super::attempt::{Answer, Attempt, Sending, send};
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::refuse::{AnswerBody, answer, refusal, spread_retry_after, whole};
+use super::refuse::{AnswerBody, answer, refusal, whole};
 use super::stream;
 
 /// Time kept back for our own answer to reach the caller before it gives up.
@@ -29,7 +29,7 @@
 /// Least time left that makes an attempt worth sending.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(15);
 /// Why a request is refused that would stand in too long a queue.
-const TOO_LATE: &str = "engines would begin it too late: try again";
+pub(super) const TOO_LATE: &str = "engines would begin it too late: try again";
 /// Pause between looks for a free place at plain targets.
 const FULL_PAUSE: Duration = Duration::from_millis(15);
 /// Wait for the first sign of a plain target, in multiples of the route's target latency, before a
@@ -392,117 +392,4 @@
         }
         self.wish(target.clone(), WishKind::Missing);
     }
-
-    fn log_not_run(&self, target: &TargetId, misdirected: bool) {
-        let target = target.to_string();
-        let reason = if misdirected {
-            "misdirected"
-        } else {
-            "refused"
-        };
-        event(
-            LogEvent::RequestNotRun,
-            &[
-                ("request", &self.call.id),
-                ("target", &target),
-                ("reason", reason),
-            ],
-        );
-    }
-
-    fn log_attempt(&self, target: &TargetId, cause: &str) {
-        let [target, runs] = [target.to_string(), self.runs.to_string()];
-        let adapter = Tables::adapter_of(&self.call).map(ToString::to_string);
-        let adapter = adapter.unwrap_or_default();
-        event(
-            LogEvent::AttemptFailed,
-            &[
-                ("request", &self.call.id),
-                ("target", &target),
-                ("cause", cause),
-                ("runs", &runs),
-                ("adapter", &adapter),
-            ],
-        );
-    }
-
-    fn note_answer(&self, status: StatusCode) {
-        let after = self.node.now().since(self.arrived);
-        let kind = self.ticket.route().kind;
-        self.node.metrics.answered(kind, status.as_u16(), after);
-    }
-
-    fn elapsed_ms(&self) -> String {
-        self.node.now().since(self.arrived).as_millis().to_string()
-    }
-
-    fn own_answer(&self, found: &Found<E>) -> Response<AnswerBody> {
-        let (status, message, after) = match found {
-            Found::NotRun(why) => {
-                self.node.tables().not_run(&self.ticket);
-                let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, *why, after)
-            }
-            Found::Late(excess) => {
-                self.node.tables().not_run(&self.ticket);
-                let after = Some(*excess + spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
-            }
-            Found::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
-            Found::TimeUp | Found::Answer(_) => {
-                (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
-            }
-        };
-        self.note_answer(status);
-        event(
-            LogEvent::RequestRefused,
-            &[
-                ("request", &self.call.id),
-                ("route", &self.ticket.route().name),
-                ("status", status.as_str()),
-                ("reason", message),
-                ("sends", &self.sends.to_string()),
-                ("config", &self.ticket.config().to_string()),
-                ("ms", &self.elapsed_ms()),
-            ],
-        );
-        answer(&self.node.protocol, status, message, after)
-    }
-
-    /// Passes a target's answer on.
-    pub(super) fn pass(
-        &self,
-        parts: &http::response::Parts,
-        body: AnswerBody,
-    ) -> Response<AnswerBody> {
-        let mut res = Response::new(body);
-        *res.status_mut() = parts.status;
-        *res.headers_mut() = self.node.protocol.answer_headers(parts);
-        let workspace = self.ticket.workspace.as_ref().map(ToString::to_string);
-        let workspace = workspace.unwrap_or_default();
-        self.note_answer(parts.status);
-        let (target, at_target) = match &self.last_send {
-            Some((target, sent)) => (target.to_string(), self.node.now().since(*sent)),
-            None => (String::new(), Duration::ZERO),
-        };
-        let millis = |span: Duration| span.as_millis().to_string();
-        event(
-            LogEvent::RequestAnswered,
-            &[
-                ("request", &self.call.id),
-                ("route", &self.ticket.route().name),
-                ("status", parts.status.as_str()),
-                ("workspace", &workspace),
-                ("charge", &self.ticket.charge.to_string()),
-                ("sends", &self.sends.to_string()),
-                ("target", &target),
-                ("pause_ms", &millis(self.ticket.pause)),
-                ("load_ms", &millis(self.load_waited)),
-                ("target_ms", &millis(at_target)),
-                ("aim_ms", &millis(self.ticket.route().target_latency)),
-                ("ms", &self.elapsed_ms()),
-            ],
-        );
-        res
-    }
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod run;
 
 mod accept;
+mod answers;
 mod attempt;
 mod control;
 mod copying;
