Let an adapter whose unload waits keep its slot, and never unload it twice

The loader took its slot for free, read a report that still named the adapter, and unloaded it again when it was gone; the engine answers that as done without counting it. The next order then names a count that the engine has not reached; without an answer it comes seconds later, when another order has made up the count.

--- a/crates/gateway/src/decide/loader/entry.rs
+++ b/crates/gateway/src/decide/loader/entry.rs
@@ -45,6 +45,8 @@
     pub(super) doubted: bool,
     /// No request is sent to it before.
     pub(super) usable_from: Time,
+    /// An unload of it waits for the requests that run on it.
+    pub(super) leaves: bool,
     /// It was taken to come from a copy in host memory, of this rank; not yet proved.
     pub(super) from_copy: Option<usize>,
 }
@@ -56,6 +58,7 @@
             since,
             doubted: false,
             usable_from: Time::default(),
+            leaves: false,
             from_copy: None,
         }
     }
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -87,6 +87,8 @@
     model_wanted: Option<BaseModel>,
     not_before: Time,
     must_read: bool,
+    /// When its report was last believed.
+    read: Time,
     /// When the engine last proved the account, by a report or by taking an order.
     proved: Time,
     /// Until then loads may come that another holder ordered in the engine's former life.
@@ -119,6 +121,7 @@
             model_wanted: None,
             not_before: Time::default(),
             must_read: false,
+            read: Time::default(),
             proved: Time::default(),
             unknown_until: Time::default(),
             late: Vec::new(),
@@ -201,6 +204,10 @@
         used
     }
 
+    fn leaves(&self, key: &AdapterKey) -> bool {
+        self.resident.get(key).is_some_and(|held| held.leaves)
+    }
+
     fn busy(&self, key: &AdapterKey, now: Time) -> bool {
         self.used.get(key).is_some_and(|used| used.busy(now))
     }
@@ -280,6 +287,10 @@
         if kept > 0 && now.since(self.proved) > PROVE_EVERY {
             return LoadStep::Read;
         }
+        let leaving = self.resident.values().any(|held| held.leaves);
+        if leaving && now.since(self.read) > PROVE_EVERY {
+            return LoadStep::Read;
+        }
         self.wake_late(now);
         let slots = self.slots - kept;
         if self.resident.len() + self.coming.len() > slots {
@@ -299,6 +310,10 @@
                 step => step,
             };
         }
+        if self.leaves(&key) {
+            self.must_read = true;
+            return LoadStep::Wait(now + REPORT_LAG);
+        }
         if self.resident.contains_key(&key) {
             // An older version makes way first: the engine may count both while it replaces.
             let what = OrderKind::UnloadAdapter(key);
@@ -377,6 +392,7 @@
             .resident
             .keys()
             .filter(|key| !self.wishes.contains_key(*key) && !self.busy(key, now))
+            .filter(|key| !self.leaves(key))
             .min_by_key(|key| last_use(key))
             .cloned();
         match victim {
@@ -444,9 +460,13 @@
                 self.changed = true;
             }
             // The word on what arrives in its place tells of it, too: it was idle.
-            (OrderKind::UnloadAdapter(key), OrderAnswer::Accepted | OrderAnswer::Done) => {
+            (OrderKind::UnloadAdapter(key), OrderAnswer::Done) => {
                 self.resident.remove(key);
             }
+            (OrderKind::UnloadAdapter(key), OrderAnswer::Accepted) => {
+                self.leaves_later(key);
+                self.read_after(REPORT_LAG, now);
+            }
             (OrderKind::UnloadAdapter(key), OrderAnswer::Conflict) => {
                 self.touch(key, now);
             }
@@ -461,6 +481,20 @@
         self.forget_copies();
     }
 
+    /// An unload waits for requests that run on `key`: it goes on taking its slot until a report lacks
+    /// it.
+    ///
+    /// It must not be unloaded a second time either. An engine answers that as done and doesn't count
+    /// it, so that the next order names a count that the engine has not reached; without an answer,
+    /// such a load came seconds later, when another order had made up the count and filled the slot.
+    fn leaves_later(&mut self, key: &AdapterKey) {
+        if let Some(held) = self.resident.get_mut(key) {
+            held.leaves = true;
+            held.usable_from = Time(u64::MAX);
+            self.changed = true;
+        }
+    }
+
     fn count_to(&mut self, count: u64) {
         self.accepted = Some(count);
         self.least = count;
@@ -489,16 +523,22 @@
         }
         self.stale_since = None;
         self.proved = now;
+        self.read = now;
         if report.busy {
             self.not_before = now + Duration::from_millis(100);
         }
         self.count_to(report.accepted);
         self.must_read = false;
-        let held = report.adapters.into_iter();
         let since = now - LATE_ARRIVAL;
-        self.resident = held
-            .map(|held| (held.key, Resident::new(held.version, since)))
-            .collect();
+        let former = std::mem::take(&mut self.resident);
+        for held in report.adapters {
+            let mut resident = Resident::new(held.version, since);
+            if former.get(&held.key).is_some_and(|former| former.leaves) {
+                resident.leaves = true;
+                resident.usable_from = Time(u64::MAX);
+            }
+            self.resident.insert(held.key, resident);
+        }
         let before = std::mem::take(&mut self.coming);
         for coming in report.coming {
             let known = before.get(&coming.key).copied();
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use bluebellstage_core::{AdapterVersion, Revision, Time};
-use bluebellstage_gateway::decide::loader::{LoadStep, Loader, OrderAnswer, OrderKind, Report};
+use bluebellstage_gateway::decide::loader::{
+    LoadStep, Loader, Order, OrderAnswer, OrderKind, Report,
+};
 use support::{adapter, adapter_at, at};
 
 const NO_VERSIONS: fn(
@@ -352,3 +354,37 @@
     load_and_use(&mut loader, "a5", true, 22_000);
     assert!(loader.copies() >= shown, "{}", loader.copies());
 }
+
+/// An engine crashes because it was ordered to load more than fits. An unload had to wait for a request
+/// that a new holder knew nothing of; the report still named the adapter, and it was unloaded again when
+/// it was gone. The engine does not count that, and the next order named a count that came later.
+#[test]
+fn an_adapter_whose_unload_waits_takes_its_slot_and_is_not_unloaded_again() {
+    let mut loader = Loader::new(2);
+    loader.reported(Some(report(4, &["a1", "a2"])), at(0));
+    loader.wish(adapter("a3"), None, at(1_000));
+    let LoadStep::Send(order) = step(&mut loader, at(1_000)) else {
+        panic!("no order");
+    };
+    let OrderKind::UnloadAdapter(leaving) = order.what.clone() else {
+        panic!("no unload: {order:?}");
+    };
+    loader.answered(&order, OrderAnswer::Accepted, 1.0, at(1_001));
+    loader.wish(adapter("a3"), None, at(1_140));
+    assert_eq!(step(&mut loader, at(1_140)), LoadStep::Read);
+    loader.reported(Some(report(5, &["a1", "a2"])), at(1_141));
+    loader.wish(adapter("a3"), None, at(1_142));
+    let second = sent(step(&mut loader, at(1_142)));
+    assert!(matches!(&second, OrderKind::UnloadAdapter(key) if *key != leaving));
+    let lost = Order {
+        what: second,
+        expected: 5,
+    };
+    loader.answered(&lost, OrderAnswer::Unknown, 1.0, at(1_200));
+    assert_eq!(step(&mut loader, at(1_400)), LoadStep::Read, "is it gone?");
+    let gone = leaving.adapter.as_str();
+    let other = if gone == "a1" { "a2" } else { "a1" };
+    loader.reported(Some(report(5, &[other])), at(1_401));
+    loader.wish(adapter("a3"), None, at(1_402));
+    assert_eq!(sent(step(&mut loader, at(1_402))), load("a3"));
+}
