Show what the store was asked, for how long and with what outcome

In the incident of the late configuration neither logs nor metrics told when a wait for news began, for which kind, whether it ended, and who followed the store. No logic is changed.

BS3205 (debug) tells of each ended list or watch, BS3206 (info) of each change of who follows, the dump and the metric store_open_call_ms the age of the open call by kind; store_calls has the kind, too. Metrics are written with histograms last: the collector cut them off behind the first lines, and the configuration's version was missing in all collected texts after 0 s.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bluebellstage_gateway::decide::dump::{
-    Dump, PeerDump, QuotaDump, Stage, StoreLink, TargetDump,
+    Dump, PeerDump, QuotaDump, Stage, StoreLink, StoreWaitDump, TargetDump,
 };
 use bluebellstage_gateway::decide::health::Standing;
 use reqwest::Client;
@@ -84,6 +84,9 @@
         "loading    shards {:?}, {} loads under way",
         dump.shards, dump.loads
     )?;
+    dump.store_waits
+        .iter()
+        .try_for_each(|wait| write_store_wait(out, wait))?;
     dump.targets
         .iter()
         .try_for_each(|target| write_target(out, target))?;
@@ -95,6 +98,17 @@
         .try_for_each(|quota| write_quota(out, quota))
 }
 
+fn write_store_wait(out: &mut String, wait: &StoreWaitDump) -> std::fmt::Result {
+    let open = wait
+        .open_ms
+        .map_or_else(|| "not asked".into(), |open| format!("asked {open} ms ago"));
+    let answered = wait.answered_ms.map_or_else(
+        || "never answered".into(),
+        |answered| format!("last answer {answered} ms ago"),
+    );
+    writeln!(out, "follows    {}  {open}  {answered}", wait.kind.name())
+}
+
 fn write_target(out: &mut String, target: &TargetDump) -> std::fmt::Result {
     let standing = match target.standing {
         Standing::Good => "",
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::health::Standing;
+use super::kind::Kind;
 use super::rendezvous::ShortHash;
 use super::tables::Tables;
 
@@ -22,6 +23,8 @@
     pub stage: Stage,
     /// How it learns what the store tells.
     pub store: StoreLink,
+    /// Its calls to the store, by kind of objects.
+    pub store_waits: Vec<StoreWaitDump>,
     /// Version of the configuration in force.
     pub config: Revision,
     /// Revision of its list of targets.
@@ -62,6 +65,17 @@
     Away,
 }
 
+/// The calls to the store about one kind of objects.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct StoreWaitDump {
+    /// The kind.
+    pub kind: Kind,
+    /// Milliseconds since the open call was made; none: no call is open.
+    pub open_ms: Option<u64>,
+    /// Milliseconds since the last answer; none: never.
+    pub answered_ms: Option<u64>,
+}
+
 /// A target as an instance sees it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct TargetDump {
@@ -120,6 +134,7 @@
             failure_domain: self.me.failure_domain.clone(),
             stage: self.stage(),
             store: self.store_link(now),
+            store_waits: self.dump_store_waits(now),
             config: self.routes.version(),
             targets_revision: self.registry.revision(),
             shards: self.shards.clone(),
@@ -148,6 +163,16 @@
         }
     }
 
+    fn dump_store_waits(&self, now: Time) -> Vec<StoreWaitDump> {
+        let ago = |when: Option<Time>| when.map(|when| millis(now.since(when)));
+        let dumped = self.store_waits.all().map(|(kind, wait)| StoreWaitDump {
+            kind,
+            open_ms: ago(wait.asked),
+            answered_ms: ago(wait.answered),
+        });
+        dumped.collect()
+    }
+
     fn dump_targets(&self, now: Time) -> Vec<TargetDump> {
         let dumped = self.registry.all().map(|target| {
             let others = self.peers.load(ShortHash::of(target.id.as_str())).requests;
--- /dev/null
+++ b/crates/gateway/src/decide/kind.rs
@@ -0,0 +1,33 @@
+//! The kinds of objects in the store.
+
+use serde::{Deserialize, Serialize};
+
+/// The kinds of objects that an instance reads or writes.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The operators' configuration.
+    Config,
+    /// Registrations of targets.
+    Targets,
+    /// Announced versions of adapters.
+    AdapterVersions,
+    /// Registrations of instances.
+    Members,
+    /// Leases of the loader shards.
+    Leases,
+}
+
+impl Kind {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Targets => "targets",
+            Self::AdapterVersions => "adapter_versions",
+            Self::Members => "members",
+            Self::Leases => "leases",
+        }
+    }
+}
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -22,6 +22,7 @@
 use super::residency::Residency;
 use super::retry_budget::{RetryBudget, RetryCounts};
 use super::routes::{RouteTable, Routed, pick_service};
+use super::store_waits::StoreWaits;
 use super::versions::Versions;
 
 /// Part of a target's connections that all instances together use: peers may not have heard yet
@@ -84,6 +85,8 @@
     pub claims: Vec<u8>,
     /// Loads on the engines whose shards this instance holds.
     pub loads: OwnLoads,
+    /// Calls to the store by kind of objects.
+    pub store_waits: StoreWaits,
     /// A planned stop was asked for.
     pub stopping: bool,
     budget: RetryBudget,
@@ -141,6 +144,7 @@
             shards: Vec::new(),
             claims: Vec::new(),
             loads: OwnLoads::default(),
+            store_waits: StoreWaits::default(),
             stopping: false,
             budget,
             in_flight: HashMap::new(),
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -13,6 +13,7 @@
 use crate::decide::adapter::AdapterAt;
 use crate::decide::call::{AnswerHead, Call, Forward};
 use crate::decide::config::Config;
+pub use crate::decide::kind::Kind;
 use crate::decide::lease::LeaseRecord;
 use crate::decide::loader::{Order, OrderAnswer, Report};
 use crate::decide::peers::Member;
@@ -94,21 +95,6 @@
     fn read(&self) -> Result<NodeSettings, GatewayError>;
 }
 
-/// The kinds of objects that an instance reads or writes.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Kind {
-    /// The operators' configuration.
-    Config,
-    /// Registrations of targets.
-    Targets,
-    /// Announced versions of adapters.
-    AdapterVersions,
-    /// Registrations of instances.
-    Members,
-    /// Leases of the loader shards.
-    Leases,
-}
-
 /// An object's content, decoded.
 #[derive(Clone, Debug)]
 pub enum Content {
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -89,8 +89,7 @@
     if req.uri().path() == METRICS_PATH {
         let connections = node.connections.load(Ordering::Relaxed);
         let tables = node.tables();
-        let peers = tables.peers.live(node.now()).count();
-        let text = node.metrics.text(&tables, peers, connections);
+        let text = node.metrics.text(&tables, connections, node.now());
         return Response::new(whole(Bytes::from(text)));
     }
     if req.uri().path() == DUMP_PATH {
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -60,6 +60,10 @@
     PeerCopyTaken = 3203, Info, "newer state taken from a peer";
     /// A peer's copy can't be read.
     PeerCopyFailed = 3204, Warn, "peer's state can't be read";
+    /// A list or watch of the store ended.
+    StoreCallEnded = 3205, Debug, "call to the store ended";
+    /// This instance begins or ends to follow the store.
+    FollowChanged = 3206, Info, "store is followed here, or no longer";
 
     /// A loader shard is held.
     LeaseTaken = 3301, Info, "loader lease taken";
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 use std::time::Duration;
 
+use bluebellstage_core::Time;
 use bluebellstage_telemetry::instruments::Instruments;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::decide::config::RouteKind;
+use crate::decide::kind::Kind;
 use crate::decide::tables::Tables;
 
 /// Bounds of the buckets of durations, in seconds: 1 ms to 15 s, the longest that callers wait.
@@ -24,7 +26,8 @@
     attempts: Counter<u64>,
     ejections: Counter<u64>,
     orders: Counter<u64>,
-    store_news: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_open_call: Gauge<u64>,
     config_version: Gauge<u64>,
     targets: Gauge<u64>,
     peers: Gauge<u64>,
@@ -68,7 +71,14 @@
             attempts: counter("bluebellstage.attempts", "Attempts at targets, by outcome"),
             ejections: counter("bluebellstage.ejections", "Targets left alone for a while"),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
-            store_news: counter("bluebellstage.store_calls", "Watches and lists, by outcome"),
+            store_calls: counter(
+                "bluebellstage.store_calls",
+                "Watches and lists, by kind of objects and outcome",
+            ),
+            store_open_call: gauge(
+                "bluebellstage.store_open_call_ms",
+                "Age of the open watch or list in milliseconds, by kind of objects",
+            ),
             config_version: gauge("bluebellstage.config_version", "Configuration in force"),
             targets: gauge("bluebellstage.targets", "Targets known"),
             peers: gauge("bluebellstage.live_peers", "Other instances heard lately"),
@@ -107,16 +117,29 @@
     }
 
     /// A watch or list of the store ended.
-    pub(super) fn store_called(&self, outcome: &'static str) {
-        self.store_news.add(1, &[KeyValue::new("outcome", outcome)]);
+    pub(super) fn store_called(&self, kind: Kind, outcome: &'static str) {
+        let kind = KeyValue::new("kind", kind.name());
+        let outcome = KeyValue::new("outcome", outcome);
+        self.store_calls.add(1, &[kind, outcome]);
+    }
+
+    fn record_store_waits(&self, tables: &Tables, now: Time) {
+        for (kind, wait) in tables.store_waits.all() {
+            let age = wait.asked.map_or(Duration::ZERO, |asked| now.since(asked));
+            let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            let kind = KeyValue::new("kind", kind.name());
+            self.store_open_call.record(age, &[kind]);
+        }
     }
 
     /// All metrics as text.
-    pub(super) fn text(&self, tables: &Tables, peers: usize, connections: usize) -> String {
+    pub(super) fn text(&self, tables: &Tables, connections: usize, now: Time) -> String {
         self.config_version.record(tables.routes.version().0, &[]);
+        self.record_store_waits(tables, now);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
-        self.peers.record(count(peers), &[]);
+        self.peers
+            .record(count(tables.peers.live(now).count()), &[]);
         self.connections.record(count(connections), &[]);
         self.shards.record(count(tables.shards.len()), &[]);
         self.instruments.text()
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, Revision, TargetId};
+use bluebellstage_core::{InstanceId, Revision, TargetId, Time};
 use rand::Rng;
 
 use crate::decide::tables::Tables;
@@ -44,6 +44,7 @@
     };
     let mut pause = RETRY_PAUSE[0];
     let mut lost = false;
+    let mut followed = None;
     let wait = if kind == Kind::Targets {
         TARGETS_WAIT
     } else {
@@ -53,6 +54,11 @@
         let now = node.now();
         if after.is_some() {
             let follows = node.tables().follows_store(now);
+            if followed != Some(follows) {
+                followed = Some(follows);
+                let fields = [("kind", kind.name()), ("follows", word(follows))];
+                event(LogEvent::FollowChanged, &fields);
+            }
             if kind == Kind::Targets {
                 node.tables().registry.follow(follows, now);
             }
@@ -61,20 +67,17 @@
                 continue;
             }
         }
+        let asked = node.now();
+        node.tables().store_waits.asked(kind, asked);
         let news = match after {
             None => node.store.list(kind).await,
             Some(after) => node.store.watch(kind, after, wait).await,
         };
-        let outcome = match &news {
-            Ok(_) => "answered",
-            Err(StoreError::HistoryGone) => "history_gone",
-            Err(_) => "failed",
-        };
-        node.metrics.store_called(outcome);
+        tell_ended(&node, kind, after, &news, asked);
         match news {
             Ok(listing) => {
                 if std::mem::take(&mut lost) {
-                    event(LogEvent::StoreBack, &[("kind", &format!("{kind:?}"))]);
+                    event(LogEvent::StoreBack, &[("kind", kind.name())]);
                 }
                 pause = RETRY_PAUSE[0];
                 if kind == Kind::Targets {
@@ -92,9 +95,9 @@
             Err(StoreError::HistoryGone) => after = None,
             Err(err) => {
                 if !std::mem::replace(&mut lost, true) {
-                    let kind = format!("{kind:?}");
                     let cause = err.to_string();
-                    event(LogEvent::StoreLost, &[("kind", &kind), ("cause", &cause)]);
+                    let fields = [("kind", kind.name()), ("cause", &cause)];
+                    event(LogEvent::StoreLost, &fields);
                 }
                 if kind == Kind::Targets {
                     let now = node.now();
@@ -107,6 +110,45 @@
     }
 }
 
+const fn word(yes: bool) -> &'static str {
+    if yes { "true" } else { "false" }
+}
+
+/// Tells that a call has ended: how long it was open and with what outcome.
+fn tell_ended<E: Edge>(
+    node: &Node<E>,
+    kind: Kind,
+    after: Option<Revision>,
+    news: &Result<Listing, StoreError>,
+    asked: Time,
+) {
+    let now = node.now();
+    let outcome = match news {
+        Ok(_) => "answered",
+        Err(StoreError::HistoryGone) => "history_gone",
+        Err(_) => "failed",
+    };
+    node.metrics.store_called(kind, outcome);
+    let answered = matches!(news, Ok(_) | Err(StoreError::HistoryGone));
+    node.tables().store_waits.ended(kind, answered, now);
+    let call = if after.is_some() { "watch" } else { "list" };
+    let after = after.unwrap_or_default().to_string();
+    let waited = now.since(asked).as_millis().to_string();
+    let objects = news.as_ref().map_or(0, |listing| listing.objects.len());
+    let objects = objects.to_string();
+    event(
+        LogEvent::StoreCallEnded,
+        &[
+            ("kind", kind.name()),
+            ("call", call),
+            ("after", &after),
+            ("waited_ms", &waited),
+            ("outcome", outcome),
+            ("objects", &objects),
+        ],
+    );
+}
+
 fn pause_after(kind: Kind) -> Duration {
     if kind == Kind::Targets {
         TARGETS_PAUSE
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -4,6 +4,7 @@
 
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::proto::MetricType;
 use prometheus::{Registry, TextEncoder};
 
 /// The product's name, under which its instruments are made.
@@ -79,10 +80,13 @@
             .build()
     }
 
-    /// All instruments as text.
+    /// All instruments as text, histograms last: a reader that keeps only the first lines of a long
+    /// text must not lose the counts and values behind the buckets.
     #[must_use]
     pub fn text(&self) -> String {
-        let encoded = TextEncoder::new().encode_to_string(&self.registry.gather());
+        let mut families = self.registry.gather();
+        families.sort_by_key(|family| family.get_field_type() == MetricType::HISTOGRAM);
+        let encoded = TextEncoder::new().encode_to_string(&families);
         encoded.unwrap_or_else(|err| format!("# metrics can't be written: {err}\n"))
     }
 }
