Add a failing test of changes that come after a silence of the store

It plays a store in virtual time that takes a change, falls silent for 0.25 to 6 s and takes the next one on its return, and one instance that follows it.

--- /dev/null
+++ b/crates/gateway/tests/store_silence.rs
@@ -0,0 +1,80 @@
+//! Tests of news that come while the store is away, in virtual time.
+
+mod support;
+
+use std::ops::Range;
+use std::time::Duration;
+
+use bluebellstage_core::Revision;
+use bluebellstage_gateway::edge::{Content, Kind};
+use support::store::{ScriptedStore, Trouble, follow_for};
+use support::{adapter_at, config, target};
+
+/// Time from the store's return in which an instance must hear what it missed. Three seconds after the
+/// return the two seconds hold again in which a configuration is in force everywhere; up to one of
+/// them goes into the copy that the other instances take.
+const HEARD_WITHIN: Duration = Duration::from_secs(2);
+/// When the store takes a change just before it falls silent.
+const CHANGED: Duration = Duration::from_millis(4_900);
+/// Lengths of the silence: shorter than any wait, and as long as outages last.
+const SILENCES: [Duration; 4] = [
+    Duration::from_millis(250),
+    Duration::from_millis(900),
+    Duration::from_millis(2_500),
+    Duration::from_secs(6),
+];
+/// Starts of the silence after the change, so that waits begin before it, in it and after it.
+const PHASES: u32 = 20;
+const PHASE: Duration = Duration::from_millis(60);
+
+/// One piece of news of each kind that instances follow; `second` tells the newer one.
+fn news(kind: Kind, second: bool) -> Content {
+    let version = 1 + u64::from(second);
+    match kind {
+        Kind::Targets => {
+            let mut target = target("c1", "court");
+            target.leaving = second;
+            Content::Target(Box::new(target))
+        }
+        Kind::AdapterVersions => Content::AdapterVersion(adapter_at("a1", 1 + version)),
+        _ => Content::Config(Box::new(config(1 + version))),
+    }
+}
+
+/// How long the instance runs after the store's return.
+const AFTERWARDS: Duration = Duration::from_secs(4);
+
+/// How long after the store's return the instance hears of the second of two changes, the first of
+/// which came just before the silence and the second in it.
+fn heard(kind: Kind, trouble: Trouble, away: &Range<Duration>) -> Option<Duration> {
+    let store = follow_for(away.end + AFTERWARDS, || {
+        let first = Content::Config(Box::new(config(1)));
+        let script = vec![
+            (Kind::Config, first, Duration::ZERO),
+            (kind, news(kind, false), CHANGED),
+            (kind, news(kind, true), away.end),
+        ];
+        ScriptedStore::new(trouble, away.clone(), script)
+    });
+    let told = store.told(Revision(3));
+    told.map(|told| told.saturating_sub(away.end))
+}
+
+/// The silences in which the instance heard too late, with how late.
+fn too_late(kind: Kind, trouble: Trouble) -> Vec<(Range<Duration>, Option<Duration>)> {
+    let starts = (0..PHASES).map(|idx| CHANGED + PHASE * idx);
+    let spans = starts.flat_map(|start| SILENCES.map(|length| start..start + length));
+    let heard = spans.map(|away| (away.clone(), heard(kind, trouble, &away)));
+    heard
+        .filter(|(_, heard)| heard.is_none_or(|heard| heard > HEARD_WITHIN))
+        .collect()
+}
+
+/// Callers whose new keys the operators have added get 401 on every instance for many seconds, and
+/// requests go on by routes that were replaced. A change is in force; the store falls silent, returns
+/// and takes the next change, and no instance hears of it.
+#[test]
+fn a_configuration_is_heard_soon_after_a_silence_of_the_store() {
+    let late = too_late(Kind::Config, Trouble::Silent);
+    assert!(late.is_empty(), "heard too late: {late:?}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod desk;
 pub mod engine;
+pub mod store;
 
 use std::time::Duration;
 
