Decide what is asked of the store, and when, apart from the network

net/sync.rs held the loop that follows the store, its pacing and how news are taken in. The pacing is now decide/follower.rs, a state machine without tasks, the loop net/follow.rs.

--- /dev/null
+++ b/crates/gateway/src/decide/follower.rs
@@ -0,0 +1,103 @@
+//! How an instance follows one kind of objects in the store.
+
+use std::time::Duration;
+
+use bluebellstage_core::Revision;
+
+use super::kind::Kind;
+
+/// Longest wait of a watch; each is a call that is paid for. The store keeps 20 s of history: a
+/// longer wait may end in a list.
+const LONG_WAIT: Duration = Duration::from_secs(17);
+/// The same for targets. They report every second or so: a watch that hears nothing for longer has
+/// lost its connection, and others must follow in this instance's place.
+const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause after news of targets: their registrations change with each heartbeat, and each answer
+/// costs a call. A leaving target must be known everywhere within 2 s.
+const TARGETS_PAUSE: Duration = Duration::from_millis(800);
+/// Pause after other news, so that a burst of changes takes one call.
+const PAUSE: Duration = Duration::from_millis(100);
+/// First and longest pause after a call that failed.
+const RETRY_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_secs(1)];
+
+/// What to ask the store for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ask {
+    /// All objects of the kind.
+    List,
+    /// Changes after a revision.
+    Watch {
+        /// The last revision that is known.
+        after: Revision,
+        /// Longest time that the store may wait for a change.
+        wait: Duration,
+    },
+}
+
+/// Follows one kind of objects: what is asked next, and when.
+#[derive(Debug)]
+pub struct Follower {
+    kind: Kind,
+    after: Option<Revision>,
+    retry: Duration,
+}
+
+impl Follower {
+    /// Follows a kind from a revision on, or from its first list.
+    #[must_use]
+    pub const fn new(kind: Kind, after: Option<Revision>) -> Self {
+        Self {
+            kind,
+            after,
+            retry: RETRY_PAUSE[0],
+        }
+    }
+
+    /// The revision up to which all is known; none before the first list.
+    #[must_use]
+    pub const fn after(&self) -> Option<Revision> {
+        self.after
+    }
+
+    /// What to ask next.
+    #[must_use]
+    pub const fn ask(&self) -> Ask {
+        match self.after {
+            None => Ask::List,
+            Some(after) => Ask::Watch {
+                after,
+                wait: longest_wait(self.kind),
+            },
+        }
+    }
+
+    /// The store has answered with all up to a revision; gives the pause until the next call.
+    pub fn answered(&mut self, revision: Revision, any_objects: bool) -> Duration {
+        self.retry = RETRY_PAUSE[0];
+        let listed = self.after.replace(revision).is_none();
+        match (listed || !any_objects, self.kind) {
+            (true, _) => Duration::ZERO,
+            (false, Kind::Targets) => TARGETS_PAUSE,
+            (false, _) => PAUSE,
+        }
+    }
+
+    /// The store no longer has the changes that were asked for: all is listed next.
+    pub const fn history_gone(&mut self) {
+        self.after = None;
+    }
+
+    /// The call failed; gives the pause until the next one.
+    pub fn failed(&mut self) -> Duration {
+        let pause = self.retry;
+        self.retry = (pause * 2).min(RETRY_PAUSE[1]);
+        pause
+    }
+}
+
+const fn longest_wait(kind: Kind) -> Duration {
+    match kind {
+        Kind::Targets => TARGETS_WAIT,
+        _ => LONG_WAIT,
+    }
+}
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod dump;
 pub mod event_stream;
+pub mod follower;
 pub mod health;
 pub mod kind;
 pub mod lease;
--- /dev/null
+++ b/crates/gateway/src/net/follow.rs
@@ -0,0 +1,147 @@
+//! Follows the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellstage_core::{Revision, Time};
+use rand::Rng;
+
+use crate::decide::follower::{Ask, Follower};
+use crate::decide::kind::Kind;
+use crate::edge::{Edge, Listing, ObjectStore};
+use crate::error::StoreError;
+
+use super::listing_turn;
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::sync::apply;
+
+/// Pause between looks whether this instance is to follow the store.
+const ROLE_LOOK: Duration = Duration::from_millis(150);
+
+/// A pause that differs between instances that were turned away together.
+fn spread(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+/// Follows one kind of objects until the process ends, whenever this instance is to.
+pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
+    let after = match kind {
+        Kind::Targets => listing_turn::first_targets(&node).await,
+        _ => None,
+    };
+    let mut follower = Follower::new(kind, after);
+    let mut lost = false;
+    let mut told = None;
+    loop {
+        if follower.after().is_some() {
+            let follows = is_followed(&node, kind);
+            if told.replace(follows) != Some(follows) {
+                let fields = [("kind", kind.name()), ("follows", word(follows))];
+                event(LogEvent::FollowChanged, &fields);
+            }
+            if !follows {
+                tokio::time::sleep(ROLE_LOOK).await;
+                continue;
+            }
+        }
+        let pause = match call(&node, kind, follower.ask()).await {
+            Ok(listing) => {
+                if std::mem::take(&mut lost) {
+                    event(LogEvent::StoreBack, &[("kind", kind.name())]);
+                }
+                if kind == Kind::Targets {
+                    let now = node.now();
+                    node.tables().registry.heard_store(now);
+                }
+                let whole = follower.after().is_none();
+                let pause = follower.answered(listing.revision, !listing.objects.is_empty());
+                apply(&node, kind, listing, whole);
+                pause
+            }
+            Err(StoreError::HistoryGone) => {
+                follower.history_gone();
+                Duration::ZERO
+            }
+            Err(err) => {
+                if !std::mem::replace(&mut lost, true) {
+                    let cause = err.to_string();
+                    let fields = [("kind", kind.name()), ("cause", &cause)];
+                    event(LogEvent::StoreLost, &fields);
+                }
+                if kind == Kind::Targets {
+                    let now = node.now();
+                    node.tables().registry.store_lost(now);
+                }
+                spread(follower.failed())
+            }
+        };
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Whether this instance follows the store now; the list of targets keeps since when.
+fn is_followed<E: Edge>(node: &Node<E>, kind: Kind) -> bool {
+    let now = node.now();
+    let mut tables = node.tables();
+    let follows = tables.follows_store(now);
+    if kind == Kind::Targets {
+        tables.registry.follow(follows, now);
+    }
+    follows
+}
+
+async fn call<E: Edge>(node: &Node<E>, kind: Kind, ask: Ask) -> Result<Listing, StoreError> {
+    let asked = node.now();
+    node.tables().store_waits.asked(kind, asked);
+    let news = match ask {
+        Ask::List => node.store.list(kind).await,
+        Ask::Watch { after, wait } => node.store.watch(kind, after, wait).await,
+    };
+    tell_ended(node, kind, ask, &news, asked);
+    news
+}
+
+const fn word(yes: bool) -> &'static str {
+    if yes { "true" } else { "false" }
+}
+
+/// Tells that a call has ended: how long it was open and with what outcome.
+fn tell_ended<E: Edge>(
+    node: &Node<E>,
+    kind: Kind,
+    ask: Ask,
+    news: &Result<Listing, StoreError>,
+    asked: Time,
+) {
+    let now = node.now();
+    let outcome = match news {
+        Ok(_) => "answered",
+        Err(StoreError::HistoryGone) => "history_gone",
+        Err(_) => "failed",
+    };
+    node.metrics.store_called(kind, outcome);
+    let answered = matches!(news, Ok(_) | Err(StoreError::HistoryGone));
+    node.tables().store_waits.ended(kind, answered, now);
+    let (call, after) = match ask {
+        Ask::List => ("list", Revision::default()),
+        Ask::Watch { after, .. } => ("watch", after),
+    };
+    let after = after.to_string();
+    let waited = now.since(asked).as_millis().to_string();
+    let objects = news.as_ref().map_or(0, |listing| listing.objects.len());
+    let objects = objects.to_string();
+    event(
+        LogEvent::StoreCallEnded,
+        &[
+            ("kind", kind.name()),
+            ("call", call),
+            ("after", &after),
+            ("waited_ms", &waited),
+            ("outcome", outcome),
+            ("objects", &objects),
+        ],
+    );
+}
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -14,6 +14,7 @@
 mod control;
 mod copying;
 mod directory;
+mod follow;
 mod front;
 mod gossip;
 mod leases;
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -13,7 +13,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::sockets::listen;
-use super::{copying, gossip, leases, loaders, reload, stop, sync};
+use super::{copying, follow, gossip, leases, loaders, reload, stop, sync};
 
 /// Pause between housekeepings.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -69,7 +69,7 @@
         Kind::AdapterVersions,
         Kind::Members,
     ] {
-        tokio::spawn(sync::follow(Arc::clone(&node), kind));
+        tokio::spawn(follow::run(Arc::clone(&node), kind));
     }
     tokio::spawn(sync::register(Arc::clone(&node)));
     tokio::spawn(copying::run(Arc::clone(&node)));
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -1,163 +1,23 @@
-//! Follows the store and takes in what it tells.
+//! Takes in what the store tells, and registers this instance there.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, Revision, TargetId, Time};
-use rand::Rng;
+use bluebellstage_core::{InstanceId, Revision, TargetId};
 
 use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
 use crate::error::StoreError;
 
-use super::listing_turn;
 use super::log::{LogEvent, event};
 use super::node::Node;
 
-/// Longest wait of a watch; each is a call that is paid for. The store keeps 20 s of history: a
-/// longer wait may end in a list.
-const WATCH_WAIT: Duration = Duration::from_secs(17);
-/// The same for targets. They report every second or so: a watch that hears nothing for longer has
-/// lost its connection, and others must follow in this instance's place.
-const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
-/// Pause after news of targets: their registrations change with each heartbeat, and each answer
-/// costs a call. A leaving target must be known everywhere within 2 s.
-const TARGETS_PAUSE: Duration = Duration::from_millis(800);
-/// Pause between looks whether this instance is to follow the store.
-const ROLE_LOOK: Duration = Duration::from_millis(150);
-/// Pause after other news, so that a burst of changes takes one call.
-const PAUSE: Duration = Duration::from_millis(100);
-/// First and longest pause after a call that failed.
-const RETRY_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_secs(1)];
+/// First and longest pause between tries to register.
+const REGISTER_PAUSE: [Duration; 2] = [Duration::from_millis(150), Duration::from_secs(1)];
 
-/// A pause that differs between instances that were turned away together.
-fn spread(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.5))
-}
-
-/// Follows one kind of objects until the process ends, whenever this instance is to.
-pub(super) async fn follow<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
-    let mut after = match kind {
-        Kind::Targets => listing_turn::first_targets(&node).await,
-        _ => None,
-    };
-    let mut pause = RETRY_PAUSE[0];
-    let mut lost = false;
-    let mut followed = None;
-    let wait = if kind == Kind::Targets {
-        TARGETS_WAIT
-    } else {
-        WATCH_WAIT
-    };
-    loop {
-        let now = node.now();
-        if after.is_some() {
-            let follows = node.tables().follows_store(now);
-            if followed != Some(follows) {
-                followed = Some(follows);
-                let fields = [("kind", kind.name()), ("follows", word(follows))];
-                event(LogEvent::FollowChanged, &fields);
-            }
-            if kind == Kind::Targets {
-                node.tables().registry.follow(follows, now);
-            }
-            if !follows {
-                tokio::time::sleep(ROLE_LOOK).await;
-                continue;
-            }
-        }
-        let asked = node.now();
-        node.tables().store_waits.asked(kind, asked);
-        let news = match after {
-            None => node.store.list(kind).await,
-            Some(after) => node.store.watch(kind, after, wait).await,
-        };
-        tell_ended(&node, kind, after, &news, asked);
-        match news {
-            Ok(listing) => {
-                if std::mem::take(&mut lost) {
-                    event(LogEvent::StoreBack, &[("kind", kind.name())]);
-                }
-                pause = RETRY_PAUSE[0];
-                if kind == Kind::Targets {
-                    let now = node.now();
-                    node.tables().registry.heard_store(now);
-                }
-                let whole = after.is_none();
-                after = Some(listing.revision);
-                let any = !listing.objects.is_empty();
-                apply(&node, kind, listing, whole);
-                if any && !whole {
-                    tokio::time::sleep(pause_after(kind)).await;
-                }
-            }
-            Err(StoreError::HistoryGone) => after = None,
-            Err(err) => {
-                if !std::mem::replace(&mut lost, true) {
-                    let cause = err.to_string();
-                    let fields = [("kind", kind.name()), ("cause", &cause)];
-                    event(LogEvent::StoreLost, &fields);
-                }
-                if kind == Kind::Targets {
-                    let now = node.now();
-                    node.tables().registry.store_lost(now);
-                }
-                tokio::time::sleep(spread(pause)).await;
-                pause = (pause * 2).min(RETRY_PAUSE[1]);
-            }
-        }
-    }
-}
-
-const fn word(yes: bool) -> &'static str {
-    if yes { "true" } else { "false" }
-}
-
-/// Tells that a call has ended: how long it was open and with what outcome.
-fn tell_ended<E: Edge>(
-    node: &Node<E>,
-    kind: Kind,
-    after: Option<Revision>,
-    news: &Result<Listing, StoreError>,
-    asked: Time,
-) {
-    let now = node.now();
-    let outcome = match news {
-        Ok(_) => "answered",
-        Err(StoreError::HistoryGone) => "history_gone",
-        Err(_) => "failed",
-    };
-    node.metrics.store_called(kind, outcome);
-    let answered = matches!(news, Ok(_) | Err(StoreError::HistoryGone));
-    node.tables().store_waits.ended(kind, answered, now);
-    let call = if after.is_some() { "watch" } else { "list" };
-    let after = after.unwrap_or_default().to_string();
-    let waited = now.since(asked).as_millis().to_string();
-    let objects = news.as_ref().map_or(0, |listing| listing.objects.len());
-    let objects = objects.to_string();
-    event(
-        LogEvent::StoreCallEnded,
-        &[
-            ("kind", kind.name()),
-            ("call", call),
-            ("after", &after),
-            ("waited_ms", &waited),
-            ("outcome", outcome),
-            ("objects", &objects),
-        ],
-    );
-}
-
-fn pause_after(kind: Kind) -> Duration {
-    if kind == Kind::Targets {
-        TARGETS_PAUSE
-    } else {
-        PAUSE
-    }
-}
-
-fn apply<E: Edge>(node: &Node<E>, kind: Kind, listing: Listing, whole: bool) {
+/// Takes in a list or changes of one kind.
+pub(super) fn apply<E: Edge>(node: &Node<E>, kind: Kind, listing: Listing, whole: bool) {
     let revision = listing.revision;
     if whole && kind == Kind::Targets {
         let targets = listing.objects.into_iter().filter_map(target_of).collect();
@@ -305,7 +165,7 @@
     let member = node.settings.member.clone();
     let name = member.name.to_string();
     let content = Content::Member(Box::new(member));
-    let mut pause = RETRY_PAUSE[0];
+    let mut pause = REGISTER_PAUSE[0];
     let mut at = None;
     while !node.stopping() {
         match node.store.write(Kind::Members, &name, at, &content).await {
@@ -316,7 +176,7 @@
             }
             Err(_away) => {
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(RETRY_PAUSE[1]);
+                pause = (pause * 2).min(REGISTER_PAUSE[1]);
             }
         }
     }
