Ask anew for the configuration before its bound is over

What callers saw: 401 on every instance for keys that the operators had added, and requests by routes and quotas that had been replaced, up to 18 s after the store had taken the change.

Cause: a call that begins while the store is silent is never answered, also after the store's return. The wait for news of the configuration was one call of up to 17 s (17.8 s until its connection counts as dead), and an answer that never comes looks like no news. A follower asks anew after each change, so a change just before a silence puts the calls of all followers into it.

Mend: the configuration is waited for in calls of 1 s, and a call that got no answer is followed by the next one at once; pauses are for refusals, and count from the call's beginning. It holds because no call is open for longer than 1.8 s, so the first one that begins after the return is at most that late, plus up to 1 s for the copy that the others take; the bound on configurations holds again 3 s after the return. Ruled out by the logs: that nobody followed, that news were dropped.

--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -6,9 +6,16 @@
 
 use super::kind::Kind;
 
-/// Longest wait of a watch; each is a call that is paid for. The store keeps 20 s of history: a
-/// longer wait may end in a list.
+/// Longest wait of a watch where nothing depends on the news coming soon; each is a call that is paid
+/// for. The store keeps 20 s of history: a longer wait may end in a list.
 const LONG_WAIT: Duration = Duration::from_secs(17);
+/// Longest wait for news that must be in force everywhere within a bound.
+///
+/// A call that begins while the store is silent is never answered, also after the store's return, and
+/// looks like one that waits for news: instances went on with an old configuration until the wait
+/// was over. An instance that has asked anew within a second or two hears what it missed while the
+/// bound on configurations is still suspended for the outage.
+const SHORT_WAIT: Duration = Duration::from_secs(1);
 /// The same for targets. They report every second or so: a watch that hears nothing for longer has
 /// lost its connection, and others must follow in this instance's place.
 const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
@@ -87,17 +94,23 @@
         self.after = None;
     }
 
-    /// The call failed; gives the pause until the next one.
-    pub fn failed(&mut self) -> Duration {
+    /// The call failed after it `took` so long; gives the pause until the next one. `spread`, around 1,
+    /// differs between instances that were turned away together.
+    ///
+    /// The pause keeps an instance that is refused at once from asking without a break. A call without an
+    /// answer has taken longer than that already: were it followed by a pause, the store could be back
+    /// for as long as both before it is asked.
+    pub fn failed(&mut self, took: Duration, spread: f64) -> Duration {
         let pause = self.retry;
         self.retry = (pause * 2).min(RETRY_PAUSE[1]);
-        pause
+        pause.mul_f64(spread).saturating_sub(took)
     }
 }
 
 const fn longest_wait(kind: Kind) -> Duration {
     match kind {
+        Kind::Config => SHORT_WAIT,
         Kind::Targets => TARGETS_WAIT,
-        _ => LONG_WAIT,
+        Kind::AdapterVersions | Kind::Members | Kind::Leases => LONG_WAIT,
     }
 }
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -1,10 +1,12 @@
 //! Follows the store.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bluebellstage_core::{Revision, Time};
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::decide::follower::{Ask, Follower};
 use crate::decide::kind::Kind;
@@ -18,11 +20,9 @@
 
 /// Pause between looks whether this instance is to follow the store.
 const ROLE_LOOK: Duration = Duration::from_millis(150);
-
-/// A pause that differs between instances that were turned away together.
-fn spread(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.5))
-}
+/// Factor of pauses after a failure, so that instances that were turned away together don't ask
+/// together again.
+const SPREAD: Range<f64> = 0.5..1.5;
 
 /// Follows one kind of objects until the process ends, whenever this instance is to.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
@@ -45,6 +45,7 @@
                 continue;
             }
         }
+        let begun = Instant::now();
         let pause = match call(&node, kind, follower.ask()).await {
             Ok(listing) => {
                 if std::mem::take(&mut lost) {
@@ -73,7 +74,8 @@
                     let now = node.now();
                     node.tables().registry.store_lost(now);
                 }
-                spread(follower.failed())
+                let spread = rand::rng().random_range(SPREAD);
+                follower.failed(begun.elapsed(), spread)
             }
         };
         if !pause.is_zero() {
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::Revision;
+use bluebellstage_gateway::decide::follower::Follower;
 use bluebellstage_gateway::edge::{Content, Kind};
 use support::store::{ScriptedStore, Trouble, follow_for};
 use support::{adapter_at, config, target};
@@ -71,10 +72,35 @@
 }
 
 /// Callers whose new keys the operators have added get 401 on every instance for many seconds, and
-/// requests go on by routes that were replaced. A change is in force; the store falls silent, returns
-/// and takes the next change, and no instance hears of it.
+/// requests go on by routes that were replaced. A change is in force and the instance asks for the next
+/// one just as the store falls silent. The store returns and takes it, but a call that began in the
+/// silence is never answered, and nobody asked anew before its wait of 17 s was over.
+///
+/// Evidence: the instances told that each such call ended after 17.8 s without an answer, while those whose
+/// call had begun before the same silence had all changes as soon as it was over.
 #[test]
 fn a_configuration_is_heard_soon_after_a_silence_of_the_store() {
     let late = too_late(Kind::Config, Trouble::Silent);
     assert!(late.is_empty(), "heard too late: {late:?}");
 }
+
+/// The store refuses instances at once for a while, which takes no time, so the pauses between calls
+/// grow. They must not grow beyond what the bound leaves.
+#[test]
+fn a_configuration_is_heard_soon_after_the_store_refused() {
+    let late = too_late(Kind::Config, Trouble::Busy);
+    assert!(late.is_empty(), "heard too late: {late:?}");
+}
+
+/// Refusals that come at once must not make an instance ask without a break; a call that got no answer
+/// has lasted long enough, and the next one follows at once.
+#[test]
+fn only_quick_failures_are_followed_by_a_pause() {
+    let mut follower = Follower::new(Kind::Config, Some(Revision(1)));
+    let took = [8, 8, 8, 8, 8, 1_800, 8].map(Duration::from_millis);
+    let pauses = took.map(|took| follower.failed(took, 1.0).as_millis());
+    assert_eq!(pauses, [142, 292, 592, 992, 992, 0, 992]);
+    follower.answered(Revision(2), true);
+    let quick = follower.failed(Duration::ZERO, 1.0);
+    assert_eq!(quick.as_millis(), 150);
+}
