Ask anew for announced versions of adapters before their bound is over

What callers would see: requests that begin on an adapter's old version for up to 18 s after the new one was announced.

Mend: waits of 2 s, which with the time until a call counts as lost leave 3.2 s less 2.8 s of what the bound of 5 s and the grace of old versions give. Looked at and not of this kind: targets (1.5 s; its test passes as it was), leases and the registration (calls of 1.2 s), keys and quotas (part of the configuration; spending comes by datagrams that are repeated), copies from peers (0.6 s each). Instances are still waited for 17 s: one that starts introduces itself, and copies who the others are.

--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -8,14 +8,19 @@
 
 /// Longest wait of a watch where nothing depends on the news coming soon; each is a call that is paid
 /// for. The store keeps 20 s of history: a longer wait may end in a list.
+///
+/// So instances are waited for: one that starts introduces itself to all others, and copies who
+/// they are from a peer if the store doesn't tell.
 const LONG_WAIT: Duration = Duration::from_secs(17);
-/// Longest wait for news that must be in force everywhere within a bound.
+/// Longest wait for the configuration, which must be in force everywhere within two seconds.
 ///
 /// A call that begins while the store is silent is never answered, also after the store's return, and
-/// looks like one that waits for news: instances went on with an old configuration until the wait
-/// was over. An instance that has asked anew within a second or two hears what it missed while the
-/// bound on configurations is still suspended for the outage.
-const SHORT_WAIT: Duration = Duration::from_secs(1);
+/// looks like one that waits for news: instances went on with an old configuration, or an adapter's
+/// old version, until the wait was over. An instance that has asked anew within two seconds of the
+/// return hears what it missed while the bound is still suspended for the outage.
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
+/// The same for announced versions, whose bound is five seconds.
+const VERSIONS_WAIT: Duration = Duration::from_secs(2);
 /// The same for targets. They report every second or so: a watch that hears nothing for longer has
 /// lost its connection, and others must follow in this instance's place.
 const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
@@ -109,8 +114,9 @@
 
 const fn longest_wait(kind: Kind) -> Duration {
     match kind {
-        Kind::Config => SHORT_WAIT,
+        Kind::Config => CONFIG_WAIT,
         Kind::Targets => TARGETS_WAIT,
-        Kind::AdapterVersions | Kind::Members | Kind::Leases => LONG_WAIT,
+        Kind::AdapterVersions => VERSIONS_WAIT,
+        Kind::Members | Kind::Leases => LONG_WAIT,
     }
 }
