--- a/crates/gateway/src/decide/adapter_choice.rs
+++ b/crates/gateway/src/decide/adapter_choice.rs
@@ -12,11 +12,10 @@
 const MOST_NEW_COPIES: usize = 4;
 /// Time of a load from an engine's host memory.
 const LOAD_FROM_HOST: Duration = Duration::from_millis(27);
-/// What a load from the weight store counts as in the choice of an engine. It takes 250 ms; the rest
-/// stands for the store's rate, which all share: 32 loads a second where a heavy day asks for as
-/// many. With 254 ms, adapters spread over all engines and 1,492 were brought in place of 1,405.
+/// What a load from the weight store counts as in the choice of an engine: the time that it takes, and
+/// as much again and more for the store's rate, which all engines share.
 const LOAD_FROM_STORE: Duration = Duration::from_secs(1);
-/// Time until a place for an adapter becomes free where all are in use: six are held for 1.5 s each.
+/// Time until a place for an adapter becomes free where all are in use.
 const PLACE_TURN: Duration = Duration::from_millis(250);
 /// Time by which an engine may be later than the best and still get the load, if it comes first in
 /// the adapter's order: that way all instances ask at one engine, and find its copies later.
@@ -119,7 +118,7 @@
 
     /// Where the adapter can be used soonest: the first in order that is not much later than the
     /// best. Once it was asked for somewhere, that holds: each wish makes the place's queue longer,
-    /// and requests that changed their mind had it loaded at two engines (0.39 in place of 0.74).
+    /// and requests that changed their mind had it loaded at two engines.
     fn nearest_place(&self) -> Option<TargetId> {
         let mut asked = self.places();
         if let Some(place) = asked.find(|place| self.known.asked == Some(&place.target.id)) {
--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -6,16 +6,16 @@
 
 use super::kind::Kind;
 
-/// Longest wait of a watch where nothing depends on the news coming soon; each is a call that is paid
-/// for. The store keeps 20 s of history: a longer wait may end in a list.
+/// Longest wait of a watch where nothing depends on the news coming soon; each is a call that is
+/// paid for. The store keeps 20 s of history: a longer wait may end in a list.
 ///
 /// So instances are waited for: one that starts introduces itself to all others, and copies who
 /// they are from a peer if the store doesn't tell.
 const LONG_WAIT: Duration = Duration::from_secs(17);
 /// Longest wait for the configuration, which must be in force everywhere within two seconds.
 ///
-/// A call that begins while the store is silent is never answered, also after the store's return, and
-/// looks like one that waits for news: instances went on with an old configuration, or an adapter's
+/// A call that begins while the store is silent is never answered, also after its return, and looks
+/// like one that waits for news: instances went on with an old configuration, or an adapter's
 /// old version, until the wait was over. An instance that has asked anew within two seconds of the
 /// return hears what it missed while the bound is still suspended for the outage.
 const CONFIG_WAIT: Duration = Duration::from_secs(1);
@@ -99,12 +99,12 @@
         self.after = None;
     }
 
-    /// The call failed after it `took` so long; gives the pause until the next one. `spread`, around 1,
-    /// differs between instances that were turned away together.
+    /// The call failed after it `took` so long; gives the pause until the next one. `spread`, around
+    /// 1, differs between instances that were turned away together.
     ///
-    /// The pause keeps an instance that is refused at once from asking without a break. A call without an
-    /// answer has taken longer than that already: were it followed by a pause, the store could be back
-    /// for as long as both before it is asked.
+    /// The pause keeps an instance that is refused at once from asking without a break. A call without
+    /// an answer has taken longer than that already: were it followed by a pause, the store could be
+    /// back for as long as both before it is asked.
     pub fn failed(&mut self, took: Duration, spread: f64) -> Duration {
         let pause = self.retry;
         self.retry = (pause * 2).min(RETRY_PAUSE[1]);
--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -17,9 +17,7 @@
 /// when one of them dies.
 pub const SHARDS: u8 = 4;
 /// How long a renewal holds. Longer outlasts more outages of the store, in which nobody could take
-/// over; shorter lets a lost holder be replaced sooner. With 8 s the engines of two shards loaded
-/// nothing for 9 s and more after their holder was removed for good; with 4 s a cut of 6.4 s left a
-/// hole of 3.4 s.
+/// over; shorter lets a lost holder be replaced sooner.
 pub const LEASE: Duration = Duration::from_millis(5_500);
 /// Pause between renewals; each is a call that is paid for.
 pub const RENEW_EVERY: Duration = Duration::from_millis(1_700);
@@ -41,8 +39,8 @@
     /// The holder gave it up.
     pub released: bool,
     /// Lives of the shard's engines that began so long ago that no order to a former life can come
-    /// any more. Whoever takes over, or restarts, has not seen them begin: it kept two places of six
-    /// free on each engine for 13 s.
+    /// any more. Whoever takes over, or restarts, has not seen them begin and would keep places free
+    /// on each engine for them.
     #[serde(default)]
     pub settled: Vec<ShortHash>,
 }
@@ -185,7 +183,7 @@
     ///
     /// One that was given up is left alone for as long as its new holder could not order anyway: an
     /// instance that restarts in place then goes on without a pause. Claimed at once, the engines of
-    /// a shard loaded nothing for 3.15 s with each planned restart of a holder.
+    /// a shard would load nothing for the handover with each planned restart of a holder.
     fn free_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
         match record {
             None => since,
--- a/crates/gateway/src/decide/load_wait.rs
+++ b/crates/gateway/src/decide/load_wait.rs
@@ -10,12 +10,11 @@
 /// earlier comes back.
 const LONGEST_ASKING: Duration = Duration::from_millis(1_050);
 /// The same in parts of the route's target latency, while many adapters wait for the weight store. A
-/// load that comes later serves its request late, and takes the turn of one that would be in time:
-/// with 1.4 s for all a heavy day was worth 0.490, with 0.6 s of 0.8 s 0.526.
+/// load that comes later serves its request late, and takes the turn of one that would be in time.
 const CROWDED_ASKING: f64 = 0.4;
-/// How long a request that asks no more waits for a load that may be under way: 250 ms at full speed,
-/// a little more as holders know of each other late. Refused while its load came, it left a place
-/// taken for nobody; three heavy days were worth 0.437, and 0.462 with it.
+/// How long a request that asks no more waits for a load that may be under way: a load at full speed,
+/// and a little more as holders know of each other late. Refused while its load came, it left a place
+/// taken for nobody.
 const LOAD_UNDER_WAY: Duration = Duration::from_millis(350);
 
 /// What a request does that waits for its adapter.
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -45,7 +45,7 @@
 /// One slot in so many is kept free while loads of the engine's former life may come of which this
 /// instance knows nothing: a holder that died took the list of its unanswered orders along. An
 /// engine that such a load overfills crashes. Several of them come one after the other only if each
-/// names the engine's very count; four of 30 slots, two of 13.
+/// names the engine's very count.
 const UNKNOWN_PART: usize = 8;
 /// Least such slots: of two late loads one after the other the second may come before the first one
 /// shows in a report.
--- a/crates/gateway/src/decide/loader/wish.rs
+++ b/crates/gateway/src/decide/loader/wish.rs
@@ -9,8 +9,7 @@
 /// Age at which a wish that nobody repeated is dropped: three repeats are lost or late.
 ///
 /// A load for requests that were refused meanwhile serves nobody, and takes a place and a turn at the
-/// weight store from one that would. Kept for 1.5 s, a quarter of all loads of a heavy day came when
-/// their request had been gone for 0.1 s and more; worth 0.397 in place of 0.495.
+/// weight store from one that would.
 const WISH_LASTS: Duration = Duration::from_millis(200);
 /// Span over which repeats are counted: two of them.
 const COUNT_SPAN: Duration = Duration::from_millis(120);
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -32,9 +32,8 @@
 impl Member {
     /// Place in the order for a duty named by `key`; the highest comes first.
     ///
-    /// A duty costs an instance more than its callers do. With holders drawn regardless of their
-    /// machines, of which most had an eighth of a core, 918 orders to engines ran out of time in 24 s
-    /// of a heavy day on 75 instances. So the strongest come first.
+    /// A duty costs an instance more than its callers do; on a weak machine orders to engines run out of
+    /// time. So the strongest come first.
     #[must_use]
     pub fn precedence(&self, key: u64) -> (Strength, u64) {
         (self.strength, weight(key, self.name.as_str()))
@@ -55,13 +54,11 @@
 /// Pause between rounds of gossip in a small fleet. Quotas lag by it, and a dead peer is noticed
 /// after several.
 const ROUND: Duration = Duration::from_millis(100);
-/// Pause added for each instance beyond [`SMALL_FLEET`]: every one tells every other, and a round of
-/// 75 instances is 5,550 datagrams.
+/// Pause added for each instance beyond [`SMALL_FLEET`]: every one tells every other.
 const ROUND_PER_PEER: Duration = Duration::from_millis(4);
 /// Instances beyond which rounds are slower.
 const SMALL_FLEET: usize = 10;
-/// Longest pause between rounds; a fleet of 300 reaches it. Each instance then takes in 240 datagrams
-/// a second, where the round of a fleet of 75 would be 855.
+/// Longest pause between rounds; a fleet of 300 reaches it.
 const LONGEST_ROUND: Duration = Duration::from_millis(1_250);
 
 /// Silence after which a peer no longer counts in the division of quotas, budgets and connections.
@@ -127,8 +124,8 @@
 #[derive(Debug)]
 pub struct Peers {
     known: BTreeMap<InstanceId, Peer>,
-    /// Requests of all peers at each target. The sum is kept, not made for each request: over 75
-    /// peers and 93 targets that took 7,000 look-ups for every choice of a target.
+    /// Requests of all peers at each target. The sum is kept, not made for each request: that would
+    /// take a look-up for each peer and target at every choice.
     sums: HashMap<ShortHash, Load>,
     /// Silence after which a peer counts as down in a fleet of this size.
     down_after: Duration,
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -14,22 +14,20 @@
 use super::versions::Versions;
 
 /// Fill of an engine, in parts of its slots, up to which requests stay where their adapter and
-/// prompt start are. An engine's step takes 14 % longer with all slots taken than with one, so a
+/// prompt start are. An engine's step takes little longer with all slots taken than with one, so a
 /// second copy pays late.
 const STAY_BELOW: f64 = 0.85;
 /// Fill beyond which an engine is no place for another adapter.
 const LOAD_BELOW: f64 = 0.8;
 /// Wait for the prompts that stand before, in parts of the route's target latency, up to which
 /// requests stay. Long prompts fill an engine when a fifth of its slots is taken. A copy elsewhere
-/// costs a load and a place, so it is not made for each short queue: with 0.25 a calm day had 825
-/// loads from the weight store in place of 476, and was worth 0.612 in place of 0.716.
+/// costs a load and a place, so it is not made for each short queue.
 const STAY_WITHIN: f64 = 0.5;
 /// The same, beyond which an engine is no place for another copy.
 const LOAD_WITHIN: f64 = 0.3;
 /// Time to the first event, in parts of the route's target latency, beyond which a request is
 /// refused where nothing would begin it sooner. A longer queue makes all that stand in it late and
-/// serves no more of them; a little over 1, as what is told of queues is out of date. Without it
-/// three heavy days were worth 0.428, with 0.8 0.419, with 1.0 0.435, with 1.5 0.448.
+/// serves no more of them; a little over 1, as what is told of queues is out of date.
 const BEGIN_WITHIN: f64 = 1.25;
 /// How much longer the queue may be for requests of the first rank: engines put them first.
 const FIRST_RANK_FACTOR: f64 = 1.3;
--- a/crates/gateway/src/decide/prompt_queues.rs
+++ b/crates/gateway/src/decide/prompt_queues.rs
@@ -1,9 +1,8 @@
 //! How long engines take to begin a request: the prompts that wait there, and the speed at which each
 //! engine shows that it reads them.
 //!
-//! An engine may be full although most of its slots are free: with prompts of 2,400 tokens ten
-//! requests a second keep it reading all the time, and a queue of five seconds takes 54 of 64
-//! slots. So its load is told in time, not in slots.
+//! An engine may be full although most of its slots are free: a few requests with long prompts keep it
+//! reading all the time. So its load is told in time, not in slots.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -51,9 +51,8 @@
 
 /// Least span over which the rate of peers is smoothed.
 const PEER_RATE_SPAN: Duration = Duration::from_millis(800);
-/// The same in mean ages of what peers told. In a fleet of 300 words come 1.25 s apart; smoothed over
-/// 0.8 s the rate was forgotten in between, and a hot workspace ran 1.17 times what its quota allows
-/// in 8 s.
+/// The same in mean ages of what peers told. In a large fleet words come further apart than the least
+/// span: the rate would be forgotten in between, and a hot workspace let in beyond its quota.
 const PEER_RATE_LAGS: u32 = 5;
 
 /// Charges up to this part of the burst count as small.
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -197,8 +197,8 @@
     /// An instance that comes back from a cut keeps a target that is gone for a while, with the
     /// newest revision; were it in the copy, all others would send to it again.
     ///
-    /// With whole lists alone a configuration was in force after 5.1 s on 302 instances before 3,000
-    /// targets, and the busiest instance moved 5.6 MB a second; a whole list is 450 KB by calculation.
+    /// A list of thousands of targets is hundreds of kilobytes. Were it given whole each time, a large
+    /// fleet would copy lists for as long as it may take to put a configuration in force.
     #[must_use]
     pub fn copied(&self, have: Revision, now: Time) -> RegistryCopy {
         let vanished = self.vanished.iter();
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -19,8 +19,7 @@
 /// them were refused at once, again and again, and used up the budget for repeats.
 const DOUBT: Duration = Duration::from_millis(60);
 
-/// Adapters that are remembered of each engine after it dropped them: 60 bytes each, and 1,000
-/// engines.
+/// Adapters that are remembered of each engine after it dropped them; there may be 1,000 engines.
 const MOST_LATELY: usize = 100;
 
 /// Orders the words of an engine's loaders: a later lease first, then a later word.
--- a/crates/gateway/src/decide/stopping.rs
+++ b/crates/gateway/src/decide/stopping.rs
@@ -6,7 +6,7 @@
 const KEPT_TIMES: u32 = 3;
 /// How much sooner requests are refused. The signal is noticed late on a machine that is short of
 /// processor time, and a request taken more than three times the keeping time after it must be
-/// finished: a draft taken 3.07 s after the signal was cut off when the process ended.
+/// finished, which it may not be when the process ends.
 const SOONER: Duration = Duration::from_millis(100);
 /// Least time for requests that were taken, before the process has to end.
 const LEAST_TO_FINISH: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/decide/versions.rs
+++ b/crates/gateway/src/decide/versions.rs
@@ -15,8 +15,8 @@
 /// Age of an announcement at which a request that an engine has not begun on an older version is
 /// taken back.
 ///
-/// It waits there behind others' prompts, and began 5.1 s after the announcement. The rest of the
-/// 5 s is for the announcement's way here and for the engine to see the connection closed.
+/// It waits there behind others' prompts and may begin when the promised 5 s are over. The rest of them
+/// is for the announcement's way here and for the engine to see the connection closed.
 const TAKEN_BACK_AFTER: Duration = Duration::from_millis(3_800);
 
 /// The newest version of each adapter that has had more than one.
--- a/crates/gateway/src/net/listing_turn.rs
+++ b/crates/gateway/src/net/listing_turn.rs
@@ -12,9 +12,8 @@
 /// Instances that may list all targets at once after a start: a list of 1,000 is two calls, and the
 /// store reads 2,000 a second.
 const LIST_AT_ONCE: usize = 100;
-/// Time over which the lists of a larger fleet are spread, for each instance. 300 that start at once
-/// would make 3,000 calls, by calculation, where the store takes 2,000 a second. Callers were served
-/// again 9 s after 302 were killed, and 30 s after it without turns.
+/// Time over which the lists of a larger fleet are spread, for each instance: all that start at once
+/// would make more calls than the store takes in a second, and be refused.
 const SPREAD_LISTS: Duration = Duration::from_millis(5);
 /// Looks for the list of instances, and the pause between them: the store answers in some 8 ms, and a
 /// fleet that starts for the first time has no list.
--- a/crates/gateway/src/net/refuse.rs
+++ b/crates/gateway/src/net/refuse.rs
@@ -42,8 +42,7 @@
 }
 
 /// Shortest time until a refused caller returns. Early enough to be served in time on its second
-/// try: with 0.15 s and a spread of 0.5 s three heavy days were worth 0.451, with 0.05 and 0.2 s
-/// 0.462, with 0.6 and 2.4 s 0.443.
+/// try.
 const RETRY_AFTER_LEAST: Duration = Duration::from_millis(80);
 /// Callers that are refused in the same moment come back over this span, not together.
 const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(240);
--- a/crates/gateway/src/net/words.rs
+++ b/crates/gateway/src/net/words.rs
@@ -1,9 +1,8 @@
 //! Words on what engines hold, told to all instances in batches.
 //!
 //! A load changes what one engine holds, and every instance must hear of it to send requests there.
-//! One datagram a load and peer would be 22,000 a second for each of four holders at 300 instances
-//! with 300 loads a second; whoever waits for the load is told at once, the others with the next
-//! batch.
+//! One datagram a load and peer would be thousands a second in a large fleet; whoever waits for the load
+//! is told at once, the others with the next batch.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
--- a/crates/gateway/tests/reload.rs
+++ b/crates/gateway/tests/reload.rs
@@ -1,44 +1,16 @@
 //! Which changed settings are taken over at once, and which wait for a restart.
 
+mod support;
+
 use std::time::Duration;
 
 use bluebellstage_core::Incarnation;
-use bluebellstage_gateway::decide::peers::{Member, Strength};
 use bluebellstage_gateway::decide::reload::{Reload, compare};
-use bluebellstage_gateway::decide::retry_budget::RetryBudget;
-use bluebellstage_gateway::settings::{NodeSettings, Terms};
-
-fn settings() -> NodeSettings {
-    let address = ([127, 0, 0, 1], 1).into();
-    NodeSettings {
-        member: Member {
-            name: "front-0".parse().unwrap(),
-            incarnation: Incarnation(7),
-            front: address,
-            gossip: address,
-            control: address,
-            failure_domain: "north".parse().unwrap(),
-            strength: Strength(25),
-        },
-        ready: None,
-        directory: None,
-        metrics: None,
-        handover: Duration::from_secs(3),
-        terms: Terms {
-            seeds: Vec::new(),
-            retry_budget: RetryBudget {
-                ratio: 0.2,
-                window: Duration::from_secs(10),
-                slack: 50.0,
-            },
-            stop_within: Duration::from_secs(8),
-            keep_addresses: Duration::from_secs(1),
-        },
-    }
-}
+use bluebellstage_gateway::settings::NodeSettings;
+use support::{member, settings};
 
 fn compared(change: impl FnOnce(&mut NodeSettings)) -> Reload {
-    let running = settings();
+    let running = settings(member("front-0", "north"));
     let mut read = running.clone();
     change(&mut read);
     compare(&running, &running.terms, read)
--- a/crates/gateway/tests/store_silence.rs
+++ b/crates/gateway/tests/store_silence.rs
@@ -15,8 +15,8 @@
 const SUSPENDED: Duration = Duration::from_secs(3);
 /// Time in which the other instances copy what a follower has heard.
 const COPIED_WITHIN: Duration = Duration::from_secs(1);
-/// Time from an announcement on in which requests may still begin on an older version, as an instance
-/// that hears of it counts it.
+/// Time from an announcement on in which requests may still begin on an older version, as an
+/// instance that hears of it counts it.
 const OLD_VERSION_BEGINS: Duration = Duration::from_millis(3_800);
 /// When the store takes a change just before it falls silent.
 const CHANGED: Duration = Duration::from_millis(4_900);
@@ -91,29 +91,29 @@
 }
 
 /// Callers whose new keys the operators have added get 401 on every instance for many seconds, and
-/// requests go on by routes that were replaced. A change is in force and the instance asks for the next
-/// one just as the store falls silent. The store returns and takes it, but a call that began in the
-/// silence is never answered, and nobody asked anew before its wait of 17 s was over.
+/// requests go on by routes that were replaced. A change is in force and the instance asks for the
+/// next one just as the store falls silent. The store returns and takes it, but a call that began in
+/// the silence is never answered, and nobody asked anew before its wait of 17 s was over.
 ///
-/// Evidence: the instances told that each such call ended after 17.8 s without an answer, while those whose
-/// call had begun before the same silence had all changes as soon as it was over.
+/// Evidence: the instances told that each such call ended after 17.8 s without an answer, while those
+/// whose call had begun before the same silence had all changes as soon as it was over.
 #[test]
 fn a_configuration_is_heard_soon_after_a_silence_of_the_store() {
     let late = too_late(Kind::Config, Trouble::Silent);
     assert!(late.is_empty(), "heard too late: {late:?}");
 }
 
-/// Requests begin on an adapter's old version for many seconds after the new one was announced: a call
-/// for announced versions that began in a silence of the store was never answered, like one for the
-/// configuration, and may have been open for as long.
+/// Requests begin on an adapter's old version for many seconds after the new one was announced: a
+/// call for announced versions that began in a silence of the store was never answered, like one for
+/// the configuration, and may have been open for as long.
 #[test]
 fn a_version_is_heard_soon_after_a_silence_of_the_store() {
     let late = too_late(Kind::AdapterVersions, Trouble::Silent);
     assert!(late.is_empty(), "heard too late: {late:?}");
 }
 
-/// A server that has said that it leaves goes on getting requests: the news of it came while the store was
-/// silent.
+/// A server that has said that it leaves goes on getting requests: the news of it came while the
+/// store was silent.
 #[test]
 fn a_leaving_target_is_heard_soon_after_a_silence_of_the_store() {
     let late = too_late(Kind::Targets, Trouble::Silent);
@@ -128,8 +128,8 @@
     assert!(late.is_empty(), "heard too late: {late:?}");
 }
 
-/// Refusals that come at once must not make an instance ask without a break; a call that got no answer
-/// has lasted long enough, and the next one follows at once.
+/// Refusals that come at once must not make an instance ask without a break; a call that got no
+/// answer has lasted long enough, and the next one follows at once.
 #[test]
 fn only_quick_failures_are_followed_by_a_pause() {
     let mut follower = Follower::new(Kind::Config, Some(Revision(1)));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -21,6 +21,7 @@
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::decide::target::Target;
+use bluebellstage_gateway::settings::{NodeSettings, Terms};
 
 pub const MODEL: &str = "base";
 
@@ -170,13 +171,33 @@
     }
 }
 
-pub fn tables() -> Tables {
-    let budget = RetryBudget {
+fn retry_budget() -> RetryBudget {
+    RetryBudget {
         ratio: 0.2,
         window: Duration::from_secs(10),
         slack: 10.0,
-    };
-    let mut tables = Tables::new(member("me", "north"), budget);
+    }
+}
+
+/// Settings of an instance that registers itself as `member`.
+pub fn settings(member: Member) -> NodeSettings {
+    NodeSettings {
+        member,
+        ready: None,
+        directory: None,
+        metrics: None,
+        handover: Duration::from_secs(3),
+        terms: Terms {
+            seeds: Vec::new(),
+            retry_budget: retry_budget(),
+            stop_within: Duration::from_secs(8),
+            keep_addresses: Duration::from_secs(1),
+        },
+    }
+}
+
+pub fn tables() -> Tables {
+    let mut tables = Tables::new(member("me", "north"), retry_budget());
     tables.adopt(config(1), at(0));
     tables
 }
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -7,19 +7,19 @@
 use bluebellstage_core::Revision;
 use bluebellstage_gateway::decide::call::{AnswerHead, Call, Forward};
 use bluebellstage_gateway::decide::loader::{Order, OrderAnswer, Report};
-use bluebellstage_gateway::decide::retry_budget::RetryBudget;
+use bluebellstage_gateway::decide::peers::Member;
 use bluebellstage_gateway::decide::target::Target;
 use bluebellstage_gateway::edge::{
     BadCall, Content, Edge, Kind, Listing, Object, ObjectStore, Protocol, SettingsSource,
 };
 use bluebellstage_gateway::error::{GatewayError, StoreError};
 use bluebellstage_gateway::net::run::run;
-use bluebellstage_gateway::settings::{NodeSettings, Terms};
+use bluebellstage_gateway::settings::NodeSettings;
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, request, response};
 use tokio::time::Instant;
 
-use super::member;
+use super::{member, settings};
 
 /// What the deployment adds to the wait of a watch before it gives the call up.
 const MARGIN: Duration = Duration::from_millis(800);
@@ -47,7 +47,6 @@
     /// Kind, object and when the store takes it; the revision is the place in the list and one.
     news: Vec<(Kind, Object, Duration)>,
     told: Mutex<Vec<(Revision, Duration)>>,
-    calls: Mutex<Vec<(Kind, Duration)>>,
 }
 
 /// The store; clones share one script.
@@ -81,7 +80,6 @@
             away,
             news: news.into_iter().enumerate().map(object).collect(),
             told: Mutex::default(),
-            calls: Mutex::default(),
         }))
     }
 
@@ -92,14 +90,6 @@
         told.next().map(|(_, at)| *at)
     }
 
-    /// Lists and watches of a kind that began in a span.
-    pub fn calls(&self, kind: Kind, within: &Range<Duration>) -> usize {
-        let calls = self.0.calls.lock().unwrap();
-        let counted = calls.iter();
-        let counted = counted.filter(|(of, at)| *of == kind && within.contains(at));
-        counted.count()
-    }
-
     fn now(&self) -> Duration {
         self.0.started.elapsed()
     }
@@ -144,15 +134,10 @@
             }
         }
     }
-
-    fn count(&self, kind: Kind) {
-        self.0.calls.lock().unwrap().push((kind, self.now()));
-    }
 }
 
 impl ObjectStore for ScriptedStore {
     async fn list(&self, kind: Kind) -> Result<Listing, StoreError> {
-        self.count(kind);
         self.reach(ANSWER_WITHIN).await?;
         self.answer(self.listing(kind, Revision::default())).await
     }
@@ -163,7 +148,6 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Listing, StoreError> {
-        self.count(kind);
         self.reach(wait + MARGIN).await?;
         let begun = Instant::now();
         loop {
@@ -280,28 +264,13 @@
     }
 }
 
-fn settings() -> NodeSettings {
-    let mut member = member("me", "north");
+fn member_on_any_port() -> Member {
     let any_port = "127.0.0.1:0".parse().unwrap();
-    member.front = any_port;
-    member.gossip = any_port;
-    member.control = any_port;
-    NodeSettings {
-        member,
-        ready: None,
-        directory: None,
-        metrics: None,
-        handover: Duration::from_secs(3),
-        terms: Terms {
-            seeds: Vec::new(),
-            retry_budget: RetryBudget {
-                ratio: 0.2,
-                window: Duration::from_secs(10),
-                slack: 10.0,
-            },
-            stop_within: Duration::from_secs(8),
-            keep_addresses: Duration::from_secs(1),
-        },
+    Member {
+        front: any_port,
+        gossip: any_port,
+        control: any_port,
+        ..member("me", "north")
     }
 }
 
@@ -314,7 +283,7 @@
         .unwrap();
     runtime.block_on(async {
         let store = store();
-        let settings = settings();
+        let settings = settings(member_on_any_port());
         let source = Unchanging(settings.clone());
         let running = run::<StoreOnly>(settings, source, NoCallers, store.clone());
         let ended = tokio::time::timeout(span, running).await;
