--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// What it follows.
+    #[must_use]
+    pub const fn kind(&self) -> Kind {
+        self.kind
+    }
+
     /// The revision up to which all is known; none before the first list.
     #[must_use]
     pub const fn after(&self) -> Option<Revision> {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -140,6 +140,9 @@
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
     /// Waits up to `wait` for changes after a revision.
+    ///
+    /// A call that the store never answers must end with an error less than a second after `wait`:
+    /// until then nobody asks anew, and news are late by as much.
     fn watch(
         &self,
         kind: Kind,
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -51,14 +51,7 @@
                 if std::mem::take(&mut lost) {
                     event(LogEvent::StoreBack, &[("kind", kind.name())]);
                 }
-                if kind == Kind::Targets {
-                    let now = node.now();
-                    node.tables().registry.heard_store(now);
-                }
-                let whole = follower.after().is_none();
-                let pause = follower.answered(listing.revision, !listing.objects.is_empty());
-                apply(&node, kind, listing, whole);
-                pause
+                take(&node, &mut follower, listing)
             }
             Err(StoreError::HistoryGone) => {
                 follower.history_gone();
@@ -70,12 +63,7 @@
                     let fields = [("kind", kind.name()), ("cause", &cause)];
                     event(LogEvent::StoreLost, &fields);
                 }
-                if kind == Kind::Targets {
-                    let now = node.now();
-                    node.tables().registry.store_lost(now);
-                }
-                let spread = rand::rng().random_range(SPREAD);
-                follower.failed(begun.elapsed(), spread)
+                miss(&node, &mut follower, begun.elapsed())
             }
         };
         if !pause.is_zero() {
@@ -84,6 +72,28 @@
     }
 }
 
+/// Takes in what the store told; gives the pause until the next call.
+fn take<E: Edge>(node: &Node<E>, follower: &mut Follower, listing: Listing) -> Duration {
+    let kind = follower.kind();
+    if kind == Kind::Targets {
+        let now = node.now();
+        node.tables().registry.heard_store(now);
+    }
+    let whole = follower.after().is_none();
+    let pause = follower.answered(listing.revision, !listing.objects.is_empty());
+    apply(node, kind, listing, whole);
+    pause
+}
+
+/// Notes a call that failed after so long; gives the pause until the next one.
+fn miss<E: Edge>(node: &Node<E>, follower: &mut Follower, took: Duration) -> Duration {
+    if follower.kind() == Kind::Targets {
+        let now = node.now();
+        node.tables().registry.store_lost(now);
+    }
+    follower.failed(took, rand::rng().random_range(SPREAD))
+}
+
 /// Whether this instance follows the store now; the list of targets keeps since when.
 fn is_followed<E: Edge>(node: &Node<E>, kind: Kind) -> bool {
     let now = node.now();
