--- a/crates/gateway/src/net/copying.rs
+++ b/crates/gateway/src/net/copying.rs
@@ -16,7 +16,7 @@
 use super::control::{COPY_PATH, Copy, Have};
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::sync::adopt;
+use super::sync::{adopt, announce};
 
 /// Pause between two copies taken from peers.
 const COPY_PAUSE: Duration = Duration::from_millis(300);
@@ -43,7 +43,7 @@
             let have = have(&node.tables());
             match copy(address, have).await {
                 Ok(copy) => {
-                    take(&node, copy);
+                    take(&node, copy, address);
                     event(LogEvent::PeerCopyTaken, &[("peer", &address.to_string())]);
                     break;
                 }
@@ -115,15 +115,15 @@
     })
 }
 
-fn take<E: Edge>(node: &Node<E>, copy: Copy) {
+fn take<E: Edge>(node: &Node<E>, copy: Copy, peer: SocketAddr) {
     let now = node.now();
     if let Some(config) = copy.config {
         adopt(node, config);
     }
-    let mut tables = node.tables();
     for news in &copy.versions {
-        tables.versions.announce(news, now);
+        announce(node, news, &peer.to_string());
     }
+    let mut tables = node.tables();
     for member in copy.members {
         if member.name != tables.me.name {
             tables.peers.registered(member);
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -5,6 +5,7 @@
 
 use bluebellstage_core::{InstanceId, Revision, TargetId};
 
+use crate::decide::adapter::AdapterAt;
 use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
@@ -76,7 +77,6 @@
 }
 
 fn apply_one<E: Edge>(node: &Node<E>, kind: Kind, object: Object) {
-    let now = node.now();
     let Object {
         name,
         revision,
@@ -91,14 +91,7 @@
         Some(Content::Config(config)) => adopt(node, *config),
         Some(Content::Target(target)) => put_target(node, *target, revision),
         Some(Content::AdapterVersion(news)) => {
-            if node.tables().versions.announce(&news, now) {
-                let [adapter, version] = [news.key.to_string(), news.version.to_string()];
-                event(
-                    LogEvent::VersionAnnounced,
-                    &[("adapter", &adapter), ("version", &version)],
-                );
-                node.loader_work.notify_waiters();
-            }
+            announce(node, &news, "store");
         }
         Some(Content::Member(member)) => {
             let mut tables = node.tables();
@@ -143,6 +136,20 @@
     }
 }
 
+/// Takes in an announced version and says from where it came, `from` the store or a peer.
+pub(super) fn announce<E: Edge>(node: &Node<E>, news: &AdapterAt, from: &str) {
+    let now = node.now();
+    if !node.tables().versions.announce(news, now) {
+        return;
+    }
+    let [adapter, version] = [news.key.to_string(), news.version.to_string()];
+    event(
+        LogEvent::VersionAnnounced,
+        &[("adapter", &adapter), ("version", &version), ("from", from)],
+    );
+    node.loader_work.notify_waiters();
+}
+
 fn put_target<E: Edge>(node: &Node<E>, target: Target, revision: Revision) {
     let now = node.now();
     let mut tables = node.tables();
