Count an old version's grace from the first announcement that replaced it

Cause, by the log: version 2 was announced at 2.0 s and known everywhere at 2.35 s; version 3 was announced at 8.0 s. Only the newest announcement was kept, with its time, so version 1 got the grace of version 3 anew: at 9.02 and 9.09 s two instances sent to version 1 on i-0258ba1339, where a copy had stayed, with 3.1 and 3.0 s left by their account. Ruled out: late news (all 195 knew after 0.35 s), copies from peers that fail, requests that wait at the engine.

Elsewhere: an instance that restarts, hears late or copies from a peer gave the grace from when it heard. Announcements now carry their age between peers; a first list says none and gives none. The copy's form changed, so its path did.

Tests: a_second_announcement_leaves_the_first_versions_grace_over failed first; two more on ages.

--- a/crates/gateway/src/decide/versions.rs
+++ b/crates/gateway/src/decide/versions.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, Time};
+use serde::{Deserialize, Serialize};
 
 use super::adapter::{AdapterAt, AdapterKey};
 
@@ -19,51 +20,81 @@
 /// is for the announcement's way here and for the engine to see the connection closed.
 const TAKEN_BACK_AFTER: Duration = Duration::from_millis(3_800);
 
+/// Age from which an announcement is as good as made long ago; stands for an unknown age, too.
+pub const LONG_AGO: Duration = TAKEN_BACK_AFTER;
+
+/// An announced version with its age, for peers.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Announcement {
+    /// The adapter and its version.
+    pub adapter: AdapterAt,
+    /// Time since it was announced; [`LONG_AGO`] at most.
+    pub age: Duration,
+}
+
 /// The newest version of each adapter that has had more than one.
 #[derive(Debug, Default)]
 pub struct Versions {
-    announced: HashMap<AdapterKey, Announced>,
+    /// Announced versions of each adapter, the newest last. Earlier ones are kept while their age
+    /// matters to what they replaced.
+    announced: HashMap<AdapterKey, Vec<Announced>>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Announced {
     version: AdapterVersion,
-    at: Time,
+    /// When requests that an engine has not begun on an older version are taken back.
+    taken_back: Time,
+}
+
+impl Announced {
+    fn age(&self, now: Time) -> Duration {
+        TAKEN_BACK_AFTER.saturating_sub(self.taken_back.since(now))
+    }
 }
 
 impl Versions {
-    /// Takes in an announcement; false if it brings nothing new.
-    pub fn announce(&mut self, news: &AdapterAt, now: Time) -> bool {
-        let known = self.announced.get(&news.key);
-        if known.is_some_and(|known| known.version >= news.version) {
+    /// Takes in an announcement made `age` ago; false if a newer version is known.
+    pub fn announce(&mut self, news: &AdapterAt, age: Duration, now: Time) -> bool {
+        let known = self.announced.entry(news.key.clone()).or_default();
+        let newest = known.last().map(|last| last.version);
+        if known.iter().any(|known| known.version == news.version) {
             return false;
         }
-        let announced = Announced {
+        known.push(Announced {
             version: news.version,
-            at: now,
-        };
-        self.announced.insert(news.key.clone(), announced);
-        true
+            taken_back: now + TAKEN_BACK_AFTER.saturating_sub(age),
+        });
+        known.sort_by_key(|known| known.version);
+        forget(known, now);
+        newest.is_none_or(|newest| news.version > newest)
     }
 
     /// The newest version; none if the adapter has only its first.
     #[must_use]
     pub fn newest(&self, key: &AdapterKey) -> Option<AdapterVersion> {
-        self.announced.get(key).map(|known| known.version)
+        let last = self.announced.get(key)?.last()?;
+        Some(last.version)
     }
 
-    /// Sum of all announced versions: the higher of two instances knows something that the other
+    /// Sum of all newest versions: the higher of two instances knows something that the other
     /// doesn't.
     #[must_use]
     pub fn total(&self) -> u64 {
-        self.announced.values().map(|known| known.version.0).sum()
+        let newest = self.announced.values().filter_map(|known| known.last());
+        newest.map(|newest| newest.version.0).sum()
     }
 
-    /// All announced versions.
-    pub fn all(&self) -> impl Iterator<Item = AdapterAt> {
-        self.announced.iter().map(|(key, known)| AdapterAt {
-            key: key.clone(),
-            version: known.version,
+    /// All announcements that are known, with their ages.
+    pub fn all(&self, now: Time) -> impl Iterator<Item = Announcement> {
+        self.announced.iter().flat_map(move |(key, known)| {
+            known.iter().map(move |known| Announcement {
+                adapter: AdapterAt {
+                    key: key.clone(),
+                    version: known.version,
+                },
+                age: known.age(now),
+            })
         })
     }
 
@@ -82,16 +113,24 @@
         wait: Duration,
         now: Time,
     ) -> bool {
-        let Some(known) = self.announced.get(key) else {
-            return true;
-        };
-        version >= known.version || now.since(known.at) + wait < OLD_VERSION_GRACE
+        let margin = TAKEN_BACK_AFTER.saturating_sub(OLD_VERSION_GRACE);
+        let by = self.must_begin_by(key, version);
+        by.is_none_or(|by| now + wait + margin < by)
     }
 
     /// When a request on `version` must have begun; none while that is the newest.
+    ///
+    /// The first version that replaced it counts: a later announcement gives it no new grace.
     #[must_use]
     pub fn must_begin_by(&self, key: &AdapterKey, version: AdapterVersion) -> Option<Time> {
-        let known = self.announced.get(key)?;
-        (version < known.version).then(|| known.at + TAKEN_BACK_AFTER)
+        let known = self.announced.get(key)?.iter();
+        let newer = known.filter(|known| known.version > version);
+        newer.map(|known| known.taken_back).min()
     }
 }
+
+/// Drops announcements before one whose grace is over: what it replaced is out of date anyway.
+fn forget(known: &mut Vec<Announced>, now: Time) {
+    let over = known.iter().rposition(|known| known.taken_back <= now);
+    known.drain(..over.unwrap_or(0));
+}
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -9,18 +9,19 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
-use crate::decide::adapter::AdapterAt;
 use crate::decide::config::Config;
 use crate::decide::peers::Member;
 use crate::decide::registry::RegistryCopy;
 use crate::decide::tables::Tables;
+use crate::decide::versions::Announcement;
 use crate::edge::Edge;
 
 use super::node::Node;
 use super::refuse::{AnswerBody, answer as own_answer, whole};
 
-/// Path of the copy on the control address.
-pub(super) const COPY_PATH: &str = "/peer/copy";
+/// Path of the copy on the control address; another form of the copy gets another path, so that instances of
+/// two releases never misread each other.
+pub(super) const COPY_PATH: &str = "/peer/copy/2";
 
 /// Path of the metrics, on the control address and on one of their own.
 const METRICS_PATH: &str = "/metrics";
@@ -80,7 +81,7 @@
 pub(super) struct Copy {
     pub(super) config: Option<Config>,
     pub(super) targets: Option<RegistryCopy>,
-    pub(super) versions: Vec<AdapterAt>,
+    pub(super) versions: Vec<Announcement>,
     pub(super) members: Vec<Member>,
 }
 
@@ -132,7 +133,7 @@
         copy.targets = Some(registry);
     }
     if versions {
-        copy.versions = tables.versions.all().collect();
+        copy.versions = tables.versions.all(now).collect();
     }
     if !have.members {
         let peers = tables.peers.all().map(|peer| peer.member.clone());
--- a/crates/gateway/src/net/copying.rs
+++ b/crates/gateway/src/net/copying.rs
@@ -121,7 +121,7 @@
         adopt(node, config);
     }
     for news in &copy.versions {
-        announce(node, news, &peer.to_string());
+        announce(node, &news.adapter, news.age, &peer.to_string());
     }
     let mut tables = node.tables();
     for member in copy.members {
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -8,6 +8,7 @@
 use crate::decide::adapter::AdapterAt;
 use crate::decide::tables::Tables;
 use crate::decide::target::Target;
+use crate::decide::versions::LONG_AGO;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
 use crate::error::StoreError;
 
@@ -26,8 +27,10 @@
         return;
     }
     let before = known(&node.tables());
+    // A list doesn't say since when its objects are there.
+    let age = if whole { LONG_AGO } else { Duration::ZERO };
     for object in listing.objects {
-        apply_one(node, kind, object);
+        apply_one(node, kind, object, age);
     }
     if kind == Kind::Targets {
         node.tables().registry.seen(revision);
@@ -76,7 +79,7 @@
     node.changed.notify_waiters();
 }
 
-fn apply_one<E: Edge>(node: &Node<E>, kind: Kind, object: Object) {
+fn apply_one<E: Edge>(node: &Node<E>, kind: Kind, object: Object, age: Duration) {
     let Object {
         name,
         revision,
@@ -91,7 +94,7 @@
         Some(Content::Config(config)) => adopt(node, *config),
         Some(Content::Target(target)) => put_target(node, *target, revision),
         Some(Content::AdapterVersion(news)) => {
-            announce(node, &news, "store");
+            announce(node, &news, age, "store");
         }
         Some(Content::Member(member)) => {
             let mut tables = node.tables();
@@ -136,17 +139,21 @@
     }
 }
 
-/// Takes in an announced version and says from where it came, `from` the store or a peer.
-pub(super) fn announce<E: Edge>(node: &Node<E>, news: &AdapterAt, from: &str) {
+/// Takes in a version announced `age` ago and says where the news came `from`, the store or a peer.
+pub(super) fn announce<E: Edge>(node: &Node<E>, news: &AdapterAt, age: Duration, from: &str) {
     let now = node.now();
-    if !node.tables().versions.announce(news, now) {
+    if !node.tables().versions.announce(news, age, now) {
         return;
     }
     let [adapter, version] = [news.key.to_string(), news.version.to_string()];
-    event(
-        LogEvent::VersionAnnounced,
-        &[("adapter", &adapter), ("version", &version), ("from", from)],
-    );
+    let age = age.as_millis().to_string();
+    let fields = [
+        ("adapter", &*adapter),
+        ("version", &*version),
+        ("from", from),
+        ("age_ms", &*age),
+    ];
+    event(LogEvent::VersionAnnounced, &fields);
     node.loader_work.notify_waiters();
 }
 
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bluebellstage_core::Revision;
 use bluebellstage_gateway::decide::peers::{Load, Peer, Strength};
 use support::{adapter_at, at, config, peer, tables, target};
@@ -22,7 +24,9 @@
     assert!(!tables.is_behind(&follower));
     follower.versions = 2;
     assert!(tables.is_behind(&follower));
-    tables.versions.announce(&adapter_at("a1", 2), at(1));
+    tables
+        .versions
+        .announce(&adapter_at("a1", 2), Duration::ZERO, at(1));
     assert!(!tables.is_behind(&follower));
 }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -12,6 +12,7 @@
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::residency::WordOrder;
 use bluebellstage_gateway::decide::tables::{Refusal, Tables, shard_of};
+use bluebellstage_gateway::decide::versions::LONG_AGO;
 use support::{adapter, adapter_at, at, call, draft, tables, target};
 
 fn id(name: &str) -> TargetId {
@@ -110,7 +111,9 @@
     let mut tables = tables();
     writers(&mut tables, 2);
     holds(&mut tables, "e0", "a1", 1);
-    tables.versions.announce(&adapter_at("a1", 2), at(0));
+    tables
+        .versions
+        .announce(&adapter_at("a1", 2), Duration::ZERO, at(0));
     let early = pick(&mut tables, &draft("a1"), 0.5, at(1_000));
     assert!(matches!(&early, Pick::Send { load_at, .. } if load_at == &[id("e1")]));
     let late = pick(&mut tables, &draft("a1"), 0.5, at(3_000));
@@ -122,6 +125,66 @@
     assert_eq!(version, Some(AdapterVersion(2)));
 }
 
+/// Guards against a further announcement that gives a version new grace which lost it long ago.
+#[test]
+fn a_second_announcement_leaves_the_first_versions_grace_over() {
+    let mut tables = tables();
+    writers(&mut tables, 2);
+    holds(&mut tables, "e0", "a1", 1);
+    tables
+        .versions
+        .announce(&adapter_at("a1", 2), Duration::ZERO, at(0));
+    tables
+        .versions
+        .announce(&adapter_at("a1", 3), Duration::ZERO, at(6_000));
+    let pick = pick(&mut tables, &draft("a1"), 0.5, at(6_100));
+    assert_eq!(pick, Pick::Load(id("e1")));
+    let by = tables
+        .versions
+        .must_begin_by(&adapter("a1"), AdapterVersion(1));
+    assert!(by.is_some_and(|by| by < at(5_000)));
+}
+
+/// Guards against new grace for an old version at each instance that hears late of its successor, or
+/// restarts.
+#[test]
+fn an_announcement_counts_from_when_it_was_made_not_heard() {
+    let mut first = tables();
+    let key = adapter("a1");
+    first
+        .versions
+        .announce(&adapter_at("a1", 2), Duration::ZERO, at(1_000));
+    let mut copied = tables();
+    for news in first.versions.all(at(4_000)) {
+        let adapter = &news.adapter;
+        copied.versions.announce(adapter, news.age, at(50_000));
+    }
+    let by = copied.versions.must_begin_by(&key, AdapterVersion(1));
+    assert_eq!(by, Some(at(50_800)));
+    let mut restarted = tables();
+    restarted
+        .versions
+        .announce(&adapter_at("a1", 2), LONG_AGO, at(50_000));
+    let versions = &restarted.versions;
+    assert!(!versions.may_begin(&key, AdapterVersion(1), Duration::ZERO, at(50_000)));
+}
+
+/// Guards against an older announcement that is heard after a newer one.
+#[test]
+fn announcements_heard_out_of_order_keep_their_ages() {
+    let mut tables = tables();
+    let key = adapter("a1");
+    let versions = &mut tables.versions;
+    let age = Duration::from_secs(2);
+    assert!(versions.announce(&adapter_at("a1", 3), Duration::ZERO, at(10_000)));
+    assert!(!versions.announce(&adapter_at("a1", 2), age, at(10_000)));
+    assert_eq!(versions.newest(&key), Some(AdapterVersion(3)));
+    let by = |version| versions.must_begin_by(&key, AdapterVersion(version));
+    assert_eq!(by(1), Some(at(11_800)));
+    assert_eq!(by(2), Some(at(13_800)));
+    assert_eq!(by(3), None);
+}
+
 /// A guarantee is drafted by the old weights, 5.1 s after the new ones were announced. The request
 /// was sent to them in time, but waited behind others' prompts at an engine whose queue was long.
 #[test]
@@ -129,7 +192,9 @@
     let mut tables = tables();
     writers(&mut tables, 2);
     holds(&mut tables, "e0", "a1", 1);
-    tables.versions.announce(&adapter_at("a1", 2), at(0));
+    tables
+        .versions
+        .announce(&adapter_at("a1", 2), Duration::ZERO, at(0));
     let soon = pick(&mut tables, &draft("a1"), 0.5, at(1_500));
     assert_eq!(sent_to(&soon), "e0");
     let waiting = tables.queues.sent(&id("e0"), 1_000, 0, at(100));
@@ -150,7 +215,9 @@
         versions.must_begin_by(&key, AdapterVersion(version))
     };
     assert_eq!(by(&tables, 1), None);
-    tables.versions.announce(&adapter_at("a1", 2), at(1_000));
+    tables
+        .versions
+        .announce(&adapter_at("a1", 2), Duration::ZERO, at(1_000));
     let promised = at(1_000) + Duration::from_secs(5);
     assert!(by(&tables, 1).is_some_and(|by| by + Duration::from_secs(1) < promised));
     assert_eq!(by(&tables, 2), None);
