--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::loader::Places;
+use super::news::View;
 use super::rendezvous::{ShortHash, weight};
+use super::status::{Role, Status};
 
 /// An instance as it registers itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -45,21 +47,8 @@
 #[serde(transparent)]
 pub struct Strength(pub u32);
 
-/// Least silence after which a peer counts as down for callers and takeovers: eight rounds of gossip
-/// in a small fleet.
+/// Silence after which a peer counts as down for callers and takeovers.
 pub const DOWN_AFTER: Duration = Duration::from_millis(1_100);
-/// The same in rounds of gossip, in a large fleet: three datagrams in a row aren't lost by chance on
-/// a link that loses one in twenty.
-const DOWN_AFTER_ROUNDS: f64 = 3.15;
-/// Pause between rounds of gossip in a small fleet. Quotas lag by it, and a dead peer is noticed
-/// after several.
-const ROUND: Duration = Duration::from_millis(100);
-/// Pause added for each instance beyond [`SMALL_FLEET`]: every one tells every other.
-const ROUND_PER_PEER: Duration = Duration::from_millis(4);
-/// Instances beyond which rounds are slower.
-const SMALL_FLEET: usize = 10;
-/// Longest pause between rounds; a fleet of 300 reaches it.
-const LONGEST_ROUND: Duration = Duration::from_millis(1_250);
 
 /// Silence after which a peer no longer counts in the division of quotas, budgets and connections.
 ///
@@ -76,17 +65,45 @@
 }
 
 impl Load {
-    fn add(&mut self, other: Self) {
+    /// Adds another load.
+    pub fn add(&mut self, other: Self) {
         self.requests = self.requests.saturating_add(other.requests);
         self.prompts = self.prompts.saturating_add(other.prompts);
     }
 
-    fn subtract(&mut self, other: Self) {
+    /// Takes another load out.
+    pub fn subtract(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.prompts = self.prompts.saturating_sub(other.prompts);
     }
 }
 
+/// What a relay says of a peer.
+#[derive(Clone, Copy, Debug)]
+pub struct Vouched {
+    /// It was heard lately.
+    pub live: bool,
+    /// It takes callers.
+    pub ready: bool,
+    /// The store answers it.
+    pub store_answers: bool,
+    /// What it knows of the store, if the relay says so.
+    pub store: Option<KnownOfStore>,
+}
+
+/// How new what an instance knows of the store is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KnownOfStore {
+    /// Version of its configuration.
+    pub config: Revision,
+    /// Revision of its list of targets.
+    pub targets: Revision,
+    /// Digest of what that list says.
+    pub targets_digest: u32,
+    /// Sum of the adapter versions that it knows to be announced.
+    pub versions: u64,
+}
+
 /// What a peer last told.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -94,6 +111,10 @@
     pub member: Member,
     /// When it was last heard; none: known from the registry alone.
     pub heard: Option<Time>,
+    /// Count of the status that was last heard.
+    pub seq: u32,
+    /// Whether it passes news on between its failure domain and the others.
+    pub role: Role,
     /// It takes callers.
     pub ready: bool,
     /// The store answers it.
@@ -121,24 +142,16 @@
 }
 
 /// All peers, the own instance left out.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Peers {
     known: BTreeMap<InstanceId, Peer>,
     /// Requests of all peers at each target. The sum is kept, not made for each request: that would
     /// take a look-up for each peer and target at every choice.
     sums: HashMap<ShortHash, Load>,
-    /// Silence after which a peer counts as down in a fleet of this size.
-    down_after: Duration,
-}
-
-impl Default for Peers {
-    fn default() -> Self {
-        Self {
-            known: BTreeMap::new(),
-            sums: HashMap::new(),
-            down_after: DOWN_AFTER,
-        }
-    }
+    /// Names behind short hashes.
+    names: HashMap<ShortHash, InstanceId>,
+    /// News from a relay; while there are any, they stand in place of the sums.
+    view: Option<View>,
 }
 
 fn subtract(sums: &mut HashMap<ShortHash, Load>, loads: &HashMap<ShortHash, Load>) {
@@ -155,16 +168,13 @@
         match self.known.get_mut(&member.name) {
             Some(peer) if peer.heard.is_some() => {}
             Some(peer) => peer.member = member,
-            None => {
-                self.known
-                    .insert(member.name.clone(), Peer::registered(member));
-            }
+            None => self.insert(Peer::registered(member)),
         }
     }
 
     /// Forgets a registration that is gone, unless the peer is still heard.
     pub fn unregistered(&mut self, name: &InstanceId, now: Time) {
-        let heard = |peer: &Peer| peer.heard_within(self.down_after, now);
+        let heard = |peer: &Peer| peer.heard_within(DOWN_AFTER, now);
         if self.known.get(name).is_some_and(|peer| !heard(peer)) {
             self.ended(name);
         }
@@ -174,6 +184,7 @@
     pub fn ended(&mut self, name: &InstanceId) {
         if let Some(peer) = self.known.remove(name) {
             subtract(&mut self.sums, &peer.in_flight);
+            self.names.remove(&ShortHash::of(name.as_str()));
         }
     }
 
@@ -181,18 +192,19 @@
         for (target, load) in &peer.in_flight {
             self.sums.entry(*target).or_default().add(*load);
         }
-        if let Some(before) = self.known.insert(peer.member.name.clone(), peer) {
-            subtract(&mut self.sums, &before.in_flight);
+        let name = peer.member.name.clone();
+        match self.known.insert(name.clone(), peer) {
+            Some(before) => subtract(&mut self.sums, &before.in_flight),
+            None => {
+                self.names.insert(ShortHash::of(name.as_str()), name);
+            }
         }
     }
 
     /// Takes the requests of peers that fell silent out of the sums, and forgets empty ones.
     pub fn sweep(&mut self, now: Time) {
-        let rounds = self.round(now).mul_f64(DOWN_AFTER_ROUNDS);
-        self.down_after = rounds.max(DOWN_AFTER);
-        let down_after = self.down_after;
         let silent = self.known.values_mut();
-        let silent = silent.filter(|peer| !peer.heard_within(down_after, now));
+        let silent = silent.filter(|peer| !peer.heard_within(DOWN_AFTER, now));
         for peer in silent {
             subtract(&mut self.sums, &peer.in_flight);
             peer.in_flight.clear();
@@ -208,10 +220,65 @@
     /// The registration behind a short hash, if it is of that life.
     #[must_use]
     pub fn member(&self, from: ShortHash, life: u64) -> Option<&Member> {
-        let mut members = self.known.values().map(|peer| &peer.member);
-        members.find(|member| {
-            member.incarnation.0 == life && ShortHash::of(member.name.as_str()) == from
-        })
+        let member = &self.by_hash(from)?.member;
+        (member.incarnation.0 == life).then_some(member)
+    }
+
+    /// The peer behind a short hash.
+    #[must_use]
+    pub fn by_hash(&self, name: ShortHash) -> Option<&Peer> {
+        self.known.get(self.names.get(&name)?)
+    }
+
+    /// Whether a peer tells from this address.
+    #[must_use]
+    pub fn is_at(&self, name: &InstanceId, address: SocketAddr) -> bool {
+        let peer = self.known.get(name);
+        peer.is_some_and(|peer| peer.member.gossip == address)
+    }
+
+    /// The peer that tells from this address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&Peer> {
+        let mut peers = self.known.values();
+        peers.find(|peer| peer.member.gossip == address)
+    }
+
+    /// A relay says how a peer is; its requests are in the relay's sums.
+    pub fn vouched(&mut self, name: ShortHash, word: Vouched, now: Time) {
+        let Some(name) = self.names.get(&name) else {
+            return;
+        };
+        let Some(peer) = self.known.get_mut(name) else {
+            return;
+        };
+        subtract(&mut self.sums, &peer.in_flight);
+        peer.in_flight.clear();
+        if !word.live {
+            let down = now - DOWN_AFTER;
+            peer.heard = peer.heard.map(|heard| heard.min(down));
+            return;
+        }
+        peer.heard = Some(now);
+        peer.ready = word.ready;
+        peer.store_answers = word.store_answers;
+        if let Some(store) = word.store {
+            peer.config = store.config;
+            peer.targets = store.targets;
+            peer.targets_digest = store.targets_digest;
+            peer.versions = store.versions;
+        }
+    }
+
+    /// Puts news from a relay in place of the sums, or the sums back.
+    pub fn set_view(&mut self, view: Option<View>) {
+        self.view = view;
+    }
+
+    /// News from a relay that stand in place of the sums.
+    #[must_use]
+    pub const fn view(&self) -> Option<&View> {
+        self.view.as_ref()
     }
 
     /// Takes in who a peer is; a new life replaces the old one.
@@ -247,8 +314,7 @@
 
     /// Peers that were heard lately.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
-        let down_after = self.down_after;
-        let live = move |peer: &&Peer| peer.heard_within(down_after, now);
+        let live = move |peer: &&Peer| peer.heard_within(DOWN_AFTER, now);
         self.known.values().filter(live)
     }
 
@@ -259,14 +325,6 @@
         1 + self.known.values().filter(shares).count()
     }
 
-    /// Pause between rounds of gossip.
-    #[must_use]
-    pub fn round(&self, now: Time) -> Duration {
-        let more = self.sharing(now).saturating_sub(SMALL_FLEET);
-        let more = u32::try_from(more).unwrap_or(u32::MAX);
-        (ROUND + ROUND_PER_PEER.saturating_mul(more)).min(LONGEST_ROUND)
-    }
-
     /// Part of the sharing instances that can't be heard now, between 0 and 1.
     #[must_use]
     pub fn silent_share(&self, now: Time) -> f64 {
@@ -279,7 +337,8 @@
     /// What peers have at a target, as they last told.
     #[must_use]
     pub fn load(&self, target: ShortHash) -> Load {
-        self.sums.get(&target).copied().unwrap_or_default()
+        let sums = self.view.as_ref().map_or(&self.sums, |view| &view.loads);
+        sums.get(&target).copied().unwrap_or_default()
     }
 
     /// The live peer that holds a loader shard.
@@ -294,6 +353,8 @@
         Self {
             member,
             heard: None,
+            seq: 0,
+            role: Role::Asks,
             ready: false,
             store_answers: false,
             config: Revision::default(),
@@ -309,6 +370,60 @@
         }
     }
 
+    /// What an instance told of itself, last heard at a time.
+    #[must_use]
+    pub fn told(member: Member, status: &Status, heard: Time) -> Self {
+        Self {
+            member,
+            heard: Some(heard),
+            seq: status.seq,
+            role: status.role,
+            ready: status.ready,
+            store_answers: status.store_answers,
+            config: status.config,
+            targets: status.targets,
+            targets_digest: status.targets_digest,
+            versions: status.versions,
+            in_flight: status.in_flight.iter().copied().collect(),
+            loads: status.loads,
+            waiting_loads: status.waiting_loads,
+            places: status.places.iter().copied().collect(),
+            shards: status.shards.clone(),
+            claims: status.claims.clone(),
+        }
+    }
+
+    /// What it told, but for its spending, for others.
+    #[must_use]
+    pub fn status(&self, now: Time) -> Status {
+        let held = self.heard.map_or(Duration::ZERO, |heard| now.since(heard));
+        Status {
+            from: ShortHash::of(self.member.name.as_str()),
+            life: self.member.incarnation.0,
+            seq: self.seq,
+            age_ms: u16::try_from(held.as_millis()).unwrap_or(u16::MAX),
+            ready: self.ready,
+            store_answers: self.store_answers,
+            ended: false,
+            role: self.role,
+            config: self.config,
+            targets: self.targets,
+            targets_digest: self.targets_digest,
+            versions: self.versions,
+            spent: Vec::new(),
+            in_flight: self
+                .in_flight
+                .iter()
+                .map(|(hash, load)| (*hash, *load))
+                .collect(),
+            loads: self.loads,
+            waiting_loads: self.waiting_loads,
+            places: self.places.iter().map(|(hash, at)| (*hash, *at)).collect(),
+            shards: self.shards.clone(),
+            claims: self.claims.clone(),
+        }
+    }
+
     /// Whether it was heard within `span` before `now`.
     #[must_use]
     pub fn heard_within(&self, span: Duration, now: Time) -> bool {
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
+use serde::{Deserialize, Serialize};
 
 use super::config::Quota;
 use super::dump::QuotaDump;
@@ -20,6 +21,17 @@
 /// Spending of one workspace, counted since the process started.
 pub type Spent = u64;
 
+/// What an instance tells of its spending in one workspace.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct SpentWord {
+    /// The workspace.
+    pub workspace: ShortHash,
+    /// What it has spent since it started.
+    pub total: Spent,
+    /// What of it since its last word: all that counts for one who heard none before.
+    pub lately: Spent,
+}
+
 /// How well an instance knows what its peers spend.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sharing {
@@ -55,26 +67,51 @@
 /// span: the rate would be forgotten in between, and a hot workspace let in beyond its quota.
 const PEER_RATE_LAGS: u32 = 5;
 
+/// Spans of the bucket's refilling that a relay's count may grow by between two words; more can't have
+/// been spent, so the count is of something else.
+const PLAUSIBLE_SPAN: Duration = Duration::from_mins(1);
+
 /// Charges up to this part of the burst count as small.
 const SMALL_PART: f64 = 0.04;
 /// Part of the burst that large charges leave: a filing costs a fifth of a draft's tokens and would
 /// find the bucket empty whenever drafts use it up.
 const KEPT_PART: f64 = 0.1;
 
+/// What a peer told of its spending.
 #[derive(Clone, Copy, Debug)]
 struct Told {
-    life: Incarnation,
-    spent: Spent,
+    /// The count that the next one is compared with, and the life that it is of.
+    base: Option<(Incarnation, Spent)>,
+    /// What it has spent since this process heard it first.
+    sum: i64,
+}
+
+/// A relay's count of what all others have spent.
+#[derive(Clone, Copy, Debug)]
+struct ToldSum {
+    relay: RelayLife,
+    count: i64,
 }
 
+/// A relay's short name and its life.
+pub type RelayLife = (ShortHash, u64);
+
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
+    /// Short hash of the workspace's name.
+    short: ShortHash,
     level: f64,
     at: Time,
     own: Spent,
+    own_told: Spent,
     own_changed: Time,
     peers: HashMap<InstanceId, Told>,
+    /// What all peers have spent since this process heard them first, and when that last changed.
+    peers_sum: i64,
+    peers_changed: Time,
+    /// The last word of the relay that this instance asks.
+    told_sum: Option<ToldSum>,
     /// What all peers spend in a second, smoothed.
     peer_rate: f64,
     peer_rate_at: Time,
@@ -93,6 +130,11 @@
     units as f64
 }
 
+#[expect(clippy::cast_precision_loss, reason = "charges stay far below 2^52")]
+fn signed(units: i64) -> f64 {
+    units as f64
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "a fraction of a token is nothing"
@@ -102,14 +144,19 @@
 }
 
 impl Bucket {
-    fn new(quota: Quota, now: Time) -> Self {
+    fn new(workspace: &WorkspaceId, quota: Quota, now: Time) -> Self {
         Self {
             quota,
+            short: ShortHash::of(workspace.as_str()),
             level: number(quota.burst.0) * START_PART,
             at: now,
             own: 0,
+            own_told: 0,
             own_changed: now,
             peers: HashMap::new(),
+            peers_sum: 0,
+            peers_changed: now,
+            told_sum: None,
             peer_rate: 0.0,
             peer_rate_at: now,
             peer_rate_span: PEER_RATE_SPAN.as_secs_f64(),
@@ -142,7 +189,7 @@
     /// peers spend meanwhile is counted.
     pub fn prepare(&mut self, workspace: &WorkspaceId, quota: Quota, now: Time) {
         let bucket = self.buckets.entry(workspace.clone());
-        bucket.or_insert_with(|| Bucket::new(quota, now));
+        bucket.or_insert_with(|| Bucket::new(workspace, quota, now));
     }
 
     /// Charges `units` to `workspace`. A request that would fit within `longest_pause` is let in after it.
@@ -159,7 +206,7 @@
         let bucket = self
             .buckets
             .entry(workspace.clone())
-            .or_insert_with(|| Bucket::new(quota, now));
+            .or_insert_with(|| Bucket::new(workspace, quota, now));
         bucket.refill(now, silent_share);
         bucket.quota = quota;
         bucket.level = bucket.level.min(number(quota.burst.0));
@@ -214,38 +261,113 @@
 
     /// What this process has charged, for its peers, where it changed within `span`: long enough
     /// that a lost datagram is made up for by the next ones.
-    pub fn spent_lately(
-        &self,
-        span: Duration,
-        now: Time,
-    ) -> impl Iterator<Item = (ShortHash, Spent)> {
-        let lately = self
-            .buckets
-            .iter()
-            .filter(move |(_, bucket)| now.since(bucket.own_changed) < span);
-        lately.map(|(name, bucket)| (ShortHash::of(name.as_str()), bucket.own))
+    pub fn tell_spent(&mut self, span: Duration, now: Time) -> Vec<SpentWord> {
+        let buckets = self.buckets.values_mut();
+        let lately = buckets.filter(|bucket| now.since(bucket.own_changed) < span);
+        let words = lately.map(|bucket| {
+            let told = std::mem::replace(&mut bucket.own_told, bucket.own);
+            SpentWord {
+                workspace: bucket.short,
+                total: bucket.own,
+                lately: bucket.own.saturating_sub(told),
+            }
+        });
+        words.collect()
     }
 
-    /// Takes in what `peer` has charged since it started, charges given back left out. The first
-    /// count of a peer's life is where counting begins.
+    /// Takes in what `peer` has charged since it started, charges given back left out. Of the first
+    /// count of a peer's life only the latest part counts. While a relay's sums are counted, single
+    /// peers' spending doesn't count a second time.
     pub fn heard(
         &mut self,
         peer: &InstanceId,
         life: Incarnation,
-        workspace: ShortHash,
-        spent: Spent,
+        word: SpentWord,
+        counts: bool,
         now: Time,
     ) {
-        let mut buckets = self.buckets.iter_mut();
-        let bucket = buckets.find(|(name, _)| ShortHash::of(name.as_str()) == workspace);
-        let Some((_, bucket)) = bucket else {
+        let Some(bucket) = self.by_hash(word.workspace) else {
             return;
         };
-        let told = Told { life, spent };
-        let before = bucket.peers.insert(peer.clone(), told);
-        let Some(before) = before.filter(|before| before.life == life) else {
+        let told = bucket.peers.entry(peer.clone());
+        let told = told.or_insert(Told { base: None, sum: 0 });
+        let before = told.base.replace((life, word.total));
+        let before = before.filter(|(before, _)| *before == life);
+        let more = before.map_or(word.lately.cast_signed(), |(_, before)| {
+            word.total.cast_signed().wrapping_sub(before.cast_signed())
+        });
+        told.sum += more;
+        bucket.peers_sum += more;
+        bucket.peers_changed = now;
+        if counts {
+            bucket.peer_spent(signed(more), now);
+        }
+    }
+
+    fn by_hash(&mut self, workspace: ShortHash) -> Option<&mut Bucket> {
+        let mut buckets = self.buckets.values_mut();
+        buckets.find(|bucket| bucket.short == workspace)
+    }
+
+    /// What all but `peer` have charged since this process started, where that changed within
+    /// `span`; falls where charges were given back.
+    pub fn spent_by_others(
+        &self,
+        peer: &InstanceId,
+        span: Duration,
+        now: Time,
+    ) -> impl Iterator<Item = (ShortHash, i64)> {
+        let changed =
+            move |bucket: &&Bucket| now.since(bucket.own_changed.max(bucket.peers_changed)) < span;
+        self.buckets.values().filter(changed).map(|bucket| {
+            let theirs = bucket.peers.get(peer).map_or(0, |told| told.sum);
+            let all = bucket.own.cast_signed() + bucket.peers_sum;
+            (bucket.short, all - theirs)
+        })
+    }
+
+    /// Takes in a relay's count of what all others have charged. The first count of a relay is where
+    /// counting begins.
+    pub fn heard_sum(&mut self, relay: RelayLife, workspace: ShortHash, count: i64, now: Time) {
+        let Some(bucket) = self.by_hash(workspace) else {
             return;
         };
-        bucket.peer_spent(number(spent) - number(before.spent), now);
+        let before = bucket.told_sum.replace(ToldSum { relay, count });
+        let Some(before) = before.filter(|before| before.relay == relay) else {
+            return;
+        };
+        let more = signed(count.wrapping_sub(before.count));
+        let quota = bucket.quota;
+        let most = number(quota.burst.0) + number(quota.rate.0) * PLAUSIBLE_SPAN.as_secs_f64();
+        if more.abs() <= most {
+            bucket.peer_spent(more, now);
+        }
+    }
+
+    /// Nobody told what was spent in the last `span`: it is taken to have gone on as before.
+    pub fn missed(&mut self, span: Duration, now: Time) {
+        for bucket in self.buckets.values_mut() {
+            bucket.fade_peer_rate(now - span);
+            let units = bucket.peer_rate * span.as_secs_f64();
+            bucket.peer_spent(units, now);
+        }
+    }
+
+    /// Of the next word of each peer only the latest part counts: the rest was heard by a relay's sums.
+    pub fn forget_peers(&mut self) {
+        for told in self
+            .buckets
+            .values_mut()
+            .flat_map(|bucket| bucket.peers.values_mut())
+        {
+            told.base = None;
+        }
+    }
+
+    /// The next count of a relay is where counting begins: the rest was heard peer by peer.
+    pub fn forget_sums(&mut self) {
+        for bucket in self.buckets.values_mut() {
+            bucket.told_sum = None;
+        }
     }
 }
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -228,6 +228,12 @@
         targets.filter(|target| !vanished.contains_key(&target.id))
     }
 
+    /// The targets that the digest is of, in one order for all who have the same.
+    pub fn order(&self) -> impl Iterator<Item = ShortHash> {
+        let present = self.present();
+        present.map(|target| ShortHash::of(target.id.as_str()))
+    }
+
     /// Takes in one registration, unless something newer is known of the target.
     pub fn put(&mut self, target: Target, revision: Revision, now: Time) {
         let id = target.id.clone();
--- a/crates/gateway/src/decide/rendezvous.rs
+++ b/crates/gateway/src/decide/rendezvous.rs
@@ -11,7 +11,9 @@
 
 /// Short hash of a name, for datagrams. Two of a few hundred names share one by chance about once
 /// in 50,000 fleets.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct ShortHash(u32);
 
@@ -21,6 +23,12 @@
     pub fn of(name: &str) -> Self {
         Self(u32::try_from(name_hash(name) >> 32).unwrap_or(0))
     }
+
+    /// The hash as a number.
+    #[must_use]
+    pub const fn bits(self) -> u32 {
+        self.0
+    }
 }
 
 /// Weight of `candidate` for `key`; the highest comes first.
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -87,7 +87,7 @@
         holdings.born = target.born;
     }
 
-    /// Takes in a loader's word; false if a later one is known.
+    /// Takes in a loader's word; false if it or a later one is known.
     pub fn told(
         &mut self,
         target: &TargetId,
@@ -96,7 +96,7 @@
         now: Time,
     ) -> bool {
         let holdings = self.engines.entry(target.clone()).or_default();
-        if order < holdings.order {
+        if order <= holdings.order {
             return false;
         }
         holdings.hold(collect(adapters));
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -9,6 +9,7 @@
 use super::adapter::{AdapterKey, Wanted};
 use super::call::Call;
 use super::config::{Config, Route};
+use super::exchange::Exchange;
 use super::health::Health;
 use super::lease::SHARDS;
 use super::loader::Places;
@@ -87,6 +88,8 @@
     pub loads: OwnLoads,
     /// Calls to the store by kind of objects.
     pub store_waits: StoreWaits,
+    /// What is told to other instances and heard from them.
+    pub exchange: Exchange,
     /// A planned stop was asked for.
     pub stopping: bool,
     budget: RetryBudget,
@@ -145,6 +148,7 @@
             claims: Vec::new(),
             loads: OwnLoads::default(),
             store_waits: StoreWaits::default(),
+            exchange: Exchange::default(),
             stopping: false,
             budget,
             in_flight: HashMap::new(),
@@ -208,7 +212,7 @@
             charge = quota.unit.charge(call.tokens);
             let sharing = Sharing {
                 silent: self.peers.silent_share(now),
-                lag: self.peers.round(now) / 2,
+                lag: self.news_age(now),
             };
             let longest_pause = routes.route(route).target_latency.mul_f64(QUOTA_PAUSE_PART);
             let name = &workspace.name;
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -9,25 +9,20 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use crate::decide::peers::{GONE_AFTER, Peer};
-use crate::decide::rendezvous::ShortHash;
-use crate::decide::tables::{Tables, shard_of};
+use crate::decide::exchange::{Message, ROUND, Telling};
+use crate::decide::status::Role;
+use crate::decide::tables::shard_of;
 use crate::edge::Edge;
-use crate::packet::{MAX_DATAGRAM_BYTES, Packet, Status, Wish};
+use crate::packet::{Holdings, MAX_DATAGRAM_BYTES, Packet, PacketError, Wish};
 
 use super::log::{LogEvent, event};
 use super::node::{Node, Outgoing, Receiver};
 use super::words;
 
-/// Span after its start in which an instance introduces itself in each round.
-const NEW_FOR: Duration = Duration::from_millis(1_500);
-/// Pause between introductions later: a peer that missed them asks.
-const INTRODUCE_EVERY: Duration = Duration::from_secs(5);
-/// Age of news that is still told, so that a lost datagram is made up for.
-const NEWS_LASTS: Duration = Duration::from_millis(1_500);
-/// Pause between two rounds even when there is news: a release of many targets is a change in each
-/// of their heartbeats.
-const LEAST_ROUND: Duration = Duration::from_millis(100);
+/// Rounds after the start in which an instance introduces itself to all: whoever missed it asks.
+const INTRODUCTIONS: u32 = 4;
+/// Rounds between these.
+const INTRODUCE_EVERY: u32 = 4;
 /// Pause between sends of wishes; a request that misses its adapter waits for it.
 const WISH_ROUND: Duration = Duration::from_millis(4);
 
@@ -48,98 +43,68 @@
 }
 
 async fn rounds<E: Edge>(node: &Node<E>, socket: &UdpSocket) {
-    let started = node.now();
-    let mut introduced = started;
-    loop {
-        let now = node.now();
-        let new = now.since(started) < NEW_FOR;
-        if new || now.since(introduced) > INTRODUCE_EVERY {
-            introduced = now;
-            node.send(Receiver::All, introduction(node));
+    let mut introductions = 0;
+    for round in 0_u64.. {
+        if introductions < INTRODUCTIONS && round % u64::from(INTRODUCE_EVERY) == 0 {
+            introductions += 1;
+            let member = Box::new(node.settings.member.clone());
+            let packet = Packet::Exchange(Message::Introduction(member));
+            node.send(Receiver::All, packet);
+        }
+        let role = node.tables().exchange.role();
+        let tellings = node.tables().tell_round(node.now());
+        note_role(node, role);
+        for Telling { to, message } in tellings {
+            send_all(node, socket, &Packet::Exchange(message), &to).await;
         }
-        tell_status(node, socket, false).await;
-        let pause = node.tables().peers.round(now);
-        tokio::time::sleep(pause.min(LEAST_ROUND)).await;
-        let rest = pause.saturating_sub(LEAST_ROUND);
-        // Others learn from these rounds that there is something to copy.
-        let _news_or_time = tokio::time::timeout(rest, node.news.notified()).await;
+        tokio::time::sleep(ROUND).await;
     }
 }
 
-fn introduction<E: Edge>(node: &Node<E>) -> Packet {
-    Packet::Introduction(Box::new(node.settings.member.clone()))
-}
-
-/// Tells all peers how this instance is.
-pub(super) async fn tell_status<E: Edge>(node: &Node<E>, socket: &UdpSocket, ended: bool) {
-    let (status, addresses) = {
-        let tables = node.tables();
-        (status(&tables, ended, node.now()), addresses(&tables, node))
-    };
-    let buf = encode(&Packet::Status(status));
-    for address in &addresses {
-        send_to(socket, &buf, *address).await;
+/// Says when this instance begins or ends to relay.
+fn note_role<E: Edge>(node: &Node<E>, before: Role) {
+    let tables = node.tables();
+    let role = tables.exchange.role();
+    if role == before {
+        return;
     }
+    let live = tables.peers.live(node.now()).count().to_string();
+    event(
+        LogEvent::RelayChanged,
+        &[("role", role.name()), ("live_peers", &live)],
+    );
 }
 
-fn addresses<E: Edge>(tables: &Tables, node: &Node<E>) -> Vec<SocketAddr> {
-    let now = node.now();
-    let peers = tables.peers.all();
-    let known = peers.filter(|peer| peer.heard.is_none() || peer.heard_within(GONE_AFTER, now));
-    known.map(|peer| peer.member.gossip).collect()
+/// Tells all peers that this instance ends.
+pub(super) async fn tell_end<E: Edge>(node: &Node<E>, socket: &UdpSocket) {
+    let Telling { to, message } = node.tables().tell_end(node.now());
+    send_all(node, socket, &Packet::Exchange(message), &to).await;
 }
 
-fn status(tables: &Tables, ended: bool, now: Time) -> Status {
-    Status {
-        from: ShortHash::of(tables.me.name.as_str()),
-        life: tables.me.incarnation.0,
-        ready: tables.ready() && !ended,
-        store_answers: tables.registry.store_answers(now),
-        ended,
-        config: tables.routes.version(),
-        targets: tables.registry.revision(),
-        targets_digest: tables.registry.digest(),
-        versions: tables.versions.total(),
-        spent: tables.quotas.spent_lately(NEWS_LASTS, now).collect(),
-        in_flight: tables
-            .own_loads()
-            .map(|(target, load)| (ShortHash::of(target.as_str()), load))
-            .collect(),
-        loads: tables.loads.under_way,
-        waiting_loads: tables.loads.waiting,
-        places: tables
-            .loads
-            .places
-            .iter()
-            .map(|(hash, places)| (*hash, *places))
-            .collect(),
-        shards: tables.shards.clone(),
-        claims: tables.claims.clone(),
+async fn send_all<E: Edge>(node: &Node<E>, socket: &UdpSocket, packet: &Packet, to: &[SocketAddr]) {
+    if to.is_empty() {
+        return;
     }
-}
-
-fn encode(packet: &Packet) -> Vec<u8> {
-    match bincode::serialize(packet) {
+    let buf = match packet.encode() {
         Ok(buf) => buf,
         Err(err) => {
             event(LogEvent::DatagramMalformed, &[("cause", &err.to_string())]);
-            Vec::new()
+            return;
         }
+    };
+    node.metrics.told(packet.name(), to.len(), buf.len());
+    for address in to {
+        // A datagram that can't be sent is like one that is lost on its way: the next round repeats it.
+        let _lost = socket.send_to(&buf, address).await;
     }
 }
 
-async fn send_to(socket: &UdpSocket, buf: &[u8], address: SocketAddr) {
-    // A datagram that can't be sent is like one that is lost on its way: the next round repeats it.
-    let _lost = socket.send_to(buf, address).await;
-}
-
 async fn send_queued<E: Edge>(
     node: &Node<E>,
     socket: &UdpSocket,
     mut packets: mpsc::Receiver<Outgoing>,
 ) {
     while let Some((to, packet)) = packets.recv().await {
-        let buf = encode(&packet);
         let addresses = {
             let tables = node.tables();
             match &to {
@@ -148,12 +113,15 @@
                     peer.map(|peer| peer.member.gossip).into_iter().collect()
                 }
                 Receiver::Address(address) => vec![*address],
-                Receiver::All => addresses(&tables, node),
+                Receiver::All => {
+                    let peers = tables.peers.all();
+                    peers.map(|peer| peer.member.gossip).collect()
+                }
+                Receiver::Fleet => tables.fleet(node.now()),
+                Receiver::Readers => tables.readers(),
             }
         };
-        for address in addresses {
-            send_to(socket, &buf, address).await;
-        }
+        send_all(node, socket, &packet, &addresses).await;
     }
 }
 
@@ -197,23 +165,27 @@
     }
 }
 
+/// Least pause between two lines on datagrams that aren't read.
+const TELL_UNREAD_EVERY: Duration = Duration::from_secs(1);
 /// Wishes that fit into one datagram.
 const WISHES_IN_A_DATAGRAM: usize = 16;
 
 async fn receive<E: Edge>(node: &Arc<Node<E>>, socket: &UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    let mut told = None;
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((len, from)) => match bincode::deserialize::<Packet>(&buf[..len]) {
+            Ok((len, from)) => match Packet::decode(&buf[..len]) {
                 Ok(packet) => {
-                    if let Some(reply) = take(node, packet, from) {
-                        send_to(socket, &encode(&reply), from).await;
+                    node.metrics.heard(packet.name(), len);
+                    for reply in take(node, packet, from) {
+                        send_all(node, socket, &Packet::Exchange(reply), &[from]).await;
                     }
                 }
-                Err(err) => event(
-                    LogEvent::DatagramMalformed,
-                    &[("from", &from.to_string()), ("cause", &err.to_string())],
-                ),
+                Err(err) => {
+                    node.metrics.heard("unread", len);
+                    note_unread(&mut told, from, &err, node.now());
+                }
             },
             // A peer whose port is closed: the system tells so on the next receive.
             Err(_refused) => tokio::time::sleep(Duration::from_millis(1)).await,
@@ -221,79 +193,64 @@
     }
 }
 
+/// Says that a datagram is not read, once a second at most.
+fn note_unread(told: &mut Option<Time>, from: SocketAddr, err: &PacketError, now: Time) {
+    if told.is_some_and(|told| now.since(told) < TELL_UNREAD_EVERY) {
+        return;
+    }
+    *told = Some(now);
+    event(
+        LogEvent::DatagramMalformed,
+        &[("from", &from.to_string()), ("cause", &err.to_string())],
+    );
+}
+
 /// Takes a datagram in; gives what is to be answered.
-fn take<E: Edge>(node: &Arc<Node<E>>, packet: Packet, from: SocketAddr) -> Option<Packet> {
+fn take<E: Edge>(node: &Arc<Node<E>>, packet: Packet, from: SocketAddr) -> Vec<Message> {
+    let now = node.now();
     match packet {
-        Packet::Status(status) => return take_status(node, status),
-        Packet::WhoIsThere => return Some(introduction(node)),
-        Packet::Introduction(member) => {
+        Packet::Exchange(message) => {
             let mut tables = node.tables();
-            if member.name != tables.me.name {
-                tables.peers.introduced(*member);
+            let answers = tables.take_message(message, from, now);
+            let behind = tables
+                .peers
+                .at(from)
+                .is_some_and(|peer| tables.is_behind(peer));
+            drop(tables);
+            if behind {
+                node.peer_is_newer.notify_one();
             }
+            return answers;
         }
         Packet::Wishes(wishes) => {
-            node.loaders.take(wishes, Some(from), node.now());
+            node.loaders.take(wishes, Some(from), now);
             node.loader_work.notify_waiters();
         }
-        Packet::Holdings(words) => {
-            let now = node.now();
-            let mut tables = node.tables();
-            let mut news = false;
-            for word in words {
-                let adapters = word.adapters();
-                let residency = &mut tables.residency;
-                news |= residency.told(&word.target, word.order, &adapters, now);
-            }
-            drop(tables);
-            if news {
-                node.changed.notify_waiters();
-            }
-        }
+        Packet::Holdings(words) => take_words(node, words, now),
     }
-    None
+    Vec::new()
 }
 
-fn take_status<E: Edge>(node: &Arc<Node<E>>, status: Status) -> Option<Packet> {
-    let now = node.now();
+/// Takes in what engines hold, and passes what is new on to those that ask this instance for news.
+fn take_words<E: Edge>(node: &Node<E>, words: Vec<Holdings>, now: Time) {
     let mut tables = node.tables();
-    if status.from == ShortHash::of(tables.me.name.as_str()) {
-        return None;
-    }
-    let Some(member) = tables.peers.member(status.from, status.life).cloned() else {
-        return Some(Packet::WhoIsThere);
-    };
-    for (workspace, spent) in status.spent {
-        let life = member.incarnation;
-        tables
-            .quotas
-            .heard(&member.name, life, workspace, spent, now);
-    }
-    if status.ended {
-        tables.peers.ended(&member.name);
-        return None;
+    let mut news = Vec::new();
+    for word in words {
+        let adapters = word.adapters();
+        let residency = &mut tables.residency;
+        if residency.told(&word.target, word.order, &adapters, now) {
+            news.push(word);
+        }
     }
-    let peer = Peer {
-        member,
-        heard: Some(now),
-        ready: status.ready,
-        store_answers: status.store_answers,
-        config: status.config,
-        targets: status.targets,
-        targets_digest: status.targets_digest,
-        versions: status.versions,
-        in_flight: status.in_flight.into_iter().collect(),
-        loads: status.loads,
-        waiting_loads: status.waiting_loads,
-        places: status.places.into_iter().collect(),
-        shards: status.shards,
-        claims: status.claims,
-    };
-    let behind = tables.is_behind(&peer);
-    tables.peers.heard(peer);
+    let relays = tables.exchange.readers() > 0;
     drop(tables);
-    if behind {
-        node.peer_is_newer.notify_one();
+    if news.is_empty() {
+        return;
+    }
+    node.changed.notify_waiters();
+    if relays {
+        for word in news {
+            node.words.pass_on(word);
+        }
     }
-    None
 }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -64,6 +64,8 @@
     StoreCallEnded = 3205, Debug, "call to the store ended";
     /// This instance begins or ends to follow the store.
     FollowChanged = 3206, Info, "store is followed here, or no longer";
+    /// This instance begins or ends to relay news.
+    RelayChanged = 3207, Info, "news are relayed here, or no longer";
 
     /// A loader shard is held.
     LeaseTaken = 3301, Info, "loader lease taken";
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -33,6 +33,10 @@
     peers: Gauge<u64>,
     connections: Gauge<u64>,
     shards: Gauge<u64>,
+    datagrams: Counter<u64>,
+    datagram_bytes: Counter<u64>,
+    news_age: Gauge<u64>,
+    readers: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -84,10 +88,45 @@
             peers: gauge("bluebellstage.live_peers", "Other instances heard lately"),
             connections: gauge("bluebellstage.connections", "Connections of callers"),
             shards: gauge("bluebellstage.loader_shards", "Loader shards held"),
+            datagrams: counter(
+                "bluebellstage.datagrams",
+                "Datagrams between instances, by kind and direction",
+            ),
+            datagram_bytes: counter(
+                "bluebellstage.datagram_bytes",
+                "Bytes of datagrams between instances, by kind and direction",
+            ),
+            news_age: gauge(
+                "bluebellstage.news_age_ms",
+                "Mean age in milliseconds of what is known of other instances",
+            ),
+            readers: gauge(
+                "bluebellstage.news_readers",
+                "Instances that this one relays news to",
+            ),
             instruments,
         }
     }
 
+    /// A datagram went to so many instances.
+    pub(super) fn told(&self, kind: &'static str, receivers: usize, bytes: usize) {
+        self.datagram(kind, "sent", receivers, bytes * receivers);
+    }
+
+    /// A datagram came.
+    pub(super) fn heard(&self, kind: &'static str, bytes: usize) {
+        self.datagram(kind, "received", 1, bytes);
+    }
+
+    fn datagram(&self, kind: &'static str, direction: &'static str, number: usize, bytes: usize) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("direction", direction),
+        ];
+        self.datagrams.add(count(number), &labels);
+        self.datagram_bytes.add(count(bytes), &labels);
+    }
+
     /// A request was answered.
     pub(super) fn answered(&self, kind: RouteKind, status: u16, after: Duration) {
         let kind = KeyValue::new("kind", kind_name(kind));
@@ -141,6 +180,9 @@
         self.peers
             .record(count(tables.peers.live(now).count()), &[]);
         self.connections.record(count(connections), &[]);
+        let age = u64::try_from(tables.news_age(now).as_millis()).unwrap_or(u64::MAX);
+        self.news_age.record(age, &[]);
+        self.readers.record(count(tables.exchange.readers()), &[]);
         self.shards.record(count(tables.shards.len()), &[]);
         self.instruments.text()
     }
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -22,8 +22,12 @@
 /// Whom a datagram goes to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Receiver {
-    /// All instances.
+    /// All instances, each by itself.
     All,
+    /// All instances, through relays where there are some.
+    Fleet,
+    /// Those that ask this instance for news.
+    Readers,
     /// One instance.
     Peer(InstanceId),
     /// Whoever sent from this address.
@@ -51,8 +55,6 @@
     pub(super) leases: Leases,
     /// A peer has newer state than this instance.
     pub(super) peer_is_newer: Notify,
-    /// The store told of something that peers lack.
-    pub(super) news: Notify,
     /// An adapter was loaded, a target came or went.
     pub(super) changed: Notify,
     /// A loader has something to do.
@@ -91,7 +93,6 @@
             metrics: Metrics::new(),
             leases,
             peer_is_newer: Notify::new(),
-            news: Notify::new(),
             changed: Notify::new(),
             loader_work: Notify::new(),
             stop: Notify::new(),
--- a/crates/gateway/src/net/stop.rs
+++ b/crates/gateway/src/net/stop.rs
@@ -11,7 +11,7 @@
 use crate::edge::{Edge, Kind, ObjectStore};
 use crate::error::GatewayError;
 
-use super::gossip::tell_status;
+use super::gossip::tell_end;
 use super::leases;
 use super::log::{LogEvent, event};
 use super::node::Node;
@@ -69,7 +69,7 @@
         let _released_or_late = releasing.await;
     }
     if let Ok(socket) = UdpSocket::bind("0.0.0.0:0").await {
-        tell_status(&node, &socket, true).await;
+        tell_end(&node, &socket).await;
     }
     let waited = node.now().since(asked).as_millis().to_string();
     event(LogEvent::Stopped, &[("waited_ms", &waited)]);
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -6,7 +6,6 @@
 use bluebellstage_core::{InstanceId, Revision, TargetId};
 
 use crate::decide::adapter::AdapterAt;
-use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 use crate::decide::versions::LONG_AGO;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
@@ -26,7 +25,6 @@
         replace_targets(node, targets, revision);
         return;
     }
-    let before = known(&node.tables());
     // A list doesn't say since when its objects are there.
     let age = if whole { LONG_AGO } else { Duration::ZERO };
     for object in listing.objects {
@@ -35,21 +33,9 @@
     if kind == Kind::Targets {
         node.tables().registry.seen(revision);
     }
-    if known(&node.tables()) != before {
-        node.news.notify_one();
-    }
     node.changed.notify_waiters();
 }
 
-/// What peers compare to tell whether this instance knows something that they lack.
-fn known(tables: &Tables) -> (Revision, u32, u64) {
-    (
-        tables.routes.version(),
-        tables.registry.digest(),
-        tables.versions.total(),
-    )
-}
-
 fn target_of(object: Object) -> Option<Target> {
     match object.content? {
         Content::Target(target) => Some(*target),
--- a/crates/gateway/src/net/words.rs
+++ b/crates/gateway/src/net/words.rs
@@ -2,10 +2,11 @@
 //!
 //! A load changes what one engine holds, and every instance must hear of it to send requests there.
 //! One datagram a load and peer would be thousands a second in a large fleet; whoever waits for the load
-//! is told at once, the others with the next batch.
+//! is told at once, the others with the next batch, in a large fleet through the relays.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use bluebellstage_core::TargetId;
 
@@ -14,36 +15,51 @@
 
 use super::node::{Node, Receiver};
 
-/// Batches in one round of gossip: 25 ms apart in a small fleet, 0.3 s in one of 300.
-const BATCHES_IN_A_ROUND: u32 = 4;
+/// Pause between two batches.
+const BATCH_EVERY: Duration = Duration::from_millis(25);
 /// Bytes of words in one datagram; a word of 30 adapters has some 400.
 const BATCH_BYTES: usize = 6 * 1_024;
 
 /// Words that wait for the next batch; a newer one on an engine replaces the one before.
 #[derive(Debug, Default)]
 pub(super) struct Words {
-    waiting: Mutex<HashMap<TargetId, Holdings>>,
+    /// For all instances.
+    own: Mutex<HashMap<TargetId, Holdings>>,
+    /// From others, for those that ask this instance for news.
+    passed_on: Mutex<HashMap<TargetId, Holdings>>,
+}
+
+fn queue(waiting: &Mutex<HashMap<TargetId, Holdings>>, word: Holdings) {
+    let mut waiting = waiting.lock().unwrap_or_else(PoisonError::into_inner);
+    waiting.insert(word.target.clone(), word);
+}
+
+fn take(waiting: &Mutex<HashMap<TargetId, Holdings>>) -> Vec<Holdings> {
+    let mut waiting = waiting.lock().unwrap_or_else(PoisonError::into_inner);
+    waiting.drain().map(|(_, word)| word).collect()
 }
 
 impl Words {
+    /// Queues a word for all instances.
     pub(super) fn queue(&self, word: Holdings) {
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        waiting.insert(word.target.clone(), word);
+        queue(&self.own, word);
     }
 
-    fn take(&self) -> Vec<Holdings> {
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        waiting.drain().map(|(_, word)| word).collect()
+    /// Queues another instance's word for those that ask this one for news.
+    pub(super) fn pass_on(&self, word: Holdings) {
+        queue(&self.passed_on, word);
     }
 }
 
 /// Sends what waits until the process ends.
 pub(super) async fn run<E: Edge>(node: &Node<E>) {
     loop {
-        let round = node.tables().peers.round(node.now());
-        tokio::time::sleep(round / BATCHES_IN_A_ROUND).await;
-        for batch in batches(node.words.take()) {
-            node.send(Receiver::All, Packet::Holdings(batch));
+        tokio::time::sleep(BATCH_EVERY).await;
+        for batch in batches(take(&node.words.own)) {
+            node.send(Receiver::Fleet, Packet::Holdings(batch));
+        }
+        for batch in batches(take(&node.words.passed_on)) {
+            node.send(Receiver::Readers, Packet::Holdings(batch));
         }
     }
 }
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -1,71 +1,82 @@
 //! Datagrams between instances.
 //!
-//! Every instance tells all others how it is, several times a second, so each byte counts as many
-//! times as there are pairs: names go as short hashes, and only what changed lately is told.
+//! They go several times a second to many, so each byte counts: names go as short hashes, numbers by their
+//! size, and only what changed lately is told.
 
-use bluebellstage_core::{AdapterId, AdapterVersion, BaseModel, Revision, TargetId};
+use bincode::Options;
+use bluebellstage_core::{AdapterId, AdapterVersion, BaseModel, TargetId};
 use serde::{Deserialize, Serialize};
 
 use crate::decide::adapter::{AdapterAt, AdapterKey};
-use crate::decide::loader::Places;
-use crate::decide::peers::{Load, Member};
-use crate::decide::quota::Spent;
-use crate::decide::rendezvous::ShortHash;
+use crate::decide::exchange::Message;
 use crate::decide::residency::WordOrder;
 
 /// Longest datagram that is read.
-pub const MAX_DATAGRAM_BYTES: usize = 8 * 1_024;
+pub const MAX_DATAGRAM_BYTES: usize = 16 * 1_024;
 
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Packet {
-    /// What an instance tells all others in each round.
-    Status(Status),
-    /// Who an instance is; goes to all after its start and now and then, and to whoever asks.
-    Introduction(Box<Member>),
-    /// A status came from somebody unknown: who is it?
-    WhoIsThere,
+    /// How instances are.
+    Exchange(Message),
     /// Requests wait for adapters on an engine; goes to the holder of its shard.
     Wishes(Vec<Wish>),
     /// What engines hold; from the holder of their shard.
     Holdings(Vec<Holdings>),
 }
 
-/// State of an instance.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Status {
-    /// Who tells.
-    pub from: ShortHash,
-    /// This life of it.
-    pub life: u64,
-    /// It takes callers.
-    pub ready: bool,
-    /// The store answers it.
-    pub store_answers: bool,
-    /// It is stopping for good and may be forgotten at once.
-    pub ended: bool,
-    /// Version of its configuration.
-    pub config: Revision,
-    /// Revision of its list of targets.
-    pub targets: Revision,
-    /// Digest of what that list says.
-    pub targets_digest: u32,
-    /// Sum of the adapter versions that it knows to be announced; only grows.
-    pub versions: u64,
-    /// What workspaces have spent there since it started, where that changed lately.
-    pub spent: Vec<(ShortHash, Spent)>,
-    /// What it has at each target.
-    pub in_flight: Vec<(ShortHash, Load)>,
-    /// Loads from the weight store that it has under way.
-    pub loads: u16,
-    /// Adapters that wait for one on engines of its shards.
-    pub waiting_loads: u16,
-    /// Places for adapters on the engines of its shards.
-    pub places: Vec<(ShortHash, Places)>,
-    /// Loader shards on which it orders.
-    pub shards: Vec<u8>,
-    /// Loader shards that it holds, also while it may not order yet.
-    pub claims: Vec<u8>,
+/// First byte of a datagram. It tells the form; another release that changes the form changes it, and
+/// neither misreads the other.
+const FORM: u8 = 0xB2;
+
+/// Why a datagram isn't read.
+#[derive(Debug, thiserror::Error)]
+pub enum PacketError {
+    /// Another release speaks, or another program.
+    #[error("another form ({0:#04x}): instances of two releases run beside each other")]
+    OtherForm(u8),
+    /// It is cut or spoilt.
+    #[error("{0}: it is cut or spoilt; the next round repeats it")]
+    Malformed(#[from] bincode::Error),
+}
+
+fn codec() -> impl Options {
+    bincode::DefaultOptions::new().with_limit(MAX_DATAGRAM_BYTES as u64)
+}
+
+impl Packet {
+    /// Encodes it.
+    ///
+    /// # Errors
+    ///
+    /// It is longer than a datagram may be.
+    pub fn encode(&self) -> Result<Vec<u8>, PacketError> {
+        let mut buf = vec![FORM];
+        codec().serialize_into(&mut buf, self)?;
+        Ok(buf)
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// It is of another form, or malformed.
+    pub fn decode(buf: &[u8]) -> Result<Self, PacketError> {
+        match buf.split_first() {
+            Some((&FORM, rest)) => Ok(codec().deserialize(rest)?),
+            first => Err(PacketError::OtherForm(first.map_or(0, |(form, _)| *form))),
+        }
+    }
+
+    /// A short name, for metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Exchange(message) => message.name(),
+            Self::Wishes(_) => "wishes",
+            Self::Holdings(_) => "holdings",
+        }
+    }
 }
 
 /// A wish for an adapter on an engine, or news of its use.
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -5,15 +5,20 @@
 use std::time::Duration;
 
 use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
-use bluebellstage_gateway::decide::quota::{Charged, Quotas, Sharing};
+use bluebellstage_gateway::decide::quota::{Charged, Quotas, Sharing, SpentWord};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use support::{at, quota};
 
 const NO_PAUSE: Duration = Duration::ZERO;
 const LONG: Duration = Duration::from_mins(1);
 
-fn short() -> ShortHash {
-    ShortHash::of(north().as_str())
+/// A peer's word on its spending, to one who has heard it before.
+fn spent(total: u64) -> SpentWord {
+    SpentWord {
+        workspace: ShortHash::of(north().as_str()),
+        total,
+        lately: 0,
+    }
 }
 
 fn north() -> WorkspaceId {
@@ -45,13 +50,14 @@
 /// Tells every instance what the others have spent.
 fn gossip(fleet: &mut [Quotas], now: Time) {
     let spent = fleet
-        .iter()
-        .map(|quotas| quotas.spent_lately(LONG, now).next())
-        .map(|told| told.map_or(0, |(_, spent)| spent))
+        .iter_mut()
+        .map(|quotas| quotas.tell_spent(LONG, now).pop())
         .collect::<Vec<_>>();
     for (idx, quotas) in fleet.iter_mut().enumerate() {
         for (other, spent) in spent.iter().enumerate().filter(|(other, _)| *other != idx) {
-            quotas.heard(&name(other), Incarnation(1), short(), *spent, now);
+            if let Some(word) = spent {
+                quotas.heard(&name(other), Incarnation(1), *word, true, now);
+            }
         }
     }
 }
@@ -121,8 +127,8 @@
     let mut quotas = full();
     charge(&mut quotas, 0, at(0));
     for round in 0..20 {
-        let spent = if round % 2 == 0 { 500 } else { 0 };
-        quotas.heard(&name(1), Incarnation(1), short(), spent, at(0));
+        let total = if round % 2 == 0 { 500 } else { 0 };
+        quotas.heard(&name(1), Incarnation(1), spent(total), true, at(0));
     }
     assert_eq!(charge(&mut quotas, 800, at(0)), Charged::Within);
 }
@@ -131,9 +137,9 @@
 fn a_peer_that_restarts_is_counted_from_its_first_word() {
     let mut quotas = full();
     charge(&mut quotas, 0, at(0));
-    quotas.heard(&name(1), Incarnation(1), short(), 100_000, at(0));
-    quotas.heard(&name(1), Incarnation(2), short(), 10, at(0));
-    quotas.heard(&name(1), Incarnation(2), short(), 110, at(0));
+    quotas.heard(&name(1), Incarnation(1), spent(100_000), true, at(0));
+    quotas.heard(&name(1), Incarnation(2), spent(10), true, at(0));
+    quotas.heard(&name(1), Incarnation(2), spent(110), true, at(0));
     assert_eq!(charge(&mut quotas, 790, at(0)), Charged::Within);
     assert!(matches!(
         charge(&mut quotas, 110, at(0)),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod desk;
 pub mod engine;
+pub mod fleet;
 pub mod store;
 
 use std::time::Duration;
@@ -19,6 +20,7 @@
 };
 use bluebellstage_gateway::decide::peers::{Member, Peer, Strength};
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
+use bluebellstage_gateway::decide::status::Role;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::decide::target::Target;
 use bluebellstage_gateway::settings::{NodeSettings, Terms};
@@ -60,6 +62,8 @@
     Peer {
         member: member(name, "north"),
         heard: Some(heard),
+        seq: 1,
+        role: Role::Asks,
         ready: true,
         store_answers: true,
         config: Revision(1),
