Let a few ask the store when many instances start, and copy to the others

Cause, by the log: 2,500 of 3,171 calls in the first four seconds. Each instance listed four kinds and the leases, registered, and followed all kinds until it had heard the others; without a configuration it followed in any case.

Now each registers, lists the instances (of two that start at once the later one finds the other and makes itself known), and the eight that come first by strength ask for the rest; the others copy it from them, with what engines hold. An instance that nobody gave a copy asks itself after 1.5 s, unless eight others ask for a configuration that isn't there yet. Leases are listed by those that may hold one. The turns in which a large fleet listed targets are not needed any more.

Tests: five more in following.rs.

--- /dev/null
+++ b/crates/gateway/src/decide/asking.rs
@@ -0,0 +1,88 @@
+//! Who asks the store, and whom the others ask.
+//!
+//! Each call to the store is paid for, and a fleet of hundreds that starts at once would ask thousands of
+//! times. So a few ask; the others copy from them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::Time;
+
+use super::lease::SHARDS;
+use super::peers::{DOWN_AFTER, Peer};
+use super::rendezvous::name_hash;
+use super::tables::Tables;
+
+/// Instances that follow the store: each watch is paid for at every heartbeat of a target, and two
+/// may be cut off from the store at once.
+const FOLLOWERS: usize = 3;
+/// Instances that ask the store first when many start at once: as many as can give copies to hundreds.
+const FIRST_ASKERS: usize = 8;
+/// Time after its start in which an instance takes those that are registered for live: it has not heard
+/// from them yet.
+const MEETS: Duration = Duration::from_millis(1_200);
+/// Time after its start for which an instance without a configuration waits for a peer's copy.
+const COPIED_WITHIN: Duration = Duration::from_millis(1_500);
+/// Instances that may come to hold a shard's lease soon: those that hold one already don't take it.
+const LEASE_CANDIDATES: usize = 8;
+/// What followers are drawn by.
+const FOLLOWER_KEY: &str = "follower";
+
+/// What leases of a shard are drawn by.
+#[must_use]
+pub fn lease_key(shard: u8) -> u64 {
+    name_hash(&format!("shard-{shard}"))
+}
+
+impl Tables {
+    /// Whether this instance follows the store. A few do, the others take what they have from them;
+    /// one that hears nobody who follows does it itself.
+    #[must_use]
+    pub fn follows_store(&self, now: Time) -> bool {
+        let new = now.since(self.started) < MEETS;
+        let waits = now.since(self.started) < COPIED_WITHIN;
+        let key = name_hash(FOLLOWER_KEY);
+        let own = self.me.precedence(key);
+        let before = self.peers.all();
+        let before = before.filter(|peer| peer.member.precedence(key) > own);
+        let able = |peer: &&Peer| peer.heard_within(DOWN_AFTER, now) && peer.store_answers;
+        let unmet = |peer: &&Peer| new && peer.heard.is_none();
+        if self.configured() {
+            let follow = |peer: &&Peer| (able(peer) && peer.ready) || unmet(peer);
+            return before.filter(follow).count() < FOLLOWERS;
+        }
+        if waits {
+            let ask = |peer: &&Peer| able(peer) || unmet(peer);
+            return before.filter(ask).count() < FIRST_ASKERS;
+        }
+        // Nobody gave it a copy. If there is no configuration at all, enough others ask for it.
+        let ask = |peer: &&Peer| able(peer) && !peer.ready;
+        before.filter(ask).count() < FIRST_ASKERS
+    }
+
+    /// Whether this instance may come to hold a lease soon, or held one before it started anew.
+    #[must_use]
+    pub fn may_hold_leases(&self) -> bool {
+        (0..SHARDS).any(|shard| {
+            let key = lease_key(shard);
+            let own = self.me.precedence(key);
+            let before = self.peers.all();
+            let before = before.filter(|peer| peer.member.precedence(key) > own);
+            before.count() < LEASE_CANDIDATES
+        })
+    }
+
+    /// Whom an instance without a configuration asks for a copy: those that ask the store first, and the
+    /// live ones that have one.
+    #[must_use]
+    pub fn givers(&self, now: Time) -> Vec<SocketAddr> {
+        let key = name_hash(FOLLOWER_KEY);
+        let usable = |peer: &&Peer| peer.heard.is_none() || peer.heard_within(DOWN_AFTER, now);
+        let mut peers = self.peers.all().filter(usable).collect::<Vec<_>>();
+        peers.sort_by_key(|peer| std::cmp::Reverse(peer.member.precedence(key)));
+        let first = peers.iter().take(FIRST_ASKERS);
+        let ready = peers.iter().skip(FIRST_ASKERS).filter(|peer| peer.ready);
+        let givers = first.chain(ready);
+        givers.map(|peer| peer.member.control).collect()
+    }
+}
--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -51,6 +51,8 @@
 pub struct Follower {
     kind: Kind,
     after: Option<Revision>,
+    /// The store no longer has the changes after this revision.
+    gone: Revision,
     retry: Duration,
 }
 
@@ -61,6 +63,7 @@
         Self {
             kind,
             after,
+            gone: Revision(0),
             retry: RETRY_PAUSE[0],
         }
     }
@@ -100,9 +103,19 @@
         }
     }
 
+    /// A peer has told all up to a revision: unless the history since then is gone, nothing need be
+    /// listed.
+    pub fn copied(&mut self, revision: Revision) {
+        if revision > self.gone {
+            self.after = Some(revision);
+        }
+    }
+
     /// The store no longer has the changes that were asked for: all is listed next.
     pub const fn history_gone(&mut self) {
-        self.after = None;
+        if let Some(after) = self.after.take() {
+            self.gone = after;
+        }
     }
 
     /// The call failed after it `took` so long; gives the pause until the next one. `spread`, around
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod adapter;
 mod adapter_choice;
+pub mod asking;
 pub mod call;
 pub mod change_log;
 pub mod config;
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -289,18 +289,6 @@
         }
     }
 
-    /// Whether `me` is among the `count` instances that come first for `key`, of those that live
-    /// and that the store answers.
-    #[must_use]
-    pub fn among_first(&self, me: &Member, key: u64, count: usize, now: Time) -> bool {
-        let own = me.precedence(key);
-        let able = self
-            .live(now)
-            .filter(|peer| peer.ready && peer.store_answers);
-        let before = able.filter(|peer| peer.member.precedence(key) > own);
-        before.count() < count
-    }
-
     /// The peer of that name.
     #[must_use]
     pub fn get(&self, name: &InstanceId) -> Option<&Peer> {
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -105,6 +105,16 @@
         true
     }
 
+    /// What a target is known to hold.
+    pub fn held(&self, target: &TargetId) -> impl Iterator<Item = AdapterAt> {
+        let held = self.engines.get(target).into_iter();
+        let held = held.flat_map(|holdings| &holdings.adapters);
+        held.map(|(key, version)| AdapterAt {
+            key: key.clone(),
+            version: *version,
+        })
+    }
+
     /// Version of `key` at `target`, if it is there and may be used.
     #[must_use]
     pub fn version(
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -32,17 +32,12 @@
 /// Part of a route's target latency for which a request waits for its workspace's quota: a refused
 /// caller would lose more on its way back, and an engine still answers in the rest.
 const QUOTA_PAUSE_PART: f64 = 0.4;
-/// Instances that follow the store: each watch is paid for at every heartbeat of a target, and two
-/// may be cut off from the store at once.
-const FOLLOWERS: usize = 3;
 /// How long an adapter that was asked for at one engine isn't asked for at another one: a load from
 /// the weight store comes within half of it, even if twice as many as at full speed are under way.
 const ASKED_LASTS: Duration = Duration::from_secs(1);
 /// Part of the loads that the weight store carries at once from which as many that wait count as a
 /// crowd: those that wait for places are among them.
 const CROWDED_PART: u32 = 2;
-/// What followers are drawn by.
-const FOLLOWER_KEY: &str = "follower";
 /// Longest time that a refused caller is told to wait; later it has little time left.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3);
 
@@ -62,6 +57,8 @@
 pub struct Tables {
     /// This instance.
     pub me: Member,
+    /// When the process started.
+    pub started: Time,
     /// The configuration in force.
     pub routes: Arc<RouteTable>,
     /// Targets.
@@ -135,6 +132,7 @@
     pub fn new(me: Member, budget: RetryBudget) -> Self {
         Self {
             me,
+            started: Time::default(),
             routes: Arc::default(),
             registry: Registry::default(),
             peers: Peers::default(),
@@ -360,14 +358,6 @@
         self.shards.contains(&shard) || self.peers.holder(shard, now).is_some()
     }
 
-    /// Whether this instance follows the store. A few do, the others take what they have from them;
-    /// one that knows no configuration, or hears nobody who follows, does it itself.
-    #[must_use]
-    pub fn follows_store(&self, now: Time) -> bool {
-        let key = name_hash(FOLLOWER_KEY);
-        !self.configured() || self.peers.among_first(&self.me, key, FOLLOWERS, now)
-    }
-
     /// Whether `peer` knows something of the store that this instance doesn't.
     #[must_use]
     pub fn is_behind(&self, peer: &Peer) -> bool {
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -126,9 +126,14 @@
     }
     if targets {
         let mut registry = tables.registry.copied(have.targets, now);
-        // What an engine holds changes all the time, and its loader tells it.
+        // What an engine holds changes all the time, and its loader tells it; one that starts has heard
+        // nothing of it.
+        let starts = have.targets == Revision::default();
         for (_, target) in &mut registry.targets {
             target.adapters.clear();
+            if starts {
+                target.adapters.extend(tables.residency.held(&target.id));
+            }
         }
         copy.targets = Some(registry);
     }
--- a/crates/gateway/src/net/copying.rs
+++ b/crates/gateway/src/net/copying.rs
@@ -24,12 +24,15 @@
 const COPY_WITHIN: Duration = Duration::from_millis(600);
 /// Peers that are asked in turn.
 const COPY_SOURCES: usize = 4;
-/// Time that the store has at the start before peers are asked.
-const STORE_FIRST: Duration = Duration::from_millis(400);
+/// First and longest pause between two rounds of questions of an instance without a configuration.
+const START_PAUSE: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// Peers among which the first one to ask is drawn: all that start at once would ask the same one.
+const START_SOURCES: usize = 8;
 
 /// Takes newer state from peers until the process ends.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
-    tokio::time::sleep(STORE_FIRST).await;
+    node.met().await;
+    let mut start_pause = START_PAUSE[0];
     loop {
         let configured = node.tables().configured();
         let sources = if configured {
@@ -45,7 +48,9 @@
                 Ok(copy) => {
                     take(&node, copy, address);
                     event(LogEvent::PeerCopyTaken, &[("peer", &address.to_string())]);
-                    break;
+                    if node.tables().configured() {
+                        break;
+                    }
                 }
                 Err(err) => event(
                     LogEvent::PeerCopyFailed,
@@ -54,7 +59,9 @@
             }
         }
         if !configured {
-            tokio::time::sleep(COPY_PAUSE).await;
+            let told = node.peer_is_newer.notified();
+            let _told_or_time = tokio::time::timeout(start_pause, told).await;
+            start_pause = (start_pause * 2).min(START_PAUSE[1]);
         }
     }
 }
@@ -77,16 +84,18 @@
     addresses.take(COPY_SOURCES).collect()
 }
 
+/// Whom an instance without a configuration asks for one.
 fn starters<E: Edge>(node: &Node<E>) -> Vec<SocketAddr> {
     let seeds = node.terms().seeds.clone();
     let tables = node.tables();
+    let mut givers = tables.givers(node.now());
+    let first = givers.len().min(START_SOURCES);
+    givers[..first].shuffle(&mut rand::rng());
+    givers.truncate(COPY_SOURCES);
+    givers.extend(seeds);
     let me = tables.me.control;
-    let peers = tables.peers.all().map(|peer| peer.member.control);
-    seeds
-        .into_iter()
-        .chain(peers)
-        .filter(|seed| *seed != me)
-        .collect()
+    givers.retain(|giver| *giver != me);
+    givers
 }
 
 fn have(tables: &Tables) -> Have {
@@ -130,6 +139,10 @@
         }
     }
     if let Some(targets) = copy.targets {
+        let holding = targets.targets.iter().map(|(_, target)| target);
+        for target in holding.filter(|target| !target.adapters.is_empty()) {
+            tables.residency.registered(target, now);
+        }
         tables.registry.copy(targets, now);
     }
     drop(tables);
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -13,7 +13,6 @@
 use crate::edge::{Edge, Listing, ObjectStore};
 use crate::error::StoreError;
 
-use super::listing_turn;
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::sync::apply;
@@ -26,15 +25,18 @@
 
 /// Follows one kind of objects until the process ends, whenever this instance is to.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>, kind: Kind) {
-    let after = match kind {
-        Kind::Targets => listing_turn::first_targets(&node).await,
-        _ => None,
-    };
-    let mut follower = Follower::new(kind, after);
+    // Of two that start at once, the one that lists last finds the other one's registration, and makes
+    // itself known to it.
+    match kind {
+        Kind::Members => node.registered().await,
+        _ => node.met().await,
+    }
+    let mut follower = Follower::new(kind, None);
     let mut lost = false;
     let mut told = None;
     loop {
-        if follower.after().is_some() {
+        // Who the others are is listed once by each.
+        if kind != Kind::Members || follower.after().is_some() {
             let follows = is_followed(&node, kind);
             if told.replace(follows) != Some(follows) {
                 let fields = [("kind", kind.name()), ("follows", word(follows))];
@@ -44,6 +46,9 @@
                 tokio::time::sleep(ROLE_LOOK).await;
                 continue;
             }
+            if kind == Kind::Targets && follower.after().is_none() {
+                follower.copied(node.tables().registry.revision());
+            }
         }
         let begun = Instant::now();
         let pause = match call(&node, kind, follower.ask()).await {
@@ -66,6 +71,9 @@
                 miss(&node, &mut follower, begun.elapsed())
             }
         };
+        if kind == Kind::Members {
+            node.meet();
+        }
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -6,10 +6,11 @@
 
 use bluebellstage_core::{InstanceId, Revision, TargetId, Time};
 
+use crate::decide::asking::lease_key;
 use crate::decide::lease::{LeaseRecord, LeaseStep, SHARDS, ShardLease};
 use crate::decide::loader::LATE_ORDER;
 use crate::decide::peers::Peer;
-use crate::decide::rendezvous::{ShortHash, name_hash};
+use crate::decide::rendezvous::ShortHash;
 use crate::decide::tables::shard_of;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
@@ -67,9 +68,12 @@
     format!("shard-{shard}")
 }
 
-/// Reads all leases in one call, so that one held before a restart is taken at once, then keeps each.
+/// Reads all leases in one call where this instance may have held one before a restart, so that it is taken
+/// at once, then keeps each.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
-    if let Ok(listing) = node.store.list(Kind::Leases).await {
+    node.met().await;
+    let may_hold = node.tables().may_hold_leases();
+    if may_hold && let Ok(listing) = node.store.list(Kind::Leases).await {
         let now = node.now();
         for shard in 0..SHARDS {
             let name = object_name(shard);
@@ -143,7 +147,7 @@
         .collect::<Vec<_>>();
     let any_free = all.iter().any(|(_, free)| *free);
     let candidates = all.iter().filter(|(_, free)| *free || !any_free);
-    let key = name_hash(&object_name(shard));
+    let key = lease_key(shard);
     let first = candidates.max_by_key(|(member, _)| member.precedence(key));
     first.is_some_and(|(member, _)| member.name == tables.me.name)
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -18,7 +18,6 @@
 mod front;
 mod gossip;
 mod leases;
-mod listing_turn;
 mod loaders;
 mod metrics;
 
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bluebellstage_core::{InstanceId, Time};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::boot_time;
 use crate::decide::tables::Tables;
@@ -61,6 +62,9 @@
     pub(super) loader_work: Notify,
     /// The instance begins to stop.
     pub(super) stop: Notify,
+    /// The first try to register is over; the first list of instances is, too.
+    registered: watch::Sender<bool>,
+    met: watch::Sender<bool>,
     stopping: AtomicBool,
     closing: AtomicBool,
     pub(super) connections: AtomicUsize,
@@ -68,6 +72,8 @@
     outgoing: mpsc::Sender<Outgoing>,
 }
 
+/// Longest wait for the store's list of instances at the start.
+const MEETS_WITHIN: Duration = Duration::from_millis(400);
 /// Datagrams that may wait to be sent; more are dropped, as on a full link.
 const OUTGOING_QUEUE: usize = 256;
 
@@ -78,7 +84,8 @@
         protocol: E::Protocol,
         store: E::Store,
     ) -> (Self, mpsc::Receiver<Outgoing>) {
-        let tables = Tables::new(settings.member.clone(), settings.terms.retry_budget);
+        let mut tables = Tables::new(settings.member.clone(), settings.terms.retry_budget);
+        tables.started = boot_time();
         let (outgoing, packets) = mpsc::channel(OUTGOING_QUEUE);
         let leases = Leases::new(&settings.member.name, settings.handover);
         let node = Self {
@@ -96,6 +103,8 @@
             changed: Notify::new(),
             loader_work: Notify::new(),
             stop: Notify::new(),
+            registered: watch::Sender::new(false),
+            met: watch::Sender::new(false),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
@@ -126,6 +135,27 @@
         boot_time()
     }
 
+    /// The first try to register is over.
+    pub(super) fn register_tried(&self) {
+        self.registered.send_replace(true);
+    }
+
+    /// Waits for that.
+    pub(super) async fn registered(&self) {
+        wait_for(&self.registered).await;
+    }
+
+    /// The store has told who the other instances are, or failed to.
+    pub(super) fn meet(&self) {
+        self.met.send_replace(true);
+    }
+
+    /// Waits for that, but no longer than the store takes on a good day: peers and seeds may help where it
+    /// doesn't answer.
+    pub(super) async fn met(&self) {
+        let _met_or_late = tokio::time::timeout(MEETS_WITHIN, wait_for(&self.met)).await;
+    }
+
     /// A planned stop is under way.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -165,3 +195,9 @@
         std::mem::take(&mut *wishes)
     }
 }
+
+async fn wait_for(flag: &watch::Sender<bool>) {
+    let mut flag = flag.subscribe();
+    // The sender lives as long as the node does.
+    let _never_gone = flag.wait_for(|set| *set).await;
+}
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -168,7 +168,9 @@
     let mut pause = REGISTER_PAUSE[0];
     let mut at = None;
     while !node.stopping() {
-        match node.store.write(Kind::Members, &name, at, &content).await {
+        let written = node.store.write(Kind::Members, &name, at, &content).await;
+        node.register_tried();
+        match written {
             Ok(_revision) => return,
             Err(StoreError::Conflict) => {
                 let before = node.store.read(Kind::Members, &name).await;
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use bluebellstage_core::Revision;
+use bluebellstage_gateway::decide::follower::{Ask, Follower};
+use bluebellstage_gateway::decide::kind::Kind;
 use bluebellstage_gateway::decide::peers::{Load, Peer, Strength};
+use bluebellstage_gateway::decide::tables::Tables;
 use support::{adapter_at, at, config, peer, tables, target};
 
 fn fleet(count: usize) -> Vec<Peer> {
@@ -115,6 +118,76 @@
     assert!(tables.follows_store(at(1)));
 }
 
+/// A fleet that starts at once: all are registered, nobody is heard, nobody has a configuration.
+fn starting(me: &str, count: usize) -> Tables {
+    let mut tables = tables();
+    tables.me = support::member(me, "north");
+    tables.routes = std::sync::Arc::default();
+    tables.started = at(0);
+    for idx in 0..count {
+        let other = support::member(&format!("i{idx}"), "north");
+        if other.name != tables.me.name {
+            tables.peers.registered(other);
+        }
+    }
+    tables
+}
+
+/// Guards against thousands of calls to the store whenever hundreds of instances start at once.
+#[test]
+fn eight_of_a_large_fleet_that_starts_at_once_ask_the_store() {
+    let askers = (0..200).filter(|idx| starting(&format!("i{idx}"), 200).follows_store(at(1)));
+    assert_eq!(askers.count(), 8);
+}
+
+#[test]
+fn an_instance_that_starts_beside_others_asks_when_nobody_gave_it_a_copy() {
+    let last = (0..200).map(|idx| format!("i{idx}"));
+    let last = last.min_by_key(|name| {
+        let tables = starting(name, 200);
+        (tables.follows_store(at(1)), name.clone())
+    });
+    let tables = starting(&last.unwrap(), 200);
+    assert!(!tables.follows_store(at(1_000)));
+    assert!(tables.follows_store(at(2_000)));
+}
+
+/// Guards against a follower that asks without end for changes which the store has dropped.
+#[test]
+fn what_a_peer_told_does_not_stand_in_for_a_list_once_its_history_is_gone() {
+    let mut follower = Follower::new(Kind::Targets, None);
+    follower.copied(Revision(7));
+    assert_eq!(follower.after(), Some(Revision(7)));
+    follower.history_gone();
+    follower.copied(Revision(7));
+    assert_eq!(follower.ask(), Ask::List);
+    follower.copied(Revision(9));
+    assert_eq!(follower.after(), Some(Revision(9)));
+}
+
+/// Guards against a whole fleet that asks for a configuration which nobody has written yet.
+#[test]
+fn a_fleet_without_a_configuration_leaves_asking_to_a_few() {
+    let asks = |idx: usize| {
+        let mut tables = starting(&format!("i{idx}"), 0);
+        for other in (0..100).filter(|other| *other != idx) {
+            let mut other = peer(&format!("i{other}"), at(5_000));
+            other.ready = false;
+            other.config = Revision::default();
+            tables.peers.heard(other);
+        }
+        tables.follows_store(at(5_001))
+    };
+    assert_eq!((0..100).filter(|idx| asks(*idx)).count(), 8);
+}
+
+#[test]
+fn a_few_of_the_strongest_read_the_leases_when_a_fleet_starts() {
+    let reads = |idx: usize| starting(&format!("i{idx}"), 200).may_hold_leases();
+    let readers = (0..200).filter(|idx| reads(*idx)).count();
+    assert!((8..=32).contains(&readers), "{readers}");
+}
+
 #[test]
 fn an_older_configuration_never_replaces_a_newer_one() {
     let mut tables = tables();
