--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -55,6 +55,20 @@
     }
 }
 
+/// Guards against instances that take the fleet for small beside others that take it for large, as registrations
+/// of some that are long gone stand.
+#[test]
+fn a_fleet_that_is_large_to_some_of_it_knows_all() {
+    for haunted in [1, 5, 12] {
+        let mut fleet = Fleet::start(12, 3, 16);
+        (0..haunted).for_each(|idx| fleet.haunt(idx, 10));
+        fleet.run_ms(SETTLED_MS);
+        fleet.scatter(30);
+        fleet.run_ms(1_000);
+        assert_eq!(fleet.first_error(), None, "large to {haunted}");
+    }
+}
+
 /// Time until 99 of 100 instances know of a request, in milliseconds; the longest of many.
 fn known_after(count: usize, domains: usize) -> u64 {
     let mut fleet = settled(count, domains, 4);
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -202,6 +202,15 @@
         &self.nodes[idx].tables
     }
 
+    /// An instance takes some that are long gone for registered.
+    pub fn haunt(&mut self, idx: usize, ghosts: usize) {
+        let first = self.nodes.len();
+        for ghost in first..first + ghosts {
+            let ghost = self.member(ghost, 1);
+            self.nodes[idx].tables.peers.registered(ghost);
+        }
+    }
+
     pub fn tables_mut(&mut self, idx: usize) -> &mut Tables {
         &mut self.nodes[idx].tables
     }
