Let an instance tell all until a relay serves it, and take over what a relay says is left

Now they go on telling all until a relay's news come. The rate of a quota rises over the first 1.2 s of an instance in a large fleet, and its first news set the bucket to what the relay knows to be left, up or down.

--- a/crates/gateway/src/decide/asking.rs
+++ b/crates/gateway/src/decide/asking.rs
@@ -66,6 +66,20 @@
         now.since(self.started) < MEETS
     }
 
+    /// Part of the fleet whose spending is not known now, between 0 and 1. In a large fleet that starts at
+    /// once all hear of each other at about the same time, but not yet of what each lets in meanwhile: their
+    /// rates rise with their age.
+    #[must_use]
+    pub fn unheard_share(&self, now: Time) -> f64 {
+        let new = self.is_new(now);
+        let silent = self.peers.silent_share(new, now);
+        if !new || !self.is_relayed(now) || self.peers.view().is_some() {
+            return silent;
+        }
+        let age = now.since(self.started).as_secs_f64();
+        silent.max(1.0 - age / MEETS.as_secs_f64())
+    }
+
     /// Whether this instance may come to hold a lease soon, or held one before it started anew.
     #[must_use]
     pub fn may_hold_leases(&self) -> bool {
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -48,6 +48,8 @@
 pub struct Exchange {
     seq: u32,
     rounds: u32,
+    /// It has told all instances once.
+    told_all: bool,
     /// The last round, and since when rounds follow each other without a break.
     last_round: Option<Time>,
     unbroken_since: Time,
@@ -193,7 +195,7 @@
     }
 
     /// Whether news go through relays.
-    fn is_relayed(&self, now: Time) -> bool {
+    pub(super) fn is_relayed(&self, now: Time) -> bool {
         let others_relay = self
             .relays_of(&self.me.failure_domain, now)
             .next()
--- a/crates/gateway/src/decide/exchange/source.rs
+++ b/crates/gateway/src/decide/exchange/source.rs
@@ -41,19 +41,31 @@
         let relays = relays
             .map(|peer| (peer.member.name.clone(), address(peer)))
             .collect::<Vec<_>>();
-        if relays.is_empty() {
-            if !self.exchange.is_full_round() {
-                return Vec::new();
-            }
-            let status = self.next_status(false, now);
-            return vec![self.to_all(status, now)];
+        let tells_all = self.peers.view().is_none() && self.is_due_to_all(now);
+        if relays.is_empty() && !tells_all {
+            return Vec::new();
         }
         let status = self.next_status(false, now);
-        let tellings = relays.into_iter().map(|(name, address)| Telling {
+        let mut tellings = Vec::new();
+        if tells_all {
+            self.exchange.told_all = true;
+            let mut all = self.to_all(status.clone(), now);
+            all.to
+                .retain(|to| relays.iter().all(|(_, relay)| relay != to));
+            tellings.push(all);
+        }
+        tellings.extend(relays.into_iter().map(|(name, address)| Telling {
             to: vec![address],
             message: own(status.clone(), self.asks(&name, now)),
-        });
-        tellings.collect()
+        }));
+        tellings
+    }
+
+    /// Whether all are told now by one whom no relay serves. One that has just started makes itself heard as
+    /// soon as it knows anyone.
+    fn is_due_to_all(&self, now: Time) -> bool {
+        let known = self.reachable(now).next().is_some();
+        known && (self.exchange.is_full_round() || !self.exchange.told_all)
     }
 
     pub(super) fn asks(&self, relay: &InstanceId, now: Time) -> Asks {
--- a/crates/gateway/src/decide/exchange/take.rs
+++ b/crates/gateway/src/decide/exchange/take.rs
@@ -171,7 +171,7 @@
         let lag = Duration::from_millis(u64::from(news.lag_ms));
         let first = self.peers.view().is_none();
         for (workspace, left) in news.left.iter().filter(|_| first) {
-            self.quotas.at_most(*workspace, *left);
+            self.quotas.set_left(*workspace, *left);
         }
         self.take_sums(name, &news.relay, news.loads, &news.spent, lag, now);
         if self.exchange.role != Role::Asks {
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -353,10 +353,10 @@
         buckets.map(|bucket| (bucket.short, whole(bucket.level)))
     }
 
-    /// A relay, which has heard longer, knows that no more than so much is left.
-    pub fn at_most(&mut self, workspace: ShortHash, left: i64) {
+    /// A relay, which has heard the others longer, says what is left.
+    pub fn set_left(&mut self, workspace: ShortHash, left: i64) {
         if let Some(bucket) = self.by_hash(workspace) {
-            bucket.level = bucket.level.min(signed(left));
+            bucket.level = signed(left).min(number(bucket.quota.burst.0));
         }
     }
 
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -176,7 +176,7 @@
         if config.version <= self.routes.version() {
             return false;
         }
-        let silent = self.peers.silent_share(self.is_new(now), now);
+        let silent = self.unheard_share(now);
         for workspace in &config.workspaces {
             if let Some(quota) = workspace.quota {
                 self.quotas.prepare(&workspace.name, quota, silent, now);
@@ -210,7 +210,7 @@
         {
             charge = quota.unit.charge(call.tokens);
             let sharing = Sharing {
-                silent: self.peers.silent_share(self.is_new(now), now),
+                silent: self.unheard_share(now),
                 lag: self.news_age(now),
             };
             let longest_pause = routes.route(route).target_latency.mul_f64(QUOTA_PAUSE_PART);
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -295,7 +295,7 @@
     pub fn charge(&mut self, idx: usize, limit: Quota, units: u64) -> bool {
         let tables = &mut self.nodes[idx].tables;
         let sharing = Sharing {
-            silent: tables.peers.silent_share(tables.is_new(self.now), self.now),
+            silent: tables.unheard_share(self.now),
             lag: tables.news_age(self.now),
         };
         let quotas = &mut tables.quotas;
