--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -53,12 +53,19 @@
 }
 
 async fn settings(platform: &Platform) -> (String, u16, u16) {
-    let (caller, peer, admin) = (free_port().await, free_port().await, free_port().await);
+    let caller = free_port().await;
+    let (text, admin) = settings_at(platform, caller).await;
+    (text, caller, admin)
+}
+
+/// Settings with this port for callers, and the operators' port.
+async fn settings_at(platform: &Platform, caller: u16) -> (String, u16) {
+    let (peer, admin) = (free_port().await, free_port().await);
     let text = format!(
         "instance: i1\nfailure_domain: a\ncaller_address: 127.0.0.1:{caller}\npeer_address: 127.0.0.1:{peer}\nadmin_address: 127.0.0.1:{admin}\nadmin_tokens: [{TOKEN_DIGEST}]\nplatform:\n  url: http://{}\n",
         platform.address()
     );
-    (text, caller, admin)
+    (text, admin)
 }
 
 async fn platform() -> Platform {
@@ -131,8 +138,9 @@
 async fn a_port_that_is_taken_is_named() {
     let platform = platform().await;
     let scratch = Scratch::new("taken");
-    let (text, caller, _) = settings(&platform).await;
-    let _taken = TcpListener::bind(("127.0.0.1", caller)).await.unwrap();
+    let taken = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let caller = taken.local_addr().unwrap().port();
+    let (text, _) = settings_at(&platform, caller).await;
     let file = scratch.write("settings.yaml", &text);
     let output = tokio::task::spawn_blocking(move || {
         Command::new(PROGRAM)
