Say when a target ends under requests, and which were cut

On-call could not tell a reset connection from a process that ended, nor find a request again that comes back: it had no name beyond its attempt. A run that is cut now makes its instance look whether the target still takes connections; if it refuses them, one line a target (BS3108) names the fingerprints of the runs that were cut and how long each had run.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod placement;
 pub mod prompt_queues;
+pub mod quarantine;
 pub mod quota;
 pub mod refusal;
 pub mod registry;
--- /dev/null
+++ b/crates/gateway/src/decide/quarantine/fingerprint.rs
@@ -0,0 +1,71 @@
+//! Names a request by what it asks, so that it is known again.
+
+use std::fmt;
+use std::str::FromStr;
+
+use bluebellstage_core::WorkspaceId;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Bytes of the digest that are kept.
+const LEN: usize = 16;
+/// Keeps these digests apart from others of the same bytes.
+const KEY_OF: &str = "bluebellstage request fingerprint";
+
+/// Digest of a request's workspace, path and body, keyed by the workspace; the same at every instance.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; LEN]);
+
+impl Fingerprint {
+    /// Fingerprint of a request; `path` holds the query, too.
+    #[must_use]
+    pub fn of(workspace: Option<&WorkspaceId>, path: &str, body: &[u8]) -> Self {
+        let workspace = workspace.map_or("", WorkspaceId::as_str);
+        let key = Sha256::new()
+            .chain_update(KEY_OF)
+            .chain_update(workspace)
+            .finalize();
+        let path_len = path.len().to_be_bytes();
+        let digest = Sha256::new()
+            .chain_update(key)
+            .chain_update(path_len)
+            .chain_update(path)
+            .chain_update(body)
+            .finalize();
+        let mut kept = [0; LEN];
+        kept.copy_from_slice(&digest[..LEN]);
+        Self(kept)
+    }
+
+    /// The first bytes, as a number.
+    #[must_use]
+    pub fn bits(self) -> u64 {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.0[..8]);
+        u64::from_be_bytes(first)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// A text that names no request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("not a fingerprint: give the 32 hexadecimal digits that the log shows")]
+pub struct BadFingerprint;
+
+impl FromStr for Fingerprint {
+    type Err = BadFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, BadFingerprint> {
+        if text.len() != LEN * 2 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(BadFingerprint);
+        }
+        let number = u128::from_str_radix(text, 16).map_err(|_no_number| BadFingerprint)?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -36,6 +36,8 @@
     /// Its place in the engine's queue; none once it has begun, and at plain targets.
     waiting: Option<WaitingKey>,
     sent: Time,
+    /// When it began to answer.
+    answers_since: Option<Time>,
     judged: bool,
 }
 
@@ -60,6 +62,7 @@
             adapter: Tables::adapter_of(sending.call).cloned(),
             waiting,
             sent: now,
+            answers_since: None,
             judged: false,
         };
         flight.tell_loader(WishKind::Begun);
@@ -78,6 +81,7 @@
 
     /// The engine has begun: it answers with the first event.
     fn begun(&mut self) {
+        self.answers_since = Some(self.node.now());
         if let Some(waiting) = self.waiting.take() {
             self.node.tables().queues.began(waiting, self.node.now());
         }
@@ -111,10 +115,21 @@
         self.judge(Met::Failure);
     }
 
+    fn failed_by(&self, failure: Failure) -> Attempt<E> {
+        let ran = self.ran();
+        Attempt::Failed(CutShort { failure, ran })
+    }
+
     /// Time since the request was sent.
     pub(super) fn age(&self) -> Duration {
         self.node.now().since(self.sent)
     }
+
+    /// Time since the target began to answer, or since the request was sent if it did not.
+    pub(super) fn ran(&self) -> Duration {
+        let since = self.answers_since.unwrap_or(self.sent);
+        self.node.now().since(since)
+    }
 }
 
 impl<E: Edge> Drop for Flight<E> {
@@ -155,6 +170,24 @@
     WrongAnswer,
 }
 
+/// An answer that did not come whole.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CutShort {
+    pub(super) failure: Failure,
+    /// How long it may have run.
+    pub(super) ran: Duration,
+}
+
+impl CutShort {
+    /// A connection that broke after so long.
+    pub(super) const fn broken(ran: Duration) -> Self {
+        Self {
+            failure: Failure::Broken,
+            ran,
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(super) enum Attempt<E: Edge> {
@@ -166,7 +199,7 @@
     /// There is no connection: nothing was sent.
     Unreachable,
     /// It may have run.
-    Failed(Failure),
+    Failed(CutShort),
 }
 
 /// What is sent.
@@ -218,12 +251,12 @@
             flight.met(Met::Unreachable);
             Attempt::Unreachable
         }
-        Exchange::Failed(Failure::Outdated) => Attempt::Failed(Failure::Outdated),
         Exchange::Failed(failure) => {
-            if failure != Failure::Silent || sending.patience > LEAST_FAIR_WAIT {
+            let fair = failure != Failure::Silent || sending.patience > LEAST_FAIR_WAIT;
+            if fair && failure != Failure::Outdated {
                 flight.met(Met::Failure);
             }
-            Attempt::Failed(failure)
+            flight.failed_by(failure)
         }
     }
 }
@@ -261,7 +294,7 @@
     let other = head.id.as_ref().is_some_and(|id| *id != sending.call.id);
     if other {
         flight.met(Met::Failure);
-        return Attempt::Failed(Failure::WrongAnswer);
+        return flight.failed_by(Failure::WrongAnswer);
     }
     if head.not_run || misdirected {
         return Attempt::NotRun { misdirected };
@@ -269,7 +302,7 @@
     let encoded = parts.headers.contains_key(http::header::CONTENT_ENCODING);
     if parts.status.is_success() && (!head.signed || head.id.is_none() || encoded) {
         flight.met(Met::Failure);
-        return Attempt::Failed(Failure::WrongAnswer);
+        return flight.failed_by(Failure::WrongAnswer);
     }
     if parts.status.is_success() {
         flight.begun();
@@ -352,7 +385,7 @@
     pub(super) async fn collect(
         self,
         within: Duration,
-    ) -> Result<(response::Parts, Bytes), Failure> {
+    ) -> Result<(response::Parts, Bytes), CutShort> {
         let Self {
             parts,
             head,
@@ -377,7 +410,8 @@
             Err(_elapsed) => Failure::Silent,
         };
         flight.met(Met::Failure);
-        Err(failure)
+        let ran = flight.ran();
+        Err(CutShort { failure, ran })
     }
 
     /// Splits the answer for streaming.
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -14,11 +14,13 @@
 use crate::decide::config::RouteKind;
 use crate::decide::load_wait::{ASK_AGAIN, LoadWait, load_wait};
 use crate::decide::placement::Pick;
+use crate::decide::quarantine::Fingerprint;
 use crate::decide::tables::{Refusal, Tables, Ticket};
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Wish, WishKind};
 
-use super::attempt::{Answer, Attempt, Sending, send};
+use super::attempt::{Answer, Attempt, CutShort, Failure, Sending, send};
+use super::ended::{Cut, cut};
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::refuse::{AnswerBody, answer, refusal, whole};
@@ -47,6 +49,8 @@
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
     pub(super) call: Call,
+    /// What the request is known by when it comes again.
+    pub(super) fingerprint: Fingerprint,
     pub(super) ticket: Ticket,
     pub(super) arrived: Time,
     /// Targets that are out for this request.
@@ -117,11 +121,14 @@
     if !ticket.pause.is_zero() {
         tokio::time::sleep(ticket.pause).await;
     }
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let fingerprint = Fingerprint::of(ticket.workspace.as_ref(), path, &body);
     let job = Job {
         node,
         head,
         body,
         call,
+        fingerprint,
         ticket,
         arrived,
         tried: Vec::new(),
@@ -170,8 +177,9 @@
                     spare = Some((parts, body));
                     self.tried.push(target);
                 }
-                Err(failure) => {
-                    self.log_attempt(&target, &format!("{failure:?} in body"));
+                Err(short) => {
+                    self.log_attempt(&target, &format!("{:?} in body", short.failure));
+                    self.note_cut(&target, short).await;
                     if !self.may_repeat() {
                         return self
                             .own_answer(&Found::MayHaveRun("the target's answer broke off"));
@@ -373,9 +381,10 @@
                 self.tried.push(target);
                 None
             }
-            Attempt::Failed(failure) => {
+            Attempt::Failed(short) => {
                 self.runs += 1;
-                self.log_attempt(&target, &format!("{failure:?}"));
+                self.log_attempt(&target, &format!("{:?}", short.failure));
+                self.note_cut(&target, short).await;
                 if !self.may_repeat() {
                     return Some(Found::MayHaveRun("the target gave no whole answer"));
                 }
@@ -385,6 +394,18 @@
         }
     }
 
+    /// A run broke off: its target may have ended.
+    pub(super) async fn note_cut(&self, target: &TargetId, short: CutShort) {
+        if short.failure != Failure::Broken {
+            return;
+        }
+        let run = Cut {
+            request: self.fingerprint,
+            ran: short.ran,
+        };
+        cut(&self.node, target, run).await;
+    }
+
     fn not_held(&self, target: &TargetId) {
         if let Some(key) = Tables::adapter_of(&self.call) {
             let now = self.node.now();
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -51,6 +51,8 @@
     VersionAnnounced = 3106, Info, "adapter version announced";
     /// A target is left alone for a while.
     TargetEjected = 3107, Warn, "target ejected";
+    /// A target's process ended while it ran requests.
+    TargetEnded = 3108, Warn, "target ended under requests";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -14,13 +14,13 @@
 mod control;
 mod copying;
 mod directory;
+mod ended;
 mod follow;
 mod front;
 mod gossip;
 mod leases;
 mod loaders;
 mod metrics;
-
 mod pool;
 mod refuse;
 mod reload;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -14,6 +14,7 @@
 use crate::packet::{Packet, Wish};
 use crate::settings::{NodeSettings, Terms};
 
+use super::ended::Looks;
 use super::leases::Leases;
 use super::loaders::Loaders;
 use super::metrics::Metrics;
@@ -54,6 +55,8 @@
     pub(super) words: Words,
     pub(super) metrics: Metrics,
     pub(super) leases: Leases,
+    /// Targets on which runs were cut.
+    pub(super) looks: Looks,
     /// A peer has newer state than this instance.
     pub(super) peer_is_newer: Notify,
     /// An adapter was loaded, a target came or went.
@@ -99,6 +102,7 @@
             words: Words::default(),
             metrics: Metrics::new(),
             leases,
+            looks: Looks::default(),
             peer_is_newer: Notify::new(),
             changed: Notify::new(),
             loader_work: Notify::new(),
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -91,5 +91,6 @@
         let now = node.now();
         node.tables().sweep(now);
         node.pool.sweep();
+        node.looks.sweep(now);
     }
 }
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -13,7 +13,7 @@
 use crate::decide::health::Met;
 use crate::edge::Edge;
 
-use super::attempt::{Answer, Source};
+use super::attempt::{Answer, CutShort, Source};
 use super::front::{Found, Job};
 use super::log::{LogEvent, event};
 use super::refuse::AnswerBody;
@@ -37,7 +37,24 @@
 enum Next {
     Piece(Bytes),
     End,
-    Broken(&'static str),
+    Broken(Break),
+}
+
+/// Why a target's stream can't go on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Break {
+    /// Its connection ended.
+    Cut(&'static str),
+    /// It is connected and useless.
+    Useless(&'static str),
+}
+
+impl Break {
+    const fn why(self) -> &'static str {
+        match self {
+            Self::Cut(why) | Self::Useless(why) => why,
+        }
+    }
 }
 
 /// The answer to the caller; its events come as the target makes them.
@@ -74,17 +91,17 @@
                         self.note_event();
                         return Ok(Some(events));
                     }
-                    Cut::Broken => "events out of order",
+                    Cut::Broken => Break::Useless("events out of order"),
                 },
-                Next::End if self.cutter.mid_event() => "the stream ended in an event",
-                Next::End if !self.began => "the stream ended before its first event",
+                Next::End if self.cutter.mid_event() => Break::Cut("the stream ended in an event"),
+                Next::End if !self.began => Break::Cut("the stream ended before its first event"),
                 Next::End => {
                     if let Some(source) = self.source.take() {
                         source.finish();
                     }
                     return Ok(None);
                 }
-                Next::Broken(why) => why,
+                Next::Broken(broken) => broken,
             };
             self.go_on(broken).await?;
         }
@@ -115,7 +132,7 @@
     async fn pull(&mut self) -> Next {
         let silence = self.silence();
         let Some(source) = &mut self.source else {
-            return Next::Broken("no target");
+            return Next::Broken(Break::Useless("no target"));
         };
         let frame = tokio::time::timeout(silence, source.body.frame()).await;
         match frame {
@@ -123,20 +140,26 @@
                 Ok(piece) => Next::Piece(piece),
                 Err(_trailers) => Next::Piece(Bytes::new()),
             },
-            Ok(Some(Err(_cut))) => Next::Broken("the target broke off"),
+            Ok(Some(Err(_cut))) => Next::Broken(Break::Cut("the target broke off")),
             Ok(None) => Next::End,
-            Err(_elapsed) => Next::Broken("the target fell silent"),
+            Err(_elapsed) => Next::Broken(Break::Useless("the target fell silent")),
         }
     }
 
     /// Finds another target that goes on after the last event that the caller has.
-    async fn go_on(&mut self, why: &'static str) -> io::Result<()> {
+    async fn go_on(&mut self, broken: Break) -> io::Result<()> {
+        let why = broken.why();
         let mut target = String::new();
         if let Some(mut source) = self.source.take() {
             source.flight.failed();
             target = source.flight.target.to_string();
             self.job.tried.push(source.flight.target.clone());
-            // Dropping the source closes its connection: the target stops before another begins.
+            let (id, ran) = (source.flight.target.clone(), source.flight.ran());
+            // Its connection is closed: the target stops before another begins.
+            drop(source);
+            if let Break::Cut(_) = broken {
+                self.job.note_cut(&id, CutShort::broken(ran)).await;
+            }
         }
         self.cutter.drop_partial();
         let last = self
