--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 use bluebellstage_core::{ChangeId, KeyId, RequestId, WorkspaceId};
+use bluebellstage_gateway::decide::quarantine::Fingerprint;
 
 /// Operate bluebellstage through the administration API of any of its instances.
 #[derive(Debug, FromArgs)]
@@ -259,6 +260,10 @@
     #[argh(switch)]
     pub(crate) json: bool,
 
+    /// let a quarantined request through again, by its fingerprint
+    #[argh(option)]
+    pub(crate) clear: Option<Fingerprint>,
+
     /// the instance's control address, as IP:PORT
     #[argh(positional)]
     pub(crate) control: SocketAddr,
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -9,6 +9,13 @@
     /// What the line says, in plain words.
     fn told(&self) -> String {
         match self.field("code") {
+            "BS3401" if self.fields.contains_key("fingerprint") => format!(
+                "answered {} after {} ms and {} sends: quarantined as {}, targets end under it (see BS3109)",
+                self.field("status"),
+                self.field("ms"),
+                self.field("sends"),
+                self.field("fingerprint"),
+            ),
             "BS3401" if self.fields.contains_key("status") => format!(
                 "answered {} after {} ms and {} sends: {}",
                 self.field("status"),
--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bluebellstage_gateway::decide::dump::{
-    Dump, PeerDump, QuotaDump, Stage, StoreLink, StoreWaitDump, TargetDump,
+    Dump, PeerDump, QuotaDump, Stage, StoreLink, StoreWaitDump, SuspectDump, TargetDump,
 };
 use bluebellstage_gateway::decide::health::Standing;
+use bluebellstage_gateway::decide::quarantine::Fingerprint;
 use bluebellstage_gateway::decide::status::Role;
 use reqwest::Client;
 use reqwest::redirect::Policy;
@@ -26,21 +27,41 @@
     }
 }
 
-async fn read(address: SocketAddr) -> Result<Dump, CliError> {
-    let http = Client::builder()
+fn client(address: SocketAddr) -> Result<Client, CliError> {
+    let client = Client::builder()
         .redirect(Policy::none())
         .no_proxy()
         .timeout(TIMEOUT)
-        .build()
-        .map_err(|error| unreachable(address, &error))?;
+        .build();
+    client.map_err(|error| unreachable(address, &error))
+}
+
+async fn read(address: SocketAddr) -> Result<Dump, CliError> {
+    let http = client(address)?;
     let answered = http.get(format!("http://{address}/dump")).send().await;
     let answered = answered.map_err(|error| unreachable(address, &error))?;
     let dump = answered.json().await;
     dump.map_err(|error| unreachable(address, &error))
 }
 
+/// Lets a quarantined request through again, on all instances.
+async fn clear(address: SocketAddr, request: Fingerprint) -> Result<(), CliError> {
+    let url = format!("http://{address}/quarantine/clear?{request}");
+    let answered = client(address)?.post(url).send().await;
+    let answered = answered.map_err(|error| unreachable(address, &error))?;
+    if answered.status().is_success() {
+        return Ok(());
+    }
+    Err(CliError::NotQuarantined { request })
+}
+
 /// Prints the state of the instance at a control address.
 pub(super) async fn run(args: &InstanceArgs) -> Result<Exit, CliError> {
+    if let Some(request) = args.clear {
+        clear(args.control, request).await?;
+        println!("{request} is sent to targets again, on all instances");
+        return Ok(Exit::Done);
+    }
     let dump = read(args.control).await?;
     if args.json {
         let value = serde_json::to_value(&dump).unwrap_or_default();
@@ -97,7 +118,19 @@
         .try_for_each(|peer| write_peer(out, peer))?;
     dump.quotas
         .iter()
-        .try_for_each(|quota| write_quota(out, quota))
+        .try_for_each(|quota| write_quota(out, quota))?;
+    for held in &dump.quarantined {
+        let seconds = held.since_ms / 1_000;
+        writeln!(out, "refused    {}  for {seconds} s", held.fingerprint)?;
+    }
+    for suspect in &dump.suspects {
+        let SuspectDump { fingerprint, ended } = suspect;
+        writeln!(
+            out,
+            "suspect    {fingerprint}  on {ended} targets that ended"
+        )?;
+    }
+    Ok(())
 }
 
 fn write_news(out: &mut String, dump: &Dump) -> std::fmt::Result {
--- a/crates/cli/src/commands/losses.rs
+++ b/crates/cli/src/commands/losses.rs
@@ -35,6 +35,8 @@
     RefusedAdapter,
     /// Engines would have begun it too late.
     RefusedQueue,
+    /// Targets end under it.
+    RefusedQuarantined,
     /// Refused for another reason, as not run.
     RefusedOther,
     /// Its stream broke off.
@@ -122,6 +124,7 @@
             Self::RefusedQuota => "refused: quota used up",
             Self::RefusedAdapter => "refused: adapter not loaded in time",
             Self::RefusedQueue => "refused: engines would begin too late",
+            Self::RefusedQuarantined => "refused: quarantined, targets end under it",
             Self::RefusedOther => "refused: other reasons",
             Self::FailedInStream => "failed: stream broke off",
             Self::Failed => "failed: sent, and no whole answer",
@@ -138,6 +141,7 @@
         "BS3406" => answered(line),
         "BS3405" => Some(Cause::FailedInStream),
         "BS3401" if line.field("reason") == "over_quota" => Some(Cause::RefusedQuota),
+        "BS3401" if line.fields.contains_key("fingerprint") => Some(Cause::RefusedQuarantined),
         "BS3401" if line.fields.contains_key("status") => Some(refused(line)),
         "BS3401" => Some(Cause::RefusedOther),
         _ => None,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use bluebellstage_core::{ChangeId, Revision};
+use bluebellstage_gateway::decide::quarantine::Fingerprint;
 
 /// How the program ends; the numbers stand in its help.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -79,6 +80,9 @@
     /// Not every instance has it in force yet.
     #[error("revision {revision} was accepted, but not every instance was seen to have it")]
     NotEverywhere { revision: Revision },
+    /// No request of this fingerprint is refused.
+    #[error("no request of fingerprint {request} is quarantined")]
+    NotQuarantined { request: Fingerprint },
     /// A planned stop goes on.
     #[error("the planned stop is still under way after {seconds} s")]
     StillDraining { seconds: u64 },
@@ -95,6 +99,7 @@
             | Self::NoLines { .. }
             | Self::Unreadable { .. }
             | Self::Malformed { .. }
+            | Self::NotQuarantined { .. }
             | Self::Answered { .. } => Exit::Failed,
             Self::Stale { .. } | Self::Invalid { .. } | Self::PlatformUnavailable => Exit::Refused,
             Self::OutcomeUnknown { .. }
@@ -120,6 +125,9 @@
                 "use a token whose digest is in the instance's settings (`admin_tokens`)".into()
             }
             Self::Answered { .. } => "see docs/API.md for the call".into(),
+            Self::NotQuarantined { .. } => {
+                "run `bluebellstage instance`: it lists those that are refused".into()
+            }
             Self::Stale { .. } => {
                 "run `bluebellstage catalogue get`, carry your edits over, and apply again".into()
             }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -9,6 +9,7 @@
 2026-06-04T14:44:13.472Z INFO code=BS3403 request=r2 target=i-a306a9acab cause=Silent runs=1 adapter="" msg="attempt failed"
 2026-06-04T14:44:12.272Z WARN code=BS3405 request=r3 target=i-1 cause="the target fell silent" last_event=9 msg="stream broken off"
 2026-06-04T14:44:12.000Z INFO code=BS3101 version=7 msg="configuration in force"
+2026-06-04T14:44:15.000Z INFO code=BS3401 request=r5 route=r-1 status=502 reason="targets ended each time this request ran: change it" sends=0 config=7 ms=1 fingerprint=00112233445566778899aabbccddeeff msg="request refused"
 "#;
 
 fn explain(request: &str) -> (bool, String) {
@@ -45,6 +46,11 @@
     insta::assert_snapshot!(explain("r3").1, @"2026-06-04T14:44:12.272Z stdin: its stream from i-1 broke (the target fell silent) after event 9 and can't go on");
 }
 
+#[test]
+fn a_quarantined_request_is_told_with_its_fingerprint() {
+    insta::assert_snapshot!(explain("r5").1, @"2026-06-04T14:44:15.000Z stdin: answered 502 after 1 ms and 0 sends: quarantined as 00112233445566778899aabbccddeeff, targets end under it (see BS3109)");
+}
+
 #[test]
 fn a_request_that_no_line_names_is_an_error_with_a_remedy() {
     let (succeeded, text) = explain("r9");
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -9,6 +9,7 @@
 
 use super::health::Standing;
 use super::kind::Kind;
+use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
 use super::status::Role;
 use super::tables::Tables;
@@ -48,6 +49,10 @@
     pub peers: Vec<PeerDump>,
     /// Quotas, by name of the workspace.
     pub quotas: Vec<QuotaDump>,
+    /// Requests that are refused because targets end under them.
+    pub quarantined: Vec<QuarantineDump>,
+    /// Requests that were on targets that ended.
+    pub suspects: Vec<SuspectDump>,
 }
 
 /// Whether an instance takes callers.
@@ -130,6 +135,24 @@
     pub left: i64,
 }
 
+/// A request that is refused because targets end under it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct QuarantineDump {
+    /// What it is known by.
+    pub fingerprint: Fingerprint,
+    /// Milliseconds for which it is refused, or known to be.
+    pub since_ms: u64,
+}
+
+/// A request that was on targets that ended, perhaps by chance.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct SuspectDump {
+    /// What it is known by.
+    pub fingerprint: Fingerprint,
+    /// How many of them.
+    pub ended: usize,
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
@@ -155,6 +178,8 @@
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
+            quarantined: self.dump_quarantined(now),
+            suspects: self.dump_suspects(),
         }
     }
 
@@ -202,6 +227,27 @@
         dumped.collect()
     }
 
+    fn dump_quarantined(&self, now: Time) -> Vec<QuarantineDump> {
+        let refused = self.quarantine.refused(now);
+        let mut dumped = refused
+            .map(|(fingerprint, since)| QuarantineDump {
+                fingerprint,
+                since_ms: millis(since),
+            })
+            .collect::<Vec<_>>();
+        dumped.sort_by_key(|held| held.fingerprint);
+        dumped
+    }
+
+    fn dump_suspects(&self) -> Vec<SuspectDump> {
+        let suspected = self.quarantine.suspected();
+        let mut dumped = suspected
+            .map(|(fingerprint, ended)| SuspectDump { fingerprint, ended })
+            .collect::<Vec<_>>();
+        dumped.sort_by_key(|suspect| suspect.fingerprint);
+        dumped
+    }
+
     fn dump_peers(&self, now: Time) -> Vec<PeerDump> {
         let dumped = self.peers.all().map(|peer| PeerDump {
             name: peer.member.name.clone(),
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -234,6 +234,7 @@
             targets: self.registry.revision(),
             targets_digest: self.registry.digest(),
             versions: self.versions.total(),
+            verdicts_digest: self.quarantine.digest(),
             spent,
             in_flight: loads
                 .map(|(target, load)| (ShortHash::of(target.as_str()), load))
--- a/crates/gateway/src/decide/exchange/news_for.rs
+++ b/crates/gateway/src/decide/exchange/news_for.rs
@@ -106,7 +106,8 @@
             let live = peer.heard_within(DOWN_AFTER, now);
             let same = peer.config == own.config
                 && peer.targets_digest == own.targets_digest
-                && peer.versions == own.versions;
+                && peer.versions == own.versions
+                && peer.verdicts_digest == own.verdicts_digest;
             [live, peer.ready, peer.store_answers, same]
         });
         let me = [true, self.ready(), self.registry.store_answers(now), true];
@@ -127,6 +128,7 @@
             targets: self.registry.revision(),
             targets_digest: self.registry.digest(),
             versions: self.versions.total(),
+            verdicts_digest: self.quarantine.digest(),
         }
     }
 }
--- a/crates/gateway/src/decide/exchange/take.rs
+++ b/crates/gateway/src/decide/exchange/take.rs
@@ -243,6 +243,7 @@
             targets: relay.targets,
             targets_digest: relay.targets_digest,
             versions: relay.versions,
+            verdicts_digest: relay.verdicts_digest,
         };
         let me = ShortHash::of(self.me.name.as_str());
         let mut unknown = Vec::new();
--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -136,6 +136,6 @@
         Kind::Config => CONFIG_WAIT,
         Kind::Targets => TARGETS_WAIT,
         Kind::AdapterVersions => VERSIONS_WAIT,
-        Kind::Members | Kind::Leases => LONG_WAIT,
+        Kind::Members | Kind::Leases | Kind::Verdicts => LONG_WAIT,
     }
 }
--- a/crates/gateway/src/decide/kind.rs
+++ b/crates/gateway/src/decide/kind.rs
@@ -16,6 +16,8 @@
     Members,
     /// Leases of the loader shards.
     Leases,
+    /// Verdicts on requests under which targets end.
+    Verdicts,
 }
 
 impl Kind {
@@ -28,6 +30,7 @@
             Self::AdapterVersions => "adapter_versions",
             Self::Members => "members",
             Self::Leases => "leases",
+            Self::Verdicts => "verdicts",
         }
     }
 }
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -102,6 +102,8 @@
     pub targets_digest: u32,
     /// Sum of the adapter versions that it knows to be announced.
     pub versions: u64,
+    /// Digest of the verdicts on requests that it knows; zero if there is none.
+    pub verdicts_digest: u64,
 }
 
 /// What a peer last told.
@@ -129,6 +131,8 @@
     pub targets_digest: u32,
     /// Sum of the adapter versions that it knows to be announced.
     pub versions: u64,
+    /// Digest of the verdicts on requests that it knows; zero if there is none.
+    pub verdicts_digest: u64,
     /// What it has at each target, by the target's hash.
     pub in_flight: HashMap<ShortHash, Load>,
     /// Loads from the weight store that it has under way.
@@ -269,6 +273,7 @@
             peer.targets = store.targets;
             peer.targets_digest = store.targets_digest;
             peer.versions = store.versions;
+            peer.verdicts_digest = store.verdicts_digest;
         }
     }
 
@@ -357,6 +362,7 @@
             targets: Revision::default(),
             targets_digest: 0,
             versions: 0,
+            verdicts_digest: 0,
             in_flight: HashMap::new(),
             loads: 0,
             waiting_loads: 0,
@@ -381,6 +387,7 @@
             targets: status.targets,
             targets_digest: status.targets_digest,
             versions: status.versions,
+            verdicts_digest: status.verdicts_digest,
             in_flight: status.in_flight.iter().copied().collect(),
             loads: status.loads,
             waiting_loads: status.waiting_loads,
@@ -408,6 +415,7 @@
             targets: self.targets,
             targets_digest: self.targets_digest,
             versions: self.versions,
+            verdicts_digest: self.verdicts_digest,
             spent: Vec::new(),
             in_flight: self
                 .in_flight
--- a/crates/gateway/src/decide/quarantine/fingerprint.rs
+++ b/crates/gateway/src/decide/quarantine/fingerprint.rs
@@ -14,7 +14,7 @@
 
 /// Digest of a request's workspace, path and body, keyed by the workspace; the same at every instance.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
-#[serde(transparent)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
 pub struct Fingerprint([u8; LEN]);
 
 impl Fingerprint {
@@ -58,6 +58,20 @@
 #[error("not a fingerprint: give the 32 hexadecimal digits that the log shows")]
 pub struct BadFingerprint;
 
+impl From<Fingerprint> for Box<str> {
+    fn from(fingerprint: Fingerprint) -> Self {
+        fingerprint.to_string().into()
+    }
+}
+
+impl TryFrom<Box<str>> for Fingerprint {
+    type Error = BadFingerprint;
+
+    fn try_from(text: Box<str>) -> Result<Self, BadFingerprint> {
+        text.parse()
+    }
+}
+
 impl FromStr for Fingerprint {
     type Err = BadFingerprint;
 
--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -1,5 +1,279 @@
-//! Requests under which targets end.
+//! Keeps requests under which targets end from ending more of them.
+//!
+//! When a target ends, all requests that it ran are cut, and one of them may be the cause. Instances tell each
+//! other which were cut and how long each had run. A request is refused once chance no longer explains that it
+//! was on so many ended targets; an answer that came whole proves it innocent. Verdicts last: every instance
+//! keeps them, newcomers copy them, and the store keeps them for a fleet that starts anew.
 
 mod fingerprint;
+mod suspects;
+mod verdict;
+mod word;
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use bluebellstage_core::{TargetId, Time};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub use self::fingerprint::{BadFingerprint, Fingerprint};
+use self::suspects::Suspects;
+pub use self::verdict::{Ruling, Verdict};
+pub use self::word::{Cut, Ended, Word};
+use super::rendezvous::{ShortHash, weight};
+
+/// How long a verdict holds.
+pub const VERDICT_LASTS: Duration = Duration::from_hours(1);
+/// Verdicts that are kept; the oldest goes first.
+const MOST_VERDICTS: usize = 1_024;
+/// How long a whole answer proves that its request is innocent: targets don't end under it.
+const SERVED_LASTS: Duration = Duration::from_secs(10);
+/// Requests whose whole answers are remembered.
+const MOST_SERVED: usize = 2_048;
+/// Rounds in which a word is told again, as datagrams are lost.
+const TOLD_AGAIN: u32 = 3;
+/// Parts of the targets, of which a suspect has one.
+const PARTS: u64 = 3;
+/// Time after an end in which the others' words on it come.
+pub const JUDGED_AFTER: Duration = Duration::from_millis(50);
+/// Runs in one word, so that it fits a datagram.
+const CUTS_IN_A_WORD: usize = 48;
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    verdict: Verdict,
+    since: Time,
+}
+
+fn part_of_digest(verdict: &Verdict) -> u64 {
+    let revision = u64::from(verdict.revision);
+    xxh3_64_with_seed(&verdict.request.bits().to_le_bytes(), revision)
+}
+
+/// Requests under which targets end, and those that may be.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: Suspects,
+    verdicts: HashMap<Fingerprint, Held>,
+    /// Of all verdicts.
+    digest: u64,
+    /// Requests that were answered whole lately, and the order of that.
+    served: HashMap<Fingerprint, Time>,
+    served_order: VecDeque<(Time, Fingerprint)>,
+    telling: Vec<(Word, u32)>,
+}
+
+impl Quarantine {
+    /// Whether a request must not be sent to a target.
+    #[must_use]
+    pub fn refuses(&self, request: Fingerprint) -> bool {
+        let held = self.verdicts.get(&request);
+        held.is_some_and(|held| held.verdict.ruling == Ruling::Refused)
+    }
+
+    /// On how many targets that ended a request was; it is not known whether by chance.
+    #[must_use]
+    pub fn suspicion(&self, request: Fingerprint) -> usize {
+        self.suspects.count(request)
+    }
+
+    /// Whether a suspect may be sent to a target. Each has a part of the targets of its own, another one after
+    /// each end: sent together again, the cause and a bystander could not be told apart.
+    #[must_use]
+    pub fn is_apart(&self, request: Fingerprint, target: &TargetId) -> bool {
+        let seed = request.bits().wrapping_add(self.suspicion(request) as u64);
+        weight(seed, target.as_str()).is_multiple_of(PARTS)
+    }
+
+    /// A target ended under requests of this instance. Gives the words for the others.
+    pub fn ended(&mut self, ended: &Ended, now: Time) -> Vec<Word> {
+        let parts = ended.cuts.chunks(CUTS_IN_A_WORD).map(|cuts| Ended {
+            cuts: cuts.to_vec(),
+            ..ended.clone()
+        });
+        let words = parts.map(Word::Ended).collect::<Vec<_>>();
+        for word in &words {
+            self.take(word, now);
+        }
+        words
+    }
+
+    /// Judges the requests that were on an ended target, [`JUDGED_AFTER`] that. Gives those that are refused from now on.
+    pub fn judge(&mut self, life: ShortHash, now: Time) -> Vec<Verdict> {
+        let on = self.suspects.on(life);
+        let causes = on.into_iter();
+        let causes = causes.filter(|request| self.suspects.is_cause(*request));
+        let causes = causes.collect::<Vec<_>>();
+        let refused = causes.into_iter().map(|request| self.refuse(request, now));
+        refused.collect()
+    }
+
+    /// A request was answered whole. Gives the word for the others if it was suspected.
+    pub fn served(&mut self, request: Fingerprint, now: Time) -> Option<Word> {
+        self.note_served(request, now);
+        let was_suspect = self.suspects.acquit(request);
+        was_suspect.then_some(Word::Served(request))
+    }
+
+    /// Takes in what another instance told; false if it is known.
+    pub fn take(&mut self, word: &Word, now: Time) -> bool {
+        match word {
+            Word::Ended(ended) => self.take_ended(ended, now),
+            Word::Served(request) => {
+                self.note_served(*request, now);
+                self.suspects.acquit(*request)
+            }
+            Word::Ruled(verdict) => self.rule(*verdict, now),
+        }
+    }
+
+    fn take_ended(&mut self, ended: &Ended, now: Time) -> bool {
+        let at = now - Duration::from_millis(u64::from(ended.age_ms));
+        let doubtful = ended.cuts.iter();
+        let doubtful = doubtful.filter(|cut| !self.served_lately(cut.request, at));
+        let doubtful = Ended {
+            cuts: doubtful.copied().collect(),
+            ..ended.clone()
+        };
+        let is_new = self.suspects.note(&doubtful, now);
+        // One that was sent before it was refused explains this end, too.
+        let causes = ended.cuts.iter().map(|cut| cut.request);
+        for cause in causes
+            .filter(|request| self.refuses(*request))
+            .collect::<Vec<_>>()
+        {
+            self.suspects.explain(cause);
+        }
+        is_new
+    }
+
+    fn refuse(&mut self, request: Fingerprint, now: Time) -> Verdict {
+        let before = self.verdicts.get(&request).map(|held| held.verdict);
+        let verdict = Verdict::next(request, Ruling::Refused, before.as_ref());
+        self.rule(verdict, now);
+        verdict
+    }
+
+    /// An operator lets a request through again; none if it is not refused.
+    pub fn clear(&mut self, request: Fingerprint, now: Time) -> Option<Verdict> {
+        let before = self.verdicts.get(&request)?.verdict;
+        if before.ruling != Ruling::Refused {
+            return None;
+        }
+        let verdict = Verdict::next(request, Ruling::Cleared, Some(&before));
+        self.rule(verdict, now);
+        Some(verdict)
+    }
+
+    /// Puts a verdict in force; false if it is known, or replaced by a newer one.
+    pub fn rule(&mut self, verdict: Verdict, now: Time) -> bool {
+        let request = verdict.request;
+        let known = self.verdicts.get(&request);
+        if known.is_some_and(|known| !verdict.replaces(&known.verdict)) {
+            return false;
+        }
+        if verdict.ruling == Ruling::Refused {
+            self.suspects.explain(request);
+        }
+        self.suspects.acquit(request);
+        self.drop_verdict(request);
+        if self.verdicts.len() >= MOST_VERDICTS {
+            let oldest = self.verdicts.iter().min_by_key(|(_, held)| held.since);
+            if let Some(oldest) = oldest.map(|(request, _)| *request) {
+                self.drop_verdict(oldest);
+            }
+        }
+        self.digest ^= part_of_digest(&verdict);
+        let since = now;
+        self.verdicts.insert(request, Held { verdict, since });
+        true
+    }
+
+    fn drop_verdict(&mut self, request: Fingerprint) {
+        if let Some(held) = self.verdicts.remove(&request) {
+            self.digest ^= part_of_digest(&held.verdict);
+        }
+    }
+
+    fn note_served(&mut self, request: Fingerprint, now: Time) {
+        self.served.insert(request, now);
+        self.served_order.push_back((now, request));
+        while self.served_order.len() > MOST_SERVED {
+            self.forget_first_served();
+        }
+    }
+
+    fn forget_first_served(&mut self) {
+        let Some((at, request)) = self.served_order.pop_front() else {
+            return;
+        };
+        if self.served.get(&request) == Some(&at) {
+            self.served.remove(&request);
+        }
+    }
+
+    /// Whether a request was answered whole shortly before `at`, or since.
+    fn served_lately(&self, request: Fingerprint, at: Time) -> bool {
+        let served = self.served.get(&request);
+        served.is_some_and(|served| at.since(*served) < SERVED_LASTS)
+    }
+
+    /// Tells words again in the next rounds.
+    pub fn tell_again(&mut self, words: impl IntoIterator<Item = Word>) {
+        let words = words.into_iter().map(|word| (word, TOLD_AGAIN));
+        self.telling.extend(words);
+    }
+
+    /// What is to be told in this round, `passed` after the one before.
+    pub fn tell_round(&mut self, passed: Duration) -> Vec<Word> {
+        let passed_ms = word::millis(passed);
+        for (word, left) in &mut self.telling {
+            *left -= 1;
+            if let Word::Ended(ended) = word {
+                ended.age_ms = ended.age_ms.saturating_add(passed_ms);
+            }
+        }
+        let words = self.telling.iter().map(|(word, _)| word.clone());
+        let words = words.collect();
+        self.telling.retain(|(_, left)| *left > 0);
+        words
+    }
+
+    /// Verdicts in force.
+    pub fn verdicts(&self) -> impl Iterator<Item = Verdict> {
+        self.verdicts.values().map(|held| held.verdict)
+    }
+
+    /// Requests that are refused, with the time for which they are.
+    pub fn refused(&self, now: Time) -> impl Iterator<Item = (Fingerprint, Duration)> {
+        let refused = |held: &&Held| held.verdict.ruling == Ruling::Refused;
+        let held = self.verdicts.values().filter(refused);
+        held.map(move |held| (held.verdict.request, now.since(held.since)))
+    }
+
+    /// Suspects, with the number of ended targets that each was on.
+    pub fn suspected(&self) -> impl Iterator<Item = (Fingerprint, usize)> {
+        self.suspects.all()
+    }
+
+    /// Tells apart what two instances hold; zero if there is no verdict.
+    #[must_use]
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Forgets what is long ago.
+    pub fn sweep(&mut self, now: Time) {
+        self.suspects.sweep(now);
+        let over = |held: &&Held| now.since(held.since) >= VERDICT_LASTS;
+        let over = self.verdicts.values().filter(over);
+        let over = over.map(|held| held.verdict.request).collect::<Vec<_>>();
+        for request in over {
+            self.drop_verdict(request);
+        }
+        let old = |at: &Time| now.since(*at) >= SERVED_LASTS;
+        while self.served_order.front().is_some_and(|(at, _)| old(at)) {
+            self.forget_first_served();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/quarantine/verdict.rs
@@ -0,0 +1,48 @@
+//! Whether a request is refused.
+
+use serde::{Deserialize, Serialize};
+
+use super::fingerprint::Fingerprint;
+
+/// What was decided of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ruling {
+    /// It is refused: targets end under it.
+    Refused,
+    /// An operator lets it through again.
+    Cleared,
+}
+
+/// A ruling, as instances tell it and the store keeps it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Verdict {
+    /// The request.
+    pub request: Fingerprint,
+    /// What was decided.
+    pub ruling: Ruling,
+    /// Count of the rulings on this request; a higher one is newer.
+    pub revision: u32,
+}
+
+impl Verdict {
+    /// The first refusal, or the one that follows another ruling.
+    #[must_use]
+    pub const fn next(request: Fingerprint, ruling: Ruling, before: Option<&Self>) -> Self {
+        let revision = match before {
+            Some(before) => before.revision.saturating_add(1),
+            None => 1,
+        };
+        Self {
+            request,
+            ruling,
+            revision,
+        }
+    }
+
+    /// Whether it is to be taken in place of `other`.
+    #[must_use]
+    pub const fn replaces(&self, other: &Self) -> bool {
+        self.revision > other.revision
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/quarantine/word.rs
@@ -0,0 +1,64 @@
+//! What instances tell each other of requests under which targets end.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::fingerprint::Fingerprint;
+use super::verdict::Verdict;
+use crate::decide::rendezvous::ShortHash;
+
+/// One piece of news.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Word {
+    /// A target ended while it ran requests.
+    Ended(Ended),
+    /// A request that was cut was answered whole since.
+    Served(Fingerprint),
+    /// A request is refused from now on, or no longer.
+    Ruled(Verdict),
+}
+
+/// A target that ended, and runs that it took with it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Ended {
+    /// The target's life: it is counted once, whoever tells of it.
+    pub life: ShortHash,
+    /// Targets of its service.
+    pub targets: u32,
+    /// Milliseconds since then.
+    pub age_ms: u32,
+    /// Runs that were cut, as far as the sender knows.
+    pub cuts: Vec<Cut>,
+}
+
+/// A run that was cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Cut {
+    /// The request.
+    pub request: Fingerprint,
+    /// Milliseconds since it began, or since it was sent if it had not begun.
+    pub ran_ms: u32,
+}
+
+impl Cut {
+    /// A run that was cut after so long.
+    #[must_use]
+    pub fn new(request: Fingerprint, ran: Duration) -> Self {
+        Self {
+            request,
+            ran_ms: millis(ran),
+        }
+    }
+
+    /// How long it had run.
+    #[must_use]
+    pub const fn ran(self) -> Duration {
+        Duration::from_millis(self.ran_ms as u64)
+    }
+}
+
+/// Whole milliseconds, as they are told.
+pub(super) fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -69,6 +69,8 @@
     pub targets_digest: u32,
     /// Sum of the adapter versions that it knows to be announced; only grows.
     pub versions: u64,
+    /// Digest of the verdicts on requests that it knows; zero if there is none.
+    pub verdicts_digest: u64,
     /// What workspaces have spent there since it started, where that changed lately.
     pub spent: Vec<SpentWord>,
     /// What it has at each target.
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -16,6 +16,7 @@
 use super::peers::{Load, Member, Peer, Peers};
 use super::placement::{Candidate, Known, Pick, pick_engine, pick_plain};
 use super::prompt_queues::{PromptQueues, WaitingKey};
+use super::quarantine::{Fingerprint, Quarantine};
 use super::quota::{Charged, Quotas, Sharing};
 pub use super::refusal::Refusal;
 use super::registry::Registry;
@@ -71,6 +72,8 @@
     pub retries: RetryCounts,
     /// What targets proved to be.
     pub health: Health,
+    /// Requests under which targets end.
+    pub quarantine: Quarantine,
     /// Which engine holds which adapter.
     pub residency: Residency,
     /// Newest versions of adapters.
@@ -91,6 +94,8 @@
     pub stopping: bool,
     budget: RetryBudget,
     in_flight: HashMap<TargetId, u32>,
+    /// Suspected requests of this instance at each target.
+    suspects_at: HashMap<TargetId, u32>,
     /// Where adapters were asked for lately, so that all that wait for one wait at one engine.
     asked: HashMap<AdapterKey, (TargetId, Time)>,
 }
@@ -139,6 +144,7 @@
             quotas: Quotas::default(),
             retries: RetryCounts::default(),
             health: Health::default(),
+            quarantine: Quarantine::default(),
             residency: Residency::default(),
             versions: Versions::default(),
             queues: PromptQueues::default(),
@@ -150,6 +156,7 @@
             stopping: false,
             budget,
             in_flight: HashMap::new(),
+            suspects_at: HashMap::new(),
             asked: HashMap::new(),
         }
     }
@@ -312,6 +319,31 @@
         pick
     }
 
+    /// Picks as [`Tables::pick`] does. A suspect goes apart from the others if it can.
+    #[must_use]
+    pub fn pick_apart(
+        &mut self,
+        request: Fingerprint,
+        ticket: &Ticket,
+        call: &Call,
+        tried: &[TargetId],
+        draw: f64,
+        now: Time,
+    ) -> Pick {
+        if self.quarantine.suspicion(request) > 0 {
+            let targets = self.registry.all().map(|target| &target.id);
+            let others = targets.filter(|id| {
+                self.suspects_at.contains_key(*id) || !self.quarantine.is_apart(request, id)
+            });
+            let left_out = tried.iter().chain(others).cloned().collect::<Vec<_>>();
+            let pick = self.pick(ticket, call, &left_out, draw, now);
+            if matches!(pick, Pick::Send { .. } | Pick::Load(_)) {
+                return pick;
+            }
+        }
+        self.pick(ticket, call, tried, draw, now)
+    }
+
     /// The engine where the call's adapter was asked for lately.
     fn asked_at(&self, call: &Call, now: Time) -> Option<&TargetId> {
         let (target, at) = self.asked.get(Self::adapter_of(call)?)?;
@@ -365,7 +397,10 @@
         let other_targets = peer.targets > self.registry.revision()
             && peer.targets_digest != self.registry.digest();
         let newer_config = peer.config > self.routes.version();
-        newer_config || other_targets || peer.versions > self.versions.total()
+        let other_verdicts =
+            peer.verdicts_digest != 0 && peer.verdicts_digest != self.quarantine.digest();
+        let newer_versions = peer.versions > self.versions.total();
+        newer_config || other_targets || newer_versions || other_verdicts
     }
 
     /// Takes one repeat out of the service's budget; false if there is none left.
@@ -413,8 +448,24 @@
         }
     }
 
+    /// A suspected request goes to a target.
+    pub fn begin_suspect(&mut self, target: &TargetId) {
+        *self.suspects_at.entry(target.clone()).or_default() += 1;
+    }
+
+    /// A suspected request has left a target.
+    pub fn end_suspect(&mut self, target: &TargetId) {
+        if let Some(count) = self.suspects_at.get_mut(target) {
+            *count -= 1;
+            if *count == 0 {
+                self.suspects_at.remove(target);
+            }
+        }
+    }
+
     /// Housekeeping; called a few times a second.
     pub fn sweep(&mut self, now: Time) {
+        self.quarantine.sweep(now);
         self.registry.sweep(now);
         self.peers.sweep(now);
         self.residency.sweep(now);
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -17,6 +17,7 @@
 use crate::decide::lease::LeaseRecord;
 use crate::decide::loader::{Order, OrderAnswer, Report};
 use crate::decide::peers::Member;
+use crate::decide::quarantine::Verdict;
 use crate::decide::target::Target;
 use crate::error::{GatewayError, StoreError};
 use crate::settings::NodeSettings;
@@ -108,6 +109,8 @@
     Member(Box<Member>),
     /// A lease.
     Lease(LeaseRecord),
+    /// A verdict on a request.
+    Verdict(Verdict),
     /// Written by somebody else, or wrongly: why it names nothing.
     Malformed(Box<str>),
 }
--- a/crates/gateway/src/net/answers.rs
+++ b/crates/gateway/src/net/answers.rs
@@ -12,6 +12,10 @@
 use super::log::{LogEvent, event};
 use super::refuse::{AnswerBody, answer, spread_retry_after};
 
+/// Why a request is refused under which targets end. It has run, so it is not told to come back.
+const QUARANTINED: &str =
+    "targets ended each time this request ran: change it, or ask an operator to let it through";
+
 impl<E: Edge> Job<E> {
     pub(super) fn log_not_run(&self, target: &TargetId, misdirected: bool) {
         let target = target.to_string();
@@ -69,23 +73,33 @@
                 (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
             }
             Found::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
+            Found::Quarantined => {
+                if self.runs == 0 {
+                    self.node.tables().not_run(&self.ticket);
+                }
+                (StatusCode::BAD_GATEWAY, QUARANTINED, None)
+            }
             Found::TimeUp | Found::Answer(_) => {
                 (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
             }
         };
         self.note_answer(status);
-        event(
-            LogEvent::RequestRefused,
-            &[
-                ("request", &self.call.id),
-                ("route", &self.ticket.route().name),
-                ("status", status.as_str()),
-                ("reason", message),
-                ("sends", &self.sends.to_string()),
-                ("config", &self.ticket.config().to_string()),
-                ("ms", &self.elapsed_ms()),
-            ],
-        );
+        let [sends, config] = [self.sends.to_string(), self.ticket.config().to_string()];
+        let ms = self.elapsed_ms();
+        let fingerprint = self.fingerprint.to_string();
+        let mut fields = vec![
+            ("request", &*self.call.id),
+            ("route", &*self.ticket.route().name),
+            ("status", status.as_str()),
+            ("reason", message),
+            ("sends", &*sends),
+            ("config", &*config),
+            ("ms", &*ms),
+        ];
+        if matches!(found, Found::Quarantined) {
+            fields.push(("fingerprint", &*fingerprint));
+        }
+        event(LogEvent::RequestRefused, &fields);
         answer(&self.node.protocol, status, message, after)
     }
 
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -36,6 +36,8 @@
     /// Its place in the engine's queue; none once it has begun, and at plain targets.
     waiting: Option<WaitingKey>,
     sent: Time,
+    /// The request was on a target that ended.
+    suspect: bool,
     /// When it began to answer.
     answers_since: Option<Time>,
     judged: bool,
@@ -45,6 +47,9 @@
     fn begin(node: &Arc<Node<E>>, target: &TargetId, sending: Sending<'_>) -> Self {
         let mut tables = node.tables();
         tables.begin(target);
+        if sending.suspect {
+            tables.begin_suspect(target);
+        }
         if sending.trial {
             tables.health.trial(target);
         }
@@ -62,6 +67,7 @@
             adapter: Tables::adapter_of(sending.call).cloned(),
             waiting,
             sent: now,
+            suspect: sending.suspect,
             answers_since: None,
             judged: false,
         };
@@ -136,6 +142,9 @@
     fn drop(&mut self) {
         let mut tables = self.node.tables();
         tables.end(&self.target);
+        if self.suspect {
+            tables.end_suspect(&self.target);
+        }
         if let Some(waiting) = self.waiting.take() {
             tables.queues.gone(waiting);
         }
@@ -211,6 +220,8 @@
     /// Use a kept connection.
     pub(super) reuse: bool,
     pub(super) trial: bool,
+    /// The request was on a target that ended.
+    pub(super) suspect: bool,
     /// The adapter's version that is asked for.
     pub(super) version: Option<AdapterVersion>,
     /// Longest wait for the head of the answer.
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -1,31 +1,37 @@
 //! Gives peers a copy of what the store told, and operators metrics and a dump of the state.
 
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use bluebellstage_core::{Revision, Time};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
 use crate::decide::config::Config;
 use crate::decide::peers::Member;
+use crate::decide::quarantine::{Fingerprint, Verdict};
 use crate::decide::registry::RegistryCopy;
 use crate::decide::tables::Tables;
 use crate::decide::versions::Announcement;
 use crate::edge::Edge;
 
 use super::node::Node;
+use super::quarantine;
 use super::refuse::{AnswerBody, answer as own_answer, whole};
 
 /// Path of the copy on the control address; another form of the copy gets another path, so that instances of
 /// two releases never misread each other.
-pub(super) const COPY_PATH: &str = "/peer/copy/2";
+pub(super) const COPY_PATH: &str = "/peer/copy/3";
 
 /// Path of the metrics, on the control address and on one of their own.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path on which operators let a refused request through again; its fingerprint is the query.
+const CLEAR_PATH: &str = "/quarantine/clear";
+
 /// Path of the state for operators, on the control address.
 const DUMP_PATH: &str = "/dump";
 
@@ -37,6 +43,7 @@
     pub(super) targets: Revision,
     pub(super) targets_digest: u32,
     pub(super) versions: u64,
+    pub(super) verdicts_digest: u64,
     /// It knows its peers.
     pub(super) members: bool,
 }
@@ -49,11 +56,12 @@
             targets,
             targets_digest,
             versions,
+            verdicts_digest,
             ..
         } = self;
         write!(
             f,
-            "{config}.{targets}.{targets_digest}.{versions}.{members}"
+            "{config}.{targets}.{targets_digest}.{versions}.{verdicts_digest}.{members}"
         )
     }
 }
@@ -70,6 +78,7 @@
             targets: Revision(next()),
             targets_digest: u32::try_from(next()).unwrap_or(0),
             versions: next(),
+            verdicts_digest: next(),
             members: next() > 0,
         }
     }
@@ -82,11 +91,15 @@
     pub(super) config: Option<Config>,
     pub(super) targets: Option<RegistryCopy>,
     pub(super) versions: Vec<Announcement>,
+    pub(super) verdicts: Vec<Verdict>,
     pub(super) members: Vec<Member>,
 }
 
 /// Answers a peer.
-pub(super) fn answer<E: Edge>(node: &Node<E>, req: &Request<Incoming>) -> Response<AnswerBody> {
+pub(super) fn answer<E: Edge>(
+    node: &Arc<Node<E>>,
+    req: &Request<Incoming>,
+) -> Response<AnswerBody> {
     if req.uri().path() == METRICS_PATH {
         let connections = node.connections.load(Ordering::Relaxed);
         let tables = node.tables();
@@ -100,6 +113,9 @@
             Err(err) => failed(node, &err),
         };
     }
+    if req.uri().path() == CLEAR_PATH {
+        return clear(node, req);
+    }
     if req.uri().path() != COPY_PATH {
         return own_answer(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     }
@@ -111,6 +127,27 @@
     }
 }
 
+/// Lets a request through again that is refused because targets ended under it.
+fn clear<E: Edge>(node: &Arc<Node<E>>, req: &Request<Incoming>) -> Response<AnswerBody> {
+    let own = |status, message: &str| own_answer(&node.protocol, status, message, None);
+    if req.method() != Method::POST {
+        return own(StatusCode::METHOD_NOT_ALLOWED, "use POST");
+    }
+    let query = req.uri().query().unwrap_or("");
+    let request = match query.parse::<Fingerprint>() {
+        Ok(request) => request,
+        Err(bad) => return own(StatusCode::BAD_REQUEST, &bad.to_string()),
+    };
+    if quarantine::clear(node, request) {
+        own(StatusCode::OK, "it is sent to targets again")
+    } else {
+        own(
+            StatusCode::NOT_FOUND,
+            "no request of this fingerprint is refused",
+        )
+    }
+}
+
 fn failed<E: Edge>(node: &Node<E>, err: &dyn fmt::Display) -> Response<AnswerBody> {
     let status = StatusCode::INTERNAL_SERVER_ERROR;
     own_answer(&node.protocol, status, &err.to_string(), None)
@@ -140,6 +177,9 @@
     if versions {
         copy.versions = tables.versions.all(now).collect();
     }
+    if tables.quarantine.digest() != have.verdicts_digest {
+        copy.verdicts = tables.quarantine.verdicts().collect();
+    }
     if !have.members {
         let peers = tables.peers.all().map(|peer| peer.member.clone());
         copy.members = peers.chain([tables.me.clone()]).collect();
--- a/crates/gateway/src/net/copying.rs
+++ b/crates/gateway/src/net/copying.rs
@@ -104,6 +104,7 @@
         targets: tables.registry.copied_up_to(),
         targets_digest: tables.registry.digest(),
         versions: tables.versions.total(),
+        verdicts_digest: tables.quarantine.digest(),
         members: tables.peers.all().next().is_some(),
     }
 }
@@ -133,6 +134,9 @@
         announce(node, &news.adapter, news.age, &peer.to_string());
     }
     let mut tables = node.tables();
+    for verdict in copy.verdicts {
+        tables.quarantine.rule(verdict, now);
+    }
     for member in copy.members {
         if member.name != tables.me.name {
             tables.peers.registered(member);
--- a/crates/gateway/src/net/ended.rs
+++ b/crates/gateway/src/net/ended.rs
@@ -12,12 +12,14 @@
 use bluebellstage_core::{TargetId, Time};
 use tokio::sync::watch;
 
-use crate::decide::quarantine::Fingerprint;
+use crate::decide::quarantine::{Cut, Ended, JUDGED_AFTER};
 use crate::decide::rendezvous::ShortHash;
+use crate::decide::target::Target;
 use crate::edge::Edge;
 
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::quarantine;
 use super::sockets::connect;
 
 /// Time for a connection that is to show whether the target ended.
@@ -31,22 +33,15 @@
 /// Fingerprints named in one log line.
 const NAMED_IN_A_LINE: usize = 80;
 
-/// A run that was cut.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Cut {
-    /// The request.
-    pub(super) request: Fingerprint,
-    /// Time since it began, or since it was sent if it had not begun.
-    pub(super) ran: Duration,
-}
-
 /// What is known of a target on which runs were cut.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Found {
     /// It is being looked at.
     Looking,
-    /// Its process ended.
+    /// Its process ended; the runs that it took with it are not judged yet.
     Ended,
+    /// They are judged.
+    Judged,
     /// It lives, or can't be told from one that does.
     Lives,
 }
@@ -76,9 +71,14 @@
     }
 
     fn settle(&self, life: ShortHash, found: Found) {
-        if let Some(look) = self.lock().get(&life) {
+        let mut open = self.lock();
+        if let Some(look) = open.get(&life) {
             look.found.send_replace(found);
         }
+        // One that lives may end later.
+        if found == Found::Lives {
+            open.remove(&life);
+        }
     }
 
     /// Forgets what was found long ago.
@@ -89,10 +89,13 @@
 }
 
 /// A target that was serving.
+#[derive(Clone, Debug)]
 struct Serving {
     id: TargetId,
     life: ShortHash,
     address: SocketAddr,
+    /// Targets of its service.
+    of: u32,
 }
 
 /// The target, if it was not to leave anyway: what leaves as planned cuts runs, too.
@@ -100,10 +103,14 @@
     let tables = node.tables();
     let target = tables.registry.get(id)?;
     let life = target.life().unwrap_or_else(|| ShortHash::of(id.as_str()));
+    let same = |other: &&Target| other.service == target.service;
+    let of = tables.registry.all().filter(same).count();
+    let of = u32::try_from(of).unwrap_or(u32::MAX);
     (!target.leaving).then(|| Serving {
         id: id.clone(),
         life,
         address: target.address,
+        of,
     })
 }
 
@@ -112,35 +119,50 @@
     let Some(target) = serving(node, target) else {
         return;
     };
-    let life = target.life;
-    let mut found = {
-        let mut open = node.looks.lock();
-        let now = node.now();
-        let look = open.entry(life).or_insert_with(|| {
-            tokio::spawn(look(Arc::clone(node), target));
-            Look {
-                began: now,
-                cuts: Vec::new(),
-                found: watch::Sender::new(Found::Looking),
-            }
-        });
-        look.cuts.push(cut);
-        look.found.subscribe()
+    let mut found = join(node, &target, cut);
+    if *found.borrow() == Found::Judged {
+        report(node, &target);
+    }
+
+    // A first end is no proof, so whoever has met no other need not wait for the judgement.
+    let waits = |found: &Found| match found {
+        Found::Looking => true,
+        Found::Ended => node.tables().quarantine.suspicion(cut.request) > 1,
+        Found::Judged | Found::Lives => false,
     };
-    let known = found.wait_for(|found| *found != Found::Looking);
+    let known = found.wait_for(|found| !waits(found));
     let _known_or_late = tokio::time::timeout(SETTLES_WITHIN, known).await;
 }
 
+/// Adds a run to those of a target's look, which begins with the first one.
+fn join<E: Edge>(node: &Arc<Node<E>>, target: &Serving, cut: Cut) -> watch::Receiver<Found> {
+    let mut open = node.looks.lock();
+    let began = node.now();
+    let looked_at = open.entry(target.life).or_insert_with(|| {
+        tokio::spawn(look(Arc::clone(node), target.clone()));
+        Look {
+            began,
+            cuts: Vec::new(),
+            found: watch::Sender::new(Found::Looking),
+        }
+    });
+    looked_at.cuts.push(cut);
+    looked_at.found.subscribe()
+}
+
 async fn look<E: Edge>(node: Arc<Node<E>>, target: Serving) {
     if !has_ended(target.address).await {
         node.looks.settle(target.life, Found::Lives);
         return;
     }
+    node.metrics.target_ended();
     tokio::time::sleep(GATHER).await;
     report(&node, &target);
     node.looks.settle(target.life, Found::Ended);
-    tokio::time::sleep(SETTLES_WITHIN).await;
+    tokio::time::sleep(JUDGED_AFTER).await;
     report(&node, &target);
+    quarantine::judge(&node, &target.id, target.life);
+    node.looks.settle(target.life, Found::Judged);
 }
 
 async fn has_ended(address: SocketAddr) -> bool {
@@ -155,11 +177,18 @@
         return;
     }
     let named = cuts.iter().take(NAMED_IN_A_LINE);
-    let named = named.map(|cut| format!("{}:{}", cut.request, cut.ran.as_millis()));
+    let named = named.map(|cut| format!("{}:{}", cut.request, cut.ran_ms));
     let requests = named.collect::<Vec<_>>().join(" ");
     let [id, count] = [target.id.to_string(), cuts.len().to_string()];
     event(
         LogEvent::TargetEnded,
         &[("target", &id), ("cut", &count), ("requests", &requests)],
     );
+    let ended = Ended {
+        life: target.life,
+        targets: target.of,
+        age_ms: 0,
+        cuts,
+    };
+    quarantine::ended(node, &ended);
 }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -14,15 +14,16 @@
 use crate::decide::config::RouteKind;
 use crate::decide::load_wait::{ASK_AGAIN, LoadWait, load_wait};
 use crate::decide::placement::Pick;
-use crate::decide::quarantine::Fingerprint;
+use crate::decide::quarantine::{Cut, Fingerprint};
 use crate::decide::tables::{Refusal, Tables, Ticket};
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Wish, WishKind};
 
 use super::attempt::{Answer, Attempt, CutShort, Failure, Sending, send};
-use super::ended::{Cut, cut};
+use super::ended::cut;
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::quarantine;
 use super::refuse::{AnswerBody, answer, refusal, whole};
 use super::stream;
 
@@ -75,6 +76,8 @@
     Late(Duration),
     /// It may have run.
     MayHaveRun(&'static str),
+    /// Targets end under it: it is not sent any more.
+    Quarantined,
     /// The time is up; it may have run.
     TimeUp,
 }
@@ -170,6 +173,7 @@
             let target = answered.flight.target.clone();
             match answered.collect(self.left()).await {
                 Ok((parts, body)) => {
+                    self.note_served();
                     let again = parts.status.is_server_error() && self.may_repeat();
                     if !again {
                         return self.pass(&parts, whole(body));
@@ -215,11 +219,10 @@
             }
             let now = self.node.now();
             let draw = rand::rng().random_range(0.0..1.0);
-            let pick = self
-                .node
-                .tables()
-                .pick(&self.ticket, &self.call, &self.tried, draw, now);
-            match pick {
+            if self.node.tables().quarantine.refuses(self.fingerprint) {
+                return Found::Quarantined;
+            }
+            match self.pick(draw, now) {
                 Pick::Send {
                     target,
                     version,
@@ -256,6 +259,12 @@
         }
     }
 
+    fn pick(&self, draw: f64, now: Time) -> Pick {
+        let request = self.fingerprint;
+        let mut tables = self.node.tables();
+        tables.pick_apart(request, &self.ticket, &self.call, &self.tried, draw, now)
+    }
+
     fn load_wait(&self, began: Time, now: Time) -> LoadWait {
         let route = self.ticket.route();
         let crowded = self.node.tables().loads_crowded(&self.ticket, now);
@@ -350,6 +359,7 @@
             call: &self.call,
             reuse: kind != RouteKind::Unsafe,
             trial,
+            suspect: self.node.tables().quarantine.suspicion(self.fingerprint) > 0,
             version,
             patience: self.patience(),
         };
@@ -399,13 +409,15 @@
         if short.failure != Failure::Broken {
             return;
         }
-        let run = Cut {
-            request: self.fingerprint,
-            ran: short.ran,
-        };
+        let run = Cut::new(self.fingerprint, short.ran);
         cut(&self.node, target, run).await;
     }
 
+    /// A target answered it whole.
+    pub(super) fn note_served(&self) {
+        quarantine::served(&self.node, self.fingerprint);
+    }
+
     fn not_held(&self, target: &TargetId) {
         if let Some(key) = Tables::adapter_of(&self.call) {
             let now = self.node.now();
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -17,6 +17,7 @@
 
 use super::log::{LogEvent, event};
 use super::node::{Node, Outgoing, Receiver};
+use super::quarantine;
 use super::words;
 
 /// Rounds after the start in which an instance introduces itself to all: whoever missed it asks.
@@ -57,6 +58,7 @@
         for Telling { to, message } in tellings {
             send_all(node, socket, &Packet::Exchange(message), &to).await;
         }
+        quarantine::tell_again(node, ROUND);
         tokio::time::sleep(ROUND).await;
     }
 }
@@ -227,6 +229,7 @@
             node.loader_work.notify_waiters();
         }
         Packet::Holdings(words) => take_words(node, words, now),
+        Packet::Quarantine(words) => quarantine::take(node, &words, now),
     }
     Vec::new()
 }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -53,6 +53,10 @@
     TargetEjected = 3107, Warn, "target ejected";
     /// A target's process ended while it ran requests.
     TargetEnded = 3108, Warn, "target ended under requests";
+    /// A request is no longer sent to targets.
+    RequestQuarantined = 3109, Warn, "request quarantined: targets end under it";
+    /// A quarantined request is sent to targets again.
+    QuarantineCleared = 3110, Info, "quarantined request let through again";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -25,6 +25,9 @@
     answer_time: Histogram<f64>,
     attempts: Counter<u64>,
     ejections: Counter<u64>,
+    targets_ended: Counter<u64>,
+    quarantined: Counter<u64>,
+    quarantine: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_open_call: Gauge<u64>,
@@ -74,6 +77,15 @@
             ),
             attempts: counter("bluebellstage.attempts", "Attempts at targets, by outcome"),
             ejections: counter("bluebellstage.ejections", "Targets left alone for a while"),
+            targets_ended: counter(
+                "bluebellstage.targets_ended",
+                "Targets that ended while they ran requests of this instance",
+            ),
+            quarantined: counter(
+                "bluebellstage.quarantined",
+                "Requests quarantined here because targets end under them",
+            ),
+            quarantine: gauge("bluebellstage.quarantine", "Requests that are quarantined"),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -150,6 +162,16 @@
         self.ejections.add(1, &[]);
     }
 
+    /// A target ended under requests of this instance.
+    pub(super) fn target_ended(&self) {
+        self.targets_ended.add(1, &[]);
+    }
+
+    /// A request is no longer sent to targets.
+    pub(super) fn request_quarantined(&self) {
+        self.quarantined.add(1, &[]);
+    }
+
     /// An engine answered an order, or didn't.
     pub(super) fn ordered(&self, answer: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", answer)]);
@@ -175,6 +197,8 @@
     pub(super) fn text(&self, tables: &Tables, connections: usize, now: Time) -> String {
         self.config_version.record(tables.routes.version().0, &[]);
         self.record_store_waits(tables, now);
+        let refused = tables.quarantine.refused(now).count();
+        self.quarantine.record(count(refused), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
         self.peers
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -22,6 +22,7 @@
 mod loaders;
 mod metrics;
 mod pool;
+mod quarantine;
 mod refuse;
 mod reload;
 mod sockets;
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -13,7 +13,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::sockets::listen;
-use super::{copying, follow, gossip, leases, loaders, reload, stop, sync};
+use super::{copying, follow, gossip, leases, loaders, quarantine, reload, stop, sync};
 
 /// Pause between housekeepings.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -71,6 +71,7 @@
     ] {
         tokio::spawn(follow::run(Arc::clone(&node), kind));
     }
+    tokio::spawn(quarantine::read_verdicts(Arc::clone(&node)));
     tokio::spawn(sync::register(Arc::clone(&node)));
     tokio::spawn(copying::run(Arc::clone(&node)));
     tokio::spawn(leases::run(Arc::clone(&node)));
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -98,6 +98,7 @@
                 Next::End => {
                     if let Some(source) = self.source.take() {
                         source.finish();
+                        self.job.note_served();
                     }
                     return Ok(None);
                 }
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -94,6 +94,9 @@
                 remove(node, kind, &name, revision);
             }
         }
+        Some(Content::Verdict(verdict)) => {
+            node.tables().quarantine.rule(verdict, node.now());
+        }
         Some(Content::Lease(_)) | None => {}
     }
 }
@@ -112,7 +115,7 @@
                 node.tables().peers.unregistered(&name, now);
             }
         }
-        Kind::Config | Kind::AdapterVersions | Kind::Leases => {}
+        Kind::Config | Kind::AdapterVersions | Kind::Leases | Kind::Verdicts => {}
     }
 }
 
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::adapter::{AdapterAt, AdapterKey};
 use crate::decide::exchange::Message;
+use crate::decide::quarantine::Word;
 use crate::decide::residency::WordOrder;
 
 /// Longest datagram that is read.
@@ -23,11 +24,13 @@
     Wishes(Vec<Wish>),
     /// What engines hold; from the holder of their shard.
     Holdings(Vec<Holdings>),
+    /// Requests under which targets end.
+    Quarantine(Vec<Word>),
 }
 
 /// First byte of a datagram. It tells the form; another release that changes the form changes it, and
 /// neither misreads the other.
-const FORM: u8 = 0xB2;
+const FORM: u8 = 0xB3;
 
 /// Why a datagram isn't read.
 #[derive(Debug, thiserror::Error)]
@@ -75,6 +78,7 @@
             Self::Exchange(message) => message.name(),
             Self::Wishes(_) => "wishes",
             Self::Holdings(_) => "holdings",
+            Self::Quarantine(_) => "quarantine",
         }
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod crashes;
 pub mod desk;
 pub mod engine;
 pub mod fleet;
@@ -71,6 +72,7 @@
         targets: Revision(1),
         targets_digest: 0,
         versions: 0,
+        verdicts_digest: 0,
         in_flight: std::collections::HashMap::new(),
         loads: 0,
         waiting_loads: 0,
