Read the limits that targets name, and show them

On-call could not tell whether a target names a limit, which one, or since when. An answer's limit is decoded strictly (digits with one point; twice there, a sign, an exponent or 400 digits are no limit and make one line, BS3407); BS3111 and BS3112 tell each change, the dump, the tool and a metric what holds now. No request is treated otherwise.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -164,9 +164,11 @@
         Standing::Ejected => "  ejected",
     };
     let leaving = if target.leaving { "  leaving" } else { "" };
+    let limit = target.limit.map(|rate| format!("  takes {rate} a second"));
+    let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{leaving}",
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{leaving}{limit}",
         target.id, target.service, target.in_flight, target.slots, target.adapters
     )
 }
--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -5,6 +5,7 @@
 use bluebellstage_core::{Tokens, WorkspaceId};
 
 use super::adapter::Wanted;
+use super::limits::Said;
 
 /// A caller's request, decoded once at the edge.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -61,4 +62,6 @@
     pub closes: bool,
     /// How long the target keeps an idle connection.
     pub idle_limit: Option<Duration>,
+    /// What it takes from all instances together.
+    pub limit: Said,
 }
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -9,6 +9,7 @@
 
 use super::health::Standing;
 use super::kind::Kind;
+use super::limits::RequestRate;
 use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
 use super::status::Role;
@@ -99,6 +100,8 @@
     pub service: ServiceId,
     /// It takes no new work.
     pub leaving: bool,
+    /// Requests a second that it takes from all instances together, if it names a limit.
+    pub limit: Option<RequestRate>,
     /// Whether it gets requests by its record.
     pub standing: Standing,
     /// Requests of all instances there, as far as known.
@@ -218,6 +221,7 @@
                 id: target.id.clone(),
                 service: target.service.clone(),
                 leaving: target.leaving,
+                limit: self.limits.of(&target.id),
                 standing: self.health.standing(&target.id, now),
                 in_flight: self.own_in_flight(&target.id) + others,
                 slots: target.slots,
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod kind;
 pub mod lease;
+pub mod limits;
 pub mod load_wait;
 pub mod loader;
 pub mod news;
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -12,6 +12,7 @@
 use super::exchange::Exchange;
 use super::health::Health;
 use super::lease::SHARDS;
+use super::limits::{Change, Limits, Said};
 use super::loader::Places;
 use super::peers::{Load, Member, Peer, Peers};
 use super::placement::{Candidate, Known, Pick, pick_engine, pick_plain};
@@ -72,6 +73,8 @@
     pub retries: RetryCounts,
     /// What targets proved to be.
     pub health: Health,
+    /// Limits that targets name.
+    pub limits: Limits,
     /// Requests under which targets end.
     pub quarantine: Quarantine,
     /// Which engine holds which adapter.
@@ -144,6 +147,7 @@
             quotas: Quotas::default(),
             retries: RetryCounts::default(),
             health: Health::default(),
+            limits: Limits::default(),
             quarantine: Quarantine::default(),
             residency: Residency::default(),
             versions: Versions::default(),
@@ -448,6 +452,11 @@
         }
     }
 
+    /// Takes in what the answer to a request that was `sent` then says of its target's limit.
+    pub fn answer_said(&mut self, target: &TargetId, said: Said, sent: Time, now: Time) -> Change {
+        self.limits.heard(target, said, sent, now)
+    }
+
     /// A suspected request goes to a target.
     pub fn begin_suspect(&mut self, target: &TargetId) {
         *self.suspects_at.entry(target.clone()).or_default() += 1;
@@ -472,6 +481,7 @@
         self.retries.prune(self.budget.window, now);
         let registry = &self.registry;
         self.health.keep(|target| registry.get(target).is_some());
+        self.limits.keep(|target| registry.get(target).is_some());
         self.residency.keep(|target| registry.get(target).is_some());
         self.asked.retain(|_, (_, at)| now.since(*at) < ASKED_LASTS);
         self.queues.keep(|target| registry.get(target).is_some());
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -12,6 +12,7 @@
 use crate::decide::adapter::AdapterKey;
 use crate::decide::call::{AnswerHead, Call, Forward};
 use crate::decide::health::Met;
+use crate::decide::limits::{Change, Said};
 use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
@@ -256,6 +257,7 @@
     match outcome {
         Exchange::Answer(parts, body, connection) => {
             let head = node.protocol.answer_head(&parts);
+            note_limit(node, target, head.limit, flight.sent);
             judge_head(sending, *parts, head, body, flight, connection)
         }
         Exchange::Unreachable => {
@@ -272,6 +274,25 @@
     }
 }
 
+/// Takes in what the answer to a request that was `sent` then says of its target's limit.
+fn note_limit<E: Edge>(node: &Node<E>, target: &TargetId, said: Said, sent: Time) {
+    let now = node.now();
+    let change = node.tables().answer_said(target, said, sent, now);
+    let id = target.to_string();
+    if said == Said::Malformed {
+        event(LogEvent::LimitMalformed, &[("target", &id)]);
+    }
+    match change {
+        Change::Same => {}
+        Change::Limited(rate) => {
+            let rate = rate.to_string();
+            let fields = [("target", &*id), ("rate", &*rate)];
+            event(LogEvent::TargetLimited, &fields);
+        }
+        Change::Over => event(LogEvent::TargetUnlimited, &[("target", &id)]),
+    }
+}
+
 /// Pause between looks whether a newer version was announced for a request that waits.
 const VERSION_LOOK: Duration = Duration::from_millis(250);
 
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -57,6 +57,10 @@
     RequestQuarantined = 3109, Warn, "request quarantined: targets end under it";
     /// A quarantined request is sent to targets again.
     QuarantineCleared = 3110, Info, "quarantined request let through again";
+    /// A target named a limit, or another one.
+    TargetLimited = 3111, Warn, "target names a limit";
+    /// A target names no limit any more.
+    TargetUnlimited = 3112, Info, "target names no limit any more";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
@@ -92,6 +96,8 @@
     StreamResumed = 3404, Info, "stream goes on at another target";
     /// A stream broke off and can't go on.
     StreamBroken = 3405, Warn, "stream broken off";
+    /// A target's limit is no number.
+    LimitMalformed = 3407, Info, "target's limit is no number";
     /// A request was answered.
     RequestAnswered = 3406, Debug, "request answered";
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -28,6 +28,7 @@
     targets_ended: Counter<u64>,
     quarantined: Counter<u64>,
     quarantine: Gauge<u64>,
+    limited: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_open_call: Gauge<u64>,
@@ -86,6 +87,7 @@
                 "Requests quarantined here because targets end under them",
             ),
             quarantine: gauge("bluebellstage.quarantine", "Requests that are quarantined"),
+            limited: gauge("bluebellstage.limited_targets", "Targets that name a limit"),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -199,6 +201,7 @@
         self.record_store_waits(tables, now);
         let refused = tables.quarantine.refused(now).count();
         self.quarantine.record(count(refused), &[]);
+        self.limited.record(count(tables.limits.all().count()), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
         self.peers
