--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -454,6 +454,10 @@
         }
     }
 
+    pub fn draw_part(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
     pub fn draw(&mut self, below: usize) -> usize {
         self.rng.random_range(0..below)
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod desk;
 pub mod engine;
 pub mod fleet;
+pub mod limited;
 pub mod store;
 
 use std::time::Duration;
