Keep the limits that targets name, all instances together

What callers saw: little themselves; engines in need got 39 and 17 requests in 4 s where they had asked for 27 and 16 at most, from instances that had passed their limit on half a second before.

Cause: nothing went by the limit; arrivals after it were as before. Class: what a target says is acted on by nobody. Evidence: the failing test (145 requests in 4 s where 16 are allowed, 6 instances), the record's arrivals by second. Ruled out: a limit that each instance keeps for itself, or that is known too late (arrivals did not change at all).

Now: a limit is told to all with the next round, and a bucket beside those of the quotas counts what all send (own at once, peers' when told, debts paid back). What a target in need takes goes to requests that nothing else can run now; no adapter is loaded there; after 1 s without a word it is asked within its limit, so that its end is noticed.

--- a/crates/gateway/src/decide/exchange/message.rs
+++ b/crates/gateway/src/decide/exchange/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::limits::LimitWord;
 use crate::decide::news::{News, Roster};
 use crate::decide::peers::Member;
 use crate::decide::rendezvous::ShortHash;
@@ -27,6 +28,8 @@
     RosterWanted,
     /// The order of instances that the sender's news go by.
     Roster(Roster),
+    /// What targets said of their limits.
+    Limits(Vec<LimitWord>),
     /// Who an instance is.
     Introduction(Box<Member>),
     /// A status came from somebody unknown: who is it?
@@ -43,6 +46,7 @@
             Self::Own { .. } => "own",
             Self::Statuses(_) => "statuses",
             Self::News(_) => "news",
+            Self::Limits(_) => "limits",
             Self::RosterWanted | Self::Roster(_) => "roster",
             Self::Introduction(_) | Self::WhoIsThere | Self::WhoAre(_) => "introduction",
         }
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -5,6 +5,7 @@
 //! instances that asked them. A status is known by its sender's life and count, so it may come twice or
 //! late; a sum is made anew for each receiver, without the receiver's own part.
 
+mod limits;
 mod message;
 mod news_for;
 mod places;
@@ -127,6 +128,12 @@
 impl Tables {
     /// What is to be told in this round.
     pub fn tell_round(&mut self, now: Time) -> Vec<Telling> {
+        let mut tellings = self.tell_status(now);
+        tellings.extend(self.tell_limits(now));
+        tellings
+    }
+
+    fn tell_status(&mut self, now: Time) -> Vec<Telling> {
         let warm = self.exchange.begin_round(now);
         let relayed = self.is_relayed(now);
         let has_place = relayed && warm && self.takes_place(now);
--- a/crates/gateway/src/decide/exchange/take.rs
+++ b/crates/gateway/src/decide/exchange/take.rs
@@ -35,6 +35,10 @@
             Message::Own { status, asks } => self.take_own(*status, asks, from, now),
             Message::Statuses(statuses) => self.take_statuses(&statuses, from, now),
             Message::News(news) => self.take_news(*news, from, now),
+            Message::Limits(words) => {
+                self.take_limits(&words, now);
+                Vec::new()
+            }
             Message::RosterWanted => vec![Message::Roster(self.roster())],
             Message::Roster(roster) => {
                 self.exchange.roster_digest = roster.digest();
--- a/crates/gateway/src/decide/limits/mod.rs
+++ b/crates/gateway/src/decide/limits/mod.rs
@@ -1,12 +1,30 @@
 //! Limits that targets in need name in their answers, for all instances together.
 
 mod request_rate;
+mod word;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-use bluebellstage_core::{TargetId, Time};
+use bluebellstage_core::{Rate, TargetId, Time, Tokens};
 
 pub use self::request_rate::{BadRequestRate, RequestRate};
+pub use self::word::LimitWord;
+use super::config::{Quota, QuotaUnit};
+
+/// What a request counts as: rates are counted in thousandths of one.
+pub const REQUEST: u64 = 1_000;
+/// Least rate at which a target is asked, in thousandths of a request a second. One that takes nothing is asked now and
+/// then whether that is over.
+const LEAST_RATE: u64 = 250;
+/// Requests that may be sent to a rested target at once, in thousandths.
+const LEAST_BURST: u64 = 2 * REQUEST;
+/// Time in which the rate fills the burst of a target that takes many.
+const BURST_SPAN: Duration = Duration::from_millis(500);
+/// Time since the last word on a limit from which its target gets what it takes before others are asked: it may be over.
+const ASKED_AFTER: Duration = Duration::from_secs(1);
+/// Rounds in which a word is told.
+const TOLD: u32 = 2;
 
 /// What a target's answer says of its limit.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -44,6 +62,20 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     known: HashMap<TargetId, Known>,
+    /// Targets of which the others are to be told, with the rounds that are left.
+    untold: BTreeMap<TargetId, u32>,
+}
+
+/// The budget that a limit gives all instances together.
+#[must_use]
+pub fn budget(rate: RequestRate) -> Quota {
+    let milli = u64::from(rate.milli()).max(LEAST_RATE);
+    let in_span = milli * u64::try_from(BURST_SPAN.as_millis()).unwrap_or(0) / REQUEST;
+    Quota {
+        unit: QuotaUnit::Requests,
+        rate: Rate(milli),
+        burst: Tokens(in_span.max(LEAST_BURST)),
+    }
 }
 
 impl Limits {
@@ -74,6 +106,64 @@
 
     fn put(&mut self, target: &TargetId, limit: Option<RequestRate>, at: Time) {
         self.known.insert(target.clone(), Known { limit, at });
+        self.untold.insert(target.clone(), TOLD);
+    }
+
+    /// Takes in what another instance heard; what it changed, and none if something newer is known.
+    pub fn take(&mut self, word: &LimitWord, now: Time) -> Option<Change> {
+        let at = now - word.age();
+        let known = self.known.get(&word.target).copied();
+        if known.is_some_and(|known| known.at >= at) {
+            return None;
+        }
+        let before = known.and_then(|known| known.limit);
+        let limit = word.limit;
+        self.known.insert(word.target.clone(), Known { limit, at });
+        Some(match (before, limit) {
+            (before, after) if before == after => Change::Same,
+            (_, Some(rate)) => Change::Limited(rate),
+            (_, None) => Change::Over,
+        })
+    }
+
+    /// Has the newest words on targets told in the next round.
+    pub fn pass_on(&mut self, targets: Vec<TargetId>) {
+        let targets = targets.into_iter().map(|target| (target, TOLD));
+        self.untold.extend(targets);
+    }
+
+    /// Words for the others in this round.
+    pub fn tell_round(&mut self, now: Time) -> Vec<LimitWord> {
+        let untold = std::mem::take(&mut self.untold);
+        let mut words = Vec::new();
+        for (target, left) in untold {
+            let Some(known) = self.known.get(&target) else {
+                continue;
+            };
+            let age = now.since(known.at).as_millis();
+            words.push(LimitWord {
+                target: target.clone(),
+                limit: known.limit,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            });
+            if left > 1 {
+                self.untold.insert(target, left - 1);
+            }
+        }
+        words
+    }
+
+    /// Whether no target names a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.values().all(|known| known.limit.is_none())
+    }
+
+    /// Whether a target's limit was named so long ago that it may be over.
+    #[must_use]
+    pub fn may_be_over(&self, target: &TargetId, now: Time) -> bool {
+        let known = self.known.get(target);
+        known.is_some_and(|known| now.since(known.at) >= ASKED_AFTER)
     }
 
     /// The limit of a target.
@@ -88,8 +178,12 @@
         known.filter_map(|(target, known)| Some((target, known.limit?)))
     }
 
-    /// Forgets targets that are gone.
-    pub fn keep(&mut self, present: impl Fn(&TargetId) -> bool) {
-        self.known.retain(|target, _| present(target));
+    /// Forgets targets that are gone; gives those that named a limit.
+    pub fn forget(&mut self, gone: impl Fn(&TargetId) -> bool) -> Vec<TargetId> {
+        let limited = self.all().map(|(target, _)| target);
+        let limited = limited.filter(|target| gone(target)).cloned();
+        let limited = limited.collect();
+        self.known.retain(|target, _| !gone(target));
+        limited
     }
 }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions as plain state machines: time and randomness come in as arguments.
 
+pub mod account;
 pub mod adapter;
 mod adapter_choice;
 pub mod asking;
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -1,6 +1,6 @@
-//! Quotas of workspaces, held over all instances together.
+//! Quotas of workspaces, and limits of targets, held over all instances together.
 //!
-//! Every instance keeps a bucket for each workspace. It takes its own charges out at once and its
+//! Every instance keeps a bucket for each of them. It takes its own charges out at once and its
 //! peers' charges when their counts arrive, a fraction of a second later; until then it assumes that
 //! they go on as lately, so that a workspace far beyond its rate isn't let in by all at once whenever
 //! the bucket has something. What a peer that fell silent may spend meanwhile is taken out as an even
@@ -11,9 +11,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bluebellstage_core::{Incarnation, InstanceId, Time, WorkspaceId};
+use bluebellstage_core::{Incarnation, InstanceId, Time};
 use serde::{Deserialize, Serialize};
 
+use super::account::Account;
 use super::config::Quota;
 use super::dump::QuotaDump;
 use super::rendezvous::ShortHash;
@@ -21,11 +22,11 @@
 /// Spending of one workspace, counted since the process started.
 pub type Spent = u64;
 
-/// What an instance tells of its spending in one workspace.
+/// What an instance tells of its spending in one account.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct SpentWord {
-    /// The workspace.
-    pub workspace: ShortHash,
+    /// The account.
+    pub account: ShortHash,
     /// What it has spent since it started.
     pub total: Spent,
     /// What of it since its last word: all that counts for one who heard none before.
@@ -100,7 +101,7 @@
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
-    /// Short hash of the workspace's name.
+    /// Short hash of the account's name.
     short: ShortHash,
     level: f64,
     at: Time,
@@ -120,10 +121,10 @@
     peer_rate_span: f64,
 }
 
-/// Buckets of all workspaces.
+/// Buckets of all accounts.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    buckets: HashMap<WorkspaceId, Bucket>,
+    buckets: HashMap<Account, Bucket>,
 }
 
 #[expect(clippy::cast_precision_loss, reason = "charges stay far below 2^52")]
@@ -145,10 +146,10 @@
 }
 
 impl Bucket {
-    fn new(workspace: &WorkspaceId, quota: Quota, silent: f64, now: Time) -> Self {
+    fn new(account: &Account, quota: Quota, silent: f64, now: Time) -> Self {
         Self {
             quota,
-            short: ShortHash::of(workspace.as_str()),
+            short: account.short(),
             level: number(quota.burst.0) * START_PART * (1.0 - silent),
             at: now,
             own: 0,
@@ -186,17 +187,23 @@
 }
 
 impl Quotas {
-    /// Begins a workspace's bucket, if it has none: by the time callers come it is full, and what
+    /// Begins an account's bucket, if it has none: by the time callers come it is full, and what
     /// peers spend meanwhile is counted. `silent` is the part of all instances that isn't heard.
-    pub fn prepare(&mut self, workspace: &WorkspaceId, quota: Quota, silent: f64, now: Time) {
-        let bucket = self.buckets.entry(workspace.clone());
-        bucket.or_insert_with(|| Bucket::new(workspace, quota, silent, now));
+    pub fn prepare(&mut self, account: impl Into<Account>, quota: Quota, silent: f64, now: Time) {
+        let account = account.into();
+        let new = Bucket::new(&account, quota, silent, now);
+        self.buckets.entry(account).or_insert(new);
     }
 
-    /// Charges `units` to `workspace`. A request that would fit within `longest_pause` is let in after it.
+    /// Forgets an account.
+    pub fn close(&mut self, account: impl Into<Account>) {
+        self.buckets.remove(&account.into());
+    }
+
+    /// Charges `units` to an account. A request that would fit within `longest_pause` is let in after it.
     pub fn charge(
         &mut self,
-        workspace: &WorkspaceId,
+        account: impl Into<Account>,
         quota: Quota,
         units: u64,
         sharing: Sharing,
@@ -204,10 +211,9 @@
         now: Time,
     ) -> Charged {
         let silent_share = sharing.silent;
-        let bucket = self
-            .buckets
-            .entry(workspace.clone())
-            .or_insert_with(|| Bucket::new(workspace, quota, silent_share, now));
+        let account = account.into();
+        let new = || Bucket::new(&account, quota, silent_share, now);
+        let bucket = self.buckets.entry(account.clone()).or_insert_with(new);
         bucket.refill(now, silent_share);
         bucket.quota = quota;
         bucket.level = bucket.level.min(number(quota.burst.0));
@@ -239,21 +245,26 @@
     }
 
     /// Gives back a charge of a request that did not run.
-    pub fn give_back(&mut self, workspace: &WorkspaceId, units: u64) {
-        if let Some(bucket) = self.buckets.get_mut(workspace) {
+    pub fn give_back(&mut self, account: impl Into<Account>, units: u64) {
+        if let Some(bucket) = self.buckets.get_mut(&account.into()) {
             bucket.level = (bucket.level + number(units)).min(number(bucket.quota.burst.0));
             bucket.own = bucket.own.saturating_sub(units);
             bucket.own_changed = bucket.at;
         }
     }
 
-    /// What is left of each quota as of its last charge, by name.
+    /// What is left of each workspace's quota as of its last charge, by name.
     #[must_use]
     pub fn dump(&self) -> Vec<QuotaDump> {
-        let dumped = self.buckets.iter().map(|(name, bucket)| QuotaDump {
-            workspace: name.clone(),
-            rate: bucket.quota.rate,
-            left: whole(bucket.level),
+        let dumped = self.buckets.iter().filter_map(|(account, bucket)| {
+            let Account::Workspace(name) = account else {
+                return None;
+            };
+            Some(QuotaDump {
+                workspace: name.clone(),
+                rate: bucket.quota.rate,
+                left: whole(bucket.level),
+            })
         });
         let mut dumped = dumped.collect::<Vec<_>>();
         dumped.sort_by(|a, b| a.workspace.cmp(&b.workspace));
@@ -268,7 +279,7 @@
         let words = lately.map(|bucket| {
             let told = std::mem::replace(&mut bucket.own_told, bucket.own);
             SpentWord {
-                workspace: bucket.short,
+                account: bucket.short,
                 total: bucket.own,
                 lately: bucket.own.saturating_sub(told),
             }
@@ -288,7 +299,7 @@
         counts: bool,
         now: Time,
     ) {
-        let Some(bucket) = self.by_hash(word.workspace) else {
+        let Some(bucket) = self.by_hash(word.account) else {
             return;
         };
         let told = bucket.peers.entry(peer.clone());
@@ -307,9 +318,9 @@
         }
     }
 
-    fn by_hash(&mut self, workspace: ShortHash) -> Option<&mut Bucket> {
+    fn by_hash(&mut self, account: ShortHash) -> Option<&mut Bucket> {
         let mut buckets = self.buckets.values_mut();
-        buckets.find(|bucket| bucket.short == workspace)
+        buckets.find(|bucket| bucket.short == account)
     }
 
     /// What all but `peer` have charged since this process started, where that changed within
@@ -331,8 +342,8 @@
 
     /// Takes in a relay's count of what all others have charged. The first count of a relay is where
     /// counting begins.
-    pub fn heard_sum(&mut self, relay: RelayLife, workspace: ShortHash, count: i64, now: Time) {
-        let Some(bucket) = self.by_hash(workspace) else {
+    pub fn heard_sum(&mut self, relay: RelayLife, account: ShortHash, count: i64, now: Time) {
+        let Some(bucket) = self.by_hash(account) else {
             return;
         };
         let before = bucket.told_sum.replace(ToldSum { relay, count });
@@ -354,8 +365,8 @@
     }
 
     /// A relay, which has heard the others longer, says what is left.
-    pub fn set_left(&mut self, workspace: ShortHash, left: i64) {
-        if let Some(bucket) = self.by_hash(workspace) {
+    pub fn set_left(&mut self, account: ShortHash, left: i64) {
+        if let Some(bucket) = self.by_hash(account) {
             bucket.level = signed(left).min(number(bucket.quota.burst.0));
         }
     }
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -12,7 +12,7 @@
 use super::exchange::Exchange;
 use super::health::Health;
 use super::lease::SHARDS;
-use super::limits::{Change, Limits, Said};
+use super::limits::Limits;
 use super::loader::Places;
 use super::peers::{Load, Member, Peer, Peers};
 use super::placement::{Candidate, Known, Pick, pick_engine, pick_plain};
@@ -261,7 +261,10 @@
         }
     }
 
-    /// Picks the target for a request, those in `tried` left out. `draw` is random, from 0 to 1.
+    /// Picks the target for a request, those in `tried` left out. `draw` is random, from 0 to 1. The request is
+    /// charged to the target's limit, if it names one.
+    ///
+    /// What a target in need takes goes to requests that nothing else can run now.
     #[must_use]
     pub fn pick(
         &mut self,
@@ -270,6 +273,62 @@
         tried: &[TargetId],
         draw: f64,
         now: Time,
+    ) -> Pick {
+        if self.limits.is_empty() {
+            return self.pick_any(ticket, call, tried, draw, now);
+        }
+        let limited = self.limits.all().map(|(target, _)| target);
+        let of_service = |target: &&TargetId| {
+            let known = self.registry.get(target);
+            known.is_some_and(|known| known.service == ticket.service)
+        };
+        let limited = limited.filter(of_service).cloned().collect::<Vec<_>>();
+        if limited.is_empty() {
+            return self.pick_any(ticket, call, tried, draw, now);
+        }
+        let rested = |target: &&TargetId| !self.limits.may_be_over(target, now);
+        let mut left_out = tried.to_vec();
+        left_out.extend(limited.iter().filter(rested).cloned());
+        let first = self.pick_within_limits(ticket, call, &mut left_out, draw, now);
+        if matches!(first, Pick::Send { .. }) {
+            return first;
+        }
+        let mut left_out = tried.to_vec();
+        let second = self.pick_within_limits(ticket, call, &mut left_out, draw, now);
+        match (first, second) {
+            (_, second @ Pick::Send { .. }) => second,
+            (Pick::Nowhere, Pick::Nowhere) => Pick::Full,
+            (first, _) => first,
+        }
+    }
+
+    /// Picks a target whose limit has room, and charges it; those that have none are added to `left_out`.
+    fn pick_within_limits(
+        &mut self,
+        ticket: &Ticket,
+        call: &Call,
+        left_out: &mut Vec<TargetId>,
+        draw: f64,
+        now: Time,
+    ) -> Pick {
+        loop {
+            let pick = self.pick_any(ticket, call, left_out, draw, now);
+            match &pick {
+                Pick::Send { target, .. } if !self.charge_limit(target, now) => {
+                    left_out.push(target.clone());
+                }
+                _ => return pick,
+            }
+        }
+    }
+
+    fn pick_any(
+        &mut self,
+        ticket: &Ticket,
+        call: &Call,
+        tried: &[TargetId],
+        draw: f64,
+        now: Time,
     ) -> Pick {
         let config = self.routes.config();
         let limit = config.service(&ticket.service).map_or(1, |service| {
@@ -291,7 +350,9 @@
                     reading: self.queues.reading(&target.id, call.prompt.0),
                     longest_wait: self.queues.longest_wait(&target.id, now),
                     connectable: own < limit,
-                    loadable: self.loader_reachable(&target.id, now),
+                    // An adapter that is loaded where little is taken serves few.
+                    loadable: self.loader_reachable(&target.id, now)
+                        && self.limits.of(&target.id).is_none(),
                     places: self.places(&target.id, now),
                 }
             })
@@ -452,11 +513,6 @@
         }
     }
 
-    /// Takes in what the answer to a request that was `sent` then says of its target's limit.
-    pub fn answer_said(&mut self, target: &TargetId, said: Said, sent: Time, now: Time) -> Change {
-        self.limits.heard(target, said, sent, now)
-    }
-
     /// A suspected request goes to a target.
     pub fn begin_suspect(&mut self, target: &TargetId) {
         *self.suspects_at.entry(target.clone()).or_default() += 1;
@@ -481,7 +537,9 @@
         self.retries.prune(self.budget.window, now);
         let registry = &self.registry;
         self.health.keep(|target| registry.get(target).is_some());
-        self.limits.keep(|target| registry.get(target).is_some());
+        for target in self.limits.forget(|target| registry.get(target).is_none()) {
+            self.quotas.close(&target);
+        }
         self.residency.keep(|target| registry.get(target).is_some());
         self.asked.retain(|_, (_, at)| now.since(*at) < ASKED_LASTS);
         self.queues.keep(|target| registry.get(target).is_some());
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -15,7 +15,7 @@
 /// A peer's word on its spending, to one who has heard it before.
 fn spent(total: u64) -> SpentWord {
     SpentWord {
-        workspace: ShortHash::of(north().as_str()),
+        account: ShortHash::of(north().as_str()),
         total,
         lately: 0,
     }
--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -67,12 +67,7 @@
     pub fn begin(self, mut fleet: Fleet) -> Play {
         fleet.run_ms(3_000);
         for idx in 0..fleet.len() {
-            let now = fleet.now;
-            for number in 0..self.targets {
-                let target = target(id(number).as_str(), "court");
-                let registry = &mut fleet.tables_mut(idx).registry;
-                registry.put(target, Revision(2), now);
-            }
+            register(&mut fleet, idx, self.targets);
         }
         Play {
             began: fleet.now,
@@ -87,7 +82,24 @@
     }
 }
 
+/// Tells an instance of the targets.
+fn register(fleet: &mut Fleet, idx: usize, targets: usize) {
+    let now = fleet.now;
+    for number in 0..targets {
+        let target = target(id(number).as_str(), "court");
+        let registry = &mut fleet.tables_mut(idx).registry;
+        registry.put(target, Revision(2), now);
+    }
+}
+
 impl Play {
+    /// Starts an instance anew.
+    pub fn restart(&mut self, idx: usize, moved: bool) {
+        self.fleet.restart(idx, moved);
+        register(&mut self.fleet, idx, self.cfg.targets);
+        self.told[idx].fill(None);
+    }
+
     /// Plays on for so long.
     pub fn run_ms(&mut self, ms: u64) {
         for _ in 0..ms / 5 {
