Let a verdict end everywhere at once, and judge a request where it ran

A copy gave a verdict a new hour, so that instances which started at different times would have copied it from each other for ever; the store would have brought it back, too. Copies carry the age now, and whoever follows the store removes what is over. Each instance that had lost any run on an ended target judged all requests there and wrote the verdict: eight writes and reads where one serves; now an instance judges its own. One that holds the most verdicts it may says nothing of them, as two such would differ for good.

Tests: a_copied_verdict_ends_with_the_one_that_it_was_copied_from (could not be written before: copies had no age); the plays in virtual time, unchanged, pass with requests judged by their own instance alone.

--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -18,9 +18,9 @@
 
 pub use self::fingerprint::{BadFingerprint, Fingerprint};
 use self::suspects::Suspects;
-pub use self::verdict::{Ruling, Verdict};
+pub use self::verdict::{AgedVerdict, Ruling, Verdict};
 pub use self::word::{Cut, Ended, Word};
-use super::rendezvous::{ShortHash, weight};
+use super::rendezvous::weight;
 
 /// How long a verdict holds.
 pub const VERDICT_LASTS: Duration = Duration::from_hours(1);
@@ -60,7 +60,10 @@
     /// Requests that were answered whole lately, and the order of that.
     served: HashMap<Fingerprint, Time>,
     served_order: VecDeque<(Time, Fingerprint)>,
+    /// Own words that are told again, with the rounds that are left.
     telling: Vec<(Word, u32)>,
+    /// Words of others, for those that ask this instance for news.
+    passed_on: Vec<Word>,
 }
 
 impl Quarantine {
@@ -98,10 +101,10 @@
         words
     }
 
-    /// Judges the requests that were on an ended target, [`JUDGED_AFTER`] that. Gives those that are refused from now on.
-    pub fn judge(&mut self, life: ShortHash, now: Time) -> Vec<Verdict> {
-        let on = self.suspects.on(life);
-        let causes = on.into_iter();
+    /// Judges requests of this instance that were on a target which ended [`JUDGED_AFTER`] ago. Gives those
+    /// that are refused from now on.
+    pub fn judge(&mut self, requests: &[Fingerprint], now: Time) -> Vec<Verdict> {
+        let causes = requests.iter().copied();
         let causes = causes.filter(|request| self.suspects.is_cause(*request));
         let causes = causes.collect::<Vec<_>>();
         let refused = causes.into_iter().map(|request| self.refuse(request, now));
@@ -123,7 +126,7 @@
                 self.note_served(*request, now);
                 self.suspects.acquit(*request)
             }
-            Word::Ruled(verdict) => self.rule(*verdict, now),
+            Word::Ruled(verdict) => self.rule(*verdict, Duration::ZERO, now),
         }
     }
 
@@ -150,7 +153,7 @@
     fn refuse(&mut self, request: Fingerprint, now: Time) -> Verdict {
         let before = self.verdicts.get(&request).map(|held| held.verdict);
         let verdict = Verdict::next(request, Ruling::Refused, before.as_ref());
-        self.rule(verdict, now);
+        self.rule(verdict, Duration::ZERO, now);
         verdict
     }
 
@@ -161,15 +164,16 @@
             return None;
         }
         let verdict = Verdict::next(request, Ruling::Cleared, Some(&before));
-        self.rule(verdict, now);
+        self.rule(verdict, Duration::ZERO, now);
         Some(verdict)
     }
 
-    /// Puts a verdict in force; false if it is known, or replaced by a newer one.
-    pub fn rule(&mut self, verdict: Verdict, now: Time) -> bool {
+    /// Puts a verdict of some age in force; false if it is known, replaced by a newer one, or out of date.
+    pub fn rule(&mut self, verdict: Verdict, age: Duration, now: Time) -> bool {
         let request = verdict.request;
         let known = self.verdicts.get(&request);
-        if known.is_some_and(|known| !verdict.replaces(&known.verdict)) {
+        let known = known.is_some_and(|known| !verdict.replaces(&known.verdict));
+        if known || age >= VERDICT_LASTS {
             return false;
         }
         if verdict.ruling == Ruling::Refused {
@@ -184,7 +188,7 @@
             }
         }
         self.digest ^= part_of_digest(&verdict);
-        let since = now;
+        let since = now - age;
         self.verdicts.insert(request, Held { verdict, since });
         true
     }
@@ -224,6 +228,16 @@
         self.telling.extend(words);
     }
 
+    /// Has words of others passed on.
+    pub fn pass_on(&mut self, words: Vec<Word>) {
+        self.passed_on.extend(words);
+    }
+
+    /// Words of others that are to be passed on.
+    pub fn take_passed_on(&mut self) -> Vec<Word> {
+        std::mem::take(&mut self.passed_on)
+    }
+
     /// What is to be told in this round, `passed` after the one before.
     pub fn tell_round(&mut self, passed: Duration) -> Vec<Word> {
         let passed_ms = word::millis(passed);
@@ -240,8 +254,11 @@
     }
 
     /// Verdicts in force.
-    pub fn verdicts(&self) -> impl Iterator<Item = Verdict> {
-        self.verdicts.values().map(|held| held.verdict)
+    pub fn verdicts(&self, now: Time) -> impl Iterator<Item = AgedVerdict> {
+        self.verdicts.values().map(move |held| AgedVerdict {
+            verdict: held.verdict,
+            age: now.since(held.since),
+        })
     }
 
     /// Requests that are refused, with the time for which they are.
@@ -256,24 +273,30 @@
         self.suspects.all()
     }
 
-    /// Tells apart what two instances hold; zero if there is no verdict.
+    /// Tells apart what two instances hold; zero if there is no verdict, or too many: then instances hold
+    /// different ones, and would copy from each other for ever.
     #[must_use]
-    pub const fn digest(&self) -> u64 {
-        self.digest
+    pub fn digest(&self) -> u64 {
+        if self.verdicts.len() < MOST_VERDICTS {
+            self.digest
+        } else {
+            0
+        }
     }
 
-    /// Forgets what is long ago.
-    pub fn sweep(&mut self, now: Time) {
+    /// Forgets what is long ago; gives the requests whose verdicts are over.
+    pub fn sweep(&mut self, now: Time) -> Vec<Fingerprint> {
         self.suspects.sweep(now);
         let over = |held: &&Held| now.since(held.since) >= VERDICT_LASTS;
         let over = self.verdicts.values().filter(over);
         let over = over.map(|held| held.verdict.request).collect::<Vec<_>>();
-        for request in over {
-            self.drop_verdict(request);
+        for request in &over {
+            self.drop_verdict(*request);
         }
         let old = |at: &Time| now.since(*at) >= SERVED_LASTS;
         while self.served_order.front().is_some_and(|(at, _)| old(at)) {
             self.forget_first_served();
         }
+        over
     }
 }
--- a/crates/gateway/src/decide/quarantine/suspects.rs
+++ b/crates/gateway/src/decide/quarantine/suspects.rs
@@ -193,12 +193,6 @@
             .map(|(request, count)| (*request, *count))
     }
 
-    /// Requests that were on an ended target, which is known of only now if it isn't here.
-    pub(super) fn on(&self, life: ShortHash) -> Vec<Fingerprint> {
-        let ended = self.ended.get(&life);
-        ended.map_or_else(Vec::new, |ended| ended.cuts.keys().copied().collect())
-    }
-
     /// On how many ended targets a request was.
     pub(super) fn count(&self, request: Fingerprint) -> usize {
         self.counts.get(&request).copied().unwrap_or(0)
--- a/crates/gateway/src/decide/quarantine/verdict.rs
+++ b/crates/gateway/src/decide/quarantine/verdict.rs
@@ -1,5 +1,7 @@
 //! Whether a request is refused.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::fingerprint::Fingerprint;
@@ -25,6 +27,15 @@
     pub revision: u32,
 }
 
+/// A verdict with its age, for peers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct AgedVerdict {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// Time since it was given.
+    pub age: Duration,
+}
+
 impl Verdict {
     /// The first refusal, or the one that follows another ruling.
     #[must_use]
--- a/crates/gateway/src/decide/quarantine/word.rs
+++ b/crates/gateway/src/decide/quarantine/word.rs
@@ -8,6 +8,11 @@
 use super::verdict::Verdict;
 use crate::decide::rendezvous::ShortHash;
 
+/// Encoded bytes of a word without runs.
+const WORD_BYTES: usize = 64;
+/// Encoded bytes of a run.
+const CUT_BYTES: usize = 40;
+
 /// One piece of news.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Word {
@@ -19,6 +24,17 @@
     Ruled(Verdict),
 }
 
+impl Word {
+    /// Bytes that it takes in a datagram, or a little more.
+    #[must_use]
+    pub const fn estimated_bytes(&self) -> usize {
+        match self {
+            Self::Ended(ended) => WORD_BYTES + ended.cuts.len() * CUT_BYTES,
+            Self::Served(_) | Self::Ruled(_) => WORD_BYTES,
+        }
+    }
+}
+
 /// A target that ended, and runs that it took with it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Ended {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -530,7 +530,6 @@
 
     /// Housekeeping; called a few times a second.
     pub fn sweep(&mut self, now: Time) {
-        self.quarantine.sweep(now);
         self.registry.sweep(now);
         self.peers.sweep(now);
         self.residency.sweep(now);
--- a/crates/gateway/src/net/ended.rs
+++ b/crates/gateway/src/net/ended.rs
@@ -123,7 +123,6 @@
     if *found.borrow() == Found::Judged {
         report(node, &target);
     }
-
     // A first end is no proof, so whoever has met no other need not wait for the judgement.
     let waits = |found: &Found| match found {
         Found::Looking => true,
@@ -157,11 +156,12 @@
     }
     node.metrics.target_ended();
     tokio::time::sleep(GATHER).await;
-    report(&node, &target);
+    let mut cuts = report(&node, &target);
     node.looks.settle(target.life, Found::Ended);
     tokio::time::sleep(JUDGED_AFTER).await;
-    report(&node, &target);
-    quarantine::judge(&node, &target.id, target.life);
+    cuts.extend(report(&node, &target));
+    let requests = cuts.iter().map(|cut| cut.request).collect::<Vec<_>>();
+    quarantine::judge(&node, &target.id, &requests);
     node.looks.settle(target.life, Found::Judged);
 }
 
@@ -170,11 +170,11 @@
     connected.is_err_and(|err| err.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Tells which runs the target took with it.
-fn report<E: Edge>(node: &Node<E>, target: &Serving) {
+/// Tells which runs the target took with it, those told before left out.
+fn report<E: Edge>(node: &Node<E>, target: &Serving) -> Vec<Cut> {
     let cuts = node.looks.take_cuts(target.life);
     if cuts.is_empty() {
-        return;
+        return cuts;
     }
     let named = cuts.iter().take(NAMED_IN_A_LINE);
     let named = named.map(|cut| format!("{}:{}", cut.request, cut.ran_ms));
@@ -191,4 +191,5 @@
         cuts,
     };
     quarantine::ended(node, &ended);
+    ended.cuts
 }
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -6,7 +6,6 @@
 use bluebellstage_core::{TargetId, Time};
 
 use crate::decide::quarantine::{Ended, Fingerprint, Verdict, Word};
-use crate::decide::rendezvous::ShortHash;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
 use crate::packet::Packet;
@@ -17,6 +16,8 @@
 
 /// First and longest pause between two tries to reach the store.
 const STORE_PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
+/// Bytes of words in one datagram.
+const BATCH_BYTES: usize = 6 * 1_024;
 /// Time after the start in which the verdicts are read, if the store answers.
 const READS_FOR: Duration = Duration::from_secs(20);
 
@@ -27,12 +28,10 @@
     tell(node, words);
 }
 
-/// Judges the requests that were on a target which ended [`JUDGED_AFTER`] ago.
-///
-/// [`JUDGED_AFTER`]: crate::decide::quarantine::JUDGED_AFTER
-pub(super) fn judge<E: Edge>(node: &Arc<Node<E>>, target: &TargetId, life: ShortHash) {
+/// Judges requests of this instance that were on a target when it ended.
+pub(super) fn judge<E: Edge>(node: &Arc<Node<E>>, target: &TargetId, requests: &[Fingerprint]) {
     let now = node.now();
-    let refused = node.tables().quarantine.judge(life, now);
+    let refused = node.tables().quarantine.judge(requests, now);
     for verdict in &refused {
         node.metrics.request_quarantined();
         let [request, target] = [verdict.request.to_string(), target.to_string()];
@@ -70,18 +69,38 @@
     if words.is_empty() {
         return;
     }
-    for word in &words {
-        node.send(Receiver::Fleet, Packet::Quarantine(vec![word.clone()]));
-    }
+    send(node, &Receiver::Fleet, words.clone());
     node.tables().quarantine.tell_again(words);
 }
 
+/// Sends words in as few datagrams as hold them.
+fn send<E: Edge>(node: &Node<E>, to: &Receiver, words: Vec<Word>) {
+    for batch in batches(words) {
+        node.send(to.clone(), Packet::Quarantine(batch));
+    }
+}
+
+fn batches(words: Vec<Word>) -> Vec<Vec<Word>> {
+    let mut batches = Vec::<Vec<Word>>::new();
+    let mut room = 0;
+    for word in words {
+        let bytes = word.estimated_bytes();
+        if bytes > room {
+            batches.push(Vec::new());
+            room = BATCH_BYTES;
+        }
+        room = room.saturating_sub(bytes);
+        if let Some(batch) = batches.last_mut() {
+            batch.push(word);
+        }
+    }
+    batches
+}
+
 /// Tells again what was told lately, `passed` after the round before.
 pub(super) fn tell_again<E: Edge>(node: &Node<E>, passed: Duration) {
     let words = node.tables().quarantine.tell_round(passed);
-    for word in words {
-        node.send(Receiver::Fleet, Packet::Quarantine(vec![word]));
-    }
+    send(node, &Receiver::Fleet, words);
 }
 
 /// Takes in what another instance told, and passes what is new on to those that ask this one for news.
@@ -93,13 +112,33 @@
             news.push(word.clone());
         }
     }
-    let relays = tables.exchange.readers() > 0;
-    drop(tables);
-    if relays && !news.is_empty() {
-        node.send(Receiver::Readers, Packet::Quarantine(news));
+    if tables.exchange.readers() > 0 {
+        tables.quarantine.pass_on(news);
     }
 }
 
+/// Passes on what others told lately to those that ask this instance for news.
+pub(super) fn pass_on<E: Edge>(node: &Node<E>) {
+    let words = node.tables().quarantine.take_passed_on();
+    send(node, &Receiver::Readers, words);
+}
+
+/// Forgets what is long ago, in the store as well: whoever starts later would take it up again.
+pub(super) fn sweep<E: Edge>(node: &Arc<Node<E>>, now: Time) {
+    let over = node.tables().quarantine.sweep(now);
+    if over.is_empty() || !node.tables().follows_store(now) {
+        return;
+    }
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        for request in over {
+            // One that stays is taken up again by a fleet that starts, and lasts an hour more.
+            let name = request.to_string();
+            let _removed_or_away = node.store.remove(Kind::Verdicts, &name).await;
+        }
+    });
+}
+
 /// Writes a verdict to the store, until it is there or a newer one is.
 async fn keep<E: Edge>(node: Arc<Node<E>>, verdict: Verdict) {
     let name = verdict.request.to_string();
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -91,6 +91,7 @@
         tokio::time::sleep(SWEEP).await;
         let now = node.now();
         node.tables().sweep(now);
+        quarantine::sweep(&node, now);
         node.pool.sweep();
         node.looks.sweep(now);
     }
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -95,7 +95,9 @@
             }
         }
         Some(Content::Verdict(verdict)) => {
-            node.tables().quarantine.rule(verdict, node.now());
+            let now = node.now();
+            // The store doesn't say how old it is.
+            node.tables().quarantine.rule(verdict, Duration::ZERO, now);
         }
         Some(Content::Lease(_)) | None => {}
     }
--- a/crates/gateway/src/net/words.rs
+++ b/crates/gateway/src/net/words.rs
@@ -14,6 +14,7 @@
 use crate::packet::{Holdings, Packet};
 
 use super::node::{Node, Receiver};
+use super::quarantine;
 
 /// Pause between two batches.
 const BATCH_EVERY: Duration = Duration::from_millis(25);
@@ -61,6 +62,7 @@
         for batch in batches(take(&node.words.passed_on)) {
             node.send(Receiver::Readers, Packet::Holdings(batch));
         }
+        quarantine::pass_on(node);
     }
 }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -6,7 +6,8 @@
 
 use bluebellstage_core::{TargetId, WorkspaceId};
 use bluebellstage_gateway::decide::quarantine::{
-    Cut, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Ruling, VERDICT_LASTS, Verdict, Word,
+    AgedVerdict, Cut, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Ruling, VERDICT_LASTS, Verdict,
+    Word,
 };
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use support::at;
@@ -167,13 +168,17 @@
     }
 }
 
+fn on(ended: &Ended) -> Vec<Fingerprint> {
+    ended.cuts.iter().map(|cut| cut.request).collect()
+}
+
 /// Lets targets end one after the other, a second apart, and judges each end.
 fn play(quarantine: &mut Quarantine, ends: &[Ended]) -> Vec<Verdict> {
     let mut refused = Vec::new();
     for (idx, end) in (0_u64..).zip(ends) {
         let now = at(idx * 1_000);
         quarantine.ended(end, now);
-        refused.extend(quarantine.judge(end.life, now + JUDGED_AFTER));
+        refused.extend(quarantine.judge(&on(end), now + JUDGED_AFTER));
     }
     refused
 }
@@ -204,7 +209,7 @@
     let end = ended("e1", &[("bad", 10)]);
     for _ in 0..8 {
         quarantine.take(&Word::Ended(end.clone()), at(0));
-        assert!(quarantine.judge(end.life, at(60)).is_empty());
+        assert!(quarantine.judge(&on(&end), at(60)).is_empty());
     }
     assert_eq!(quarantine.suspicion(request("bad")), 1);
 }
@@ -216,7 +221,7 @@
     for life in ["e1", "e2", "e3", "e4", "e5", "e6", "e7"] {
         let end = ended(life, &[("common", 10)]);
         quarantine.ended(&end, at(5));
-        assert!(quarantine.judge(end.life, at(60)).is_empty());
+        assert!(quarantine.judge(&on(&end), at(60)).is_empty());
     }
 }
 
@@ -252,7 +257,7 @@
     assert!(play(&mut quarantine, &both).is_empty());
     let alone = ended("e5", &[("bad", 10)]);
     quarantine.ended(&alone, at(9_000));
-    let refused = quarantine.judge(alone.life, at(9_060));
+    let refused = quarantine.judge(&on(&alone), at(9_060));
     assert_eq!(refused.len(), 1);
     assert!(!quarantine.refuses(request("twin")));
 }
@@ -297,8 +302,9 @@
     let ends = ["e1", "e2", "e3"].map(|life| ended(life, &[("bad", 10)]));
     play(&mut one, &ends);
     assert_ne!(one.digest(), two.digest());
-    for verdict in one.verdicts().collect::<Vec<_>>() {
-        assert!(two.rule(verdict, at(5_000)));
+    let copies = one.verdicts(at(5_000)).collect::<Vec<_>>();
+    for AgedVerdict { verdict, age } in copies {
+        assert!(two.rule(verdict, age, at(5_000)));
     }
     assert_eq!(one.digest(), two.digest());
     one.clear(request("bad"), at(6_000));
@@ -320,10 +326,11 @@
         quarantine.take(&Word::Ended(end), now);
         quarantine.served(request(&format!("served {idx}")), now);
         let verdict = Verdict::next(request(&format!("bad {idx}")), Ruling::Refused, None);
-        quarantine.rule(verdict, now);
+        quarantine.rule(verdict, Duration::ZERO, now);
     }
     assert!(quarantine.suspected().count() <= 256);
-    assert!(quarantine.verdicts().count() <= 1_024);
+    assert!(quarantine.verdicts(at(30_000)).count() <= 1_024);
+    assert_eq!(quarantine.digest(), 0);
 }
 
 /// Guards against a lost datagram: a word is told in three more rounds, with its age.
@@ -340,3 +347,20 @@
     let ages = ages.collect::<Vec<_>>();
     assert_eq!(ages, [Some(100), Some(200), Some(300), None, None]);
 }
+
+/// Guards against a verdict that never ends, as instances copy it from each other in turn.
+#[test]
+fn a_copied_verdict_ends_with_the_one_that_it_was_copied_from() {
+    let mut one = Quarantine::default();
+    let mut two = Quarantine::default();
+    let verdict = Verdict::next(request("bad"), Ruling::Refused, None);
+    one.rule(verdict, Duration::ZERO, at(0));
+    let late = at(0) + VERDICT_LASTS - Duration::from_secs(1);
+    let copies = one.verdicts(late).collect::<Vec<_>>();
+    two.rule(copies[0].verdict, copies[0].age, late);
+    assert!(two.refuses(request("bad")));
+    let over = at(0) + VERDICT_LASTS;
+    assert_eq!(two.sweep(over), [request("bad")]);
+    assert!(!two.refuses(request("bad")));
+    assert!(!two.rule(verdict, VERDICT_LASTS, over));
+}
--- a/crates/gateway/tests/quarantine_news.rs
+++ b/crates/gateway/tests/quarantine_news.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bluebellstage_core::WorkspaceId;
-use bluebellstage_gateway::decide::quarantine::{Fingerprint, Ruling, Verdict};
+use bluebellstage_gateway::decide::quarantine::{AgedVerdict, Fingerprint, Ruling, Verdict};
 use support::fleet::{Fleet, Network};
 
 /// Time in milliseconds after which everyone must hold a verdict, though no word reached it.
@@ -17,7 +19,8 @@
 
 fn rule(fleet: &mut Fleet, idx: usize) {
     let now = fleet.now;
-    fleet.tables_mut(idx).quarantine.rule(verdict(), now);
+    let quarantine = &mut fleet.tables_mut(idx).quarantine;
+    quarantine.rule(verdict(), Duration::ZERO, now);
 }
 
 /// Pause of an instance before it copies what it lacks.
@@ -41,11 +44,11 @@
     let Some(giver) = newer_peer(fleet, idx) else {
         return;
     };
-    let verdicts = fleet.tables(giver).quarantine.verdicts();
-    let verdicts = verdicts.collect::<Vec<_>>();
     let now = fleet.now;
-    for verdict in verdicts {
-        fleet.tables_mut(idx).quarantine.rule(verdict, now);
+    let verdicts = fleet.tables(giver).quarantine.verdicts(now);
+    let verdicts = verdicts.collect::<Vec<_>>();
+    for AgedVerdict { verdict, age } in verdicts {
+        fleet.tables_mut(idx).quarantine.rule(verdict, age, now);
     }
 }
 
--- a/crates/gateway/tests/support/crashes.rs
+++ b/crates/gateway/tests/support/crashes.rs
@@ -106,7 +106,7 @@
         to: usize,
         word: Word,
     },
-    Judge(usize, ShortHash),
+    Judge(usize, Vec<Fingerprint>),
     Round(usize),
     Outage(usize),
 }
@@ -240,7 +240,7 @@
             Event::Word { to, word } => {
                 self.instances[to].take(&word, time(self.now));
             }
-            Event::Judge(instance, life) => self.judge(instance, life),
+            Event::Judge(instance, requests) => self.judge(instance, &requests),
             Event::Round(instance) => {
                 let words = self.instances[instance].tell_round(Duration::from_millis(ROUND_MS));
                 self.tell(instance, &words);
@@ -384,10 +384,11 @@
             age_ms: 0,
             cuts,
         };
+        let requests = ended.cuts.iter().map(|cut| cut.request).collect();
         let words = self.instances[instance].ended(&ended, time(self.now));
         self.tell_anew(instance, words);
         let judged = self.now + u64::try_from(JUDGED_AFTER.as_millis()).unwrap();
-        self.push(judged, Event::Judge(instance, ended.life));
+        self.push(judged, Event::Judge(instance, requests));
         for request in again {
             if request.runs >= RUNS {
                 self.again(request);
@@ -399,8 +400,8 @@
         }
     }
 
-    fn judge(&mut self, instance: usize, life: ShortHash) {
-        let refused = self.instances[instance].judge(life, time(self.now));
+    fn judge(&mut self, instance: usize, requests: &[Fingerprint]) {
+        let refused = self.instances[instance].judge(requests, time(self.now));
         self.tell_anew(instance, refused.into_iter().map(Word::Ruled).collect());
     }
 
