Weigh the chance for all suspects together, by the targets that live

Cause: when most engines are down, all requests crowd on those that are left and are cut there soon after they began, bad or not; the rate of ends was divided by all engines, so that this looked less likely than it was, and the more suspects there are the likelier one of them is there by chance.

Now the rate is that of a living target, the chance is that of any suspect (7 digits and those of their number), and five ends in a row are enough, where it was six: a caller's attempts bring four.

Batches of words are made in one place.

--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -20,7 +20,7 @@
 use self::suspects::Suspects;
 pub use self::verdict::{AgedVerdict, Ruling, Verdict};
 pub use self::word::{Cut, Ended, Word};
-use super::rendezvous::weight;
+use super::rendezvous::{ShortHash, weight};
 
 /// How long a verdict holds.
 pub const VERDICT_LASTS: Duration = Duration::from_hours(1);
@@ -74,6 +74,12 @@
         held.is_some_and(|held| held.verdict.ruling == Ruling::Refused)
     }
 
+    /// Whether this life of a target is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, life: ShortHash) -> bool {
+        self.suspects.has_ended(life)
+    }
+
     /// On how many targets that ended a request was; it is not known whether by chance.
     #[must_use]
     pub fn suspicion(&self, request: Fingerprint) -> usize {
--- a/crates/gateway/src/decide/quarantine/suspects.rs
+++ b/crates/gateway/src/decide/quarantine/suspects.rs
@@ -12,9 +12,10 @@
 /// Ended targets that are needed for a refusal, however unlikely a chance is.
 const LEAST_ENDED: usize = 2;
 /// Ended targets that are enough however likely a chance is: no caller tries one request so often.
-const ENOUGH_ENDED: usize = 6;
-/// Decimal digits of the chance that a bystander met the same, from which it counts as excluded.
-const DIGITS_OF_PROOF: f64 = 8.0;
+const ENOUGH_ENDED: usize = 5;
+/// Decimal digits of the chance that any of the suspects met the same as a bystander, from which it counts as
+/// excluded.
+const DIGITS_OF_PROOF: f64 = 7.0;
 /// The same by which the cause stands out among those that were on the same targets.
 const DIGITS_APART: f64 = 2.0;
 /// Shortest run that is told apart from a shorter one.
@@ -193,6 +194,11 @@
             .map(|(request, count)| (*request, *count))
     }
 
+    /// Whether this life of a target is known to have ended.
+    pub(super) fn has_ended(&self, life: ShortHash) -> bool {
+        self.ended.contains_key(&life)
+    }
+
     /// On how many ended targets a request was.
     pub(super) fn count(&self, request: Fingerprint) -> usize {
         self.counts.get(&request).copied().unwrap_or(0)
@@ -209,7 +215,9 @@
         if weight.ended >= ENOUGH_ENDED {
             return true;
         }
-        let proved = weight.unexplained >= LEAST_ENDED && weight.digits >= DIGITS_OF_PROOF;
+        let suspects = number(self.counts.len().max(1));
+        let needed = DIGITS_OF_PROOF + suspects.log10();
+        let proved = weight.unexplained >= LEAST_ENDED && weight.digits >= needed;
         proved && stands_out(request, weight, &on)
     }
 
--- a/crates/gateway/src/decide/quarantine/word.rs
+++ b/crates/gateway/src/decide/quarantine/word.rs
@@ -40,7 +40,7 @@
 pub struct Ended {
     /// The target's life: it is counted once, whoever tells of it.
     pub life: ShortHash,
-    /// Targets of its service.
+    /// Targets of its service that lived, this one included.
     pub targets: u32,
     /// Milliseconds since then.
     pub age_ms: u32,
--- a/crates/gateway/src/net/ended.rs
+++ b/crates/gateway/src/net/ended.rs
@@ -94,26 +94,32 @@
     id: TargetId,
     life: ShortHash,
     address: SocketAddr,
-    /// Targets of its service.
-    of: u32,
+    /// Targets of its service that live, this one included.
+    living: u32,
 }
 
 /// The target, if it was not to leave anyway: what leaves as planned cuts runs, too.
 fn serving<E: Edge>(node: &Node<E>, id: &TargetId) -> Option<Serving> {
     let tables = node.tables();
-    let target = tables.registry.get(id)?;
-    let life = target.life().unwrap_or_else(|| ShortHash::of(id.as_str()));
-    let same = |other: &&Target| other.service == target.service;
-    let of = tables.registry.all().filter(same).count();
-    let of = u32::try_from(of).unwrap_or(u32::MAX);
-    (!target.leaving).then(|| Serving {
+    let target = tables.registry.get(id).filter(|target| !target.leaving)?;
+    let lives = |other: &&Target| !tables.quarantine.has_ended(life(other));
+    let others = tables.registry.all().filter(|other| other.id != *id);
+    let others = others.filter(|other| other.service == target.service);
+    let living = 1 + others.filter(lives).count();
+    Some(Serving {
         id: id.clone(),
-        life,
+        life: life(target),
         address: target.address,
-        of,
+        living: u32::try_from(living).unwrap_or(u32::MAX),
     })
 }
 
+/// Names this life of a target; one that doesn't say when it started has one.
+fn life(target: &Target) -> ShortHash {
+    let life = target.life();
+    life.unwrap_or_else(|| ShortHash::of(target.id.as_str()))
+}
+
 /// A run was cut; returns when it is known, or can't soon be known, whether its target ended.
 pub(super) async fn cut<E: Edge>(node: &Arc<Node<E>>, target: &TargetId, cut: Cut) {
     let Some(target) = serving(node, target) else {
@@ -186,7 +192,7 @@
     );
     let ended = Ended {
         life: target.life,
-        targets: target.of,
+        targets: target.living,
         age_ms: 0,
         cuts,
     };
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod accept;
 mod answers;
 mod attempt;
+mod batches;
 mod control;
 mod copying;
 mod directory;
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -10,14 +10,13 @@
 use crate::error::StoreError;
 use crate::packet::Packet;
 
+use super::batches::batches;
 use super::log::{LogEvent, event};
 use super::node::{Node, Receiver};
 use super::sync::apply;
 
 /// First and longest pause between two tries to reach the store.
 const STORE_PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
-/// Bytes of words in one datagram.
-const BATCH_BYTES: usize = 6 * 1_024;
 /// Time after the start in which the verdicts are read, if the store answers.
 const READS_FOR: Duration = Duration::from_secs(20);
 
@@ -75,28 +74,11 @@
 
 /// Sends words in as few datagrams as hold them.
 fn send<E: Edge>(node: &Node<E>, to: &Receiver, words: Vec<Word>) {
-    for batch in batches(words) {
+    for batch in batches(words, Word::estimated_bytes) {
         node.send(to.clone(), Packet::Quarantine(batch));
     }
 }
 
-fn batches(words: Vec<Word>) -> Vec<Vec<Word>> {
-    let mut batches = Vec::<Vec<Word>>::new();
-    let mut room = 0;
-    for word in words {
-        let bytes = word.estimated_bytes();
-        if bytes > room {
-            batches.push(Vec::new());
-            room = BATCH_BYTES;
-        }
-        room = room.saturating_sub(bytes);
-        if let Some(batch) = batches.last_mut() {
-            batch.push(word);
-        }
-    }
-    batches
-}
-
 /// Tells again what was told lately, `passed` after the round before.
 pub(super) fn tell_again<E: Edge>(node: &Node<E>, passed: Duration) {
     let words = node.tables().quarantine.tell_round(passed);
--- a/crates/gateway/src/net/words.rs
+++ b/crates/gateway/src/net/words.rs
@@ -13,13 +13,12 @@
 use crate::edge::Edge;
 use crate::packet::{Holdings, Packet};
 
+use super::batches::batches;
 use super::node::{Node, Receiver};
 use super::quarantine;
 
 /// Pause between two batches.
 const BATCH_EVERY: Duration = Duration::from_millis(25);
-/// Bytes of words in one datagram; a word of 30 adapters has some 400.
-const BATCH_BYTES: usize = 6 * 1_024;
 
 /// Words that wait for the next batch; a newer one on an engine replaces the one before.
 #[derive(Debug, Default)]
@@ -56,29 +55,12 @@
 pub(super) async fn run<E: Edge>(node: &Node<E>) {
     loop {
         tokio::time::sleep(BATCH_EVERY).await;
-        for batch in batches(take(&node.words.own)) {
+        for batch in batches(take(&node.words.own), Holdings::estimated_bytes) {
             node.send(Receiver::Fleet, Packet::Holdings(batch));
         }
-        for batch in batches(take(&node.words.passed_on)) {
+        for batch in batches(take(&node.words.passed_on), Holdings::estimated_bytes) {
             node.send(Receiver::Readers, Packet::Holdings(batch));
         }
         quarantine::pass_on(node);
     }
 }
-
-fn batches(words: Vec<Holdings>) -> Vec<Vec<Holdings>> {
-    let mut batches = Vec::<Vec<Holdings>>::new();
-    let mut room = 0;
-    for word in words {
-        let bytes = word.estimated_bytes();
-        if bytes > room {
-            batches.push(Vec::new());
-            room = BATCH_BYTES;
-        }
-        room = room.saturating_sub(bytes);
-        if let Some(batch) = batches.last_mut() {
-            batch.push(word);
-        }
-    }
-    batches
-}
