--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod loader;
 pub mod news;
 pub mod peers;
+mod picking;
 pub mod placement;
 pub mod prompt_queues;
 pub mod quarantine;
--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -19,7 +19,7 @@
 pub use self::fingerprint::{BadFingerprint, Fingerprint};
 use self::suspects::Suspects;
 pub use self::verdict::{AgedVerdict, Ruling, Verdict};
-pub use self::word::{Cut, Ended, Word};
+pub use self::word::{CutRun, Ended, Word};
 use super::rendezvous::{ShortHash, weight};
 
 /// How long a verdict holds.
--- a/crates/gateway/src/decide/quarantine/word.rs
+++ b/crates/gateway/src/decide/quarantine/word.rs
@@ -45,19 +45,19 @@
     /// Milliseconds since then.
     pub age_ms: u32,
     /// Runs that were cut, as far as the sender knows.
-    pub cuts: Vec<Cut>,
+    pub cuts: Vec<CutRun>,
 }
 
 /// A run that was cut.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Cut {
+pub struct CutRun {
     /// The request.
     pub request: Fingerprint,
     /// Milliseconds since it began, or since it was sent if it had not begun.
     pub ran_ms: u32,
 }
 
-impl Cut {
+impl CutRun {
     /// A run that was cut after so long.
     #[must_use]
     pub fn new(request: Fingerprint, ran: Duration) -> Self {
--- a/crates/gateway/src/net/ended.rs
+++ b/crates/gateway/src/net/ended.rs
@@ -12,7 +12,7 @@
 use bluebellstage_core::{TargetId, Time};
 use tokio::sync::watch;
 
-use crate::decide::quarantine::{Cut, Ended, JUDGED_AFTER};
+use crate::decide::quarantine::{CutRun, Ended, JUDGED_AFTER};
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::target::Target;
 use crate::edge::Edge;
@@ -49,7 +49,7 @@
 #[derive(Debug)]
 struct Look {
     began: Time,
-    cuts: Vec<Cut>,
+    cuts: Vec<CutRun>,
     found: watch::Sender<Found>,
 }
 
@@ -64,7 +64,7 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn take_cuts(&self, life: ShortHash) -> Vec<Cut> {
+    fn take_cuts(&self, life: ShortHash) -> Vec<CutRun> {
         let mut open = self.lock();
         let look = open.get_mut(&life);
         look.map_or_else(Vec::new, |look| std::mem::take(&mut look.cuts))
@@ -121,7 +121,7 @@
 }
 
 /// A run was cut; returns when it is known, or can't soon be known, whether its target ended.
-pub(super) async fn cut<E: Edge>(node: &Arc<Node<E>>, target: &TargetId, cut: Cut) {
+pub(super) async fn cut<E: Edge>(node: &Arc<Node<E>>, target: &TargetId, cut: CutRun) {
     let Some(target) = serving(node, target) else {
         return;
     };
@@ -140,7 +140,7 @@
 }
 
 /// Adds a run to those of a target's look, which begins with the first one.
-fn join<E: Edge>(node: &Arc<Node<E>>, target: &Serving, cut: Cut) -> watch::Receiver<Found> {
+fn join<E: Edge>(node: &Arc<Node<E>>, target: &Serving, cut: CutRun) -> watch::Receiver<Found> {
     let mut open = node.looks.lock();
     let began = node.now();
     let looked_at = open.entry(target.life).or_insert_with(|| {
@@ -177,7 +177,7 @@
 }
 
 /// Tells which runs the target took with it, those told before left out.
-fn report<E: Edge>(node: &Node<E>, target: &Serving) -> Vec<Cut> {
+fn report<E: Edge>(node: &Node<E>, target: &Serving) -> Vec<CutRun> {
     let cuts = node.looks.take_cuts(target.life);
     if cuts.is_empty() {
         return cuts;
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -14,7 +14,7 @@
 use crate::decide::config::RouteKind;
 use crate::decide::load_wait::{ASK_AGAIN, LoadWait, load_wait};
 use crate::decide::placement::Pick;
-use crate::decide::quarantine::{Cut, Fingerprint};
+use crate::decide::quarantine::{CutRun, Fingerprint};
 use crate::decide::tables::{Refusal, Tables, Ticket};
 use crate::edge::{Edge, Protocol};
 use crate::packet::{Wish, WishKind};
@@ -409,7 +409,7 @@
         if short.failure != Failure::Broken {
             return;
         }
-        let run = Cut::new(self.fingerprint, short.ran);
+        let run = CutRun::new(self.fingerprint, short.ran);
         cut(&self.node, target, run).await;
     }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -6,8 +6,8 @@
 
 use bluebellstage_core::{TargetId, WorkspaceId};
 use bluebellstage_gateway::decide::quarantine::{
-    AgedVerdict, Cut, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Ruling, VERDICT_LASTS, Verdict,
-    Word,
+    AgedVerdict, CutRun, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Ruling, VERDICT_LASTS,
+    Verdict, Word,
 };
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use support::at;
@@ -159,7 +159,7 @@
 
 fn ended(life: &str, cuts: &[(&str, u64)]) -> Ended {
     let cuts = cuts.iter();
-    let cuts = cuts.map(|(body, ran)| Cut::new(request(body), Duration::from_millis(*ran)));
+    let cuts = cuts.map(|(body, ran)| CutRun::new(request(body), Duration::from_millis(*ran)));
     Ended {
         life: ShortHash::of(life),
         targets: 9,
--- a/crates/gateway/tests/support/crashes.rs
+++ b/crates/gateway/tests/support/crashes.rs
@@ -8,7 +8,7 @@
 
 use bluebellstage_core::{TargetId, Time, WorkspaceId};
 use bluebellstage_gateway::decide::quarantine::{
-    Cut, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Word,
+    CutRun, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Word,
 };
 use bluebellstage_gateway::decide::rendezvous::{ShortHash, weight};
 use rand::{Rng, SeedableRng};
@@ -99,7 +99,7 @@
     Noticed {
         instance: usize,
         life: u64,
-        cuts: Vec<Cut>,
+        cuts: Vec<CutRun>,
         again: Vec<Request>,
     },
     Word {
@@ -350,7 +350,7 @@
         self.push(self.now + self.cfg.down_ms, Event::Back(engine));
         let here = self.runs.iter().filter(|(_, run)| run.engine == engine);
         let here = here.map(|(id, _)| *id).collect::<Vec<_>>();
-        let mut by_instance = BTreeMap::<usize, (Vec<Cut>, Vec<Request>)>::new();
+        let mut by_instance = BTreeMap::<usize, (Vec<CutRun>, Vec<Request>)>::new();
         for id in here {
             let run = self.runs.remove(&id).unwrap();
             let ran = self.now - run.began.unwrap_or(run.sent);
@@ -362,7 +362,7 @@
             request.tried.push(engine);
             request.runs += 1;
             let (cuts, again) = by_instance.entry(request.instance).or_default();
-            cuts.push(Cut::new(request.fingerprint, Duration::from_millis(ran)));
+            cuts.push(CutRun::new(request.fingerprint, Duration::from_millis(ran)));
             again.push(request);
         }
         for (instance, (cuts, again)) in by_instance {
@@ -377,7 +377,7 @@
         }
     }
 
-    fn noticed(&mut self, instance: usize, life: u64, cuts: Vec<Cut>, again: Vec<Request>) {
+    fn noticed(&mut self, instance: usize, life: u64, cuts: Vec<CutRun>, again: Vec<Request>) {
         let ended = Ended {
             life: ShortHash::of(&format!("life {life}")),
             targets: u32::try_from(1 + self.engines.iter().flatten().count()).unwrap(),
