Tell others' words on limits to a relay's readers alone

Found by reading, before it landed: in a relayed fleet relays passed a word on to all, other relays too. Each took it for newer than its own, as the way takes a moment that its age does not hold, and passed it on again, for ever; a limit never seemed old, so its target was not asked whether it was over. a_word_grows_old_in_a_relayed_fleet_too failed before (44 of 45 instances held the word for fresh 2.5 s after it was told once) and passes now; the model had hidden it while all datagrams took whole ticks, so the test runs on the rough network. A relay's readers are never relays: nothing comes back.

--- a/crates/gateway/src/decide/exchange/limits.rs
+++ b/crates/gateway/src/decide/exchange/limits.rs
@@ -1,5 +1,8 @@
 //! Tells limits that targets name, and counts what all instances send there.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use bluebellstage_core::{TargetId, Time};
 
 use super::message::{Message, Telling};
@@ -10,6 +13,14 @@
 /// Words in one datagram.
 const BATCH: usize = 64;
 
+fn batches(words: &[LimitWord], to: &[SocketAddr]) -> Vec<Telling> {
+    let parts = words.chunks(BATCH).map(|part| Telling {
+        to: to.to_vec(),
+        message: Message::Limits(part.to_vec()),
+    });
+    parts.collect()
+}
+
 impl Tables {
     /// Takes in what the answer to a request that was `sent` then says of its target's limit.
     pub fn answer_said(&mut self, target: &TargetId, said: Said, sent: Time, now: Time) -> Change {
@@ -38,7 +49,7 @@
             silent: self.unheard_share(now),
             lag: self.news_age(now),
         };
-        let no_pause = std::time::Duration::ZERO;
+        let no_pause = Duration::ZERO;
         let charged = self
             .quotas
             .charge(target, budget(rate), REQUEST, sharing, no_pause, now);
@@ -46,13 +57,11 @@
     }
 
     pub(super) fn tell_limits(&mut self, now: Time) -> Vec<Telling> {
-        let words = self.limits.tell_round(now);
-        let to = self.fleet(now);
-        let parts = words.chunks(BATCH).map(|part| Telling {
-            to: to.clone(),
-            message: Message::Limits(part.to_vec()),
-        });
-        parts.collect()
+        let own = self.limits.tell_round(now);
+        let passed_on = self.limits.pass_on_round(now);
+        let mut tellings = batches(&own, &self.fleet(now));
+        tellings.extend(batches(&passed_on, &self.readers()));
+        tellings
     }
 
     /// Takes in what another instance heard; a relay passes what is new on to those that ask it.
--- a/crates/gateway/src/decide/limits/mod.rs
+++ b/crates/gateway/src/decide/limits/mod.rs
@@ -62,8 +62,21 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     known: HashMap<TargetId, Known>,
-    /// Targets of which the others are to be told, with the rounds that are left.
+    /// Targets of which all others are to be told, with the rounds that are left.
     untold: BTreeMap<TargetId, u32>,
+    /// The same for those that ask this instance for news. What others told goes to them alone: relays that told it
+    /// each other would take it for news each time.
+    passed_on: BTreeMap<TargetId, u32>,
+}
+
+/// Targets that are due, one round less of each left.
+fn take_round(rounds: &mut BTreeMap<TargetId, u32>) -> Vec<TargetId> {
+    let due = rounds.keys().cloned().collect();
+    for left in rounds.values_mut() {
+        *left -= 1;
+    }
+    rounds.retain(|_, left| *left > 0);
+    due
 }
 
 /// The budget that a limit gives all instances together.
@@ -126,31 +139,35 @@
         })
     }
 
-    /// Has the newest words on targets told in the next round.
+    /// Has another instance's words on targets told to those that ask this one for news.
     pub fn pass_on(&mut self, targets: Vec<TargetId>) {
         let targets = targets.into_iter().map(|target| (target, TOLD));
-        self.untold.extend(targets);
+        self.passed_on.extend(targets);
     }
 
-    /// Words for the others in this round.
+    /// Own words for all others in this round.
     pub fn tell_round(&mut self, now: Time) -> Vec<LimitWord> {
-        let untold = std::mem::take(&mut self.untold);
-        let mut words = Vec::new();
-        for (target, left) in untold {
-            let Some(known) = self.known.get(&target) else {
-                continue;
-            };
+        let due = take_round(&mut self.untold);
+        self.words(due, now)
+    }
+
+    /// Words of others, for those that ask this instance for news.
+    pub fn pass_on_round(&mut self, now: Time) -> Vec<LimitWord> {
+        let due = take_round(&mut self.passed_on);
+        self.words(due, now)
+    }
+
+    fn words(&self, targets: Vec<TargetId>, now: Time) -> Vec<LimitWord> {
+        let words = targets.into_iter().filter_map(|target| {
+            let known = self.known.get(&target)?;
             let age = now.since(known.at).as_millis();
-            words.push(LimitWord {
-                target: target.clone(),
+            Some(LimitWord {
+                target,
                 limit: known.limit,
                 age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            });
-            if left > 1 {
-                self.untold.insert(target, left - 1);
-            }
-        }
-        words
+            })
+        });
+        words.collect()
     }
 
     /// Whether no target names a limit.
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -5,7 +5,7 @@
 use bluebellstage_core::{Revision, TargetId};
 use bluebellstage_gateway::decide::limits::{Change, LimitWord, Limits, RequestRate, Said};
 use bluebellstage_gateway::decide::placement::Pick;
-use support::fleet::Fleet;
+use support::fleet::{Fleet, Network};
 use support::limited::{Limited, Play, allowed};
 use support::{at, call, draft, peer, tables};
 
@@ -96,6 +96,27 @@
     }
 }
 
+/// Guards against a word that relays tell each other for ever, each time as news: the limit would never seem old.
+#[test]
+fn a_word_grows_old_in_a_relayed_fleet_too() {
+    let mut fleet = Fleet::start(45, 3, 24);
+    fleet.network = Network::ROUGH;
+    let mut play = two_in_need(0).begin(fleet);
+    let id = target("c0");
+    let now = play.fleet.now;
+    let first = play.fleet.tables_mut(7);
+    first.answer_said(&id, Said::Limit(rate(1_000)), now, now);
+    play.fleet.run_ms(500);
+    let knows = |play: &Play, idx: usize| play.fleet.tables(idx).limits.of(&id).is_some();
+    assert!((0..45).all(|idx| knows(&play, idx)));
+    play.fleet.run_ms(2_000);
+    let fresh = (0..45).filter(|idx| {
+        let limits = &play.fleet.tables(*idx).limits;
+        !limits.may_be_over(&id, play.fleet.now)
+    });
+    assert_eq!(fresh.collect::<Vec<_>>(), Vec::<usize>::new());
+}
+
 fn target(id: &str) -> TargetId {
     TargetId::try_from(id).unwrap()
 }
