Let words on ended targets keep their age

Found by reading, before it landed: an end was told as of the moment of its report, 11 to 60 ms after the first run was cut, and relays held words for up to 25 ms more. To those that heard of it the next run of its cause could seem to have been under way already, and runs under way together count once: one more target would have had to end. A report tells the time since the first cut, a relay adds what it held. a_word_that_is_passed_on_keeps_its_age could not be written before.

--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -62,8 +62,8 @@
     served_order: VecDeque<(Time, Fingerprint)>,
     /// Own words that are told again, with the rounds that are left.
     telling: Vec<(Word, u32)>,
-    /// Words of others, for those that ask this instance for news.
-    passed_on: Vec<Word>,
+    /// Words of others, for those that ask this instance for news, and when they came.
+    passed_on: Vec<(Word, Time)>,
 }
 
 impl Quarantine {
@@ -235,23 +235,26 @@
     }
 
     /// Has words of others passed on.
-    pub fn pass_on(&mut self, words: Vec<Word>) {
+    pub fn pass_on(&mut self, words: Vec<Word>, now: Time) {
+        let words = words.into_iter().map(|word| (word, now));
         self.passed_on.extend(words);
     }
 
-    /// Words of others that are to be passed on.
-    pub fn take_passed_on(&mut self) -> Vec<Word> {
-        std::mem::take(&mut self.passed_on)
+    /// Words of others that are to be passed on, older by the time for which they were held.
+    pub fn take_passed_on(&mut self, now: Time) -> Vec<Word> {
+        let held = std::mem::take(&mut self.passed_on).into_iter();
+        let aged = held.map(|(mut word, since)| {
+            word.grow_older(now.since(since));
+            word
+        });
+        aged.collect()
     }
 
     /// What is to be told in this round, `passed` after the one before.
     pub fn tell_round(&mut self, passed: Duration) -> Vec<Word> {
-        let passed_ms = word::millis(passed);
         for (word, left) in &mut self.telling {
             *left -= 1;
-            if let Word::Ended(ended) = word {
-                ended.age_ms = ended.age_ms.saturating_add(passed_ms);
-            }
+            word.grow_older(passed);
         }
         let words = self.telling.iter().map(|(word, _)| word.clone());
         let words = words.collect();
--- a/crates/gateway/src/decide/quarantine/word.rs
+++ b/crates/gateway/src/decide/quarantine/word.rs
@@ -33,6 +33,12 @@
             Self::Served(_) | Self::Ruled(_) => WORD_BYTES,
         }
     }
+
+    pub(super) fn grow_older(&mut self, by: Duration) {
+        if let Self::Ended(ended) = self {
+            ended.age_ms = ended.age_ms.saturating_add(millis(by));
+        }
+    }
 }
 
 /// A target that ended, and runs that it took with it.
@@ -57,6 +63,19 @@
     pub ran_ms: u32,
 }
 
+impl Ended {
+    /// A target that ended so long ago.
+    #[must_use]
+    pub fn new(life: ShortHash, targets: u32, age: Duration, cuts: Vec<CutRun>) -> Self {
+        Self {
+            life,
+            targets,
+            age_ms: millis(age),
+            cuts,
+        }
+    }
+}
+
 impl CutRun {
     /// A run that was cut after so long.
     #[must_use]
@@ -74,7 +93,6 @@
     }
 }
 
-/// Whole milliseconds, as they are told.
-pub(super) fn millis(span: Duration) -> u32 {
+fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/net/ended.rs
+++ b/crates/gateway/src/net/ended.rs
@@ -64,10 +64,11 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn take_cuts(&self, life: ShortHash) -> Vec<CutRun> {
+    /// Runs that were not told yet, and when the first one was cut.
+    fn take_cuts(&self, life: ShortHash) -> Option<(Vec<CutRun>, Time)> {
         let mut open = self.lock();
-        let look = open.get_mut(&life);
-        look.map_or_else(Vec::new, |look| std::mem::take(&mut look.cuts))
+        let look = open.get_mut(&life)?;
+        Some((std::mem::take(&mut look.cuts), look.began))
     }
 
     fn settle(&self, life: ShortHash, found: Found) {
@@ -178,10 +179,10 @@
 
 /// Tells which runs the target took with it, those told before left out.
 fn report<E: Edge>(node: &Node<E>, target: &Serving) -> Vec<CutRun> {
-    let cuts = node.looks.take_cuts(target.life);
-    if cuts.is_empty() {
-        return cuts;
-    }
+    let taken = node.looks.take_cuts(target.life);
+    let Some((cuts, at)) = taken.filter(|(cuts, _)| !cuts.is_empty()) else {
+        return Vec::new();
+    };
     let named = cuts.iter().take(NAMED_IN_A_LINE);
     let named = named.map(|cut| format!("{}:{}", cut.request, cut.ran_ms));
     let requests = named.collect::<Vec<_>>().join(" ");
@@ -190,12 +191,8 @@
         LogEvent::TargetEnded,
         &[("target", &id), ("cut", &count), ("requests", &requests)],
     );
-    let ended = Ended {
-        life: target.life,
-        targets: target.living,
-        age_ms: 0,
-        cuts,
-    };
+    let age = node.now().since(at);
+    let ended = Ended::new(target.life, target.living, age, cuts);
     quarantine::ended(node, &ended);
     ended.cuts
 }
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -95,13 +95,14 @@
         }
     }
     if tables.exchange.readers() > 0 {
-        tables.quarantine.pass_on(news);
+        tables.quarantine.pass_on(news, now);
     }
 }
 
 /// Passes on what others told lately to those that ask this instance for news.
 pub(super) fn pass_on<E: Edge>(node: &Node<E>) {
-    let words = node.tables().quarantine.take_passed_on();
+    let now = node.now();
+    let words = node.tables().quarantine.take_passed_on(now);
     send(node, &Receiver::Readers, words);
 }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -364,3 +364,18 @@
     assert!(!two.refuses(request("bad")));
     assert!(!two.rule(verdict, VERDICT_LASTS, over));
 }
+
+/// Guards against an end that seems later than it was: the next run of its cause would seem to have been under way
+/// with it, and count for nothing.
+#[test]
+fn a_word_that_is_passed_on_keeps_its_age() {
+    let mut quarantine = Quarantine::default();
+    let word = Word::Ended(ended("e1", &[("bad", 10)]));
+    quarantine.pass_on(vec![word], at(0));
+    let words = quarantine.take_passed_on(at(25));
+    let [Word::Ended(ended)] = words.as_slice() else {
+        panic!("{words:?}");
+    };
+    assert_eq!(ended.age_ms, 25);
+    assert!(quarantine.take_passed_on(at(50)).is_empty());
+}
--- a/crates/gateway/tests/support/crashes.rs
+++ b/crates/gateway/tests/support/crashes.rs
@@ -381,7 +381,7 @@
         let ended = Ended {
             life: ShortHash::of(&format!("life {life}")),
             targets: u32::try_from(1 + self.engines.iter().flatten().count()).unwrap(),
-            age_ms: 0,
+            age_ms: u32::try_from(NOTICED_MS).unwrap(),
             cuts,
         };
         let requests = ended.cuts.iter().map(|cut| cut.request).collect();
