Read verdicts however late the store answers, and take a refusal without a limit for silence

Found by reading, before they landed. A fleet that starts while the store is away for over 20 s would never have read its verdicts. A target in need that refuses a request may leave its limit out of the refusal; that would have ended the limit for all until its next answer.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -257,7 +257,10 @@
     match outcome {
         Exchange::Answer(parts, body, connection) => {
             let head = node.protocol.answer_head(&parts);
-            note_limit(node, target, head.limit, flight.sent);
+            // A refusal may lack what an answer says.
+            if !(head.not_run && head.limit == Said::Unlimited) {
+                note_limit(node, target, head.limit, flight.sent);
+            }
             judge_head(sending, *parts, head, body, flight, connection)
         }
         Exchange::Unreachable => {
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -17,8 +17,6 @@
 
 /// First and longest pause between two tries to reach the store.
 const STORE_PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
-/// Time after the start in which the verdicts are read, if the store answers.
-const READS_FOR: Duration = Duration::from_secs(20);
 
 /// A target ended under requests of this instance.
 pub(super) fn ended<E: Edge>(node: &Node<E>, ended: &Ended) {
@@ -151,13 +149,12 @@
     }
 }
 
-/// Reads the verdicts that the store keeps, once, where this instance is one of those that ask the store first.
+/// Reads the verdicts that the store keeps, once, as soon as this instance is one of those that ask the store.
 /// The others copy them from it.
 pub(super) async fn read_verdicts<E: Edge>(node: Arc<Node<E>>) {
     node.met().await;
     let mut pause = STORE_PAUSE[0];
-    let began = node.now();
-    while node.now().since(began) < READS_FOR {
+    loop {
         let follows = node.tables().follows_store(node.now());
         if follows && let Ok(listing) = node.store.list(Kind::Verdicts).await {
             apply(&node, Kind::Verdicts, listing, true);
