Name limits and verdicts in the field's words

Read as a newcomer would: words of the users' pages (in need) and of a courtroom (acquit, ruling, innocent) stood in names and comments.

--- a/crates/gateway/src/decide/account.rs
+++ b/crates/gateway/src/decide/account.rs
@@ -9,7 +9,7 @@
 pub enum Account {
     /// A workspace's quota.
     Workspace(WorkspaceId),
-    /// What a target in need takes.
+    /// What a limited target takes.
     Target(TargetId),
 }
 
--- a/crates/gateway/src/decide/limits/mod.rs
+++ b/crates/gateway/src/decide/limits/mod.rs
@@ -1,4 +1,4 @@
-//! Limits that targets in need name in their answers, for all instances together.
+//! Limits that targets name in their answers, for all instances together.
 
 mod request_rate;
 mod word;
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -26,7 +26,7 @@
     /// Picks the target for a request, those in `tried` left out. `draw` is random, from 0 to 1. The request is
     /// charged to the target's limit, if it names one.
     ///
-    /// What a target in need takes goes to requests that nothing else can run now.
+    /// What a limited target takes goes to requests that nothing else can run now.
     #[must_use]
     pub fn pick(
         &mut self,
--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! When a target ends, all requests that it ran are cut, and one of them may be the cause. Instances tell each
 //! other which were cut and how long each had run. A request is refused once chance no longer explains that it
-//! was on so many ended targets; an answer that came whole proves it innocent. Verdicts last: every instance
+//! was on so many ended targets; an answer that came whole proves it harmless. Verdicts last: every instance
 //! keeps them, newcomers copy them, and the store keeps them for a fleet that starts anew.
 
 mod fingerprint;
@@ -18,7 +18,7 @@
 
 pub use self::fingerprint::{BadFingerprint, Fingerprint};
 use self::suspects::Suspects;
-pub use self::verdict::{AgedVerdict, Ruling, Verdict};
+pub use self::verdict::{AgedVerdict, Decision, Verdict};
 pub use self::word::{CutRun, Ended, Word};
 use super::rendezvous::{ShortHash, weight};
 
@@ -26,7 +26,7 @@
 pub const VERDICT_LASTS: Duration = Duration::from_hours(1);
 /// Verdicts that are kept; the oldest goes first.
 const MOST_VERDICTS: usize = 1_024;
-/// How long a whole answer proves that its request is innocent: targets don't end under it.
+/// How long a whole answer proves that its request is harmless: targets don't end under it.
 const SERVED_LASTS: Duration = Duration::from_secs(10);
 /// Requests whose whole answers are remembered.
 const MOST_SERVED: usize = 2_048;
@@ -71,7 +71,7 @@
     #[must_use]
     pub fn refuses(&self, request: Fingerprint) -> bool {
         let held = self.verdicts.get(&request);
-        held.is_some_and(|held| held.verdict.ruling == Ruling::Refused)
+        held.is_some_and(|held| held.verdict.decision == Decision::Refused)
     }
 
     /// Whether this life of a target is known to have ended.
@@ -120,7 +120,7 @@
     /// A request was answered whole. Gives the word for the others if it was suspected.
     pub fn served(&mut self, request: Fingerprint, now: Time) -> Option<Word> {
         self.note_served(request, now);
-        let was_suspect = self.suspects.acquit(request);
+        let was_suspect = self.suspects.forget(request);
         was_suspect.then_some(Word::Served(request))
     }
 
@@ -130,9 +130,9 @@
             Word::Ended(ended) => self.take_ended(ended, now),
             Word::Served(request) => {
                 self.note_served(*request, now);
-                self.suspects.acquit(*request)
+                self.suspects.forget(*request)
             }
-            Word::Ruled(verdict) => self.rule(*verdict, Duration::ZERO, now),
+            Word::Decided(verdict) => self.adopt(*verdict, Duration::ZERO, now),
         }
     }
 
@@ -158,34 +158,34 @@
 
     fn refuse(&mut self, request: Fingerprint, now: Time) -> Verdict {
         let before = self.verdicts.get(&request).map(|held| held.verdict);
-        let verdict = Verdict::next(request, Ruling::Refused, before.as_ref());
-        self.rule(verdict, Duration::ZERO, now);
+        let verdict = Verdict::next(request, Decision::Refused, before.as_ref());
+        self.adopt(verdict, Duration::ZERO, now);
         verdict
     }
 
     /// An operator lets a request through again; none if it is not refused.
     pub fn clear(&mut self, request: Fingerprint, now: Time) -> Option<Verdict> {
         let before = self.verdicts.get(&request)?.verdict;
-        if before.ruling != Ruling::Refused {
+        if before.decision != Decision::Refused {
             return None;
         }
-        let verdict = Verdict::next(request, Ruling::Cleared, Some(&before));
-        self.rule(verdict, Duration::ZERO, now);
+        let verdict = Verdict::next(request, Decision::Cleared, Some(&before));
+        self.adopt(verdict, Duration::ZERO, now);
         Some(verdict)
     }
 
     /// Puts a verdict of some age in force; false if it is known, replaced by a newer one, or out of date.
-    pub fn rule(&mut self, verdict: Verdict, age: Duration, now: Time) -> bool {
+    pub fn adopt(&mut self, verdict: Verdict, age: Duration, now: Time) -> bool {
         let request = verdict.request;
         let known = self.verdicts.get(&request);
         let known = known.is_some_and(|known| !verdict.replaces(&known.verdict));
         if known || age >= VERDICT_LASTS {
             return false;
         }
-        if verdict.ruling == Ruling::Refused {
+        if verdict.decision == Decision::Refused {
             self.suspects.explain(request);
         }
-        self.suspects.acquit(request);
+        self.suspects.forget(request);
         self.drop_verdict(request);
         if self.verdicts.len() >= MOST_VERDICTS {
             let oldest = self.verdicts.iter().min_by_key(|(_, held)| held.since);
@@ -272,7 +272,7 @@
 
     /// Requests that are refused, with the time for which they are.
     pub fn refused(&self, now: Time) -> impl Iterator<Item = (Fingerprint, Duration)> {
-        let refused = |held: &&Held| held.verdict.ruling == Ruling::Refused;
+        let refused = |held: &&Held| held.verdict.decision == Decision::Refused;
         let held = self.verdicts.values().filter(refused);
         held.map(move |held| (held.verdict.request, now.since(held.since)))
     }
--- a/crates/gateway/src/decide/quarantine/suspects.rs
+++ b/crates/gateway/src/decide/quarantine/suspects.rs
@@ -168,8 +168,8 @@
         }
     }
 
-    /// The request is proved innocent; false if it was no suspect.
-    pub(super) fn acquit(&mut self, request: Fingerprint) -> bool {
+    /// The request is proved harmless; false if it was no suspect.
+    pub(super) fn forget(&mut self, request: Fingerprint) -> bool {
         if self.counts.remove(&request).is_none() {
             return false;
         }
--- a/crates/gateway/src/decide/quarantine/verdict.rs
+++ b/crates/gateway/src/decide/quarantine/verdict.rs
@@ -9,21 +9,21 @@
 /// What was decided of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Ruling {
+pub enum Decision {
     /// It is refused: targets end under it.
     Refused,
     /// An operator lets it through again.
     Cleared,
 }
 
-/// A ruling, as instances tell it and the store keeps it.
+/// A decision, as instances tell it and the store keeps it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Verdict {
     /// The request.
     pub request: Fingerprint,
     /// What was decided.
-    pub ruling: Ruling,
-    /// Count of the rulings on this request; a higher one is newer.
+    pub decision: Decision,
+    /// Count of the decisions on this request; a higher one is newer.
     pub revision: u32,
 }
 
@@ -37,16 +37,16 @@
 }
 
 impl Verdict {
-    /// The first refusal, or the one that follows another ruling.
+    /// The first refusal, or the one that follows another decision.
     #[must_use]
-    pub const fn next(request: Fingerprint, ruling: Ruling, before: Option<&Self>) -> Self {
+    pub const fn next(request: Fingerprint, decision: Decision, before: Option<&Self>) -> Self {
         let revision = match before {
             Some(before) => before.revision.saturating_add(1),
             None => 1,
         };
         Self {
             request,
-            ruling,
+            decision,
             revision,
         }
     }
--- a/crates/gateway/src/decide/quarantine/word.rs
+++ b/crates/gateway/src/decide/quarantine/word.rs
@@ -21,7 +21,7 @@
     /// A request that was cut was answered whole since.
     Served(Fingerprint),
     /// A request is refused from now on, or no longer.
-    Ruled(Verdict),
+    Decided(Verdict),
 }
 
 impl Word {
@@ -30,7 +30,7 @@
     pub const fn estimated_bytes(&self) -> usize {
         match self {
             Self::Ended(ended) => WORD_BYTES + ended.cuts.len() * CUT_BYTES,
-            Self::Served(_) | Self::Ruled(_) => WORD_BYTES,
+            Self::Served(_) | Self::Decided(_) => WORD_BYTES,
         }
     }
 
--- a/crates/gateway/src/net/copying.rs
+++ b/crates/gateway/src/net/copying.rs
@@ -136,7 +136,7 @@
     }
     let mut tables = node.tables();
     for AgedVerdict { verdict, age } in copy.verdicts {
-        tables.quarantine.rule(verdict, age, now);
+        tables.quarantine.adopt(verdict, age, now);
     }
     for member in copy.members {
         if member.name != tables.me.name {
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -36,7 +36,7 @@
         event(LogEvent::RequestQuarantined, &fields);
         tokio::spawn(keep(Arc::clone(node), *verdict));
     }
-    tell(node, refused.into_iter().map(Word::Ruled).collect());
+    tell(node, refused.into_iter().map(Word::Decided).collect());
 }
 
 /// A request was answered whole.
@@ -56,7 +56,7 @@
     };
     let name = request.to_string();
     event(LogEvent::QuarantineCleared, &[("fingerprint", &name)]);
-    tell(node, vec![Word::Ruled(verdict)]);
+    tell(node, vec![Word::Decided(verdict)]);
     tokio::spawn(keep(Arc::clone(node), verdict));
     true
 }
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -97,7 +97,7 @@
         Some(Content::Verdict(verdict)) => {
             let now = node.now();
             // The store doesn't say how old it is.
-            node.tables().quarantine.rule(verdict, Duration::ZERO, now);
+            node.tables().quarantine.adopt(verdict, Duration::ZERO, now);
         }
         Some(Content::Lease(_)) | None => {}
     }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -14,8 +14,8 @@
 /// Time after that from which the limits bind, in milliseconds.
 const CONTACT: u64 = 3_000;
 
-/// Two of six targets are in need.
-fn two_in_need(rate: u64) -> Limited {
+/// Two of six targets name a limit.
+fn two_limited(rate: u64) -> Limited {
     Limited {
         targets: 6,
         limits: vec![1_900, 3_700],
@@ -36,7 +36,7 @@
 #[test]
 fn all_instances_together_keep_a_limit() {
     for (count, domains, rate) in [(6, 3, 60), (75, 3, 150), (195, 5, 200)] {
-        let limited = two_in_need(rate);
+        let limited = two_limited(rate);
         let limits = limited.limits.clone();
         let mut play = limited.begin(Fleet::start(count, domains, 21));
         play.run_ms(20_000);
@@ -51,7 +51,7 @@
     let limited = Limited {
         limits: limits.to_vec(),
         targets: 4,
-        ..two_in_need(150)
+        ..two_limited(150)
     };
     let mut play = limited.begin(Fleet::start(75, 3, 31));
     play.run_ms(NAMED + CONTACT);
@@ -69,10 +69,10 @@
     assert_within(&play, &limits, "relays die");
 }
 
-/// Guards against requests that wait or fail for a target in need though others have room.
+/// Guards against requests that wait or fail for a limited target though others have room.
 #[test]
-fn others_take_what_a_target_in_need_does_not() {
-    let mut play = two_in_need(60).begin(Fleet::start(6, 3, 22));
+fn others_take_what_a_limited_target_does_not() {
+    let mut play = two_limited(60).begin(Fleet::start(6, 3, 22));
     play.run_ms(10_000);
     assert_eq!(play.refused, 0);
 }
@@ -84,7 +84,7 @@
         let limited = Limited {
             limits: vec![limit],
             for_ms: 6_000,
-            ..two_in_need(60)
+            ..two_limited(60)
         };
         let mut play = limited.begin(Fleet::start(6, 3, 23));
         play.run_ms(18_000);
@@ -101,7 +101,7 @@
 fn a_word_grows_old_in_a_relayed_fleet_too() {
     let mut fleet = Fleet::start(45, 3, 24);
     fleet.network = Network::ROUGH;
-    let mut play = two_in_need(0).begin(fleet);
+    let mut play = two_limited(0).begin(fleet);
     let id = target("c0");
     let now = play.fleet.now;
     let first = play.fleet.tables_mut(7);
@@ -175,7 +175,7 @@
 
 /// Guards against loading adapters where few requests may follow.
 #[test]
-fn no_adapter_is_loaded_on_an_engine_in_need() {
+fn no_adapter_is_loaded_on_a_limited_engine() {
     let mut tables = tables();
     let now = at(0);
     tables.peers.heard(peer("holder", now));
@@ -195,9 +195,9 @@
     assert_eq!(pick, Pick::Load(target(other)));
 }
 
-/// Guards against calling targets gone that only take little: a request may wait a moment for one.
+/// Guards against calling targets gone that take little: a request may wait a moment for one.
 #[test]
-fn where_all_targets_are_in_need_they_count_as_full() {
+fn where_all_targets_are_limited_they_count_as_full() {
     let mut tables = tables();
     let now = at(0);
     let only = support::target("c0", "court");
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -6,7 +6,7 @@
 
 use bluebellstage_core::{TargetId, WorkspaceId};
 use bluebellstage_gateway::decide::quarantine::{
-    AgedVerdict, CutRun, Ended, Fingerprint, JUDGED_AFTER, Quarantine, Ruling, VERDICT_LASTS,
+    AgedVerdict, CutRun, Decision, Ended, Fingerprint, JUDGED_AFTER, Quarantine, VERDICT_LASTS,
     Verdict, Word,
 };
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
@@ -226,7 +226,7 @@
 }
 
 #[test]
-fn a_whole_answer_proves_a_request_innocent() {
+fn a_whole_answer_proves_a_request_harmless() {
     let mut quarantine = Quarantine::default();
     let ends = ["e1", "e2", "e3"].map(|life| ended(life, &[("asked often", 40)]));
     assert!(play(&mut quarantine, &ends[..2]).is_empty());
@@ -286,9 +286,9 @@
     let ends = ["e1", "e2", "e3"].map(|life| ended(life, &[("bad", 10)]));
     let refused = play(&mut quarantine, &ends);
     let cleared = quarantine.clear(request("bad"), at(4_000)).unwrap();
-    assert_eq!(cleared.ruling, Ruling::Cleared);
+    assert_eq!(cleared.decision, Decision::Cleared);
     assert!(!quarantine.refuses(request("bad")));
-    assert!(!quarantine.take(&Word::Ruled(refused[0]), at(4_100)));
+    assert!(!quarantine.take(&Word::Decided(refused[0]), at(4_100)));
     assert!(!quarantine.refuses(request("bad")));
     assert_eq!(quarantine.clear(request("bad"), at(4_200)), None);
 }
@@ -304,7 +304,7 @@
     assert_ne!(one.digest(), two.digest());
     let copies = one.verdicts(at(5_000)).collect::<Vec<_>>();
     for AgedVerdict { verdict, age } in copies {
-        assert!(two.rule(verdict, age, at(5_000)));
+        assert!(two.adopt(verdict, age, at(5_000)));
     }
     assert_eq!(one.digest(), two.digest());
     one.clear(request("bad"), at(6_000));
@@ -325,8 +325,8 @@
         let now = at(u64::from(idx) * 10);
         quarantine.take(&Word::Ended(end), now);
         quarantine.served(request(&format!("served {idx}")), now);
-        let verdict = Verdict::next(request(&format!("bad {idx}")), Ruling::Refused, None);
-        quarantine.rule(verdict, Duration::ZERO, now);
+        let verdict = Verdict::next(request(&format!("bad {idx}")), Decision::Refused, None);
+        quarantine.adopt(verdict, Duration::ZERO, now);
     }
     assert!(quarantine.suspected().count() <= 256);
     assert!(quarantine.verdicts(at(30_000)).count() <= 1_024);
@@ -353,16 +353,16 @@
 fn a_copied_verdict_ends_with_the_one_that_it_was_copied_from() {
     let mut one = Quarantine::default();
     let mut two = Quarantine::default();
-    let verdict = Verdict::next(request("bad"), Ruling::Refused, None);
-    one.rule(verdict, Duration::ZERO, at(0));
+    let verdict = Verdict::next(request("bad"), Decision::Refused, None);
+    one.adopt(verdict, Duration::ZERO, at(0));
     let late = at(0) + VERDICT_LASTS - Duration::from_secs(1);
     let copies = one.verdicts(late).collect::<Vec<_>>();
-    two.rule(copies[0].verdict, copies[0].age, late);
+    two.adopt(copies[0].verdict, copies[0].age, late);
     assert!(two.refuses(request("bad")));
     let over = at(0) + VERDICT_LASTS;
     assert_eq!(two.sweep(over), [request("bad")]);
     assert!(!two.refuses(request("bad")));
-    assert!(!two.rule(verdict, VERDICT_LASTS, over));
+    assert!(!two.adopt(verdict, VERDICT_LASTS, over));
 }
 
 /// Guards against an end that seems later than it was: the next run of its cause would seem to have been under way
--- a/crates/gateway/tests/quarantine_news.rs
+++ b/crates/gateway/tests/quarantine_news.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::WorkspaceId;
-use bluebellstage_gateway::decide::quarantine::{AgedVerdict, Fingerprint, Ruling, Verdict};
+use bluebellstage_gateway::decide::quarantine::{AgedVerdict, Decision, Fingerprint, Verdict};
 use support::fleet::{Fleet, Network};
 
 /// Time in milliseconds after which everyone must hold a verdict, though no word reached it.
@@ -14,13 +14,13 @@
 fn verdict() -> Verdict {
     let workspace = WorkspaceId::try_from("north").unwrap();
     let request = Fingerprint::of(Some(&workspace), "/draft/1", b"bad");
-    Verdict::next(request, Ruling::Refused, None)
+    Verdict::next(request, Decision::Refused, None)
 }
 
 fn rule(fleet: &mut Fleet, idx: usize) {
     let now = fleet.now;
     let quarantine = &mut fleet.tables_mut(idx).quarantine;
-    quarantine.rule(verdict(), Duration::ZERO, now);
+    quarantine.adopt(verdict(), Duration::ZERO, now);
 }
 
 /// Pause of an instance before it copies what it lacks.
@@ -48,7 +48,7 @@
     let verdicts = fleet.tables(giver).quarantine.verdicts(now);
     let verdicts = verdicts.collect::<Vec<_>>();
     for AgedVerdict { verdict, age } in verdicts {
-        fleet.tables_mut(idx).quarantine.rule(verdict, age, now);
+        fleet.tables_mut(idx).quarantine.adopt(verdict, age, now);
     }
 }
 
--- a/crates/gateway/tests/support/crashes.rs
+++ b/crates/gateway/tests/support/crashes.rs
@@ -402,7 +402,7 @@
 
     fn judge(&mut self, instance: usize, requests: &[Fingerprint]) {
         let refused = self.instances[instance].judge(requests, time(self.now));
-        self.tell_anew(instance, refused.into_iter().map(Word::Ruled).collect());
+        self.tell_anew(instance, refused.into_iter().map(Word::Decided).collect());
     }
 
     fn refused(&mut self, request: Request) {
