Iterate ordered maps where the order decides on loads

The loader, the residency table and the list of suspects took the first of several equal candidates from a hash map, whose order differs in each process.

--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -12,7 +12,7 @@
 mod order;
 mod slots;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, BaseModel, Time};
@@ -79,10 +79,10 @@
     min_accepted: u64,
     /// Time since which reports have shown a lower count.
     stale_since: Option<Time>,
-    resident: HashMap<AdapterKey, ResidentAdapter>,
-    pending_loads: HashMap<AdapterKey, PendingLoad>,
-    load_requests: HashMap<AdapterKey, LoadRequest>,
-    usage: HashMap<AdapterKey, AdapterUsage>,
+    resident: BTreeMap<AdapterKey, ResidentAdapter>,
+    pending_loads: BTreeMap<AdapterKey, PendingLoad>,
+    load_requests: BTreeMap<AdapterKey, LoadRequest>,
+    usage: BTreeMap<AdapterKey, AdapterUsage>,
     requested_model: Option<BaseModel>,
     not_before: Time,
     must_read_report: bool,
@@ -115,10 +115,10 @@
             accepted: None,
             min_accepted: 0,
             stale_since: None,
-            resident: HashMap::new(),
-            pending_loads: HashMap::new(),
-            load_requests: HashMap::new(),
-            usage: HashMap::new(),
+            resident: BTreeMap::new(),
+            pending_loads: BTreeMap::new(),
+            load_requests: BTreeMap::new(),
+            usage: BTreeMap::new(),
             requested_model: None,
             not_before: Time::default(),
             must_read_report: false,
--- a/crates/gateway/src/decide/quarantine/suspects.rs
+++ b/crates/gateway/src/decide/quarantine/suspects.rs
@@ -1,6 +1,6 @@
 //! Tracks which requests were on crashed targets, and tests whether coincidence explains it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bluebellstage_core::Time;
@@ -38,7 +38,7 @@
     /// Whether a request is known to be the cause.
     explained: bool,
     /// How long each request had run.
-    run_times: HashMap<Fingerprint, Duration>,
+    run_times: BTreeMap<Fingerprint, Duration>,
 }
 
 /// Evidence against a request.
@@ -102,7 +102,7 @@
 pub(super) struct Suspects {
     crashes: BTreeMap<ShortHash, CrashedTarget>,
     /// Number of crashed targets that each request was on.
-    counts: HashMap<Fingerprint, usize>,
+    counts: BTreeMap<Fingerprint, usize>,
 }
 
 #[expect(
@@ -124,7 +124,7 @@
                 at,
                 rate,
                 explained: false,
-                run_times: HashMap::new(),
+                run_times: BTreeMap::new(),
             };
             self.crashes.insert(report.incarnation, crash);
         }
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/residency.rs
@@ -1,6 +1,6 @@
 //! Tracks which adapters are resident on which engine, as far as this instance knows.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, TargetId, Time};
@@ -34,7 +34,7 @@
 
 #[derive(Debug, Default)]
 struct EngineAdapters {
-    adapters: HashMap<AdapterKey, AdapterVersion>,
+    adapters: BTreeMap<AdapterKey, AdapterVersion>,
     version: ResidencyVersion,
     last_update_at: Option<Time>,
     born: Option<u64>,
@@ -43,7 +43,7 @@
 }
 
 impl EngineAdapters {
-    fn replace_adapters(&mut self, adapters: HashMap<AdapterKey, AdapterVersion>) {
+    fn replace_adapters(&mut self, adapters: BTreeMap<AdapterKey, AdapterVersion>) {
         self.recently_evicted
             .retain(|key| !adapters.contains_key(key));
         let evicted = self
@@ -68,7 +68,7 @@
     missing_until: HashMap<(TargetId, AdapterKey), Time>,
 }
 
-fn collect(adapters: &[VersionedAdapter]) -> HashMap<AdapterKey, AdapterVersion> {
+fn collect(adapters: &[VersionedAdapter]) -> BTreeMap<AdapterKey, AdapterVersion> {
     let pairs = adapters
         .iter()
         .map(|adapter| (adapter.key.clone(), adapter.version));
--- a/crates/gateway/tests/load_simulation.rs
+++ b/crates/gateway/tests/load_simulation.rs
@@ -80,3 +80,19 @@
         );
     }
 }
+
+/// Guards against decisions that depend on the iteration order of a hash map: the same seed gave other
+/// results in each process, and no failure could be replayed.
+#[test]
+fn the_same_seed_gives_the_same_decisions() {
+    let overload = LoadScenario {
+        skew: 0.9,
+        requests_per_second: 90.0,
+        ..scenario(1)
+    };
+    let (_, first) = overload.clone().run_recorded();
+    let (_, second) = overload.run_recorded();
+    let differing = first.iter().zip(&second).find(|(a, b)| a != b);
+    assert_eq!(differing, None);
+    assert_eq!(first.len(), second.len());
+}
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -11,7 +11,7 @@
 use bluebellstage_gateway::decide::adapter::AdapterKey;
 use bluebellstage_gateway::decide::call::Call;
 use bluebellstage_gateway::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
-use bluebellstage_gateway::decide::loader::{LoadStep, Loader, OrderOutcome};
+use bluebellstage_gateway::decide::loader::{LoadStep, Loader, Order, OrderOutcome};
 use bluebellstage_gateway::decide::peers::Peer;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::prompt_queues::WaitingKey;
@@ -81,6 +81,17 @@
     }
 }
 
+/// A decision of the simulated deployment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// An instance sent a request on an adapter to an engine.
+    Sent(TargetId, AdapterKey),
+    /// An instance refused a request on an adapter.
+    Refused(AdapterKey),
+    /// A loader sent an order to its engine.
+    Ordered(TargetId, Order),
+}
+
 struct Request {
     key: AdapterKey,
     first_attempt: Time,
@@ -120,18 +131,24 @@
     running: Vec<RunningRequest>,
     cumulative_weights: Vec<f64>,
     results: Results,
+    decisions: Vec<(Time, Decision)>,
 }
 
 impl LoadScenario {
     /// Runs the simulation.
     pub fn run(self) -> Results {
+        self.run_recorded().0
+    }
+
+    /// Runs the simulation and returns all decisions as well.
+    pub fn run_recorded(self) -> (Results, Vec<(Time, Decision)>) {
         let mut simulation = Simulation::new(self);
         let end = simulation.scenario.seconds * 1_000;
         let tick = u64::try_from(TICK.as_millis()).unwrap();
         for ms in (0..end).step_by(usize::try_from(tick).unwrap()) {
             simulation.tick(ms);
         }
-        simulation.results
+        (simulation.results, simulation.decisions)
     }
 }
 
@@ -161,6 +178,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             results: Results::default(),
+            decisions: Vec::new(),
             rng,
             scenario,
         }
@@ -268,6 +286,8 @@
     }
 
     fn refuse_request(&mut self, mut request: Request, excess: Duration, now: Time) {
+        let decision = Decision::Refused(request.key.clone());
+        self.decisions.push((now, decision));
         if request.attempt > 1 {
             self.results.refused += 1;
             return;
@@ -286,6 +306,8 @@
         request_call: &Call,
         now: Time,
     ) {
+        let decision = Decision::Sent(target.clone(), request.key.clone());
+        self.decisions.push((now, decision));
         let idx = self.nodes.iter().position(|node| node.id == *target);
         let idx = idx.unwrap();
         let node = &mut self.nodes[idx];
@@ -352,6 +374,8 @@
                 LoadStep::Idle | LoadStep::Wait(_) => {}
                 LoadStep::Read => node.loader.apply_report(Some(node.engine.report(now)), now),
                 LoadStep::Send(order) => {
+                    let decision = Decision::Ordered(node.id.clone(), order.clone());
+                    self.decisions.push((now, decision));
                     let key = loaded_adapter(&order.kind);
                     let has_host_copy = key.is_some_and(|key| node.host_copies.contains(key));
                     let duration = if has_host_copy {
