Give a fresh connection time for its first request when an instance closes

A connection that had carried no request was closed at the moment at which an instance began to close, also when its first request was in transit: the caller met a closed connection in place of the 503 that says the request was not run.

--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
@@ -25,6 +25,10 @@
 /// Interval of the checks of a connection's idle time.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How long a connection that has not carried a request stays open once the instance closes: its first
+/// request may be in transit and gets a response that says it was not run.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+
 /// Which requests a listener serves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ListenerKind {
@@ -62,6 +66,23 @@
     open_requests: AtomicUsize,
     /// When the last response ended, in milliseconds of [`Node::now`].
     idle_since: AtomicU64,
+    /// Whether a request has arrived.
+    was_used: AtomicBool,
+}
+
+impl Activity {
+    fn idle_time<E: Edge>(&self, node: &Node<E>) -> Duration {
+        let idle_since = self.idle_since.load(Ordering::Relaxed);
+        Duration::from_millis(millis(node).saturating_sub(idle_since))
+    }
+
+    /// Returns how much longer the first request may take to arrive.
+    fn first_request_wait<E: Edge>(&self, node: &Node<E>) -> Duration {
+        if self.was_used.load(Ordering::Relaxed) {
+            return Duration::ZERO;
+        }
+        FIRST_REQUEST_GRACE.saturating_sub(self.idle_time(node))
+    }
 }
 
 fn millis<E: Edge>(node: &Node<E>) -> u64 {
@@ -94,20 +115,24 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
     let mut is_shutting_down = false;
+    let mut next_check = IDLE_CHECK_INTERVAL;
     loop {
-        let tick = tokio::time::sleep(IDLE_CHECK_INTERVAL);
+        let tick = tokio::time::sleep(next_check);
         tokio::select! {
             // The caller of a broken connection can't be notified. Its request logged the failure.
             _ended = serving.as_mut() => break,
             () = tick => {}
             () = node.stop.notified(), if !is_shutting_down => {}
         }
-        let idle = millis(&node).saturating_sub(activity.idle_since.load(Ordering::Relaxed));
-        let idle = Duration::from_millis(idle);
         let unused = activity.open_requests.load(Ordering::Relaxed) == 0;
         let limit = node.tables().routes.config().limits.idle_timeout;
-        let closing = node.is_closing();
-        if !is_shutting_down && (closing || unused && idle > limit) {
+        let first_request_wait = activity.first_request_wait(&node);
+        if node.is_closing() && !first_request_wait.is_zero() {
+            next_check = first_request_wait;
+            continue;
+        }
+        next_check = IDLE_CHECK_INTERVAL;
+        if !is_shutting_down && (node.is_closing() || unused && activity.idle_time(&node) > limit) {
             serving.as_mut().graceful_shutdown();
             is_shutting_down = true;
         }
@@ -122,6 +147,7 @@
     listener_kind: ListenerKind,
 ) -> Response<GuardedBody<E>> {
     activity.open_requests.fetch_add(1, Ordering::Relaxed);
+    activity.was_used.store(true, Ordering::Relaxed);
     let guard = ActivityGuard {
         node: Arc::clone(&node),
         activity,
