Send nothing to evacuated failure domains and little to cold targets

Evacuations are a kind of object of their own. Three instances follow it, and the others copy it as they copy the configuration; an instance serves only once it knows them. If all domains are evacuated, requests are refused at once.

A target is taken as cold when it reports so, for the usual time if it has restarted without saying, was unreachable, or its domain is taken back. Instances send nothing there while another target is warm. If all are cold, one instance a target, that sees at least half of the fleet, admits requests at half of the target's rate.

Datagrams and state copies have a new format number, as they carry the evacuations.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use bluebellstage_gateway::decide::dump::{
-    Dump, PeerDump, QuotaDump, Stage, StoreCallDump, StoreLink, SuspectDump, TargetDump,
+    Dump, EvacuationDump, PeerDump, QuotaDump, Stage, StoreCallDump, StoreLink, SuspectDump,
+    TargetDump,
 };
+use bluebellstage_gateway::decide::evacuations::DomainState;
 use bluebellstage_gateway::decide::health::HealthState;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
 use bluebellstage_gateway::decide::status::Role;
@@ -110,6 +112,9 @@
     dump.store_waits
         .iter()
         .try_for_each(|wait| write_store_wait(out, wait))?;
+    dump.evacuated
+        .iter()
+        .try_for_each(|evacuation| write_evacuation(out, evacuation))?;
     dump.targets
         .iter()
         .try_for_each(|target| write_target(out, target))?;
@@ -157,18 +162,30 @@
     writeln!(out, "follows    {}  {open}  {answered}", wait.kind.name())
 }
 
+fn write_evacuation(out: &mut String, evacuation: &EvacuationDump) -> std::fmt::Result {
+    let what = match evacuation.state {
+        DomainState::Draining => "gets only what no other domain can run now",
+        DomainState::Open | DomainState::Closed => "gets no requests",
+    };
+    writeln!(out, "evacuated  {}  {what}", evacuation.domain)
+}
+
 fn write_target(out: &mut String, target: &TargetDump) -> std::fmt::Result {
     let standing = match target.standing {
         HealthState::Good => "",
         HealthState::Trial => "  on trial",
         HealthState::Ejected => "  ejected",
     };
+    let cold = match target.cold_ms {
+        0 => String::new(),
+        left => format!("  cold for {left} ms"),
+    };
     let leaving = if target.leaving { "  leaving" } else { "" };
     let limit = target.limit.map(|rate| format!("  takes {rate} a second"));
     let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{leaving}{limit}",
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{cold}{leaving}{limit}",
         target.id, target.service, target.in_flight, target.slots, target.adapters
     )
 }
--- /dev/null
+++ b/crates/gateway/src/decide/availability.rs
@@ -0,0 +1,98 @@
+//! Decides which targets may receive requests: not those of evacuated failure domains, nor cold ones.
+
+use std::time::Duration;
+
+use bluebellstage_core::{FailureDomain, TargetId, Time};
+
+use super::cold::{ColdSign, ColdStart};
+use super::evacuations::{DomainState, EvacuationChange};
+use super::rendezvous::{name_hash, weight};
+use super::tables::Tables;
+use super::target::Target;
+
+/// Whether a target may receive requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Availability {
+    /// It may.
+    Open,
+    /// Only requests that no open target can run now: its failure domain is being evacuated.
+    Draining,
+    /// It is cold for this long.
+    Cold(Duration),
+    /// It may not: its failure domain is evacuated.
+    Closed,
+}
+
+impl Tables {
+    /// Returns whether a target may receive requests.
+    #[must_use]
+    pub fn availability(&self, target: &Target, now: Time) -> Availability {
+        let cold_left = self.cold_time_left(target, now);
+        match self.evacuations.state(&target.failure_domain, now) {
+            DomainState::Draining if cold_left.is_zero() => Availability::Draining,
+            DomainState::Draining | DomainState::Closed => Availability::Closed,
+            DomainState::Open if cold_left.is_zero() => Availability::Open,
+            DomainState::Open => Availability::Cold(cold_left),
+        }
+    }
+
+    /// Returns how much longer a target is taken as cold; zero if it is warm.
+    #[must_use]
+    pub fn cold_time_left(&self, target: &Target, now: Time) -> Duration {
+        let start = self.cold_start(target);
+        start.map_or(Duration::ZERO, |start| {
+            self.registry.cold.time_left(&target.id, start, now)
+        })
+    }
+
+    fn cold_start(&self, target: &Target) -> Option<ColdStart> {
+        self.routes.config().service(&target.service)?.cold_start
+    }
+
+    /// Records that no connection to a target could be opened.
+    pub fn record_unreachable(&mut self, target: &TargetId, now: Time) {
+        let sign = ColdSign::Unreachable;
+        self.registry.cold.record(target, sign, now);
+    }
+
+    /// Records changes of the evacuated domains. Targets of a domain that is taken back are taken as cold.
+    pub fn record_evacuations(&mut self, changes: &[EvacuationChange], now: Time) {
+        for change in changes {
+            if let EvacuationChange::Lifted(domain) = change {
+                self.registry.record_unused(domain, now);
+            }
+        }
+    }
+
+    /// Returns whether this instance admits the requests to a cold target: the first of the live, ready
+    /// instances in the target's order does.
+    ///
+    /// An instance that sees less than half of the fleet, or has just started, admits none, as another may
+    /// admit them.
+    pub(super) fn owns_cold_target(&self, target: &TargetId, now: Time) -> bool {
+        let others = self.peers.all().count();
+        let live = self.peers.live(now).count();
+        if self.is_new(now) || live * 2 < others {
+            return false;
+        }
+        let key = name_hash(target.as_str());
+        let local = weight(key, self.local.name.as_str());
+        let mut ready = self.peers.live(now).filter(|peer| peer.ready);
+        ready.all(|peer| weight(key, peer.member.name.as_str()) < local)
+    }
+
+    /// Admits a request to a cold target if this instance owns it and the target's rate allows it.
+    pub(super) fn admit_to_cold_target(&mut self, target: &TargetId, now: Time) -> bool {
+        let start = self
+            .registry
+            .get(target)
+            .and_then(|known| self.cold_start(known));
+        start.is_some_and(|start| self.registry.cold.admit(target, start, now))
+    }
+
+    /// Whether the targets of a failure domain receive nothing, or soon will not.
+    #[must_use]
+    pub fn is_evacuated(&self, domain: &FailureDomain, now: Time) -> bool {
+        self.evacuations.state(domain, now) != DomainState::Open
+    }
+}
--- a/crates/gateway/src/decide/config.rs
+++ b/crates/gateway/src/decide/config.rs
@@ -5,6 +5,8 @@
 use bluebellstage_core::{BaseModel, Rate, Revision, ServiceId, Tokens, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
+use super::cold::ColdStart;
+
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Config {
@@ -83,6 +85,8 @@
     pub max_connections: u32,
     /// Limits of the engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// How its targets are cold after a start; `None` if they are warm at once.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits of a service's engines.
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -7,6 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::evacuations::DomainState;
 use super::health::HealthState;
 use super::kind::Kind;
 use super::limits::RequestRate;
@@ -44,6 +45,8 @@
     pub shards: Vec<u8>,
     /// Loads from the weight store in progress.
     pub loads: u16,
+    /// Evacuated failure domains, by name.
+    pub evacuated: Vec<EvacuationDump>,
     /// Targets, by name.
     pub targets: Vec<TargetDump>,
     /// The other instances, by name.
@@ -91,6 +94,15 @@
     pub answered_ms: Option<u64>,
 }
 
+/// An evacuated failure domain.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct EvacuationDump {
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// Whether its targets still receive requests.
+    pub state: DomainState,
+}
+
 /// A target from the instance's point of view.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct TargetDump {
@@ -102,6 +114,8 @@
     pub leaving: bool,
     /// Requests a second that it accepts from all instances together, if it reports a limit.
     pub limit: Option<RequestRate>,
+    /// Milliseconds for which it is still taken as cold; zero if it is warm.
+    pub cold_ms: u64,
     /// Its health state.
     pub standing: HealthState,
     /// Requests of all instances at the target, as far as known.
@@ -178,6 +192,7 @@
             targets_revision: self.registry.revision(),
             shards: self.shards.clone(),
             loads: self.loads.active,
+            evacuated: self.dump_evacuations(now),
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
@@ -187,7 +202,7 @@
     }
 
     fn stage(&self) -> Stage {
-        match (self.configured(), self.stopping) {
+        match (self.informed(), self.stopping) {
             (_, true) => Stage::Stopping,
             (true, false) => Stage::Ready,
             (false, false) => Stage::Starting,
@@ -214,6 +229,17 @@
         dumped.collect()
     }
 
+    fn dump_evacuations(&self, now: Time) -> Vec<EvacuationDump> {
+        let dumped = self
+            .evacuations
+            .all(now)
+            .map(|(domain, state)| EvacuationDump {
+                domain: domain.clone(),
+                state,
+            });
+        dumped.collect()
+    }
+
     fn dump_targets(&self, now: Time) -> Vec<TargetDump> {
         let dumped = self.registry.all().map(|target| {
             let others = self.peers.load(ShortHash::of(target.id.as_str())).requests;
@@ -222,6 +248,7 @@
                 service: target.service.clone(),
                 leaving: target.leaving,
                 limit: self.limits.get(&target.id),
+                cold_ms: millis(self.cold_time_left(target, now)),
                 standing: self.health.state(&target.id, now),
                 in_flight: self.local_in_flight(&target.id) + others,
                 slots: target.slots,
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -246,6 +246,7 @@
             targets: self.registry.revision(),
             targets_digest: self.registry.digest(),
             versions: self.versions.total(),
+            evacuations: self.evacuations.version(),
             quarantine_digest: self.quarantine.digest(),
             spent,
             in_flight: loads
--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -277,6 +277,7 @@
             targets: relay.targets,
             targets_digest: relay.targets_digest,
             versions: relay.versions,
+            evacuations: relay.evacuations,
             quarantine_digest: relay.quarantine_digest,
         };
         let local = ShortHash::of(self.local.name.as_str());
--- a/crates/gateway/src/decide/exchange/updates.rs
+++ b/crates/gateway/src/decide/exchange/updates.rs
@@ -111,6 +111,7 @@
             let same = peer.config == local_versions.config
                 && peer.targets_digest == local_versions.targets_digest
                 && peer.versions == local_versions.versions
+                && peer.evacuations == local_versions.evacuations
                 && peer.quarantine_digest == local_versions.quarantine_digest;
             [live, peer.ready, peer.store_reachable, same]
         });
@@ -137,6 +138,7 @@
             targets: self.registry.revision(),
             targets_digest: self.registry.digest(),
             versions: self.versions.total(),
+            evacuations: self.evacuations.version(),
             quarantine_digest: self.quarantine.digest(),
         }
     }
--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -20,7 +20,7 @@
 /// again within two seconds of the recovery receives what it missed while the bound is still
 /// suspended for the outage.
 const CONFIG_WAIT: Duration = Duration::from_secs(1);
-/// Maximum wait for announced versions, whose bound is five seconds.
+/// Maximum wait for announced versions and evacuations, whose bounds are five seconds.
 const VERSIONS_WAIT: Duration = Duration::from_secs(2);
 /// Maximum wait for targets. They report about once a second, so a watch without changes for longer
 /// has lost its connection, and other instances must follow in place of this one.
@@ -137,7 +137,7 @@
     match kind {
         Kind::Config => CONFIG_WAIT,
         Kind::Targets => TARGETS_WAIT,
-        Kind::AdapterVersions => VERSIONS_WAIT,
+        Kind::AdapterVersions | Kind::Evacuations => VERSIONS_WAIT,
         Kind::Members | Kind::Leases | Kind::Verdicts => LONG_WAIT,
     }
 }
--- a/crates/gateway/src/decide/kind.rs
+++ b/crates/gateway/src/decide/kind.rs
@@ -12,6 +12,8 @@
     Targets,
     /// Announced versions of adapters.
     AdapterVersions,
+    /// Evacuations of failure domains.
+    Evacuations,
     /// Registrations of instances.
     Members,
     /// Leases of the loader shards.
@@ -28,6 +30,7 @@
             Self::Config => "config",
             Self::Targets => "targets",
             Self::AdapterVersions => "adapter_versions",
+            Self::Evacuations => "evacuations",
             Self::Members => "members",
             Self::Leases => "leases",
             Self::Verdicts => "verdicts",
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -3,10 +3,13 @@
 pub mod account;
 pub mod adapter;
 mod adapter_choice;
+pub mod availability;
 pub mod call;
 pub mod change_log;
+pub mod cold;
 pub mod config;
 pub mod dump;
+pub mod evacuations;
 pub mod event_stream;
 pub mod exchange;
 pub mod follower;
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -7,6 +7,7 @@
 use bluebellstage_core::{FailureDomain, Incarnation, InstanceId, Revision, Time};
 use serde::{Deserialize, Serialize};
 
+use super::evacuations::EvacuationsVersion;
 use super::loader::AdapterSlots;
 use super::relay_update::RelayView;
 use super::rendezvous::{ShortHash, weight};
@@ -103,6 +104,8 @@
     pub targets_digest: u32,
     /// Sum of the announced adapter versions that it knows.
     pub versions: u64,
+    /// The evacuations that it knows.
+    pub evacuations: EvacuationsVersion,
     /// Digest of the quarantine decisions that it knows; zero if there are none.
     pub quarantine_digest: u64,
 }
@@ -132,6 +135,8 @@
     pub targets_digest: u32,
     /// Sum of the announced adapter versions that it knows.
     pub versions: u64,
+    /// The evacuations that it knows.
+    pub evacuations: EvacuationsVersion,
     /// Digest of the quarantine decisions that it knows; zero if there are none.
     pub quarantine_digest: u64,
     /// Its load at each target, by the target's hash.
@@ -274,6 +279,7 @@
             peer.targets = store.targets;
             peer.targets_digest = store.targets_digest;
             peer.versions = store.versions;
+            peer.evacuations = store.evacuations;
             peer.quarantine_digest = store.quarantine_digest;
         }
     }
@@ -364,6 +370,7 @@
             targets: Revision::default(),
             targets_digest: 0,
             versions: 0,
+            evacuations: EvacuationsVersion::default(),
             quarantine_digest: 0,
             in_flight: HashMap::new(),
             loads: 0,
@@ -389,6 +396,7 @@
             targets: status.targets,
             targets_digest: status.targets_digest,
             versions: status.versions,
+            evacuations: status.evacuations,
             quarantine_digest: status.quarantine_digest,
             in_flight: status.in_flight.iter().copied().collect(),
             loads: status.loads,
@@ -419,6 +427,7 @@
             targets: self.targets,
             targets_digest: self.targets_digest,
             versions: self.versions,
+            evacuations: self.evacuations,
             quarantine_digest: self.quarantine_digest,
             spent: Vec::new(),
             in_flight: self
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -4,6 +4,7 @@
 
 use bluebellstage_core::{ServiceId, TargetId, Time};
 
+use super::availability::Availability;
 use super::call::Call;
 use super::config::Config;
 use super::loader::AdapterSlots;
@@ -11,6 +12,7 @@
 use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
 use super::tables::{Tables, Ticket, shard_of};
+use super::target::Target;
 
 /// Fraction of a target's connections that all instances together use: peers may not yet know of an
 /// instance that has just joined.
@@ -22,6 +24,35 @@
 /// full-speed capacity divided by this number. Adapters that wait for slots are included.
 const CONGESTION_DIVISOR: u32 = 2;
 
+/// Targets of a service by whether they may receive requests.
+#[derive(Debug, Default)]
+struct TargetsByAvailability<'a> {
+    open: Vec<&'a Target>,
+    draining: Vec<&'a Target>,
+    cold: Vec<(&'a Target, Duration)>,
+}
+
+impl<'a> TargetsByAvailability<'a> {
+    fn add(&mut self, target: &'a Target, availability: Availability) {
+        match availability {
+            Availability::Open => self.open.push(target),
+            Availability::Draining => self.draining.push(target),
+            Availability::Cold(left) => self.cold.push((target, left)),
+            Availability::Closed => {}
+        }
+    }
+
+    /// Returns the time until the first cold target is warm.
+    fn cold_left(&self) -> Duration {
+        let left = self.cold.iter().map(|(_, left)| *left);
+        left.min().unwrap_or_default()
+    }
+
+    fn are_all_cold(&self) -> bool {
+        self.open.is_empty() && self.draining.is_empty() && !self.cold.is_empty()
+    }
+}
+
 impl Tables {
     /// Picks the target for a request, leaving out those in `tried`. `sample` is a random number
     /// from 0 to 1. The request is charged to the target's limit, if it has one.
@@ -92,34 +123,124 @@
         tried: &[TargetId],
         sample: f64,
         now: Time,
+    ) -> Pick {
+        let pick = self.pick_available(ticket, call, tried, sample, now);
+        if let (Pick::Load(target), Some(key)) = (&pick, Self::adapter_of(call)) {
+            let entry = self.recent_engines.entry(key.clone());
+            let entry = entry.or_insert_with(|| (target.clone(), now));
+            if entry.0 != *target {
+                *entry = (target.clone(), now);
+            }
+        }
+        pick
+    }
+
+    /// Picks among the targets that may receive requests. Those whose failure domain is being evacuated get
+    /// only what no other target can run now, and cold ones get requests only if all others are cold as well.
+    fn pick_available(
+        &mut self,
+        ticket: &Ticket,
+        call: &Call,
+        tried: &[TargetId],
+        sample: f64,
+        now: Time,
+    ) -> Pick {
+        let mut targets = TargetsByAvailability::default();
+        let of_service = self.registry.all();
+        let of_service = of_service.filter(|target| target.service == ticket.service);
+        for target in of_service.filter(|target| !tried.contains(&target.id)) {
+            targets.add(target, self.availability(target, now));
+        }
+        if targets.are_all_cold() {
+            let left = targets.cold_left();
+            let pick = self.pick_cold(&targets, ticket, call, sample, now);
+            return self.admit_to_cold(pick, left, now);
+        }
+        let pick = self.pick_among(&targets.open, ticket, call, sample, now);
+        if targets.draining.is_empty() || matches!(pick, Pick::Send { .. }) {
+            return pick;
+        }
+        let fallback = self.pick_among(&targets.draining, ticket, call, sample, now);
+        let Pick::Send {
+            target,
+            version,
+            trial,
+            ..
+        } = fallback
+        else {
+            return pick;
+        };
+        let load_at = match pick {
+            Pick::Load(target) => vec![target],
+            Pick::Late { load_at, .. } => load_at,
+            _ => Vec::new(),
+        };
+        Pick::Send {
+            target,
+            version,
+            trial,
+            load_at,
+        }
+    }
+
+    /// Picks among the cold targets to which this instance admits requests.
+    fn pick_cold(
+        &self,
+        targets: &TargetsByAvailability<'_>,
+        ticket: &Ticket,
+        call: &Call,
+        sample: f64,
+        now: Time,
+    ) -> Pick {
+        let cold = targets.cold.iter().map(|(target, _)| *target);
+        let owned = cold.filter(|target| self.owns_cold_target(&target.id, now));
+        self.pick_among(&owned.collect::<Vec<_>>(), ticket, call, sample, now)
+    }
+
+    /// Keeps the pick of a cold target if the target's rate allows a request.
+    fn admit_to_cold(&mut self, pick: Pick, left: Duration, now: Time) -> Pick {
+        let is_admitted = match &pick {
+            Pick::Send { target, .. } => self.admit_to_cold_target(target, now),
+            Pick::Full | Pick::NoTarget => false,
+            _ => true,
+        };
+        if is_admitted {
+            pick
+        } else {
+            Pick::Cold { left }
+        }
+    }
+
+    fn pick_among(
+        &self,
+        targets: &[&Target],
+        ticket: &Ticket,
+        call: &Call,
+        sample: f64,
+        now: Time,
     ) -> Pick {
         let config = self.routes.config();
         let limit = config.service(&ticket.service).map_or(1, |service| {
             self.connection_limit(service.max_connections, now)
         });
-        let candidates = self
-            .registry
-            .all()
-            .filter(|target| target.service == ticket.service)
-            .filter(|target| !tried.contains(&target.id))
-            .map(|target| {
-                let local = self.local_in_flight(&target.id);
-                let others = self.peers.load(ShortHash::of(target.id.as_str()));
-                let prompts = self.queues.local_tokens(&target.id) + u64::from(others.prompts);
-                Candidate {
-                    target,
-                    in_flight: local + others.requests,
-                    queue_wait: self.queues.reading_time(&target.id, prompts),
-                    prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
-                    recent_max_wait: self.queues.recent_max_wait(&target.id, now),
-                    can_connect: local < limit,
-                    // An adapter loaded on a target with a low limit would serve few requests.
-                    can_load: self.loader_reachable(&target.id, now)
-                        && self.limits.get(&target.id).is_none(),
-                    adapter_slots: self.adapter_slots(&target.id, now),
-                }
-            })
-            .collect::<Vec<_>>();
+        let candidates = targets.iter().map(|target| {
+            let local = self.local_in_flight(&target.id);
+            let others = self.peers.load(ShortHash::of(target.id.as_str()));
+            let prompts = self.queues.local_tokens(&target.id) + u64::from(others.prompts);
+            Candidate {
+                target,
+                in_flight: local + others.requests,
+                queue_wait: self.queues.reading_time(&target.id, prompts),
+                prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
+                recent_max_wait: self.queues.recent_max_wait(&target.id, now),
+                can_connect: local < limit,
+                // An adapter loaded on a target with a low limit would serve few requests.
+                can_load: self.loader_reachable(&target.id, now)
+                    && self.limits.get(&target.id).is_none(),
+                adapter_slots: self.adapter_slots(&target.id, now),
+            }
+        });
+        let candidates = candidates.collect::<Vec<_>>();
         let cx = PickContext {
             health: &self.health,
             residency: &self.residency,
@@ -131,20 +252,12 @@
             sample,
             now,
         };
-        let pick = match &call.wanted {
+        match &call.wanted {
             Some(wanted) if is_engine(config, &ticket.service) => {
                 pick_engine(&candidates, wanted, call.prompt_prefix, &cx)
             }
             _ => pick_plain(&candidates, &cx),
-        };
-        if let (Pick::Load(target), Some(key)) = (&pick, Self::adapter_of(call)) {
-            let entry = self.recent_engines.entry(key.clone());
-            let entry = entry.or_insert_with(|| (target.clone(), now));
-            if entry.0 != *target {
-                *entry = (target.clone(), now);
-            }
         }
-        pick
     }
 
     /// Picks like [`Tables::pick`], but keeps a suspect request apart from the others if possible.
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -108,6 +108,11 @@
         /// Engines that should load the adapter as well.
         load_at: Vec<TargetId>,
     },
+    /// All targets that could run the request are cold.
+    Cold {
+        /// Time until the first of them is warm.
+        left: Duration,
+    },
     /// No target can run the request.
     NoTarget,
 }
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -4,11 +4,12 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, TargetId, Time};
+use bluebellstage_core::{FailureDomain, Revision, TargetId, Time};
 
 use serde::{Deserialize, Serialize};
 
 use super::change_log::ChangeLog;
+use super::cold::{ColdSign, ColdTargets};
 use super::rendezvous::{ShortHash, name_hash, weight};
 use super::target::Target;
 
@@ -59,6 +60,8 @@
 /// Registered targets by name.
 #[derive(Debug, Default)]
 pub struct Registry {
+    /// Signs that targets are cold.
+    pub cold: ColdTargets,
     targets: BTreeMap<TargetId, Target>,
     vanished: HashMap<TargetId, Vanished>,
     /// When this instance first saw the current incarnation of each target.
@@ -258,9 +261,12 @@
         if before.is_none_or(|before| before.born != target.born) {
             self.first_seen.insert(id.clone(), now);
         }
-        let only_adapters_differ =
-            before.is_some_and(|before| before.differs_in_adapters_only(&target));
-        if returned || !only_adapters_differ {
+        if let Some(sign) = cold_sign(before, &target) {
+            self.cold.record(&id, sign, now);
+        }
+        let only_details_differ =
+            before.is_some_and(|before| before.differs_in_details_only(&target));
+        if returned || !only_details_differ {
             self.changes.record_change(&id, revision);
             self.digest.set(None);
         }
@@ -312,6 +318,15 @@
         }
         let targets = &self.targets;
         self.first_seen.retain(|id, _| targets.contains_key(id));
+        self.cold.sweep(|id| targets.contains_key(id), now);
+    }
+
+    /// Records that the targets of a failure domain have received nothing for a while.
+    pub fn record_unused(&mut self, domain: &FailureDomain, now: Time) {
+        let unused = self.targets.values();
+        for target in unused.filter(|target| target.failure_domain == *domain) {
+            self.cold.record(&target.id, ColdSign::Unused, now);
+        }
     }
 
     /// Digest of the properties that matter to requests. Two instances with the same digest send
@@ -331,7 +346,8 @@
             let address = target.address.to_string();
             let incarnation = target.born.unwrap_or(0);
             let models = u64::try_from(target.models.len()).unwrap_or(0);
-            let state = u64::from(target.leaving) + models * 2;
+            let cold = u64::from(target.reports_cold());
+            let state = u64::from(target.leaving) + cold * 2 + models * 4;
             let hash = weight(
                 incarnation.wrapping_mul(64).wrapping_add(state),
                 target.id.as_str(),
@@ -379,3 +395,15 @@
         self.targets.values()
     }
 }
+
+/// Returns the sign in a registration that its target is cold.
+fn cold_sign(before: Option<&Target>, target: &Target) -> Option<ColdSign> {
+    match target.cold_left {
+        Some(Duration::ZERO) => None,
+        Some(left) => Some(ColdSign::Reported(left)),
+        None => {
+            let has_restarted = before.is_some_and(|before| before.born != target.born);
+            has_restarted.then_some(ColdSign::Started)
+        }
+    }
+}
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -3,6 +3,7 @@
 use bluebellstage_core::Revision;
 use serde::{Deserialize, Serialize};
 
+use super::evacuations::EvacuationsVersion;
 use super::loader::AdapterSlots;
 use super::peers::Load;
 use super::quota::SpendReport;
@@ -72,6 +73,8 @@
     pub targets_digest: u32,
     /// Sum of the announced adapter versions that it knows; it only grows.
     pub versions: u64,
+    /// The evacuations that it knows.
+    pub evacuations: EvacuationsVersion,
     /// Digest of the quarantine decisions that it knows; zero if there are none.
     pub quarantine_digest: u64,
     /// What workspaces have spent on it since it started, where that changed recently.
--- a/crates/gateway/src/decide/store_access.rs
+++ b/crates/gateway/src/decide/store_access.rs
@@ -49,7 +49,7 @@
         let preferred = preferred.filter(|peer| peer.member.precedence(key) > local_precedence);
         let is_able = |peer: &&Peer| peer.seen_within(DOWN_THRESHOLD, now) && peer.store_reachable;
         let is_undiscovered = |peer: &&Peer| is_new && peer.last_seen.is_none();
-        if self.configured() {
+        if self.informed() {
             let follows = |peer: &&Peer| (is_able(peer) && peer.ready) || is_undiscovered(peer);
             return preferred.filter(follows).count() < FOLLOWER_COUNT;
         }
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -9,6 +9,7 @@
 use super::adapter::{AdapterKey, RequestedModel};
 use super::call::Call;
 use super::config::{Config, Route};
+use super::evacuations::Evacuations;
 use super::exchange::Exchange;
 use super::health::Health;
 use super::lease::SHARDS;
@@ -74,6 +75,8 @@
     pub residency: Residency,
     /// Newest versions of adapters.
     pub versions: Versions,
+    /// Evacuated failure domains.
+    pub evacuations: Evacuations,
     /// Prompts that engines have not started.
     pub queues: PromptQueues,
     /// Shards for which this instance may order loads.
@@ -146,6 +149,7 @@
             quarantine: Quarantine::default(),
             residency: Residency::default(),
             versions: Versions::default(),
+            evacuations: Evacuations::default(),
             queues: PromptQueues::default(),
             shards: Vec::new(),
             claims: Vec::new(),
@@ -171,10 +175,16 @@
         self.routes.version() > Revision::default()
     }
 
+    /// Whether the operators' configuration and evacuations are known.
+    #[must_use]
+    pub fn informed(&self) -> bool {
+        self.configured() && self.evacuations.is_known()
+    }
+
     /// Whether this instance accepts callers.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.configured() && !self.stopping
+        self.informed() && !self.stopping
     }
 
     /// Puts a configuration in force if it is newer. Returns whether it is.
@@ -198,7 +208,7 @@
     ///
     /// Returns the refusal if the request is rejected.
     pub fn admit(&mut self, call: &Call, draw: u64, now: Time) -> Result<Ticket, Refusal> {
-        if !self.configured() {
+        if !self.informed() {
             return Err(Refusal::NotConfigured);
         }
         let (route, workspace) = match self.routes.find(call) {
@@ -271,7 +281,8 @@
         let other_decisions =
             peer.quarantine_digest != 0 && peer.quarantine_digest != self.quarantine.digest();
         let newer_versions = peer.versions > self.versions.total();
-        newer_config || other_targets || newer_versions || other_decisions
+        let newer_evacuations = self.evacuations.is_behind(peer.evacuations);
+        newer_config || other_targets || newer_versions || newer_evacuations || other_decisions
     }
 
     /// Takes one retry out of the service's budget. Returns false if the budget is used up.
--- a/crates/gateway/src/decide/target.rs
+++ b/crates/gateway/src/decide/target.rs
@@ -1,6 +1,7 @@
 //! Targets, as described by their registrations.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bluebellstage_core::{BaseModel, FailureDomain, ServiceId, TargetId};
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,8 @@
     pub adapters: Vec<VersionedAdapter>,
     /// Base models that it can load without the weight store.
     pub cached_models: Vec<BaseModel>,
+    /// How long it still is cold, as of its registration; `None` if it does not say.
+    pub cold_left: Option<Duration>,
 }
 
 impl Target {
@@ -42,14 +45,21 @@
         Some(ShortHash::of(&format!("{}/{born}", self.id)))
     }
 
-    /// Returns whether `other` is equal except for the resident adapters, which change often and
-    /// are reported by the target's loader.
+    /// Returns whether the target reports that it is cold.
     #[must_use]
-    pub fn differs_in_adapters_only(&self, other: &Self) -> bool {
+    pub fn reports_cold(&self) -> bool {
+        self.cold_left.is_some_and(|left| !left.is_zero())
+    }
+
+    /// Returns whether `other` is equal except for what changes often: the resident adapters, which
+    /// the target's loader reports, and how long it still is cold.
+    #[must_use]
+    pub fn differs_in_details_only(&self, other: &Self) -> bool {
         let bare = |target: &Self| Self {
             adapters: Vec::new(),
+            cold_left: None,
             ..target.clone()
         };
-        bare(self) == bare(other)
+        bare(self) == bare(other) && self.reports_cold() == other.reports_cold()
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bluebellstage_core::Revision;
+use bluebellstage_core::{FailureDomain, Revision};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, request, response};
 
@@ -105,6 +105,8 @@
     Target(Box<Target>),
     /// The newest version of an adapter.
     AdapterVersion(VersionedAdapter),
+    /// An evacuation of the failure domain that the object is named after.
+    Evacuation(FailureDomain),
     /// An instance.
     Member(Box<Member>),
     /// A lease.
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -107,11 +107,12 @@
 
     fn apply_outcome(&self, outcome: TargetOutcome) {
         let now = self.node.now();
-        let ejected = self
-            .node
-            .tables()
-            .health
-            .record_outcome(&self.target, outcome, now);
+        let mut tables = self.node.tables();
+        if outcome == TargetOutcome::Unreachable {
+            tables.record_unreachable(&self.target, now);
+        }
+        let ejected = tables.health.record_outcome(&self.target, outcome, now);
+        drop(tables);
         if ejected {
             self.node.metrics.target_ejected();
             let target = self.target.to_string();
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::config::Config;
+use crate::decide::evacuations::EvacuationsCopy;
 use crate::decide::peers::Member;
 use crate::decide::quarantine::{AgedDecision, Fingerprint};
 use crate::decide::registry::RegistryCopy;
@@ -25,7 +26,7 @@
 
 /// Path of the state copy on the control address. A change of the copy's format changes the path, so that
 /// instances of two releases never misread each other.
-pub(super) const COPY_PATH: &str = "/peer/copy/3";
+pub(super) const COPY_PATH: &str = "/peer/copy/4";
 
 /// Path of the metrics, on the control address and on the metrics address.
 const METRICS_PATH: &str = "/metrics";
@@ -44,6 +45,8 @@
     pub(super) targets: Revision,
     pub(super) targets_digest: u32,
     pub(super) versions: u64,
+    /// Revision as of which the peer knows the evacuations.
+    pub(super) evacuations: Revision,
     pub(super) decisions_digest: u64,
     /// Whether the peer knows the other instances.
     pub(super) members: bool,
@@ -57,12 +60,13 @@
             targets,
             targets_digest,
             versions,
+            evacuations,
             decisions_digest,
             ..
         } = self;
         write!(
             f,
-            "{config}.{targets}.{targets_digest}.{versions}.{decisions_digest}.{members}"
+            "{config}.{targets}.{targets_digest}.{versions}.{evacuations}.{decisions_digest}.{members}"
         )
     }
 }
@@ -79,6 +83,7 @@
             targets: Revision(next()),
             targets_digest: u32::try_from(next()).unwrap_or(0),
             versions: next(),
+            evacuations: Revision(next()),
             decisions_digest: next(),
             members: next() > 0,
         }
@@ -92,6 +97,7 @@
     pub(super) config: Option<Config>,
     pub(super) targets: Option<RegistryCopy>,
     pub(super) versions: Vec<Announcement>,
+    pub(super) evacuations: Option<EvacuationsCopy>,
     pub(super) decisions: Vec<AgedDecision>,
     pub(super) members: Vec<Member>,
 }
@@ -180,6 +186,9 @@
     if versions {
         copy.versions = tables.versions.all(now).collect();
     }
+    if tables.evacuations.version().revision > known.evacuations {
+        copy.evacuations = tables.evacuations.copy(now);
+    }
     if tables.quarantine.digest() != known.decisions_digest {
         copy.decisions = tables.quarantine.decisions(now).collect();
     }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -33,6 +33,8 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 /// Message for a request that is rejected because it would wait in a queue for too long.
 pub(super) const TOO_LATE: &str = "engines would begin it too late: try again";
+/// Message for a request that is rejected because all targets are cold.
+pub(super) const ALL_COLD: &str = "all targets have just started: try again";
 /// Delay before another check for free capacity at plain targets.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
@@ -74,6 +76,8 @@
     NotRun(&'static str),
     /// The request has not run: every engine that could run it would start it too late, by this duration.
     QueueTooLong(Duration),
+    /// The request has not run: every target that could run it is cold for this long.
+    Cold(Duration),
     /// The request may have run.
     MayHaveRun(&'static str),
     /// The request is quarantined because targets crash under it; it is not sent any more.
@@ -257,6 +261,7 @@
                     self.request_loads(load_at);
                     return self.late(excess);
                 }
+                Pick::Cold { left } => return self.cold(left),
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
                 Pick::Full => return self.unserved("all targets are full"),
                 Pick::NoTarget => return self.unserved("no target can run it"),
@@ -289,6 +294,14 @@
         }
     }
 
+    fn cold(&self, left: Duration) -> SearchOutcome<E> {
+        if self.runs == 0 {
+            SearchOutcome::Cold(left)
+        } else {
+            SearchOutcome::MayHaveRun(ALL_COLD)
+        }
+    }
+
     fn unserved(&self, why: &'static str) -> SearchOutcome<E> {
         if self.runs == 0 {
             SearchOutcome::NotRun(why)
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -8,7 +8,7 @@
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
-use super::front::{Job, SearchOutcome, TOO_LATE};
+use super::front::{ALL_COLD, Job, SearchOutcome, TOO_LATE};
 use super::local_response::{ResponseBody, error_response, spread_retry_after};
 use super::log::{LogEvent, event};
 
@@ -74,6 +74,11 @@
                 let after = Some(*excess + spread_retry_after());
                 (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
             }
+            SearchOutcome::Cold(left) => {
+                self.node.tables().refund(&self.ticket);
+                let after = Some(*left + spread_retry_after());
+                (StatusCode::SERVICE_UNAVAILABLE, ALL_COLD, after)
+            }
             SearchOutcome::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
             SearchOutcome::Quarantined => {
                 if self.runs == 0 {
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -291,7 +291,7 @@
     let (local, waiting) = node.loaders.load_counts();
     let tables = node.tables();
     let store_has_capacity = local < max_concurrent_loads(&tables, target, local + waiting, now);
-    let model = missing_model(&tables, target);
+    let model = missing_model(&tables, target, now);
     let mut running = node.loaders.lock();
     let Some(entry) = running.get_mut(&target.id) else {
         return LoadStep::Idle;
@@ -331,8 +331,13 @@
 }
 
 /// Returns the base model that the engine should load, if any.
-fn missing_model(tables: &Tables, target: &Target) -> Option<bluebellstage_core::BaseModel> {
-    if !target.models.is_empty() || target.leaving {
+fn missing_model(
+    tables: &Tables,
+    target: &Target,
+    now: Time,
+) -> Option<bluebellstage_core::BaseModel> {
+    let gets_no_requests = target.leaving || tables.is_evacuated(&target.failure_domain, now);
+    if !target.models.is_empty() || gets_no_requests {
         return None;
     }
     let service = tables.routes.config().service(&target.service)?;
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -61,6 +61,10 @@
     TargetLimited = 3111, Warn, "target reports a limit";
     /// A target no longer reports a limit.
     TargetUnlimited = 3112, Info, "target no longer reports a limit";
+    /// A failure domain was evacuated: nothing is sent to its targets.
+    EvacuationBegun = 3113, Info, "failure domain evacuated: its targets get no requests";
+    /// The evacuation of a failure domain was lifted; its targets are taken as cold at first.
+    EvacuationLifted = 3114, Info, "evacuation of failure domain lifted";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
--- a/crates/gateway/src/net/peer_copy.rs
+++ b/crates/gateway/src/net/peer_copy.rs
@@ -17,7 +17,7 @@
 use super::http_client::call;
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::sync::{adopt_config, announce};
+use super::sync::{adopt_config, announce, record_evacuations};
 
 /// Interval between two copies from peers.
 const COPY_INTERVAL: Duration = Duration::from_millis(300);
@@ -36,8 +36,8 @@
     node.wait_for_peer_list().await;
     let mut start_backoff = START_BACKOFF[0];
     loop {
-        let is_configured = node.tables().configured();
-        let sources = if is_configured {
+        let is_informed = node.tables().informed();
+        let sources = if is_informed {
             node.peer_is_newer.notified().await;
             tokio::time::sleep(COPY_INTERVAL).await;
             newer_peers(&node)
@@ -50,7 +50,7 @@
                 Ok(copy) => {
                     apply_copy(&node, copy, address);
                     event(LogEvent::PeerCopyTaken, &[("peer", &address.to_string())]);
-                    if node.tables().configured() {
+                    if node.tables().informed() {
                         break;
                     }
                 }
@@ -60,7 +60,7 @@
                 ),
             }
         }
-        if !is_configured {
+        if !is_informed {
             let notified = node.peer_is_newer.notified();
             let _notified_or_elapsed = tokio::time::timeout(start_backoff, notified).await;
             start_backoff = (start_backoff * 2).min(START_BACKOFF[1]);
@@ -106,6 +106,7 @@
         targets: tables.registry.copied_revision(),
         targets_digest: tables.registry.digest(),
         versions: tables.versions.total(),
+        evacuations: tables.evacuations.version().revision,
         decisions_digest: tables.quarantine.digest(),
         members: tables.peers.all().next().is_some(),
     }
@@ -140,6 +141,10 @@
             &peer.to_string(),
         );
     }
+    if let Some(evacuations) = copy.evacuations {
+        let changes = node.tables().evacuations.apply_copy(evacuations, now);
+        record_evacuations(node, &changes, &peer.to_string());
+    }
     let mut tables = node.tables();
     for AgedDecision { decision, age } in copy.decisions {
         tables.quarantine.adopt(decision, age, now);
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -67,6 +67,7 @@
         Kind::Config,
         Kind::Targets,
         Kind::AdapterVersions,
+        Kind::Evacuations,
         Kind::Members,
     ] {
         tokio::spawn(follow::run(Arc::clone(&node), kind));
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, Revision, TargetId};
+use bluebellstage_core::{FailureDomain, InstanceId, Revision, TargetId};
 
 use crate::decide::adapter::VersionedAdapter;
+use crate::decide::evacuations::EvacuationChange;
 use crate::decide::target::Target;
 use crate::decide::versions::MAX_ANNOUNCEMENT_AGE;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
@@ -25,6 +26,10 @@
         replace_targets(node, targets, revision);
         return;
     }
+    if kind == Kind::Evacuations {
+        apply_evacuations(node, listing, is_full_list);
+        return;
+    }
     // A list does not say when its objects were announced.
     let age = if is_full_list {
         MAX_ANNOUNCEMENT_AGE
@@ -105,7 +110,60 @@
                 .quarantine
                 .adopt(decision, Duration::ZERO, now);
         }
-        Some(Content::Lease(_)) | None => {}
+        Some(Content::Evacuation(_) | Content::Lease(_)) | None => {}
+    }
+}
+
+/// Applies the store's list of evacuations, or changes of them.
+fn apply_evacuations<E: Edge>(node: &Node<E>, listing: Listing, is_full_list: bool) {
+    let changes = listing.objects.into_iter().filter_map(evacuation_of);
+    let changes = changes.collect::<Vec<_>>();
+    let now = node.now();
+    let revision = listing.revision;
+    let mut tables = node.tables();
+    let changes = if is_full_list {
+        let listed = changes.into_iter().filter(|(_, evacuated)| *evacuated);
+        let listed = listed.map(|(domain, _)| domain).collect();
+        tables.evacuations.replace(&listed, revision, now)
+    } else {
+        tables.evacuations.apply_changes(changes, revision, now)
+    };
+    drop(tables);
+    record_evacuations(node, &changes, "store");
+    node.changed.notify_waiters();
+}
+
+/// Returns the failure domain that an object names, and whether the object says that it is evacuated.
+fn evacuation_of(object: Object) -> Option<(FailureDomain, bool)> {
+    if object.removed {
+        let domain = FailureDomain::try_from(&*object.name).ok()?;
+        return Some((domain, false));
+    }
+    match object.content? {
+        Content::Evacuation(domain) => Some((domain, true)),
+        Content::Malformed(cause) => {
+            log_malformed(&object.name, &cause);
+            None
+        }
+        _ => None,
+    }
+}
+
+/// Records changes of the evacuated domains, and logs them with their `source`: the store or a peer.
+pub(super) fn record_evacuations<E: Edge>(
+    node: &Node<E>,
+    changes: &[EvacuationChange],
+    source: &str,
+) {
+    let now = node.now();
+    node.tables().record_evacuations(changes, now);
+    for change in changes {
+        let (log_event, domain) = match change {
+            EvacuationChange::Begun(domain) => (LogEvent::EvacuationBegun, domain),
+            EvacuationChange::Lifted(domain) => (LogEvent::EvacuationLifted, domain),
+        };
+        let fields = [("domain", domain.as_str()), ("from", source)];
+        event(log_event, &fields);
     }
 }
 
@@ -123,7 +181,11 @@
                 node.tables().peers.unregister(&name, now);
             }
         }
-        Kind::Config | Kind::AdapterVersions | Kind::Leases | Kind::Verdicts => {}
+        Kind::Config
+        | Kind::AdapterVersions
+        | Kind::Evacuations
+        | Kind::Leases
+        | Kind::Verdicts => {}
     }
 }
 
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -23,7 +23,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{at, config, member, quota, target};
+use super::{at, config, inform, member, quota, target};
 
 /// Step of the virtual time.
 const TICK: Duration = Duration::from_millis(5);
@@ -175,6 +175,7 @@
         };
         let mut tables = Tables::new(self.member(idx, incarnation), budget);
         assert!(tables.adopt(config(1), self.now));
+        inform(&mut tables);
         for idx in 0..TARGETS {
             let target = target(target_id(idx).as_str(), "writers");
             tables.registry.put(target, Revision(1), self.now);
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -23,7 +23,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::engine::Engine;
-use super::{adapter, at, call, config, member, peer, target};
+use super::{adapter, at, call, config, inform, member, peer, target};
 
 /// Step of the virtual time.
 const TICK: Duration = Duration::from_millis(5);
@@ -273,7 +273,9 @@
                 self.request_load(&load_at, &request.key, now);
                 self.refuse_request(request, excess, now);
             }
-            Pick::Full | Pick::NoTarget => self.refuse_request(request, Duration::ZERO, now),
+            Pick::Cold { .. } | Pick::Full | Pick::NoTarget => {
+                self.refuse_request(request, Duration::ZERO, now);
+            }
         }
     }
 
@@ -491,6 +493,7 @@
     engine.adapter_loads_at_once = u32::try_from(scenario.max_concurrent_loads).unwrap();
     cfg.services[0].max_connections = 360;
     assert!(tables.adopt(cfg, at(0)));
+    inform(&mut tables);
     for node in nodes {
         let mut engine = target(node.id.as_str(), "writers");
         engine.slots = 64;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod load_simulation;
 pub mod store;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bluebellstage_core::{
@@ -17,9 +18,11 @@
 };
 use bluebellstage_gateway::decide::adapter::{AdapterKey, RequestedModel, VersionedAdapter};
 use bluebellstage_gateway::decide::call::Call;
+use bluebellstage_gateway::decide::cold::ColdStart;
 use bluebellstage_gateway::decide::config::{
     Config, EngineLimits, Limits, Quota, QuotaUnit, Route, RouteKind, Service, Workspace,
 };
+use bluebellstage_gateway::decide::evacuations::EvacuationsVersion;
 use bluebellstage_gateway::decide::peers::{Member, Peer, Strength};
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::status::Role;
@@ -73,6 +76,7 @@
         targets: Revision(1),
         targets_digest: 0,
         versions: 0,
+        evacuations: EvacuationsVersion::default(),
         quarantine_digest: 0,
         in_flight: std::collections::HashMap::new(),
         loads: 0,
@@ -95,6 +99,15 @@
         models: vec![BaseModel::try_from(MODEL).unwrap()],
         adapters: Vec::new(),
         cached_models: Vec::new(),
+        cold_left: None,
+    }
+}
+
+/// Targets that are cold for 3 s and accept 7.5 requests a second meanwhile.
+pub fn cold_start() -> ColdStart {
+    ColdStart {
+        duration: Duration::from_secs(3),
+        milli_per_second: 7_500,
     }
 }
 
@@ -136,6 +149,7 @@
         name: ServiceId::try_from(name).unwrap(),
         max_connections: 100,
         engine,
+        cold_start: None,
     };
     let engine = EngineLimits {
         slots: 4,
@@ -179,7 +193,7 @@
     }
 }
 
-fn retry_budget() -> RetryBudget {
+pub fn retry_budget() -> RetryBudget {
     RetryBudget {
         ratio: 0.2,
         window: Duration::from_secs(10),
@@ -207,5 +221,13 @@
 pub fn tables() -> Tables {
     let mut tables = Tables::new(member("me", "north"), retry_budget());
     tables.adopt(config(1), at(0));
+    inform(&mut tables);
+    tables
+}
+
+/// Tells an instance that no failure domain is evacuated.
+pub fn inform(tables: &mut Tables) {
     tables
+        .evacuations
+        .replace(&BTreeSet::new(), Revision(1), at(0));
 }
