Grant the initial burst of a quota as peers become visible

Cause: after all instances had been killed, each bucket started with a tenth of the burst times the fraction of the fleet that the instance saw at that moment, which is next to nothing.

A bucket now gets its part of the initial burst when peers become visible, and the initial burst is 0.4 of the whole one.

Quotas hold in virtual time at six times the rate through three restarts of all instances within four seconds.

--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -59,8 +59,9 @@
 
 /// Fraction of the burst that the new buckets of all instances that start at the same time hold together. An
 /// instance that restarts can't know that the buckets of the others are empty; with a full one it would admit
-/// a second's worth of tokens to a workspace that is over its rate.
-const INITIAL_BURST_FRACTION: f64 = 0.1;
+/// a second's worth of tokens to a workspace that is over its rate. With much less, a fleet that restarts at
+/// once would reject most requests of workspaces within their rate for a second.
+const INITIAL_BURST_FRACTION: f64 = 0.4;
 
 /// Minimum window over which the peers' spending rate is smoothed.
 const MIN_PEER_RATE_WINDOW: Duration = Duration::from_millis(800);
@@ -104,6 +105,9 @@
     /// Short hash of the account's name.
     account_hash: ShortHash,
     level: f64,
+    /// Largest fraction of all instances that was visible, for which the bucket got its part of the initial
+    /// burst.
+    visible_fraction: f64,
     refilled_at: Time,
     local_spent: SpentUnits,
     local_reported: SpentUnits,
@@ -148,12 +152,11 @@
 
 impl Bucket {
     fn new(account: &Account, quota: Quota, silent_fraction: f64, now: Time) -> Self {
-        Self {
+        let mut bucket = Self {
             quota,
             account_hash: account.short(),
-            level: unsigned_to_f64(quota.burst.0)
-                * INITIAL_BURST_FRACTION
-                * (1.0 - silent_fraction),
+            level: 0.0,
+            visible_fraction: 0.0,
             refilled_at: now,
             local_spent: 0,
             local_reported: 0,
@@ -165,7 +168,18 @@
             peer_rate: 0.0,
             peer_rate_at: now,
             peer_rate_window: MIN_PEER_RATE_WINDOW.as_secs_f64(),
-        }
+        };
+        bucket.grant_initial_burst(silent_fraction);
+        bucket
+    }
+
+    /// Adds the part of the initial burst of the instances that have become visible. An instance that starts
+    /// with the whole fleet does not see the others at first, and all of them hold the initial burst together.
+    fn grant_initial_burst(&mut self, silent_fraction: f64) {
+        let visible = 1.0 - silent_fraction;
+        let increase = (visible - self.visible_fraction).max(0.0);
+        self.level += unsigned_to_f64(self.quota.burst.0) * INITIAL_BURST_FRACTION * increase;
+        self.visible_fraction = self.visible_fraction.max(visible);
     }
 
     /// Records `units` spent by peers. The peers' rate decays over its window.
@@ -182,6 +196,7 @@
     }
 
     fn refill(&mut self, now: Time, silent_fraction: f64) {
+        self.grant_initial_burst(silent_fraction);
         let rate = unsigned_to_f64(self.quota.rate.0) * (1.0 - silent_fraction);
         self.level += rate * now.since(self.refilled_at).as_secs_f64();
         self.level = self.level.min(unsigned_to_f64(self.quota.burst.0));
@@ -405,6 +420,7 @@
     pub fn set_remaining(&mut self, account: ShortHash, remaining: i64) {
         if let Some(bucket) = self.by_hash(account) {
             bucket.level = signed_to_f64(remaining).min(unsigned_to_f64(bucket.quota.burst.0));
+            bucket.visible_fraction = 1.0;
         }
     }
 
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -379,6 +379,66 @@
     assert_within_quota(&runs);
 }
 
+/// Guards against a busy workspace that exceeds its quota because all instances are killed several times in a
+/// few seconds, and start each time with a part of the burst.
+#[test]
+fn a_busy_workspace_stays_within_its_quota_through_repeated_restarts_of_all_instances() {
+    let mut fleet = Fleet::with_quota(60, 3, 16, quota(RATE, RATE));
+    fleet.run_ms(CONVERGED_MS);
+    let mut runs = Vec::new();
+    for step in 0..14 * STEPS_PER_SECOND {
+        let drafts = RATE * 6 / STEPS_PER_SECOND / DRAFT;
+        for _ in 0..drafts {
+            let idx = fleet.random_below(fleet.len());
+            if fleet.charge(idx, quota(RATE, RATE), DRAFT) {
+                runs.push(step);
+            }
+        }
+        fleet.run_ms(1_000 / STEPS_PER_SECOND);
+        if [400, 600, 800].contains(&step) {
+            for idx in 0..fleet.len() {
+                fleet.restart(idx, false);
+            }
+            fleet.network.loss = 1.0;
+        }
+        if step % 200 == 30 {
+            fleet.network = Network::RELIABLE;
+        }
+    }
+    let allowed = RATE * 9 * 11 / 10 + SLACK;
+    let max = max_in_window(&runs);
+    assert!(max <= allowed, "{max} of {allowed}");
+}
+
+/// Guards against refusals of workspaces within their rate after all instances were killed: their buckets
+/// started nearly empty and filled while the instances discovered each other, and for a second most requests
+/// were rejected. A draft is a thirtieth of what the workspace may spend a second, and it asks for four
+/// fifths of that, as refused callers return.
+#[test]
+fn a_workspace_within_its_rate_is_served_after_a_restart_of_all_instances() {
+    const SMALL_RATE: u64 = 70_000;
+    const LONG_DRAFT: u64 = 2_300;
+    let limit = quota(SMALL_RATE, SMALL_RATE);
+    let (mut asked, mut rejected) = (0, 0);
+    for seed in 1..=8 {
+        let mut fleet = Fleet::with_quota(60, 3, seed, limit);
+        fleet.run_ms(CONVERGED_MS);
+        for idx in 0..fleet.len() {
+            fleet.restart(idx, false);
+        }
+        fleet.run_ms(100);
+        for step in 0..60 {
+            if step % 4 == 0 {
+                let idx = fleet.random_below(fleet.len());
+                asked += 1;
+                rejected += u32::from(!fleet.charge(idx, limit, LONG_DRAFT));
+            }
+            fleet.run_ms(10);
+        }
+    }
+    assert!(rejected * 10 <= asked, "{rejected} of {asked}");
+}
+
 /// Guards against datagrams that are corrupt, from another release, or from an unknown sender.
 #[test]
 fn invalid_datagrams_are_ignored() {
