Let few instances of a large fleet call a store that does not respond

The first eight live instances in precedence call at once, and one more after each further second. So a store that turns some instances away is still found by others, and the rest copy from these.

Fleets of up to eight instances behave as before.

--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -132,6 +132,7 @@
 impl Tables {
     /// Returns the messages to send in this round.
     pub fn exchange_round(&mut self, now: Time) -> Vec<OutgoingMessage> {
+        self.update_missing_followers(now);
         let mut outgoing = self.status_messages(now);
         outgoing.extend(self.limit_messages(now));
         outgoing
--- a/crates/gateway/src/decide/store_access.rs
+++ b/crates/gateway/src/decide/store_access.rs
@@ -22,6 +22,9 @@
 /// Time after its start in which an instance assumes that registered peers are live, because it has
 /// not received their statuses yet.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(1_200);
+/// Time after which one more instance calls a store that responds to none of [`INITIAL_READERS`]. Without it,
+/// all instances of a large fleet would call again and again during an outage.
+const PROBE_STAGGER: Duration = Duration::from_secs(1);
 /// Time after its start for which an instance without a configuration waits for a peer's copy.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Instances that may take a shard's lease soon. More than one, because those that already hold a
@@ -41,12 +44,21 @@
     /// An instance that sees no follower follows the store itself.
     #[must_use]
     pub fn follows_store(&self, now: Time) -> bool {
+        self.is_follower_missing(now) && self.rank_as_reader(now) < self.max_readers(now)
+    }
+
+    /// Records since when too few preferred instances follow the store. Called in each round.
+    pub fn update_missing_followers(&mut self, now: Time) {
+        let is_missing = self.is_follower_missing(now);
+        let since = self.follower_missing_since.filter(|_| is_missing);
+        self.follower_missing_since = since.or(is_missing.then_some(now));
+    }
+
+    /// Whether fewer instances follow the store than should, without this one and those that come after it.
+    fn is_follower_missing(&self, now: Time) -> bool {
         let is_new = self.is_new(now);
         let is_waiting = now.since(self.started) < COPY_TIMEOUT;
-        let key = name_hash(FOLLOWER_KEY);
-        let local_precedence = self.local.precedence(key);
-        let preferred = self.peers.all();
-        let preferred = preferred.filter(|peer| peer.member.precedence(key) > local_precedence);
+        let preferred = self.preferred_readers();
         let is_able = |peer: &&Peer| peer.seen_within(DOWN_THRESHOLD, now) && peer.store_reachable;
         let is_undiscovered = |peer: &&Peer| is_new && peer.last_seen.is_none();
         if self.informed() {
@@ -63,6 +75,28 @@
         preferred.filter(reads).count() < INITIAL_READERS
     }
 
+    /// Peers that read from the store rather than this instance.
+    fn preferred_readers(&self) -> impl Iterator<Item = &Peer> {
+        let key = name_hash(FOLLOWER_KEY);
+        let local_precedence = self.local.precedence(key);
+        let peers = self.peers.all();
+        peers.filter(move |peer| peer.member.precedence(key) > local_precedence)
+    }
+
+    fn rank_as_reader(&self, now: Time) -> usize {
+        let preferred = self.preferred_readers();
+        preferred
+            .filter(|peer| peer.seen_within(DOWN_THRESHOLD, now))
+            .count()
+    }
+
+    /// Number of instances that may call the store although it responds to none of them.
+    fn max_readers(&self, now: Time) -> usize {
+        let missing_since = self.follower_missing_since.unwrap_or(now);
+        let steps = now.since(missing_since).as_secs() / PROBE_STAGGER.as_secs();
+        INITIAL_READERS + usize::try_from(steps).unwrap_or(usize::MAX - INITIAL_READERS)
+    }
+
     /// Whether this instance started so recently that it may not have seen all peers.
     #[must_use]
     pub fn is_new(&self, now: Time) -> bool {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -92,6 +92,8 @@
     pub exchange: Exchange,
     /// Whether a planned stop was requested.
     pub stopping: bool,
+    /// Since when too few preferred instances follow the store.
+    pub(super) follower_missing_since: Option<Time>,
     budget: RetryBudget,
     in_flight: HashMap<TargetId, u32>,
     /// Requests suspected of crashing targets that this instance has at each target.
@@ -157,6 +159,7 @@
             store_calls: StoreCalls::default(),
             exchange: Exchange::default(),
             stopping: false,
+            follower_missing_since: None,
             budget,
             in_flight: HashMap::new(),
             suspects_at: HashMap::new(),
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -110,6 +110,27 @@
     assert!(tables.follows_store(at(1)));
 }
 
+/// Guards against thousands of calls to the store in an outage: each instance of a large fleet saw no follower
+/// and called the store itself. One that the store turns away is still replaced soon by others.
+#[test]
+fn few_instances_of_a_large_fleet_call_a_store_that_does_not_respond() {
+    let calls = |me: usize, second: u64| {
+        let mut tables = tables();
+        tables.local = support::member(&format!("i{me}"), "north");
+        for ms in (0..=second * 1_000).step_by(100) {
+            for other in (0..60).filter(|other| *other != me) {
+                let mut other = peer(&format!("i{other}"), at(ms));
+                other.store_reachable = false;
+                tables.peers.update(other);
+            }
+            tables.update_missing_followers(at(ms));
+        }
+        tables.follows_store(at(second * 1_000))
+    };
+    let callers = |second| (0..60).filter(|me| calls(*me, second)).count();
+    assert_eq!((callers(0), callers(1), callers(6)), (8, 9, 14));
+}
+
 #[test]
 fn an_instance_without_a_configuration_follows_the_store() {
     let mut tables = tables();
