Try one kind of objects until the store responds to a new instance

Cause: an instance that starts while the store is down tried to list all kinds of objects, each on its own; after the loss of all power in an outage 60 instances made 1,300 calls in five seconds.

The list of instances is tried alone, every 250 ms at most; its first response starts the other kinds and the copies from peers, whose backoff is 400 ms at most.

Evacuations are in the tests of outages, with their bound.

--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -33,6 +33,10 @@
 /// Initial and maximum backoff after a failed call.
 const RETRY_BACKOFF: [Duration; 2] = [Duration::from_millis(150), Duration::from_secs(1)];
 
+/// Maximum backoff of an instance that has not reached the store. It tries one kind of objects only, and callers
+/// wait for it.
+const FIRST_CONTACT_BACKOFF: Duration = Duration::from_millis(250);
+
 /// A request to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreRequest {
@@ -120,6 +124,13 @@
         }
     }
 
+    const fn max_backoff(&self) -> Duration {
+        match (self.kind, self.after) {
+            (Kind::Members, None) => FIRST_CONTACT_BACKOFF,
+            _ => RETRY_BACKOFF[1],
+        }
+    }
+
     /// Records a failed call and its duration. Returns the delay before the next call. `spread`,
     /// around 1, differs between instances that failed together.
     ///
@@ -128,7 +139,7 @@
     /// it, the store could be back for the sum of both before the next call.
     pub fn record_failure(&mut self, took: Duration, spread: f64) -> Duration {
         let backoff = self.next_backoff;
-        self.next_backoff = (backoff * 2).min(RETRY_BACKOFF[1]);
+        self.next_backoff = (backoff * 2).min(self.max_backoff());
         backoff.mul_f64(spread).saturating_sub(took)
     }
 }
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -50,9 +50,15 @@
                 follower.record_copy(node.tables().registry.revision());
             }
         }
+        // One kind suffices to find out whether the store responds to a new instance.
+        if kind != Kind::Members && !node.is_store_reached() && !node.tables().informed() {
+            node.wait_for_store(ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
         let started = Instant::now();
         let delay = match call(&node, kind, follower.next_request()).await {
             Ok(listing) => {
+                node.mark_store_reached();
                 if std::mem::take(&mut is_store_lost) {
                     event(LogEvent::StoreBack, &[("kind", kind.name())]);
                 }
@@ -95,7 +101,7 @@
 
 /// Records a call that failed after `took`; returns the delay until the next call.
 fn record_failure<E: Edge>(node: &Node<E>, follower: &mut Follower, took: Duration) -> Duration {
-    if follower.kind() == Kind::Targets {
+    if follower.kind() == Kind::Targets || !node.is_store_reached() {
         let now = node.now();
         node.tables().registry.record_store_failure(now);
     }
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -69,6 +69,8 @@
     /// instances.
     registered: watch::Sender<bool>,
     peers_listed: watch::Sender<bool>,
+    /// Whether the store has responded to this instance.
+    store_reached: watch::Sender<bool>,
     is_stopping: AtomicBool,
     is_closing: AtomicBool,
     pub(super) connections: AtomicUsize,
@@ -110,6 +112,7 @@
             stop: Notify::new(),
             registered: watch::Sender::new(false),
             peers_listed: watch::Sender::new(false),
+            store_reached: watch::Sender::new(false),
             is_stopping: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
@@ -166,6 +169,24 @@
             tokio::time::timeout(PEER_LIST_TIMEOUT, wait_for(&self.peers_listed)).await;
     }
 
+    /// Records that the store has responded, and wakes the tasks that wait for the other instances: the list of
+    /// instances is the first that is read.
+    pub(super) fn mark_store_reached(&self) {
+        if !self.store_reached.send_replace(true) {
+            self.peer_is_newer.notify_one();
+        }
+    }
+
+    /// Whether the store has responded to this instance.
+    pub(super) fn is_store_reached(&self) -> bool {
+        *self.store_reached.borrow()
+    }
+
+    /// Waits until the store has responded, at most for a `limit`.
+    pub(super) async fn wait_for_store(&self, limit: Duration) {
+        let _reached_or_late = tokio::time::timeout(limit, wait_for(&self.store_reached)).await;
+    }
+
     /// Whether a planned stop is in progress.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/gateway/src/net/peer_copy.rs
+++ b/crates/gateway/src/net/peer_copy.rs
@@ -26,7 +26,7 @@
 /// Max number of peers that are tried in turn.
 const MAX_COPY_SOURCES: usize = 4;
 /// Initial and max backoff between two rounds of copy requests of an instance without a configuration.
-const START_BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+const START_BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 /// Number of peers whose order is shuffled: otherwise all instances that start at the same time would ask the
 /// same peer first.
 const FIRST_SOURCE_CANDIDATES: usize = 8;
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -5,7 +5,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use bluebellstage_core::Revision;
+use bluebellstage_core::{FailureDomain, Revision};
+use bluebellstage_gateway::decide::evacuations::DRAIN_PERIOD;
 use bluebellstage_gateway::decide::follower::Follower;
 use bluebellstage_gateway::edge::{Content, Kind};
 use support::store::{Fault, ScriptedStore, follow_for};
@@ -41,6 +42,10 @@
             Content::Target(Box::new(target))
         }
         Kind::AdapterVersions => Content::AdapterVersion(adapter_at("a1", 1 + version)),
+        Kind::Evacuations => {
+            let domain = if second { "south" } else { "north" };
+            Content::Evacuation(FailureDomain::try_from(domain).unwrap())
+        }
         _ => Content::Config(Box::new(config(1 + version))),
     }
 }
@@ -75,6 +80,11 @@
             let grace_left = Duration::from_secs(5).saturating_sub(OLD_VERSION_GRACE);
             BOUNDS_SUSPENDED + grace_left
         }
+        // Five seconds, from when bounds hold again.
+        Kind::Evacuations => {
+            let drain_left = Duration::from_secs(5).saturating_sub(DRAIN_PERIOD);
+            BOUNDS_SUSPENDED + drain_left
+        }
         // Two seconds, from when bounds hold again.
         _ => BOUNDS_SUSPENDED + Duration::from_secs(2),
     };
@@ -114,6 +124,28 @@
     assert!(late.is_empty(), "arrived too late: {late:?}");
 }
 
+/// Guards against requests to a failure domain that was evacuated during an outage of the store.
+#[test]
+fn an_evacuation_is_known_soon_after_the_store_was_unresponsive() {
+    let late = late_arrivals(Kind::Evacuations, Fault::Unresponsive);
+    assert!(late.is_empty(), "arrived too late: {late:?}");
+}
+
+/// Guards against thousands of calls by a fleet that starts during an outage of the store: an instance tried all
+/// kinds of objects again and again. One kind suffices to find out that the store is back.
+#[test]
+fn an_instance_that_starts_in_an_outage_tries_one_kind_of_objects() {
+    let outage = Duration::ZERO..Duration::from_secs(5);
+    let store = follow_for(outage.end, || {
+        let first = Content::Config(Box::new(config(1)));
+        let script = vec![(Kind::Config, first, Duration::ZERO)];
+        ScriptedStore::new(Fault::Rejecting, outage.clone(), script)
+    });
+    let calls = store.listed_kinds();
+    assert!(calls.iter().all(|kind| *kind == Kind::Members), "{calls:?}");
+    assert!((10..=40).contains(&calls.len()), "{}", calls.len());
+}
+
 /// Guards against requests to a leaving target. It announced that it leaves during an outage of the
 /// store.
 #[test]
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -47,6 +47,7 @@
     /// Kind, object and the time at which the store accepts it. The revision is the index plus one.
     changes: Vec<(Kind, Object, Duration)>,
     sent: Mutex<Vec<(Revision, Duration)>>,
+    listed: Mutex<Vec<Kind>>,
 }
 
 /// The store; clones share one script.
@@ -80,6 +81,7 @@
             outage,
             changes: changes.into_iter().enumerate().map(object).collect(),
             sent: Mutex::default(),
+            listed: Mutex::default(),
         }))
     }
 
@@ -90,6 +92,15 @@
         sent.next().map(|(_, at)| *at)
     }
 
+    /// Returns the kinds of the calls that list followed objects, in order.
+    pub fn listed_kinds(&self) -> Vec<Kind> {
+        let listed = self.0.listed.lock().unwrap();
+        let followed = listed
+            .iter()
+            .filter(|kind| !matches!(kind, Kind::Leases | Kind::Verdicts));
+        followed.copied().collect()
+    }
+
     fn now(&self) -> Duration {
         self.0.started.elapsed()
     }
@@ -138,6 +149,7 @@
 
 impl ObjectStore for ScriptedStore {
     async fn list(&self, kind: Kind) -> Result<Listing, StoreError> {
+        self.0.listed.lock().unwrap().push(kind);
         self.fail_during_outage(RESPONSE_TIMEOUT).await?;
         self.respond(self.listing(kind, Revision::default())).await
     }
