Tell callers that nothing can serve to return late, and serve once targets are known

Cause: after the loss of all power in an outage of the store, callers were told to return within 0.32 s. Instances also counted as ready before they knew any target.

Where a peer or the store can supply the configuration in a moment, it returns soon, as before. An instance is ready once it knows the targets as well, and a state copy for one that knows none always has them.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -31,6 +31,7 @@
 pub mod reload;
 pub mod rendezvous;
 pub mod residency;
+pub mod retry_after;
 pub mod retry_budget;
 pub mod routes;
 pub mod status;
--- /dev/null
+++ b/crates/gateway/src/decide/retry_after.rs
@@ -0,0 +1,23 @@
+//! Decides when a caller should return whose request nothing can run now.
+
+use std::time::Duration;
+
+/// Fraction of a caller's timeout after which it returns at the latest: callers follow a later time only up to
+/// this fraction of the time that they have left.
+const MAX_TIMEOUT_FRACTION: f64 = 1.0 / 3.0;
+/// Longest time after which a caller returns.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Timeout assumed for a caller that names none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Callers that are rejected at the same moment return over the last part of the time, of this fraction.
+const SPREAD_FRACTION: f64 = 0.5;
+
+/// Returns the time after which a caller returns when nothing can run its request, and it is not known for how
+/// long: as late as the caller can be told, since a late response is worth the same whenever it arrives before
+/// the timeout, and most callers return only once. `sample` is a random number from 0 to 1.
+#[must_use]
+pub fn when_nothing_can_run(timeout: Option<Duration>, sample: f64) -> Duration {
+    let timeout = timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let latest = timeout.mul_f64(MAX_TIMEOUT_FRACTION).min(MAX_RETRY_AFTER);
+    latest.mul_f64(1.0 - SPREAD_FRACTION * sample)
+}
--- a/crates/gateway/src/decide/store_calls.rs
+++ b/crates/gateway/src/decide/store_calls.rs
@@ -39,6 +39,13 @@
         }
     }
 
+    /// Whether the store has responded to a call.
+    #[must_use]
+    pub fn has_response(&self) -> bool {
+        let mut calls = self.by_kind.values();
+        calls.any(|call| call.last_response.is_some())
+    }
+
     /// Returns the calls by kind.
     pub fn all(&self) -> impl Iterator<Item = (Kind, StoreCall)> {
         self.by_kind.iter().map(|(kind, call)| (*kind, *call))
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -178,10 +178,11 @@
         self.routes.version() > Revision::default()
     }
 
-    /// Whether the operators' configuration and evacuations are known.
+    /// Whether the operators' configuration and evacuations and the targets are known.
     #[must_use]
     pub fn informed(&self) -> bool {
-        self.configured() && self.evacuations.is_known()
+        let knows_targets = self.registry.revision() > Revision::default();
+        self.configured() && self.evacuations.is_known() && knows_targets
     }
 
     /// Whether this instance accepts callers.
@@ -212,7 +213,7 @@
     /// Returns the refusal if the request is rejected.
     pub fn admit(&mut self, call: &Call, draw: u64, now: Time) -> Result<Ticket, Refusal> {
         if !self.informed() {
-            return Err(Refusal::NotConfigured);
+            return Err(self.why_not_informed(now));
         }
         let (route, workspace) = match self.routes.find(call) {
             Routed::To { route, workspace } => (route, workspace),
@@ -268,6 +269,15 @@
         })
     }
 
+    fn why_not_informed(&self, now: Time) -> Refusal {
+        let has_source = self.peers.live(now).any(|peer| peer.ready);
+        if has_source || self.store_calls.has_response() {
+            Refusal::NotConfigured
+        } else {
+            Refusal::StoreAway
+        }
+    }
+
     /// Refunds the charge of a request that did not run.
     pub fn refund(&mut self, ticket: &Ticket) {
         if let Some(workspace) = &ticket.workspace {
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -162,7 +162,8 @@
 
 fn build_copy(tables: &Tables, known: KnownState, now: Time) -> StateCopy {
     let config = tables.routes.version() > known.config;
-    let targets = tables.registry.digest() != known.targets_digest;
+    let knows_no_targets = known.targets == Revision::default();
+    let targets = knows_no_targets || tables.registry.digest() != known.targets_digest;
     let versions = tables.versions.total() > known.versions;
     let mut copy = StateCopy::default();
     if config {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -33,6 +33,8 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 /// Message for a request that is rejected because it would wait in a queue for too long.
 pub(super) const TOO_LATE: &str = "engines would begin it too late: try again";
+/// Message for a request that no known target can run.
+pub(super) const NO_TARGET: &str = "no target can run it: try again";
 /// Message for a request that is rejected because all targets are cold.
 pub(super) const ALL_COLD: &str = "all targets have just started: try again";
 /// Delay before another check for free capacity at plain targets.
@@ -74,6 +76,8 @@
     Response(Box<TargetResponse<E>>),
     /// The request has not run and will not run.
     NotRun(&'static str),
+    /// The request has not run: no target is known that could run it.
+    NoTarget,
     /// The request has not run: every engine that could run it would start it too late, by this duration.
     QueueTooLong(Duration),
     /// The request has not run: every target that could run it is cold for this long.
@@ -115,7 +119,7 @@
             let fields = [("request", &*call.id), ("reason", refusal.name())];
             let fields = fields.into_iter().chain(inputs).collect::<Vec<_>>();
             event(LogEvent::RequestRefused, &fields);
-            return refusal_response(&node.protocol, &refusal);
+            return refusal_response(&node.protocol, &refusal, call.timeout);
         }
     };
     let body = match read_body(&node, body).await {
@@ -264,7 +268,8 @@
                 Pick::Cold { left } => return self.cold(left),
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
                 Pick::Full => return self.unserved("all targets are full"),
-                Pick::NoTarget => return self.unserved("no target can run it"),
+                Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
+                Pick::NoTarget => return self.unserved(NO_TARGET),
             }
         }
     }
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -8,8 +8,8 @@
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
-use super::front::{ALL_COLD, Job, SearchOutcome, TOO_LATE};
-use super::local_response::{ResponseBody, error_response, spread_retry_after};
+use super::front::{ALL_COLD, Job, NO_TARGET, SearchOutcome, TOO_LATE};
+use super::local_response::{ResponseBody, error_response, late_retry_after, spread_retry_after};
 use super::log::{LogEvent, event};
 
 /// Message for a request under which targets crash. The request has run, so the response has no `Retry-After`.
@@ -69,6 +69,11 @@
                 let after = Some(spread_retry_after());
                 (StatusCode::SERVICE_UNAVAILABLE, *why, after)
             }
+            SearchOutcome::NoTarget => {
+                self.node.tables().refund(&self.ticket);
+                let after = Some(late_retry_after(self.call.timeout));
+                (StatusCode::SERVICE_UNAVAILABLE, NO_TARGET, after)
+            }
             SearchOutcome::QueueTooLong(excess) => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(*excess + spread_retry_after());
--- a/crates/gateway/src/net/local_response.rs
+++ b/crates/gateway/src/net/local_response.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use rand::Rng;
 
+use crate::decide::retry_after::when_nothing_can_run;
 use crate::decide::tables::Refusal;
 use crate::edge::Protocol;
 
@@ -52,15 +53,26 @@
     MIN_RETRY_AFTER + RETRY_AFTER_SPREAD.mul_f64(fraction)
 }
 
+/// Returns the delay after which a caller with this timeout should retry when nothing can run its request.
+pub(super) fn late_retry_after(timeout: Option<Duration>) -> Duration {
+    when_nothing_can_run(timeout, rand::rng().random_range(0.0..1.0))
+}
+
 /// Returns the response to a rejected request. Every status below means that the request has not run.
 pub(super) fn refusal_response<P: Protocol>(
     protocol: &P,
     refusal: &Refusal,
+    timeout: Option<Duration>,
 ) -> Response<ResponseBody> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     let soon = Some(spread_retry_after());
     let (status, message, after) = match *refusal {
         Refusal::NotConfigured => (unavailable, "no configuration yet: try again", soon),
+        Refusal::StoreAway => (
+            unavailable,
+            "no configuration, and the store does not respond: try again",
+            Some(late_retry_after(timeout)),
+        ),
         Refusal::Stopping => (unavailable, "this instance stops: use another one", soon),
         Refusal::NoRoute => (
             StatusCode::NOT_FOUND,
@@ -78,7 +90,11 @@
             Some(retry_after),
         ),
         Refusal::Full => (unavailable, "all targets are full: try again", soon),
-        Refusal::NoTarget => (unavailable, "no target can run this: try again", soon),
+        Refusal::NoTarget => (
+            unavailable,
+            "no target can run this: try again",
+            Some(late_retry_after(timeout)),
+        ),
     };
     error_response(protocol, status, message, after)
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -225,9 +225,10 @@
     tables
 }
 
-/// Tells an instance that no failure domain is evacuated.
+/// Tells an instance that no failure domain is evacuated, and that its list of targets is complete.
 pub fn inform(tables: &mut Tables) {
     tables
         .evacuations
         .replace(&BTreeSet::new(), Revision(1), at(0));
+    tables.registry.advance_revision(Revision(1));
 }
