--- a/crates/gateway/src/decide/refusal.rs
+++ b/crates/gateway/src/decide/refusal.rs
@@ -19,6 +19,8 @@
     UnknownKey,
     /// The workspace's quota is used up.
     OverQuota {
+        /// Route of the request.
+        route: Box<str>,
         /// Workspace that used up its quota.
         workspace: WorkspaceId,
         /// Time until the request would fit.
@@ -56,6 +58,7 @@
     #[must_use]
     pub fn inputs(&self) -> Vec<(&'static str, String)> {
         let Self::OverQuota {
+            route,
             workspace,
             retry_after,
             remaining,
@@ -66,6 +69,7 @@
             return Vec::new();
         };
         vec![
+            ("route", route.to_string()),
             ("workspace", workspace.to_string()),
             ("charge", charge.to_string()),
             ("left", remaining.to_string()),
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -99,9 +99,12 @@
         let [sends, config] = [self.sends.to_string(), self.ticket.config().to_string()];
         let ms = self.elapsed_ms();
         let fingerprint = self.fingerprint.to_string();
+        let workspace = self.ticket.workspace.as_ref().map(ToString::to_string);
+        let workspace = workspace.unwrap_or_default();
         let mut fields = vec![
             ("request", &*self.call.id),
             ("route", &*self.ticket.route().name),
+            ("workspace", &*workspace),
             ("status", status.as_str()),
             ("reason", message),
             ("sends", &*sends),
