Split requests in flight from attempts, and shorten what tests say of their failures

A refusal without a configuration or a source of it is called StoreUnreachable. No behaviour changes but the reason's name in logs and metrics.

--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -59,7 +59,7 @@
     pub fn record_evacuations(&mut self, changes: &[EvacuationChange], now: Time) {
         for change in changes {
             if let EvacuationChange::Lifted(domain) = change {
-                self.registry.record_unused(domain, now);
+                self.registry.record_domain_unused(domain, now);
             }
         }
     }
--- a/crates/gateway/src/decide/refusal.rs
+++ b/crates/gateway/src/decide/refusal.rs
@@ -10,7 +10,7 @@
     /// The instance has no configuration yet.
     NotConfigured,
     /// The instance has no configuration, and neither the store nor a peer responds that could supply it.
-    StoreAway,
+    StoreUnreachable,
     /// The instance is stopping and may not be able to finish new requests.
     Stopping,
     /// No route matches.
@@ -44,7 +44,7 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
-            Self::StoreAway => "store_away",
+            Self::StoreUnreachable => "store_unreachable",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -322,7 +322,7 @@
     }
 
     /// Records that the targets of a failure domain have received nothing for a while.
-    pub fn record_unused(&mut self, domain: &FailureDomain, now: Time) {
+    pub fn record_domain_unused(&mut self, domain: &FailureDomain, now: Time) {
         let unused = self.targets.values();
         for target in unused.filter(|target| target.failure_domain == *domain) {
             self.cold.record(&target.id, ColdSign::Unused, now);
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -275,7 +275,7 @@
         if has_source || self.store_calls.has_response() {
             Refusal::NotConfigured
         } else {
-            Refusal::StoreAway
+            Refusal::StoreUnreachable
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/net/in_flight.rs
@@ -0,0 +1,154 @@
+//! A request in flight at a target, and what becomes of it there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellstage_core::{TargetId, Time};
+
+use crate::decide::adapter::AdapterKey;
+use crate::decide::health::TargetOutcome;
+use crate::decide::prompt_queues::WaitingKey;
+use crate::decide::tables::Tables;
+use crate::edge::Edge;
+use crate::packet::{AdapterRequest, AdapterRequestKind};
+
+use super::attempt::{Attempt, FailedRun, Failure, SendParams};
+use super::log::{LogEvent, event};
+use super::node::Node;
+
+/// Counts a request as in flight at a target until it is dropped.
+#[derive(Debug)]
+pub(super) struct InFlight<E: Edge> {
+    pub(super) node: Arc<Node<E>>,
+    pub(super) target: TargetId,
+    adapter: Option<AdapterKey>,
+    /// Its entry in the engine's queue; `None` once the request has started, and at plain targets.
+    waiting: Option<WaitingKey>,
+    pub(super) sent: Time,
+    /// The request was in flight at a target that crashed.
+    suspect: bool,
+    /// When the target began to respond.
+    responding_since: Option<Time>,
+    is_outcome_recorded: bool,
+}
+
+impl<E: Edge> InFlight<E> {
+    pub(super) fn begin(node: &Arc<Node<E>>, target: &TargetId, params: SendParams<'_>) -> Self {
+        let mut tables = node.tables();
+        tables.start_request(target);
+        if params.suspect {
+            tables.start_suspect(target);
+        }
+        if params.trial {
+            tables.health.start_trial(target);
+        }
+        let now = node.now();
+        if let Some(key) = Tables::adapter_of(params.call) {
+            tables.residency.record_sent(target, key, now);
+        }
+        let call = params.call;
+        let prompts = call.wanted.is_some();
+        let waiting = prompts.then(|| tables.record_prompt(target, call, now));
+        drop(tables);
+        let in_flight = Self {
+            node: Arc::clone(node),
+            target: target.clone(),
+            adapter: Tables::adapter_of(params.call).cloned(),
+            waiting,
+            sent: now,
+            suspect: params.suspect,
+            responding_since: None,
+            is_outcome_recorded: false,
+        };
+        in_flight.notify_loader(AdapterRequestKind::Started);
+        in_flight
+    }
+
+    fn notify_loader(&self, kind: AdapterRequestKind) {
+        if let Some(key) = &self.adapter {
+            self.node.queue_adapter_request(AdapterRequest {
+                target: self.target.clone(),
+                key: key.clone(),
+                kind,
+            });
+        }
+    }
+
+    /// Records that the engine has started the request. Engines send the response head with the first event.
+    pub(super) fn record_started(&mut self) {
+        self.responding_since = Some(self.node.now());
+        if let Some(waiting) = self.waiting.take() {
+            self.node
+                .tables()
+                .queues
+                .record_started(waiting, self.node.now());
+        }
+    }
+
+    /// Records the outcome of the request; only the first outcome counts.
+    pub(super) fn record_outcome(&mut self, outcome: TargetOutcome) {
+        if std::mem::replace(&mut self.is_outcome_recorded, true) {
+            return;
+        }
+        self.apply_outcome(outcome);
+    }
+
+    fn apply_outcome(&self, outcome: TargetOutcome) {
+        let now = self.node.now();
+        let mut tables = self.node.tables();
+        if outcome == TargetOutcome::Unreachable {
+            tables.record_unreachable(&self.target, now);
+        }
+        let ejected = tables.health.record_outcome(&self.target, outcome, now);
+        drop(tables);
+        if ejected {
+            self.node.metrics.target_ejected();
+            let target = self.target.to_string();
+            let met = format!("{outcome:?}");
+            event(
+                LogEvent::TargetEjected,
+                &[("target", &target), ("met", &met)],
+            );
+        }
+    }
+
+    /// Records a failure, even if an outcome was recorded before.
+    pub(super) fn record_failure(&mut self) {
+        self.is_outcome_recorded = true;
+        self.apply_outcome(TargetOutcome::Failure);
+    }
+
+    pub(super) fn failed_attempt(&self, failure: Failure) -> Attempt<E> {
+        let run_time = self.run_time();
+        Attempt::Failed(FailedRun { failure, run_time })
+    }
+
+    /// Time since the request was sent.
+    pub(super) fn age(&self) -> Duration {
+        self.node.now().since(self.sent)
+    }
+
+    /// Time since the target began to respond, or since the request was sent if it did not respond.
+    pub(super) fn run_time(&self) -> Duration {
+        let since = self.responding_since.unwrap_or(self.sent);
+        self.node.now().since(since)
+    }
+}
+
+impl<E: Edge> Drop for InFlight<E> {
+    fn drop(&mut self) {
+        let mut tables = self.node.tables();
+        tables.end_request(&self.target);
+        if self.suspect {
+            tables.end_suspect(&self.target);
+        }
+        if let Some(waiting) = self.waiting.take() {
+            tables.queues.remove(waiting);
+        }
+        if !self.is_outcome_recorded {
+            tables.health.cancel_trial(&self.target);
+        }
+        drop(tables);
+        self.notify_loader(AdapterRequestKind::Ended);
+    }
+}
--- a/crates/gateway/src/net/local_response.rs
+++ b/crates/gateway/src/net/local_response.rs
@@ -68,7 +68,7 @@
     let soon = Some(spread_retry_after());
     let (status, message, after) = match *refusal {
         Refusal::NotConfigured => (unavailable, "no configuration yet: try again", soon),
-        Refusal::StoreAway => (
+        Refusal::StoreUnreachable => (
             unavailable,
             "no configuration, and the store does not respond: try again",
             Some(late_retry_after(timeout)),
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod front;
 mod gossip;
+mod in_flight;
 mod job_response;
 mod leases;
 mod loaders;
--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -323,8 +323,7 @@
         .unwrap()
 }
 
-/// Guards against a herd of requests on engines that have restarted: more arrived in a second than they
-/// accept, as instances heard of the restart late.
+/// Guards against a herd of requests on engines that have restarted.
 #[test]
 fn restarted_engines_get_no_more_than_they_accept() {
     for instances in [8, 60, 195] {
@@ -365,8 +364,7 @@
     }
 }
 
-/// Guards against shares that add up to too much: all engines are cold, and instances that are cut off admit
-/// requests in addition to the others. With all in touch, part of the requests is served.
+/// Guards against instances that are cut off and admit requests in addition to the others.
 #[test]
 fn with_all_engines_cold_some_requests_are_served_within_the_bound() {
     let all_cold = Scenario {
@@ -385,8 +383,7 @@
     assert!(observed.served_while_cold > 0, "{observed:?}");
 }
 
-/// Guards against registrations that would stop the fleet: a time that is far in the future is not believed,
-/// and a target that was never cold needs no sign.
+/// Guards against a registration that would take a target out for good.
 #[test]
 fn a_report_of_a_long_cold_time_is_cut() {
     let mut cold = ColdTargets::default();
--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -63,8 +63,7 @@
     tables.pick(&ticket, &call, &[], 0.5, at(ms))
 }
 
-/// Guards against requests to an evacuated domain: while the evacuation is new, a request whose adapter only
-/// that domain has still goes there, and the adapter is loaded elsewhere; after that nothing goes there.
+/// Guards against requests to an evacuated domain, and against a herd of loads when it is left.
 #[test]
 fn an_evacuated_domain_is_left_within_the_drain_period() {
     let mut tables = with_engines(vec![
@@ -93,8 +92,7 @@
     assert_eq!(target.as_str(), "e2");
 }
 
-/// Guards against a request that waits for a target that will not come: with all domains evacuated it is
-/// refused at once.
+/// Guards against a request that waits for a target that will not come.
 #[test]
 fn with_all_domains_evacuated_nothing_can_run_a_request() {
     let mut tables = with_engines(vec![
@@ -106,7 +104,7 @@
     assert_eq!(pick(&mut tables, "a1", 3_000), Pick::NoTarget);
 }
 
-/// Guards against evacuations that stop plain services: theirs are sent elsewhere as well.
+/// Guards against requests to plain targets of an evacuated domain.
 #[test]
 fn plain_requests_leave_an_evacuated_domain_at_once() {
     let mut tables = with_engines(vec![
@@ -130,21 +128,20 @@
     }
 }
 
-/// Guards against an instance that serves by an old list: it rejects requests until it knows the evacuations.
+/// Guards against an instance that serves by an old list.
 #[test]
 fn an_instance_that_does_not_know_the_evacuations_is_not_ready() {
     let mut tables = support::tables();
     tables.evacuations = Evacuations::default();
     assert!(!tables.ready());
     let refused = tables.admit(&call("/file/1", Some("key-1")), 0, at(0));
-    assert_eq!(refused.err(), Some(Refusal::StoreAway));
+    assert_eq!(refused.err(), Some(Refusal::StoreUnreachable));
     inform(&mut tables);
     assert!(tables.ready());
     assert!(!tables.adopt(config(1), at(0)));
 }
 
-/// Guards against an evacuation that is known too late: a peer's newer evacuations are copied with their age,
-/// and an older copy changes nothing.
+/// Guards against an evacuation that a copy from a peer makes younger, or reverts.
 #[test]
 fn evacuations_spread_with_their_age() {
     let [mut store_reader, mut other] = [tables(), tables()];
@@ -167,7 +164,7 @@
     assert_eq!(state(3_100), DomainState::Closed);
 }
 
-/// Guards against entries whose order is lost: removed and put again within a second, told by a peer first.
+/// Guards against an entry that is removed and put again within a second, and told by a peer first.
 #[test]
 fn the_last_change_of_a_domain_decides() {
     let mut evacuations = Evacuations::default();
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -379,8 +379,7 @@
     assert_within_quota(&runs);
 }
 
-/// Guards against a busy workspace that exceeds its quota because all instances are killed several times in a
-/// few seconds, and start each time with a part of the burst.
+/// Guards against a part of the burst for each of several restarts of all instances.
 #[test]
 fn a_busy_workspace_stays_within_its_quota_through_repeated_restarts_of_all_instances() {
     let mut fleet = Fleet::with_quota(60, 3, 16, quota(RATE, RATE));
@@ -410,10 +409,7 @@
     assert!(max <= allowed, "{max} of {allowed}");
 }
 
-/// Guards against refusals of workspaces within their rate after all instances were killed: their buckets
-/// started nearly empty and filled while the instances discovered each other, and for a second most requests
-/// were rejected. A draft is a thirtieth of what the workspace may spend a second, and it asks for four
-/// fifths of that, as refused callers return.
+/// Guards against refusals within the rate while the buckets of restarted instances fill.
 #[test]
 fn a_workspace_within_its_rate_is_served_after_a_restart_of_all_instances() {
     const SMALL_RATE: u64 = 70_000;
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -110,8 +110,7 @@
     assert!(tables.follows_store(at(1)));
 }
 
-/// Guards against thousands of calls to the store in an outage: each instance of a large fleet saw no follower
-/// and called the store itself. One that the store turns away is still replaced soon by others.
+/// Guards against thousands of calls to the store in an outage.
 #[test]
 fn few_instances_of_a_large_fleet_call_a_store_that_does_not_respond() {
     let calls = |me: usize, second: u64| {
--- a/crates/gateway/tests/load_simulation.rs
+++ b/crates/gateway/tests/load_simulation.rs
@@ -81,8 +81,7 @@
     }
 }
 
-/// Guards against decisions that depend on the iteration order of a hash map: the same seed gave other
-/// results in each process, and no failure could be replayed.
+/// Guards against decisions that depend on the order of a hash map, so that no failure can be replayed.
 #[test]
 fn the_same_seed_gives_the_same_decisions() {
     let overload = LoadScenario {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -492,5 +492,5 @@
     );
     tables.routes = std::sync::Arc::default();
     let unknown = refused(&mut tables, "/file/1", Some("key-1"));
-    assert_eq!(unknown, Some(Refusal::StoreAway));
+    assert_eq!(unknown, Some(Refusal::StoreUnreachable));
 }
--- a/crates/gateway/tests/retry_after.rs
+++ b/crates/gateway/tests/retry_after.rs
@@ -25,8 +25,7 @@
     f64::from(u32::try_from(served.count()).unwrap()) / f64::from(callers)
 }
 
-/// Guards against callers that are lost in an outage of a second or two: they returned within 0.32 s, once, and
-/// were rejected again.
+/// Guards against callers that return once, too early, and are rejected again.
 #[test]
 fn callers_return_when_the_outage_is_over() {
     let soon = |sample: f64| Duration::from_millis(80) + Duration::from_millis(240).mul_f64(sample);
@@ -51,8 +50,7 @@
     }
 }
 
-/// Guards against a caller that waits although the configuration arrives in a moment: a peer has it, or the store
-/// responds.
+/// Guards against a caller that waits long although the configuration arrives in a moment.
 #[test]
 fn an_instance_that_will_soon_be_configured_says_so() {
     let mut starting = tables();
@@ -61,7 +59,7 @@
         let admitted = tables.admit(&call("/file/1", Some("key-1")), 0, at(0));
         admitted.err()
     };
-    assert_eq!(refusal(&mut starting), Some(Refusal::StoreAway));
+    assert_eq!(refusal(&mut starting), Some(Refusal::StoreUnreachable));
     starting.store_calls.record_end(Kind::Members, true, at(0));
     assert_eq!(refusal(&mut starting), Some(Refusal::NotConfigured));
     let mut beside_peer = tables();
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -131,8 +131,7 @@
     assert!(late.is_empty(), "arrived too late: {late:?}");
 }
 
-/// Guards against thousands of calls by a fleet that starts during an outage of the store: an instance tried all
-/// kinds of objects again and again. One kind suffices to find out that the store is back.
+/// Guards against thousands of calls by a fleet that starts during an outage of the store.
 #[test]
 fn an_instance_that_starts_in_an_outage_tries_one_kind_of_objects() {
     let outage = Duration::ZERO..Duration::from_secs(5);
