Count the headers of targets that nothing reads

Each name of a response header that nothing reads is logged once (BS3115) and counted by name (64 names at most, the rest together). Answers to orders and reports count as well, for which the client of short calls returns whole responses.

No decision is changed.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -8,7 +8,7 @@
 
 use bluebellstage_core::{FailureDomain, Revision};
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, request, response};
+use http::{HeaderMap, HeaderName, Request, StatusCode, request, response};
 
 use crate::decide::adapter::VersionedAdapter;
 use crate::decide::call::{Call, Forward, ResponseHead};
@@ -52,6 +52,9 @@
     /// Decodes the head of a target's response.
     fn response_head(&self, head: &response::Parts) -> ResponseHead;
 
+    /// Returns the names of a target's response headers that nothing here reads.
+    fn unknown_headers(&self, headers: &HeaderMap) -> Vec<HeaderName>;
+
     /// Returns the headers of a target's response that are forwarded to the caller.
     fn response_headers(&self, head: &response::Parts) -> HeaderMap;
 
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -20,6 +20,7 @@
 use super::node::Node;
 use super::pool::Connection;
 use super::sockets::connect;
+use super::unknown_headers::record_unknown_headers;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -125,6 +126,7 @@
     node.metrics.attempt_ended(outcome.name());
     match outcome {
         Exchange::Response(parts, body, connection) => {
+            record_unknown_headers(node, target, &parts.headers);
             let head = node.protocol.response_head(&parts);
             // A target that did not run the request may leave the limit out of its response.
             if !(head.not_run && head.limit == ReportedLimit::Unlimited) {
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -6,7 +6,7 @@
 
 use bluebellstage_core::TargetId;
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::edge::Edge;
@@ -15,6 +15,7 @@
 use super::node::Node;
 use super::pool::Connection;
 use super::sockets::connect;
+use super::unknown_headers::record_unknown_headers;
 
 /// Max size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -39,12 +40,12 @@
     address: SocketAddr,
     connection: &mut Connection,
     req: Request<Bytes>,
-) -> Result<(StatusCode, Bytes), GatewayError> {
+) -> Result<Response<Bytes>, GatewayError> {
     let sent = connection.tx.send_request(req.map(Full::new)).await;
     let (head, body) = sent.map_err(|err| failed(address, &err))?.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|err| failed(address, &err))?;
-    Ok((head.status, body.to_bytes()))
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 /// Sends a request on a new connection and reads the complete response.
@@ -56,7 +57,7 @@
     address: SocketAddr,
     req: Request<Bytes>,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), GatewayError> {
+) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
         let mut connection = open(address).await?;
         exchange(address, &mut connection, req).await
@@ -72,13 +73,14 @@
     address: SocketAddr,
     req: Request<Bytes>,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), GatewayError> {
+) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
         let mut connection = match node.pool.take(target) {
             Some(connection) => connection,
             None => open(address).await?,
         };
         let response = exchange(address, &mut connection, req).await?;
+        record_unknown_headers(node, target, response.headers());
         node.pool.put(target, connection, None);
         Ok(response)
     };
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -365,7 +365,7 @@
     let req = node.protocol.report_request(target);
     let result = call_target(node, &target.id, target.address, req, REPORT_TIMEOUT).await;
     let report = match result {
-        Ok((status, body)) if status.is_success() => node.protocol.report(&body),
+        Ok(res) if res.status().is_success() => node.protocol.report(res.body()),
         Ok(_) | Err(_) => None,
     };
     if report.is_none() {
@@ -397,7 +397,10 @@
     }
     let result = call_target(node, &target.id, target.address, req, ORDER_TIMEOUT).await;
     let (outcome, status) = match result {
-        Ok((status, _)) => (node.protocol.order_outcome(status), status.to_string()),
+        Ok(res) => (
+            node.protocol.order_outcome(res.status()),
+            res.status().to_string(),
+        ),
         Err(err) => (OrderOutcome::Unknown, err.to_string()),
     };
     node.metrics.order_ended(outcome.name());
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -65,6 +65,8 @@
     EvacuationBegun = 3113, Info, "failure domain evacuated: its targets get no requests";
     /// The evacuation of a failure domain was lifted; its targets are taken as cold at first.
     EvacuationLifted = 3114, Info, "evacuation of failure domain lifted";
+    /// A target sends a header that nothing reads.
+    UnknownHeader = 3115, Warn, "target sends a header that nothing reads";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -29,6 +29,7 @@
     quarantined: Counter<u64>,
     quarantine: Gauge<u64>,
     limited: Gauge<u64>,
+    unknown_headers: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_open_call: Gauge<u64>,
@@ -88,6 +89,10 @@
             ),
             quarantine: gauge("bluebellstage.quarantine", "Requests that are quarantined"),
             limited: gauge("bluebellstage.limited_targets", "Targets that name a limit"),
+            unknown_headers: counter(
+                "bluebellstage.unknown_headers",
+                "Headers in answers of targets that nothing reads, by name",
+            ),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -174,6 +179,12 @@
         self.quarantined.add(1, &[]);
     }
 
+    /// Counts a header of a target's response that nothing reads.
+    pub(super) fn unknown_header(&self, name: &str) {
+        let name = KeyValue::new("name", name.to_owned());
+        self.unknown_headers.add(1, &[name]);
+    }
+
     /// Counts an order to an engine by its outcome.
     pub(super) fn order_ended(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", outcome)]);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -32,3 +32,4 @@
 mod stop;
 mod stream;
 mod sync;
+mod unknown_headers;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -20,6 +20,7 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::residency_updates::ResidencyQueue;
+use super::unknown_headers::UnknownHeaders;
 
 /// Destination of a datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -54,6 +55,7 @@
     pub(super) loaders: Loaders,
     pub(super) residency_updates: ResidencyQueue,
     pub(super) metrics: Metrics,
+    pub(super) unknown_headers: UnknownHeaders,
     pub(super) leases: Leases,
     /// Checks of targets on which runs were interrupted.
     pub(super) crash_checks: CrashChecks,
@@ -104,6 +106,7 @@
             loaders: Loaders::default(),
             residency_updates: ResidencyQueue::default(),
             metrics: Metrics::new(),
+            unknown_headers: UnknownHeaders::default(),
             leases,
             crash_checks: CrashChecks::default(),
             peer_is_newer: Notify::new(),
--- a/crates/gateway/src/net/peer_copy.rs
+++ b/crates/gateway/src/net/peer_copy.rs
@@ -120,8 +120,8 @@
             address,
             cause: err.to_string().into(),
         })?;
-    let (_, body) = call(address, req, COPY_TIMEOUT).await?;
-    bincode::deserialize(&body).map_err(|err| GatewayError::Unreadable {
+    let res = call(address, req, COPY_TIMEOUT).await?;
+    bincode::deserialize(res.body()).map_err(|err| GatewayError::Unreadable {
         from: address.to_string().into(),
         what: "a copy of its state",
         cause: err.to_string().into(),
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -233,6 +233,10 @@
         unreachable!("there are no targets")
     }
 
+    fn unknown_headers(&self, _headers: &HeaderMap) -> Vec<http::HeaderName> {
+        unreachable!("there are no targets")
+    }
+
     fn response_headers(&self, _head: &response::Parts) -> HeaderMap {
         unreachable!("there are no targets")
     }
