Leave targets alone that report in an answer that they leave

Callers' requests went on to an engine for 13 s after it had announced its end in its answers (DRAIN, 2 s allowed): an instance took a target as leaving by its registration alone, and the store, which was away, took that 13 s late.

Cause: Server-Leaving was read nowhere. Class: what a target says of itself in an answer, and nobody acts on.

The head of every response, whatever its status, is now read where it arrives, those to orders and reports as well. The report holds for one incarnation of the target, outlasts an expired registration, and ends with a new start alone. One place, Tables::drain_state, combines it with the registration and the evacuations; the two filters in placement are gone. For 1 s a request may still go there that nothing else can run now, while its adapter is loaded elsewhere. Other instances are not told: the rule binds the one that got the answer, and one wrong answer must not take a target from all. BS3116, BS3117 and BS3408, three metrics and the dump show the report.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bluebellstage_gateway::decide::drain_state::DrainState;
 use bluebellstage_gateway::decide::dump::{
     Dump, EvacuationDump, PeerDump, QuotaDump, Stage, StoreCallDump, StoreLink, SuspectDump,
     TargetDump,
 };
-use bluebellstage_gateway::decide::evacuations::DomainState;
 use bluebellstage_gateway::decide::health::HealthState;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
 use bluebellstage_gateway::decide::status::Role;
@@ -164,8 +164,8 @@
 
 fn write_evacuation(out: &mut String, evacuation: &EvacuationDump) -> std::fmt::Result {
     let what = match evacuation.state {
-        DomainState::Draining => "gets only what no other domain can run now",
-        DomainState::Open | DomainState::Closed => "gets no requests",
+        DrainState::Draining => "gets only what no other domain can run now",
+        DrainState::Open | DrainState::Closed => "gets no requests",
     };
     writeln!(out, "evacuated  {}  {what}", evacuation.domain)
 }
@@ -181,11 +181,14 @@
         left => format!("  cold for {left} ms"),
     };
     let leaving = if target.leaving { "  leaving" } else { "" };
+    let said_leaving = target.said_leaving_ms;
+    let said_leaving = said_leaving.map(|ago| format!("  said {ago} ms ago that it leaves"));
+    let said_leaving = said_leaving.unwrap_or_default();
     let limit = target.limit.map(|rate| format!("  takes {rate} a second"));
     let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{cold}{leaving}{limit}",
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{cold}{leaving}{said_leaving}{limit}",
         target.id, target.service, target.in_flight, target.slots, target.adapters
     )
 }
--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -1,11 +1,13 @@
-//! Decides which targets may receive requests: not those of evacuated failure domains, nor cold ones.
+//! Decides which targets may receive requests: not those that leave or whose failure domains are evacuated, nor
+//! cold ones.
 
 use std::time::Duration;
 
-use bluebellstage_core::{FailureDomain, TargetId, Time};
+use bluebellstage_core::{TargetId, Time};
 
 use super::cold::{ColdSign, ColdStart};
-use super::evacuations::{DomainState, EvacuationChange};
+use super::drain_state::DrainState;
+use super::evacuations::EvacuationChange;
 use super::rendezvous::{name_hash, weight};
 use super::tables::Tables;
 use super::target::Target;
@@ -15,11 +17,11 @@
 pub enum Availability {
     /// It may.
     Open,
-    /// Only requests that no open target can run now: its failure domain is being evacuated.
+    /// Only requests that no open target can run now: it is being drained.
     Draining,
     /// It is cold for this long.
     Cold(Duration),
-    /// It may not: its failure domain is evacuated.
+    /// It may not: it is drained.
     Closed,
 }
 
@@ -28,14 +30,38 @@
     #[must_use]
     pub fn availability(&self, target: &Target, now: Time) -> Availability {
         let cold_left = self.cold_time_left(target, now);
-        match self.evacuations.state(&target.failure_domain, now) {
-            DomainState::Draining if cold_left.is_zero() => Availability::Draining,
-            DomainState::Draining | DomainState::Closed => Availability::Closed,
-            DomainState::Open if cold_left.is_zero() => Availability::Open,
-            DomainState::Open => Availability::Cold(cold_left),
+        match self.drain_state(target, now) {
+            DrainState::Draining if cold_left.is_zero() => Availability::Draining,
+            DrainState::Draining | DrainState::Closed => Availability::Closed,
+            DrainState::Open if cold_left.is_zero() => Availability::Open,
+            DrainState::Open => Availability::Cold(cold_left),
         }
     }
 
+    /// Returns how far a target is drained, for whatever reason.
+    #[must_use]
+    pub fn drain_state(&self, target: &Target, now: Time) -> DrainState {
+        if target.leaving {
+            return DrainState::Closed;
+        }
+        let own = self.departures.drain_state(target, now);
+        let domain = self.evacuations.state(&target.failure_domain, now);
+        own.max(domain)
+    }
+
+    /// Returns whether a target leaves, by its registration or its responses.
+    #[must_use]
+    pub fn is_leaving(&self, target: &Target, now: Time) -> bool {
+        target.leaving || self.departures.age(target, now).is_some()
+    }
+
+    /// Ends the reports of targets that have restarted or are gone, and returns those targets.
+    pub fn sweep_departures(&mut self, now: Time) -> Vec<TargetId> {
+        let registry = &self.registry;
+        let born = |target: &TargetId| registry.get(target).map(|known| known.born);
+        self.departures.sweep(born, now)
+    }
+
     /// Returns how much longer a target is taken as cold; zero if it is warm.
     #[must_use]
     pub fn cold_time_left(&self, target: &Target, now: Time) -> Duration {
@@ -89,10 +115,4 @@
             .and_then(|known| self.cold_start(known));
         start.is_some_and(|start| self.registry.cold.admit(target, start, now))
     }
-
-    /// Whether the targets of a failure domain receive nothing, or soon will not.
-    #[must_use]
-    pub fn is_evacuated(&self, domain: &FailureDomain, now: Time) -> bool {
-        self.evacuations.state(domain, now) != DomainState::Open
-    }
 }
--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -5,6 +5,7 @@
 use bluebellstage_core::{Tokens, WorkspaceId};
 
 use super::adapter::RequestedModel;
+use super::departures::ReportedDeparture;
 use super::limits::ReportedLimit;
 
 /// A caller's request, decoded once at the edge.
@@ -64,4 +65,6 @@
     pub idle_timeout: Option<Duration>,
     /// The target's rate limit for all instances together.
     pub limit: ReportedLimit,
+    /// Whether the target leaves.
+    pub departure: ReportedDeparture,
 }
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::evacuations::DomainState;
+use super::drain_state::DrainState;
 use super::health::HealthState;
 use super::kind::Kind;
 use super::limits::RequestRate;
@@ -100,7 +100,7 @@
     /// The failure domain.
     pub domain: FailureDomain,
     /// Whether its targets still receive requests.
-    pub state: DomainState,
+    pub state: DrainState,
 }
 
 /// A target from the instance's point of view.
@@ -110,8 +110,10 @@
     pub id: TargetId,
     /// Its service.
     pub service: ServiceId,
-    /// It accepts no new requests.
+    /// Its registration says that it accepts no new requests.
     pub leaving: bool,
+    /// Milliseconds since it reported in a response that it leaves, if it did.
+    pub said_leaving_ms: Option<u64>,
     /// Requests a second that it accepts from all instances together, if it reports a limit.
     pub limit: Option<RequestRate>,
     /// Milliseconds for which it is still taken as cold; zero if it is warm.
@@ -247,6 +249,7 @@
                 id: target.id.clone(),
                 service: target.service.clone(),
                 leaving: target.leaving,
+                said_leaving_ms: self.departures.age(target, now).map(millis),
                 limit: self.limits.get(&target.id),
                 cold_ms: millis(self.cold_time_left(target, now)),
                 standing: self.health.state(&target.id, now),
--- a/crates/gateway/src/decide/evacuations.rs
+++ b/crates/gateway/src/decide/evacuations.rs
@@ -6,6 +6,7 @@
 use bluebellstage_core::{FailureDomain, Revision, Time};
 use serde::{Deserialize, Serialize};
 
+use super::drain_state::DrainState;
 use super::rendezvous::name_hash;
 
 /// Age of an evacuation up to which a request may still go to the domain if nothing else can run it now.
@@ -14,18 +15,6 @@
 /// includes the time until the change arrives here and the time that a request takes to its target.
 pub const DRAIN_PERIOD: Duration = Duration::from_millis(1_800);
 
-/// Whether targets of a failure domain may receive requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum DomainState {
-    /// It is not evacuated.
-    Open,
-    /// It is evacuated, and receives only requests that no other domain can run now.
-    Draining,
-    /// It is evacuated and receives nothing.
-    Closed,
-}
-
 /// A change of the evacuated domains.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EvacuationChange {
@@ -92,16 +81,16 @@
 
     /// Returns whether targets of a domain may receive requests.
     #[must_use]
-    pub fn state(&self, domain: &FailureDomain, now: Time) -> DomainState {
+    pub fn state(&self, domain: &FailureDomain, now: Time) -> DrainState {
         match self.closed_from.get(domain) {
-            None => DomainState::Open,
-            Some(closed_from) if now < *closed_from => DomainState::Draining,
-            Some(_) => DomainState::Closed,
+            None => DrainState::Open,
+            Some(closed_from) if now < *closed_from => DrainState::Draining,
+            Some(_) => DrainState::Closed,
         }
     }
 
     /// Evacuated domains and their states.
-    pub fn all(&self, now: Time) -> impl Iterator<Item = (&FailureDomain, DomainState)> {
+    pub fn all(&self, now: Time) -> impl Iterator<Item = (&FailureDomain, DrainState)> {
         let domains = self.closed_from.keys();
         domains.map(move |domain| (domain, self.state(domain, now)))
     }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -8,6 +8,8 @@
 pub mod change_log;
 pub mod cold;
 pub mod config;
+pub mod departures;
+pub mod drain_state;
 pub mod dump;
 pub mod evacuations;
 pub mod event_stream;
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -157,14 +157,10 @@
 /// instance's failure domain.
 #[must_use]
 pub fn pick_plain(candidates: &[Candidate<'_>], cx: &PickContext<'_>) -> Pick {
-    let active = candidates
-        .iter()
-        .filter(|candidate| !candidate.target.leaving)
-        .collect::<Vec<_>>();
-    if active.is_empty() {
+    if candidates.is_empty() {
         return Pick::NoTarget;
     }
-    let open = without_ejected(active, cx)
+    let open = without_ejected(candidates.iter().collect(), cx)
         .into_iter()
         .filter(|candidate| candidate.can_connect);
     let best =
@@ -216,7 +212,6 @@
 ) -> Pick {
     let engines = candidates
         .iter()
-        .filter(|candidate| !candidate.target.leaving)
         .filter(|candidate| candidate.target.models.contains(wanted.model()))
         .collect::<Vec<_>>();
     if engines.is_empty() {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -9,6 +9,7 @@
 use super::adapter::{AdapterKey, RequestedModel};
 use super::call::Call;
 use super::config::{Config, Route};
+use super::departures::Departures;
 use super::evacuations::Evacuations;
 use super::exchange::Exchange;
 use super::health::Health;
@@ -69,6 +70,8 @@
     pub health: Health,
     /// Request limits that targets report.
     pub limits: Limits,
+    /// Targets that report that they leave.
+    pub departures: Departures,
     /// Requests under which targets crash.
     pub quarantine: Quarantine,
     /// Resident adapters of engines.
@@ -148,6 +151,7 @@
             retries: RetryCounts::default(),
             health: Health::default(),
             limits: Limits::default(),
+            departures: Departures::default(),
             quarantine: Quarantine::default(),
             residency: Residency::default(),
             versions: Versions::default(),
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -19,8 +19,8 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::pool::Connection;
+use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
-use super::unknown_headers::record_unknown_headers;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -106,14 +106,15 @@
     params: SendParams<'_>,
     forward: &Forward<'_>,
 ) -> Attempt<E> {
-    let Some(address) = node
+    let known = node
         .tables()
         .registry
         .get(target)
-        .map(|known| known.address)
-    else {
+        .map(|known| (known.address, known.born));
+    let Some((address, born)) = known else {
         return Attempt::Unreachable;
     };
+    let sender = ResponseSender { target, born };
     let mut in_flight = InFlight::begin(node, target, params);
     let exchange = exchange(node, target, address, params, forward);
     let outcome = tokio::select! {
@@ -126,8 +127,7 @@
     node.metrics.attempt_ended(outcome.name());
     match outcome {
         Exchange::Response(parts, body, connection) => {
-            record_unknown_headers(node, target, &parts.headers);
-            let head = node.protocol.response_head(&parts);
+            let head = record_response_head(node, sender, &parts);
             // A target that did not run the request may leave the limit out of its response.
             if !(head.not_run && head.limit == ReportedLimit::Unlimited) {
                 record_limit(node, target, head.limit, in_flight.sent);
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -99,10 +99,14 @@
     live_count: u32,
 }
 
-/// Returns the target unless it is draining: a planned stop interrupts runs, too.
+/// Returns the target unless it leaves: a planned stop interrupts runs, too.
 fn serving<E: Edge>(node: &Node<E>, id: &TargetId) -> Option<Serving> {
+    let now = node.now();
     let tables = node.tables();
-    let target = tables.registry.get(id).filter(|target| !target.leaving)?;
+    let target = tables.registry.get(id)?;
+    if tables.is_leaving(target, now) {
+        return None;
+    }
     let is_live = |other: &&Target| !tables.quarantine.has_crashed(incarnation(other));
     let others = tables.registry.all().filter(|other| other.id != *id);
     let others = others.filter(|other| other.service == target.service);
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -4,18 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bluebellstage_core::TargetId;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 
+use crate::decide::target::Target;
 use crate::edge::Edge;
 use crate::error::GatewayError;
 
 use super::node::Node;
 use super::pool::Connection;
+use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
-use super::unknown_headers::record_unknown_headers;
 
 /// Max size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -69,21 +69,22 @@
 /// Sends a request to a target, on a pooled connection if there is one.
 pub(super) async fn call_target<E: Edge>(
     node: &Node<E>,
-    target: &TargetId,
-    address: SocketAddr,
+    target: &Target,
     req: Request<Bytes>,
     timeout: Duration,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
-        let mut connection = match node.pool.take(target) {
+        let mut connection = match node.pool.take(&target.id) {
             Some(connection) => connection,
-            None => open(address).await?,
+            None => open(target.address).await?,
         };
-        let response = exchange(address, &mut connection, req).await?;
-        record_unknown_headers(node, target, response.headers());
-        node.pool.put(target, connection, None);
-        Ok(response)
+        let (head, body) = exchange(target.address, &mut connection, req)
+            .await?
+            .into_parts();
+        record_response_head(node, ResponseSender::of(target), &head);
+        node.pool.put(&target.id, connection, None);
+        Ok(Response::from_parts(head, body))
     };
     let result = tokio::time::timeout(timeout, calling).await;
-    result.map_err(|elapsed| failed(address, &elapsed))?
+    result.map_err(|elapsed| failed(target.address, &elapsed))?
 }
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -7,6 +7,7 @@
 
 use bluebellstage_core::{TargetId, Time};
 
+use crate::decide::drain_state::DrainState;
 use crate::decide::lease::SHARDS;
 use crate::decide::loader::{LoadStep, Loader, Order, OrderKind, OrderOutcome};
 use crate::decide::rendezvous::ShortHash;
@@ -336,8 +337,8 @@
     target: &Target,
     now: Time,
 ) -> Option<bluebellstage_core::BaseModel> {
-    let gets_no_requests = target.leaving || tables.is_evacuated(&target.failure_domain, now);
-    if !target.models.is_empty() || gets_no_requests {
+    let is_drained = tables.drain_state(target, now) != DrainState::Open;
+    if !target.models.is_empty() || is_drained {
         return None;
     }
     let service = tables.routes.config().service(&target.service)?;
@@ -348,7 +349,7 @@
     let holders = tables
         .registry
         .all()
-        .filter(|other| other.service == target.service && !other.leaving)
+        .filter(|other| other.service == target.service && !tables.is_leaving(other, now))
         .filter(|other| other.models.contains(model))
         .collect::<Vec<_>>();
     let slots = holders.iter().map(|other| other.slots).sum::<u32>();
@@ -363,7 +364,7 @@
 
 async fn read<E: Edge>(node: &Arc<Node<E>>, target: &Target) {
     let req = node.protocol.report_request(target);
-    let result = call_target(node, &target.id, target.address, req, REPORT_TIMEOUT).await;
+    let result = call_target(node, target, req, REPORT_TIMEOUT).await;
     let report = match result {
         Ok(res) if res.status().is_success() => node.protocol.report(res.body()),
         Ok(_) | Err(_) => None,
@@ -395,7 +396,7 @@
     if node.leases.may_order(shard, node.now()) != Some(fencing) {
         return false;
     }
-    let result = call_target(node, &target.id, target.address, req, ORDER_TIMEOUT).await;
+    let result = call_target(node, target, req, ORDER_TIMEOUT).await;
     let (outcome, status) = match result {
         Ok(res) => (
             node.protocol.order_outcome(res.status()),
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -67,6 +67,10 @@
     EvacuationLifted = 3114, Info, "evacuation of failure domain lifted";
     /// A target sends a header that nothing reads.
     UnknownHeader = 3115, Warn, "target sends a header that nothing reads";
+    /// A target reports in a response that it leaves.
+    DepartureReported = 3116, Info, "target reports in a response that it leaves: it gets no new requests";
+    /// A target that reported that it leaves has restarted or is gone.
+    DepartureEnded = 3117, Info, "target that reported that it leaves has restarted or is gone";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
@@ -104,6 +108,8 @@
     StreamBroken = 3405, Warn, "stream broken off";
     /// A target's limit is not a number.
     LimitMalformed = 3407, Info, "target's limit is not a number";
+    /// A target's report of whether it leaves is malformed.
+    DepartureMalformed = 3408, Info, "target's report of whether it leaves is malformed";
     /// A target's response to a request was forwarded.
     RequestAnswered = 3406, Debug, "request answered";
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -30,6 +30,9 @@
     quarantine: Gauge<u64>,
     limited: Gauge<u64>,
     unknown_headers: Counter<u64>,
+    malformed_headers: Counter<u64>,
+    departures_reported: Counter<u64>,
+    departing: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_open_call: Gauge<u64>,
@@ -93,6 +96,18 @@
                 "bluebellstage.unknown_headers",
                 "Headers in answers of targets that nothing reads, by name",
             ),
+            malformed_headers: counter(
+                "bluebellstage.malformed_headers",
+                "Headers in answers of targets that are malformed and not used, by what they report",
+            ),
+            departures_reported: counter(
+                "bluebellstage.departures_reported",
+                "Targets that reported in an answer that they leave",
+            ),
+            departing: gauge(
+                "bluebellstage.departing_targets",
+                "Targets that have reported in an answer that they leave",
+            ),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -185,6 +200,17 @@
         self.unknown_headers.add(1, &[name]);
     }
 
+    /// Counts a header of a target's response that is malformed.
+    pub(super) fn malformed_header(&self, what: &'static str) {
+        self.malformed_headers
+            .add(1, &[KeyValue::new("what", what)]);
+    }
+
+    /// Counts a target that reports that it leaves.
+    pub(super) fn departure_reported(&self) {
+        self.departures_reported.add(1, &[]);
+    }
+
     /// Counts an order to an engine by its outcome.
     pub(super) fn order_ended(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", outcome)]);
@@ -216,6 +242,7 @@
         self.quarantine.record(count(refused), &[]);
         self.limited
             .record(count(tables.limits.iter().count()), &[]);
+        self.departing.record(count(tables.departures.count()), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
         self.peers
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -28,6 +28,7 @@
 mod quarantine;
 mod reload;
 mod residency_updates;
+mod response_head;
 mod sockets;
 mod stop;
 mod stream;
--- /dev/null
+++ b/crates/gateway/src/net/response_head.rs
@@ -0,0 +1,74 @@
+//! Records what targets report about themselves in the heads of their responses.
+
+use bluebellstage_core::TargetId;
+use http::response;
+
+use crate::decide::call::ResponseHead;
+use crate::decide::departures::ReportedDeparture;
+use crate::decide::target::Target;
+use crate::edge::{Edge, Protocol};
+
+use super::log::{LogEvent, event};
+use super::node::Node;
+use super::unknown_headers::record_unknown_headers;
+
+/// The incarnation of a target to which a request was sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ResponseSender<'a> {
+    pub(super) target: &'a TargetId,
+    pub(super) born: Option<u64>,
+}
+
+impl<'a> ResponseSender<'a> {
+    pub(super) fn of(target: &'a Target) -> Self {
+        Self {
+            target: &target.id,
+            born: target.born,
+        }
+    }
+}
+
+/// Decodes the head of a response and records what its target reports about itself, whatever the status and
+/// whatever becomes of the response.
+pub(super) fn record_response_head<E: Edge>(
+    node: &Node<E>,
+    sender: ResponseSender<'_>,
+    parts: &response::Parts,
+) -> ResponseHead {
+    record_unknown_headers(node, sender.target, &parts.headers);
+    let head = node.protocol.response_head(parts);
+    record_departure(node, sender, head.departure, parts);
+    head
+}
+
+fn record_departure<E: Edge>(
+    node: &Node<E>,
+    sender: ResponseSender<'_>,
+    reported: ReportedDeparture,
+    parts: &response::Parts,
+) {
+    match reported {
+        ReportedDeparture::None => {}
+        ReportedDeparture::Malformed => {
+            node.metrics.malformed_header("departure");
+            let fields = [("target", sender.target.as_str())];
+            event(LogEvent::DepartureMalformed, &fields);
+        }
+        ReportedDeparture::Leaving => {
+            let now = node.now();
+            let is_new = node
+                .tables()
+                .departures
+                .record(sender.target, sender.born, now);
+            if is_new {
+                node.metrics.departure_reported();
+                let fields = [
+                    ("target", sender.target.as_str()),
+                    ("status", parts.status.as_str()),
+                ];
+                event(LogEvent::DepartureReported, &fields);
+                node.changed.notify_waiters();
+            }
+        }
+    }
+}
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bluebellstage_core::Time;
 use tokio::net::UdpSocket;
 
 use crate::edge::{Edge, Kind};
@@ -92,8 +93,16 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = node.now();
         node.tables().sweep(now);
+        log_ended_departures(&node, now);
         quarantine::sweep(&node, now);
         node.pool.sweep();
         node.crash_checks.sweep(now);
     }
 }
+
+fn log_ended_departures<E: Edge>(node: &Node<E>, now: Time) {
+    let ended = node.tables().sweep_departures(now);
+    for target in ended {
+        event(LogEvent::DepartureEnded, &[("target", target.as_str())]);
+    }
+}
--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -7,8 +7,9 @@
 
 use bluebellstage_core::{FailureDomain, Revision};
 use bluebellstage_gateway::decide::availability::Availability;
+use bluebellstage_gateway::decide::drain_state::DrainState;
 use bluebellstage_gateway::decide::evacuations::{
-    DRAIN_PERIOD, DomainState, EvacuationChange, Evacuations, EvacuationsVersion,
+    DRAIN_PERIOD, EvacuationChange, Evacuations, EvacuationsVersion,
 };
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::tables::{Refusal, Tables};
@@ -160,8 +161,8 @@
     assert!(!other.evacuations.is_behind(version));
     assert_eq!(store_reader.evacuations.apply_copy(old, at(2_600)), []);
     let state = |ms| other.evacuations.state(&domain("north"), at(ms));
-    assert_eq!(state(3_000), DomainState::Draining);
-    assert_eq!(state(3_100), DomainState::Closed);
+    assert_eq!(state(3_000), DrainState::Draining);
+    assert_eq!(state(3_100), DrainState::Closed);
 }
 
 /// Guards against an entry that is removed and put again within a second, and told by a peer first.
@@ -174,7 +175,7 @@
     evacuations.apply_changes(ahead.clone(), Revision(7), at(100));
     assert_eq!(
         evacuations.state(&domain("north"), at(100)),
-        DomainState::Closed
+        DrainState::Closed
     );
     let late = vec![(domain("north"), false)];
     assert_eq!(evacuations.apply_changes(late, Revision(6), at(200)), []);
