Leave targets alone that ask for rest

Callers' drafts were sent, again and again, to engines that had refused the instance with 503 and asked it for 3 s of rest: four requests of one instance in a rest (BUDGET, 2 allowed), 81 of all eight in nine seconds, each refused. The refusals used up the budget for repeats, so that later drafts were refused after one send.

Cause: Retry-After of a target's 503 was read nowhere, a refusal took the target out of the list of that one request alone, and a refusing target looks idle. Class: what a target says of itself in an answer, and nobody acts on.

A rest is now kept by instance, target and incarnation; the longest that was asked for holds, up to 5 min (--max-rest-s). Tables::availability tells why a target gets nothing: drained, resting or cold. After the end one request each 250 ms goes there until one is taken. With all targets resting a request waits if the first end is near, else it is refused at once with the time of that end, or as late as its caller follows. Orders to load go on, as other instances may still use the engine. BS3118, BS3119 and BS3409, a reason in BS3402, the metrics, the dump and losses show it. Events that one target can cause with each answer are logged once a second.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -180,6 +180,10 @@
         0 => String::new(),
         left => format!("  cold for {left} ms"),
     };
+    let rest = match target.rest_ms {
+        0 => String::new(),
+        left => format!("  rests for {left} ms"),
+    };
     let leaving = if target.leaving { "  leaving" } else { "" };
     let said_leaving = target.said_leaving_ms;
     let said_leaving = said_leaving.map(|ago| format!("  said {ago} ms ago that it leaves"));
@@ -188,7 +192,7 @@
     let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{cold}{leaving}{said_leaving}{limit}",
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{cold}{rest}{leaving}{said_leaving}{limit}",
         target.id, target.service, target.in_flight, target.slots, target.adapters
     )
 }
--- a/crates/cli/src/commands/losses.rs
+++ b/crates/cli/src/commands/losses.rs
@@ -35,6 +35,8 @@
     RefusedAdapter,
     /// Engines would have begun it too late.
     RefusedQueue,
+    /// All targets had asked for rest.
+    RefusedRest,
     /// Targets end under it.
     RefusedQuarantined,
     /// Refused for another reason, as not run.
@@ -124,6 +126,7 @@
             Self::RefusedQuota => "refused: quota used up",
             Self::RefusedAdapter => "refused: adapter not loaded in time",
             Self::RefusedQueue => "refused: engines would begin too late",
+            Self::RefusedRest => "refused: all targets had asked for rest",
             Self::RefusedQuarantined => "refused: quarantined, targets end under it",
             Self::RefusedOther => "refused: other reasons",
             Self::FailedInStream => "failed: stream broke off",
@@ -156,6 +159,8 @@
         Cause::RefusedAdapter
     } else if reason.contains("too late") {
         Cause::RefusedQueue
+    } else if reason.contains("asked for rest") {
+        Cause::RefusedRest
     } else {
         Cause::RefusedOther
     }
--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -1,5 +1,5 @@
-//! Decides which targets may receive requests: not those that leave or whose failure domains are evacuated, nor
-//! cold ones.
+//! Decides which targets may receive requests: not those that leave or whose failure domains are evacuated, those
+//! that ask for rest, nor cold ones.
 
 use std::time::Duration;
 
@@ -21,6 +21,8 @@
     Draining,
     /// It is cold for this long.
     Cold(Duration),
+    /// It has asked for rest and gets nothing for this long.
+    Resting(Duration),
     /// It may not: it is drained.
     Closed,
 }
@@ -30,7 +32,10 @@
     #[must_use]
     pub fn availability(&self, target: &Target, now: Time) -> Availability {
         let cold_left = self.cold_time_left(target, now);
+        let rest_left = self.rests.time_left(target, now);
         match self.drain_state(target, now) {
+            DrainState::Open if !rest_left.is_zero() => Availability::Resting(rest_left),
+            DrainState::Draining if !rest_left.is_zero() => Availability::Closed,
             DrainState::Draining if cold_left.is_zero() => Availability::Draining,
             DrainState::Draining | DrainState::Closed => Availability::Closed,
             DrainState::Open if cold_left.is_zero() => Availability::Open,
--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -7,6 +7,7 @@
 use super::adapter::RequestedModel;
 use super::departures::ReportedDeparture;
 use super::limits::ReportedLimit;
+use super::rests::ReportedRest;
 
 /// A caller's request, decoded once at the edge.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,4 +68,6 @@
     pub limit: ReportedLimit,
     /// Whether the target leaves.
     pub departure: ReportedDeparture,
+    /// The rest that the target wants from this instance.
+    pub rest: ReportedRest,
 }
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -118,6 +118,8 @@
     pub limit: Option<RequestRate>,
     /// Milliseconds for which it is still taken as cold; zero if it is warm.
     pub cold_ms: u64,
+    /// Milliseconds for which it gets no requests because it asked for rest; zero if it may get one.
+    pub rest_ms: u64,
     /// Its health state.
     pub standing: HealthState,
     /// Requests of all instances at the target, as far as known.
@@ -252,6 +254,7 @@
                 said_leaving_ms: self.departures.age(target, now).map(millis),
                 limit: self.limits.get(&target.id),
                 cold_ms: millis(self.cold_time_left(target, now)),
+                rest_ms: millis(self.rests.time_left(target, now)),
                 standing: self.health.state(&target.id, now),
                 in_flight: self.local_in_flight(&target.id) + others,
                 slots: target.slots,
--- a/crates/gateway/src/decide/limits/request_rate.rs
+++ b/crates/gateway/src/decide/limits/request_rate.rs
@@ -5,10 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Thousandths per unit.
-const MILLI_PER_UNIT: u32 = 1_000;
-/// Maximum number of digits on each side of the decimal point.
-const MAX_DIGITS: usize = 9;
+use crate::decide::milli::{MILLI_PER_UNIT, parse_milli};
 
 /// Requests per second, stored in thousandths.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
@@ -48,25 +45,8 @@
 impl FromStr for RequestRate {
     type Err = BadRequestRate;
 
-    /// Parses a decimal number with at most one point, which must have digits on both sides. Digits beyond
-    /// thousandths are truncated; a value that is too large becomes the maximum rate.
+    /// Parses a decimal number of requests per second, see [`parse_milli`].
     fn from_str(text: &str) -> Result<Self, BadRequestRate> {
-        let (integer, fraction) = text.split_once('.').unwrap_or((text, "0"));
-        let is_decimal = |text: &str| {
-            (1..=MAX_DIGITS).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_digit())
-        };
-        if !is_decimal(integer) || !is_decimal(fraction) {
-            return Err(BadRequestRate);
-        }
-        let integer = integer
-            .parse::<u32>()
-            .map_err(|_malformed| BadRequestRate)?;
-        let milli = format!("{fraction:0<3}");
-        let milli = milli[..3]
-            .parse::<u32>()
-            .map_err(|_malformed| BadRequestRate)?;
-        Ok(Self(
-            integer.saturating_mul(MILLI_PER_UNIT).saturating_add(milli),
-        ))
+        parse_milli(text).map(Self).ok_or(BadRequestRate)
     }
 }
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -30,6 +30,8 @@
     open: Vec<&'a Target>,
     draining: Vec<&'a Target>,
     cold: Vec<(&'a Target, Duration)>,
+    /// Time until the first resting target may get a request.
+    rest_left: Option<Duration>,
 }
 
 impl<'a> TargetsByAvailability<'a> {
@@ -38,10 +40,16 @@
             Availability::Open => self.open.push(target),
             Availability::Draining => self.draining.push(target),
             Availability::Cold(left) => self.cold.push((target, left)),
+            Availability::Resting(left) => self.add_resting(left),
             Availability::Closed => {}
         }
     }
 
+    fn add_resting(&mut self, left: Duration) {
+        let least = self.rest_left.map_or(left, |least| least.min(left));
+        self.rest_left = Some(least);
+    }
+
     /// Returns the time until the first cold target is warm.
     fn cold_left(&self) -> Duration {
         let left = self.cold.iter().map(|(_, left)| *left);
@@ -148,8 +156,12 @@
         let mut targets = TargetsByAvailability::default();
         let of_service = self.registry.all();
         let of_service = of_service.filter(|target| target.service == ticket.service);
-        for target in of_service.filter(|target| !tried.contains(&target.id)) {
-            targets.add(target, self.availability(target, now));
+        for target in of_service {
+            match self.availability(target, now) {
+                Availability::Resting(left) => targets.add_resting(left),
+                _ if tried.contains(&target.id) => {}
+                availability => targets.add(target, availability),
+            }
         }
         if targets.are_all_cold() {
             let left = targets.cold_left();
@@ -157,6 +169,10 @@
             return self.admit_to_cold(pick, left, now);
         }
         let pick = self.pick_among(&targets.open, ticket, call, sample, now);
+        let pick = match (pick, targets.rest_left) {
+            (Pick::NoTarget, Some(left)) => Pick::Resting { left },
+            (pick, _) => pick,
+        };
         if targets.draining.is_empty() || matches!(pick, Pick::Send { .. }) {
             return pick;
         }
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -113,6 +113,11 @@
         /// Time until the first of them is warm.
         left: Duration,
     },
+    /// All targets that could run the request have asked for rest.
+    Resting {
+        /// Time until the first of them may get a request.
+        left: Duration,
+    },
     /// No target can run the request.
     NoTarget,
 }
--- a/crates/gateway/src/decide/retry_after.rs
+++ b/crates/gateway/src/decide/retry_after.rs
@@ -12,12 +12,31 @@
 /// Callers that are rejected at the same moment return over the last part of the time, of this fraction.
 const SPREAD_FRACTION: f64 = 0.5;
 
+/// Range over which callers return that wait for the same target.
+const REST_SPREAD: Duration = Duration::from_millis(240);
+
+fn latest(timeout: Option<Duration>) -> Duration {
+    let timeout = timeout.unwrap_or(DEFAULT_TIMEOUT);
+    timeout.mul_f64(MAX_TIMEOUT_FRACTION).min(MAX_RETRY_AFTER)
+}
+
+/// Returns the time after which a caller returns when all targets that could run its request rest, the first of
+/// them for `left`: soon after that, or as late as the caller can be told. `sample` is a random number from 0
+/// to 1.
+#[must_use]
+pub fn when_targets_rest(left: Duration, timeout: Option<Duration>, sample: f64) -> Duration {
+    let after = left + REST_SPREAD.mul_f64(sample);
+    if after <= latest(timeout) {
+        after
+    } else {
+        when_nothing_can_run(timeout, sample)
+    }
+}
+
 /// Returns the time after which a caller returns when nothing can run its request, and it is not known for how
 /// long: as late as the caller can be told, since a late response is worth the same whenever it arrives before
 /// the timeout, and most callers return only once. `sample` is a random number from 0 to 1.
 #[must_use]
 pub fn when_nothing_can_run(timeout: Option<Duration>, sample: f64) -> Duration {
-    let timeout = timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let latest = timeout.mul_f64(MAX_TIMEOUT_FRACTION).min(MAX_RETRY_AFTER);
-    latest.mul_f64(1.0 - SPREAD_FRACTION * sample)
+    latest(timeout).mul_f64(1.0 - SPREAD_FRACTION * sample)
 }
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -25,6 +25,7 @@
 use super::registry::Registry;
 use super::rendezvous::{ShortHash, name_hash};
 use super::residency::Residency;
+use super::rests::Rests;
 use super::retry_budget::{RetryBudget, RetryCounts};
 use super::routes::{RouteTable, Routed, pick_service};
 use super::store_calls::StoreCalls;
@@ -72,6 +73,8 @@
     pub limits: Limits,
     /// Targets that report that they leave.
     pub departures: Departures,
+    /// Targets that ask this instance for rest.
+    pub rests: Rests,
     /// Requests under which targets crash.
     pub quarantine: Quarantine,
     /// Resident adapters of engines.
@@ -152,6 +155,7 @@
             health: Health::default(),
             limits: Limits::default(),
             departures: Departures::default(),
+            rests: Rests::default(),
             quarantine: Quarantine::default(),
             residency: Residency::default(),
             versions: Versions::default(),
@@ -334,8 +338,9 @@
     }
 
     /// Records that a request is sent to a target.
-    pub fn start_request(&mut self, target: &TargetId) {
+    pub fn start_request(&mut self, target: &TargetId, now: Time) {
         *self.in_flight.entry(target.clone()).or_default() += 1;
+        self.rests.record_sent(target, now);
     }
 
     /// Records that a request at a target has ended.
@@ -368,6 +373,7 @@
         self.registry.sweep(now);
         self.peers.sweep(now);
         self.residency.sweep(now);
+        self.rests.sweep(now);
         self.retries.prune(self.budget.window, now);
         let registry = &self.registry;
         self.health
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -5,13 +5,14 @@
 
 use bluebellstage_core::{AdapterVersion, TargetId, Time};
 use bytes::Bytes;
-use http::{Request, request, response};
+use http::{Request, StatusCode, request, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use crate::decide::call::{Call, Forward, ResponseHead};
 use crate::decide::health::TargetOutcome;
 use crate::decide::limits::{Change, ReportedLimit};
+use crate::decide::rests::ReportedRest;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
@@ -19,7 +20,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::pool::Connection;
-use super::response_head::{ResponseSender, record_response_head};
+use super::response_head::{ResponseSender, record_response_head, record_taken};
 use super::sockets::connect;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
@@ -68,14 +69,35 @@
     }
 }
 
+/// Why a target did not run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NotRunReason {
+    /// It is not the requested target or does not have the requested adapter.
+    Misdirected,
+    /// It refused the request.
+    Refused,
+    /// It refused the request and asks for rest.
+    AsksForRest,
+}
+
+impl NotRunReason {
+    /// Short name for the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Misdirected => "misdirected",
+            Self::Refused => "refused",
+            Self::AsksForRest => "asks_for_rest",
+        }
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub(super) enum Attempt<E: Edge> {
     /// The target responded.
     Response(Box<TargetResponse<E>>),
-    /// The target reports that it did not run the request. With `misdirected`, it is not the
-    /// requested target or does not have the requested adapter.
-    NotRun { misdirected: bool },
+    /// The target reports that it did not run the request.
+    NotRun(NotRunReason),
     /// No connection could be opened, so nothing was sent.
     Unreachable,
     /// The attempt failed and may have run.
@@ -206,8 +228,17 @@
         in_flight.record_outcome(TargetOutcome::Failure);
         return in_flight.failed_attempt(Failure::WrongAnswer);
     }
-    if head.not_run || misdirected {
-        return Attempt::NotRun { misdirected };
+    if misdirected {
+        return Attempt::NotRun(NotRunReason::Misdirected);
+    }
+    if head.not_run {
+        return Attempt::NotRun(match head.rest {
+            ReportedRest::For(_) => NotRunReason::AsksForRest,
+            ReportedRest::None | ReportedRest::Malformed => NotRunReason::Refused,
+        });
+    }
+    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+        record_taken(&in_flight.node, &in_flight.target, in_flight.sent);
     }
     let is_encoded = parts.headers.contains_key(http::header::CONTENT_ENCODING);
     if parts.status.is_success() && (!head.signed || head.id.is_none() || is_encoded) {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -19,7 +19,7 @@
 use crate::edge::{Edge, Protocol};
 use crate::packet::{AdapterRequest, AdapterRequestKind};
 
-use super::attempt::{Attempt, FailedRun, Failure, SendParams, TargetResponse, send};
+use super::attempt::{Attempt, FailedRun, Failure, NotRunReason, SendParams, TargetResponse, send};
 use super::crash_check::record_interruption;
 use super::local_response::{ResponseBody, error_response, full_body, refusal_response};
 use super::log::{LogEvent, event};
@@ -37,6 +37,8 @@
 pub(super) const NO_TARGET: &str = "no target can run it: try again";
 /// Message for a request that is rejected because all targets are cold.
 pub(super) const ALL_COLD: &str = "all targets have just started: try again";
+/// Message for a request that is rejected because all targets have asked for rest.
+pub(super) const ALL_RESTING: &str = "all targets have asked for rest: try again";
 /// Delay before another check for free capacity at plain targets.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
@@ -82,6 +84,8 @@
     QueueTooLong(Duration),
     /// The request has not run: every target that could run it is cold for this long.
     Cold(Duration),
+    /// The request has not run: every target that could run it has asked for rest, the first for this long.
+    Resting(Duration),
     /// The request may have run.
     MayHaveRun(&'static str),
     /// The request is quarantined because targets crash under it; it is not sent any more.
@@ -266,6 +270,10 @@
                     return self.late(excess);
                 }
                 Pick::Cold { left } => return self.cold(left),
+                Pick::Resting { left } if now + left < full_until => {
+                    tokio::time::sleep(left).await;
+                }
+                Pick::Resting { left } => return self.resting(left),
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
                 Pick::Full => return self.unserved("all targets are full"),
                 Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
@@ -307,6 +315,14 @@
         }
     }
 
+    fn resting(&self, left: Duration) -> SearchOutcome<E> {
+        if self.runs == 0 {
+            SearchOutcome::Resting(left)
+        } else {
+            SearchOutcome::MayHaveRun(ALL_RESTING)
+        }
+    }
+
     fn unserved(&self, why: &'static str) -> SearchOutcome<E> {
         if self.runs == 0 {
             SearchOutcome::NotRun(why)
@@ -401,9 +417,9 @@
                 }
                 Some(SearchOutcome::Response(response))
             }
-            Attempt::NotRun { misdirected } => {
-                self.log_not_run(&target, misdirected);
-                if misdirected && Tables::adapter_of(&self.call).is_some() {
+            Attempt::NotRun(reason) => {
+                self.log_not_run(&target, reason);
+                if reason == NotRunReason::Misdirected && Tables::adapter_of(&self.call).is_some() {
                     // The adapter is not loaded yet or was evicted. The engine may still serve the request
                     // later, so it is not excluded.
                     self.record_missing_adapter(&target);
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -34,15 +34,15 @@
 
 impl<E: Edge> InFlight<E> {
     pub(super) fn begin(node: &Arc<Node<E>>, target: &TargetId, params: SendParams<'_>) -> Self {
+        let now = node.now();
         let mut tables = node.tables();
-        tables.start_request(target);
+        tables.start_request(target, now);
         if params.suspect {
             tables.start_suspect(target);
         }
         if params.trial {
             tables.health.start_trial(target);
         }
-        let now = node.now();
         if let Some(key) = Tables::adapter_of(params.call) {
             tables.residency.record_sent(target, key, now);
         }
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -8,8 +8,11 @@
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
-use super::front::{ALL_COLD, Job, NO_TARGET, SearchOutcome, TOO_LATE};
-use super::local_response::{ResponseBody, error_response, late_retry_after, spread_retry_after};
+use super::attempt::NotRunReason;
+use super::front::{ALL_COLD, ALL_RESTING, Job, NO_TARGET, SearchOutcome, TOO_LATE};
+use super::local_response::{
+    ResponseBody, error_response, late_retry_after, rest_retry_after, spread_retry_after,
+};
 use super::log::{LogEvent, event};
 
 /// Message for a request under which targets crash. The request has run, so the response has no `Retry-After`.
@@ -17,19 +20,14 @@
     "targets ended each time this request ran: change it, or ask an operator to let it through";
 
 impl<E: Edge> Job<E> {
-    pub(super) fn log_not_run(&self, target: &TargetId, misdirected: bool) {
+    pub(super) fn log_not_run(&self, target: &TargetId, reason: NotRunReason) {
         let target = target.to_string();
-        let reason = if misdirected {
-            "misdirected"
-        } else {
-            "refused"
-        };
         event(
             LogEvent::RequestNotRun,
             &[
                 ("request", &self.call.id),
                 ("target", &target),
-                ("reason", reason),
+                ("reason", reason.name()),
             ],
         );
     }
@@ -84,6 +82,11 @@
                 let after = Some(*left + spread_retry_after());
                 (StatusCode::SERVICE_UNAVAILABLE, ALL_COLD, after)
             }
+            SearchOutcome::Resting(left) => {
+                self.node.tables().refund(&self.ticket);
+                let after = Some(rest_retry_after(*left, self.call.timeout));
+                (StatusCode::SERVICE_UNAVAILABLE, ALL_RESTING, after)
+            }
             SearchOutcome::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
             SearchOutcome::Quarantined => {
                 if self.runs == 0 {
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -1,5 +1,6 @@
 //! The numbered log events of the gateway. A test compares docs/EVENTS.md with this list.
 
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -71,6 +72,10 @@
     DepartureReported = 3116, Info, "target reports in a response that it leaves: it gets no new requests";
     /// A target that reported that it leaves has restarted or is gone.
     DepartureEnded = 3117, Info, "target that reported that it leaves has restarted or is gone";
+    /// A target asks this instance for rest.
+    RestBegun = 3118, Info, "target asks for rest: it gets no requests meanwhile";
+    /// A target that asked for rest has taken a request.
+    RestEnded = 3119, Info, "target takes requests again after its rest";
 
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
@@ -110,6 +115,8 @@
     LimitMalformed = 3407, Info, "target's limit is not a number";
     /// A target's report of whether it leaves is malformed.
     DepartureMalformed = 3408, Info, "target's report of whether it leaves is malformed";
+    /// A target asks for a rest that is not a number of seconds.
+    RestMalformed = 3409, Info, "target's rest is not a number of seconds";
     /// A target's response to a request was forwarded.
     RequestAnswered = 3406, Debug, "request answered";
 }
@@ -120,6 +127,15 @@
     pub const fn is_frequent(self) -> bool {
         self.code() >= FIRST_FREQUENT_CODE
     }
+
+    /// Whether one target can cause the event with each of its responses, so that it is logged once a second.
+    #[must_use]
+    pub const fn is_repeated(self) -> bool {
+        matches!(
+            self,
+            Self::LimitMalformed | Self::DepartureMalformed | Self::RestMalformed
+        )
+    }
 }
 
 struct RateLimit {
@@ -139,6 +155,9 @@
     if !log::log_enabled!(target: LOG_TARGET, event.level()) {
         return;
     }
+    if event.is_repeated() && !is_first_in_second(event) {
+        return;
+    }
     if event.is_frequent() && !is_within_rate_limit() {
         return;
     }
@@ -182,6 +201,21 @@
     }
 }
 
+/// When each repeated event was last logged, by its code.
+static LAST_LOGGED: Mutex<BTreeMap<u16, Instant>> = Mutex::new(BTreeMap::new());
+
+fn is_first_in_second(event: LogEvent) -> bool {
+    let mut last_logged = LAST_LOGGED
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let last = last_logged.get(&event.code());
+    if last.is_some_and(|last| last.elapsed() < Duration::from_secs(1)) {
+        return false;
+    }
+    last_logged.insert(event.code(), Instant::now());
+    true
+}
+
 fn is_within_rate_limit() -> bool {
     let mut rate_limit = RATE_LIMIT
         .lock()
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -33,6 +33,8 @@
     malformed_headers: Counter<u64>,
     departures_reported: Counter<u64>,
     departing: Gauge<u64>,
+    rests_reported: Counter<u64>,
+    resting: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_open_call: Gauge<u64>,
@@ -108,6 +110,11 @@
                 "bluebellstage.departing_targets",
                 "Targets that have reported in an answer that they leave",
             ),
+            rests_reported: counter(
+                "bluebellstage.rests_reported",
+                "Answers of targets that ask for rest",
+            ),
+            resting: gauge("bluebellstage.resting_targets", "Targets that rest"),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -211,6 +218,11 @@
         self.departures_reported.add(1, &[]);
     }
 
+    /// Counts a response of a target that asks for rest.
+    pub(super) fn rest_reported(&self) {
+        self.rests_reported.add(1, &[]);
+    }
+
     /// Counts an order to an engine by its outcome.
     pub(super) fn order_ended(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", outcome)]);
@@ -243,6 +255,7 @@
         self.limited
             .record(count(tables.limits.iter().count()), &[]);
         self.departing.record(count(tables.departures.count()), &[]);
+        self.resting.record(count(tables.rests.count(now)), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
         self.peers
--- a/crates/gateway/src/net/response_head.rs
+++ b/crates/gateway/src/net/response_head.rs
@@ -1,10 +1,11 @@
 //! Records what targets report about themselves in the heads of their responses.
 
-use bluebellstage_core::TargetId;
+use bluebellstage_core::{TargetId, Time};
 use http::response;
 
 use crate::decide::call::ResponseHead;
 use crate::decide::departures::ReportedDeparture;
+use crate::decide::rests::ReportedRest;
 use crate::decide::target::Target;
 use crate::edge::{Edge, Protocol};
 
@@ -38,9 +39,42 @@
     record_unknown_headers(node, sender.target, &parts.headers);
     let head = node.protocol.response_head(parts);
     record_departure(node, sender, head.departure, parts);
+    record_rest(node, sender, head.rest);
     head
 }
 
+fn record_rest<E: Edge>(node: &Node<E>, sender: ResponseSender<'_>, reported: ReportedRest) {
+    match reported {
+        ReportedRest::None => {}
+        ReportedRest::Malformed => {
+            node.metrics.malformed_header("rest");
+            let fields = [("target", sender.target.as_str())];
+            event(LogEvent::RestMalformed, &fields);
+        }
+        ReportedRest::For(rest) => {
+            node.metrics.rest_reported();
+            let now = node.now();
+            let is_new = node
+                .tables()
+                .rests
+                .record(sender.target, sender.born, rest, now);
+            if is_new {
+                let rest_ms = rest.as_millis().to_string();
+                let fields = [("target", sender.target.as_str()), ("rest_ms", &rest_ms)];
+                event(LogEvent::RestBegun, &fields);
+            }
+        }
+    }
+}
+
+/// Records that a target took a request that was sent at `sent`.
+pub(super) fn record_taken<E: Edge>(node: &Node<E>, target: &TargetId, sent: Time) {
+    if node.tables().rests.record_taken(target, sent) {
+        event(LogEvent::RestEnded, &[("target", target.as_str())]);
+        node.changed.notify_waiters();
+    }
+}
+
 fn record_departure<E: Edge>(
     node: &Node<E>,
     sender: ResponseSender<'_>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub metrics: Option<SocketAddr>,
     /// Minimum time between the last order of one holder of a loader shard and the first order of the next.
     pub handover: Duration,
+    /// Longest rest that a target gets when it asks for one.
+    pub max_rest: Duration,
     /// Settings that may change while the process runs.
     pub reloadable: ReloadableSettings,
 }
--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -295,7 +295,7 @@
             if self.engines.iter().any(|engine| now < engine.cold_until) {
                 self.observed.served_while_cold += 1;
             }
-            tables.start_request(&target);
+            tables.start_request(&target, now);
             let duration = Duration::from_millis(self.rng.random_range(100..400));
             self.running.push((now + duration, instance, target));
             return;
--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -18,6 +18,9 @@
     targets: 9,
     leaving: 2,
     from_ms: 1_000,
+    resting: 0,
+    rest_ms: 0,
+    resting_for_ms: 0,
     rate: 200,
 };
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -93,7 +93,7 @@
     add_writers(&mut tables, 3);
     set_resident(&mut tables, "e1", "a1", 1);
     for _ in 0..4 {
-        tables.start_request(&id("e1"));
+        tables.start_request(&id("e1"), at(0));
     }
     let Pick::Send {
         target, load_at, ..
@@ -398,8 +398,8 @@
 fn a_filing_goes_to_the_least_loaded_server() {
     let mut tables = tables();
     add_court_servers(&mut tables);
-    tables.start_request(&id("c0"));
-    tables.start_request(&id("c2"));
+    tables.start_request(&id("c0"), at(0));
+    tables.start_request(&id("c2"), at(0));
     let filing = call("/file/1", Some("key-1"));
     assert_eq!(sent_to(&pick(&mut tables, &filing, 0.5, at(1))), "c1");
 }
--- a/crates/gateway/tests/support/answering.rs
+++ b/crates/gateway/tests/support/answering.rs
@@ -1,4 +1,5 @@
-//! Simulation of a fleet whose targets report in their responses that they leave, in virtual time. The real
+//! Simulation of a fleet whose targets report in their responses that they leave, or ask for rest, in virtual
+//! time. The real
 //! tables choose the target of each request; the store says nothing, or says that the targets are ready.
 
 use std::cmp::Reverse;
@@ -14,6 +15,10 @@
 
 /// Time after a forwarded report within which new requests may still arrive at the target.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
+/// Time after a refusal that asks for rest within which requests may still arrive at the target.
+const REST_BEGINS: Duration = Duration::from_millis(500);
+/// Number of requests that may arrive during a rest.
+const MAX_DURING_REST: usize = 2;
 /// Time that a request takes at a target, in milliseconds.
 const REQUEST_MS: u64 = 15;
 /// One response in this many is late.
@@ -32,12 +37,26 @@
     pub leaving: usize,
     /// When they begin to report that they leave, in milliseconds.
     pub from_ms: u64,
+    /// How many of the targets, from the first, refuse requests and ask for rest; for how long each time, and for
+    /// how long altogether, in milliseconds.
+    pub resting: usize,
+    pub rest_ms: u64,
+    pub resting_for_ms: u64,
     /// Requests per second from all callers.
     pub rate: u64,
 }
 
-/// A response on its way: instance, its incarnation there, and target.
-type Response = (Time, u64, usize, u64, usize);
+/// A refusal that an instance received: the target, when, and the requests that arrived there during the rest.
+#[derive(Debug)]
+struct Refusal {
+    target: usize,
+    at: Time,
+    arrivals: usize,
+}
+
+/// A response on its way: when it arrives, its number, its instance and that one's incarnation, the target, and
+/// when the request was sent.
+type Response = (Time, u64, usize, u64, usize, Time);
 
 /// A running simulation.
 #[derive(Debug)]
@@ -50,6 +69,10 @@
     incarnations: Vec<u64>,
     /// When each instance first forwarded a report of each target, unless it has restarted or frozen since.
     forwarded: Vec<Vec<Option<Time>>>,
+    /// Refusals that each instance received, unless it has restarted or frozen since.
+    refusals: Vec<Vec<Refusal>>,
+    /// Number of refusals that asked for rest.
+    pub refusal_count: usize,
     sent: u64,
     revision: u64,
     /// Requests that arrived at a target although the instance had to leave it alone.
@@ -75,6 +98,8 @@
             responses: BinaryHeap::new(),
             incarnations: vec![0; fleet.len()],
             forwarded: vec![vec![None; self.targets]; fleet.len()],
+            refusals: (0..fleet.len()).map(|_| Vec::new()).collect(),
+            refusal_count: 0,
             sent: 0,
             revision: 2,
             violations: Vec::new(),
@@ -105,13 +130,19 @@
         self.fleet.restart(idx, idx.is_multiple_of(2));
         self.register(idx);
         self.incarnations[idx] += 1;
+        self.excuse(idx);
+    }
+
+    /// Forgets what bound an instance.
+    fn excuse(&mut self, idx: usize) {
         self.forwarded[idx].fill(None);
+        self.refusals[idx].clear();
     }
 
     /// Resumes a suspended instance.
     pub fn resume(&mut self, idx: usize) {
         self.fleet.resume(idx);
-        self.forwarded[idx].fill(None);
+        self.excuse(idx);
     }
 
     /// Runs the simulation for `ms` milliseconds.
@@ -150,7 +181,7 @@
             self.refused += 1;
             return;
         };
-        tables.start_request(&target);
+        tables.start_request(&target, now);
         let number = (0..self.scenario.targets).find(|number| id(*number) == target);
         let number = number.unwrap();
         if let Some(since) = self.forwarded[idx][number]
@@ -160,9 +191,10 @@
             self.violations
                 .push(format!("i{idx} at c{number}: {age:?}"));
         }
+        self.count_during_rest(idx, number);
         let due = now + Duration::from_millis(self.response_ms());
         let incarnation = self.incarnations[idx];
-        let response = (due, self.sent, idx, incarnation, number);
+        let response = (due, self.sent, idx, incarnation, number, now);
         self.responses.push(Reverse(response));
     }
 
@@ -177,21 +209,62 @@
         while let Some(Reverse((due, ..))) = self.responses.peek()
             && *due <= self.fleet.now
         {
-            let Some(Reverse((_, _, idx, incarnation, number))) = self.responses.pop() else {
+            let Some(Reverse((_, _, idx, incarnation, number, sent_at))) = self.responses.pop()
+            else {
                 return;
             };
             if self.fleet.is_running(idx) && self.incarnations[idx] == incarnation {
-                self.deliver(idx, number);
+                self.deliver(idx, number, sent_at);
             }
         }
     }
 
-    fn deliver(&mut self, idx: usize, number: usize) {
+    /// Counts a request that arrives at a target against the rests that the target asked for.
+    fn count_during_rest(&mut self, idx: usize, number: usize) {
         let now = self.fleet.now;
+        let rest = Duration::from_millis(self.scenario.rest_ms);
+        for refusal in &mut self.refusals[idx] {
+            let since = now.since(refusal.at);
+            if refusal.target != number || since < REST_BEGINS || since > rest {
+                continue;
+            }
+            refusal.arrivals += 1;
+            if refusal.arrivals > MAX_DURING_REST {
+                let arrivals = refusal.arrivals;
+                self.violations
+                    .push(format!("i{idx} at c{number}: {arrivals} in a rest"));
+            }
+        }
+    }
+
+    fn is_refusing(&self, number: usize) -> bool {
+        let elapsed = self.elapsed_ms();
+        let until = self.scenario.from_ms + self.scenario.resting_for_ms;
+        number < self.scenario.resting && (self.scenario.from_ms..until).contains(&elapsed)
+    }
+
+    fn deliver(&mut self, idx: usize, number: usize, sent_at: Time) {
+        let now = self.fleet.now;
+        let is_refusing = self.is_refusing(number);
         let is_leaving =
             number < self.scenario.leaving && self.elapsed_ms() >= self.scenario.from_ms;
         let tables = self.fleet.tables_mut(idx);
         tables.end_request(&id(number));
+        if is_refusing {
+            let rest = Duration::from_millis(self.scenario.rest_ms);
+            tables
+                .rests
+                .record(&id(number), registered(number).born, rest, now);
+            self.refusal_count += 1;
+            self.refusals[idx].push(Refusal {
+                target: number,
+                at: now,
+                arrivals: 0,
+            });
+        } else {
+            tables.rests.record_taken(&id(number), sent_at);
+        }
+        let tables = self.fleet.tables_mut(idx);
         if is_leaving {
             tables
                 .departures
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -289,9 +289,10 @@
 
     /// Adds a request of an instance at a target, or removes one.
     pub fn change_load(&mut self, idx: usize, target: usize, add: bool) {
+        let now = self.now;
         let tables = &mut self.nodes[idx].tables;
         if add {
-            tables.start_request(&target_id(target));
+            tables.start_request(&target_id(target), now);
         } else {
             tables.end_request(&target_id(target));
         }
--- a/crates/gateway/tests/support/limited.rs
+++ b/crates/gateway/tests/support/limited.rs
@@ -129,7 +129,7 @@
             self.refused += 1;
             return;
         };
-        tables.start_request(&target);
+        tables.start_request(&target, now);
         let number = (0..self.scenario.targets).find(|number| id(*number) == target);
         let number = number.unwrap();
         if number < self.scenario.limits.len() {
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -273,7 +273,7 @@
                 self.request_load(&load_at, &request.key, now);
                 self.refuse_request(request, excess, now);
             }
-            Pick::Cold { .. } | Pick::Full | Pick::NoTarget => {
+            Pick::Cold { .. } | Pick::Resting { .. } | Pick::Full | Pick::NoTarget => {
                 self.refuse_request(request, Duration::ZERO, now);
             }
         }
@@ -321,7 +321,7 @@
             return self.waiting.push(request);
         }
         node.loader.request_started(&request.key, now);
-        tables.start_request(target);
+        tables.start_request(target, now);
         let waiting = tables.record_prompt(target, request_call, now);
         tables.residency.record_success(target, &request.key);
         let tokens = f64::from(u32::try_from(self.scenario.prompt_tokens).unwrap());
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -25,6 +25,7 @@
 };
 use bluebellstage_gateway::decide::evacuations::EvacuationsVersion;
 use bluebellstage_gateway::decide::peers::{Member, Peer, Strength};
+use bluebellstage_gateway::decide::rests::DEFAULT_MAX_REST;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::status::Role;
 use bluebellstage_gateway::decide::tables::Tables;
@@ -210,6 +211,7 @@
         directory: None,
         metrics: None,
         handover: Duration::from_secs(3),
+        max_rest: DEFAULT_MAX_REST,
         reloadable: ReloadableSettings {
             seeds: Vec::new(),
             retry_budget: retry_budget(),
