Order what the store says by its era before its revision

After the store had come back from an older copy, instances that copy from others sent requests to an engine 2.3 s after the store had acknowledged that it leaves (DRAIN, claims desk): an instance that knew revision 280 took nothing from peers at 269.

Cause: revisions were compared as if they only grew, in the registry, in its copies and in the evacuations; a follower could even go on from its old revision once the counter was past it, over other changes. Class: an order that holds only within one life of what numbers it.

A position in the store's history is now (era, counter), packed into the Revision that travels and is compared everywhere, so that no comparison can leave the era out and packets keep their form. The client takes the era from Store-Era of each answer; a watch or a conditional write whose answer is of another era counts as 410 or as a conflict. Registrations that the copy lacks get the grace of an outage; a target known to leave stays so. What the system wrote is written again: each instance registers anew within a second, followers store the quarantine decisions. Leases count as lost: tokens of an era are higher than all before, the holder of that time claims first, others once its orders are over.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -100,8 +100,8 @@
     writeln!(out, "config     version {}", dump.config)?;
     writeln!(
         out,
-        "store      {store}, targets at {}",
-        dump.targets_revision
+        "store      {store}, targets at {}, era {}",
+        dump.targets_revision, dump.store_era
     )?;
     write_news(out, dump)?;
     writeln!(
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -14,6 +14,7 @@
 use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
 use super::status::Role;
+use super::store_position::{Era, StorePosition};
 use super::tables::Tables;
 
 /// State of an instance.
@@ -41,6 +42,8 @@
     pub config: Revision,
     /// Revision of its list of targets.
     pub targets_revision: Revision,
+    /// Number of times that the store was restored from a copy, as of that revision.
+    pub store_era: Era,
     /// Loader shards for which it may order loads.
     pub shards: Vec<u8>,
     /// Loads from the weight store in progress.
@@ -182,6 +185,7 @@
     /// Returns the state of the instance for operators.
     #[must_use]
     pub fn dump(&self, now: Time) -> Dump {
+        let position = StorePosition::from(self.registry.revision());
         Dump {
             instance: self.local.name.clone(),
             failure_domain: self.local.failure_domain.clone(),
@@ -193,7 +197,8 @@
             news_age_ms: millis(self.update_age(now)),
             readers: self.exchange.subscriber_count(),
             config: self.routes.version(),
-            targets_revision: self.registry.revision(),
+            targets_revision: Revision(position.counter),
+            store_era: position.era,
             shards: self.shards.clone(),
             loads: self.loads.active,
             evacuated: self.dump_evacuations(now),
--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rendezvous::ShortHash;
+use super::store_position::Era;
 
 /// Number of shards: the maximum number of instances that order loads at the same time, and the
 /// inverse of the fraction of engines that wait when one of them dies.
@@ -27,6 +28,10 @@
 /// Interval at which a lease held by another instance is polled.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of fencing tokens of one era of the store. The store may forget holders when it is restored, so the
+/// tokens of an era are higher than all earlier ones.
+const TOKENS_PER_ERA: u64 = 1 << 24;
+
 /// Content of the lease object.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct LeaseRecord {
@@ -69,6 +74,17 @@
     was_held_locally: bool,
     no_orders_before: Time,
     next_step_at: Time,
+    /// The store's era as of the last step; `None` before the first one.
+    era: Option<Era>,
+    restoration: Option<Restoration>,
+}
+
+/// The last time at which the store was restored from a copy.
+#[derive(Clone, Copy, Debug)]
+struct Restoration {
+    noticed_at: Time,
+    /// Whether this instance held the lease then.
+    held_lease: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -102,9 +118,40 @@
             was_held_locally: false,
             no_orders_before: Time::default(),
             next_step_at: Time::default(),
+            era: None,
+            restoration: None,
         }
     }
 
+    /// Sets the store's era. After a restoration the lease counts as lost, since the store may have forgotten it:
+    /// this instance orders nothing until it has written it again, with a higher fencing token.
+    pub fn set_era(&mut self, era: Era, now: Time) {
+        let known = self.era.replace(era.max(self.era.unwrap_or(era)));
+        if known.is_none_or(|known| era <= known) {
+            return;
+        }
+        let held_lease = self.is_held(now);
+        self.restoration = Some(Restoration {
+            noticed_at: now,
+            held_lease,
+        });
+        self.was_held_locally |= held_lease;
+        self.state = State::Unread;
+        self.next_step_at = now;
+    }
+
+    /// Returns the lowest fencing token of the store's era.
+    fn first_token(&self) -> u64 {
+        let era = self.era.unwrap_or_default();
+        u64::from(era.0) * TOKENS_PER_ERA + 1
+    }
+
+    /// Whether the record was written before the store was restored.
+    fn is_from_before_restoration(&self, record: Option<&LeaseRecord>) -> bool {
+        let is_current = record.is_some_and(|record| record.fencing >= self.first_token());
+        self.restoration.is_some() && !is_current
+    }
+
     /// Returns the fencing token to send orders with, while this instance may send them.
     #[must_use]
     pub fn may_order(&self, now: Time) -> Option<u64> {
@@ -193,7 +240,19 @@
     /// that an instance that restarts in place continues without a delay. If it were claimed at
     /// once, the engines of a shard would load nothing during the handover at each planned restart
     /// of a holder.
+    ///
+    /// A record from before a restoration of the store may name a former holder, or be missing. The holder of
+    /// that time claims the lease at once; others wait until its orders are over.
     fn claimable_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
+        if let Some(restoration) = self.restoration
+            && self.is_from_before_restoration(record)
+        {
+            return if restoration.held_lease {
+                since
+            } else {
+                restoration.noticed_at + LEASE_DURATION + TAKEOVER_MARGIN
+            };
+        }
         match record {
             None => since,
             Some(record) if record.holder == self.local_instance => since,
@@ -212,7 +271,8 @@
         if now < self.claimable_from(record, since) {
             return LeaseStep::Read;
         }
-        let fencing = record.map_or(1, |record| record.fencing + 1);
+        let next_token = record.map_or(1, |record| record.fencing + 1);
+        let fencing = next_token.max(self.first_token());
         let claim = LeaseRecord {
             holder: self.local_instance.clone(),
             fencing,
@@ -250,12 +310,16 @@
 
     /// Records that a write sent at `sent` took effect at `revision`.
     pub fn record_write(&mut self, record: LeaseRecord, revision: Revision, sent: Time, now: Time) {
+        let continues = self
+            .restoration
+            .is_some_and(|restoration| restoration.held_lease);
         if let State::Observed {
             record: Some(previous),
             since,
             ..
         } = &self.state
             && previous.holder != self.local_instance
+            && !(continues && self.is_from_before_restoration(Some(previous)))
         {
             // A holder that released its lease may have sent orders until then; an unresponsive one
             // has sent none since its last renewal, observed or not, expired.
@@ -267,6 +331,7 @@
             self.no_orders_before = last_order + self.handover;
         }
         self.was_held_locally = true;
+        self.restoration = None;
         self.state = State::Held {
             record,
             revision,
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -42,6 +42,7 @@
 pub mod stopping;
 pub mod store_access;
 pub mod store_calls;
+pub mod store_position;
 pub mod tables;
 pub mod target;
 pub mod versions;
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -11,6 +11,7 @@
 use super::change_log::ChangeLog;
 use super::cold::{ColdSign, ColdTargets};
 use super::rendezvous::{ShortHash, name_hash, weight};
+use super::store_position::StorePosition;
 use super::target::Target;
 
 /// Time after the store's recovery within which a registration that expired during the outage may
@@ -28,6 +29,9 @@
 /// two calls is 1 s, and a response takes up to 1.2 s.
 const UNAVAILABLE_PERIOD: Duration = Duration::from_millis(2_200);
 
+/// How long a target that left is remembered; a store is restored from a copy some seconds old.
+const LEFT_RETENTION: Duration = Duration::from_mins(1);
+
 /// Maximum time between two responses to a follower. Targets report every 1.2 s, and a follower
 /// waits 0.8 s between calls.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -64,6 +68,8 @@
     pub cold: ColdTargets,
     targets: BTreeMap<TargetId, Target>,
     vanished: HashMap<TargetId, Vanished>,
+    /// Targets that were leaving when they were dropped: the start of the incarnation, and when.
+    left: HashMap<TargetId, (Option<u64>, Time)>,
     /// When this instance first saw the current incarnation of each target.
     first_seen: HashMap<TargetId, Time>,
     changes: ChangeLog,
@@ -111,14 +117,17 @@
     /// to live targets. A registration that vanishes later belongs to a target that left. If it
     /// were kept as well, an instance after a partition of its own would send requests to a target
     /// more than 2 s after it was gone.
-    pub fn record_store_response(&mut self, now: Time) {
+    ///
+    /// A store that was restored lacks the registrations since its copy, which their targets write again.
+    pub fn record_store_response(&mut self, revision: Revision, now: Time) {
         let before = self
             .followed_since
             .unwrap_or_default()
             .max(self.last_response);
         let can_expire =
             std::mem::take(&mut self.last_call_failed) && now.since(before) >= MIN_EXPIRY_OUTAGE;
-        self.grace_until = can_expire.then(|| now + RETURN_GRACE);
+        let is_restored = self.is_restored_at(revision);
+        self.grace_until = (can_expire || is_restored).then(|| now + RETURN_GRACE);
         self.last_response = now;
     }
 
@@ -140,6 +149,21 @@
         now < self.unavailable_until
     }
 
+    /// Whether the store was restored between the known revision and this one.
+    fn is_restored_at(&self, revision: Revision) -> bool {
+        let known = StorePosition::from(self.revision);
+        known.counter > 0 && StorePosition::from(revision).era > known.era
+    }
+
+    /// Whether this incarnation of a target is known to leave. It never stays: a registration that says so comes
+    /// from an older copy of the store.
+    fn is_known_to_leave(&self, target: &Target) -> bool {
+        let known = self.targets.get(&target.id);
+        let leaves = known.is_some_and(|known| known.leaving && known.born == target.born);
+        let left = self.left.get(&target.id);
+        leaves || left.is_some_and(|(born, _)| *born == target.born)
+    }
+
     /// Replaces all targets by a full list.
     pub fn replace(&mut self, targets: Vec<Target>, revision: Revision, now: Time) {
         let absent = self
@@ -179,13 +203,13 @@
             let absent = self.targets.keys().filter(|id| !listed.contains(id));
             let absent = absent.filter(|id| !self.vanished.contains_key(*id));
             for id in absent.cloned().collect::<Vec<_>>() {
-                self.drop_target(&id, copy.revision);
+                self.drop_target(&id, copy.revision, now);
             }
             self.changes.reset(copy.revision);
         }
         for (at, id) in copy.removed {
             if !self.changes.is_outdated(&id, at) {
-                self.drop_target(&id, at);
+                self.drop_target(&id, at, now);
             }
         }
         for (at, target) in copy.targets {
@@ -251,11 +275,12 @@
     }
 
     /// Adds or updates a target, unless a newer change of it is known.
-    pub fn put(&mut self, target: Target, revision: Revision, now: Time) {
+    pub fn put(&mut self, mut target: Target, revision: Revision, now: Time) {
         let id = target.id.clone();
         if self.changes.is_outdated(&id, revision) {
             return;
         }
+        target.leaving |= self.is_known_to_leave(&target);
         let returned = self.vanished.remove(&id).is_some();
         let before = self.targets.get(&id);
         if before.is_none_or(|before| before.born != target.born) {
@@ -291,12 +316,15 @@
             self.digest.set(None);
             return;
         }
-        self.drop_target(id, revision);
+        self.drop_target(id, revision, now);
     }
 
-    fn drop_target(&mut self, id: &TargetId, revision: Revision) {
+    fn drop_target(&mut self, id: &TargetId, revision: Revision, now: Time) {
         self.vanished.remove(id);
-        self.targets.remove(id);
+        let dropped = self.targets.remove(id);
+        if let Some(dropped) = dropped.filter(|dropped| dropped.leaving) {
+            self.left.insert(id.clone(), (dropped.born, now));
+        }
         self.changes.record_removal(id, revision);
         self.digest.set(None);
     }
@@ -314,8 +342,10 @@
             .filter(|(_, vanished)| vanished.until <= now);
         let expired = expired.map(|(id, vanished)| (id.clone(), vanished.at));
         for (id, at) in expired.collect::<Vec<_>>() {
-            self.drop_target(&id, at);
+            self.drop_target(&id, at, now);
         }
+        self.left
+            .retain(|_, (_, at)| now.since(*at) < LEFT_RETENTION);
         let targets = &self.targets;
         self.first_seen.retain(|id, _| targets.contains_key(id));
         self.cold.sweep(|id| targets.contains_key(id), now);
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -18,6 +18,7 @@
 use crate::decide::loader::{Order, OrderOutcome, Report};
 use crate::decide::peers::Member;
 use crate::decide::quarantine::QuarantineDecision;
+use crate::decide::store_position::Era;
 use crate::decide::target::Target;
 use crate::error::{GatewayError, StoreError};
 use crate::settings::NodeSettings;
@@ -143,7 +144,14 @@
 }
 
 /// The store of persistent state.
+///
+/// Revisions are packed [`StorePosition`]s.
+///
+/// [`StorePosition`]: crate::decide::store_position::StorePosition
 pub trait ObjectStore: Debug + Send + Sync + 'static {
+    /// Returns the newest era that the store has reported to this process.
+    fn era(&self) -> Era;
+
     /// Lists all objects of a kind.
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -10,6 +10,7 @@
 
 use crate::decide::follower::{Follower, StoreRequest};
 use crate::decide::kind::Kind;
+use crate::decide::store_position::StorePosition;
 use crate::edge::{Edge, Listing, ObjectStore};
 use crate::error::StoreError;
 
@@ -91,7 +92,9 @@
     let kind = follower.kind();
     if kind == Kind::Targets {
         let now = node.now();
-        node.tables().registry.record_store_response(now);
+        node.tables()
+            .registry
+            .record_store_response(listing.revision, now);
     }
     let is_full_list = follower.after().is_none();
     let delay = follower.record_response(listing.revision, !listing.objects.is_empty());
@@ -161,7 +164,7 @@
         StoreRequest::List => ("list", Revision::default()),
         StoreRequest::Watch { after, .. } => ("watch", after),
     };
-    let after = after.to_string();
+    let after = StorePosition::from(after).to_string();
     let elapsed = now.since(started).as_millis().to_string();
     let objects = listing.as_ref().map_or(0, |listing| listing.objects.len());
     let objects = objects.to_string();
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -11,6 +11,7 @@
 use crate::decide::peers::Peer;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::store_access::lease_key;
+use crate::decide::store_position::StorePosition;
 use crate::decide::tables::shard_of;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
@@ -106,7 +107,11 @@
         let before = node.leases.settled_incarnations(shard);
         let settled_incarnations = settled_incarnations(&node, shard, &before, now);
         let step = {
+            let era = node.store_era();
             let mut lease = node.leases.lock(shard);
+            if node.is_store_reached() {
+                lease.set_era(era, now);
+            }
             lease.set_settled(settled_incarnations);
             lease.step(is_wanted, now)
         };
@@ -189,6 +194,7 @@
         }
     }
     let sent = node.now();
+    let era = node.store_era();
     let content = Content::Lease(record.clone());
     let written = node
         .store
@@ -197,6 +203,10 @@
     let now = node.now();
     let mut lease = node.leases.lock(shard);
     match written {
+        // A token of an earlier era may be lower than one that the store has forgotten.
+        Ok(revision) if StorePosition::from(revision).era != era => {
+            lease.record_write_failure(true, now);
+        }
         Ok(revision) => lease.record_write(record, revision, sent, now),
         Err(err) => lease.record_write_failure(err == StoreError::Conflict, now),
     }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -91,6 +91,8 @@
     FollowChanged = 3206, Info, "instance started or stopped following the store";
     /// This instance started or stopped being a relay.
     RelayChanged = 3207, Info, "instance started or stopped relaying updates";
+    /// The store was restored from an older copy.
+    StoreRestored = 3208, Warn, "store was restored from an older copy";
 
     /// The lease of a loader shard was acquired.
     LeaseTaken = 3301, Info, "loader lease taken";
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -37,6 +37,7 @@
     resting: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
+    store_restorations: Counter<u64>,
     store_open_call: Gauge<u64>,
     config_version: Gauge<u64>,
     targets: Gauge<u64>,
@@ -120,6 +121,10 @@
                 "bluebellstage.store_calls",
                 "Watches and lists, by kind of objects and outcome",
             ),
+            store_restorations: counter(
+                "bluebellstage.store_restorations",
+                "Times that the store was restored from an older copy",
+            ),
             store_open_call: gauge(
                 "bluebellstage.store_open_call_ms",
                 "Age of the open watch or list in milliseconds, by kind of objects",
@@ -228,6 +233,11 @@
         self.orders.add(1, &[KeyValue::new("answer", outcome)]);
     }
 
+    /// Counts a restoration of the store.
+    pub(super) fn store_restored(&self) {
+        self.store_restorations.add(1, &[]);
+    }
+
     /// Counts a finished watch or list of the store.
     pub(super) fn store_call_ended(&self, kind: Kind, outcome: &'static str) {
         let kind = KeyValue::new("kind", kind.name());
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -29,6 +29,7 @@
 mod reload;
 mod residency_updates;
 mod response_head;
+mod restorations;
 mod sockets;
 mod stop;
 mod stream;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -9,8 +9,9 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::boot_time;
+use crate::decide::store_position::{Era, StorePosition};
 use crate::decide::tables::Tables;
-use crate::edge::Edge;
+use crate::edge::{Edge, ObjectStore};
 use crate::packet::{AdapterRequest, Packet};
 use crate::settings::{NodeSettings, ReloadableSettings};
 
@@ -151,6 +152,12 @@
         boot_time()
     }
 
+    /// Returns the newest era of the store that this instance or a peer has seen.
+    pub(super) fn store_era(&self) -> Era {
+        let known = StorePosition::from(self.tables().registry.revision());
+        self.store.era().max(known.era)
+    }
+
     /// Records that the first attempt to register has finished.
     pub(super) fn mark_registration_tried(&self) {
         self.registered.send_replace(true);
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -6,7 +6,9 @@
 
 use bluebellstage_core::{TargetId, Time};
 
-use crate::decide::quarantine::{Crash, Fingerprint, QuarantineDecision, QuarantineMessage};
+use crate::decide::quarantine::{
+    AgedDecision, Crash, Fingerprint, QuarantineDecision, QuarantineMessage,
+};
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
 use crate::packet::Packet;
@@ -128,6 +130,20 @@
     });
 }
 
+/// Stores all known decisions, if this instance follows the store.
+pub(super) fn store_all<E: Edge>(node: &Arc<Node<E>>) {
+    let now = node.now();
+    let tables = node.tables();
+    if !tables.follows_store(now) {
+        return;
+    }
+    let known = tables.quarantine.decisions(now).collect::<Vec<_>>();
+    drop(tables);
+    for AgedDecision { decision, .. } in known {
+        tokio::spawn(store_decision(Arc::clone(node), decision));
+    }
+}
+
 /// Writes a decision to the store; retries until the store has it or a newer one.
 async fn store_decision<E: Edge>(node: Arc<Node<E>>, decision: QuarantineDecision) {
     let name = decision.request.to_string();
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -14,7 +14,9 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::sockets::listen;
-use super::{follow, gossip, leases, loaders, peer_copy, quarantine, reload, stop, sync};
+use super::{
+    follow, gossip, leases, loaders, peer_copy, quarantine, reload, restorations, stop, sync,
+};
 
 /// Interval between two removals of expired state.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -75,6 +77,7 @@
     }
     tokio::spawn(quarantine::load_decisions(Arc::clone(&node)));
     tokio::spawn(sync::register(Arc::clone(&node)));
+    tokio::spawn(restorations::run(Arc::clone(&node)));
     tokio::spawn(peer_copy::run(Arc::clone(&node)));
     tokio::spawn(leases::run(Arc::clone(&node)));
     tokio::spawn(loaders::run(Arc::clone(&node)));
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -227,10 +227,14 @@
 fn a_follower_without_a_recent_response_does_not_count() {
     let mut tables = tables();
     tables.registry.set_following(true, at(0));
-    tables.registry.record_store_response(at(1_000));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(1_000));
     assert!(tables.registry.is_store_reachable(at(2_000)));
     assert!(!tables.registry.is_store_reachable(at(5_000)));
-    tables.registry.record_store_response(at(5_001));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(5_001));
     assert!(tables.registry.is_store_reachable(at(5_100)));
     tables.registry.set_following(false, at(5_200));
     assert!(tables.registry.is_store_reachable(at(60_000)));
@@ -247,7 +251,9 @@
             .put(target(name, "court"), Revision(1), at(0));
     }
     reconnected.registry.record_store_failure(at(0));
-    reconnected.registry.record_store_response(at(4_000));
+    reconnected
+        .registry
+        .record_store_response(Revision(1), at(4_000));
     let removed = target("c1", "court").id;
     reconnected
         .registry
@@ -277,7 +283,9 @@
     }
     let id = target("c1", "court").id;
     reconnected.registry.record_store_failure(at(0));
-    reconnected.registry.record_store_response(at(4_000));
+    reconnected
+        .registry
+        .record_store_response(Revision(1), at(4_000));
     reconnected.registry.remove(&id, Revision(9), at(4_001));
     other.registry.apply_copy(
         reconnected.registry.copy_since(Revision(0), at(4_200)),
@@ -304,8 +312,12 @@
         .put(target("c1", "court"), Revision(1), at(0));
     let id = target("c1", "court").id;
     tables.registry.record_store_failure(at(3_000));
-    tables.registry.record_store_response(at(4_000));
-    tables.registry.record_store_response(at(4_800));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(4_000));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(4_800));
     tables.registry.remove(&id, Revision(9), at(4_801));
     assert!(tables.registry.get(&id).is_none());
 }
@@ -320,9 +332,13 @@
         .registry
         .put(target("c1", "court"), Revision(1), at(0));
     let id = target("c1", "court").id;
-    tables.registry.record_store_response(at(3_000));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(3_000));
     tables.registry.record_store_failure(at(3_500));
-    tables.registry.record_store_response(at(4_000));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(4_000));
     tables.registry.remove(&id, Revision(9), at(4_001));
     assert!(tables.registry.get(&id).is_none());
 }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -454,7 +454,9 @@
     let mut tables = tables();
     add_court_servers(&mut tables);
     tables.registry.record_store_failure(at(0));
-    tables.registry.record_store_response(at(4_000));
+    tables
+        .registry
+        .record_store_response(Revision(1), at(4_000));
     tables.registry.replace(Vec::new(), Revision(2), at(4_001));
     let filing = call("/file/1", Some("key-1"));
     assert!(matches!(
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -8,6 +8,7 @@
 use bluebellstage_gateway::decide::call::{Call, Forward, ResponseHead};
 use bluebellstage_gateway::decide::loader::{Order, OrderOutcome, Report};
 use bluebellstage_gateway::decide::peers::Member;
+use bluebellstage_gateway::decide::store_position::Era;
 use bluebellstage_gateway::decide::target::Target;
 use bluebellstage_gateway::edge::{
     BadRequest, Content, Edge, Kind, Listing, Object, ObjectStore, Protocol, SettingsSource,
@@ -148,6 +149,10 @@
 }
 
 impl ObjectStore for ScriptedStore {
+    fn era(&self) -> Era {
+        Era::default()
+    }
+
     async fn list(&self, kind: Kind) -> Result<Listing, StoreError> {
         self.0.listed.lock().unwrap().push(kind);
         self.fail_during_outage(RESPONSE_TIMEOUT).await?;
