Act on answers that say a target leaves, at the own interface

Server-Leaving was read nowhere.

The head of every answer of an engine or a service now goes to the core as a report. A service's replica is closed at once; an engine's report goes to the owner of its group, who grants the permits of all instances. It is sent once, as the engine's next answer says it again. A call that no replica will take is refused at once and doesn't wait for its time.

Measured: two tests, one for each kind of target, pass and fail with the report thrown away.

--- a/crates/core/src/engines/client.rs
+++ b/crates/core/src/engines/client.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AdapterRef, GroupId, InstanceId, OwnershipKey, Refusal, RefusalKind, RequestId, Revision,
-    TargetId, Time,
+    TargetId, TargetReport, Time,
 };
 
 use super::candidates::{Candidates, Choice};
@@ -225,6 +225,28 @@
         self.send_ends(io);
     }
 
+    /// Tells the group's owner what the engine of a request reports about itself.
+    pub(super) fn send_report(
+        &self,
+        io: &mut Io<'_, '_>,
+        request: RequestId,
+        report: TargetReport,
+    ) {
+        let Some(active) = self.active_permits.get(&request) else {
+            return;
+        };
+        let key = OwnershipKey::Group(active.group.clone());
+        let Some(owner) = io.cx.ownership.owner(&key).cloned() else {
+            return;
+        };
+        let message = EnginesMessage::TargetReported {
+            group: active.group.clone(),
+            permit: active.permit,
+            report,
+        };
+        io.send(&owner, message);
+    }
+
     pub(super) fn acknowledge_end(&mut self, group: GroupId, permit: PermitId) {
         self.unacknowledged_ends.remove(&(group, permit));
     }
--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Cx, GroupId, InstanceId, MemberRef, OrderId, OrderOutcome, OwnershipKey, RequestId, TargetId,
-    TargetInfo, Tuning,
+    TargetInfo, TargetReport, Tuning,
 };
 
 use super::client::PermitClient;
@@ -89,6 +89,16 @@
         self.step(cx, |this, io| this.client.finish(io, request, end))
     }
 
+    /// Records what the engine of a request reports about itself.
+    pub fn target_reported(
+        &mut self,
+        cx: &mut Cx<'_>,
+        request: RequestId,
+        report: TargetReport,
+    ) -> Vec<PermitDecision> {
+        self.step(cx, |this, io| this.client.send_report(io, request, report))
+    }
+
     /// Takes the platform's list of targets; services in it are ignored.
     pub fn set_targets(&mut self, cx: &mut Cx<'_>, targets: &[TargetInfo]) -> Vec<PermitDecision> {
         self.step(cx, |this, io| {
@@ -298,6 +308,13 @@
                     owner.handle_permit_ended(io, from, permit, end);
                 });
             }
+            EnginesMessage::TargetReported {
+                group,
+                permit,
+                report,
+            } => self.with_group_owner(io, &group, |owner, _| {
+                owner.handle_target_report(permit, report);
+            }),
             EnginesMessage::HeldPermits {
                 group,
                 revision,
--- a/crates/core/src/engines/engine.rs
+++ b/crates/core/src/engines/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use crate::{AdapterRef, EngineReport, OrderId, TargetId, Time};
+use crate::{AdapterRef, EngineReport, OrderId, TargetId, TargetReport, Time};
 
 use super::slot::{Slot, SlotState};
 use super::targets::ListedEngine;
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Records what the engine reports about itself in a response.
+    pub(super) const fn record_target_report(&mut self, report: TargetReport) {
+        if report.is_leaving {
+            self.availability = Availability::Leaving;
+        }
+    }
+
     /// Whether the engine takes new requests: it is not leaving and its reports arrive.
     pub(super) const fn accepts_requests(&self) -> bool {
         matches!(self.availability, Availability::Active)
--- a/crates/core/src/engines/message.rs
+++ b/crates/core/src/engines/message.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AdapterRef, GroupId, Incarnation, Refusal, Revision, TargetId};
+use crate::{AdapterRef, GroupId, Incarnation, Refusal, Revision, TargetId, TargetReport};
 
 use super::{PermitEnd, PermitRequest};
 
@@ -215,4 +215,14 @@
         /// Whether the permit was used; false if it is returned unused.
         used: bool,
     },
+    /// Reports what the engine of a permit reported about itself in a response. It is sent once: the engine's
+    /// next response reports it again.
+    TargetReported {
+        /// The group.
+        group: GroupId,
+        /// The permit.
+        permit: PermitId,
+        /// What the engine reported.
+        report: TargetReport,
+    },
 }
--- a/crates/core/src/engines/owner.rs
+++ b/crates/core/src/engines/owner.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     AdapterRef, GroupId, InstanceId, MemberRef, OrderId, OwnershipKey, Placement, Refusal,
-    RefusalKind, Revision, TargetId, Time, Tuning,
+    RefusalKind, Revision, TargetId, TargetReport, Time, Tuning,
 };
 
 use super::engine::{Availability, Engine};
@@ -255,6 +255,15 @@
         }
     }
 
+    /// Records what the engine of a permit reports about itself.
+    pub(super) fn handle_target_report(&mut self, permit: PermitId, report: TargetReport) {
+        let outstanding = self.permits.get(&permit);
+        let engine = outstanding.and_then(|permit| self.engines.get_mut(&permit.target));
+        if let Some(engine) = engine {
+            engine.record_target_report(report);
+        }
+    }
+
     fn apply_end(&mut self, io: &mut Io<'_, '_>, outstanding: &OutstandingPermit, end: PermitEnd) {
         let now = io.now();
         let Some(engine) = self.engines.get_mut(&outstanding.target) else {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -4,7 +4,7 @@
 use crate::platform::PlatformResponse;
 use crate::{
     CallerRequest, Finish, InstanceId, ObjectName, OrderId, OrderOutcome, PeerMessage, RequestId,
-    TargetId, Tokens,
+    TargetId, TargetReport, Tokens,
 };
 
 /// An input event of an instance.
@@ -52,6 +52,8 @@
     Arrived(CallerRequest),
     /// The response progressed; carries the total number of tokens delivered so far.
     Progress(Tokens),
+    /// The target reports something about itself in the head of its response.
+    TargetReported(TargetReport),
     /// The dispatch of the request ended.
     Finished(Finish),
 }
--- a/crates/core/src/instance/finish.rs
+++ b/crates/core/src/instance/finish.rs
@@ -3,7 +3,7 @@
 use crate::engines::PermitEnd;
 use crate::journal::CallOutcome;
 use crate::services::SlotEnd;
-use crate::{Cx, Finish, Ran, Refusal, RefusalKind, RequestId, Time, Tokens};
+use crate::{Cx, Finish, Ran, Refusal, RefusalKind, RequestId, TargetReport, Time, Tokens};
 
 use super::Instance;
 use super::active_request::{ActiveRequest, Job, Stage};
@@ -24,6 +24,20 @@
         }
     }
 
+    /// Records what the target of a dispatched request reports about itself.
+    pub(super) fn record_target_report(&mut self, now: Time, id: RequestId, report: TargetReport) {
+        let Some(active_request) = self.active_requests.get(&id) else {
+            return;
+        };
+        match &active_request.job {
+            Job::Generate { .. } => {
+                let decisions = self.engines.target_reported(cx!(self, now), id, report);
+                self.queue_decisions(decisions);
+            }
+            Job::Call { .. } => self.services.record_target_report(id, report),
+        }
+    }
+
     pub(super) fn handle_finish(&mut self, now: Time, id: RequestId, finish: Finish) {
         let Some(active_request) = self.active_requests.get(&id) else {
             return;
--- a/crates/core/src/instance/requests.rs
+++ b/crates/core/src/instance/requests.rs
@@ -60,6 +60,7 @@
         match event {
             RequestEvent::Arrived(request) => self.handle_arrival(now, id, request),
             RequestEvent::Progress(tokens) => self.record_progress(id, tokens),
+            RequestEvent::TargetReported(report) => self.record_target_report(now, id, report),
             RequestEvent::Finished(finish) => self.handle_finish(now, id, finish),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod refusal;
 mod request;
 mod target;
+mod target_report;
 mod tuning;
 mod units;
 
@@ -52,6 +53,7 @@
     AdapterRef, EngineReport, OrderId, OrderOutcome, TargetInfo, TargetKind, TargetOrder,
     TargetOrderKind,
 };
+pub use self::target_report::TargetReport;
 pub use self::tuning::{Grouping, Placement, QueueOrder, RatePolicy, Tuning};
 pub use self::units::{
     AdapterVersion, Fencing, Incarnation, ObjectVersion, Rate, Revision, Time, Tokens,
--- a/crates/core/src/services/core.rs
+++ b/crates/core/src/services/core.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 use crate::{
-    Cx, Refusal, RefusalKind, RequestId, ServiceId, TargetId, TargetInfo, TargetKind, Time, Tuning,
+    Cx, Refusal, RefusalKind, RequestId, ServiceId, TargetId, TargetInfo, TargetKind, TargetReport,
+    Time, Tuning,
 };
 
 use super::replica::Replica;
@@ -124,6 +125,19 @@
         self.serve(cx, &held.service)
     }
 
+    /// Records what the replica of a call reports about itself.
+    pub fn record_target_report(&mut self, request: RequestId, report: TargetReport) {
+        let Some(held) = self.held.get(&request) else {
+            return;
+        };
+        let replicas = self.replicas.get_mut(&held.service);
+        let mut replicas = replicas.into_iter().flatten();
+        let Some(replica) = replicas.find(|replica| replica.id == held.target) else {
+            return;
+        };
+        replica.leaving |= report.is_leaving;
+    }
+
     /// Updates the replicas from the platform's list of targets; engines in it are ignored.
     pub fn set_targets(&mut self, cx: &mut Cx<'_>, targets: &[TargetInfo]) -> Vec<SlotDecision> {
         let mut known_replicas = std::mem::take(&mut self.replicas);
@@ -207,6 +221,14 @@
                 })
                 .collect();
         };
+        // A call that no replica will take is refused at once.
+        let are_all_leaving = replicas.iter().all(|replica| replica.leaving);
+        while let Some(late) = queue.pop_front_if(|_| are_all_leaving) {
+            decisions.push(SlotDecision {
+                request: late.request,
+                outcome: Err(Refusal::retry_after(RefusalKind::NoTarget, RETRY_AFTER)),
+            });
+        }
         while !queue.is_empty() {
             let Some(replica) = pick_replica(cx, replicas) else {
                 break;
--- a/crates/core/tests/engines_guards.rs
+++ b/crates/core/tests/engines_guards.rs
@@ -3,10 +3,13 @@
 #[path = "support/engines/mod.rs"]
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bluebellstage_core::engines::{EnginesMessage, HeldPermit, LoadDemand, PermitEnd};
-use bluebellstage_core::{EngineReport, OrderOutcome, RequestId, Revision, TargetOrderKind, Time};
+use bluebellstage_core::{
+    EngineReport, OrderOutcome, RequestId, Revision, TargetOrderKind, TargetReport, Time,
+};
 
 use support::fleet::{EngineSpec, adapter, ask};
 use support::lone::{Lone, engine, grant, group, permit, report};
@@ -473,3 +476,33 @@
     };
     harness.hear("b", end);
 }
+
+/// Number of permits that were granted.
+fn permits(harness: &Lone) -> usize {
+    let granted = harness.grants().into_iter().map(|grant| grant.permit);
+    granted.collect::<BTreeSet<_>>().len()
+}
+
+/// Grants a permit to `b`, and reports what the engine reported in its response.
+fn owner_told(reported: TargetReport) -> Lone {
+    let mut harness = running_owner(&CHECKS_FENCING);
+    harness.asked("b", 1, ask(1));
+    harness.pass(50);
+    let granted = harness.grants()[0].permit;
+    let message = EnginesMessage::TargetReported {
+        group: group(),
+        permit: granted,
+        report: reported,
+    };
+    harness.hear("b", message);
+    harness
+}
+
+/// Guards against a report in a response that waits for the engine's own report or the platform's list.
+#[test]
+fn an_engine_that_reports_in_a_response_that_it_leaves_gets_no_permits() {
+    let mut harness = owner_told(TargetReport { is_leaving: true });
+    harness.asked("b", 2, ask(1));
+    pass_with_reports(&mut harness, 4_000, &both_adapters());
+    assert_eq!(permits(&harness), 1);
+}
--- a/crates/daemon/src/request/engine.rs
+++ b/crates/daemon/src/request/engine.rs
@@ -15,6 +15,7 @@
 
 use super::Endpoint;
 use super::chunk::EngineError;
+use super::target_report::record_target_report;
 
 /// Header under which an engine keeps a request's stream.
 const REQUEST_HEADER: &str = "X-Request-Id";
@@ -69,7 +70,10 @@
             .body(body);
         let silence = self.shell.settings.limits.engine_silence;
         match timeout(silence, request.send()).await {
-            Ok(Ok(response)) => sent(response).await,
+            Ok(Ok(response)) => {
+                record_target_report(&self.shell, self.request, &response);
+                sent(response).await
+            }
             Ok(Err(error)) if error.is_connect() => Sent::Failed(Finish::Unreachable),
             Ok(Err(_)) | Err(_) => Sent::Failed(Finish::Interrupted { delivered }),
         }
@@ -84,6 +88,7 @@
             .get(self.stream_url())
             .header(LAST_EVENT_HEADER, last.to_string());
         let response = timeout(RESUME_TIMEOUT, request.send()).await.ok()?.ok()?;
+        record_target_report(&self.shell, self.request, &response);
         (response.status() == StatusCode::OK).then(|| chunks(response))
     }
 
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod service;
 mod sse;
 mod stream;
+mod target_report;
 mod transcript;
 
 pub use self::refused::status_of;
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -2,6 +2,7 @@
 
 use std::io::Cursor;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bluebellstage_core::{
     Finish, IdempotencyKey, Refusal, RefusalKind, RequestAction, RequestId, ServiceCall, ServiceId,
@@ -19,6 +20,7 @@
 
 use super::Refused;
 use super::generation::first_eight;
+use super::target_report::record_target_report;
 
 /// Longest answer that is kept for repeats of a call.
 const KEPT_ANSWER_BYTES: usize = 16 * 1_024;
@@ -134,7 +136,7 @@
     address: SocketAddr,
 ) -> Result<Option<ServiceAnswer>, Refused> {
     let id = handle.id();
-    let shell = std::sync::Arc::clone(handle.shell());
+    let shell = Arc::clone(handle.shell());
     let limit = shell.settings.limits.service_timeout;
     let begun = Instant::now();
     let sending = timeout(limit, send(&shell, request, address, id));
@@ -183,7 +185,7 @@
 
 /// Sends the call, once.
 async fn send(
-    shell: &Shell,
+    shell: &Arc<Shell>,
     request: &ServiceRequest,
     address: SocketAddr,
     id: RequestId,
@@ -213,6 +215,7 @@
         Err(error) if error.is_builder() => return Err(Finish::NotSent),
         Err(_) => return Err(broken),
     };
+    record_target_report(shell, id, &response);
     let status = response.status().as_u16();
     let content_type = response.headers().get("Content-Type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/crates/daemon/tests/services.rs
+++ b/crates/daemon/tests/services.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use bluebellstage_standin::{CallKind, Fault, FaultKind, Pod};
 use reqwest::{Method, StatusCode};
@@ -159,6 +160,19 @@
     assert_eq!(service.connections(), [["POST /forms HTTP/1.1"]]);
 }
 
+/// Guards against calls to a service that has said in an answer that it leaves, while the platform's list lags.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_says_that_it_leaves_gets_no_further_calls() {
+    let service = RawService::answering("200 OK\r\nServer-Leaving: 1").await;
+    let bench = with_service_at(service.address).await;
+    assert_eq!(file(&bench, 0, "filing-1", "{}").await.0, StatusCode::OK);
+    let asked = Instant::now();
+    let refused = file(&bench, 0, "filing-2", "{}").await;
+    assert_eq!(kind(&refused.2), "\"no_target\" ran=\"no\"");
+    assert!(asked.elapsed() < Duration::from_secs(1));
+    assert_eq!(service.connections().len(), 1);
+}
+
 /// A bench whose only service replica is something else.
 async fn with_service_at(address: SocketAddr) -> Bench {
     let mut bench = BenchBuilder::instances(1).start().await;
