Give rest to targets that ask for it, at the own interface

The own interface had the same fault as the gateway: Retry-After of a 503 was read nowhere. An engine that refused was asked again once its report had shown it alive; a service's refusal went to the caller as its answer, and the next call followed at once.

The report of a target's answer now carries the rest it asks for. The longest holds, 5 min at most; an engine's holds for all instances, as one owner grants their permits. A service's refusal with a rest counts as not run: a read goes to another replica, any other call is refused. A call that waits for resting replicas alone is refused at once with the time of the first end, if that comes after its longest wait. The parser of decimal seconds and the longest rest moved to the core, where the gateway takes them from.

--- a/crates/core/src/engines/core.rs
+++ b/crates/core/src/engines/core.rs
@@ -312,8 +312,8 @@
                 group,
                 permit,
                 report,
-            } => self.with_group_owner(io, &group, |owner, _| {
-                owner.handle_target_report(permit, report);
+            } => self.with_group_owner(io, &group, |owner, io| {
+                owner.handle_target_report(io.now(), permit, report);
             }),
             EnginesMessage::HeldPermits {
                 group,
--- a/crates/core/src/engines/engine.rs
+++ b/crates/core/src/engines/engine.rs
@@ -70,6 +70,8 @@
     /// The boot before the last restart; a delayed report may still carry it.
     previous_boot: Option<u64>,
     missed_reports: u32,
+    /// The engine asked for rest until then; `None` once that is over.
+    rest_until: Option<Time>,
     pub(super) report_order: Option<OrderId>,
     pub(super) next_report_at: Time,
     last_report_requested_at: Time,
@@ -100,6 +102,7 @@
             boot: 0,
             previous_boot: None,
             missed_reports: 0,
+            rest_until: None,
             report_order: None,
             next_report_at: now,
             last_report_requested_at: Time(0),
@@ -119,16 +122,26 @@
         }
     }
 
-    /// Records what the engine reports about itself in a response.
-    pub(super) const fn record_target_report(&mut self, report: TargetReport) {
+    /// Records what the engine reports about itself in a response. The longest rest holds.
+    pub(super) fn record_target_report(&mut self, report: TargetReport, now: Time) {
         if report.is_leaving {
             self.availability = Availability::Leaving;
         }
+        let until = now + report.bounded_rest();
+        if until > now {
+            self.rest_until = self.rest_until.max(Some(until));
+        }
+    }
+
+    /// Ends the engine's rest if it is over.
+    pub(super) fn end_rest(&mut self, now: Time) {
+        self.rest_until = self.rest_until.filter(|until| now < *until);
     }
 
-    /// Whether the engine takes new requests: it is not leaving and its reports arrive.
+    /// Whether the engine takes new requests: it is not leaving, does not rest, and its reports arrive.
     pub(super) const fn accepts_requests(&self) -> bool {
         matches!(self.availability, Availability::Active)
+            && self.rest_until.is_none()
             && self.missed_reports < MISSED_REPORTS_THRESHOLD
     }
 
@@ -285,6 +298,7 @@
             self.unloaded_at.clear();
             self.fence = FenceState::NotSent;
             self.availability = Availability::Active;
+            self.rest_until = None;
         }
         self.boot = report.boot;
         self.has_report = true;
--- a/crates/core/src/engines/owner.rs
+++ b/crates/core/src/engines/owner.rs
@@ -255,12 +255,18 @@
         }
     }
 
-    /// Records what the engine of a permit reports about itself.
-    pub(super) fn handle_target_report(&mut self, permit: PermitId, report: TargetReport) {
+    /// Records what the engine of a permit reports about itself. A rest holds for all instances, as one owner
+    /// grants the permits of all.
+    pub(super) fn handle_target_report(
+        &mut self,
+        now: Time,
+        permit: PermitId,
+        report: TargetReport,
+    ) {
         let outstanding = self.permits.get(&permit);
         let engine = outstanding.and_then(|permit| self.engines.get_mut(&permit.target));
         if let Some(engine) = engine {
-            engine.record_target_report(report);
+            engine.record_target_report(report, now);
         }
     }
 
@@ -324,6 +330,9 @@
         if !io.cx.ownership.may_act(now, &self.key) {
             return;
         }
+        for engine in self.engines.values_mut() {
+            engine.end_rest(now);
+        }
         self.continue_takeover(io);
         self.queue
             .remove_expired(now - QUEUED_REQUEST_TTL, &current_members(io.cx.ownership));
--- a/crates/core/src/instance/finish.rs
+++ b/crates/core/src/instance/finish.rs
@@ -34,7 +34,7 @@
                 let decisions = self.engines.target_reported(cx!(self, now), id, report);
                 self.queue_decisions(decisions);
             }
-            Job::Call { .. } => self.services.record_target_report(id, report),
+            Job::Call { .. } => self.services.record_target_report(now, id, report),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod instance;
 pub mod journal;
 pub mod membership;
+mod milli;
 pub mod rates;
 pub mod services;
 
@@ -42,6 +43,7 @@
 pub use self::keys::KeyDigest;
 pub use self::map::{Map, Member, MemberRef, MemberState, OwnershipKey, PastMap, Terms};
 pub use self::message::PeerMessage;
+pub use self::milli::{MILLI_PER_UNIT, parse_milli};
 pub use self::ownership::{Adoption, Ownership};
 pub use self::platform::{
     Expected, ListedInstance, PlatformCall, PlatformOp, PlatformPurpose, PlatformReply,
@@ -53,7 +55,7 @@
     AdapterRef, EngineReport, OrderId, OrderOutcome, TargetInfo, TargetKind, TargetOrder,
     TargetOrderKind,
 };
-pub use self::target_report::TargetReport;
+pub use self::target_report::{DEFAULT_MAX_REST, TargetReport};
 pub use self::tuning::{Grouping, Placement, QueueOrder, RatePolicy, Tuning};
 pub use self::units::{
     AdapterVersion, Fencing, Incarnation, ObjectVersion, Rate, Revision, Time, Tokens,
--- a/crates/core/src/services/core.rs
+++ b/crates/core/src/services/core.rs
@@ -126,7 +126,7 @@
     }
 
     /// Records what the replica of a call reports about itself.
-    pub fn record_target_report(&mut self, request: RequestId, report: TargetReport) {
+    pub fn record_target_report(&mut self, now: Time, request: RequestId, report: TargetReport) {
         let Some(held) = self.held.get(&request) else {
             return;
         };
@@ -136,6 +136,7 @@
             return;
         };
         replica.leaving |= report.is_leaving;
+        replica.rest_until = replica.rest_until.max(now + report.bounded_rest());
     }
 
     /// Updates the replicas from the platform's list of targets; engines in it are ignored.
@@ -165,7 +166,11 @@
                         .as_ref()
                         .is_some_and(|known| known.leaving && known.address == info.address),
                 in_flight: known.as_ref().map_or(0, |known| known.in_flight),
-                avoid_until: known.map(|known| known.avoid_until).unwrap_or_default(),
+                avoid_until: known
+                    .as_ref()
+                    .map(|known| known.avoid_until)
+                    .unwrap_or_default(),
+                rest_until: known.map(|known| known.rest_until).unwrap_or_default(),
             };
             self.replicas
                 .entry(service.clone())
@@ -221,12 +226,15 @@
                 })
                 .collect();
         };
-        // A call that no replica will take is refused at once.
-        let are_all_leaving = replicas.iter().all(|replica| replica.leaving);
-        while let Some(late) = queue.pop_front_if(|_| are_all_leaving) {
+        // A call that no replica takes before its wait is over is refused at once.
+        let opens_at = replicas.iter().filter_map(Replica::opens_at).min();
+        while let Some(late) =
+            queue.pop_front_if(|waiting| opens_at.is_none_or(|at| at >= waiting.give_up))
+        {
+            let left = opens_at.map_or(RETRY_AFTER, |at| at.since(cx.now));
             decisions.push(SlotDecision {
                 request: late.request,
-                outcome: Err(Refusal::retry_after(RefusalKind::NoTarget, RETRY_AFTER)),
+                outcome: Err(Refusal::retry_after(RefusalKind::NoTarget, left)),
             });
         }
         while !queue.is_empty() {
--- a/crates/core/src/services/replica.rs
+++ b/crates/core/src/services/replica.rs
@@ -16,6 +16,8 @@
     pub(super) leaving: bool,
     pub(super) in_flight: u32,
     pub(super) avoid_until: Time,
+    /// The replica asked for rest until then.
+    pub(super) rest_until: Time,
 }
 
 impl Replica {
@@ -38,6 +40,11 @@
 
     /// Returns whether the replica accepts new calls.
     pub(super) fn is_open(&self, now: Time) -> bool {
-        !self.leaving && now >= self.avoid_until
+        !self.leaving && now >= self.avoid_until && now >= self.rest_until
+    }
+
+    /// Returns when the replica's rest is over; `None` if it is leaving.
+    pub(super) fn opens_at(&self) -> Option<Time> {
+        (!self.leaving).then_some(self.rest_until)
     }
 }
--- a/crates/core/tests/engines_guards.rs
+++ b/crates/core/tests/engines_guards.rs
@@ -501,8 +501,27 @@
 /// Guards against a report in a response that waits for the engine's own report or the platform's list.
 #[test]
 fn an_engine_that_reports_in_a_response_that_it_leaves_gets_no_permits() {
-    let mut harness = owner_told(TargetReport { is_leaving: true });
+    let mut harness = owner_told(TargetReport {
+        is_leaving: true,
+        ..TargetReport::default()
+    });
     harness.asked("b", 2, ask(1));
     pass_with_reports(&mut harness, 4_000, &both_adapters());
     assert_eq!(permits(&harness), 1);
 }
+
+/// Guards against permits for an engine that has asked for rest, and an engine that rests forever.
+#[test]
+fn an_engine_that_asks_for_rest_gets_permits_after_it() {
+    let mut harness = owner_told(TargetReport {
+        rest: Some(Duration::from_secs(3)),
+        ..TargetReport::default()
+    });
+    harness.asked("b", 2, ask(1));
+    pass_with_reports(&mut harness, 2_900, &both_adapters());
+    assert_eq!(permits(&harness), 1);
+    pass_with_reports(&mut harness, 200, &both_adapters());
+    harness.asked("b", 3, ask(1));
+    pass_with_reports(&mut harness, 200, &both_adapters());
+    assert_eq!(permits(&harness), 2);
+}
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -215,7 +215,11 @@
         Err(error) if error.is_builder() => return Err(Finish::NotSent),
         Err(_) => return Err(broken),
     };
-    record_target_report(shell, id, &response);
+    let report = record_target_report(shell, id, &response);
+    if report.rest.is_some() {
+        let leaving = report.is_leaving;
+        return Err(Finish::Rejected { leaving });
+    }
     let status = response.status().as_u16();
     let content_type = response.headers().get("Content-Type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/crates/gateway/src/decide/limits/request_rate.rs
+++ b/crates/gateway/src/decide/limits/request_rate.rs
@@ -3,10 +3,9 @@
 use std::fmt;
 use std::str::FromStr;
 
+use bluebellstage_core::{MILLI_PER_UNIT, parse_milli};
 use serde::{Deserialize, Serialize};
 
-use crate::decide::milli::{MILLI_PER_UNIT, parse_milli};
-
 /// Requests per second, stored in thousandths.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -21,7 +21,6 @@
 pub mod limits;
 pub mod load_wait;
 pub mod loader;
-pub mod milli;
 pub mod peers;
 mod picking;
 pub mod placement;
--- a/crates/gateway/src/decide/rests.rs
+++ b/crates/gateway/src/decide/rests.rs
@@ -5,12 +5,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+pub use bluebellstage_core::DEFAULT_MAX_REST;
 use bluebellstage_core::{TargetId, Time};
 
 use super::target::Target;
 
-/// Default of the longest rest that is kept. A target that asks for more is tried again after it.
-pub const DEFAULT_MAX_REST: Duration = Duration::from_mins(5);
 /// Minimum interval between two requests to a target whose rest has ended, until it takes one. All that waited
 /// for it would otherwise arrive at once.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
