Take a lease's era from the lease when its write is answered

Found by reading: the era that a written lease was compared with could be newer than the one its fencing token was made for, at an instance that had not heard the store when it claimed. The token of the lease's own era decides now. A registration without a start time is no longer taken for one that is known to leave: its lives can't be told apart.

The tests of leases, restorations and following pass.

--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -140,10 +140,15 @@
         self.next_step_at = now;
     }
 
+    /// Returns the store's era as of the last step.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
     /// Returns the lowest fencing token of the store's era.
     fn first_token(&self) -> u64 {
-        let era = self.era.unwrap_or_default();
-        u64::from(era.0) * TOKENS_PER_ERA + 1
+        u64::from(self.era().0) * TOKENS_PER_ERA + 1
     }
 
     /// Whether the record was written before the store was restored.
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -30,7 +30,7 @@
 const UNAVAILABLE_PERIOD: Duration = Duration::from_millis(2_200);
 
 /// How long a target that left is remembered; a store is restored from a copy some seconds old.
-const LEFT_RETENTION: Duration = Duration::from_mins(1);
+const DEPARTED_RETENTION: Duration = Duration::from_mins(1);
 
 /// Maximum time between two responses to a follower. Targets report every 1.2 s, and a follower
 /// waits 0.8 s between calls.
@@ -69,7 +69,7 @@
     targets: BTreeMap<TargetId, Target>,
     vanished: HashMap<TargetId, Vanished>,
     /// Targets that were leaving when they were dropped: the start of the incarnation, and when.
-    left: HashMap<TargetId, (Option<u64>, Time)>,
+    departed: HashMap<TargetId, (Option<u64>, Time)>,
     /// When this instance first saw the current incarnation of each target.
     first_seen: HashMap<TargetId, Time>,
     changes: ChangeLog,
@@ -156,12 +156,15 @@
     }
 
     /// Whether this incarnation of a target is known to leave. It never stays: a registration that says so comes
-    /// from an older copy of the store.
+    /// from an older copy of the store. Incarnations without a start time can't be told apart.
     fn is_known_to_leave(&self, target: &Target) -> bool {
+        if target.born.is_none() {
+            return false;
+        }
         let known = self.targets.get(&target.id);
-        let leaves = known.is_some_and(|known| known.leaving && known.born == target.born);
-        let left = self.left.get(&target.id);
-        leaves || left.is_some_and(|(born, _)| *born == target.born)
+        let is_leaving = known.is_some_and(|known| known.leaving && known.born == target.born);
+        let departed = self.departed.get(&target.id);
+        is_leaving || departed.is_some_and(|(born, _)| *born == target.born)
     }
 
     /// Replaces all targets by a full list.
@@ -323,7 +326,7 @@
         self.vanished.remove(id);
         let dropped = self.targets.remove(id);
         if let Some(dropped) = dropped.filter(|dropped| dropped.leaving) {
-            self.left.insert(id.clone(), (dropped.born, now));
+            self.departed.insert(id.clone(), (dropped.born, now));
         }
         self.changes.record_removal(id, revision);
         self.digest.set(None);
@@ -344,8 +347,8 @@
         for (id, at) in expired.collect::<Vec<_>>() {
             self.drop_target(&id, at, now);
         }
-        self.left
-            .retain(|_, (_, at)| now.since(*at) < LEFT_RETENTION);
+        self.departed
+            .retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
         let targets = &self.targets;
         self.first_seen.retain(|id, _| targets.contains_key(id));
         self.cold.sweep(|id| targets.contains_key(id), now);
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -11,7 +11,7 @@
 use crate::decide::peers::Peer;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::store_access::lease_key;
-use crate::decide::store_position::StorePosition;
+use crate::decide::store_position::{Era, StorePosition};
 use crate::decide::tables::shard_of;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
@@ -109,7 +109,8 @@
         let step = {
             let era = node.store_era();
             let mut lease = node.leases.lock(shard);
-            if node.is_store_reached() {
+            // An instance that has not reached the store takes era 0 for unknown.
+            if era > Era::default() || node.is_store_reached() {
                 lease.set_era(era, now);
             }
             lease.set_settled(settled_incarnations);
@@ -194,7 +195,6 @@
         }
     }
     let sent = node.now();
-    let era = node.store_era();
     let content = Content::Lease(record.clone());
     let written = node
         .store
@@ -204,7 +204,7 @@
     let mut lease = node.leases.lock(shard);
     match written {
         // A token of an earlier era may be lower than one that the store has forgotten.
-        Ok(revision) if StorePosition::from(revision).era != era => {
+        Ok(revision) if StorePosition::from(revision).era != lease.era() => {
             lease.record_write_failure(true, now);
         }
         Ok(revision) => lease.record_write(record, revision, sent, now),
