--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -9,10 +9,9 @@
 use bluebellstage_gateway::decide::departures::{DRAIN_PERIOD, Departures};
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::tables::Tables;
-use bluebellstage_gateway::decide::target::Target;
 use support::answering::{AnswerScenario, Simulation};
 use support::fleet::{Fleet, Network};
-use support::{adapter_at, at, draft, peer, tables, target};
+use support::{at, draft, engine, peer, tables_with_engines};
 
 const SCENARIO: AnswerScenario = AnswerScenario {
     targets: 9,
@@ -54,38 +53,12 @@
         fleet.network = Network::UNRELIABLE;
         let mut simulation = SCENARIO.start(fleet);
         simulation.run_ms(2_000);
-        for step in 0..10 {
-            let [frozen, restarted] = [0, 0].map(|_| simulation.fleet.random_below(8));
-            simulation.fleet.partitions = vec![(step % 3, (step + 1) % 3)];
-            simulation.fleet.suspend(frozen);
-            simulation.run_ms(700);
-            simulation.resume(frozen);
-            simulation.restart(restarted);
-            simulation.run_ms(700);
-        }
+        simulation.run_with_faults(10);
         simulation.run_ms(3_000);
         assert_left_alone(&simulation);
     }
 }
 
-fn engine(name: &str, born: u64, adapters: &[&str]) -> Target {
-    Target {
-        born: Some(born),
-        adapters: adapters.iter().map(|name| adapter_at(name, 1)).collect(),
-        ..target(name, "writers")
-    }
-}
-
-fn with_engines(engines: &[Target]) -> Tables {
-    let mut tables = tables();
-    tables.peers.update(peer("holder", at(0)));
-    for engine in engines {
-        tables.residency.apply_registration(engine, at(0));
-        tables.registry.put(engine.clone(), Revision(2), at(0));
-    }
-    tables
-}
-
 fn pick(tables: &mut Tables, adapter: &str, ms: u64) -> Pick {
     tables.peers.update(peer("holder", at(ms)));
     let call = draft(adapter);
@@ -96,7 +69,8 @@
 /// Guards against a wait for each adapter that only the leaving engine holds.
 #[test]
 fn adapters_of_a_leaving_engine_are_loaded_elsewhere_while_it_still_serves_them() {
-    let mut tables = with_engines(&[engine("e1", 1, &["a1", "a2"]), engine("e2", 1, &["a2"])]);
+    let mut tables =
+        tables_with_engines(&[engine("e1", 1, &["a1", "a2"]), engine("e2", 1, &["a2"])]);
     tables.departures.record(&id("e1"), Some(1), at(1_000));
     let Pick::Send {
         target, load_at, ..
@@ -117,7 +91,7 @@
 /// registration.
 #[test]
 fn a_report_holds_for_one_incarnation() {
-    let mut tables = with_engines(&[engine("e1", 1, &["a1"])]);
+    let mut tables = tables_with_engines(&[engine("e1", 1, &["a1"])]);
     tables.departures.record(&id("e1"), Some(1), at(0));
     let availability = |tables: &Tables, ms| {
         let target = tables.registry.get(&id("e1")).unwrap();
@@ -157,7 +131,7 @@
 /// Guards against a request that waits for targets that will not come back.
 #[test]
 fn with_all_targets_leaving_nothing_can_run_a_request() {
-    let mut tables = with_engines(&[engine("e1", 1, &["a1"]), engine("e2", 1, &["a1"])]);
+    let mut tables = tables_with_engines(&[engine("e1", 1, &["a1"]), engine("e2", 1, &["a1"])]);
     for name in ["e1", "e2"] {
         tables.departures.record(&id(name), Some(1), at(0));
     }
--- a/crates/gateway/tests/rests.rs
+++ b/crates/gateway/tests/rests.rs
@@ -10,10 +10,9 @@
 use bluebellstage_gateway::decide::rests::{DEFAULT_MAX_REST, Rests};
 use bluebellstage_gateway::decide::retry_after::when_targets_rest;
 use bluebellstage_gateway::decide::tables::Tables;
-use bluebellstage_gateway::decide::target::Target;
 use support::answering::{AnswerScenario, Simulation};
 use support::fleet::{Fleet, Network};
-use support::{adapter_at, at, draft, peer, tables, target};
+use support::{at, draft, engine, peer, tables_with_engines};
 
 const REST: Duration = Duration::from_secs(3);
 
@@ -55,15 +54,7 @@
         let mut fleet = Fleet::start(8, 3, seed);
         fleet.network = Network::UNRELIABLE;
         let mut simulation = SCENARIO.start(fleet);
-        for step in 0..8 {
-            let [frozen, restarted] = [0, 0].map(|_| simulation.fleet.random_below(8));
-            simulation.fleet.partitions = vec![(step % 3, (step + 1) % 3)];
-            simulation.fleet.suspend(frozen);
-            simulation.run_ms(700);
-            simulation.resume(frozen);
-            simulation.restart(restarted);
-            simulation.run_ms(700);
-        }
+        simulation.run_with_faults(8);
         assert_rests_kept(&simulation);
     }
 }
@@ -86,23 +77,6 @@
     assert!((1..=2 * asked).contains(&after_end), "{after_end} refusals");
 }
 
-fn engine(name: &str, born: u64, adapters: &[&str]) -> Target {
-    Target {
-        born: Some(born),
-        adapters: adapters.iter().map(|name| adapter_at(name, 1)).collect(),
-        ..target(name, "writers")
-    }
-}
-
-fn with_engines(engines: &[Target]) -> Tables {
-    let mut tables = tables();
-    for engine in engines {
-        tables.residency.apply_registration(engine, at(0));
-        tables.registry.put(engine.clone(), Revision(2), at(0));
-    }
-    tables
-}
-
 fn pick(tables: &mut Tables, adapter: &str, tried: &[TargetId], ms: u64) -> Pick {
     tables.peers.update(peer("holder", at(ms)));
     let call = draft(adapter);
@@ -113,7 +87,7 @@
 /// Guards against requests that follow their adapter to an engine that rests.
 #[test]
 fn adapters_of_a_resting_engine_are_loaded_elsewhere() {
-    let mut tables = with_engines(&[engine("e1", 1, &["a1"]), engine("e2", 1, &[])]);
+    let mut tables = tables_with_engines(&[engine("e1", 1, &["a1"]), engine("e2", 1, &[])]);
     tables.rests.record(&id("e1"), Some(1), REST, at(0));
     assert_eq!(pick(&mut tables, "a1", &[], 100), Pick::Load(id("e2")));
 }
@@ -121,7 +95,7 @@
 /// Guards against a caller that waits, or is told that nothing can run its request, while all targets rest.
 #[test]
 fn with_all_targets_resting_the_first_end_is_told() {
-    let mut tables = with_engines(&[engine("e1", 1, &["a1"]), engine("e2", 1, &["a1"])]);
+    let mut tables = tables_with_engines(&[engine("e1", 1, &["a1"]), engine("e2", 1, &["a1"])]);
     tables.rests.record(&id("e1"), Some(1), REST, at(0));
     tables.rests.record(&id("e2"), Some(1), REST, at(500));
     let left = Duration::from_secs(2);
@@ -156,7 +130,7 @@
 /// Guards against a rest that the next process with the same name is left alone for.
 #[test]
 fn a_rest_holds_for_one_incarnation() {
-    let mut tables = with_engines(&[engine("e1", 1, &["a1"])]);
+    let mut tables = tables_with_engines(&[engine("e1", 1, &["a1"])]);
     tables.rests.record(&id("e1"), Some(1), REST, at(0));
     let availability = |tables: &Tables| {
         let target = tables.registry.get(&id("e1")).unwrap();
--- a/crates/gateway/tests/support/answering.rs
+++ b/crates/gateway/tests/support/answering.rs
@@ -162,6 +162,21 @@
         }
     }
 
+    /// Runs the simulation with so many rounds of faults: a cut between two failure domains, a frozen instance and
+    /// a restarted one.
+    pub fn run_with_faults(&mut self, rounds: usize) {
+        for round in 0..rounds {
+            let count = self.fleet.len();
+            let [frozen, restarted] = [0, 0].map(|_| self.fleet.random_below(count));
+            self.fleet.partitions = vec![(round % 3, (round + 1) % 3)];
+            self.fleet.suspend(frozen);
+            self.run_ms(700);
+            self.resume(frozen);
+            self.restart(restarted);
+            self.run_ms(700);
+        }
+    }
+
     fn elapsed_ms(&self) -> u64 {
         let elapsed = self.fleet.now.since(self.started_at);
         u64::try_from(elapsed.as_millis()).unwrap()
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -105,6 +105,25 @@
     }
 }
 
+/// Returns an engine in the incarnation that started at `born`.
+pub fn engine(name: &str, born: u64, adapters: &[&str]) -> Target {
+    Target {
+        born: Some(born),
+        adapters: adapters.iter().map(|name| adapter_at(name, 1)).collect(),
+        ..target(name, "writers")
+    }
+}
+
+/// Returns an instance that knows these engines.
+pub fn tables_with_engines(engines: &[Target]) -> Tables {
+    let mut tables = tables();
+    for engine in engines {
+        tables.residency.apply_registration(engine, at(0));
+        tables.registry.put(engine.clone(), Revision(2), at(0));
+    }
+    tables
+}
+
 /// Targets that are cold for 3 s and accept 7.5 requests a second meanwhile.
 pub fn cold_start() -> ColdStart {
     ColdStart {
