--- a/crates/gateway/tests/store_restoration.rs
+++ b/crates/gateway/tests/store_restoration.rs
@@ -114,6 +114,21 @@
     assert!(!registry.get(&id("c1")).unwrap().leaving);
 }
 
+/// Guards against a target that stays out of service because its former incarnation, without a start time, left.
+#[test]
+fn incarnations_without_a_start_time_are_not_taken_for_one_that_left() {
+    let mut registry = Registry::default();
+    let unknown_start = |target: Target| Target {
+        born: None,
+        ..target
+    };
+    registry.put(unknown_start(leaving("c1")), position(1, 5), at(0));
+    registry.remove(&id("c1"), position(1, 6), at(3_000));
+    let restarted = unknown_start(target("c1", "court"));
+    registry.put(restarted, position(1, 9), at(5_000));
+    assert!(!registry.get(&id("c1")).unwrap().leaving);
+}
+
 fn lease(name: &str) -> ShardLease {
     let mut lease = ShardLease::new(InstanceId::try_from(name).unwrap(), HANDOVER);
     lease.set_era(Era(1), at(0));
