Tell losses by instance, and which targets an instance can't reach

The logs of the incident did not put instances side by side: nothing told how many targets an instance reached, and losses added up all instances. Connections to targets are now opened at one place, which records whether they open; a failure that took much longer than its timeout is left out, as the instance itself stood still.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -278,7 +278,7 @@
     #[argh(switch)]
     pub(crate) json: bool,
 
-    /// how to group: cause, second, route, workspace or target; default: cause
+    /// how to group: cause, second, route, workspace, target or instance; default: cause
     #[argh(option, default = "LossesBy::Cause")]
     pub(crate) by: LossesBy,
 
@@ -300,6 +300,8 @@
     Workspace,
     /// By target.
     Target,
+    /// By instance, which is the log's source.
+    Instance,
 }
 
 impl std::str::FromStr for LossesBy {
@@ -312,7 +314,8 @@
             "route" => Ok(Self::Route),
             "workspace" => Ok(Self::Workspace),
             "target" => Ok(Self::Target),
-            _ => Err("name cause, second, route, workspace or target".into()),
+            "instance" => Ok(Self::Instance),
+            _ => Err("name cause, second, route, workspace, target or instance".into()),
         }
     }
 }
--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -176,6 +176,9 @@
         HealthState::Trial => "  on trial",
         HealthState::Ejected => "  ejected",
     };
+    let unreachable = target.unreachable_ms;
+    let unreachable = unreachable.map(|span| format!("  unreachable for {span} ms"));
+    let unreachable = unreachable.unwrap_or_default();
     let cold = match target.cold_ms {
         0 => String::new(),
         left => format!("  cold for {left} ms"),
@@ -192,7 +195,7 @@
     let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{cold}{rest}{leaving}{said_leaving}{limit}",
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{unreachable}{cold}{rest}{leaving}{said_leaving}{limit}",
         target.id, target.service, target.in_flight, target.slots, target.adapters
     )
 }
--- a/crates/cli/src/commands/losses.rs
+++ b/crates/cli/src/commands/losses.rs
@@ -195,6 +195,7 @@
         LossesBy::Route => line.field("route").into(),
         LossesBy::Workspace => line.field("workspace").into(),
         LossesBy::Target => line.field("target").into(),
+        LossesBy::Instance => line.source.clone(),
     }
 }
 
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -45,6 +45,15 @@
     insta::assert_snapshot!(losses(&["--by", "target"]));
 }
 
+#[test]
+fn causes_are_told_by_instance() {
+    let log = std::env::temp_dir().join(format!("instance-1-{}.log", std::process::id()));
+    std::fs::write(&log, LOG).unwrap();
+    let told = losses(&["--by", "instance", log.to_str().unwrap()]);
+    std::fs::remove_file(&log).unwrap();
+    insta::assert_snapshot!(told.replace(log.to_str().unwrap(), "instance-1.log"));
+}
+
 #[test]
 fn losses_are_told_as_json() {
     insta::assert_snapshot!(losses(&["--json"]));
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -125,6 +125,8 @@
     pub rest_ms: u64,
     /// Its health state.
     pub standing: HealthState,
+    /// Milliseconds since connections to it began to fail, if the last one failed.
+    pub unreachable_ms: Option<u64>,
     /// Requests of all instances at the target, as far as known.
     pub in_flight: u32,
     /// Number of requests that it processes at once.
@@ -261,6 +263,10 @@
                 cold_ms: millis(self.cold_time_left(target, now)),
                 rest_ms: millis(self.rests.time_left(target, now)),
                 standing: self.health.state(&target.id, now),
+                unreachable_ms: self
+                    .paths
+                    .failing_since(&target.id)
+                    .map(|since| millis(now.since(since))),
                 in_flight: self.local_in_flight(&target.id) + others,
                 slots: target.slots,
                 adapters: self.residency.adapter_count(&target.id),
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -16,6 +16,7 @@
 use super::lease::SHARDS;
 use super::limits::Limits;
 use super::loader::AdapterSlots;
+use super::paths::Paths;
 use super::peers::{Load, Member, Peer, Peers};
 use super::picking::LOAD_TARGET_TTL;
 use super::prompt_queues::{PromptQueues, WaitingKey};
@@ -69,6 +70,8 @@
     pub retries: RetryCounts,
     /// Health of targets.
     pub health: Health,
+    /// Paths to targets.
+    pub paths: Paths,
     /// Request limits that targets report.
     pub limits: Limits,
     /// Targets that report that they leave.
@@ -153,6 +156,7 @@
             quotas: Quotas::default(),
             retries: RetryCounts::default(),
             health: Health::default(),
+            paths: Paths::default(),
             limits: Limits::default(),
             departures: Departures::default(),
             rests: Rests::default(),
@@ -378,6 +382,8 @@
         let registry = &self.registry;
         self.health
             .retain_targets(|target| registry.get(target).is_some());
+        self.paths
+            .retain_targets(|target| registry.get(target).is_some());
         for target in self
             .limits
             .remove_gone(|target| registry.get(target).is_none())
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -21,7 +21,7 @@
 use super::node::Node;
 use super::pool::Connection;
 use super::response_head::{ResponseSender, record_response_head, record_taken};
-use super::sockets::connect;
+use super::target_connection::open;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -286,7 +286,7 @@
     let pooled = params.reuse.then(|| node.pool.take(target)).flatten();
     let connection = match pooled {
         Some(connection) => Some(connection),
-        None => open(address).await,
+        None => open(node, target, address, CONNECT_TIMEOUT).await.ok(),
     };
     let Some(mut connection) = connection else {
         return Exchange::Unreachable;
@@ -304,11 +304,6 @@
     }
 }
 
-async fn open(address: std::net::SocketAddr) -> Option<Connection> {
-    let stream = connect(address, CONNECT_TIMEOUT).await.ok()?;
-    Connection::handshake(stream).await.ok()
-}
-
 fn target_request<E: Edge>(
     node: &Node<E>,
     params: SendParams<'_>,
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -20,7 +20,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::quarantine;
-use super::sockets::connect;
+use super::target_connection::connect_to_target;
 
 /// Timeout for the connection that shows whether the target crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -171,7 +171,7 @@
 }
 
 async fn check<E: Edge>(node: Arc<Node<E>>, target: Serving) {
-    if !has_crashed(target.address).await {
+    if !has_crashed(&node, &target).await {
         node.crash_checks
             .set_result(target.incarnation, CheckResult::Alive);
         return;
@@ -192,8 +192,8 @@
         .set_result(target.incarnation, CheckResult::Evaluated);
 }
 
-async fn has_crashed(address: SocketAddr) -> bool {
-    let connected = connect(address, PROBE_TIMEOUT).await;
+async fn has_crashed<E: Edge>(node: &Node<E>, target: &Serving) -> bool {
+    let connected = connect_to_target(node, &target.id, target.address, PROBE_TIMEOUT).await;
     connected.is_err_and(|err| err.kind() == ErrorKind::ConnectionRefused)
 }
 
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -16,6 +16,7 @@
 use super::pool::Connection;
 use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
+use super::target_connection;
 
 /// Max size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
@@ -74,9 +75,12 @@
     timeout: Duration,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
-        let mut connection = match node.pool.take(&target.id) {
-            Some(connection) => connection,
-            None => open(target.address).await?,
+        let mut connection = if let Some(connection) = node.pool.take(&target.id) {
+            connection
+        } else {
+            let opened =
+                target_connection::open(node, &target.id, target.address, CONNECT_TIMEOUT).await;
+            opened.map_err(|err| failed(target.address, &err))?
         };
         let (head, body) = exchange(target.address, &mut connection, req)
             .await?
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -25,6 +25,7 @@
     response_time: Histogram<f64>,
     attempts: Counter<u64>,
     ejections: Counter<u64>,
+    unreachable: Gauge<u64>,
     target_crashes: Counter<u64>,
     quarantined: Counter<u64>,
     quarantine: Gauge<u64>,
@@ -85,6 +86,10 @@
             ),
             attempts: counter("bluebellstage.attempts", "Attempts at targets, by outcome"),
             ejections: counter("bluebellstage.ejections", "Targets left alone for a while"),
+            unreachable: gauge(
+                "bluebellstage.unreachable_targets",
+                "Targets to which the last connection of this instance failed",
+            ),
             target_crashes: counter(
                 "bluebellstage.targets_ended",
                 "Targets that ended while they ran requests of this instance",
@@ -264,6 +269,8 @@
         self.quarantine.record(count(refused), &[]);
         self.limited
             .record(count(tables.limits.iter().count()), &[]);
+        self.unreachable
+            .record(count(tables.paths.failing_count()), &[]);
         self.departing.record(count(tables.departures.count()), &[]);
         self.resting.record(count(tables.rests.count(now)), &[]);
         self.targets
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -34,4 +34,5 @@
 mod stop;
 mod stream;
 mod sync;
+mod target_connection;
 mod unknown_headers;
--- /dev/null
+++ b/crates/gateway/src/net/target_connection.rs
@@ -0,0 +1,57 @@
+//! Opens connections to targets, and records what they show of the paths to them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::TargetId;
+use tokio::net::TcpStream;
+
+use crate::decide::paths::ConnectOutcome;
+use crate::edge::Edge;
+
+use super::node::Node;
+use super::pool::Connection;
+use super::sockets::connect;
+
+/// Longest time beyond its timeout that a failed connection took and still says something of the path: one
+/// that took longer failed because this instance was suspended or had no processor time.
+const MAX_OVERRUN: Duration = Duration::from_millis(150);
+
+/// Opens a connection to a target.
+///
+/// # Errors
+///
+/// The connection is refused, or is not open after `timeout`.
+pub(super) async fn connect_to_target<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+    timeout: Duration,
+) -> std::io::Result<TcpStream> {
+    let started = node.now();
+    let connected = connect(address, timeout).await;
+    let now = node.now();
+    let outcome = match connected {
+        Ok(_) => ConnectOutcome::Opened,
+        Err(_) if now.since(started) > timeout + MAX_OVERRUN => return connected,
+        Err(_) => ConnectOutcome::Failed,
+    };
+    node.tables().paths.record(target, outcome, now);
+    connected
+}
+
+/// Opens a connection to a target for requests.
+///
+/// # Errors
+///
+/// The connection is refused, is not open after `timeout`, or its handshake fails.
+pub(super) async fn open<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+    timeout: Duration,
+) -> std::io::Result<Connection> {
+    let stream = connect_to_target(node, target, address, timeout).await?;
+    let connection = Connection::handshake(stream).await;
+    connection.map_err(std::io::Error::other)
+}
