Let a user timeout outlast a second of silence

Callers whose run was silent for seconds, such as a filing under work or a long prompt, got 502 when packets to its sound target were lost for one second: a connection ended 3 s after its last byte.

Cause: with a user timeout set, Linux ends a connection once one keep-alive probe is unanswered and nothing has arrived for as long as the user timeout, whatever the number of probes. Both that timeout and the idle time before the first probe were 2 s, so that one unanswered probe ended the connection.

Lost paths are found by connections that fail (250 ms), not by these options.

--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -4,6 +4,7 @@
 //! to maintain.
 
 pub mod http_client;
+pub mod keepalive;
 pub mod log;
 pub mod node;
 pub mod run;
--- a/crates/gateway/src/net/sockets.rs
+++ b/crates/gateway/src/net/sockets.rs
@@ -6,11 +6,8 @@
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Time after which unacknowledged bytes or an unfinished connect fail. Without it a connection over a
-/// partitioned network hangs for minutes.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Idle time before a keepalive probe: an open connection may become unresponsive without a reset.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+use super::keepalive;
+
 /// Length of the accept queue. A full queue costs the caller a second.
 const BACKLOG: i32 = 1_024;
 
@@ -18,12 +15,12 @@
 pub(super) fn set_options(stream: &TcpStream) {
     let sock = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
+        .with_time(keepalive::IDLE)
+        .with_interval(keepalive::INTERVAL)
+        .with_retries(keepalive::RETRIES);
     let set = sock
         .set_tcp_nodelay(true)
-        .and_then(|()| sock.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| sock.set_tcp_user_timeout(Some(keepalive::USER_TIMEOUT)))
         .and_then(|()| sock.set_tcp_keepalive(&keepalive));
     if let Err(err) = set {
         super::log::event(
