--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -15,7 +15,7 @@
 
 pub(crate) use self::admin::admin_port;
 pub(crate) use self::callers::caller_port;
-pub(crate) use self::http::http_client;
+pub use self::http::http_client;
 pub(crate) use self::peer_server::PeerServer;
 pub(crate) use self::peers::Peers;
 pub(crate) use self::port::{LateShell, Port};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub mod settings;
 
-pub use self::connection::{AdminToken, MalformedToken, PortError};
+pub use self::connection::{AdminToken, MalformedToken, PortError, http_client};
 pub use self::process::{Daemon, LogEvent, StartError, Stopper, init_logger};
 pub use self::request::{Block, BlockEnd, Scanner, status_of};
 pub use self::settings::{Settings, SettingsError};
