Don't take a second of silence of a sound target for a failure

A draft whose target was silent for a second was run a second time at another one, and reads that waited 0.3 s each could eject a target for its silence alone: four of them within a second are enough.

Cause: silence was judged by one request at a time. A stream without an event for 1 s was resumed elsewhere; a read without an answer counted as a failure whether or not the target answered anybody.

A target is silent as a whole until it answers; its silence counts from the first request without an answer, and as a failure after 1.4 s, or at once if it answered others meanwhile. Streams wait as long before they are resumed. A single target without a response to connections counts as lost only after 1.4 s; a refusal counts at once. Reads still go to another replica after three times their aim, within the retry budget: late answers cost callers more.

--- a/crates/daemon/src/connection/http.rs
+++ b/crates/daemon/src/connection/http.rs
@@ -12,7 +12,6 @@
 ///
 /// The library's own keep-alive options end a connection whose run is silent for 30 s if the only probe in that
 /// time, after 15 s, is lost.
-#[must_use]
 pub fn http_client() -> ClientBuilder {
     reqwest::Client::builder()
         .redirect(Policy::none())
--- a/crates/gateway/src/decide/health.rs
+++ b/crates/gateway/src/decide/health.rs
@@ -15,10 +15,15 @@
     /// A failure of the target: an interrupted response, wrong bytes, or an error that callers
     /// can't provoke.
     Failure,
+    /// No response in time to a request that was sent then.
+    Silent(Time),
     /// No connection could be opened.
     Unreachable,
 }
 
+/// How long a sound target may be silent. Until then silence is no failure, and streams are not resumed elsewhere.
+pub const MAX_SILENCE: Duration = Duration::from_millis(1_400);
+
 /// Failure rate, as a moving average, above which a target is ejected.
 ///
 /// Healthy targets may fail one read in seven; a failing target fails two in five or more.
@@ -42,6 +47,21 @@
     ejected_until: Time,
     ejections: u32,
     trial_in_progress: bool,
+    last_answer: Time,
+    /// When the first request without a response was sent after the last answer.
+    silent_since: Option<Time>,
+}
+
+impl Record {
+    /// Whether a request without a response shows a failure: the target has been silent for too long, or has
+    /// answered others meanwhile.
+    fn is_silence_failure(&mut self, sent: Time, now: Time) -> bool {
+        if sent < self.last_answer {
+            return true;
+        }
+        let since = *self.silent_since.get_or_insert(sent);
+        now.since(since) >= MAX_SILENCE
+    }
 }
 
 /// Health records of all targets.
@@ -66,6 +86,12 @@
     /// Records an outcome. Returns `true` if it ejects the target.
     pub fn record_outcome(&mut self, target: &TargetId, outcome: TargetOutcome, now: Time) -> bool {
         let record = self.records.entry(target.clone()).or_default();
+        if let TargetOutcome::Silent(sent) = outcome
+            && !record.is_silence_failure(sent, now)
+        {
+            record.trial_in_progress = false;
+            return false;
+        }
         let was_trial = std::mem::take(&mut record.trial_in_progress);
         record.outcomes = record.outcomes.saturating_add(1);
         let failed = if matches!(outcome, TargetOutcome::Answer(_)) {
@@ -76,6 +102,8 @@
         record.failure_rate += NEWEST_WEIGHT * (failed - record.failure_rate);
         match outcome {
             TargetOutcome::Answer(elapsed) => {
+                record.last_answer = now;
+                record.silent_since = None;
                 let elapsed = elapsed.as_secs_f64();
                 record.latency += NEWEST_WEIGHT * (elapsed - record.latency);
                 if was_trial {
@@ -88,7 +116,7 @@
                 record.ejected_until = now + UNREACHABLE_EJECTION;
                 true
             }
-            TargetOutcome::Failure => {
+            TargetOutcome::Failure | TargetOutcome::Silent(_) => {
                 let exceeds_failure_rate =
                     record.outcomes >= MIN_OUTCOMES && record.failure_rate > MAX_FAILURE_RATE;
                 if exceeds_failure_rate || was_trial {
--- a/crates/gateway/src/decide/paths.rs
+++ b/crates/gateway/src/decide/paths.rs
@@ -5,6 +5,8 @@
 
 use bluebellstage_core::{TargetId, Time};
 
+use super::health::MAX_SILENCE;
+
 /// Age from which a failed connection no longer shows that the path is lost.
 const FAILURE_TTL: Duration = Duration::from_secs(2);
 /// Age from which a result no longer counts when it is decided whether paths are back.
@@ -19,8 +21,10 @@
 pub enum ConnectOutcome {
     /// It was opened.
     Opened,
-    /// It was refused, or there was no response in time.
-    Failed,
+    /// It was refused.
+    Refused,
+    /// There was no response in time.
+    TimedOut,
 }
 
 /// The latest results of opening connections to a target.
@@ -30,9 +34,18 @@
     failed_at: Option<Time>,
     /// When the first connection failed after the last one that was opened.
     failing_since: Option<Time>,
+    /// Whether the last connection was refused.
+    is_refusing: bool,
 }
 
 impl Path {
+    /// Whether connections have failed in a way that a sound target's do not: they were refused, or there was no
+    /// response for longer than a sound target may be silent.
+    fn is_down(&self, now: Time) -> bool {
+        let silence = self.failing_since.map(|since| now.since(since));
+        silence.is_some_and(|silence| self.is_refusing || silence >= MAX_SILENCE)
+    }
+
     fn tested_at(&self) -> Option<Time> {
         self.opened_at.max(self.failed_at)
     }
@@ -53,7 +66,8 @@
                 path.opened_at = Some(now);
                 path.failing_since = None;
             }
-            ConnectOutcome::Failed => {
+            ConnectOutcome::Refused | ConnectOutcome::TimedOut => {
+                path.is_refusing = outcome == ConnectOutcome::Refused;
                 path.failed_at = Some(now);
                 path.failing_since.get_or_insert(now);
             }
@@ -81,10 +95,16 @@
             let is_recent = |at: &Time| now.since(*at) < FAILURE_TTL && last_opened < Some(*at);
             path.failed_at.as_ref().is_some_and(is_recent)
         });
-        let since = failed.map(|(_, path)| path.failing_since.max(last_opened));
-        let since = since.collect::<Vec<_>>();
-        let is_lost = !since.is_empty() && since.len() >= targets.len().min(MIN_FAILED);
-        is_lost.then(|| since.into_iter().flatten().min()).flatten()
+        let failed = failed.map(|(_, path)| path).collect::<Vec<_>>();
+        let is_lost = match failed[..] {
+            [] => false,
+            [path] => targets.len() == 1 && path.is_down(now),
+            _ => failed.len() >= targets.len().min(MIN_FAILED),
+        };
+        let since = failed
+            .iter()
+            .map(|path| path.failing_since.max(last_opened));
+        is_lost.then(|| since.flatten().min()).flatten()
     }
 
     /// Whether a connection to one of these targets failed lately, and none was opened since.
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -172,7 +172,8 @@
             let is_blamed = failure != Failure::Silent || params.max_wait > MIN_BLAMED_WAIT;
             let is_of_target = !matches!(failure, Failure::Outdated | Failure::PathLost);
             if is_blamed && is_of_target {
-                in_flight.record_outcome(TargetOutcome::Failure);
+                let outcome = in_flight.failure_outcome(failure);
+                in_flight.record_outcome(outcome);
             }
             in_flight.failed_attempt(failure)
         }
@@ -386,7 +387,8 @@
             Ok(Err(_broken)) => Failure::Broken,
             Err(_elapsed) => Failure::Silent,
         };
-        in_flight.record_outcome(TargetOutcome::Failure);
+        let outcome = in_flight.failure_outcome(failure);
+        in_flight.record_outcome(outcome);
         let run_time = in_flight.run_time();
         Err(FailedRun { failure, run_time })
     }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -12,6 +12,7 @@
 
 use crate::decide::call::{Call, Forward};
 use crate::decide::config::RouteKind;
+use crate::decide::health::MAX_SILENCE;
 use crate::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
 use crate::decide::placement::Pick;
 use crate::decide::quarantine::{Fingerprint, InterruptedRun};
@@ -52,7 +53,8 @@
 const PLAIN_WAIT_FACTOR: u32 = 3;
 /// The same factor for the response head of a stream.
 const STREAM_WAIT_FACTOR: u32 = 3;
-/// Minimum of these waits.
+/// Minimum of the wait for a plain target. It is shorter than a sound target may be silent: a read is repeated
+/// within the retry budget rather than answered late.
 const MIN_RESPONSE_WAIT: Duration = Duration::from_millis(250);
 
 /// A request and the state that its attempts share.
@@ -441,9 +443,12 @@
         } else {
             PLAIN_WAIT_FACTOR
         };
-        (route.target_latency * times)
-            .max(MIN_RESPONSE_WAIT)
-            .min(time_left)
+        let min_wait = if route.kind.streams() {
+            MAX_SILENCE
+        } else {
+            MIN_RESPONSE_WAIT
+        };
+        (route.target_latency * times).max(min_wait).min(time_left)
     }
 
     async fn try_target(
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -112,6 +112,14 @@
         }
     }
 
+    /// Returns what an attempt that failed shows of the target.
+    pub(super) const fn failure_outcome(&self, failure: Failure) -> TargetOutcome {
+        match failure {
+            Failure::Silent => TargetOutcome::Silent(self.sent),
+            _ => TargetOutcome::Failure,
+        }
+    }
+
     /// Records a failure, even if an outcome was recorded before.
     pub(super) fn record_failure(&mut self) {
         self.is_outcome_recorded = true;
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Frame, Incoming};
 
 use crate::decide::event_stream::{EventSplitter, SplitResult};
-use crate::decide::health::TargetOutcome;
+use crate::decide::health::{MAX_SILENCE, TargetOutcome};
 use crate::edge::Edge;
 
 use super::attempt::{FailedRun, TargetResponse, TargetStream};
@@ -25,7 +25,7 @@
 /// The same before the first event, as a multiple of the target latency.
 const FIRST_EVENT_FACTOR: u32 = 3;
 /// Minimum of these timeouts.
-const MIN_STREAM_TIMEOUT: Duration = Duration::from_millis(900);
+const MIN_STREAM_TIMEOUT: Duration = MAX_SILENCE;
 
 /// Where the events of a stream come from.
 #[derive(Debug)]
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -1,5 +1,6 @@
 //! Opens connections to targets, and records what they show of the paths to them.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,11 +36,12 @@
     let outcome = match connected {
         Ok(_) => ConnectOutcome::Opened,
         Err(_) if now.since(started) > timeout + MAX_OVERRUN => return connected,
-        Err(_) => ConnectOutcome::Failed,
+        Err(ref err) if err.kind() == ErrorKind::ConnectionRefused => ConnectOutcome::Refused,
+        Err(_) => ConnectOutcome::TimedOut,
     };
     let change = node.tables().record_connect(target, outcome, now);
     paths::record_change(node, &change);
-    if outcome == ConnectOutcome::Failed {
+    if outcome != ConnectOutcome::Opened {
         node.path_doubted.notify_one();
     }
     connected
