Keep instances from making brittle targets fall over

Targets that say they are brittle fall over once they have to refuse more than N requests in a second for want of room. Nothing read that: limits count requests that are sent, not those that are refused, and each request that one target refused went on to the next.

The header is read strictly, from each answer, and holds for one incarnation until an answer to a later request is without it. N is what all instances together may cause, and each keeps to its share of half of it without being told by others: while a target is brittle, requests of all instances take at most three quarters of its slots, and after a refusal an instance leaves it alone for 1 s, or for as long as instances / (N / 2) seconds; one request each 250 ms follows until one is taken. A brittle target's fall is not held against the requests that it ran.

The other way weighed: telling all instances of each refusal. It needs one more message, is 0.1 to 0.3 s late, and in that time each of 195 instances may cause a refusal. Not built, and not measured against this one.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -191,11 +191,14 @@
     let said_leaving = target.said_leaving_ms;
     let said_leaving = said_leaving.map(|ago| format!("  said {ago} ms ago that it leaves"));
     let said_leaving = said_leaving.unwrap_or_default();
+    let brittle = target.max_refusals;
+    let brittle = brittle.map(|count| format!("  brittle: bears {count} refusals a second"));
+    let brittle = brittle.unwrap_or_default();
     let limit = target.limit.map(|rate| format!("  takes {rate} a second"));
     let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{unreachable}{cold}{rest}{leaving}{said_leaving}{limit}",
+        "target     {}  {}  {} of {} slots  {} adapters{standing}{unreachable}{cold}{rest}{leaving}{said_leaving}{limit}{brittle}",
         target.id, target.service, target.in_flight, target.slots, target.adapters
     )
 }
--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -5,6 +5,7 @@
 use bluebellstage_core::{Tokens, WorkspaceId};
 
 use super::adapter::RequestedModel;
+use super::brittle::ReportedBrittleness;
 use super::departures::ReportedDeparture;
 use super::limits::ReportedLimit;
 use super::rests::ReportedRest;
@@ -70,4 +71,6 @@
     pub departure: ReportedDeparture,
     /// The rest that the target wants from this instance.
     pub rest: ReportedRest,
+    /// Whether the target is brittle.
+    pub brittleness: ReportedBrittleness,
 }
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -123,6 +123,8 @@
     pub cold_ms: u64,
     /// Milliseconds for which it gets no requests because it asked for rest; zero if it may get one.
     pub rest_ms: u64,
+    /// Refusals a second under which it falls over, if it is brittle.
+    pub max_refusals: Option<u32>,
     /// Its health state.
     pub standing: HealthState,
     /// Milliseconds since connections to it began to fail, if the last one failed.
@@ -262,6 +264,7 @@
                 limit: self.limits.get(&target.id),
                 cold_ms: millis(self.cold_time_left(target, now)),
                 rest_ms: millis(self.rests.time_left(target, now)),
+                max_refusals: self.brittle.max_refusals(target),
                 standing: self.health.state(&target.id, now),
                 unreachable_ms: self
                     .paths
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub mod adapter;
 mod adapter_choice;
 pub mod availability;
+pub mod brittle;
 pub mod call;
 pub mod change_log;
 pub mod cold;
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -249,7 +249,8 @@
                 queue_wait: self.queues.reading_time(&target.id, prompts),
                 prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
-                can_connect: local < limit,
+                can_connect: local < limit
+                    && self.brittle.has_room(target, local + others.requests),
                 // An adapter loaded on a target with a low limit would serve few requests.
                 can_load: self.loader_reachable(&target.id, now)
                     && self.limits.get(&target.id).is_none(),
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -7,6 +7,7 @@
 use bluebellstage_core::{Revision, ServiceId, TargetId, Time, WorkspaceId};
 
 use super::adapter::{AdapterKey, RequestedModel};
+use super::brittle::BrittleTargets;
 use super::call::Call;
 use super::config::{Config, Route};
 use super::departures::Departures;
@@ -79,6 +80,8 @@
     pub limits: Limits,
     /// Targets that report that they leave.
     pub departures: Departures,
+    /// Targets that fall over when they have to refuse too many requests.
+    pub brittle: BrittleTargets,
     /// Targets that ask this instance for rest.
     pub rests: Rests,
     /// Requests under which targets crash.
@@ -163,6 +166,7 @@
             partitions: Partitions::default(),
             limits: Limits::default(),
             departures: Departures::default(),
+            brittle: BrittleTargets::default(),
             rests: Rests::default(),
             quarantine: Quarantine::default(),
             residency: Residency::default(),
@@ -408,6 +412,19 @@
         }
     }
 
+    /// Records that a target refused a request of this instance for want of room. A brittle one is left alone for a
+    /// while.
+    pub fn record_refusal(&mut self, target: &TargetId, now: Time) {
+        let Some(known) = self.registry.get(target) else {
+            return;
+        };
+        let instances = self.peers.sharing_count(now);
+        if let Some(pause) = self.brittle.pause(known, instances) {
+            let born = known.born;
+            self.rests.record(target, born, pause, now);
+        }
+    }
+
     /// Removes outdated state. Called a few times a second.
     pub fn sweep(&mut self, now: Time) {
         self.registry.sweep(now);
@@ -418,6 +435,8 @@
         let registry = &self.registry;
         self.health
             .retain_targets(|target| registry.get(target).is_some());
+        self.brittle
+            .retain_targets(|target| registry.get(target).is_some());
         self.paths
             .retain_targets(|target| registry.get(target).is_some());
         for target in self
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -20,7 +20,9 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::pool::Connection;
-use super::response_head::{ResponseSender, record_response_head, record_taken};
+use super::response_head::{
+    ResponseSender, record_brittleness, record_response_head, record_taken,
+};
 use super::target_connection::open;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
@@ -158,6 +160,9 @@
     match outcome {
         Exchange::Response(parts, body, connection) => {
             let head = record_response_head(node, sender, &parts);
+            if parts.status.as_u16() != 421 {
+                record_brittleness(node, sender, &head, in_flight.sent);
+            }
             // A target that did not run the request may leave the limit out of its response.
             if !(head.not_run && head.limit == ReportedLimit::Unlimited) {
                 record_limit(node, target, head.limit, in_flight.sent);
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -102,12 +102,13 @@
     live_count: u32,
 }
 
-/// Returns the target unless it leaves: a planned stop interrupts runs, too.
+/// Returns the target unless it leaves, as a planned stop interrupts runs, too, or is brittle: it falls over because
+/// of what it refused, not of what it ran.
 fn serving<E: Edge>(node: &Node<E>, id: &TargetId) -> Option<Serving> {
     let now = node.now();
     let tables = node.tables();
     let target = tables.registry.get(id)?;
-    if tables.is_leaving(target, now) {
+    if tables.is_leaving(target, now) || tables.brittle.max_refusals(target).is_some() {
         return None;
     }
     let is_live = |other: &&Target| !tables.quarantine.has_crashed(incarnation(other));
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -82,6 +82,9 @@
     /// Targets of a service can be reached again.
     PathsRegained = 3121, Info, "targets of the service can be reached again";
 
+    /// A target reports that it is brittle.
+    TargetBrittle = 3122, Warn, "target falls over when it has to refuse too many requests";
+
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
     /// The store is reachable again.
@@ -124,6 +127,8 @@
     DepartureMalformed = 3408, Info, "target's report of whether it leaves is malformed";
     /// A target asks for a rest that is not a number of seconds.
     RestMalformed = 3409, Info, "target's rest is not a number of seconds";
+    /// A target's report of whether it is brittle is malformed.
+    BrittlenessMalformed = 3411, Info, "target's report of whether it is brittle is malformed";
     /// A request was forwarded to a peer, because its targets can't be reached from here.
     RequestForwarded = 3410, Info, "request forwarded to a peer";
     /// A target's response to a request was forwarded.
@@ -142,7 +147,10 @@
     pub const fn is_repeated(self) -> bool {
         matches!(
             self,
-            Self::LimitMalformed | Self::DepartureMalformed | Self::RestMalformed
+            Self::LimitMalformed
+                | Self::DepartureMalformed
+                | Self::RestMalformed
+                | Self::BrittlenessMalformed
         )
     }
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -39,6 +39,7 @@
     departing: Gauge<u64>,
     rests_reported: Counter<u64>,
     resting: Gauge<u64>,
+    brittle: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_restorations: Counter<u64>,
@@ -136,6 +137,10 @@
                 "Answers of targets that ask for rest",
             ),
             resting: gauge("bluebellstage.resting_targets", "Targets that rest"),
+            brittle: gauge(
+                "bluebellstage.brittle_targets",
+                "Targets that fall over when they have to refuse too many requests",
+            ),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -299,6 +304,7 @@
         self.lost_services
             .record(count(tables.partitions.lost().count()), &[]);
         self.departing.record(count(tables.departures.count()), &[]);
+        self.brittle.record(count(tables.brittle.count()), &[]);
         self.resting.record(count(tables.rests.count(now)), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
--- a/crates/gateway/src/net/response_head.rs
+++ b/crates/gateway/src/net/response_head.rs
@@ -3,6 +3,7 @@
 use bluebellstage_core::{TargetId, Time};
 use http::response;
 
+use crate::decide::brittle::ReportedBrittleness;
 use crate::decide::call::ResponseHead;
 use crate::decide::departures::ReportedDeparture;
 use crate::decide::rests::ReportedRest;
@@ -43,6 +44,39 @@
     head
 }
 
+/// Records whether a target reports that it is brittle in its response to a request that was sent at `sent`.
+pub(super) fn record_brittleness<E: Edge>(
+    node: &Node<E>,
+    sender: ResponseSender<'_>,
+    head: &ResponseHead,
+    sent: Time,
+) {
+    let now = node.now();
+    if head.brittleness == ReportedBrittleness::Malformed {
+        node.metrics.malformed_header("brittleness");
+        let fields = [("target", sender.target.as_str())];
+        event(LogEvent::BrittlenessMalformed, &fields);
+    }
+    let mut tables = node.tables();
+    let is_new = tables
+        .brittle
+        .record(sender.target, sender.born, head.brittleness, sent, now);
+    if head.not_run && head.rest == ReportedRest::None {
+        tables.record_refusal(sender.target, now);
+    }
+    drop(tables);
+    if let ReportedBrittleness::Brittle(max_refusals) = head.brittleness
+        && is_new
+    {
+        let max_refusals = max_refusals.to_string();
+        let fields = [
+            ("target", sender.target.as_str()),
+            ("max_refusals", &max_refusals),
+        ];
+        event(LogEvent::TargetBrittle, &fields);
+    }
+}
+
 fn record_rest<E: Edge>(node: &Node<E>, sender: ResponseSender<'_>, reported: ReportedRest) {
     match reported {
         ReportedRest::None => {}
