Read the software versions of targets, and log where streams go on

Nothing read the version of a target's software, and the log named the target that a stream left, not the one at which it went on, nor which stream a caller continues. The three hypotheses on streams that hold events of two versions could not be told apart.

A registration's version is now part of the target, and of the digest by which instances compare their lists. BS3404, BS3406, BS3401, the dump, 'bluebellstage instance' and a metric show versions; 'explain' tells a stream over all attempts of its caller. No choice of a target changes.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,11 +1,41 @@
 //! `explain`: tells a request's story from the logs of many instances.
 
+use std::collections::BTreeSet;
+
 use crate::args::ExplainArgs;
 use crate::error::{CliError, Exit};
 
 use super::log_lines::{Line, read};
 
 impl Line {
+    /// Names a target or peer, with its software version if the line has it.
+    fn at_software(&self, name: &str, software: &str) -> String {
+        match self.optional_field(software) {
+            "" => self.field(name).into(),
+            version => format!("{} (software {version})", self.field(name)),
+        }
+    }
+
+    /// Says which stream the request continues, and the software version at which.
+    fn continued_stream(&self) -> String {
+        let software = match self.optional_field("software") {
+            "" => String::new(),
+            version => format!("; software {version}"),
+        };
+        match (
+            self.optional_field("resumes"),
+            self.optional_field("resume_after"),
+        ) {
+            ("", "") => software,
+            ("", after) => {
+                format!("{software}; it continues an unnamed stream after event {after}")
+            }
+            (id, after) => {
+                format!("{software}; it continues the stream of {id} after event {after}")
+            }
+        }
+    }
+
     /// What the line says, in plain words.
     fn told(&self) -> String {
         match self.field("code") {
@@ -43,9 +73,13 @@
                 self.field("runs"),
             ),
             "BS3404" => format!(
-                "its stream from {} broke ({}) and goes on elsewhere after event {}",
-                self.field("target"),
+                "its stream from {} broke ({}) and goes on {} after event {}",
+                self.at_software("target", "software"),
                 self.field("cause"),
+                match self.optional_field("next") {
+                    "" => "elsewhere".into(),
+                    _ => format!("at {}", self.at_software("next", "next_software")),
+                },
                 self.field("last_event"),
             ),
             "BS3405" => format!(
@@ -55,24 +89,48 @@
                 self.field("last_event"),
             ),
             "BS3406" => format!(
-                "a target's answer with status {} went to the caller after {} ms; {} charged {}",
+                "a target's answer with status {} went to the caller after {} ms; {} charged {}{}",
                 self.field("status"),
                 self.field("ms"),
                 self.field("workspace"),
                 self.field("charge"),
+                self.continued_stream(),
             ),
             code => format!("{code}: {}", self.field("msg")),
         }
     }
 }
 
-/// Prints what the logs say of a request, in order of time.
+/// Returns the ids of the attempts over which the stream of `request` went, or just that id.
+fn attempts_of_stream(request: &str, lines: &[Line]) -> BTreeSet<Box<str>> {
+    let mut attempts = BTreeSet::from([request.into()]);
+    loop {
+        let before = attempts.len();
+        for line in lines {
+            let [attempt, resumed] = ["request", "resumes"].map(|name| line.optional_field(name));
+            if resumed.is_empty() {
+                continue;
+            }
+            if attempts.contains(attempt) || attempts.contains(resumed) {
+                attempts.extend([attempt.into(), resumed.into()]);
+            }
+        }
+        if attempts.len() == before {
+            return attempts;
+        }
+    }
+}
+
+/// Prints what the logs say of a request, in order of time. A stream that its caller continued with other
+/// requests is told over all of them.
 pub(super) fn run(args: &ExplainArgs) -> Result<Exit, CliError> {
     let mut lines = Vec::new();
     for (source, text) in read(&args.logs)? {
-        let about = text.lines().filter_map(|line| Line::parse(&source, line));
-        lines.extend(about.filter(|line| line.field("request") == args.request));
+        let parsed = text.lines().filter_map(|line| Line::parse(&source, line));
+        lines.extend(parsed.filter(|line| !line.optional_field("request").is_empty()));
     }
+    let attempts = attempts_of_stream(&args.request, &lines);
+    lines.retain(|line| attempts.contains(line.field("request")));
     lines.sort();
     if lines.is_empty() {
         return Err(CliError::NoLines {
@@ -80,7 +138,11 @@
         });
     }
     for line in &lines {
-        println!("{} {}: {}", line.at, line.source, line.told());
+        let request = match attempts.len() {
+            1 => String::new(),
+            _ => format!("{}: ", line.field("request")),
+        };
+        println!("{} {}: {request}{}", line.at, line.source, line.told());
     }
     Ok(Exit::Done)
 }
--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -6,8 +6,8 @@
 
 use bluebellstage_gateway::decide::drain_state::DrainState;
 use bluebellstage_gateway::decide::dump::{
-    Dump, EvacuationDump, PeerDump, QuotaDump, Stage, StoreCallDump, StoreLink, SuspectDump,
-    TargetDump,
+    Dump, EvacuationDump, PeerDump, QuotaDump, SoftwareDump, Stage, StoreCallDump, StoreLink,
+    SuspectDump, TargetDump,
 };
 use bluebellstage_gateway::decide::health::HealthState;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
@@ -115,6 +115,18 @@
     dump.evacuated
         .iter()
         .try_for_each(|evacuation| write_evacuation(out, evacuation))?;
+    for software in &dump.software {
+        let SoftwareDump {
+            service,
+            version,
+            targets,
+            serving,
+        } = software;
+        writeln!(
+            out,
+            "software   {service}  {version}  {targets} targets, {serving} of them serving"
+        )?;
+    }
     dump.targets
         .iter()
         .try_for_each(|target| write_target(out, target))?;
@@ -198,8 +210,8 @@
     let limit = limit.unwrap_or_default();
     writeln!(
         out,
-        "target     {}  {}  {} of {} slots  {} adapters{standing}{unreachable}{cold}{rest}{leaving}{said_leaving}{limit}{brittle}",
-        target.id, target.service, target.in_flight, target.slots, target.adapters
+        "target     {}  {} {}  {} of {} slots  {} adapters{standing}{unreachable}{cold}{rest}{leaving}{said_leaving}{limit}{brittle}",
+        target.id, target.service, target.software, target.in_flight, target.slots, target.adapters
     )
 }
 
--- a/crates/cli/src/commands/log_lines.rs
+++ b/crates/cli/src/commands/log_lines.rs
@@ -24,6 +24,11 @@
         self.fields.get(name).map_or("?", |value| value)
     }
 
+    /// Returns the value of a field, or an empty text if the line does not have it.
+    pub(super) fn optional_field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", |value| value)
+    }
+
     pub(super) fn parse(source: &str, text: &str) -> Option<Self> {
         let mut words = text.split(' ');
         let at = words.find(|word| word.contains('T') && word.ends_with('Z'))?;
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -10,6 +10,10 @@
 2026-06-04T14:44:12.272Z WARN code=BS3405 request=r3 target=i-1 cause="the target fell silent" last_event=9 msg="stream broken off"
 2026-06-04T14:44:12.000Z INFO code=BS3101 version=7 msg="configuration in force"
 2026-06-04T14:44:15.000Z INFO code=BS3401 request=r5 route=r-1 status=502 reason="targets ended each time this request ran: change it" sends=0 config=7 ms=1 fingerprint=00112233445566778899aabbccddeeff msg="request refused"
+2026-06-04T14:44:20.000Z DEBUG code=BS3406 request=s1 route=r-1 status=200 workspace=north charge=40 ms=30 software=v1 msg="request answered"
+2026-06-04T14:44:20.900Z INFO code=BS3404 request=s1 target=i-1 software=v1 cause="the connection to the target broke" last_event=4 next=i-2 next_software=v1 msg="stream resumed at another target"
+2026-06-04T14:44:21.400Z DEBUG code=BS3406 request=s2 route=r-1 status=200 workspace=north charge=40 ms=31 software=v1 resumes=s1 resume_after=9 msg="request answered"
+2026-06-04T14:44:22.400Z DEBUG code=BS3406 request=s3 route=r-1 status=200 workspace=north charge=40 ms=32 software=v2 resumes=s1 resume_after=12 msg="request answered"
 "#;
 
 fn explain(request: &str) -> (bool, String) {
@@ -46,6 +50,20 @@
     insta::assert_snapshot!(explain("r3").1, @"2026-06-04T14:44:12.272Z stdin: its stream from i-1 broke (the target fell silent) after event 9 and can't go on");
 }
 
+/// Guards against a stream whose story ends with the attempt that is asked for.
+#[test]
+fn a_stream_is_told_over_all_attempts_of_its_caller() {
+    let whole = explain("s1").1;
+    insta::assert_snapshot!(whole, @r"
+    2026-06-04T14:44:20.000Z stdin: s1: a target's answer with status 200 went to the caller after 30 ms; north charged 40; software v1
+    2026-06-04T14:44:20.900Z stdin: s1: its stream from i-1 (software v1) broke (the connection to the target broke) and goes on at i-2 (software v1) after event 4
+    2026-06-04T14:44:21.400Z stdin: s2: a target's answer with status 200 went to the caller after 31 ms; north charged 40; software v1; it continues the stream of s1 after event 9
+    2026-06-04T14:44:22.400Z stdin: s3: a target's answer with status 200 went to the caller after 32 ms; north charged 40; software v2; it continues the stream of s1 after event 12
+    ");
+    assert_eq!(explain("s2").1, whole);
+    assert_eq!(explain("s3").1, whole);
+}
+
 #[test]
 fn a_quarantined_request_is_told_with_its_fingerprint() {
     insta::assert_snapshot!(explain("r5").1, @"2026-06-04T14:44:15.000Z stdin: answered 502 after 1 ms and 0 sends: quarantined as 00112233445566778899aabbccddeeff, targets end under it (see BS3109)");
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod platform;
 mod refusal;
 mod request;
+mod software_version;
 mod target;
 mod target_report;
 mod tuning;
@@ -51,6 +52,7 @@
 };
 pub use self::refusal::{Ran, Refusal, RefusalKind};
 pub use self::request::{CallerRequest, CallerWork, Finish, ServiceCall, StoredResponse};
+pub use self::software_version::SoftwareVersion;
 pub use self::target::{
     AdapterRef, EngineReport, OrderId, OrderOutcome, TargetInfo, TargetKind, TargetOrder,
     TargetOrderKind,
--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -33,6 +33,20 @@
     pub prompt_prefix: Option<u64>,
     /// Number of the last event that the caller already has.
     pub resume_after: Option<u64>,
+    /// The attempt whose stream the request continues.
+    pub resumes: ResumedAttempt,
+}
+
+/// The attempt whose stream a request continues, as the caller names it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum ResumedAttempt {
+    /// The caller names none.
+    #[default]
+    Unnamed,
+    /// The id of the attempt that got the stream's first event.
+    Id(Box<str>),
+    /// The name can't be read.
+    Malformed,
 }
 
 /// Data sent to a target in addition to the caller's own request.
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -1,12 +1,15 @@
 //! State of an instance for operators, without API keys.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bluebellstage_core::{
-    FailureDomain, InstanceId, Rate, Revision, ServiceId, TargetId, Time, WorkspaceId,
+    FailureDomain, InstanceId, Rate, Revision, ServiceId, SoftwareVersion, TargetId, Time,
+    WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
 
+use super::availability::Availability;
 use super::drain_state::DrainState;
 use super::health::HealthState;
 use super::kind::Kind;
@@ -50,6 +53,8 @@
     pub loads: u16,
     /// Evacuated failure domains, by name.
     pub evacuated: Vec<EvacuationDump>,
+    /// Software versions of the targets, by service and version.
+    pub software: Vec<SoftwareDump>,
     /// Targets, by name.
     pub targets: Vec<TargetDump>,
     /// The other instances, by name.
@@ -106,6 +111,19 @@
     pub state: DrainState,
 }
 
+/// The targets of a service that run one software version.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct SoftwareDump {
+    /// The service.
+    pub service: ServiceId,
+    /// The software version.
+    pub version: SoftwareVersion,
+    /// Number of registered targets.
+    pub targets: usize,
+    /// Number of those that may get requests or are cold or resting.
+    pub serving: usize,
+}
+
 /// A target from the instance's point of view.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct TargetDump {
@@ -113,6 +131,8 @@
     pub id: TargetId,
     /// Its service.
     pub service: ServiceId,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Its registration says that it accepts no new requests.
     pub leaving: bool,
     /// Milliseconds since it reported in a response that it leaves, if it did.
@@ -206,6 +226,7 @@
             shards: self.shards.clone(),
             loads: self.loads.active,
             evacuated: self.dump_evacuations(now),
+            software: self.dump_software(now),
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
@@ -253,12 +274,34 @@
         dumped.collect()
     }
 
+    /// Returns the targets of each service by software version.
+    #[must_use]
+    pub fn dump_software(&self, now: Time) -> Vec<SoftwareDump> {
+        let mut counts = BTreeMap::<_, (usize, usize)>::new();
+        for target in self.registry.all() {
+            let count = counts.entry((&target.service, &target.software));
+            let (targets, serving) = count.or_default();
+            *targets += 1;
+            let is_serving = self.availability(target, now) != Availability::Closed;
+            *serving += usize::from(is_serving);
+        }
+        let counts = counts.into_iter();
+        let dumped = counts.map(|((service, version), (targets, serving))| SoftwareDump {
+            service: service.clone(),
+            version: version.clone(),
+            targets,
+            serving,
+        });
+        dumped.collect()
+    }
+
     fn dump_targets(&self, now: Time) -> Vec<TargetDump> {
         let dumped = self.registry.all().map(|target| {
             let others = self.peers.load(ShortHash::of(target.id.as_str())).requests;
             TargetDump {
                 id: target.id.clone(),
                 service: target.service.clone(),
+                software: target.software.clone(),
                 leaving: target.leaving,
                 said_leaving_ms: self.departures.age(target, now).map(millis),
                 limit: self.limits.get(&target.id),
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -376,7 +376,7 @@
 
     fn compute_digest(&self) -> u32 {
         let folded = self.present().fold(0, |digest, target| {
-            let address = target.address.to_string();
+            let process = format!("{} {}", target.address, target.software);
             let incarnation = target.born.unwrap_or(0);
             let models = u64::try_from(target.models.len()).unwrap_or(0);
             let cold = u64::from(target.reports_cold());
@@ -385,7 +385,7 @@
                 incarnation.wrapping_mul(64).wrapping_add(state),
                 target.id.as_str(),
             );
-            digest ^ hash ^ name_hash(&address)
+            digest ^ hash ^ name_hash(&process)
         });
         u32::try_from(folded >> 32).unwrap_or(0)
     }
--- a/crates/gateway/src/decide/target.rs
+++ b/crates/gateway/src/decide/target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bluebellstage_core::{BaseModel, FailureDomain, ServiceId, TargetId};
+use bluebellstage_core::{BaseModel, FailureDomain, ServiceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 
 use super::adapter::VersionedAdapter;
@@ -19,6 +19,8 @@
     pub born: Option<u64>,
     /// Service that it belongs to.
     pub service: ServiceId,
+    /// Version of the software that it runs.
+    pub software: SoftwareVersion,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Failure domain that it runs in.
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -141,12 +141,12 @@
         .tables()
         .registry
         .get(target)
-        .map(|known| (known.address, known.born));
-    let Some((address, born)) = known else {
+        .map(|known| (known.address, known.born, known.software.clone()));
+    let Some((address, born, software)) = known else {
         return Attempt::Unreachable;
     };
     let sender = ResponseSender { target, born };
-    let mut in_flight = InFlight::begin(node, target, params);
+    let mut in_flight = InFlight::begin(node, target, software, params);
     let exchange = exchange(node, target, address, params, forward);
     let outcome = tokio::select! {
         outcome = tokio::time::timeout(params.max_wait, exchange) => match outcome {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{AdapterVersion, InstanceId, TargetId, Time};
+use bluebellstage_core::{AdapterVersion, InstanceId, SoftwareVersion, TargetId, Time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -80,6 +80,8 @@
     pub(super) load_waited: Duration,
     /// Target and send time of the last attempt.
     pub(super) last_send: Option<(TargetId, Time)>,
+    /// Software version of the target that responded last.
+    pub(super) software: Option<SoftwareVersion>,
     /// Set if a peer forwards it to this instance.
     pub(super) forwarded: Option<ForwardedRequest>,
     /// Peers to which it was forwarded.
@@ -194,6 +196,7 @@
         sends: 0,
         load_waited: Duration::ZERO,
         last_send: None,
+        software: None,
         forwarded,
         tried_peers: Vec::new(),
     };
@@ -494,6 +497,7 @@
         match attempt {
             Attempt::Response(response) => {
                 self.runs += 1;
+                self.software = Some(response.in_flight.software.clone());
                 if let Some(key) = Tables::adapter_of(&self.call) {
                     self.node.tables().residency.record_success(&target, key);
                     self.node.changed.notify_waiters();
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{TargetId, Time};
+use bluebellstage_core::{SoftwareVersion, TargetId, Time};
 
 use crate::decide::adapter::AdapterKey;
 use crate::decide::health::TargetOutcome;
@@ -21,6 +21,8 @@
 pub(super) struct InFlight<E: Edge> {
     pub(super) node: Arc<Node<E>>,
     pub(super) target: TargetId,
+    /// Software version of the target when the request was sent.
+    pub(super) software: SoftwareVersion,
     adapter: Option<AdapterKey>,
     /// Its entry in the engine's queue; `None` once the request has started, and at plain targets.
     waiting: Option<WaitingKey>,
@@ -33,7 +35,12 @@
 }
 
 impl<E: Edge> InFlight<E> {
-    pub(super) fn begin(node: &Arc<Node<E>>, target: &TargetId, params: SendParams<'_>) -> Self {
+    pub(super) fn begin(
+        node: &Arc<Node<E>>,
+        target: &TargetId,
+        software: SoftwareVersion,
+        params: SendParams<'_>,
+    ) -> Self {
         let now = node.now();
         let mut tables = node.tables();
         tables.start_request(target, now);
@@ -53,6 +60,7 @@
         let in_flight = Self {
             node: Arc::clone(node),
             target: target.clone(),
+            software,
             adapter: Tables::adapter_of(params.call).cloned(),
             waiting,
             sent: now,
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, TargetId};
+use bluebellstage_core::{InstanceId, SoftwareVersion, TargetId};
 use http::{Response, StatusCode};
 
+use crate::decide::call::ResumedAttempt;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
@@ -57,6 +58,20 @@
             .request_answered(kind, status.as_u16(), after);
     }
 
+    /// Returns the log fields of a request that continues a stream: the attempt that it names, and the last event
+    /// that the caller has.
+    fn continued_stream(&self) -> Vec<(&'static str, String)> {
+        let resumes = match &self.call.resumes {
+            ResumedAttempt::Unnamed => None,
+            ResumedAttempt::Id(id) => Some(id.to_string()),
+            ResumedAttempt::Malformed => Some("malformed".into()),
+        };
+        let resumes = resumes.map(|id| ("resumes", id));
+        let after = self.call.resume_after;
+        let after = after.map(|after| ("resume_after", after.to_string()));
+        resumes.into_iter().chain(after).collect()
+    }
+
     pub(super) fn elapsed_ms(&self) -> String {
         self.node.now().since(self.arrived).as_millis().to_string()
     }
@@ -121,6 +136,8 @@
             ("config", &*config),
             ("ms", &*ms),
         ];
+        let continued = self.continued_stream();
+        fields.extend(continued.iter().map(|(name, value)| (*name, &**value)));
         if matches!(found, SearchOutcome::Quarantined) {
             fields.push(("fingerprint", &*fingerprint));
         }
@@ -222,6 +239,10 @@
             ("aim_ms", &*aim),
             ("ms", &*ms),
         ];
+        let software = self.software.as_ref().map(SoftwareVersion::as_str);
+        fields.extend(software.map(|software| ("software", software)));
+        let continued = self.continued_stream();
+        fields.extend(continued.iter().map(|(name, value)| (*name, &**value)));
         if let Some(forwarded) = &self.forwarded {
             fields.push(("origin", forwarded.origin.as_str()));
         }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -27,6 +27,7 @@
     ejections: Counter<u64>,
     unreachable: Gauge<u64>,
     lost_services: Gauge<u64>,
+    software_versions: Gauge<u64>,
     paths_lost: Counter<u64>,
     forwarded: Counter<u64>,
     target_crashes: Counter<u64>,
@@ -98,6 +99,10 @@
                 "bluebellstage.lost_services",
                 "Services whose targets this instance can't reach",
             ),
+            software_versions: gauge(
+                "bluebellstage.software_versions",
+                "Software versions of the registered targets, by service",
+            ),
             paths_lost: counter(
                 "bluebellstage.paths_lost",
                 "Times that this instance lost its paths to all targets of a service",
@@ -303,6 +308,12 @@
             .record(count(tables.paths.failing_count()), &[]);
         self.lost_services
             .record(count(tables.partitions.lost().count()), &[]);
+        let software = tables.dump_software(now);
+        for versions in software.chunk_by(|a, b| a.service == b.service) {
+            let service = KeyValue::new("service", versions[0].service.to_string());
+            self.software_versions
+                .record(count(versions.len()), &[service]);
+        }
         self.departing.record(count(tables.departures.count()), &[]);
         self.brittle.record(count(tables.brittle.count()), &[]);
         self.resting.record(count(tables.rests.count(now)), &[]);
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -43,6 +43,17 @@
         }
     }
 
+    /// Returns the names of the target or peer and of the target's software version, as far as known.
+    fn names(&self) -> [String; 2] {
+        match self {
+            Self::Target(source) => {
+                let in_flight = &source.in_flight;
+                [in_flight.target.to_string(), in_flight.software.to_string()]
+            }
+            Self::Peer(source) => [source.peer().to_string(), String::new()],
+        }
+    }
+
     fn record_first_event(&mut self) {
         if let Self::Target(source) = self {
             let age = source.in_flight.age();
@@ -205,8 +216,8 @@
         }
     }
 
-    /// Ends a stream that failed, and returns the name of its target.
-    async fn end_target(&mut self, mut source: TargetStream<E>, failure: StreamFailure) -> String {
+    /// Ends a stream that failed.
+    async fn end_target(&mut self, mut source: TargetStream<E>, failure: StreamFailure) {
         source.in_flight.record_failure();
         let (id, run_time) = (source.in_flight.target.clone(), source.in_flight.run_time());
         self.job.tried.push(id.clone());
@@ -216,17 +227,15 @@
             let failed_run = FailedRun::broken(run_time);
             self.job.check_for_crash(&id, failed_run).await;
         }
-        id.to_string()
     }
 
     /// Resumes the stream at another target after the last event that the caller has received.
     async fn resume(&mut self, failure: StreamFailure) -> io::Result<()> {
         let reason = failure.reason();
-        let target = match self.source.take() {
-            Some(Source::Target(source)) => self.end_target(source, failure).await,
-            Some(Source::Peer(source)) => source.peer().to_string(),
-            None => String::new(),
-        };
+        let [target, software] = self.source.as_ref().map(Source::names).unwrap_or_default();
+        if let Some(Source::Target(source)) = self.source.take() {
+            self.end_target(source, failure).await;
+        }
         self.splitter.drop_partial();
         let last = self
             .splitter
@@ -236,6 +245,7 @@
         let fields = [
             ("request", &*id),
             ("target", &target),
+            ("software", &software),
             ("cause", reason),
             ("last_event", &last),
         ];
@@ -244,21 +254,25 @@
             return Err(io::Error::other(reason));
         }
         self.job.call.resume_after = self.splitter.last_id();
-        match self.job.find_response().await {
+        let next = match self.job.find_response().await {
             SearchOutcome::Response(response) if response.parts.status.is_success() => {
-                event(LogEvent::StreamResumed, &fields);
-                self.source = Some(Source::Target(response.into_stream().1));
-                Ok(())
+                Source::Target(response.into_stream().1)
             }
             SearchOutcome::PeerResponse(response) if response.is_successful() => {
-                event(LogEvent::StreamResumed, &fields);
-                self.source = Some(Source::Peer(response.stream));
-                Ok(())
+                Source::Peer(response.stream)
             }
             _ => {
                 event(LogEvent::StreamBroken, &fields);
-                Err(io::Error::other(reason))
+                return Err(io::Error::other(reason));
             }
-        }
+        };
+        let [next_target, next_software] = next.names();
+        let next_names = [("next", &*next_target), ("next_software", &next_software)];
+        event(
+            LogEvent::StreamResumed,
+            &[&fields[..], &next_names].concat(),
+        );
+        self.source = Some(next);
+        Ok(())
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -15,10 +15,10 @@
 
 use bluebellstage_core::{
     AdapterId, AdapterVersion, BaseModel, FailureDomain, Incarnation, InstanceId, Rate, Revision,
-    ServiceId, TargetId, Time, Tokens, WorkspaceId,
+    ServiceId, SoftwareVersion, TargetId, Time, Tokens, WorkspaceId,
 };
 use bluebellstage_gateway::decide::adapter::{AdapterKey, RequestedModel, VersionedAdapter};
-use bluebellstage_gateway::decide::call::Call;
+use bluebellstage_gateway::decide::call::{Call, ResumedAttempt};
 use bluebellstage_gateway::decide::cold::ColdStart;
 use bluebellstage_gateway::decide::config::{
     Config, EngineLimits, Limits, Quota, QuotaUnit, Route, RouteKind, Service, Workspace,
@@ -90,11 +90,16 @@
     }
 }
 
+pub fn software(version: &str) -> SoftwareVersion {
+    SoftwareVersion::try_from(version).unwrap()
+}
+
 pub fn target(id: &str, service: &str) -> Target {
     Target {
         id: TargetId::try_from(id).unwrap(),
         born: Some(1),
         service: ServiceId::try_from(service).unwrap(),
+        software: software("v1"),
         address: "10.0.1.1:80".parse().unwrap(),
         failure_domain: FailureDomain::try_from("north").unwrap(),
         slots: 4,
@@ -204,6 +209,7 @@
         prompt_tokens: Tokens(0),
         prompt_prefix: None,
         resume_after: None,
+        resumes: ResumedAttempt::Unnamed,
     }
 }
 
