--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -12,6 +12,8 @@
 use crate::decide::kind::Kind;
 use crate::decide::tables::Tables;
 
+use super::stream_metrics::StreamMetrics;
+
 /// Bounds of the duration buckets in seconds: 1 ms to 15 s, the max wait of callers.
 const SECONDS_BUCKETS: &[f64] = &[
     0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0,
@@ -20,6 +22,7 @@
 /// Instruments of this process.
 pub(super) struct Metrics {
     instruments: Instruments,
+    pub(super) streams: StreamMetrics,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     response_time: Histogram<f64>,
@@ -27,7 +30,6 @@
     ejections: Counter<u64>,
     unreachable: Gauge<u64>,
     lost_services: Gauge<u64>,
-    software_versions: Gauge<u64>,
     paths_lost: Counter<u64>,
     forwarded: Counter<u64>,
     target_crashes: Counter<u64>,
@@ -76,9 +78,8 @@
 }
 
 impl Metrics {
-    /// Creates instruments with a separate registry, so that one process can run several instances.
-    pub(super) fn new() -> Self {
-        let instruments = Instruments::new();
+    /// Creates instruments. Each instance has a separate registry, so that one process can run several instances.
+    pub(super) fn new(instruments: Instruments) -> Self {
         let counter = |name, description| instruments.counter(name, description);
         let gauge = |name, description| instruments.gauge(name, description);
         Self {
@@ -99,10 +100,6 @@
                 "bluebellstage.lost_services",
                 "Services whose targets this instance can't reach",
             ),
-            software_versions: gauge(
-                "bluebellstage.software_versions",
-                "Software versions of the registered targets, by service",
-            ),
             paths_lost: counter(
                 "bluebellstage.paths_lost",
                 "Times that this instance lost its paths to all targets of a service",
@@ -180,6 +177,7 @@
                 "bluebellstage.news_readers",
                 "Instances that this one relays news to",
             ),
+            streams: StreamMetrics::new(&instruments),
             instruments,
         }
     }
@@ -308,12 +306,7 @@
             .record(count(tables.paths.failing_count()), &[]);
         self.lost_services
             .record(count(tables.partitions.lost().count()), &[]);
-        let software = tables.dump_software(now);
-        for versions in software.chunk_by(|a, b| a.service == b.service) {
-            let service = KeyValue::new("service", versions[0].service.to_string());
-            self.software_versions
-                .record(count(versions.len()), &[service]);
-        }
+        self.streams.record(tables, now);
         self.departing.record(count(tables.departures.count()), &[]);
         self.brittle.record(count(tables.brittle.count()), &[]);
         self.resting.record(count(tables.rests.count(now)), &[]);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -36,6 +36,7 @@
 mod sockets;
 mod stop;
 mod stream;
+mod stream_metrics;
 mod sync;
 mod target_connection;
 mod unknown_headers;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::{InstanceId, TargetId, Time};
+use bluebellstage_telemetry::instruments::Instruments;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::boot_time;
@@ -113,7 +114,7 @@
             peer_pool: Pool::default(),
             loaders: Loaders::default(),
             residency_updates: ResidencyQueue::default(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(Instruments::new()),
             unknown_headers: UnknownHeaders::default(),
             leases,
             crash_checks: CrashChecks::default(),
