Resume a stream only at the software version that began it

Callers got streams whose first events were of one software version of a service and the rest of another, in one answer.

Cause: a resumption restricted the choice of a target only by those that had failed.

Change: the ticket of a request carries the version that its stream is held to, and every pick leaves out targets of others, whatever closes those of the version: a test plays seven such reasons. The version is that of the process that sends the events: if the target's registration changes at the same address while they arrive, the target had restarted before the request was sent, and a stream that has gone on elsewhere before is broken off there. Without a target of the version, the stream ends at once, and BS3412 and a counter tell it.

--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -79,11 +79,11 @@
             return self.pick_ignoring_limits(ticket, call, tried, sample, now);
         }
         let limited = self.limits.iter().map(|(target, _)| target);
-        let of_service = |target: &&TargetId| {
+        let is_allowed = |target: &&TargetId| {
             let known = self.registry.get(target);
-            known.is_some_and(|known| known.service == ticket.service)
+            known.is_some_and(|known| ticket.allows(known))
         };
-        let limited = limited.filter(of_service).cloned().collect::<Vec<_>>();
+        let limited = limited.filter(is_allowed).cloned().collect::<Vec<_>>();
         if limited.is_empty() {
             return self.pick_ignoring_limits(ticket, call, tried, sample, now);
         }
@@ -154,9 +154,9 @@
         now: Time,
     ) -> Pick {
         let mut targets = TargetsByAvailability::default();
-        let of_service = self.registry.all();
-        let of_service = of_service.filter(|target| target.service == ticket.service);
-        for target in of_service {
+        let allowed = self.registry.all();
+        let allowed = allowed.filter(|target| ticket.allows(target));
+        for target in allowed {
             match self.availability(target, now) {
                 Availability::Resting(left) => targets.add_resting(left),
                 _ if tried.contains(&target.id) => {}
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, ServiceId, TargetId, Time, WorkspaceId};
+use bluebellstage_core::{Revision, ServiceId, SoftwareVersion, TargetId, Time, WorkspaceId};
 
 use super::adapter::{AdapterKey, RequestedModel};
 use super::brittle::BrittleTargets;
@@ -32,6 +32,7 @@
 use super::retry_budget::{RetryBudget, RetryCounts};
 use super::routes::{RouteTable, Routed, pick_service};
 use super::store_calls::StoreCalls;
+use super::target::Target;
 use super::versions::Versions;
 
 /// Fraction of a route's target latency for which a request may wait for its workspace's quota. A
@@ -133,6 +134,9 @@
     pub quota_wait: Duration,
     /// Priority rank; 0 comes first.
     pub rank: u8,
+    /// Software version that began the request's stream; only its targets may continue it. `None` if the stream has
+    /// not begun.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Ticket {
@@ -147,6 +151,13 @@
     pub fn config(&self) -> Revision {
         self.routes.version()
     }
+
+    /// Whether a target may run the request, by its service and its software version.
+    #[must_use]
+    pub fn allows(&self, target: &Target) -> bool {
+        let is_of_version = |version: &SoftwareVersion| *version == target.software;
+        target.service == self.service && self.software.as_ref().is_none_or(is_of_version)
+    }
 }
 
 impl Tables {
@@ -285,6 +296,7 @@
             charge,
             quota_wait,
             rank: rank.unwrap_or(routes.route(route).rank),
+            software: None,
             route,
             routes,
         })
@@ -317,6 +329,7 @@
             charge: 0,
             quota_wait: Duration::ZERO,
             rank: rank.unwrap_or(routes.route(route).rank),
+            software: None,
             route,
             routes,
         })
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -146,7 +146,7 @@
         return Attempt::Unreachable;
     };
     let sender = ResponseSender { target, born };
-    let mut in_flight = InFlight::begin(node, target, software, params);
+    let mut in_flight = InFlight::begin(node, target, (address, software), params);
     let exchange = exchange(node, target, address, params, forward);
     let outcome = tokio::select! {
         outcome = tokio::time::timeout(params.max_wait, exchange) => match outcome {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -40,6 +40,9 @@
 pub(super) const TOO_LATE: &str = "engines would begin it too late: try again";
 /// Message for a request that no known target can run.
 pub(super) const NO_TARGET: &str = "no target can run it: try again";
+/// Message for a request that continues a stream of a software version without targets.
+pub(super) const VERSION_GONE: &str =
+    "no target has the software version that began the stream: begin a new one";
 /// Message for a request that is rejected because all targets are cold.
 pub(super) const ALL_COLD: &str = "all targets have just started: try again";
 /// Message for a request that may not be sent again because the budget for retries is used up.
@@ -100,6 +103,8 @@
     NotRun(&'static str),
     /// The request has not run: no target is known that could run it.
     NoTarget,
+    /// The request has not run: no target of the software version that began its stream may get requests.
+    VersionGone,
     /// The request has not run: every engine that could run it would start it too late, by this duration.
     QueueTooLong(Duration),
     /// The request has not run: every target that could run it is cold for this long.
@@ -354,6 +359,7 @@
                 Pick::Resting { left } => return self.resting(left),
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
                 Pick::Full => return self.unserved("all targets are full"),
+                Pick::NoTarget if self.ticket.software.is_some() => return self.version_gone(),
                 Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
                 Pick::NoTarget => return self.unserved(NO_TARGET),
             }
@@ -401,6 +407,25 @@
         }
     }
 
+    /// Reports that no target of the version that began the stream may get requests.
+    fn version_gone(&self) -> SearchOutcome<E> {
+        self.node.metrics.streams.version_was_gone();
+        let software = self.ticket.software.as_ref().map(ToString::to_string);
+        event(
+            LogEvent::SoftwareGone,
+            &[
+                ("request", &self.call.id),
+                ("service", self.ticket.service.as_str()),
+                ("software", &software.unwrap_or_default()),
+            ],
+        );
+        if self.runs == 0 {
+            SearchOutcome::VersionGone
+        } else {
+            SearchOutcome::MayHaveRun(VERSION_GONE)
+        }
+    }
+
     pub(super) fn unserved(&self, why: &'static str) -> SearchOutcome<E> {
         if self.runs == 0 {
             SearchOutcome::NotRun(why)
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -1,5 +1,6 @@
 //! A request in flight at a target, and what becomes of it there.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
     pub(super) target: TargetId,
     /// Software version of the target when the request was sent.
     pub(super) software: SoftwareVersion,
+    address: SocketAddr,
     adapter: Option<AdapterKey>,
     /// Its entry in the engine's queue; `None` once the request has started, and at plain targets.
     waiting: Option<WaitingKey>,
@@ -38,7 +40,7 @@
     pub(super) fn begin(
         node: &Arc<Node<E>>,
         target: &TargetId,
-        software: SoftwareVersion,
+        (address, software): (SocketAddr, SoftwareVersion),
         params: SendParams<'_>,
     ) -> Self {
         let now = node.now();
@@ -61,6 +63,7 @@
             node: Arc::clone(node),
             target: target.clone(),
             software,
+            address,
             adapter: Tables::adapter_of(params.call).cloned(),
             waiting,
             sent: now,
@@ -139,6 +142,19 @@
         Attempt::Failed(FailedRun { failure, run_time })
     }
 
+    /// Returns the software version of the process that responds.
+    ///
+    /// A target may have restarted with another one just before the request was sent: its registration then changes
+    /// while the response arrives.
+    pub(super) fn current_software(&self) -> SoftwareVersion {
+        let tables = self.node.tables();
+        let registered = tables.registry.get(&self.target);
+        let registered = registered.filter(|known| known.address == self.address);
+        registered
+            .map_or(&self.software, |known| &known.software)
+            .clone()
+    }
+
     /// Time since the request was sent.
     pub(super) fn age(&self) -> Duration {
         self.node.now().since(self.sent)
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -10,7 +10,9 @@
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::NotRunReason;
-use super::front::{ALL_COLD, ALL_RESTING, Job, NO_PATH, NO_TARGET, SearchOutcome, TOO_LATE};
+use super::front::{
+    ALL_COLD, ALL_RESTING, Job, NO_PATH, NO_TARGET, SearchOutcome, TOO_LATE, VERSION_GONE,
+};
 use super::local_response::{
     ResponseBody, error_response, late_retry_after, rest_retry_after, spread_retry_after,
 };
@@ -88,6 +90,11 @@
                 let after = Some(late_retry_after(self.call.timeout));
                 (StatusCode::SERVICE_UNAVAILABLE, NO_TARGET, after)
             }
+            SearchOutcome::VersionGone => {
+                self.node.tables().refund(&self.ticket);
+                let after = Some(late_retry_after(self.call.timeout));
+                (StatusCode::SERVICE_UNAVAILABLE, VERSION_GONE, after)
+            }
             SearchOutcome::QueueTooLong(excess) => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(*excess + spread_retry_after());
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -121,6 +121,8 @@
     StreamResumed = 3404, Info, "stream resumed at another target";
     /// A stream was interrupted and can't be resumed.
     StreamBroken = 3405, Warn, "stream broken off";
+    /// No target of the software version that began a stream may get requests.
+    SoftwareGone = 3412, Warn, "no target of the software version that began the stream";
     /// A target's limit is not a number.
     LimitMalformed = 3407, Info, "target's limit is not a number";
     /// A target's report of whether it leaves is malformed.
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use bluebellstage_core::SoftwareVersion;
 use bytes::Bytes;
 use futures::stream::unfold;
 use http::{Response, response};
@@ -54,6 +55,14 @@
         }
     }
 
+    /// Returns the software version of the target that sends the events, as far as known.
+    fn software(&self) -> Option<SoftwareVersion> {
+        match self {
+            Self::Target(source) => Some(source.in_flight.current_software()),
+            Self::Peer(_) => None,
+        }
+    }
+
     fn record_first_event(&mut self) {
         if let Self::Target(source) = self {
             let age = source.in_flight.age();
@@ -75,6 +84,8 @@
     source: Option<Source<E>>,
     splitter: EventSplitter,
     has_started: bool,
+    /// Whether all events of the stream are from the present source.
+    is_single_source: bool,
 }
 
 enum Chunk {
@@ -121,12 +132,14 @@
     source: Source<E>,
 ) -> Response<ResponseBody> {
     let splitter = EventSplitter::new(job.call.resume_after);
+    let is_single_source = job.ticket.software.is_none();
     let mut res = job.forward_response(parts, super::local_response::full_body(Bytes::new()));
     let forwarder = StreamForwarder {
         job,
         source: Some(source),
         splitter,
         has_started: false,
+        is_single_source,
     };
     let frames = unfold(Some(forwarder), |forwarder| async move {
         let mut forwarder = forwarder?;
@@ -145,6 +158,9 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let failure = match self.next_chunk().await {
+                Chunk::Data(_) if !self.is_of_version() => {
+                    StreamFailure::Unusable("the target runs another software version")
+                }
                 Chunk::Data(data) => match self.splitter.push(&data) {
                     SplitResult::Events(events) if events.is_empty() => continue,
                     SplitResult::Events(events) => {
@@ -172,6 +188,19 @@
         }
     }
 
+    /// Whether the present source has the software version that began the stream. The first source sets it.
+    fn is_of_version(&mut self) -> bool {
+        let Some(software) = self.source.as_ref().and_then(Source::software) else {
+            return true;
+        };
+        let held_to = &mut self.job.ticket.software;
+        if self.is_single_source {
+            *held_to = Some(software);
+            return true;
+        }
+        held_to.as_ref() == Some(&software)
+    }
+
     fn record_event(&mut self) {
         let first = !std::mem::replace(&mut self.has_started, true);
         if let Some(source) = &mut self.source
@@ -254,6 +283,11 @@
             return Err(io::Error::other(reason));
         }
         self.job.call.resume_after = self.splitter.last_id();
+        if self.has_started {
+            self.is_single_source = false;
+        } else if self.is_single_source {
+            self.job.ticket.software = None;
+        }
         let next = match self.job.find_response().await {
             SearchOutcome::Response(response) if response.parts.status.is_success() => {
                 Source::Target(response.into_stream().1)
--- /dev/null
+++ b/crates/gateway/tests/software_versions.rs
@@ -0,0 +1,142 @@
+//! Requests that are held to the software version that began their stream.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bluebellstage_core::{FailureDomain, Revision, TargetId};
+use bluebellstage_gateway::decide::health::TargetOutcome;
+use bluebellstage_gateway::decide::limits::{ReportedLimit, RequestRate};
+use bluebellstage_gateway::decide::placement::Pick;
+use bluebellstage_gateway::decide::quarantine::Fingerprint;
+use bluebellstage_gateway::decide::tables::Tables;
+use bluebellstage_gateway::decide::target::Target;
+use support::{at, draft, engine, peer, software, tables_with_engines};
+
+const OLD: [&str; 2] = ["o1", "o2"];
+const NEW: [&str; 2] = ["n1", "n2"];
+
+fn id(name: &str) -> TargetId {
+    TargetId::try_from(name).unwrap()
+}
+
+/// Returns an engine whose failure domain is named after its software version.
+fn engine_of(name: &str, version: &str, adapters: &[&str]) -> Target {
+    Target {
+        software: software(version),
+        failure_domain: FailureDomain::try_from(version).unwrap(),
+        ..engine(name, 1, adapters)
+    }
+}
+
+/// Returns an instance that knows two engines of each of two versions; `old` holds the adapters of the old ones.
+fn tables(old: &[&str], new: &[&str]) -> Tables {
+    let engines = OLD.map(|name| engine_of(name, "v1", old));
+    let others = NEW.map(|name| engine_of(name, "v2", new));
+    let mut tables = tables_with_engines(&[&engines[..], &others].concat());
+    tables.peers.update(peer("holder", at(0)));
+    tables
+}
+
+/// Picks an engine for a request whose stream began at the old version.
+fn pick(tables: &mut Tables, tried: &[&str], sample: f64, ms: u64) -> Pick {
+    let call = draft("a1");
+    let mut ticket = tables.admit(&call, 0, at(ms)).unwrap();
+    ticket.software = Some(software("v1"));
+    let tried = tried.iter().map(|name| id(name)).collect::<Vec<_>>();
+    let request = Fingerprint::of(ticket.workspace.as_ref(), "/draft/1", b"prompt");
+    tables.pick_apart(request, &ticket, &call, &tried, sample, at(ms))
+}
+
+/// Guards against any reason for which the engines of a version get no requests that lifts the restriction to it.
+#[test]
+fn nothing_sends_a_begun_stream_to_another_version() {
+    let closings: [(&str, fn(&mut Tables, &TargetId)); 7] = [
+        ("leaving", |tables, target| {
+            let leaving = Target {
+                leaving: true,
+                ..tables.registry.get(target).unwrap().clone()
+            };
+            tables.registry.put(leaving, Revision(9), at(0));
+        }),
+        ("unregistered", |tables, target| {
+            tables.registry.remove(target, Revision(9), at(0));
+        }),
+        ("departing", |tables, target| {
+            tables.departures.record(target, Some(1), at(0));
+        }),
+        ("resting", |tables, target| {
+            let rest = Duration::from_secs(30);
+            tables.rests.record(target, Some(1), rest, at(0));
+        }),
+        ("limited", |tables, target| {
+            let limit = ReportedLimit::Limit(RequestRate::from_milli(0));
+            tables.record_reported_limit(target, limit, at(0), at(0));
+        }),
+        ("ejected", |tables, target| {
+            for _ in 0..20 {
+                let failure = TargetOutcome::Failure;
+                tables.health.record_outcome(target, failure, at(0));
+            }
+        }),
+        ("evacuated", |tables, _target| {
+            let domain = BTreeSet::from([FailureDomain::try_from("v1").unwrap()]);
+            tables.evacuations.replace(&domain, Revision(9), at(0));
+        }),
+    ];
+    for (name, close) in closings {
+        for (old, new) in [(&["a1"][..], &["a1"][..]), (&[], &["a1"]), (&["a1"], &[])] {
+            let mut tables = tables(old, new);
+            for target in OLD.map(id) {
+                close(&mut tables, &target);
+            }
+            for step in 0..40_u64 {
+                let sample = f64::from(u32::try_from(step).unwrap()) / 40.0;
+                let ms = 20 * step;
+                tables.peers.update(peer("holder", at(ms)));
+                let picked = pick(&mut tables, &[], sample, ms);
+                if let Pick::Send { target, .. } | Pick::Load(target) = &picked {
+                    assert!(OLD.contains(&target.as_str()), "{name}: {picked:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a stream that is refused, or goes to another version, because its own lacks the adapter.
+#[test]
+fn the_adapter_of_a_begun_stream_is_loaded_at_its_version() {
+    let mut tables = tables(&[], &["a1"]);
+    let Pick::Load(target) = pick(&mut tables, &[], 0.5, 0) else {
+        panic!("only the other version holds the adapter");
+    };
+    assert!(OLD.contains(&target.as_str()), "{target}");
+}
+
+/// Guards against a caller that waits for a version that no target has any more.
+#[test]
+fn a_begun_stream_without_targets_of_its_version_is_refused_at_once() {
+    let mut tables = tables(&["a1"], &["a1"]);
+    for target in OLD.map(id) {
+        tables.registry.remove(&target, Revision(9), at(0));
+    }
+    assert_eq!(pick(&mut tables, &[], 0.5, 10), Pick::NoTarget);
+    let limit = ReportedLimit::Limit(RequestRate::from_milli(0));
+    for target in NEW.map(id) {
+        tables.record_reported_limit(&target, limit, at(0), at(0));
+    }
+    assert_eq!(pick(&mut tables, &[], 0.5, 10), Pick::NoTarget);
+}
+
+/// Guards against a restriction that leaves no target but the one that broke the stream off.
+#[test]
+fn a_begun_stream_goes_on_at_the_other_engine_of_its_version() {
+    let mut tables = tables(&["a1"], &["a1"]);
+    for [broken, other] in [OLD, [OLD[1], OLD[0]]] {
+        let Pick::Send { target, .. } = pick(&mut tables, &[broken], 0.9, 0) else {
+            panic!("the other engine holds the adapter");
+        };
+        assert_eq!(target.as_str(), other);
+    }
+}
