Hold streams that go through peers to the version that began them

A stream that an instance without a path forwards through a peer went on at another software version when the hop broke, or when the peer was asked to continue it.

Cause: a forwarded request did not say where its stream began, and the peer's report did not say which target answered.

Change: both carry service and software version. The service is part of it because the peer draws one by the route's split on its own. A peer whose report lacks the version, or names another, is left like a target that fails.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -45,6 +45,7 @@
 pub mod store_access;
 pub mod store_calls;
 pub mod store_position;
+pub mod stream_origin;
 pub mod tables;
 pub mod target;
 pub mod versions;
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -32,6 +32,7 @@
 use super::retry_budget::{RetryBudget, RetryCounts};
 use super::routes::{RouteTable, Routed, pick_service};
 use super::store_calls::StoreCalls;
+use super::stream_origin::StreamOrigin;
 use super::target::Target;
 use super::versions::Versions;
 
@@ -152,6 +153,27 @@
         self.routes.version()
     }
 
+    /// Returns where the request's stream began; `None` if it has not.
+    #[must_use]
+    pub fn stream_origin(&self) -> Option<StreamOrigin> {
+        let software = self.software.clone()?;
+        let service = self.service.clone();
+        Some(StreamOrigin { service, software })
+    }
+
+    /// Holds the request to the origin of the stream that it continues. If its route no longer leads to that service,
+    /// the one that was drawn remains, and only targets of the same software version may run it.
+    pub fn hold_to(&mut self, origin: StreamOrigin) {
+        let split = &self.route().split;
+        let leads_there = split
+            .iter()
+            .any(|(service, weight)| *service == origin.service && *weight > 0);
+        if leads_there {
+            self.service = origin.service;
+        }
+        self.software = Some(origin.software);
+    }
+
     /// Whether a target may run the request, by its service and its software version.
     #[must_use]
     pub fn allows(&self, target: &Target) -> bool {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -144,6 +144,7 @@
             outcome: ForwardOutcome::NoPath,
             runs,
             reason: "refused before it was read".into(),
+            stream: None,
         };
         report.add_to(res.headers_mut());
     }
@@ -222,7 +223,12 @@
     match forwarded {
         None => tables.admit(call, draw, arrived),
         Some(forwarded) => {
-            tables.admit_forwarded(call, forwarded.workspace.as_ref(), draw, arrived)
+            let workspace = forwarded.workspace.as_ref();
+            let mut ticket = tables.admit_forwarded(call, workspace, draw, arrived)?;
+            if let Some(origin) = &forwarded.stream {
+                ticket.hold_to(origin.clone());
+            }
+            Ok(ticket)
         }
     }
 }
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode};
 
 use crate::decide::call::ResumedAttempt;
+use crate::decide::stream_origin::StreamOrigin;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
@@ -171,6 +172,10 @@
             outcome,
             runs: self.runs,
             reason: reason.into(),
+            stream: self.software.clone().map(|software| StreamOrigin {
+                service: self.ticket.service.clone(),
+                software,
+            }),
         };
         report.add_to(res.headers_mut());
     }
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -17,6 +17,7 @@
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
 use crate::decide::peers::Member;
+use crate::decide::stream_origin::StreamOrigin;
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::MAX_BUFFERED_BYTES;
@@ -47,6 +48,9 @@
     pub(super) workspace: Option<WorkspaceId>,
     /// Attempts that ran or may have run.
     pub(super) runs: u32,
+    /// Where the stream began that the request continues.
+    #[serde(default)]
+    pub(super) stream: Option<StreamOrigin>,
 }
 
 /// What became of a request that was forwarded to a peer.
@@ -83,6 +87,9 @@
     pub(super) runs: u32,
     /// Why the peer refused it; empty if it did not.
     pub(super) reason: Box<str>,
+    /// Service and software version of the target that answered.
+    #[serde(default)]
+    pub(super) stream: Option<StreamOrigin>,
 }
 
 fn header_value(value: &impl Serialize) -> Option<HeaderValue> {
@@ -152,6 +159,8 @@
 #[derive(Debug)]
 pub(super) struct PeerStream<E: Edge> {
     pub(super) body: Incoming,
+    /// Service and software version of the target that sends it.
+    pub(super) origin: Option<StreamOrigin>,
     connection: Connection,
     in_flight: InFlightAtPeer<E>,
 }
@@ -327,6 +336,7 @@
                 };
                 let stream = PeerStream {
                     body,
+                    origin: report.stream.clone(),
                     connection,
                     in_flight,
                 };
@@ -357,6 +367,7 @@
             origin: self.node.settings.member.name.clone(),
             workspace: self.ticket.workspace.clone(),
             runs: self.runs,
+            stream: self.ticket.stream_origin(),
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::time::Duration;
 
-use bluebellstage_core::SoftwareVersion;
 use bytes::Bytes;
 use futures::stream::unfold;
 use http::{Response, response};
@@ -12,6 +11,8 @@
 
 use crate::decide::event_stream::{EventSplitter, SplitResult};
 use crate::decide::health::{MAX_SILENCE, TargetOutcome};
+use crate::decide::stream_origin::StreamOrigin;
+use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
 use super::attempt::{FailedRun, TargetResponse, TargetStream};
@@ -51,15 +52,25 @@
                 let in_flight = &source.in_flight;
                 [in_flight.target.to_string(), in_flight.software.to_string()]
             }
-            Self::Peer(source) => [source.peer().to_string(), String::new()],
+            Self::Peer(source) => {
+                let software = source
+                    .origin
+                    .as_ref()
+                    .map(|origin| origin.software.to_string());
+                [source.peer().to_string(), software.unwrap_or_default()]
+            }
         }
     }
 
-    /// Returns the software version of the target that sends the events, as far as known.
-    fn software(&self) -> Option<SoftwareVersion> {
+    /// Returns service and software version of the target that sends the events; `None` if the peer that forwards
+    /// them does not report that.
+    fn origin(&self, ticket: &Ticket) -> Option<StreamOrigin> {
         match self {
-            Self::Target(source) => Some(source.in_flight.current_software()),
-            Self::Peer(_) => None,
+            Self::Target(source) => Some(StreamOrigin {
+                service: ticket.service.clone(),
+                software: source.in_flight.current_software(),
+            }),
+            Self::Peer(source) => source.origin.clone(),
         }
     }
 
@@ -190,15 +201,19 @@
 
     /// Whether the present source has the software version that began the stream. The first source sets it.
     fn is_of_version(&mut self) -> bool {
-        let Some(software) = self.source.as_ref().and_then(Source::software) else {
-            return true;
-        };
-        let held_to = &mut self.job.ticket.software;
-        if self.is_single_source {
-            *held_to = Some(software);
-            return true;
+        let ticket = &mut self.job.ticket;
+        let origin = self
+            .source
+            .as_ref()
+            .and_then(|source| source.origin(ticket));
+        match origin {
+            Some(origin) if self.is_single_source => {
+                ticket.hold_to(origin);
+                true
+            }
+            Some(origin) => ticket.software.as_ref() == Some(&origin.software),
+            None => ticket.software.is_none(),
         }
-        held_to.as_ref() == Some(&software)
     }
 
     fn record_event(&mut self) {
