Continue callers' streams at the software version that began them

Callers that took a stream up after its instance was gone got events of another software version of the service, joined to those that they had.

Cause: an instance treated a caller's next try as a new request. Nothing read 'Resumes', no instance knew of another's streams, and the one that began it may have been killed.

Change: before the first event goes to the caller, the instance sends service and software version to three replicas: the first live instances in rendezvous order of workspace and attempt id, in different failure domains. It doesn't wait for them. An instance that gets a request with 'Resumes' asks the replicas as of now, then up to 13 more, for 200 ms at most, and holds the request to what it is told. When members join, leave, restart or begin to stop, those who keep an origin send it to the new replicas. Nothing goes to the store.

If nobody knows the origin, the stream goes on where all targets of the service have had one version within a minute, as far as anyone who was asked knows; else it is refused, truly not run, since a wrong guess joins two texts and a refusal lets the caller begin anew. The same holds for Last-Event-Id without a name that can be read. Without an event the request begins anew.

--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -55,6 +55,8 @@
     pub evacuated: Vec<EvacuationDump>,
     /// Software versions of the targets, by service and version.
     pub software: Vec<SoftwareDump>,
+    /// Number of streams of which it keeps the software version.
+    pub stream_origins: usize,
     /// Targets, by name.
     pub targets: Vec<TargetDump>,
     /// The other instances, by name.
@@ -227,6 +229,7 @@
             loads: self.loads.active,
             evacuated: self.dump_evacuations(now),
             software: self.dump_software(now),
+            stream_origins: self.origins.count(),
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -11,6 +11,7 @@
 use super::change_log::ChangeLog;
 use super::cold::{ColdSign, ColdTargets};
 use super::rendezvous::{ShortHash, name_hash, weight};
+use super::software_history::SoftwareHistory;
 use super::store_position::StorePosition;
 use super::target::Target;
 
@@ -72,6 +73,7 @@
     departed: HashMap<TargetId, (Option<u64>, Time)>,
     /// When this instance first saw the current incarnation of each target.
     first_seen: HashMap<TargetId, Time>,
+    software: SoftwareHistory,
     changes: ChangeLog,
     /// Cached digest of the targets, or `None` after a change.
     digest: Cell<Option<u32>>,
@@ -292,6 +294,9 @@
         if let Some(sign) = cold_sign(before, &target) {
             self.cold.record(&id, sign, now);
         }
+        if let Some(before) = before.filter(|before| before.software != target.software) {
+            self.software.record_former(before, now);
+        }
         let only_details_differ =
             before.is_some_and(|before| before.differs_in_details_only(&target));
         if returned || !only_details_differ {
@@ -325,6 +330,9 @@
     fn drop_target(&mut self, id: &TargetId, revision: Revision, now: Time) {
         self.vanished.remove(id);
         let dropped = self.targets.remove(id);
+        if let Some(dropped) = &dropped {
+            self.software.record_former(dropped, now);
+        }
         if let Some(dropped) = dropped.filter(|dropped| dropped.leaving) {
             self.departed.insert(id.clone(), (dropped.born, now));
         }
@@ -347,6 +355,7 @@
         for (id, at) in expired.collect::<Vec<_>>() {
             self.drop_target(&id, at, now);
         }
+        self.software.sweep(now);
         self.departed
             .retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION);
         let targets = &self.targets;
@@ -423,6 +432,18 @@
         settled.collect()
     }
 
+    /// Returns whether targets of a service, by the hash of its name, have had several software versions within the
+    /// time for which a stream may be continued.
+    #[must_use]
+    pub fn has_several_versions(&self, service: ShortHash, now: Time) -> bool {
+        let present = self.targets.values();
+        let present = present.filter(|target| ShortHash::of(target.service.as_str()) == service);
+        let present = present.map(|target| &target.software);
+        let mut versions = present.chain(self.software.versions(service, now));
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
     /// All targets, including those that are leaving.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- /dev/null
+++ b/crates/gateway/src/decide/software_history.rs
@@ -0,0 +1,44 @@
+//! Software versions of targets that are gone, or that restarted with another one.
+
+use std::collections::HashMap;
+
+use bluebellstage_core::{ServiceId, SoftwareVersion, Time};
+
+use super::rendezvous::ShortHash;
+use super::stream_origins::MAX_LIFETIME;
+use super::target::Target;
+
+/// When a target of a service last had each software version, for as long as a stream of it may be continued.
+#[derive(Debug, Default)]
+pub(super) struct SoftwareHistory {
+    last_seen: HashMap<ServiceId, HashMap<SoftwareVersion, Time>>,
+}
+
+impl SoftwareHistory {
+    /// Records that a target is gone or has restarted.
+    pub(super) fn record_former(&mut self, former: &Target, now: Time) {
+        let of_service = self.last_seen.entry(former.service.clone()).or_default();
+        of_service.insert(former.software.clone(), now);
+    }
+
+    /// Returns the versions of former targets of a service.
+    pub(super) fn versions(
+        &self,
+        service: ShortHash,
+        now: Time,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        let services = self.last_seen.iter();
+        let of_service = services.filter(move |(name, _)| ShortHash::of(name.as_str()) == service);
+        let versions = of_service.flat_map(|(_, versions)| versions);
+        let recent = versions.filter(move |(_, seen)| now.since(**seen) < MAX_LIFETIME);
+        recent.map(|(version, _)| version)
+    }
+
+    /// Removes versions of which no stream is left.
+    pub(super) fn sweep(&mut self, now: Time) {
+        self.last_seen.retain(|_, versions| {
+            versions.retain(|_, seen| now.since(*seen) < MAX_LIFETIME);
+            !versions.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/stream_origins/lookup.rs
@@ -0,0 +1,168 @@
+//! Finds where a stream began, for a request that continues it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::Time;
+
+use super::replicas::{choose, ranked};
+use super::{StreamKey, StreamOrigin};
+use crate::decide::peers::{DOWN_THRESHOLD, Member, Peer};
+use crate::decide::rendezvous::ShortHash;
+use crate::decide::tables::Tables;
+
+/// Time after which further instances are asked, and those asked before once more: a datagram may be lost.
+const WAVE_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which a lookup ends. A machine that has used its share of a processor runs again after 100 ms.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum number of instances that are asked beside the replicas: where the members were others when the stream began,
+/// a replica of then is among the next ones now.
+const MAX_OTHERS: usize = 13;
+
+/// Where an instance has an origin from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OriginSource {
+    /// It keeps the origin itself.
+    Local,
+    /// Another instance told it.
+    Peer,
+}
+
+/// Result of a lookup.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LookupOutcome {
+    /// The origin is known.
+    Found {
+        /// The origin.
+        origin: StreamOrigin,
+        /// Time since it was recorded.
+        age: Duration,
+        /// Where it is from.
+        source: OriginSource,
+    },
+    /// No instance that replied knows it.
+    Unknown {
+        /// Whether several software versions of the service are known, so that the stream may be of any of them.
+        is_mixed: bool,
+    },
+}
+
+/// What a lookup does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LookupStep {
+    /// Ask these instances, then wait.
+    Ask(Vec<SocketAddr>, Duration),
+    /// Wait for replies.
+    Wait(Duration),
+    /// The lookup has ended.
+    End(LookupOutcome),
+}
+
+/// A lookup that is in progress. It must be ended with [`Tables::end_lookup`].
+#[derive(Debug)]
+pub struct OriginLookup {
+    key: StreamKey,
+    service: ShortHash,
+    started: Time,
+    /// When the next instances are asked.
+    next_wave: Time,
+    waves: u32,
+    /// Instances that were asked.
+    asked: Vec<SocketAddr>,
+}
+
+impl OriginLookup {
+    /// Number of instances that were asked.
+    #[must_use]
+    pub fn asked_count(&self) -> usize {
+        self.asked.len()
+    }
+}
+
+impl Tables {
+    /// Begins to look up the origin of a stream that a target of `service` would continue.
+    pub fn begin_lookup(&mut self, key: StreamKey, service: ShortHash, now: Time) -> OriginLookup {
+        self.origins.replies.entry(key).or_default().waiting += 1;
+        OriginLookup {
+            key,
+            service,
+            started: now,
+            next_wave: now,
+            waves: 0,
+            asked: Vec::new(),
+        }
+    }
+
+    /// Ends a lookup.
+    pub fn end_lookup(&mut self, lookup: &OriginLookup) {
+        if let Some(replies) = self.origins.replies.get_mut(&lookup.key) {
+            replies.waiting -= 1;
+            if replies.waiting == 0 {
+                self.origins.replies.remove(&lookup.key);
+            }
+        }
+    }
+
+    /// Returns what a lookup does next. Called again after the returned time, or when a reply has arrived.
+    pub fn next_lookup_step(&self, lookup: &mut OriginLookup, now: Time) -> LookupStep {
+        if let Some((origin, age)) = self.origins.get(lookup.key, now) {
+            let source = if lookup.asked.is_empty() {
+                OriginSource::Local
+            } else {
+                OriginSource::Peer
+            };
+            let origin = origin.clone();
+            return LookupStep::End(LookupOutcome::Found {
+                origin,
+                age,
+                source,
+            });
+        }
+        let replies = self.origins.replies.get(&lookup.key);
+        let has_replied =
+            |peer: &SocketAddr| replies.is_some_and(|replies| replies.from.contains(peer));
+        let all_replied = lookup.asked.iter().all(has_replied);
+        if lookup.next_wave <= now || all_replied {
+            let next = self.next_wave(lookup, now);
+            let next = next.into_iter().filter(|peer| !has_replied(peer));
+            let next = next.collect::<Vec<_>>();
+            let has_ended = now.since(lookup.started) >= LOOKUP_TIMEOUT;
+            if has_ended || next.is_empty() {
+                let told = replies.is_some_and(|replies| replies.is_mixed);
+                let is_mixed = told || self.registry.has_several_versions(lookup.service, now);
+                return LookupStep::End(LookupOutcome::Unknown { is_mixed });
+            }
+            lookup.waves += 1;
+            lookup.next_wave = now + WAVE_INTERVAL;
+            let first = next.iter().filter(|peer| !lookup.asked.contains(peer));
+            let first = first.copied().collect::<Vec<_>>();
+            lookup.asked.extend(first);
+            return LookupStep::Ask(next, WAVE_INTERVAL);
+        }
+        LookupStep::Wait(lookup.next_wave.since(now))
+    }
+
+    /// Returns the instances of the next wave: first the replicas of the stream as of now, then the next ones too.
+    fn next_wave(&self, lookup: &OriginLookup, now: Time) -> Vec<SocketAddr> {
+        let order = ranked(self.lookup_members(now), lookup.key);
+        let replicas = choose(&order);
+        let others = order.iter().filter(|candidate| {
+            let name = &candidate.member.name;
+            replicas.iter().all(|replica| replica.member.name != *name)
+        });
+        let others_asked = if lookup.waves == 0 { 0 } else { MAX_OTHERS };
+        let others = others.take(others_asked);
+        let wave = replicas.iter().chain(others);
+        wave.map(|candidate| candidate.member.gossip).collect()
+    }
+
+    /// Instances that may know origins: the live ones, and those that this one has not heard yet because it has just
+    /// started.
+    fn lookup_members(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let is_new = self.is_new(now);
+        let may_know = move |peer: &&Peer| {
+            peer.seen_within(DOWN_THRESHOLD, now) || (is_new && peer.last_seen.is_none())
+        };
+        self.peers.all().filter(may_know).map(|peer| &peer.member)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/stream_origins/message.rs
@@ -0,0 +1,85 @@
+//! Messages about the origins of streams.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::rendezvous::ShortHash;
+
+use super::{StreamKey, StreamOrigin};
+
+/// Encoded bytes of a record without its software version, or a little more.
+const RECORD_BYTES: usize = 32;
+
+/// The origin of a stream, for a replica.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct OriginRecord {
+    /// The stream.
+    pub key: StreamKey,
+    /// Where it began.
+    pub origin: StreamOrigin,
+    /// Milliseconds since it was recorded.
+    pub age_ms: u32,
+    /// Milliseconds for which it is kept from then on.
+    pub lifetime_ms: u32,
+}
+
+impl OriginRecord {
+    pub(super) fn new(
+        key: StreamKey,
+        origin: StreamOrigin,
+        age: Duration,
+        lifetime: Duration,
+    ) -> Self {
+        let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            key,
+            origin,
+            age_ms: millis(age),
+            lifetime_ms: millis(lifetime),
+        }
+    }
+
+    pub(super) const fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms as u64)
+    }
+
+    pub(super) fn lifetime(&self) -> Duration {
+        Duration::from_millis(u64::from(self.lifetime_ms)).min(super::MAX_LIFETIME)
+    }
+
+    /// Returns the number of bytes of the record in a datagram, or a little more.
+    #[must_use]
+    pub fn estimated_bytes(&self) -> usize {
+        RECORD_BYTES + self.origin.software.as_str().len()
+    }
+}
+
+/// The reply to a query.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct OriginReply {
+    /// The stream.
+    pub key: StreamKey,
+    /// Its origin, if the sender knows it.
+    pub record: Option<OriginRecord>,
+    /// Whether the sender has known several software versions of the service within the lifetime of a stream.
+    pub is_mixed: bool,
+}
+
+/// A message about the origins of streams.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum OriginMessage {
+    /// An origin to keep, from the instance that serves the stream.
+    Store(OriginRecord),
+    /// Origins to keep, from another replica.
+    Copy(Vec<OriginRecord>),
+    /// Asks for the origin of a stream.
+    Query {
+        /// The stream.
+        key: StreamKey,
+        /// Hash of the name of the service that would continue it.
+        service: ShortHash,
+    },
+    /// Replies to a query.
+    Reply(OriginReply),
+}
--- /dev/null
+++ b/crates/gateway/src/decide/stream_origins/mod.rs
@@ -0,0 +1,112 @@
+//! Where streams began, so that any instance can continue them at the software version that began them.
+//!
+//! The instance that serves a stream stores its origin at a few replicas, before it forwards the first event. The
+//! replicas follow from the stream's key and the live instances, so that an instance at which a caller continues the
+//! stream finds them without the one that began it.
+
+mod key;
+mod lookup;
+mod message;
+mod replicas;
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::{SoftwareVersion, Time};
+use serde::{Deserialize, Serialize};
+
+use super::rendezvous::ShortHash;
+
+pub use key::StreamKey;
+pub use lookup::{LookupOutcome, LookupStep, OriginLookup, OriginSource};
+pub use message::{OriginMessage, OriginRecord, OriginReply};
+pub use replicas::OutgoingOrigins;
+
+use replicas::MemberHash;
+
+/// Longest time for which an origin is kept.
+pub const MAX_LIFETIME: Duration = Duration::from_mins(1);
+/// Maximum number of origins that an instance keeps.
+const MAX_ORIGINS: usize = 50_000;
+
+/// Service and software version of the target that sent a stream's first event. Versions of different services have
+/// nothing to do with each other.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct StreamOrigin {
+    /// Hash of the service's name.
+    pub service: ShortHash,
+    /// The software version.
+    pub software: SoftwareVersion,
+}
+
+/// A stored origin.
+#[derive(Clone, Debug)]
+struct Entry {
+    origin: StreamOrigin,
+    recorded: Time,
+    expires: Time,
+    /// Instances that keep it, as far as known.
+    replicas: Vec<MemberHash>,
+    /// Lowest weight of the replicas.
+    min_weight: u64,
+}
+
+/// Replies to the queries for one key.
+#[derive(Debug, Default)]
+struct Replies {
+    /// Requests that wait for them.
+    waiting: u32,
+    from: BTreeSet<SocketAddr>,
+    /// A peer knows several software versions of the service.
+    is_mixed: bool,
+}
+
+/// The origins that an instance keeps, and its queries for others.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    entries: HashMap<StreamKey, Entry>,
+    by_expiry: BTreeSet<(Time, StreamKey)>,
+    replies: HashMap<StreamKey, Replies>,
+    /// Instances among which replicas were chosen last.
+    members: BTreeSet<MemberHash>,
+}
+
+impl StreamOrigins {
+    /// Number of origins that are kept.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the origin of a stream and the time since it was recorded.
+    #[must_use]
+    pub fn get(&self, key: StreamKey, now: Time) -> Option<(&StreamOrigin, Duration)> {
+        let entry = self.entries.get(&key)?;
+        let age = now.since(entry.recorded);
+        (now < entry.expires).then_some((&entry.origin, age))
+    }
+
+    fn insert(&mut self, key: StreamKey, entry: Entry) {
+        if let Some(former) = self.entries.get(&key) {
+            self.by_expiry.remove(&(former.expires, key));
+        }
+        self.by_expiry.insert((entry.expires, key));
+        self.entries.insert(key, entry);
+        if self.entries.len() > MAX_ORIGINS
+            && let Some((_, first)) = self.by_expiry.pop_first()
+        {
+            self.entries.remove(&first);
+        }
+    }
+
+    /// Removes expired origins.
+    pub fn sweep(&mut self, now: Time) {
+        while let Some((expires, key)) = self.by_expiry.first().copied()
+            && expires <= now
+        {
+            self.by_expiry.pop_first();
+            self.entries.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/stream_origins/replicas.rs
@@ -0,0 +1,236 @@
+//! Choice of the instances that keep a stream's origin.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bluebellstage_core::Time;
+
+use super::{
+    Entry, MAX_LIFETIME, OriginMessage, OriginRecord, OriginReply, StreamKey, StreamOrigin,
+};
+use crate::decide::peers::Member;
+use crate::decide::rendezvous::{ShortHash, weight};
+use crate::decide::tables::Tables;
+
+/// Number of instances that keep a stream's origin, beside the one that serves it. With three, a fleet that loses a
+/// third of its instances at once loses one origin in 27.
+const REPLICAS: usize = 3;
+
+/// Identifies one incarnation of an instance.
+pub(super) type MemberHash = ShortHash;
+
+/// Origins to send to one instance.
+#[derive(Clone, Debug)]
+pub struct OutgoingOrigins {
+    /// Address of the instance.
+    pub to: SocketAddr,
+    /// The origins.
+    pub records: Vec<OriginRecord>,
+}
+
+fn incarnation_hash(member: &Member) -> MemberHash {
+    ShortHash::of(&format!("{}/{}", member.name, member.incarnation.0))
+}
+
+/// An instance that may keep origins.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReplicaCandidate<'a> {
+    pub(super) member: &'a Member,
+    pub(super) weight: u64,
+}
+
+/// Sorts members by their order for a key.
+pub(super) fn ranked<'a>(
+    members: impl Iterator<Item = &'a Member>,
+    key: StreamKey,
+) -> Vec<ReplicaCandidate<'a>> {
+    let candidates = members.map(|member| ReplicaCandidate {
+        member,
+        weight: weight(key.number(), member.name.as_str()),
+    });
+    let mut candidates = candidates.collect::<Vec<_>>();
+    candidates.sort_unstable_by_key(|candidate| Reverse(candidate.weight));
+    candidates
+}
+
+/// Chooses replicas from `ranked`: the first ones, in different failure domains as far as there are enough.
+pub(super) fn choose<'a>(ranked: &[ReplicaCandidate<'a>]) -> Vec<ReplicaCandidate<'a>> {
+    let mut chosen = Vec::<ReplicaCandidate<'_>>::new();
+    for candidate in ranked {
+        let domain = &candidate.member.failure_domain;
+        let is_new_domain = chosen
+            .iter()
+            .all(|other| other.member.failure_domain != *domain);
+        if is_new_domain && chosen.len() < REPLICAS {
+            chosen.push(*candidate);
+        }
+    }
+    for candidate in ranked {
+        let is_chosen = chosen
+            .iter()
+            .any(|other| other.member.name == candidate.member.name);
+        if !is_chosen && chosen.len() < REPLICAS {
+            chosen.push(*candidate);
+        }
+    }
+    chosen
+}
+
+impl Tables {
+    /// Instances that may keep origins: the live ones that accept callers.
+    fn replica_members(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let ready = self.peers.live(now).filter(|peer| peer.ready);
+        let peers = ready.map(|peer| &peer.member);
+        let local = self.ready().then_some(&self.local);
+        peers.chain(local)
+    }
+
+    /// Records where a stream began that this instance serves, for `lifetime` from now on. Returns the record and
+    /// the replicas to which it is sent.
+    pub fn record_origin(
+        &mut self,
+        key: StreamKey,
+        origin: StreamOrigin,
+        lifetime: Duration,
+        now: Time,
+    ) -> (OriginRecord, Vec<SocketAddr>) {
+        let record = OriginRecord::new(key, origin, Duration::ZERO, lifetime.min(MAX_LIFETIME));
+        let local = &self.local.name;
+        let others = self.replica_members(now);
+        let others = others.filter(|member| member.name != *local);
+        let chosen = choose(&ranked(others, key));
+        let to = chosen.iter().map(|replica| replica.member.gossip).collect();
+        let entry = Entry::new(record.clone(), &chosen, now);
+        self.origins.insert(key, entry);
+        (record, to)
+    }
+
+    /// Adds an origin from another instance. A copy does not replace what is known.
+    fn add_origin(&mut self, record: OriginRecord, is_copy: bool, now: Time) {
+        let is_known = self.origins.get(record.key, now).is_some();
+        if (is_copy && is_known) || record.age() >= record.lifetime() {
+            return;
+        }
+        let key = record.key;
+        let chosen = choose(&ranked(self.replica_members(now), key));
+        let entry = Entry::new(record, &chosen, now);
+        self.origins.insert(key, entry);
+    }
+
+    /// Handles a message about origins. Returns the reply to its sender.
+    pub fn receive_origins(
+        &mut self,
+        message: OriginMessage,
+        from: SocketAddr,
+        now: Time,
+    ) -> Option<OriginMessage> {
+        match message {
+            OriginMessage::Store(record) => self.add_origin(record, false, now),
+            OriginMessage::Copy(records) => {
+                for record in records {
+                    self.add_origin(record, true, now);
+                }
+            }
+            OriginMessage::Query { key, service } => {
+                return Some(OriginMessage::Reply(self.origin_reply(key, service, now)));
+            }
+            OriginMessage::Reply(reply) => self.receive_origin_reply(reply, from, now),
+        }
+        None
+    }
+
+    fn origin_reply(&self, key: StreamKey, service: ShortHash, now: Time) -> OriginReply {
+        let entry = self.origins.entries.get(&key);
+        let entry = entry.filter(|entry| now < entry.expires);
+        OriginReply {
+            key,
+            record: entry.map(|entry| entry.record(key, now)),
+            is_mixed: self.registry.has_several_versions(service, now),
+        }
+    }
+
+    fn receive_origin_reply(&mut self, reply: OriginReply, from: SocketAddr, now: Time) {
+        let Some(replies) = self.origins.replies.get_mut(&reply.key) else {
+            return;
+        };
+        replies.from.insert(from);
+        replies.is_mixed |= reply.is_mixed;
+        if let Some(record) = reply.record
+            && record.key == reply.key
+        {
+            self.add_origin(record, true, now);
+        }
+    }
+
+    /// Returns the origins for instances that have become replicas since the last call, because others joined,
+    /// left, restarted or began to stop.
+    pub fn replicate_origins(&mut self, now: Time) -> Vec<OutgoingOrigins> {
+        let members = self.replica_members(now);
+        let members = members.map(|member| (incarnation_hash(member), member.clone()));
+        let members = members.collect::<BTreeMap<_, _>>();
+        let known = &self.origins.members;
+        let joined = members.iter().filter(|(hash, _)| !known.contains(*hash));
+        let joined = joined.map(|(_, member)| member).collect::<Vec<_>>();
+        if joined.is_empty() && known.len() == members.len() {
+            return Vec::new();
+        }
+        let mut outgoing = BTreeMap::<SocketAddr, Vec<OriginRecord>>::new();
+        for (key, entry) in &mut self.origins.entries {
+            let has_lost_one = entry
+                .replicas
+                .iter()
+                .any(|hash| !members.contains_key(hash));
+            let outranks =
+                |member: &&Member| weight(key.number(), member.name.as_str()) >= entry.min_weight;
+            let lacks_one = entry.replicas.len() < REPLICAS;
+            if !has_lost_one && !lacks_one && !joined.iter().any(outranks) {
+                continue;
+            }
+            let chosen = choose(&ranked(members.values(), *key));
+            for replica in &chosen {
+                let is_new = !entry.replicas.contains(&incarnation_hash(replica.member));
+                if is_new && replica.member.name != self.local.name {
+                    let records = outgoing.entry(replica.member.gossip).or_default();
+                    records.push(entry.record(*key, now));
+                }
+            }
+            entry.set_replicas(&chosen);
+        }
+        self.origins.members = members.into_keys().collect();
+        let outgoing = outgoing.into_iter();
+        outgoing
+            .map(|(to, records)| OutgoingOrigins { to, records })
+            .collect()
+    }
+}
+
+impl Entry {
+    fn new(record: OriginRecord, replicas: &[ReplicaCandidate<'_>], now: Time) -> Self {
+        let recorded = now - record.age();
+        let mut entry = Self {
+            expires: recorded + record.lifetime(),
+            recorded,
+            origin: record.origin,
+            replicas: Vec::new(),
+            min_weight: 0,
+        };
+        entry.set_replicas(replicas);
+        entry
+    }
+
+    fn set_replicas(&mut self, replicas: &[ReplicaCandidate<'_>]) {
+        let hashes = replicas
+            .iter()
+            .map(|replica| incarnation_hash(replica.member));
+        self.replicas = hashes.collect();
+        let weights = replicas.iter().map(|replica| replica.weight);
+        self.min_weight = weights.min().unwrap_or(0);
+    }
+    fn record(&self, key: StreamKey, now: Time) -> OriginRecord {
+        let age = now.since(self.recorded);
+        let lifetime = self.expires.since(self.recorded);
+        OriginRecord::new(key, self.origin.clone(), age, lifetime)
+    }
+}
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -32,7 +32,7 @@
 use super::retry_budget::{RetryBudget, RetryCounts};
 use super::routes::{RouteTable, Routed, pick_service};
 use super::store_calls::StoreCalls;
-use super::stream_origin::StreamOrigin;
+use super::stream_origins::{StreamOrigin, StreamOrigins};
 use super::target::Target;
 use super::versions::Versions;
 
@@ -94,6 +94,8 @@
     pub versions: Versions,
     /// Evacuated failure domains.
     pub evacuations: Evacuations,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// Prompts that engines have not started.
     pub queues: PromptQueues,
     /// Shards for which this instance may order loads.
@@ -157,21 +159,21 @@
     #[must_use]
     pub fn stream_origin(&self) -> Option<StreamOrigin> {
         let software = self.software.clone()?;
-        let service = self.service.clone();
+        let service = ShortHash::of(self.service.as_str());
         Some(StreamOrigin { service, software })
     }
 
     /// Holds the request to the origin of the stream that it continues. If its route no longer leads to that service,
     /// the one that was drawn remains, and only targets of the same software version may run it.
-    pub fn hold_to(&mut self, origin: StreamOrigin) {
-        let split = &self.route().split;
-        let leads_there = split
-            .iter()
-            .any(|(service, weight)| *service == origin.service && *weight > 0);
-        if leads_there {
-            self.service = origin.service;
+    pub fn hold_to(&mut self, origin: &StreamOrigin) {
+        let mut split = self.route().split.iter();
+        let began = split.find(|(service, weight)| {
+            *weight > 0 && ShortHash::of(service.as_str()) == origin.service
+        });
+        if let Some((service, _)) = began {
+            self.service = service.clone();
         }
-        self.software = Some(origin.software);
+        self.software = Some(origin.software.clone());
     }
 
     /// Whether a target may run the request, by its service and its software version.
@@ -205,6 +207,7 @@
             residency: Residency::default(),
             versions: Versions::default(),
             evacuations: Evacuations::default(),
+            origins: StreamOrigins::default(),
             queues: PromptQueues::default(),
             shards: Vec::new(),
             claims: Vec::new(),
@@ -466,6 +469,7 @@
         self.peers.sweep(now);
         self.residency.sweep(now);
         self.rests.sweep(now);
+        self.origins.sweep(now);
         self.retries.prune(self.budget.window, now);
         let registry = &self.registry;
         self.health
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -25,6 +25,7 @@
 use super::local_response::{ResponseBody, error_response, full_body, refusal_response};
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::origins::Continuation;
 use super::peer_forwarding::{
     ForwardOutcome, ForwardReport, ForwardedRequest, PeerResponse, PeerResult, REPORT_HEADER,
     REQUEST_HEADER,
@@ -43,6 +44,9 @@
 /// Message for a request that continues a stream of a software version without targets.
 pub(super) const VERSION_GONE: &str =
     "no target has the software version that began the stream: begin a new one";
+/// Message for a request that continues a stream of unknown software version.
+pub(super) const ORIGIN_UNKNOWN: &str =
+    "the software version that began the stream is not known: try again, or begin a new one";
 /// Message for a request that is rejected because all targets are cold.
 pub(super) const ALL_COLD: &str = "all targets have just started: try again";
 /// Message for a request that may not be sent again because the budget for retries is used up.
@@ -85,6 +89,10 @@
     pub(super) last_send: Option<(TargetId, Time)>,
     /// Software version of the target that responded last.
     pub(super) software: Option<SoftwareVersion>,
+    /// How the origin of the stream was found that the request continues.
+    pub(super) origin_source: Option<&'static str>,
+    /// Time since that origin was recorded.
+    pub(super) origin_age: Option<Duration>,
     /// Set if a peer forwards it to this instance.
     pub(super) forwarded: Option<ForwardedRequest>,
     /// Peers to which it was forwarded.
@@ -103,6 +111,8 @@
     NotRun(&'static str),
     /// The request has not run: no target is known that could run it.
     NoTarget,
+    /// The request has not run: it continues a stream, and it is not known at which software version that began.
+    OriginUnknown,
     /// The request has not run: no target of the software version that began its stream may get requests.
     VersionGone,
     /// The request has not run: every engine that could run it would start it too late, by this duration.
@@ -203,6 +213,8 @@
         load_waited: Duration::ZERO,
         last_send: None,
         software: None,
+        origin_source: None,
+        origin_age: None,
         forwarded,
         tried_peers: Vec::new(),
     };
@@ -226,7 +238,7 @@
             let workspace = forwarded.workspace.as_ref();
             let mut ticket = tables.admit_forwarded(call, workspace, draw, arrived)?;
             if let Some(origin) = &forwarded.stream {
-                ticket.hold_to(origin.clone());
+                ticket.hold_to(origin);
             }
             Ok(ticket)
         }
@@ -245,6 +257,9 @@
 impl<E: Edge> Job<E> {
     async fn run(mut self) -> Response<ResponseBody> {
         let kind = self.ticket.route().kind;
+        if let Continuation::Refused = self.hold_to_origin().await {
+            return self.local_response(&SearchOutcome::OriginUnknown);
+        }
         let mut fallback = None;
         loop {
             let found = self.find_response().await;
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -17,6 +17,7 @@
 
 use super::log::{LogEvent, event};
 use super::node::{Destination, Node, Outgoing};
+use super::origins;
 use super::quarantine;
 use super::residency_updates;
 
@@ -183,7 +184,7 @@
                 Ok(packet) => {
                     node.metrics.record_received(packet.name(), len);
                     for reply in handle_packet(node, packet, from) {
-                        send_all(node, socket, &Packet::Exchange(reply), &[from]).await;
+                        send_all(node, socket, &reply, &[from]).await;
                     }
                 }
                 Err(err) => {
@@ -210,7 +211,7 @@
 }
 
 /// Handles a received datagram; returns the replies to send.
-fn handle_packet<E: Edge>(node: &Arc<Node<E>>, packet: Packet, from: SocketAddr) -> Vec<Message> {
+fn handle_packet<E: Edge>(node: &Arc<Node<E>>, packet: Packet, from: SocketAddr) -> Vec<Packet> {
     let now = node.now();
     match packet {
         Packet::Exchange(message) => {
@@ -224,13 +225,17 @@
             if behind {
                 node.peer_is_newer.notify_one();
             }
-            return replies;
+            return replies.into_iter().map(Packet::Exchange).collect();
         }
         Packet::AdapterRequests(requests) => {
             node.loaders.record_requests(requests, Some(from), now);
             node.loader_work.notify_waiters();
         }
         Packet::ResidencyUpdates(updates) => apply_residency_updates(node, updates, now),
+        Packet::StreamOrigins(message) => {
+            let reply = origins::receive(node, message, from);
+            return reply.into_iter().map(Packet::StreamOrigins).collect();
+        }
         Packet::Quarantine(updates) => quarantine::receive(node, &updates, now),
     }
     Vec::new()
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -6,13 +6,15 @@
 use http::{Response, StatusCode};
 
 use crate::decide::call::ResumedAttempt;
-use crate::decide::stream_origin::StreamOrigin;
+use crate::decide::rendezvous::ShortHash;
+use crate::decide::stream_origins::StreamOrigin;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::NotRunReason;
 use super::front::{
-    ALL_COLD, ALL_RESTING, Job, NO_PATH, NO_TARGET, SearchOutcome, TOO_LATE, VERSION_GONE,
+    ALL_COLD, ALL_RESTING, Job, NO_PATH, NO_TARGET, ORIGIN_UNKNOWN, SearchOutcome, TOO_LATE,
+    VERSION_GONE,
 };
 use super::local_response::{
     ResponseBody, error_response, late_retry_after, rest_retry_after, spread_retry_after,
@@ -72,7 +74,12 @@
         let resumes = resumes.map(|id| ("resumes", id));
         let after = self.call.resume_after;
         let after = after.map(|after| ("resume_after", after.to_string()));
-        resumes.into_iter().chain(after).collect()
+        let source = self.origin_source;
+        let source = source.map(|source| ("origin_from", source.to_owned()));
+        let age = self.origin_age.map(|age| age.as_millis().to_string());
+        let age = age.map(|age| ("origin_age_ms", age));
+        let fields = resumes.into_iter().chain(after);
+        fields.chain(source).chain(age).collect()
     }
 
     pub(super) fn elapsed_ms(&self) -> String {
@@ -91,6 +98,11 @@
                 let after = Some(late_retry_after(self.call.timeout));
                 (StatusCode::SERVICE_UNAVAILABLE, NO_TARGET, after)
             }
+            SearchOutcome::OriginUnknown => {
+                self.node.tables().refund(&self.ticket);
+                let after = Some(spread_retry_after());
+                (StatusCode::SERVICE_UNAVAILABLE, ORIGIN_UNKNOWN, after)
+            }
             SearchOutcome::VersionGone => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(late_retry_after(self.call.timeout));
@@ -173,7 +185,7 @@
             runs: self.runs,
             reason: reason.into(),
             stream: self.software.clone().map(|software| StreamOrigin {
-                service: self.ticket.service.clone(),
+                service: ShortHash::of(self.ticket.service.as_str()),
                 software,
             }),
         };
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -123,6 +123,8 @@
     StreamBroken = 3405, Warn, "stream broken off";
     /// No target of the software version that began a stream may get requests.
     SoftwareGone = 3412, Warn, "no target of the software version that began the stream";
+    /// It is not known at which software version the stream began that a request continues.
+    OriginUnknown = 3413, Warn, "software version that began the stream is not known";
     /// A target's limit is not a number.
     LimitMalformed = 3407, Info, "target's limit is not a number";
     /// A target's report of whether it leaves is malformed.
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -24,6 +24,7 @@
 mod loaders;
 mod local_response;
 mod metrics;
+mod origins;
 mod paths;
 mod peer_copy;
 mod peer_forwarding;
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -17,7 +17,7 @@
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
 use crate::decide::peers::Member;
-use crate::decide::stream_origin::StreamOrigin;
+use crate::decide::stream_origins::StreamOrigin;
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::MAX_BUFFERED_BYTES;
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -15,7 +15,8 @@
 use super::node::Node;
 use super::sockets::listen;
 use super::{
-    follow, gossip, leases, loaders, paths, peer_copy, quarantine, reload, restorations, stop, sync,
+    follow, gossip, leases, loaders, origins, paths, peer_copy, quarantine, reload, restorations,
+    stop, sync,
 };
 
 /// Interval between two removals of expired state.
@@ -99,6 +100,7 @@
         node.tables().sweep(now);
         log_ended_departures(&node, now);
         quarantine::sweep(&node, now);
+        origins::replicate(&node);
         node.pool.sweep();
         node.peer_pool.sweep();
         node.crash_checks.sweep(now);
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -11,7 +11,8 @@
 
 use crate::decide::event_stream::{EventSplitter, SplitResult};
 use crate::decide::health::{MAX_SILENCE, TargetOutcome};
-use crate::decide::stream_origin::StreamOrigin;
+use crate::decide::rendezvous::ShortHash;
+use crate::decide::stream_origins::StreamOrigin;
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
@@ -67,7 +68,7 @@
     fn origin(&self, ticket: &Ticket) -> Option<StreamOrigin> {
         match self {
             Self::Target(source) => Some(StreamOrigin {
-                service: ticket.service.clone(),
+                service: ShortHash::of(ticket.service.as_str()),
                 software: source.in_flight.current_software(),
             }),
             Self::Peer(source) => source.origin.clone(),
@@ -97,6 +98,8 @@
     has_started: bool,
     /// Whether all events of the stream are from the present source.
     is_single_source: bool,
+    /// Whether the replicas have been told where the stream began.
+    is_origin_stored: bool,
 }
 
 enum Chunk {
@@ -151,6 +154,7 @@
         splitter,
         has_started: false,
         is_single_source,
+        is_origin_stored: false,
     };
     let frames = unfold(Some(forwarder), |forwarder| async move {
         let mut forwarder = forwarder?;
@@ -172,7 +176,7 @@
                 Chunk::Data(_) if !self.is_of_version() => {
                     StreamFailure::Unusable("the target runs another software version")
                 }
-                Chunk::Data(data) => match self.splitter.push(&data) {
+                Chunk::Data(data) => match self.push(&data) {
                     SplitResult::Events(events) if events.is_empty() => continue,
                     SplitResult::Events(events) => {
                         self.record_event();
@@ -199,6 +203,14 @@
         }
     }
 
+    /// Adds a chunk to the stream. The replicas are told where the stream began before its caller gets an event.
+    fn push(&mut self, data: &[u8]) -> SplitResult {
+        if !std::mem::replace(&mut self.is_origin_stored, true) {
+            self.job.store_origin();
+        }
+        self.splitter.push(data)
+    }
+
     /// Whether the present source has the software version that began the stream. The first source sets it.
     fn is_of_version(&mut self) -> bool {
         let ticket = &mut self.job.ticket;
@@ -208,7 +220,10 @@
             .and_then(|source| source.origin(ticket));
         match origin {
             Some(origin) if self.is_single_source => {
-                ticket.hold_to(origin);
+                if ticket.software.as_ref() != Some(&origin.software) {
+                    ticket.hold_to(&origin);
+                    self.is_origin_stored = false;
+                }
                 true
             }
             Some(origin) => ticket.software.as_ref() == Some(&origin.software),
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -11,6 +11,7 @@
 use crate::decide::exchange::Message;
 use crate::decide::quarantine::QuarantineMessage;
 use crate::decide::residency::ResidencyVersion;
+use crate::decide::stream_origins::OriginMessage;
 
 /// Max size of a datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 16 * 1_024;
@@ -26,6 +27,8 @@
     ResidencyUpdates(Vec<ResidencyUpdate>),
     /// Messages about requests under which targets crash.
     Quarantine(Vec<QuarantineMessage>),
+    /// Where streams began.
+    StreamOrigins(OriginMessage),
 }
 
 /// First byte of a datagram: identifies the format. A release that changes the format changes this byte, so
@@ -81,6 +84,7 @@
             Self::AdapterRequests(_) => "wishes",
             Self::ResidencyUpdates(_) => "holdings",
             Self::Quarantine(_) => "quarantine",
+            Self::StreamOrigins(_) => "stream_origins",
         }
     }
 }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -17,6 +17,9 @@
 const OLD: [&str; 2] = ["o1", "o2"];
 const NEW: [&str; 2] = ["n1", "n2"];
 
+/// Closes a target to requests.
+type Closing = fn(&mut Tables, &TargetId);
+
 fn id(name: &str) -> TargetId {
     TargetId::try_from(name).unwrap()
 }
@@ -52,7 +55,7 @@
 /// Guards against any reason for which the engines of a version get no requests that lifts the restriction to it.
 #[test]
 fn nothing_sends_a_begun_stream_to_another_version() {
-    let closings: [(&str, fn(&mut Tables, &TargetId)); 7] = [
+    let closings: [(&str, Closing); 7] = [
         ("leaving", |tables, target| {
             let leaving = Target {
                 leaving: true,
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -18,6 +18,7 @@
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::status::Role;
+use bluebellstage_gateway::decide::stream_origins::OriginMessage;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::packet::Packet;
 use rand::{Rng, SeedableRng};
@@ -27,6 +28,8 @@
 
 /// Step of the virtual time.
 const TICK: Duration = Duration::from_millis(5);
+/// Origins in one datagram, which has room for them.
+const RECORDS_PER_DATAGRAM: usize = 100;
 /// Number of targets.
 pub const TARGETS: usize = 20;
 /// The workspace whose spending is counted.
@@ -75,6 +78,8 @@
     held: Vec<(SocketAddr, Vec<u8>)>,
     /// Bytes of datagrams sent and received.
     bytes: u64,
+    /// Bytes of received datagrams about the origins of streams.
+    origin_bytes: u64,
 }
 
 type Datagram = (SocketAddr, SocketAddr, Vec<u8>);
@@ -197,6 +202,7 @@
             next_round: self.now + offset,
             held: Vec::new(),
             bytes: 0,
+            origin_bytes: 0,
         }
     }
 
@@ -238,6 +244,11 @@
         self.nodes[idx].bytes
     }
 
+    /// Bytes of datagrams about the origins of streams that an instance received so far.
+    pub fn origin_bytes(&self, idx: usize) -> u64 {
+        self.nodes[idx].origin_bytes
+    }
+
     pub fn kill(&mut self, idx: usize) {
         self.nodes[idx].state = State::Dead;
         self.nodes[idx].held.clear();
@@ -390,9 +401,15 @@
                 self.send(idx, to, &packet);
             }
         }
+        for outgoing in self.nodes[idx].tables.replicate_origins(now) {
+            for records in outgoing.records.chunks(RECORDS_PER_DATAGRAM) {
+                let copy = OriginMessage::Copy(records.to_vec());
+                self.send(idx, outgoing.to, &Packet::StreamOrigins(copy));
+            }
+        }
     }
 
-    fn send(&mut self, idx: usize, to: SocketAddr, packet: &Packet) {
+    pub fn send(&mut self, idx: usize, to: SocketAddr, packet: &Packet) {
         let buf = packet.encode().unwrap();
         let node = &mut self.nodes[idx];
         node.bytes += u64::try_from(buf.len()).unwrap();
@@ -440,11 +457,19 @@
         let now = self.now;
         let node = &mut self.nodes[idx];
         node.bytes += u64::try_from(buf.len()).unwrap();
-        let Ok(Packet::Exchange(message)) = Packet::decode(buf) else {
-            return;
-        };
-        for response in node.tables.receive_message(message, from, now) {
-            self.send(idx, from, &Packet::Exchange(response));
+        match Packet::decode(buf) {
+            Ok(Packet::Exchange(message)) => {
+                for response in node.tables.receive_message(message, from, now) {
+                    self.send(idx, from, &Packet::Exchange(response));
+                }
+            }
+            Ok(Packet::StreamOrigins(message)) => {
+                node.origin_bytes += u64::try_from(buf.len()).unwrap();
+                if let Some(response) = node.tables.receive_origins(message, from, now) {
+                    self.send(idx, from, &Packet::StreamOrigins(response));
+                }
+            }
+            _ => {}
         }
     }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod limited;
 pub mod load_simulation;
 pub mod store;
+pub mod streams;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
