--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -148,11 +148,19 @@
     /// while the response arrives.
     pub(super) fn current_software(&self) -> SoftwareVersion {
         let tables = self.node.tables();
+        self.registered_software(&tables).clone()
+    }
+
+    /// Whether the process that responds has this software version.
+    pub(super) fn runs(&self, software: &SoftwareVersion) -> bool {
+        let tables = self.node.tables();
+        self.registered_software(&tables) == software
+    }
+
+    fn registered_software<'a>(&'a self, tables: &'a Tables) -> &'a SoftwareVersion {
         let registered = tables.registry.get(&self.target);
         let registered = registered.filter(|known| known.address == self.address);
-        registered
-            .map_or(&self.software, |known| &known.software)
-            .clone()
+        registered.map_or(&self.software, |known| &known.software)
     }
 
     /// Time since the request was sent.
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use bluebellstage_core::SoftwareVersion;
 use bytes::Bytes;
 use futures::stream::unfold;
 use http::{Response, response};
@@ -63,6 +64,16 @@
         }
     }
 
+    /// Whether the events are of this software version; `None` is that of a peer that does not report one.
+    fn has_version(&self, software: Option<&SoftwareVersion>) -> bool {
+        match self {
+            Self::Target(source) => {
+                software.is_some_and(|software| source.in_flight.runs(software))
+            }
+            Self::Peer(source) => source.origin.as_ref().map(|origin| &origin.software) == software,
+        }
+    }
+
     /// Returns service and software version of the target that sends the events; `None` if the peer that forwards
     /// them does not report that.
     fn origin(&self, ticket: &Ticket) -> Option<StreamOrigin> {
@@ -213,22 +224,19 @@
 
     /// Whether the present source has the software version that began the stream. The first source sets it.
     fn is_of_version(&mut self) -> bool {
+        let Some(source) = &self.source else {
+            return true;
+        };
         let ticket = &mut self.job.ticket;
-        let origin = self
-            .source
-            .as_ref()
-            .and_then(|source| source.origin(ticket));
-        match origin {
-            Some(origin) if self.is_single_source => {
-                if ticket.software.as_ref() != Some(&origin.software) {
-                    ticket.hold_to(&origin);
-                    self.is_origin_stored = false;
-                }
-                true
-            }
-            Some(origin) => ticket.software.as_ref() == Some(&origin.software),
-            None => ticket.software.is_none(),
+        if source.has_version(ticket.software.as_ref()) {
+            return true;
         }
+        let Some(origin) = source.origin(ticket).filter(|_| self.is_single_source) else {
+            return false;
+        };
+        ticket.hold_to(&origin);
+        self.is_origin_stored = false;
+        true
     }
 
     fn record_event(&mut self) {
