Handle signals from the start of a process

A SIGHUP or SIGTERM shortly after a start ended the process at once: the reload was lost with it, and a stop was no planned stop. Any operator meets this who reloads or stops just after a restart.

Cause: the settings were read and the listeners opened first; until the handlers stood, both signals had the system's default. Evidence: a process that is signalled while it reads its settings, through a pipe that the test holds open: with the handlers set up after the settings, one test fails (the process does not stop in order) and the other never sees it serve. Both pass now. Signals that arrive early are kept until they are waited for.

A signal before the program has begun to run still ends it; only who starts the process can rule that out.

--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -34,6 +34,7 @@
 mod residency_updates;
 mod response_head;
 mod restorations;
+pub mod signals;
 mod sockets;
 mod stop;
 mod stream;
--- a/crates/gateway/src/net/reload.rs
+++ b/crates/gateway/src/net/reload.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 use crate::decide::reload::{Reload, compare};
 use crate::edge::{Edge, SettingsSource};
-use crate::error::GatewayError;
 
 use super::log::{LogEvent, event};
 use super::node::Node;
@@ -17,9 +16,7 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Reads the settings on each SIGHUP and periodically, until the process ends.
-pub(super) fn run<E: Edge>(node: Arc<Node<E>>, source: E::Settings) -> Result<(), GatewayError> {
-    let mut hangup =
-        signal(SignalKind::hangup()).map_err(|cause| GatewayError::Signal { cause })?;
+pub(super) fn run<E: Edge>(node: Arc<Node<E>>, source: E::Settings, mut hangup: Signal) {
     tokio::spawn(async move {
         let mut last_logged = String::new();
         loop {
@@ -34,7 +31,6 @@
             last_logged = outcome.text();
         }
     });
-    Ok(())
 }
 
 /// Result of reading the settings.
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -13,6 +13,7 @@
 use super::accept::{ListenerKind, serve};
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::signals::Signals;
 use super::sockets::listen;
 use super::{
     follow, gossip, leases, loaders, origins, paths, peer_copy, quarantine, reload, restorations,
@@ -26,12 +27,13 @@
 ///
 /// # Errors
 ///
-/// An address can't be listened on, or signals can't be watched.
+/// An address can't be listened on.
 pub async fn run<E: Edge>(
     settings: NodeSettings,
     source: E::Settings,
     protocol: E::Protocol,
     store: E::Store,
+    signals: Signals,
 ) -> Result<(), GatewayError> {
     let (node, packets) = Node::<E>::new(settings, protocol, store);
     let node = Arc::new(node);
@@ -84,13 +86,14 @@
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(paths::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
-    reload::run(Arc::clone(&node), source)?;
+    reload::run(Arc::clone(&node), source, signals.hangup);
     let [name, front] = [
         node.settings.member.name.to_string(),
         node.settings.member.front.to_string(),
     ];
     event(LogEvent::Started, &[("instance", &name), ("front", &front)]);
-    stop::wait(node).await
+    stop::wait(node, signals.terminate).await;
+    Ok(())
 }
 
 async fn sweep<E: Edge>(node: Arc<Node<E>>) {
--- a/crates/gateway/src/net/stop.rs
+++ b/crates/gateway/src/net/stop.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 use crate::decide::stopping::refuse_after;
 use crate::edge::{Edge, Kind, ObjectStore};
-use crate::error::GatewayError;
 
 use super::gossip::send_shutdown;
 use super::leases;
@@ -24,10 +23,8 @@
 const FINAL_STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Waits for SIGTERM, then continues to serve until callers use other instances.
-pub(super) async fn wait<E: Edge>(node: Arc<Node<E>>) -> Result<(), GatewayError> {
-    let mut term =
-        signal(SignalKind::terminate()).map_err(|cause| GatewayError::Signal { cause })?;
-    term.recv().await;
+pub(super) async fn wait<E: Edge>(node: Arc<Node<E>>, mut terminate: Signal) {
+    terminate.recv().await;
     let connections = || node.connections.load(Ordering::Relaxed);
     event(
         LogEvent::StopAsked,
@@ -73,7 +70,6 @@
     }
     let waited = node.now().since(stop_requested_at).as_millis().to_string();
     event(LogEvent::Stopped, &[("waited_ms", &waited)]);
-    Ok(())
 }
 
 async fn release_leases<E: Edge>(node: Arc<Node<E>>) {
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -15,6 +15,7 @@
 };
 use bluebellstage_gateway::error::{GatewayError, StoreError};
 use bluebellstage_gateway::net::run::run;
+use bluebellstage_gateway::net::signals::Signals;
 use bluebellstage_gateway::settings::NodeSettings;
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, request, response};
@@ -306,7 +307,8 @@
         let store = store();
         let settings = settings(member_on_any_port());
         let source = FixedSettings(settings.clone());
-        let instance = run::<StoreOnly>(settings, source, NoTraffic, store.clone());
+        let signals = Signals::listen().unwrap();
+        let instance = run::<StoreOnly>(settings, source, NoTraffic, store.clone(), signals);
         let ended = tokio::time::timeout(span, instance).await;
         assert!(ended.is_err(), "the instance stopped by itself: {ended:?}");
         store
