Continue answers of the own interface at the software version that began them

At the product's own interface, too, an answer that broke off went on at any engine of its base model: parts of two software versions joined.

Cause: as on the platform, a retry was placed like a new request, and nothing knew the engines' versions.

Change: an engine's pod may name its software version. A permit names the engine's; once tokens are delivered, the permit request carries it, and groups, grants and loads leave other engines out. Without an engine of the version the answer breaks off at once. Engines that name none are alike, so nothing changes for them.

Messages between instances have new fields; instances of the release before can't read them.

--- a/crates/core/src/engines/candidates.rs
+++ b/crates/core/src/engines/candidates.rs
@@ -4,8 +4,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{AdapterRef, BaseModel, GroupId, Ownership, OwnershipKey, Placement, Time};
+use crate::{AdapterRef, GroupId, Ownership, OwnershipKey, Placement, Time};
 
+use super::PermitRequest;
 use super::targets::{ListedGroup, Targets};
 use super::view::GroupView;
 
@@ -44,11 +45,11 @@
     pub(super) fn choose(
         &self,
         placement: Placement,
-        model: &BaseModel,
-        adapter: &AdapterRef,
+        request: &PermitRequest,
         random: u64,
     ) -> Option<Choice> {
-        let all = self.groups_of_model(model);
+        let adapter = &request.adapter;
+        let all = self.groups_for(request);
         let preferred = self.pick(&all, placement, adapter, random)?;
         if all
             .iter()
@@ -105,16 +106,16 @@
         }
     }
 
-    /// Whether any group of the model has an engine that is not leaving.
-    pub(super) fn has_engines(targets: &Targets, model: &BaseModel) -> bool {
+    /// Whether any group has an engine that may run the request.
+    pub(super) fn has_engines(targets: &Targets, request: &PermitRequest) -> bool {
         let mut groups = targets.groups.values();
-        groups.any(|group| group.base_model == *model && group.batch_slots() > 0)
+        groups.any(|group| group.can_run(request))
     }
 
-    fn groups_of_model(&self, model: &BaseModel) -> Vec<&GroupId> {
+    fn groups_for(&self, request: &PermitRequest) -> Vec<&GroupId> {
         let groups = self.targets.groups.iter();
         groups
-            .filter(|(_, group)| group.base_model == *model && group.batch_slots() > 0)
+            .filter(|(_, group)| group.can_run(request))
             .map(|(id, _)| id)
             .collect()
     }
--- a/crates/core/src/engines/client.rs
+++ b/crates/core/src/engines/client.rs
@@ -101,7 +101,7 @@
         targets: &Targets,
         request: PermitRequest,
     ) {
-        if !Candidates::has_engines(targets, &request.base_model) {
+        if !Candidates::has_engines(targets, &request) {
             let refusal = Refusal::retry_after(RefusalKind::NoTarget, io.cfg.list_interval);
             io.decide(request.request, Err(refusal));
             return;
@@ -159,12 +159,7 @@
             ownership: io.cx.ownership,
         };
         let placement = io.cfg.placement;
-        let choice = candidates.choose(
-            placement,
-            &request.base_model,
-            &request.adapter,
-            self.random_state,
-        )?;
+        let choice = candidates.choose(placement, request, self.random_state)?;
         let owner = io
             .cx
             .ownership
@@ -406,12 +401,7 @@
             ownership: io.cx.ownership,
         };
         let placement = io.cfg.placement;
-        let choice = candidates.choose(
-            placement,
-            &request.base_model,
-            &request.adapter,
-            self.random_state,
-        );
+        let choice = candidates.choose(placement, request, self.random_state);
         choice.map(|choice| choice.group)
     }
 
--- a/crates/core/src/engines/client_permits.rs
+++ b/crates/core/src/engines/client_permits.rs
@@ -51,6 +51,7 @@
             target: grant.target,
             address: grant.address,
             adapter,
+            software: grant.software,
             send_before,
         };
         io.decide(request, Ok(permit));
--- a/crates/core/src/engines/engine.rs
+++ b/crates/core/src/engines/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use crate::{AdapterRef, EngineReport, OrderId, TargetId, TargetReport, Time};
+use crate::{AdapterRef, EngineReport, OrderId, SoftwareVersion, TargetId, TargetReport, Time};
 
 use super::slot::{Slot, SlotState};
 use super::targets::ListedEngine;
@@ -52,6 +52,7 @@
     pub(super) slots_total: u32,
     pub(super) max_batch: u32,
     pub(super) checks_fencing: bool,
+    pub(super) software: SoftwareVersion,
     pub(super) availability: Availability,
     pub(super) slots: BTreeMap<AdapterRef, Slot>,
     /// Outstanding permits by adapter; kept apart from the slots, which a restart empties.
@@ -83,13 +84,14 @@
 }
 
 impl Engine {
-    pub(super) const fn new(id: TargetId, listed: &ListedEngine, now: Time) -> Self {
+    pub(super) fn new(id: TargetId, listed: &ListedEngine, now: Time) -> Self {
         Self {
             id,
             address: listed.address,
             slots_total: listed.slots,
             max_batch: listed.max_batch,
             checks_fencing: listed.checks_fencing,
+            software: listed.software.clone(),
             availability: Availability::of(listed),
             slots: BTreeMap::new(),
             permits_by_adapter: BTreeMap::new(),
@@ -117,6 +119,7 @@
         self.slots_total = listed.slots;
         self.max_batch = listed.max_batch;
         self.checks_fencing = listed.checks_fencing;
+        self.software.clone_from(&listed.software);
         if self.availability != Availability::Leaving {
             self.availability = Availability::of(listed);
         }
--- a/crates/core/src/engines/granting.rs
+++ b/crates/core/src/engines/granting.rs
@@ -11,7 +11,7 @@
 use super::queue::{QueuePosition, QueuedRequest, RequestOrigin};
 use super::takeover::Takeover;
 use super::timing::{MAX_DELIVERY_DELAY, RESPONSE_TIMEOUT};
-use super::{EnginesMessage, PermitId};
+use super::{EnginesMessage, PermitId, PermitRequest};
 
 impl GroupOwner {
     /// Grants every request that can run now, in the queue's order. A request that waits for a load
@@ -78,6 +78,7 @@
         self.engines
             .values()
             .filter(|engine| assigned.is_none_or(|id| *id == engine.id))
+            .filter(|engine| queued.request.allows(&engine.software))
             .filter(|engine| self.can_grant(io, engine, &queued.request.adapter))
             .max_by_key(|engine| (engine.free_batch_slots(), &engine.id))
             .map(|engine| engine.id.clone())
@@ -129,6 +130,7 @@
             permit,
             target: outstanding.target.clone(),
             address: engine.address,
+            software: engine.software.clone(),
             status: self.status(),
         };
         io.send(
@@ -175,12 +177,13 @@
     pub(super) fn assign_engine(
         &mut self,
         placement: Placement,
-        adapter: &AdapterRef,
+        request: &PermitRequest,
     ) -> Option<TargetId> {
+        let adapter = &request.adapter;
         let available: Vec<&Engine> = self
             .engines
             .values()
-            .filter(|engine| engine.accepts_requests())
+            .filter(|engine| engine.accepts_requests() && request.allows(&engine.software))
             .collect();
         if available.is_empty() {
             return None;
--- a/crates/core/src/engines/loading.rs
+++ b/crates/core/src/engines/loading.rs
@@ -3,13 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::{AdapterRef, InstanceId, OwnershipKey, Revision, TargetId, Time, Tokens, WorkspaceId};
+use crate::{
+    AdapterRef, InstanceId, OwnershipKey, Revision, SoftwareVersion, TargetId, Time, Tokens,
+    WorkspaceId,
+};
 
 use super::engine::Engine;
 use super::fallback_loads::FallbackLoads;
 use super::io::Io;
 use super::message::LoadDemand;
 use super::owner::GroupOwner;
+use super::queue::QueuedRequest;
 use super::slot::{Slot, SlotState};
 use super::timing::{DEMAND_REFRESH_INTERVAL, LOAD_PERMIT_TTL};
 use super::{EnginesMessage, PermitId};
@@ -71,12 +75,34 @@
     }
 }
 
+/// The engines that may run a queued request.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct AllowedEngines {
+    assigned: Option<TargetId>,
+    software: Option<SoftwareVersion>,
+}
+
+impl AllowedEngines {
+    fn of(queued: &QueuedRequest) -> Self {
+        Self {
+            assigned: queued.assigned_engine.clone(),
+            software: queued.request.software.clone(),
+        }
+    }
+
+    fn contains(&self, engine: &Engine) -> bool {
+        let is_of_version = |software: &SoftwareVersion| *software == engine.software;
+        self.assigned.as_ref().is_none_or(|id| *id == engine.id)
+            && self.software.as_ref().is_none_or(is_of_version)
+    }
+}
+
 /// A load that queued requests need.
 struct WantedLoad {
     workspace: WorkspaceId,
     adapter: AdapterRef,
     urgent: bool,
-    assigned_engine: Option<TargetId>,
+    site: AllowedEngines,
     may_evict: bool,
     /// Whether the adapter is already resident, on engines without a free batch slot.
     is_copy: bool,
@@ -133,11 +159,12 @@
         }
         for (_, queued) in self.queue.iter() {
             let adapter = &queued.request.adapter;
-            if !seen.insert((adapter, queued.assigned_engine.as_ref())) {
+            let site = AllowedEngines::of(queued);
+            if !seen.insert((adapter, site.clone())) {
                 continue;
             }
-            let is_copy = self.is_resident_or_loading(adapter, queued.assigned_engine.as_ref());
-            if is_copy && !self.needs_copy(adapter, queued.assigned_engine.as_ref(), now) {
+            let is_copy = self.is_resident_or_loading(adapter, &site);
+            if is_copy && !self.needs_copy(adapter, &site, now) {
                 continue;
             }
             wanted_loads.push(WantedLoad {
@@ -145,7 +172,7 @@
                 is_copy,
                 adapter: adapter.clone(),
                 urgent: queued.request.urgent,
-                assigned_engine: queued.assigned_engine.clone(),
+                site,
                 may_evict: queued.eviction_allowed_from <= now,
             });
             if wanted_loads.len() >= self.engines.len() {
@@ -156,23 +183,20 @@
     }
 
     /// Whether the adapter is resident, or will be without a further load permit.
-    fn is_resident_or_loading(
-        &self,
-        adapter: &AdapterRef,
-        assigned_engine: Option<&TargetId>,
-    ) -> bool {
+    fn is_resident_or_loading(&self, adapter: &AdapterRef, site: &AllowedEngines) -> bool {
         let is_planned = self
             .loading
             .planned_loads
             .iter()
             .any(|(target, (adapter_to_load, _))| {
-                adapter_to_load == adapter && assigned_engine.is_none_or(|id| id == target)
+                let engine = self.engines.get(target);
+                adapter_to_load == adapter && engine.is_some_and(|engine| site.contains(engine))
             });
         is_planned
             || self
                 .engines
                 .values()
-                .filter(|engine| assigned_engine.is_none_or(|id| *id == engine.id))
+                .filter(|engine| site.contains(engine))
                 .filter(|engine| engine.accepts_requests())
                 .any(|engine| match engine.slots.get(adapter) {
                     None => false,
@@ -185,19 +209,14 @@
 
     /// Whether an adapter should be loaded on a further engine: enough requests wait for it, all
     /// engines that hold it are full, and another engine has free batch slots.
-    fn needs_copy(
-        &self,
-        adapter: &AdapterRef,
-        assigned_engine: Option<&TargetId>,
-        now: Time,
-    ) -> bool {
-        if assigned_engine.is_some() || self.queue.demand(adapter).waiting < MIN_WAITING_FOR_COPY {
+    fn needs_copy(&self, adapter: &AdapterRef, site: &AllowedEngines, now: Time) -> bool {
+        if site.assigned.is_some() || self.queue.demand(adapter).waiting < MIN_WAITING_FOR_COPY {
             return false;
         }
         let accepting = || {
             self.engines
                 .values()
-                .filter(|engine| engine.accepts_requests())
+                .filter(|engine| engine.accepts_requests() && site.contains(engine))
         };
         let all_full = accepting().all(|engine| match engine.slots.get(adapter) {
             None => true,
@@ -224,12 +243,7 @@
         let possible: Vec<&Engine> = self
             .engines
             .values()
-            .filter(|engine| {
-                wanted
-                    .assigned_engine
-                    .as_ref()
-                    .is_none_or(|id| *id == engine.id)
-            })
+            .filter(|engine| wanted.site.contains(engine))
             .filter(|engine| !excluded.contains(&engine.id))
             .filter(|engine| !self.loading.planned_loads.contains_key(&engine.id))
             .filter(|engine| engine.can_load(&wanted.adapter, now))
@@ -313,12 +327,7 @@
         let engines = self
             .engines
             .values()
-            .filter(|engine| {
-                wanted
-                    .assigned_engine
-                    .as_ref()
-                    .is_none_or(|id| *id == engine.id)
-            })
+            .filter(|engine| wanted.site.contains(engine))
             .filter(|engine| engine.can_load(&wanted.adapter, now) && engine.free_slots() == 0);
         let mut candidates = Vec::new();
         for engine in engines {
--- a/crates/core/src/engines/message.rs
+++ b/crates/core/src/engines/message.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AdapterRef, GroupId, Incarnation, Refusal, Revision, TargetId, TargetReport};
+use crate::{
+    AdapterRef, GroupId, Incarnation, Refusal, Revision, SoftwareVersion, TargetId, TargetReport,
+};
 
 use super::{PermitEnd, PermitRequest};
 
@@ -80,6 +82,8 @@
     pub target: TargetId,
     /// The engine's address.
     pub address: SocketAddr,
+    /// Version of the engine's software.
+    pub software: SoftwareVersion,
     /// The group's utilization.
     pub status: GroupStatus,
 }
--- a/crates/core/src/engines/owner.rs
+++ b/crates/core/src/engines/owner.rs
@@ -188,7 +188,7 @@
         }
         self.popularity
             .record_request(&enqueue.request.adapter, now);
-        let assigned_engine = self.assign_engine(io.cfg.placement, &enqueue.request.adapter);
+        let assigned_engine = self.assign_engine(io.cfg.placement, &enqueue.request);
         let eviction_delay = if enqueue.is_fallback {
             FALLBACK_EVICTION_DELAY
         } else {
@@ -428,7 +428,7 @@
             .collect();
         for origin in unavailable {
             if let Some(mut queued) = self.queue.remove(&origin) {
-                queued.assigned_engine = self.assign_engine(placement, &queued.request.adapter);
+                queued.assigned_engine = self.assign_engine(placement, &queued.request);
                 self.queue.push(queued);
             }
         }
--- a/crates/core/src/engines/permit.rs
+++ b/crates/core/src/engines/permit.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AdapterRef, BaseModel, Refusal, RequestId, TargetId, Time, Tokens, WorkspaceId};
+use crate::{
+    AdapterRef, BaseModel, Refusal, RequestId, SoftwareVersion, TargetId, Time, Tokens, WorkspaceId,
+};
 
 /// A request for a permit to use an engine.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -25,9 +27,17 @@
     pub max_answer: Tokens,
     /// Hash of the start of the prompt.
     pub prefix: u64,
+    /// Software version that began the response; only its engines may continue it. `None` if it has not begun.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl PermitRequest {
+    /// Whether an engine with this software version may run the request.
+    #[must_use]
+    pub fn allows(&self, software: &SoftwareVersion) -> bool {
+        self.software.as_ref().is_none_or(|held| held == software)
+    }
+
     /// Returns the cost of the request in the fair queueing between workspaces.
     #[must_use]
     pub fn cost(&self) -> Tokens {
@@ -44,6 +54,8 @@
     pub address: SocketAddr,
     /// The adapter to run.
     pub adapter: AdapterRef,
+    /// Version of the engine's software.
+    pub software: SoftwareVersion,
     /// The request must be sent before this time.
     pub send_before: Time,
 }
--- a/crates/core/src/engines/targets.rs
+++ b/crates/core/src/engines/targets.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::{BaseModel, GroupId, Grouping, TargetId, TargetInfo, TargetKind};
+use crate::{BaseModel, GroupId, Grouping, SoftwareVersion, TargetId, TargetInfo, TargetKind};
+
+use super::PermitRequest;
 
 /// An engine in the platform's list.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,6 +14,7 @@
     pub(super) slots: u32,
     pub(super) max_batch: u32,
     pub(super) checks_fencing: bool,
+    pub(super) software: SoftwareVersion,
     pub(super) leaving: bool,
 }
 
@@ -28,6 +31,15 @@
         let remaining = self.engines.values().filter(|engine| !engine.leaving);
         remaining.map(|engine| engine.max_batch).sum()
     }
+
+    /// Whether an engine that is not leaving may run a request, by base model and software version.
+    pub(super) fn can_run(&self, request: &PermitRequest) -> bool {
+        let mut engines = self.engines.values();
+        let is_allowed = |engine: &ListedEngine| {
+            !engine.leaving && engine.max_batch > 0 && request.allows(&engine.software)
+        };
+        self.base_model == request.base_model && engines.any(is_allowed)
+    }
 }
 
 /// All engines in the platform's list.
@@ -51,6 +63,7 @@
             slots,
             max_batch,
             checks_fencing,
+            software,
         } = &info.kind
         else {
             return;
@@ -63,6 +76,7 @@
             slots: *slots,
             max_batch: *max_batch,
             checks_fencing: *checks_fencing,
+            software: software.clone(),
             leaving: info.leaving,
         };
         let listed = self.groups.entry(group).or_insert_with(|| ListedGroup {
--- a/crates/core/src/instance/active_request.rs
+++ b/crates/core/src/instance/active_request.rs
@@ -3,8 +3,8 @@
 use serde::Serialize;
 
 use crate::{
-    AdapterRef, BaseModel, KeyId, Ran, Refusal, ServiceCall, ServiceId, TargetId, Time, Tokens,
-    WorkspaceId,
+    AdapterRef, BaseModel, KeyId, Ran, Refusal, ServiceCall, ServiceId, SoftwareVersion, TargetId,
+    Time, Tokens, WorkspaceId,
 };
 
 /// A request in progress.
@@ -47,6 +47,9 @@
         prefix: u64,
         /// Number of tokens delivered to the caller so far.
         delivered: Tokens,
+        /// Software version of the engine that the request was last sent to. Once tokens are delivered, only engines
+        /// of the same version get it.
+        software: Option<SoftwareVersion>,
     },
     /// A call to a plain service.
     Call {
--- a/crates/core/src/instance/admission.rs
+++ b/crates/core/src/instance/admission.rs
@@ -93,6 +93,7 @@
             max_answer,
             prefix,
             delivered: Tokens::default(),
+            software: None,
         };
         Ok((job, prompt + max_answer))
     }
--- a/crates/core/src/instance/dispatch.rs
+++ b/crates/core/src/instance/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::engines::{Permit, PermitEnd, PermitRequest};
 use crate::journal::{CallIntent, CallOutcome, JournalStep};
 use crate::services::{Slot, SlotEnd};
-use crate::{Action, Cx, RequestAction, RequestId, StoredResponse, Time};
+use crate::{Action, Cx, RequestAction, RequestId, StoredResponse, Time, Tokens};
 
 use super::Instance;
 use super::active_request::{Job, Stage};
@@ -26,6 +26,7 @@
                 max_answer,
                 prefix,
                 delivered,
+                software,
             } => {
                 let request = PermitRequest {
                     request: id,
@@ -36,6 +37,7 @@
                     prompt: *prompt + *delivered,
                     max_answer: max_answer.saturating_sub(*delivered),
                     prefix: *prefix,
+                    software: software.clone().filter(|_| *delivered > Tokens::default()),
                 };
                 let decisions = self.engines.request_permit(cx!(self, now), request);
                 self.queue_decisions(decisions);
@@ -60,11 +62,13 @@
             urgent,
             max_answer,
             delivered,
+            software,
             ..
-        } = &active_request.job
+        } = &mut active_request.job
         else {
             return;
         };
+        *software = Some(permit.software);
         let action = RequestAction::Generate {
             target: permit.target.clone(),
             address: permit.address,
--- a/crates/core/src/software_version.rs
+++ b/crates/core/src/software_version.rs
@@ -1,6 +1,7 @@
 //! Software versions of targets.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +24,23 @@
     }
 }
 
+/// The version of targets that name none.
+const UNNAMED: &str = "unnamed";
+
+impl Default for SoftwareVersion {
+    fn default() -> Self {
+        Self(UNNAMED.into())
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = CoreError;
+
+    fn from_str(s: &str) -> Result<Self, CoreError> {
+        s.try_into()
+    }
+}
+
 impl TryFrom<Box<str>> for SoftwareVersion {
     type Error = CoreError;
 
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     AdapterId, AdapterVersion, BaseModel, FailureDomain, Fencing, GroupId, Grouping, ServiceId,
-    TargetId, Time,
+    SoftwareVersion, TargetId, Time,
 };
 
 /// An adapter in one version, as loaded into a slot of an engine.
@@ -40,6 +40,8 @@
         max_batch: u32,
         /// Whether the engine refuses orders with an outdated fencing number.
         checks_fencing: bool,
+        /// Version of the engine's software. Engines that name none have the same one.
+        software: SoftwareVersion,
     },
     /// One replica of a plain service.
     Service {
--- a/crates/core/tests/instances/fleet/builder.rs
+++ b/crates/core/tests/instances/fleet/builder.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use bluebellstage_core::{
-    BaseModel, FailureDomain, ServiceId, TargetId, TargetInfo, TargetKind, Tuning,
+    BaseModel, FailureDomain, ServiceId, SoftwareVersion, TargetId, TargetInfo, TargetKind, Tuning,
 };
 
 use super::Fleet;
@@ -16,6 +16,7 @@
     pub(super) tuning: Tuning,
     pub(super) seed: u64,
     pub(super) list_lag: u64,
+    software: &'static [&'static str],
 }
 
 impl FleetBuilder {
@@ -26,6 +27,7 @@
             tuning: Tuning::default(),
             seed: 1,
             list_lag: 1_500_000,
+            software: &["v1"],
         }
     }
 
@@ -36,6 +38,7 @@
                 slots,
                 max_batch: 4,
                 checks_fencing: number % 2 == 0,
+                software: self.software_of(number),
             };
             self.targets
                 .push(target(&format!("engine-{number}"), number, kind));
@@ -43,6 +46,17 @@
         self
     }
 
+    /// Gives the engines added from now on these software versions, in turn.
+    pub fn software(mut self, versions: &'static [&'static str]) -> Self {
+        self.software = versions;
+        self
+    }
+
+    fn software_of(&self, engine: u16) -> SoftwareVersion {
+        let version = self.software[usize::from(engine) % self.software.len()];
+        SoftwareVersion::try_from(version).unwrap()
+    }
+
     pub fn service(mut self, name: &str, replicas: u16, concurrency: u32) -> Self {
         for number in 0..replicas {
             let kind = TargetKind::Service {
--- a/crates/core/tests/instances/fleet/faults.rs
+++ b/crates/core/tests/instances/fleet/faults.rs
@@ -55,13 +55,22 @@
 
     pub fn restart_target(&mut self, id: &TargetId) {
         let broken = self.targets.get_mut(id).unwrap().restart();
+        self.interrupt(broken, Tokens(0));
+    }
+
+    /// Breaks off all that an engine runs, after so many tokens of each.
+    pub fn break_off(&mut self, id: &TargetId, delivered: Tokens) {
+        let running = &mut self.targets.get_mut(id).unwrap().running;
+        let broken = std::mem::take(running).into_keys().collect();
+        self.interrupt(broken, delivered);
+    }
+
+    fn interrupt(&mut self, broken: Vec<RequestId>, delivered: Tokens) {
         for request in broken {
             self.end_run(request);
             let node = self.callers[&request].node;
             let life = self.nodes[node].incarnation.0;
-            let event = RequestEvent::Finished(Finish::Interrupted {
-                delivered: Tokens(0),
-            });
+            let event = RequestEvent::Finished(Finish::Interrupted { delivered });
             self.schedule(
                 self.now,
                 Delivery::Event {
--- a/crates/core/tests/instances/main.rs
+++ b/crates/core/tests/instances/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod keys;
 mod outage;
+mod software;
 mod stop;
 mod whole_path;
 mod world;
--- a/crates/core/tests/support/engines/fleet.rs
+++ b/crates/core/tests/support/engines/fleet.rs
@@ -2,8 +2,8 @@
 
 use bluebellstage_core::engines::PermitRequest;
 use bluebellstage_core::{
-    AdapterId, AdapterRef, AdapterVersion, BaseModel, FailureDomain, RequestId, TargetId,
-    TargetInfo, TargetKind, Tokens, WorkspaceId,
+    AdapterId, AdapterRef, AdapterVersion, BaseModel, FailureDomain, RequestId, SoftwareVersion,
+    TargetId, TargetInfo, TargetKind, Tokens, WorkspaceId,
 };
 
 /// Describes an engine of the base model `base`.
@@ -27,6 +27,7 @@
                 slots: self.slots,
                 max_batch: self.max_batch,
                 checks_fencing: self.checks_fencing,
+                software: SoftwareVersion::default(),
             },
             leaving: false,
         }
@@ -60,6 +61,7 @@
         prompt: Tokens(100),
         max_answer: Tokens(100),
         prefix: 0,
+        software: None,
     }
 }
 
--- a/crates/core/tests/support/engines/lone.rs
+++ b/crates/core/tests/support/engines/lone.rs
@@ -10,7 +10,7 @@
 use bluebellstage_core::{
     Action, AdapterRef, Adoption, Cx, EngineReport, GroupId, Incarnation, InstanceId, Map, Member,
     MemberRef, MemberState, OrderOutcome, Ownership, OwnershipKey, PastMap, PeerMessage, Revision,
-    TargetId, TargetInfo, TargetOrder, TargetOrderKind, Terms, Time, Tuning,
+    SoftwareVersion, TargetId, TargetInfo, TargetOrder, TargetOrderKind, Terms, Time, Tuning,
 };
 
 use super::fleet::EngineSpec;
@@ -261,6 +261,7 @@
         permit,
         target: engine(),
         address: ([127, 0, 0, 1], 9_000).into(),
+        software: SoftwareVersion::default(),
         status: GroupStatus::default(),
     }))
 }
--- a/crates/daemon/src/process/platform/pods.rs
+++ b/crates/daemon/src/process/platform/pods.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 
-use bluebellstage_core::{Incarnation, ListedInstance, TargetInfo, TargetKind};
+use bluebellstage_core::{Incarnation, ListedInstance, SoftwareVersion, TargetInfo, TargetKind};
 
 use crate::process::log_event;
 
@@ -23,6 +23,7 @@
 const SLOTS: &str = "bluebellstage/slots";
 const MAX_BATCH: &str = "bluebellstage/max-batch";
 const CHECKS_FENCING: &str = "bluebellstage/checks-fencing";
+const SOFTWARE_VERSION: &str = "bluebellstage/software-version";
 const SERVICE: &str = "bluebellstage/service";
 const CONCURRENCY: &str = "bluebellstage/concurrency";
 
@@ -77,6 +78,7 @@
             slots: annotation(pod, SLOTS)?,
             max_batch: annotation(pod, MAX_BATCH)?,
             checks_fencing: annotation(pod, CHECKS_FENCING)?,
+            software: software(pod)?,
         }),
         "service" => Ok(TargetKind::Service {
             service: annotation(pod, SERVICE)?,
@@ -86,6 +88,14 @@
     }
 }
 
+/// The version of an engine's software; engines that don't name one are taken as alike.
+fn software(pod: &Pod) -> Result<SoftwareVersion, Malformed> {
+    match pod.metadata.annotations.get(SOFTWARE_VERSION) {
+        None => Ok(SoftwareVersion::default()),
+        Some(raw) => parse(raw, SOFTWARE_VERSION),
+    }
+}
+
 const fn is_leaving(pod: &Pod) -> bool {
     pod.metadata.deletion_timestamp.is_some()
 }
