--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -5,14 +5,16 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bluebellstage_core::{FailureDomain, Revision, TargetId};
+use bluebellstage_core::{FailureDomain, Revision, ServiceId, TargetId};
 use bluebellstage_gateway::decide::health::TargetOutcome;
 use bluebellstage_gateway::decide::limits::{ReportedLimit, RequestRate};
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
+use bluebellstage_gateway::decide::rendezvous::ShortHash;
+use bluebellstage_gateway::decide::stream_origins::StreamOrigin;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::decide::target::Target;
-use support::{at, draft, engine, peer, software, tables_with_engines};
+use support::{at, config, draft, engine, peer, software, tables_with_engines};
 
 const OLD: [&str; 2] = ["o1", "o2"];
 const NEW: [&str; 2] = ["n1", "n2"];
@@ -143,3 +145,25 @@
         assert_eq!(target.as_str(), other);
     }
 }
+
+/// Guards against a stream that a route's split sends to another service than the one that began it.
+#[test]
+fn a_begun_stream_goes_on_at_its_service_of_a_split_route() {
+    let mut split = config(2);
+    let other = ServiceId::try_from("court").unwrap();
+    split.routes[0].split.push((other, 9));
+    let mut tables = tables(&["a1"], &["a1"]);
+    tables.adopt(split, at(0));
+    let origin = |service: &str| StreamOrigin {
+        service: ShortHash::of(service),
+        software: software("v1"),
+    };
+    for draw in 0..10 {
+        let mut ticket = tables.admit(&draft("a1"), draw, at(0)).unwrap();
+        ticket.hold_to(&origin("writers"));
+        assert_eq!(ticket.service.as_str(), "writers");
+        ticket.hold_to(&origin("no longer routed to"));
+        assert_eq!(ticket.service.as_str(), "writers");
+        assert_eq!(ticket.software, Some(software("v1")));
+    }
+}
