Report a software version as gone only if none of its targets serves

A request that continues a stream and that all targets of its version had refused was logged as one whose version is gone (BS3412), and its caller was told to begin anew. It is answered like any other request that its targets refused. Found by reading; the test fails to compile without the new check, so the fault was not seen.

--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -9,7 +9,7 @@
 use super::drain_state::DrainState;
 use super::evacuations::EvacuationChange;
 use super::rendezvous::{name_hash, weight};
-use super::tables::Tables;
+use super::tables::{Tables, Ticket};
 use super::target::Target;
 
 /// Whether a target may receive requests.
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Returns whether any target that may run a request gets requests, now or after its cold time or its rest.
+    #[must_use]
+    pub fn has_serving_target(&self, ticket: &Ticket, now: Time) -> bool {
+        let mut allowed = self.registry.all().filter(|target| ticket.allows(target));
+        allowed.any(|target| self.availability(target, now) != Availability::Closed)
+    }
+
     /// Returns how far a target is drained, for whatever reason.
     #[must_use]
     pub fn drain_state(&self, target: &Target, now: Time) -> DrainState {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -380,7 +380,7 @@
                 Pick::Resting { left } => return self.resting(left),
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
                 Pick::Full => return self.unserved("all targets are full"),
-                Pick::NoTarget if self.ticket.software.is_some() => return self.version_gone(),
+                Pick::NoTarget if self.is_version_gone(now) => return self.version_gone(),
                 Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
                 Pick::NoTarget => return self.unserved(NO_TARGET),
             }
@@ -428,6 +428,11 @@
         }
     }
 
+    fn is_version_gone(&self, now: Time) -> bool {
+        let is_held = self.ticket.software.is_some();
+        is_held && !self.node.tables().has_serving_target(&self.ticket, now)
+    }
+
     /// Reports that no target of the version that began the stream may get requests.
     fn version_gone(&self) -> SearchOutcome<E> {
         self.node.metrics.streams.version_was_gone();
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -134,6 +134,20 @@
     assert_eq!(pick(&mut tables, &[], 0.5, 10), Pick::NoTarget);
 }
 
+/// Guards against a report that a version is gone while its targets have only refused the request.
+#[test]
+fn a_version_whose_targets_were_tried_is_not_gone() {
+    let mut tables = tables(&["a1"], &["a1"]);
+    let mut ticket = tables.admit(&draft("a1"), 0, at(0)).unwrap();
+    ticket.software = Some(software("v1"));
+    assert_eq!(pick(&mut tables, &OLD, 0.5, 10), Pick::NoTarget);
+    assert!(tables.has_serving_target(&ticket, at(10)));
+    for target in OLD.map(id) {
+        tables.registry.remove(&target, Revision(9), at(10));
+    }
+    assert!(!tables.has_serving_target(&ticket, at(20)));
+}
+
 /// Guards against a restriction that leaves no target but the one that broke the stream off.
 #[test]
 fn a_begun_stream_goes_on_at_the_other_engine_of_its_version() {
