End the lookup of a stream's origin with its caller

A caller that gave up while an instance looked up where its stream began left the lookup's entry behind for as long as the process ran. Found by reading; a_lookup_ends_with_its_caller fails without the guard: ten lookups are still counted half a second after their callers have left.

--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -57,6 +57,8 @@
     pub software: Vec<SoftwareDump>,
     /// Number of streams of which it keeps the software version.
     pub stream_origins: usize,
+    /// Number of streams whose software version is being looked up.
+    pub origin_lookups: usize,
     /// Targets, by name.
     pub targets: Vec<TargetDump>,
     /// The other instances, by name.
@@ -230,6 +232,7 @@
             evacuated: self.dump_evacuations(now),
             software: self.dump_software(now),
             stream_origins: self.origins.count(),
+            origin_lookups: self.origins.lookup_count(),
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
--- a/crates/gateway/src/decide/stream_origins/mod.rs
+++ b/crates/gateway/src/decide/stream_origins/mod.rs
@@ -79,6 +79,12 @@
         self.entries.len()
     }
 
+    /// Number of streams whose origin is being looked up.
+    #[must_use]
+    pub fn lookup_count(&self) -> usize {
+        self.replies.len()
+    }
+
     /// Returns the origin of a stream and the time since it was recorded.
     #[must_use]
     pub fn get(&self, key: StreamKey, now: Time) -> Option<(&StreamOrigin, Duration)> {
--- a/crates/gateway/src/net/origins.rs
+++ b/crates/gateway/src/net/origins.rs
@@ -7,8 +7,8 @@
 use crate::decide::config::RouteKind;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::stream_origins::{
-    LookupOutcome, LookupStep, OriginMessage, OriginRecord, OriginSource, OutgoingOrigins,
-    StreamKey,
+    LookupOutcome, LookupStep, OriginLookup, OriginMessage, OriginRecord, OriginSource,
+    OutgoingOrigins, StreamKey,
 };
 use crate::edge::Edge;
 use crate::packet::Packet;
@@ -52,6 +52,25 @@
     }
 }
 
+/// A lookup that ends when it is dropped, also because its caller gave up.
+struct RunningLookup<'a, E: Edge> {
+    node: &'a Node<E>,
+    lookup: OriginLookup,
+}
+
+impl<'a, E: Edge> RunningLookup<'a, E> {
+    fn begin(node: &'a Node<E>, key: StreamKey, service: ShortHash) -> Self {
+        let lookup = node.tables().begin_lookup(key, service, node.now());
+        Self { node, lookup }
+    }
+}
+
+impl<E: Edge> Drop for RunningLookup<'_, E> {
+    fn drop(&mut self) {
+        self.node.tables().end_lookup(&self.lookup);
+    }
+}
+
 impl<E: Edge> Job<E> {
     /// Holds a request that continues a stream to the software version that began it.
     pub(super) async fn hold_to_origin(&mut self) -> Continuation {
@@ -118,16 +137,13 @@
         };
         let key = StreamKey::of(self.ticket.workspace.as_ref(), attempt);
         let query = Packet::StreamOrigins(OriginMessage::Query { key, service });
-        let mut lookup = self
-            .node
-            .tables()
-            .begin_lookup(key, service, self.node.now());
+        let mut running = RunningLookup::begin(&self.node, key, service);
         let outcome = loop {
             let replied = self.node.origin_replied.notified();
             let step = self
                 .node
                 .tables()
-                .next_lookup_step(&mut lookup, self.node.now());
+                .next_lookup_step(&mut running.lookup, self.node.now());
             let pause = match step {
                 LookupStep::End(outcome) => break outcome,
                 LookupStep::Wait(pause) => pause,
@@ -140,8 +156,7 @@
             };
             let _replied_or_due = tokio::time::timeout(pause, replied).await;
         };
-        self.node.tables().end_lookup(&lookup);
-        (outcome, lookup.asked_count())
+        (outcome, running.lookup.asked_count())
     }
 
     /// Stores where the stream began, under the ids by which its caller may continue it.
