--- a/crates/gateway/src/decide/stream_origins/replicas.rs
+++ b/crates/gateway/src/decide/stream_origins/replicas.rs
@@ -228,6 +228,7 @@
         let weights = replicas.iter().map(|replica| replica.weight);
         self.min_weight = weights.min().unwrap_or(0);
     }
+
     fn record(&self, key: StreamKey, now: Time) -> OriginRecord {
         let age = now.since(self.recorded);
         let lifetime = self.expires.since(self.recorded);
