--- a/crates/core/src/engines/loading.rs
+++ b/crates/core/src/engines/loading.rs
@@ -102,7 +102,7 @@
     workspace: WorkspaceId,
     adapter: AdapterRef,
     urgent: bool,
-    site: AllowedEngines,
+    allowed: AllowedEngines,
     may_evict: bool,
     /// Whether the adapter is already resident, on engines without a free batch slot.
     is_copy: bool,
@@ -159,12 +159,12 @@
         }
         for (_, queued) in self.queue.iter() {
             let adapter = &queued.request.adapter;
-            let site = AllowedEngines::of(queued);
-            if !seen.insert((adapter, site.clone())) {
+            let allowed = AllowedEngines::of(queued);
+            if !seen.insert((adapter, allowed.clone())) {
                 continue;
             }
-            let is_copy = self.is_resident_or_loading(adapter, &site);
-            if is_copy && !self.needs_copy(adapter, &site, now) {
+            let is_copy = self.is_resident_or_loading(adapter, &allowed);
+            if is_copy && !self.needs_copy(adapter, &allowed, now) {
                 continue;
             }
             wanted_loads.push(WantedLoad {
@@ -172,7 +172,7 @@
                 is_copy,
                 adapter: adapter.clone(),
                 urgent: queued.request.urgent,
-                site,
+                allowed,
                 may_evict: queued.eviction_allowed_from <= now,
             });
             if wanted_loads.len() >= self.engines.len() {
@@ -183,20 +183,20 @@
     }
 
     /// Whether the adapter is resident, or will be without a further load permit.
-    fn is_resident_or_loading(&self, adapter: &AdapterRef, site: &AllowedEngines) -> bool {
+    fn is_resident_or_loading(&self, adapter: &AdapterRef, allowed: &AllowedEngines) -> bool {
         let is_planned = self
             .loading
             .planned_loads
             .iter()
             .any(|(target, (adapter_to_load, _))| {
                 let engine = self.engines.get(target);
-                adapter_to_load == adapter && engine.is_some_and(|engine| site.contains(engine))
+                adapter_to_load == adapter && engine.is_some_and(|engine| allowed.contains(engine))
             });
         is_planned
             || self
                 .engines
                 .values()
-                .filter(|engine| site.contains(engine))
+                .filter(|engine| allowed.contains(engine))
                 .filter(|engine| engine.accepts_requests())
                 .any(|engine| match engine.slots.get(adapter) {
                     None => false,
@@ -209,14 +209,14 @@
 
     /// Whether an adapter should be loaded on a further engine: enough requests wait for it, all
     /// engines that hold it are full, and another engine has free batch slots.
-    fn needs_copy(&self, adapter: &AdapterRef, site: &AllowedEngines, now: Time) -> bool {
-        if site.assigned.is_some() || self.queue.demand(adapter).waiting < MIN_WAITING_FOR_COPY {
+    fn needs_copy(&self, adapter: &AdapterRef, allowed: &AllowedEngines, now: Time) -> bool {
+        if allowed.assigned.is_some() || self.queue.demand(adapter).waiting < MIN_WAITING_FOR_COPY {
             return false;
         }
         let accepting = || {
             self.engines
                 .values()
-                .filter(|engine| engine.accepts_requests() && site.contains(engine))
+                .filter(|engine| engine.accepts_requests() && allowed.contains(engine))
         };
         let all_full = accepting().all(|engine| match engine.slots.get(adapter) {
             None => true,
@@ -243,7 +243,7 @@
         let possible: Vec<&Engine> = self
             .engines
             .values()
-            .filter(|engine| wanted.site.contains(engine))
+            .filter(|engine| wanted.allowed.contains(engine))
             .filter(|engine| !excluded.contains(&engine.id))
             .filter(|engine| !self.loading.planned_loads.contains_key(&engine.id))
             .filter(|engine| engine.can_load(&wanted.adapter, now))
@@ -327,7 +327,7 @@
         let engines = self
             .engines
             .values()
-            .filter(|engine| wanted.site.contains(engine))
+            .filter(|engine| wanted.allowed.contains(engine))
             .filter(|engine| engine.can_load(&wanted.adapter, now) && engine.free_slots() == 0);
         let mut candidates = Vec::new();
         for engine in engines {
