Log the prompt parts at a crashed target, and count answers without length and chunks

It names the shared parts now, with the time that the longest run with each had lasted, and says which had not begun.

An answer with neither a length nor chunks that ends is counted, as bluebellstage_unframed_answers_total: such an end may be a crash.

No decision changes. Metrics of crashes stand in a file of their own.

--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -8,6 +8,7 @@
 use super::brittle::ReportedBrittleness;
 use super::departures::ReportedDeparture;
 use super::limits::ReportedLimit;
+use super::quarantine::PromptPart;
 use super::rests::ReportedRest;
 
 /// A caller's request, decoded once at the edge.
@@ -31,6 +32,8 @@
     pub prompt_tokens: Tokens,
     /// Hash of the shared prefix of the prompt; requests with the same prefix reuse an engine's cache.
     pub prompt_prefix: Option<u64>,
+    /// The parts of the prompt that requests share, in order and each once.
+    pub prompt_parts: Vec<PromptPart>,
     /// Number of the last event that the caller already has.
     pub resume_after: Option<u64>,
     /// The attempt whose stream the request continues.
--- a/crates/gateway/src/decide/quarantine/message.rs
+++ b/crates/gateway/src/decide/quarantine/message.rs
@@ -6,12 +6,17 @@
 
 use super::decision::QuarantineDecision;
 use super::fingerprint::Fingerprint;
+use super::prompt_part::PromptPart;
 use crate::decide::rendezvous::ShortHash;
 
-/// Upper bound of a message's encoded size without interrupted runs, in bytes.
+/// Upper bound of a message's encoded size without interrupted runs and parts, in bytes.
 const MESSAGE_BYTES: usize = 64;
 /// Upper bound of an interrupted run's encoded size, in bytes.
 const INTERRUPTED_RUN_BYTES: usize = 40;
+/// Upper bound of an interrupted part's encoded size, in bytes.
+const INTERRUPTED_PART_BYTES: usize = 24 + MAX_REQUESTS_PER_PART * 9;
+/// Max number of requests that are named for a part.
+const MAX_REQUESTS_PER_PART: usize = 4;
 
 /// A message about crashes or quarantined requests.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -29,7 +34,11 @@
     #[must_use]
     pub const fn estimated_bytes(&self) -> usize {
         match self {
-            Self::Crashed(crash) => MESSAGE_BYTES + crash.interrupted.len() * INTERRUPTED_RUN_BYTES,
+            Self::Crashed(crash) => {
+                MESSAGE_BYTES
+                    + crash.interrupted.len() * INTERRUPTED_RUN_BYTES
+                    + crash.parts.len() * INTERRUPTED_PART_BYTES
+            }
             Self::Served(_) | Self::Decided(_) => MESSAGE_BYTES,
         }
     }
@@ -52,6 +61,10 @@
     pub age_ms: u32,
     /// Interrupted runs that the sender knows of.
     pub interrupted: Vec<InterruptedRun>,
+    /// Shared parts of the prompts of these runs.
+    pub parts: Vec<InterruptedPart>,
+    /// Number of other targets at which the sender had runs with shared parts.
+    pub sampled_targets: u16,
 }
 
 /// A run that was interrupted by a crash.
@@ -64,6 +77,21 @@
     pub run_ms: u32,
 }
 
+/// A part of the prompts of runs that were interrupted by a crash.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct InterruptedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Milliseconds that the longest of its runs had lasted, as in [`InterruptedRun::run_ms`].
+    pub run_ms: u32,
+    /// Whether the target had begun to respond to a request with the part.
+    pub has_begun: bool,
+    /// First bits of the fingerprints of its requests; the same number is the same request.
+    pub requests: Vec<u64>,
+    /// Number of other targets that had been running the part for longer, of those sampled.
+    pub older_targets: u16,
+}
+
 impl Crash {
     /// Creates a report of a crash that happened `age` ago.
     #[must_use]
@@ -78,6 +106,46 @@
             targets,
             age_ms: millis(age),
             interrupted,
+            parts: Vec::new(),
+            sampled_targets: 0,
+        }
+    }
+}
+
+impl InterruptedPart {
+    /// Creates a part of a request that was interrupted after `run_time`.
+    #[must_use]
+    pub fn new(
+        part: PromptPart,
+        request: Fingerprint,
+        run_time: Duration,
+        has_begun: bool,
+    ) -> Self {
+        Self {
+            part,
+            run_ms: millis(run_time),
+            has_begun,
+            requests: vec![request.bits()],
+            older_targets: 0,
+        }
+    }
+
+    /// Returns how long the longest run with the part had lasted.
+    #[must_use]
+    pub const fn run_time(&self) -> Duration {
+        Duration::from_millis(self.run_ms as u64)
+    }
+
+    /// Adds what another run or instance shows of the part. Runs that have not begun count only if none has.
+    pub fn merge(&mut self, other: &Self) {
+        for request in &other.requests {
+            if self.requests.len() < MAX_REQUESTS_PER_PART && !self.requests.contains(request) {
+                self.requests.push(*request);
+            }
+        }
+        if (other.has_begun, other.run_ms) > (self.has_begun, self.run_ms) {
+            self.has_begun = other.has_begun;
+            self.run_ms = other.run_ms;
         }
     }
 }
--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -9,6 +9,8 @@
 mod decision;
 mod fingerprint;
 mod message;
+mod prompt_part;
+mod runs;
 mod suspects;
 
 use std::collections::{HashMap, VecDeque};
@@ -19,7 +21,9 @@
 
 pub use self::decision::{AgedDecision, DecisionKind, QuarantineDecision};
 pub use self::fingerprint::{BadFingerprint, Fingerprint};
-pub use self::message::{Crash, InterruptedRun, QuarantineMessage};
+pub use self::message::{Crash, InterruptedPart, InterruptedRun, QuarantineMessage};
+pub use self::prompt_part::{BadPromptPart, PromptPart};
+pub use self::runs::{PartsAtCrash, RunKey, Runs};
 use self::suspects::Suspects;
 use super::rendezvous::{ShortHash, weight};
 
@@ -54,6 +58,8 @@
 /// Requests that crash targets, and requests suspected of it.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    /// Runs of this instance whose prompts have shared parts.
+    pub runs: Runs,
     suspects: Suspects,
     decisions: HashMap<Fingerprint, StoredDecision>,
     /// Combined digest of all decisions.
@@ -309,6 +315,7 @@
 
     /// Removes expired entries; returns the requests whose decisions have expired.
     pub fn sweep(&mut self, now: Time) -> Vec<Fingerprint> {
+        self.runs.sweep(now);
         self.suspects.sweep(now);
         let expired = |held: &&StoredDecision| now.since(held.since) >= DECISION_TTL;
         let expired = self.decisions.values().filter(expired);
--- /dev/null
+++ b/crates/gateway/src/decide/quarantine/runs.rs
@@ -0,0 +1,148 @@
+//! Runs of this instance whose prompts have shared parts, by the target that runs them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bluebellstage_core::{TargetId, Time};
+use slotmap::{SlotMap, new_key_type};
+
+use super::fingerprint::Fingerprint;
+use super::message::InterruptedPart;
+use super::prompt_part::PromptPart;
+
+/// How long a run that has ended may still be the cause of a crash of its target.
+const ENDED_RUN_RETENTION: Duration = Duration::from_millis(100);
+/// How long an ended run is kept: the check whether its target crashed takes up to this time.
+const SWEEP_AFTER: Duration = Duration::from_secs(1);
+
+new_key_type! {
+    /// Identifies a run of this instance.
+    pub struct RunKey;
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    target: TargetId,
+    request: Fingerprint,
+    parts: Box<[PromptPart]>,
+    sent: Time,
+    /// When the target began to respond.
+    begun: Option<Time>,
+    ended: Option<Time>,
+}
+
+impl Run {
+    fn is_running(&self) -> bool {
+        self.begun.is_some() && self.ended.is_none()
+    }
+
+    /// Returns whether the run was at its target at a time, or had only just ended.
+    fn was_at_target(&self, at: Time) -> bool {
+        let since = self.begun.unwrap_or(self.sent);
+        since <= at
+            && self
+                .ended
+                .is_none_or(|ended| ended + ENDED_RUN_RETENTION >= at)
+    }
+}
+
+/// The parts of prompts at a target when it crashed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartsAtCrash {
+    /// The parts.
+    pub parts: Vec<InterruptedPart>,
+    /// Number of other targets at which this instance had runs with shared parts.
+    pub sampled_targets: u16,
+}
+
+/// Runs of this instance whose prompts have shared parts.
+#[derive(Debug, Default)]
+pub struct Runs {
+    runs: SlotMap<RunKey, Run>,
+}
+
+impl Runs {
+    /// Records that a request is sent to a target; returns `None` if its prompt has no shared parts.
+    pub fn send(
+        &mut self,
+        target: &TargetId,
+        request: Fingerprint,
+        parts: &[PromptPart],
+        now: Time,
+    ) -> Option<RunKey> {
+        let run = || Run {
+            target: target.clone(),
+            request,
+            parts: parts.into(),
+            sent: now,
+            begun: None,
+            ended: None,
+        };
+        (!parts.is_empty()).then(|| self.runs.insert(run()))
+    }
+
+    /// Records that the target began to respond.
+    pub fn begin(&mut self, key: RunKey, now: Time) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.begun = Some(now);
+        }
+    }
+
+    /// Records that a run has ended.
+    pub fn end(&mut self, key: RunKey, now: Time) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.ended = Some(now);
+        }
+    }
+
+    /// Returns the parts of the prompts that were at a target when it crashed.
+    #[must_use]
+    pub fn parts_at_crash(&self, target: &TargetId, at: Time) -> PartsAtCrash {
+        let mut parts = BTreeMap::<PromptPart, InterruptedPart>::new();
+        let runs = self.runs.values();
+        for run in runs.filter(|run| run.target == *target && run.was_at_target(at)) {
+            let run_time = at.since(run.begun.unwrap_or(run.sent));
+            for part in &run.parts {
+                let new = InterruptedPart::new(*part, run.request, run_time, run.begun.is_some());
+                match parts.get_mut(part) {
+                    Some(known) => known.merge(&new),
+                    None => _ = parts.insert(*part, new),
+                }
+            }
+        }
+        let mut parts = parts.into_values().collect::<Vec<_>>();
+        for part in &mut parts {
+            part.older_targets = self.targets_with_older_run(target, part, at);
+        }
+        let others = self.runs.values().filter(|run| run.is_running());
+        let others = others.filter(|run| run.target != *target);
+        let others = others.map(|run| &run.target).collect::<BTreeSet<_>>();
+        PartsAtCrash {
+            parts,
+            sampled_targets: saturate(others.len()),
+        }
+    }
+
+    /// Returns the number of other targets that have been running a part for longer than the crashed target.
+    fn targets_with_older_run(&self, crashed: &TargetId, part: &InterruptedPart, at: Time) -> u16 {
+        let begun_before = at - part.run_time();
+        let runs = self.runs.values().filter(|run| run.target != *crashed);
+        let older = runs.filter(|run| {
+            run.is_running()
+                && run.begun.is_some_and(|begun| begun < begun_before)
+                && run.parts.contains(&part.part)
+        });
+        let targets = older.map(|run| &run.target).collect::<BTreeSet<_>>();
+        saturate(targets.len())
+    }
+
+    /// Removes runs that ended a while ago.
+    pub fn sweep(&mut self, now: Time) {
+        self.runs
+            .retain(|_, run| run.ended.is_none_or(|ended| now.since(ended) < SWEEP_AFTER));
+    }
+}
+
+fn saturate(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -12,10 +12,12 @@
 use crate::decide::call::{Call, Forward, ResponseHead};
 use crate::decide::health::TargetOutcome;
 use crate::decide::limits::{Change, ReportedLimit};
+use crate::decide::quarantine::Fingerprint;
 use crate::decide::rests::ReportedRest;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
+use super::framing::Framing;
 use super::in_flight::InFlight;
 use super::log::{LogEvent, event};
 use super::node::Node;
@@ -37,6 +39,7 @@
     pub(super) head: ResponseHead,
     pub(super) body: Incoming,
     pub(super) in_flight: InFlight<E>,
+    framing: Framing,
     connection: Connection,
 }
 
@@ -114,6 +117,7 @@
     pub(super) head: &'a request::Parts,
     pub(super) body: &'a Bytes,
     pub(super) call: &'a Call,
+    pub(super) fingerprint: Fingerprint,
     /// Whether a pooled connection may be used.
     pub(super) reuse: bool,
     /// The service that runs the request.
@@ -295,6 +299,7 @@
         in_flight.record_started();
     }
     Attempt::Response(Box::new(TargetResponse {
+        framing: Framing::of(&parts, &body),
         parts,
         head,
         body,
@@ -374,12 +379,16 @@
             head,
             body,
             mut in_flight,
+            framing,
             connection,
         } = self;
         let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
         let read = tokio::time::timeout(timeout, reading).await;
         let failure = match read {
             Ok(Ok(body)) => {
+                if framing == Framing::Connection {
+                    in_flight.node.metrics.crashes.unframed_response_ended();
+                }
                 let failed = parts.status.is_server_error();
                 in_flight.record_outcome(if failed {
                     TargetOutcome::Failure
@@ -404,6 +413,7 @@
             head: self.head,
             body: self.body,
             in_flight: self.in_flight,
+            framing: self.framing,
             connection: self.connection,
         };
         (self.parts, source)
@@ -416,12 +426,20 @@
     head: ResponseHead,
     pub(super) body: Incoming,
     pub(super) in_flight: InFlight<E>,
+    framing: Framing,
     connection: Connection,
 }
 
 impl<E: Edge> TargetStream<E> {
     /// Handles the regular end of the stream: returns the connection to the pool.
     pub(super) fn finish(self) {
+        if self.framing == Framing::Connection {
+            self.in_flight
+                .node
+                .metrics
+                .crashes
+                .unframed_response_ended();
+        }
         return_to_pool(&self.in_flight, &self.head, self.connection);
     }
 }
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -13,7 +13,9 @@
 use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 
-use crate::decide::quarantine::{Crash, EVALUATION_DELAY, InterruptedRun};
+use crate::decide::quarantine::{
+    Crash, EVALUATION_DELAY, InterruptedPart, InterruptedRun, PartsAtCrash,
+};
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::target::Target;
 use crate::edge::Edge;
@@ -33,8 +35,8 @@
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a check is kept, for runs whose interruption is noticed late.
 const CHECK_RETENTION: Duration = Duration::from_secs(5);
-/// Max number of fingerprints in one log line.
-const MAX_LOGGED_FINGERPRINTS: usize = 80;
+/// Max number of requests, and of prompt parts, in one log line.
+const MAX_LOGGED_NAMES: usize = 80;
 
 /// Result of the check of a target on which runs were interrupted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -180,7 +182,7 @@
             .set_result(target.incarnation, CheckResult::Alive);
         return;
     }
-    node.metrics.target_crashed();
+    node.metrics.crashes.target_crashed();
     tokio::time::sleep(GATHER_DELAY).await;
     let mut interrupted_runs = report(&node, &target);
     node.crash_checks
@@ -235,16 +237,37 @@
     else {
         return Vec::new();
     };
-    let named = interrupted_runs.iter().take(MAX_LOGGED_FINGERPRINTS);
-    let named = named.map(|run| format!("{}:{}", run.request, run.run_ms));
-    let requests = named.collect::<Vec<_>>().join(" ");
-    let [id, count] = [target.id.to_string(), interrupted_runs.len().to_string()];
-    event(
-        LogEvent::TargetEnded,
-        &[("target", &id), ("cut", &count), ("requests", &requests)],
-    );
+    let PartsAtCrash {
+        parts,
+        sampled_targets,
+    } = node.tables().quarantine.runs.parts_at_crash(&target.id, at);
+    log_crash(target, &interrupted_runs, &parts);
     let age = node.now().since(at);
-    let crash = Crash::new(target.incarnation, target.live_count, age, interrupted_runs);
+    let crash = Crash {
+        parts,
+        sampled_targets,
+        ..Crash::new(target.incarnation, target.live_count, age, interrupted_runs)
+    };
     quarantine::record_crash(node, &crash);
     crash.interrupted
 }
+
+fn log_crash(target: &Serving, runs: &[InterruptedRun], parts: &[InterruptedPart]) {
+    let requests = runs.iter().take(MAX_LOGGED_NAMES);
+    let requests = requests.map(|run| format!("{}:{}", run.request, run.run_ms));
+    let requests = requests.collect::<Vec<_>>().join(" ");
+    let parts = parts.iter().take(MAX_LOGGED_NAMES);
+    let parts = parts.map(|part| {
+        let waiting = if part.has_begun { "" } else { ":waiting" };
+        format!("{}:{}{waiting}", part.part, part.run_ms)
+    });
+    let parts = parts.collect::<Vec<_>>().join(" ");
+    let [id, count] = [target.id.to_string(), runs.len().to_string()];
+    let fields = [
+        ("target", &*id),
+        ("cut", &*count),
+        ("requests", &*requests),
+        ("parts", &*parts),
+    ];
+    event(LogEvent::TargetEnded, &fields);
+}
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -531,6 +531,7 @@
             head: &self.head,
             body: &self.body,
             call: &self.call,
+            fingerprint: self.fingerprint,
             reuse: kind != RouteKind::Unsafe,
             service,
             max_wait_without_path: kind
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -9,6 +9,7 @@
 use crate::decide::adapter::AdapterKey;
 use crate::decide::health::TargetOutcome;
 use crate::decide::prompt_queues::WaitingKey;
+use crate::decide::quarantine::RunKey;
 use crate::decide::tables::Tables;
 use crate::edge::Edge;
 use crate::packet::{AdapterRequest, AdapterRequestKind};
@@ -28,6 +29,8 @@
     adapter: Option<AdapterKey>,
     /// Its entry in the engine's queue; `None` once the request has started, and at plain targets.
     waiting: Option<WaitingKey>,
+    /// Its run, if its prompt has shared parts.
+    run: Option<RunKey>,
     pub(super) sent: Time,
     /// The request was in flight at a target that crashed.
     suspect: bool,
@@ -58,6 +61,8 @@
         let call = params.call;
         let prompts = call.wanted.is_some();
         let waiting = prompts.then(|| tables.record_prompt(target, call, now));
+        let runs = &mut tables.quarantine.runs;
+        let run = runs.send(target, params.fingerprint, &call.prompt_parts, now);
         drop(tables);
         let in_flight = Self {
             node: Arc::clone(node),
@@ -66,6 +71,7 @@
             address,
             adapter: Tables::adapter_of(params.call).cloned(),
             waiting,
+            run,
             sent: now,
             suspect: params.suspect,
             responding_since: None,
@@ -87,12 +93,14 @@
 
     /// Records that the engine has started the request. Engines send the response head with the first event.
     pub(super) fn record_started(&mut self) {
-        self.responding_since = Some(self.node.now());
+        let now = self.node.now();
+        self.responding_since = Some(now);
+        let mut tables = self.node.tables();
+        if let Some(run) = self.run {
+            tables.quarantine.runs.begin(run, now);
+        }
         if let Some(waiting) = self.waiting.take() {
-            self.node
-                .tables()
-                .queues
-                .record_started(waiting, self.node.now());
+            tables.queues.record_started(waiting, now);
         }
     }
 
@@ -177,8 +185,12 @@
 
 impl<E: Edge> Drop for InFlight<E> {
     fn drop(&mut self) {
+        let now = self.node.now();
         let mut tables = self.node.tables();
         tables.end_request(&self.target);
+        if let Some(run) = self.run {
+            tables.quarantine.runs.end(run, now);
+        }
         if self.suspect {
             tables.end_suspect(&self.target);
         }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -12,6 +12,7 @@
 use crate::decide::kind::Kind;
 use crate::decide::tables::Tables;
 
+use super::crash_metrics::CrashMetrics;
 use super::stream_metrics::StreamMetrics;
 
 /// Bounds of the duration buckets in seconds: 1 ms to 15 s, the max wait of callers.
@@ -22,6 +23,7 @@
 /// Instruments of this process.
 pub(super) struct Metrics {
     instruments: Instruments,
+    pub(super) crashes: CrashMetrics,
     pub(super) streams: StreamMetrics,
     requests: Counter<u64>,
     refusals: Counter<u64>,
@@ -32,9 +34,6 @@
     lost_services: Gauge<u64>,
     paths_lost: Counter<u64>,
     forwarded: Counter<u64>,
-    target_crashes: Counter<u64>,
-    quarantined: Counter<u64>,
-    quarantine: Gauge<u64>,
     limited: Gauge<u64>,
     unknown_headers: Counter<u64>,
     malformed_headers: Counter<u64>,
@@ -108,15 +107,6 @@
                 "bluebellstage.forwarded_requests",
                 "Requests forwarded to peers, by outcome",
             ),
-            target_crashes: counter(
-                "bluebellstage.targets_ended",
-                "Targets that ended while they ran requests of this instance",
-            ),
-            quarantined: counter(
-                "bluebellstage.quarantined",
-                "Requests quarantined here because targets end under them",
-            ),
-            quarantine: gauge("bluebellstage.quarantine", "Requests that are quarantined"),
             limited: gauge("bluebellstage.limited_targets", "Targets that name a limit"),
             unknown_headers: counter(
                 "bluebellstage.unknown_headers",
@@ -177,6 +167,7 @@
                 "bluebellstage.news_readers",
                 "Instances that this one relays news to",
             ),
+            crashes: CrashMetrics::new(&instruments),
             streams: StreamMetrics::new(&instruments),
             instruments,
         }
@@ -234,16 +225,6 @@
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
-    /// Counts a crash of a target that ran requests of this instance.
-    pub(super) fn target_crashed(&self) {
-        self.target_crashes.add(1, &[]);
-    }
-
-    /// Counts a request that was quarantined here.
-    pub(super) fn request_quarantined(&self) {
-        self.quarantined.add(1, &[]);
-    }
-
     /// Counts a header of a target's response that nothing reads.
     pub(super) fn unknown_header(&self, name: &str) {
         let name = KeyValue::new("name", name.to_owned());
@@ -298,14 +279,13 @@
     pub(super) fn text(&self, tables: &Tables, connections: usize, now: Time) -> String {
         self.config_version.record(tables.routes.version().0, &[]);
         self.record_open_store_calls(tables, now);
-        let refused = tables.quarantine.refused(now).count();
-        self.quarantine.record(count(refused), &[]);
         self.limited
             .record(count(tables.limits.iter().count()), &[]);
         self.unreachable
             .record(count(tables.paths.failing_count()), &[]);
         self.lost_services
             .record(count(tables.partitions.lost().count()), &[]);
+        self.crashes.record(tables, now);
         self.streams.record(tables, now);
         self.departing.record(count(tables.departures.count()), &[]);
         self.brittle.record(count(tables.brittle.count()), &[]);
--- a/crates/gateway/src/net/quarantine.rs
+++ b/crates/gateway/src/net/quarantine.rs
@@ -34,7 +34,7 @@
     let now = node.now();
     let refused = node.tables().quarantine.evaluate(requests, now);
     for decision in &refused {
-        node.metrics.request_quarantined();
+        node.metrics.crashes.request_quarantined();
         let [request, target] = [decision.request.to_string(), target.to_string()];
         let fields = [("fingerprint", &*request), ("target", &*target)];
         event(LogEvent::RequestQuarantined, &fields);
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -174,12 +174,8 @@
     let interrupted = interrupted.iter();
     let interrupted = interrupted
         .map(|(body, run_ms)| InterruptedRun::new(request(body), Duration::from_millis(*run_ms)));
-    Crash {
-        incarnation: ShortHash::of(incarnation),
-        targets: 9,
-        age_ms: 0,
-        interrupted: interrupted.collect(),
-    }
+    let interrupted = interrupted.collect();
+    Crash::new(ShortHash::of(incarnation), 9, Duration::ZERO, interrupted)
 }
 
 fn requests_of(crash: &Crash) -> Vec<Fingerprint> {
--- a/crates/gateway/tests/support/crashes.rs
+++ b/crates/gateway/tests/support/crashes.rs
@@ -398,12 +398,10 @@
         interrupted: Vec<InterruptedRun>,
         retries: Vec<Request>,
     ) {
-        let crash = Crash {
-            incarnation: ShortHash::of(&format!("life {incarnation}")),
-            targets: u32::try_from(1 + self.engines.iter().flatten().count()).unwrap(),
-            age_ms: u32::try_from(DETECTION_MS).unwrap(),
-            interrupted,
-        };
+        let targets = u32::try_from(1 + self.engines.iter().flatten().count()).unwrap();
+        let incarnation = ShortHash::of(&format!("life {incarnation}"));
+        let age = Duration::from_millis(DETECTION_MS);
+        let crash = Crash::new(incarnation, targets, age, interrupted);
         let requests = crash.interrupted.iter().map(|run| run.request).collect();
         let messages = self.instances[instance].record_crash(&crash, time(self.now));
         self.broadcast_and_resend(instance, messages);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -209,6 +209,7 @@
         tokens: None,
         prompt_tokens: Tokens(0),
         prompt_prefix: None,
+        prompt_parts: Vec::new(),
         resume_after: None,
         resumes: ResumedAttempt::Unnamed,
     }
