Don't take the end of a connection for the end of an answer

Callers got half an answer as a whole one when a target crashed between two events, or midway in a plain answer, of a response with neither a length nor chunks: three events of six, and 200 with half a filing's answer. No check of the target started, and the request was cleared of suspicion for 10 s.

Cause: the end of such a body was read as its completeness. Class: a closed connection is taken for an end that its sender meant.

The end counts now only if the target still takes a connection, which is then kept for requests; one that it closes at once is tried again, as a process that ends may still have it in its backlog. Otherwise the run was interrupted: the stream is resumed or broken off, a read is repeated, an unsafe request fails, and the crash check starts.

Five tests of answers_without_length failed before, and pass; the sound answers of its sixth passed and pass. Not covered: an instance that is suspended between the end and the check, while another process takes the target's address.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -385,10 +385,8 @@
         let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
         let read = tokio::time::timeout(timeout, reading).await;
         let failure = match read {
+            Ok(Ok(_)) if !in_flight.confirms_end(framing).await => Failure::Broken,
             Ok(Ok(body)) => {
-                if framing == Framing::Connection {
-                    in_flight.node.metrics.crashes.unframed_response_ended();
-                }
                 let failed = parts.status.is_server_error();
                 in_flight.record_outcome(if failed {
                     TargetOutcome::Failure
@@ -431,15 +429,13 @@
 }
 
 impl<E: Edge> TargetStream<E> {
+    /// Returns whether the end of the body shows that the stream is complete.
+    pub(super) async fn confirms_end(&self) -> bool {
+        self.in_flight.confirms_end(self.framing).await
+    }
+
     /// Handles the regular end of the stream: returns the connection to the pool.
     pub(super) fn finish(self) {
-        if self.framing == Framing::Connection {
-            self.in_flight
-                .node
-                .metrics
-                .crashes
-                .unframed_response_ended();
-        }
         return_to_pool(&self.in_flight, &self.head, self.connection);
     }
 }
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -23,12 +23,10 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::quarantine;
-use super::target_connection::connect_to_target;
+use super::target_connection::{PROBE_TIMEOUT, connect_to_target};
 
 /// Number of other targets that are probed to find out whether this instance reaches any.
 const PATH_PROBES: usize = 3;
-/// Timeout for the connection that shows whether the target crashed.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time during which the other runs that were interrupted with the first one are collected.
 const GATHER_DELAY: Duration = Duration::from_millis(8);
 /// Max wait of an interrupted request for the result of the check.
--- a/crates/gateway/src/net/crash_metrics.rs
+++ b/crates/gateway/src/net/crash_metrics.rs
@@ -2,6 +2,7 @@
 
 use bluebellstage_core::Time;
 use bluebellstage_telemetry::instruments::Instruments;
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge};
 
 use crate::decide::tables::Tables;
@@ -29,7 +30,7 @@
                 .gauge("bluebellstage.quarantine", "Requests that are quarantined"),
             unframed_responses: instruments.counter(
                 "bluebellstage.unframed_answers",
-                "Answers with neither a length nor chunks, which ended with their connection",
+                "Answers with neither a length nor chunks, by whether their target outlived them",
             ),
         }
     }
@@ -44,9 +45,15 @@
         self.quarantined.add(1, &[]);
     }
 
-    /// Counts a response that ended with its connection.
-    pub(super) fn unframed_response_ended(&self) {
-        self.unframed_responses.add(1, &[]);
+    /// Counts a response that ended with its connection, by whether its target still ran.
+    pub(super) fn unframed_response_ended(&self, is_confirmed: bool) {
+        let end = if is_confirmed {
+            "confirmed"
+        } else {
+            "doubtful"
+        };
+        let end = KeyValue::new("end", end);
+        self.unframed_responses.add(1, &[end]);
     }
 
     /// Updates the gauges.
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -15,8 +15,10 @@
 use crate::packet::{AdapterRequest, AdapterRequestKind};
 
 use super::attempt::{Attempt, FailedRun, Failure, SendParams};
+use super::framing::Framing;
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::target_connection::still_runs;
 
 /// Counts a request as in flight at a target until it is dropped.
 #[derive(Debug)]
@@ -171,6 +173,18 @@
         registered.map_or(&self.software, |known| &known.software)
     }
 
+    /// Returns whether the end of the response's body shows that the response is complete. If the end of the
+    /// connection marks it, the target must still run: a crash ends the connection alike.
+    pub(super) async fn confirms_end(&self, framing: Framing) -> bool {
+        if framing == Framing::Explicit {
+            return true;
+        }
+        let is_confirmed = still_runs(&self.node, &self.target, self.address).await;
+        let metrics = &self.node.metrics.crashes;
+        metrics.unframed_response_ended(is_confirmed);
+        is_confirmed
+    }
+
     /// Time since the request was sent.
     pub(super) fn age(&self) -> Duration {
         self.node.now().since(self.sent)
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -93,6 +93,14 @@
         }
     }
 
+    /// Returns whether the end of the body shows that the stream is complete. A peer's body has chunks.
+    async fn confirms_end(&self) -> bool {
+        match self {
+            Self::Target(source) => source.confirms_end().await,
+            Self::Peer(_) => true,
+        }
+    }
+
     fn finish(self) {
         match self {
             Self::Target(source) => source.finish(),
@@ -201,6 +209,9 @@
                 Chunk::End if !self.has_started => {
                     StreamFailure::Interrupted("the stream ended before its first event")
                 }
+                Chunk::End if !self.is_end_confirmed().await => {
+                    StreamFailure::Interrupted("the connection and the target ended")
+                }
                 Chunk::End => {
                     if let Some(source) = self.source.take() {
                         source.finish();
@@ -239,6 +250,13 @@
         true
     }
 
+    async fn is_end_confirmed(&self) -> bool {
+        match &self.source {
+            Some(source) => source.confirms_end().await,
+            None => true,
+        }
+    }
+
     fn record_event(&mut self) {
         let first = !std::mem::replace(&mut self.has_started, true);
         if let Some(source) = &mut self.source
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -19,6 +19,11 @@
 /// that took longer failed because this instance was suspended or had no processor time.
 const MAX_OVERRUN: Duration = Duration::from_millis(150);
 
+/// Timeout for a connection that shows whether a target still runs.
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which a process that is ending has closed the connections that its listener still accepted.
+const CLOSE_DELAY: Duration = Duration::from_millis(5);
+
 /// Opens a connection to a target.
 ///
 /// # Errors
@@ -62,3 +67,23 @@
     let connection = Connection::handshake(stream).await;
     connection.map_err(std::io::Error::other)
 }
+
+/// Returns whether a target that has just closed a connection still runs, as far as this instance can tell. A
+/// connection that shows this is kept for requests.
+pub(super) async fn still_runs<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+) -> bool {
+    let Ok(connection) = open(node, target, address, PROBE_TIMEOUT).await else {
+        return false;
+    };
+    tokio::time::sleep(CLOSE_DELAY).await;
+    if !connection.tx.is_closed() {
+        node.pool.put(target, connection, None);
+        return true;
+    }
+    // A target with too many connections closes new ones, too.
+    let connected = connect_to_target(node, target, address, PROBE_TIMEOUT).await;
+    connected.is_ok()
+}
