--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -416,6 +416,12 @@
         parts.filter(|(_, evidence)| evidence.crashes > 1)
     }
 
+    /// Returns the number of parts that are remembered with crashes.
+    #[must_use]
+    pub fn part_count(&self) -> usize {
+        self.part_suspects.iter().count()
+    }
+
     /// Returns a digest that differs between instances with different decisions. It is zero if there are no
     /// decisions or the maximum number: at the maximum, instances hold different sets and would copy from
     /// each other forever.
--- a/crates/gateway/src/decide/quarantine/part_suspects.rs
+++ b/crates/gateway/src/decide/quarantine/part_suspects.rs
@@ -19,17 +19,19 @@
 /// Number of crashes from which less evidence suffices.
 const CERTAIN_CRASHES: usize = 5;
 /// Decimal digits of significance that a refusal needs: the probability that any part was in its crashes by
-/// coincidence must be below 1e-7.
-const MIN_SIGNIFICANCE_DIGITS: f64 = 7.0;
-/// The same from [`CERTAIN_CRASHES`] on. It is more than a part reaches that runs on most targets.
+/// coincidence must be below 1e-6.
+const MIN_SIGNIFICANCE_DIGITS: f64 = 6.0;
+/// The same from [`CERTAIN_CRASHES`] on.
 const CERTAIN_SIGNIFICANCE_DIGITS: f64 = 5.0;
+/// Decimal digits that are needed in addition against a part with which targets have lately outlived runs.
+const SURVIVED_DIGITS: f64 = 3.0;
 /// Decimal digits that crashes without the part's most frequent request must give: otherwise that request alone may
 /// be the cause.
-const MIN_INDEPENDENT_DIGITS: f64 = 2.0;
+const MIN_INDEPENDENT_DIGITS: f64 = 3.0;
 /// Decimal digits by which the cause must exceed every other part that was in the same crashes.
 const MIN_LEAD_DIGITS: f64 = 2.0;
 /// Crashes that are closer in time are one outage and one piece of evidence.
-const OUTAGE_GAP: Duration = Duration::from_millis(25);
+const OUTAGE_GAP: Duration = Duration::from_millis(10);
 /// Minimum number of other targets whose runs tell how widespread a part is.
 const MIN_SAMPLED_TARGETS: u32 = 3;
 /// Minimum time for which a target must outlive the start of a run to show that the run's parts are sound.
@@ -99,17 +101,21 @@
 }
 
 impl PartCrash {
-    /// Returns the decimal digits of significance that the crash gives against a part: the negative logarithm of the
-    /// probability that it was there by coincidence.
-    fn digits(&self, part: PromptPart) -> f64 {
+    /// Returns the probability that a part was there by coincidence.
+    fn coincidence(&self, part: PromptPart) -> f64 {
         let Some(at_crash) = self.parts.get(&part) else {
-            return 0.0;
+            return 1.0;
         };
         let merged = at_crash.merged();
         let total_ms = merged.map_or(0, |part| part.total_ms);
         let run_time = Duration::from_millis(u64::from(total_ms)).max(MIN_RUN_TIME);
         let interrupted = self.rate * run_time.as_secs_f64();
-        -interrupted.max(at_crash.older_fraction()).min(1.0).log10()
+        interrupted.max(at_crash.older_fraction()).min(1.0)
+    }
+
+    fn has_begun(&self, part: PromptPart) -> bool {
+        let merged = self.parts.get(&part).and_then(PartAtCrash::merged);
+        merged.is_some_and(|part| part.has_begun)
     }
 
     fn has_request(&self, part: PromptPart, request: u64) -> bool {
@@ -176,6 +182,8 @@
             explained: false,
             parts: BTreeMap::new(),
         });
+        // The report that took the shortest way tells the time best.
+        crash.at = crash.at.min(at);
         if crash.explained {
             return false;
         }
@@ -300,12 +308,26 @@
         crashes.filter_map(|incarnation| self.crashes.get(incarnation))
     }
 
-    /// Returns the crashes of a part that nothing explains, in order of time, one for each outage.
+    /// Returns the crashes that a part may have caused, in order of time, one for each outage.
+    ///
+    /// A part that crashes targets before they respond never begins. If targets did respond to requests with the part,
+    /// it does not crash them while such a request waits.
     fn crashes_of(&self, part: PromptPart) -> Vec<&PartCrash> {
         let mut crashes = self.all_crashes_of(part).collect::<Vec<_>>();
-        crashes.sort_by_key(|crash| crash.at);
-        crashes.dedup_by(|later, earlier| later.at.since(earlier.at) < OUTAGE_GAP);
-        crashes
+        if crashes.iter().any(|crash| crash.has_begun(part)) {
+            crashes.retain(|crash| crash.has_begun(part));
+        }
+        separate_outages(crashes)
+    }
+
+    /// Returns the number of crashes from the first to the last of those given that nothing explains.
+    fn crash_count_during(&self, crashes: &[&PartCrash]) -> usize {
+        let [Some(first), Some(last)] = [crashes.first(), crashes.last()] else {
+            return 0;
+        };
+        let unexplained = self.crashes.values().filter(|crash| !crash.explained);
+        let during = unexplained.filter(|crash| (first.at..=last.at).contains(&crash.at));
+        separate_outages(during.collect()).len()
     }
 
     /// Returns the number of crashes that a part was in and that nothing explains.
@@ -341,19 +363,26 @@
         if crashes.len() < MIN_CRASHES {
             return false;
         }
-        let evidence = evidence_against(part, &crashes);
+        let all = self.crash_count_during(&crashes);
+        let evidence = evidence_against(part, &crashes, all);
         let is_certain = evidence.crashes >= CERTAIN_CRASHES;
         let needed = if is_certain {
             CERTAIN_SIGNIFICANCE_DIGITS
         } else {
             MIN_SIGNIFICANCE_DIGITS + to_f64(self.crashes_by_part.len().max(1)).log10()
         };
+        let survived = if self.has_survived(part) {
+            SURVIVED_DIGITS
+        } else {
+            0.0
+        };
+        let needed = needed + survived;
         if evidence.digits < needed || evidence.independent_digits < MIN_INDEPENDENT_DIGITS {
             return false;
         }
         let mut rivals = rivals_of(part, &crashes);
         rivals.all(|rival| {
-            let lead = evidence.digits - evidence_against(rival, &crashes).digits;
+            let lead = evidence.digits - significance(rival, &crashes, all);
             let may_tie = is_certain && self.has_survived(part) <= self.has_survived(rival);
             lead >= if may_tie { 0.0 } else { MIN_LEAD_DIGITS }
         })
@@ -367,7 +396,8 @@
 
     /// Returns the evidence against a part.
     pub(super) fn evidence(&self, part: PromptPart) -> PartEvidence {
-        evidence_against(part, &self.crashes_of(part))
+        let crashes = self.crashes_of(part);
+        evidence_against(part, &crashes, self.crash_count_during(&crashes))
     }
 
     /// Removes expired entries.
@@ -384,15 +414,42 @@
     }
 }
 
-fn evidence_against(part: PromptPart, crashes: &[&PartCrash]) -> PartEvidence {
+/// Leaves one of the crashes that were close in time.
+fn separate_outages(mut crashes: Vec<&PartCrash>) -> Vec<&PartCrash> {
+    crashes.sort_by_key(|crash| crash.at);
+    crashes.dedup_by(|later, earlier| later.at.since(earlier.at) < OUTAGE_GAP);
+    crashes
+}
+
+/// Returns the decimal digits of significance that crashes give against a part, of `all` crashes in that time. Bounds
+/// the probability that it was in so many of them by coincidence.
+fn significance(part: PromptPart, crashes: &[&PartCrash], all: usize) -> f64 {
+    if crashes.is_empty() {
+        return 0.0;
+    }
+    let count = to_f64(crashes.len());
+    let coincidences = crashes.iter().map(|crash| crash.coincidence(part));
+    // The part may have met each of the other crashes as well.
+    let expected = coincidences.sum::<f64>() * to_f64(all.max(crashes.len())) / count;
+    if expected >= count {
+        return 0.0;
+    }
+    // The Chernoff bound on the tail of a sum of independent events.
+    let nats = count * (count / expected).ln() - (count - expected);
+    nats / std::f64::consts::LN_10
+}
+
+fn evidence_against(part: PromptPart, crashes: &[&PartCrash], all: usize) -> PartEvidence {
     let most_frequent = most_frequent_request(part, crashes);
-    let independent = crashes
-        .iter()
-        .filter(|crash| !most_frequent.is_some_and(|request| crash.has_request(part, request)));
+    let of_others = crashes.iter().copied();
+    let of_others =
+        of_others.filter(|crash| !most_frequent.is_some_and(|req| crash.has_request(part, req)));
+    let of_others = of_others.collect::<Vec<_>>();
+    let all_of_others = all.saturating_sub(crashes.len() - of_others.len());
     PartEvidence {
         crashes: crashes.len(),
-        digits: crashes.iter().map(|crash| crash.digits(part)).sum(),
-        independent_digits: independent.map(|crash| crash.digits(part)).sum(),
+        digits: significance(part, crashes, all),
+        independent_digits: significance(part, &of_others, all_of_others),
     }
 }
 
--- a/crates/gateway/src/decide/quarantine/suspects.rs
+++ b/crates/gateway/src/decide/quarantine/suspects.rs
@@ -210,9 +210,8 @@
 
     /// Returns the crash rate per second and target around the time of a crash.
     pub(super) fn crash_rate_at(&self, incarnation: ShortHash) -> f64 {
-        self.crashes
-            .get(&incarnation)
-            .map_or(0.0, |crash| crash.rate)
+        let crash = self.crashes.get(&incarnation);
+        crash.map_or(0.0, |crash| crash.rate)
     }
 
     /// Returns requests that were on crashed targets, with the number of these targets.
--- a/crates/gateway/tests/support/crashes.rs
+++ b/crates/gateway/tests/support/crashes.rs
@@ -2,7 +2,7 @@
 //! instances exchange messages over a network with delays and losses. Each instance runs the real quarantine.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -439,12 +439,8 @@
             }
             let after = self.rng.random_range(5..70);
             self.schedule(self.now + after, Event::Crash(engine));
-        } else if let Some(part) = run.request.bad_part {
-            self.outcome.crashes_under_part[part] += 1;
+        } else if run.request.bad_part.is_some() {
             let after = self.rng.random_range(CRASH_DELAY_MS);
-            if self.outcome.crashes_under_part[part] == MAX_PART_CRASHES {
-                self.fifth_crash_at[part] = Some(self.now + after);
-            }
             self.schedule(self.now + after, Event::Crash(engine));
         } else {
             self.schedule(self.now + duration_ms, Event::Finish(id));
@@ -497,6 +493,7 @@
         self.schedule(self.now + self.scenario.restart_ms, Event::Restart(engine));
         let running = self.runs.iter().filter(|(_, run)| run.engine == engine);
         let running = running.map(|(id, _)| *id).collect::<Vec<_>>();
+        self.count_crash_under_parts(&running);
         let mut by_instance = BTreeMap::<usize, (Vec<InterruptedRun>, Vec<Request>)>::new();
         for id in running {
             let run = self.runs.remove(&id).unwrap();
@@ -529,6 +526,18 @@
         }
     }
 
+    fn count_crash_under_parts(&mut self, running: &[u64]) {
+        let begun = running.iter().map(|id| &self.runs[id]);
+        let begun = begun.filter(|run| run.started_at.is_some());
+        let parts = begun.filter_map(|run| run.request.bad_part);
+        for part in parts.collect::<BTreeSet<_>>() {
+            self.outcome.crashes_under_part[part] += 1;
+            if self.outcome.crashes_under_part[part] == MAX_PART_CRASHES {
+                self.fifth_crash_at[part] = Some(self.now);
+            }
+        }
+    }
+
     fn handle_detected_crash(
         &mut self,
         instance: usize,
