Compare a part with those that were in half of its crashes

An instance had not heard yet that the bad part was in one of fifteen crashes, so that it was no rival of the sound one, whose evidence had grown with each crash.

Parts that were in at least half of the crashes are rivals now.

--- a/crates/gateway/src/decide/quarantine/part_suspects.rs
+++ b/crates/gateway/src/decide/quarantine/part_suspects.rs
@@ -27,7 +27,7 @@
 const SURVIVED_DIGITS: f64 = 3.0;
 /// Decimal digits that crashes without the part's most frequent request must give: otherwise that request alone may
 /// be the cause.
-const MIN_INDEPENDENT_DIGITS: f64 = 3.0;
+const MIN_INDEPENDENT_DIGITS: f64 = 2.0;
 /// Decimal digits by which the cause must exceed every other part that was in the same crashes.
 const MIN_LEAD_DIGITS: f64 = 2.0;
 /// Crashes that are closer in time are one outage and one piece of evidence.
@@ -380,9 +380,9 @@
         if evidence.digits < needed || evidence.independent_digits < MIN_INDEPENDENT_DIGITS {
             return false;
         }
-        let mut rivals = rivals_of(part, &crashes);
+        let mut rivals = rivals_of(part, &crashes).into_iter();
         rivals.all(|rival| {
-            let lead = evidence.digits - significance(rival, &crashes, all);
+            let lead = evidence.digits - rival_significance(rival, &crashes, all);
             let may_tie = is_certain && self.has_survived(part) <= self.has_survived(rival);
             lead >= if may_tie { 0.0 } else { MIN_LEAD_DIGITS }
         })
@@ -463,11 +463,21 @@
     most_frequent.map(|(request, _)| request)
 }
 
-/// Returns the other parts that were in all of these crashes.
-fn rivals_of(part: PromptPart, crashes: &[&PartCrash]) -> impl Iterator<Item = PromptPart> {
-    let in_first = crashes.first().map(|crash| crash.parts.keys().copied());
-    let rivals = in_first.into_iter().flatten();
-    rivals.filter(move |rival| {
-        *rival != part && crashes.iter().all(|crash| crash.parts.contains_key(rival))
-    })
+/// Returns the other parts that were in at least half of these crashes: a report that is not there yet must not hide
+/// the cause.
+fn rivals_of(part: PromptPart, crashes: &[&PartCrash]) -> Vec<PromptPart> {
+    let mut counts = BTreeMap::<PromptPart, usize>::new();
+    for rival in crashes.iter().flat_map(|crash| crash.parts.keys()) {
+        *counts.entry(*rival).or_default() += 1;
+    }
+    counts.remove(&part);
+    counts.retain(|_, count| *count * 2 >= crashes.len());
+    counts.into_keys().collect()
+}
+
+/// Returns the significance of a part's presence in some of the crashes of another one.
+fn rival_significance(rival: PromptPart, crashes: &[&PartCrash], all: usize) -> f64 {
+    let present = crashes.iter().copied();
+    let present = present.filter(|crash| crash.parts.contains_key(&rival));
+    significance(rival, &present.collect::<Vec<_>>(), all)
 }
