Don't take the end of a service's connection for the end of its answer

The own interface gave half a filing's answer as the whole one, and kept it for repeats of the call, when a service crashed midway in an answer with neither a length nor chunks.

Engines end their answers with an event of its own and are not affected.

a_filing_whose_answer_ends_with_its_service_is_in_doubt failed before: the body that was cut came with 200.

--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod refused;
 mod relay;
 mod service;
+mod service_end;
 mod sse;
 mod stream;
 mod target_report;
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -20,6 +20,7 @@
 
 use super::Refused;
 use super::generation::first_eight;
+use super::service_end::{ends_with_connection, still_runs};
 use super::target_report::record_target_report;
 
 /// Longest answer that is kept for repeats of a call.
@@ -225,9 +226,13 @@
     let content_type = response.headers().get("Content-Type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.unwrap_or(DEFAULT_CONTENT_TYPE).into();
+    let is_end_doubtful = ends_with_connection(&response);
     let body = read(response, shell.settings.limits.service_answer_bytes)
         .await
-        .ok_or(broken)?;
+        .ok_or(broken.clone())?;
+    if is_end_doubtful && !still_runs(address).await {
+        return Err(broken);
+    }
     Ok(ServiceAnswer {
         request: id,
         status,
--- a/crates/daemon/tests/services.rs
+++ b/crates/daemon/tests/services.rs
@@ -189,6 +189,64 @@
     assert_eq!(service.connections().len(), 1);
 }
 
+/// Guards against half an answer that is kept and given as the whole one: the service crashed midway.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_filing_whose_answer_ends_with_its_service_is_in_doubt() {
+    let service = UnframedService::start(AfterAnswer::Exit).await;
+    let bench = with_service_at(service).await;
+    let cut = file(&bench, 0, "filing-1", "{}").await;
+    assert_eq!(kind(&cut.2), "\"in_doubt\" ran=\"unknown\"");
+    let repeat = file(&bench, 0, "filing-1", "{}").await;
+    assert_eq!(kind(&repeat.2), "\"in_doubt\" ran=\"unknown\"");
+}
+
+/// Guards against taking a sound answer for one that was cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_its_connection_is_whole_if_the_service_runs_on() {
+    let service = UnframedService::start(AfterAnswer::RunOn).await;
+    let bench = with_service_at(service).await;
+    let whole = file(&bench, 0, "filing-1", "{}").await;
+    assert_eq!(
+        (whole.0, &*whole.2),
+        (StatusCode::OK, UnframedService::BODY)
+    );
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AfterAnswer {
+    RunOn,
+    Exit,
+}
+
+/// A service on bare TCP whose answers have neither a length nor chunks.
+struct UnframedService;
+
+impl UnframedService {
+    const BODY: &str = "the answer";
+
+    async fn start(after: AfterAnswer) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                if read_request(&mut stream, &mut vec![]).await.is_none() {
+                    continue;
+                }
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n{}",
+                    Self::BODY
+                );
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                if after == AfterAnswer::Exit {
+                    return;
+                }
+            }
+        });
+        address
+    }
+}
+
 /// A bench whose only service replica is something else.
 async fn with_service_at(address: SocketAddr) -> Bench {
     let mut bench = BenchBuilder::instances(1).start().await;
