Merge the reports of a part at a crash once, when they arrive

Each evaluation merged them again, several times a part and crash; in a series of crashes a candidate with many rivals would have cost tens of thousands of merges. The digits that a refusal needs stand in a function of their own. A part that began elsewhere drops what was counted of waiting runs as a whole.

--- a/crates/gateway/src/decide/quarantine/message.rs
+++ b/crates/gateway/src/decide/quarantine/message.rs
@@ -161,6 +161,7 @@
         if other.has_begun && !self.has_begun {
             self.run_ms = 0;
             self.total_ms = 0;
+            self.older_targets = 0;
             self.requests.clear();
             self.has_begun = true;
         }
--- a/crates/gateway/src/decide/quarantine/part_suspects.rs
+++ b/crates/gateway/src/decide/quarantine/part_suspects.rs
@@ -54,6 +54,8 @@
 struct PartAtCrash {
     /// Each report with the number of other targets whose runs were compared.
     reports: BTreeMap<ShortHash, (InterruptedPart, u16)>,
+    /// All reports together.
+    merged: Option<InterruptedPart>,
 }
 
 impl PartAtCrash {
@@ -66,16 +68,14 @@
             return false;
         }
         self.reports.insert(report.reporter, new);
+        let parts = self.reports.values().map(|(part, _)| part.clone());
+        self.merged = parts.reduce(|mut merged, part| {
+            merged.merge(&part);
+            merged
+        });
         true
     }
 
-    fn merged(&self) -> Option<InterruptedPart> {
-        let mut parts = self.reports.values().map(|(part, _)| part);
-        let mut merged = parts.next()?.clone();
-        parts.for_each(|part| merged.merge(part));
-        Some(merged)
-    }
-
     /// Returns the fraction of other targets that had been running the part for longer, or zero if too few targets
     /// were compared.
     fn older_fraction(&self) -> f64 {
@@ -106,26 +106,25 @@
         let Some(at_crash) = self.parts.get(&part) else {
             return 1.0;
         };
-        let merged = at_crash.merged();
+        let merged = at_crash.merged.as_ref();
         let total_ms = merged.map_or(0, |part| part.total_ms);
         let run_time = Duration::from_millis(u64::from(total_ms)).max(MIN_RUN_TIME);
         let interrupted = self.rate * run_time.as_secs_f64();
         interrupted.max(at_crash.older_fraction()).min(1.0)
     }
 
-    fn has_begun(&self, part: PromptPart) -> bool {
-        let merged = self.parts.get(&part).and_then(PartAtCrash::merged);
-        merged.is_some_and(|part| part.has_begun)
+    /// Returns what all instances together report of a part.
+    fn merged(&self, part: PromptPart) -> Option<&InterruptedPart> {
+        self.parts.get(&part)?.merged.as_ref()
     }
 
-    fn has_request(&self, part: PromptPart, request: u64) -> bool {
-        self.requests(part).any(|known| known == request)
+    fn has_begun(&self, part: PromptPart) -> bool {
+        self.merged(part).is_some_and(|part| part.has_begun)
     }
 
     /// Returns the requests that had a part in their prompts.
-    fn requests(&self, part: PromptPart) -> impl Iterator<Item = u64> {
-        let merged = self.parts.get(&part).and_then(PartAtCrash::merged);
-        merged.into_iter().flat_map(|part| part.requests)
+    fn requests(&self, part: PromptPart) -> &[u64] {
+        self.merged(part).map_or(&[], |part| &part.requests)
     }
 }
 
@@ -239,10 +238,7 @@
             .cloned()
             .unwrap_or_default();
         for incarnation in &caused {
-            self.remove_parts_of(*incarnation);
-            if let Some(crash) = self.crashes.get_mut(incarnation) {
-                crash.explained = true;
-            }
+            self.mark_crash_explained(*incarnation);
         }
         caused.into_iter().collect()
     }
@@ -296,9 +292,8 @@
     /// no suspect in crashes before the run.
     pub(super) fn survival_time(&self, part: PromptPart, begun: Time) -> Option<Duration> {
         let earlier = self.all_crashes_of(part).filter(|crash| crash.at < begun);
-        let at_crashes = earlier.filter_map(|crash| crash.parts.get(&part));
-        let merged = at_crashes.filter_map(PartAtCrash::merged);
-        let longest = merged.map(|part| part.run_time()).max()?;
+        let merged = earlier.filter_map(|crash| crash.merged(part));
+        let longest = merged.map(InterruptedPart::run_time).max()?;
         Some(MIN_SURVIVAL_TIME.max(longest * SURVIVAL_FACTOR))
     }
 
@@ -366,18 +361,8 @@
         let all = self.crash_count_during(&crashes);
         let evidence = evidence_against(part, &crashes, all);
         let is_certain = evidence.crashes >= CERTAIN_CRASHES;
-        let needed = if is_certain {
-            CERTAIN_SIGNIFICANCE_DIGITS
-        } else {
-            MIN_SIGNIFICANCE_DIGITS + to_f64(self.crashes_by_part.len().max(1)).log10()
-        };
-        let survived = if self.has_survived(part) {
-            SURVIVED_DIGITS
-        } else {
-            0.0
-        };
-        let needed = needed + survived;
-        if evidence.digits < needed || evidence.independent_digits < MIN_INDEPENDENT_DIGITS {
+        let is_significant = evidence.digits >= self.needed_digits(part, is_certain);
+        if !is_significant || evidence.independent_digits < MIN_INDEPENDENT_DIGITS {
             return false;
         }
         let mut rivals = rivals_of(part, &crashes).into_iter();
@@ -388,6 +373,20 @@
         })
     }
 
+    /// Returns the decimal digits of significance that a refusal of a part needs.
+    fn needed_digits(&self, part: PromptPart, is_certain: bool) -> f64 {
+        let needed = if is_certain {
+            CERTAIN_SIGNIFICANCE_DIGITS
+        } else {
+            MIN_SIGNIFICANCE_DIGITS + to_f64(self.crashes_by_part.len().max(1)).log10()
+        };
+        if self.has_survived(part) {
+            needed + SURVIVED_DIGITS
+        } else {
+            needed
+        }
+    }
+
     /// Returns the parts that were in crashes, with the evidence against each.
     pub(super) fn iter(&self) -> impl Iterator<Item = (PromptPart, PartEvidence)> {
         let parts = self.crashes_by_part.keys();
@@ -442,8 +441,8 @@
 fn evidence_against(part: PromptPart, crashes: &[&PartCrash], all: usize) -> PartEvidence {
     let most_frequent = most_frequent_request(part, crashes);
     let of_others = crashes.iter().copied();
-    let of_others =
-        of_others.filter(|crash| !most_frequent.is_some_and(|req| crash.has_request(part, req)));
+    let of_others = of_others
+        .filter(|crash| !most_frequent.is_some_and(|req| crash.requests(part).contains(&req)));
     let of_others = of_others.collect::<Vec<_>>();
     let all_of_others = all.saturating_sub(crashes.len() - of_others.len());
     PartEvidence {
@@ -457,7 +456,7 @@
 fn most_frequent_request(part: PromptPart, crashes: &[&PartCrash]) -> Option<u64> {
     let mut counts = BTreeMap::<u64, usize>::new();
     for request in crashes.iter().flat_map(|crash| crash.requests(part)) {
-        *counts.entry(request).or_default() += 1;
+        *counts.entry(*request).or_default() += 1;
     }
     let most_frequent = counts.into_iter().max_by_key(|(_, count)| *count);
     most_frequent.map(|(request, _)| request)
