--- a/crates/gateway/tests/quarantine_parts.rs
+++ b/crates/gateway/tests/quarantine_parts.rs
@@ -263,6 +263,42 @@
     refused
 }
 
+/// Guards against refusing a sound part whose evidence grows with each crash, where an instance has not heard of the
+/// cause in one of them.
+#[test]
+fn a_part_is_not_refused_beside_one_that_stands_out_more() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=8 {
+        let cause = Crash {
+            reporter: ShortHash::of("i2"),
+            ..crash(number, vec![interrupted(BAD, number, 60)])
+        };
+        if number != 3 {
+            quarantine.apply(&QuarantineMessage::Crashed(cause), crashed_at(number));
+        }
+        let own = vec![interrupted(FIRST, 100 + number, 150)];
+        assert!(record(&mut quarantine, number, own).is_empty());
+    }
+}
+
+/// Guards against refusing a part that was running on other targets for longer.
+#[test]
+fn a_part_that_runs_longer_elsewhere_is_not_refused() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=8 {
+        let part = InterruptedPart {
+            older_targets: 3,
+            ..interrupted(FIRST, number, 60)
+        };
+        let crash = Crash {
+            sampled_targets: 6,
+            ..crash(number, vec![part])
+        };
+        quarantine.record_crash(&crash, crashed_at(number));
+        assert!(quarantine.evaluate(&[], crashed_at(number)).is_empty());
+    }
+}
+
 /// Guards against peers that go on suspecting a part that has proved sound elsewhere.
 #[test]
 fn a_survival_clears_a_part_at_peers() {
