--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -194,12 +194,7 @@
         let mut messages = Vec::new();
         for run in self.runs.sound(now) {
             for part in &run.parts {
-                let needed = self.part_suspects.survival_time(*part, run.begun);
-                let has_survived = match needed {
-                    Some(needed) => run.survived >= needed.min(run.needed_if_complete()),
-                    None => run.is_complete && run.survived >= run.needed_if_complete(),
-                };
-                if !has_survived {
+                if !self.part_suspects.is_outlived(*part, &run) {
                     continue;
                 }
                 let is_told = self.part_suspects.crash_count(*part) >= MIN_REPORTED_CRASHES;
--- a/crates/gateway/src/decide/quarantine/part_suspects.rs
+++ b/crates/gateway/src/decide/quarantine/part_suspects.rs
@@ -11,6 +11,7 @@
 
 use super::message::{Crash, InterruptedPart};
 use super::prompt_part::PromptPart;
+use super::runs::SoundRun;
 use super::suspects::{CRASH_RETENTION, MIN_RUN_TIME, to_f64};
 use crate::decide::rendezvous::ShortHash;
 
@@ -35,7 +36,7 @@
 /// Minimum number of other targets whose runs tell how widespread a part is.
 const MIN_SAMPLED_TARGETS: u32 = 3;
 /// Minimum time for which a target must outlive the start of a run to show that the run's parts are sound.
-pub(super) const MIN_SURVIVAL_TIME: Duration = Duration::from_millis(250);
+const MIN_SURVIVAL_TIME: Duration = Duration::from_millis(250);
 /// The same as a multiple of the longest run with the part that a crash interrupted.
 const SURVIVAL_FACTOR: u32 = 4;
 /// How long the last sound run with a part is remembered.
@@ -288,9 +289,19 @@
         was_suspect
     }
 
+    /// Returns whether a run shows that a part is sound: its target lived on after it was complete, or for much longer
+    /// than runs with the part had lasted at earlier crashes.
+    pub(super) fn is_outlived(&self, part: PromptPart, run: &SoundRun) -> bool {
+        if run.is_complete && run.survived >= MIN_SURVIVAL_TIME {
+            return true;
+        }
+        let needed = self.survival_time(part, run.begun);
+        needed.is_some_and(|needed| run.survived >= needed)
+    }
+
     /// Returns how long a target must outlive the start of a run to show that the part is sound; `None` if the part is
     /// no suspect in crashes before the run.
-    pub(super) fn survival_time(&self, part: PromptPart, begun: Time) -> Option<Duration> {
+    fn survival_time(&self, part: PromptPart, begun: Time) -> Option<Duration> {
         let earlier = self.all_crashes_of(part).filter(|crash| crash.at < begun);
         let merged = earlier.filter_map(|crash| crash.merged(part));
         let longest = merged.map(InterruptedPart::run_time).max()?;
--- a/crates/gateway/src/decide/quarantine/runs.rs
+++ b/crates/gateway/src/decide/quarantine/runs.rs
@@ -8,7 +8,6 @@
 
 use super::fingerprint::Fingerprint;
 use super::message::InterruptedPart;
-use super::part_suspects::MIN_SURVIVAL_TIME;
 use super::prompt_part::PromptPart;
 
 /// How long a run that has ended may still be the cause of a crash of its target.
@@ -61,18 +60,6 @@
     }
 }
 
-impl SoundRun {
-    /// Returns how long the target must outlive the start of the run to show that its parts are sound, if the response
-    /// was complete.
-    pub(super) fn needed_if_complete(&self) -> Duration {
-        if self.is_complete {
-            MIN_SURVIVAL_TIME
-        } else {
-            Duration::MAX
-        }
-    }
-}
-
 /// The parts of prompts at a target when it crashed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PartsAtCrash {
