Compare runs elsewhere with the longest run at the crashed target

Callers of sound requests got 502, a sixth of them, and 12 to 24 engines ended where requests with a bad part came 25 times a second on a busy machine: a sound part was refused, which took the crashes under both from the evidence against the bad one.

Cause: each instance counted the targets that had been running a part for longer than the crashed one, measured by its own longest run there. One whose run was 10 ms old took another of 70 ms elsewhere for proof that the part is widespread, although a third instance's run at the crashed target had lasted 93 ms.

Instances tell now for how long other targets have been running the part, and the comparison is made with the longest run that any of them reports, with 100 ms to spare, as a part does not crash all targets equally soon.

a_part_that_begins_on_several_targets_at_once_is_refused failed before.

--- a/crates/gateway/src/decide/quarantine/message.rs
+++ b/crates/gateway/src/decide/quarantine/message.rs
@@ -14,9 +14,11 @@
 /// Upper bound of an interrupted run's encoded size, in bytes.
 const INTERRUPTED_RUN_BYTES: usize = 40;
 /// Upper bound of an interrupted part's encoded size, in bytes.
-const INTERRUPTED_PART_BYTES: usize = 24 + MAX_REQUESTS_PER_PART * 9;
+const INTERRUPTED_PART_BYTES: usize = 24 + MAX_REQUESTS_PER_PART * 9 + MAX_RUNS_ELSEWHERE * 5;
 /// Max number of requests that are named for a part.
 const MAX_REQUESTS_PER_PART: usize = 4;
+/// Max number of other targets whose runs with a part are reported.
+pub(super) const MAX_RUNS_ELSEWHERE: usize = 8;
 
 /// A message about crashes or quarantined requests.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -106,8 +108,8 @@
     pub has_begun: bool,
     /// First bits of the fingerprints of its requests; the same number is the same request.
     pub requests: Vec<u64>,
-    /// Number of other targets that had been running the part for longer, of those sampled.
-    pub older_targets: u16,
+    /// Milliseconds for which other targets had been running the part; the longest come first.
+    pub elsewhere_ms: Vec<u32>,
 }
 
 impl Crash {
@@ -146,7 +148,7 @@
             total_ms: millis(run_time),
             has_begun,
             requests: vec![request.bits()],
-            older_targets: 0,
+            elsewhere_ms: Vec::new(),
         }
     }
 
@@ -156,12 +158,11 @@
         Duration::from_millis(self.run_ms as u64)
     }
 
-    /// Adds what other runs show of the part. Runs that have not begun count only if none has.
+    /// Adds what other runs at the crashed target show of the part. Runs that have not begun count only if none has.
     pub fn merge(&mut self, other: &Self) {
         if other.has_begun && !self.has_begun {
             self.run_ms = 0;
             self.total_ms = 0;
-            self.older_targets = 0;
             self.requests.clear();
             self.has_begun = true;
         }
@@ -170,7 +171,6 @@
         }
         self.run_ms = self.run_ms.max(other.run_ms);
         self.total_ms = self.total_ms.saturating_add(other.total_ms);
-        self.older_targets = self.older_targets.saturating_add(other.older_targets);
         for request in &other.requests {
             if self.requests.len() < MAX_REQUESTS_PER_PART && !self.requests.contains(request) {
                 self.requests.push(*request);
@@ -213,6 +213,6 @@
     }
 }
 
-fn millis(span: Duration) -> u32 {
+pub(super) fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/decide/quarantine/part_suspects.rs
+++ b/crates/gateway/src/decide/quarantine/part_suspects.rs
@@ -35,6 +35,9 @@
 const OUTAGE_GAP: Duration = Duration::from_millis(10);
 /// Minimum number of other targets whose runs tell how widespread a part is.
 const MIN_SAMPLED_TARGETS: u32 = 3;
+/// Time by which another target must have been running a part for longer than the crashed one: a part does not crash
+/// all targets equally soon.
+const MIN_LONGER: Duration = Duration::from_millis(100);
 /// Minimum time for which a target must outlive the start of a run to show that the run's parts are sound.
 const MIN_SURVIVAL_TIME: Duration = Duration::from_millis(250);
 /// The same as a multiple of the longest run with the part that a crash interrupted.
@@ -57,6 +60,8 @@
     reports: BTreeMap<ShortHash, (InterruptedPart, u16)>,
     /// All reports together.
     merged: Option<InterruptedPart>,
+    /// Fraction of other targets that had been running the part for longer.
+    longer_elsewhere: f64,
 }
 
 impl PartAtCrash {
@@ -74,20 +79,24 @@
             merged.merge(&part);
             merged
         });
+        self.longer_elsewhere = self.compare_elsewhere();
         true
     }
 
     /// Returns the fraction of other targets that had been running the part for longer, or zero if too few targets
     /// were compared.
-    fn older_fraction(&self) -> f64 {
+    fn compare_elsewhere(&self) -> f64 {
         let reports = self.reports.values();
         let sampled = reports.clone().map(|(_, sampled)| u32::from(*sampled));
         let sampled = sampled.sum::<u32>();
         if sampled < MIN_SAMPLED_TARGETS {
             return 0.0;
         }
-        let older = reports.map(|(part, _)| u32::from(part.older_targets));
-        f64::from(older.sum::<u32>()) / f64::from(sampled)
+        let longest_here = self.merged.as_ref().map(InterruptedPart::run_time);
+        let least = longest_here.unwrap_or_default() + MIN_LONGER;
+        let elsewhere = reports.flat_map(|(part, _)| &part.elsewhere_ms);
+        let longer = elsewhere.filter(|run_ms| Duration::from_millis(u64::from(**run_ms)) > least);
+        to_f64(longer.count()) / f64::from(sampled)
     }
 }
 
@@ -111,7 +120,7 @@
         let total_ms = merged.map_or(0, |part| part.total_ms);
         let run_time = Duration::from_millis(u64::from(total_ms)).max(MIN_RUN_TIME);
         let interrupted = self.rate * run_time.as_secs_f64();
-        interrupted.max(at_crash.older_fraction()).min(1.0)
+        interrupted.max(at_crash.longer_elsewhere).min(1.0)
     }
 
     /// Returns what all instances together report of a part.
--- a/crates/gateway/src/decide/quarantine/runs.rs
+++ b/crates/gateway/src/decide/quarantine/runs.rs
@@ -1,5 +1,6 @@
 //! Runs of this instance whose prompts have shared parts, by the target that runs them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::fingerprint::Fingerprint;
-use super::message::InterruptedPart;
+use super::message::{InterruptedPart, MAX_RUNS_ELSEWHERE, millis};
 use super::prompt_part::PromptPart;
 
 /// How long a run that has ended may still be the cause of a crash of its target.
@@ -136,7 +137,7 @@
         }
         let mut parts = parts.into_values().collect::<Vec<_>>();
         for part in &mut parts {
-            part.older_targets = self.targets_with_older_run(target, part, at);
+            part.elsewhere_ms = self.run_times_elsewhere(target, part.part, at);
         }
         let others = self.runs.values().filter(|run| run.is_running());
         let others = others.filter(|run| run.target != *target);
@@ -147,17 +148,20 @@
         }
     }
 
-    /// Returns the number of other targets that have been running a part for longer than the crashed target.
-    fn targets_with_older_run(&self, crashed: &TargetId, part: &InterruptedPart, at: Time) -> u16 {
-        let begun_before = at - part.run_time();
-        let runs = self.runs.values().filter(|run| run.target != *crashed);
-        let older = runs.filter(|run| {
-            run.is_running()
-                && run.begun.is_some_and(|begun| begun < begun_before)
-                && run.parts.contains(&part.part)
-        });
-        let targets = older.map(|run| &run.target).collect::<BTreeSet<_>>();
-        saturate(targets.len())
+    /// Returns for how long other targets have been running a part, in milliseconds.
+    fn run_times_elsewhere(&self, crashed: &TargetId, part: PromptPart, at: Time) -> Vec<u32> {
+        let others = self.runs.values();
+        let others = others.filter(|run| run.is_running() && run.target != *crashed);
+        let mut longest = BTreeMap::<&TargetId, Duration>::new();
+        for run in others.filter(|run| run.parts.contains(&part)) {
+            let run_time = run.begun.map_or(Duration::ZERO, |begun| at.since(begun));
+            let known = longest.entry(&run.target).or_default();
+            *known = run_time.max(*known);
+        }
+        let mut run_times = longest.into_values().map(millis).collect::<Vec<_>>();
+        run_times.sort_by_key(|run_time| Reverse(*run_time));
+        run_times.truncate(MAX_RUNS_ELSEWHERE);
+        run_times
     }
 
     /// Returns the runs that have begun and whose targets have not crashed.
--- a/crates/gateway/tests/quarantine_parts.rs
+++ b/crates/gateway/tests/quarantine_parts.rs
@@ -288,7 +288,7 @@
     let mut quarantine = Quarantine::default();
     for number in 1..=8 {
         let part = InterruptedPart {
-            older_targets: 3,
+            elsewhere_ms: vec![400; 3],
             ..interrupted(FIRST, number, 60)
         };
         let crash = Crash {
@@ -300,6 +300,41 @@
     }
 }
 
+/// Guards against taking a bad part for a widespread one because other targets had only just begun it, too.
+#[test]
+fn a_part_that_begins_on_several_targets_at_once_is_refused() {
+    let mut quarantine = Quarantine::default();
+    let refused = (1..=5).flat_map(|number| {
+        let now = crashed_at(number);
+        let younger = Crash {
+            reporter: ShortHash::of("i2"),
+            ..crash(number, parts_of_a_young_run(number, now))
+        };
+        let younger = Crash {
+            sampled_targets: 3,
+            ..younger
+        };
+        quarantine.apply(&QuarantineMessage::Crashed(younger), now);
+        let parts = vec![interrupted(BAD, number, 93)];
+        record(&mut quarantine, number, parts)
+    });
+    assert_eq!(refused.collect::<Vec<_>>(), [Suspect::Part(BAD)]);
+}
+
+/// Returns what an instance reports that had begun the bad part 10 ms ago at the crashed target, and 70 ms ago at
+/// another one.
+fn parts_of_a_young_run(number: u64, now: Time) -> Vec<InterruptedPart> {
+    let mut quarantine = Quarantine::default();
+    let [crashed, other] = ["e1", "e2"].map(|name| TargetId::try_from(name).unwrap());
+    for (target, age_ms) in [(&crashed, 10), (&other, 70)] {
+        let begun = now - Duration::from_millis(age_ms);
+        let request = request(1_000 * age_ms + number);
+        let run = quarantine.runs.send(target, request, &[BAD], begun);
+        quarantine.runs.begin(run.unwrap(), begun);
+    }
+    quarantine.runs.parts_at_crash(&crashed, now).parts
+}
+
 /// Guards against peers that go on suspecting a part that has proved sound elsewhere.
 #[test]
 fn a_survival_clears_a_part_at_peers() {
