Keep the reading of requests, and the evidence against parts, in files of their own

Moved as they were: admission and bodies to serve.rs, what a crash shows of a part and how improbable a coincidence is to part_evidence.rs.

--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod decision;
 mod fingerprint;
 mod message;
+mod part_evidence;
 mod part_suspects;
 mod prompt_part;
 mod runs;
@@ -23,7 +24,7 @@
 pub use self::decision::{AgedDecision, DecisionKind, QuarantineDecision};
 pub use self::fingerprint::{BadFingerprint, Fingerprint};
 pub use self::message::{Crash, InterruptedPart, InterruptedRun, PartSurvival, QuarantineMessage};
-pub use self::part_suspects::PartEvidence;
+pub use self::part_evidence::PartEvidence;
 use self::part_suspects::PartSuspects;
 pub use self::prompt_part::{BadPromptPart, PromptPart};
 pub use self::runs::{PartsAtCrash, RunKey, Runs};
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -161,10 +161,10 @@
     let is_forwarded = req.headers().contains_key(REQUEST_HEADER);
     let mut counted = None;
     let mut res = match listener_kind {
-        ListenerKind::Front => super::front::serve(Arc::clone(&node), req).await,
+        ListenerKind::Front => super::serve::serve(Arc::clone(&node), req).await,
         ListenerKind::Control if is_forwarded => {
             counted = Some(ConnectionGuard::new(&node));
-            super::front::serve_forwarded(Arc::clone(&node), req).await
+            super::serve::serve_forwarded(Arc::clone(&node), req).await
         }
         ListenerKind::Directory => super::directory::respond(&node, &req),
         ListenerKind::Control => super::control::respond(&node, &req),
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -1,13 +1,11 @@
-//! Serves callers' requests: admission, choice of a target, retries.
+//! Runs an admitted request: choice of a target, retries.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, InstanceId, SoftwareVersion, TargetId, Time};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http::{Response, request};
 use rand::Rng;
 
 use crate::decide::call::{Call, Forward};
@@ -16,20 +14,17 @@
 use crate::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
 use crate::decide::placement::Pick;
 use crate::decide::quarantine::{Fingerprint, InterruptedRun, Suspect};
-use crate::decide::tables::{Refusal, Tables, Ticket};
-use crate::edge::{Edge, Protocol};
+use crate::decide::tables::{Tables, Ticket};
+use crate::edge::Edge;
 use crate::packet::{AdapterRequest, AdapterRequestKind};
 
 use super::attempt::{Attempt, FailedRun, Failure, NotRunReason, SendParams, TargetResponse, send};
 use super::crash_check::record_interruption;
-use super::local_response::{ResponseBody, error_response, full_body, refusal_response};
+use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::origins::Continuation;
-use super::peer_forwarding::{
-    ForwardOutcome, ForwardReport, ForwardedRequest, PeerResponse, PeerResult, REPORT_HEADER,
-    REQUEST_HEADER,
-};
+use super::peer_forwarding::{ForwardedRequest, PeerResponse, PeerResult};
 use super::quarantine;
 use super::stream;
 
@@ -129,130 +124,8 @@
     TimedOut,
 }
 
-/// Serves one request of a caller.
-pub(super) async fn serve<E: Edge>(
-    node: Arc<Node<E>>,
-    req: Request<Incoming>,
-) -> Response<ResponseBody> {
-    serve_from(node, req, None).await
-}
-
-/// Serves one request that a peer forwards.
-pub(super) async fn serve_forwarded<E: Edge>(
-    node: Arc<Node<E>>,
-    mut req: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let Some(forwarded) = ForwardedRequest::of(req.headers()) else {
-        let status = StatusCode::BAD_REQUEST;
-        return error_response(&node.protocol, status, "malformed forwarded request", None);
-    };
-    req.headers_mut().remove(REQUEST_HEADER);
-    let runs = forwarded.runs;
-    let mut res = serve_from(node, req, Some(forwarded)).await;
-    if !res.headers().contains_key(REPORT_HEADER) {
-        let report = ForwardReport {
-            outcome: ForwardOutcome::NoPath,
-            runs,
-            reason: "refused before it was read".into(),
-            stream: None,
-        };
-        report.add_to(res.headers_mut());
-    }
-    res
-}
-
-async fn serve_from<E: Edge>(
-    node: Arc<Node<E>>,
-    req: Request<Incoming>,
-    forwarded: Option<ForwardedRequest>,
-) -> Response<ResponseBody> {
-    let arrived = node.now();
-    let (head, body) = req.into_parts();
-    let call = match node.protocol.call(&head) {
-        Ok(call) => call,
-        Err(bad) => {
-            let status = StatusCode::BAD_REQUEST;
-            return error_response(&node.protocol, status, &bad.to_string(), None);
-        }
-    };
-    let ticket = match admit(&node, &call, forwarded.as_ref(), arrived) {
-        Ok(ticket) => ticket,
-        Err(refusal) => {
-            node.metrics.request_refused(refusal.name());
-            let inputs = refusal.inputs();
-            let inputs = inputs.iter().map(|(name, value)| (*name, value.as_str()));
-            let fields = [("request", &*call.id), ("reason", refusal.name())];
-            let fields = fields.into_iter().chain(inputs).collect::<Vec<_>>();
-            event(LogEvent::RequestRefused, &fields);
-            return refusal_response(&node.protocol, &refusal, call.timeout);
-        }
-    };
-    let body = match read_body(&node, body).await {
-        Ok(body) => body,
-        Err(status) => {
-            node.tables().refund(&ticket);
-            return error_response(&node.protocol, status, "the body is too long or cut", None);
-        }
-    };
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let fingerprint = Fingerprint::of(ticket.workspace.as_ref(), path, &body);
-    let job = Job {
-        node,
-        head,
-        body,
-        call,
-        fingerprint,
-        ticket,
-        arrived,
-        tried: Vec::new(),
-        runs: forwarded.as_ref().map_or(0, |forwarded| forwarded.runs),
-        sends: 0,
-        load_waited: Duration::ZERO,
-        last_send: None,
-        software: None,
-        origin_source: None,
-        origin_age: None,
-        forwarded,
-        tried_peers: Vec::new(),
-    };
-    job.run().await
-}
-
-fn admit<E: Edge>(
-    node: &Node<E>,
-    call: &Call,
-    forwarded: Option<&ForwardedRequest>,
-    arrived: Time,
-) -> Result<Ticket, Refusal> {
-    if node.is_closing() {
-        return Err(Refusal::Stopping);
-    }
-    let draw = rand::rng().random();
-    let mut tables = node.tables();
-    match forwarded {
-        None => tables.admit(call, draw, arrived),
-        Some(forwarded) => {
-            let workspace = forwarded.workspace.as_ref();
-            let mut ticket = tables.admit_forwarded(call, workspace, draw, arrived)?;
-            if let Some(origin) = &forwarded.stream {
-                ticket.hold_to(origin);
-            }
-            Ok(ticket)
-        }
-    }
-}
-
-async fn read_body<E: Edge>(node: &Node<E>, body: Incoming) -> Result<Bytes, StatusCode> {
-    let limit = node.tables().routes.config().limits.body_bytes;
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_cut) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
 impl<E: Edge> Job<E> {
-    async fn run(mut self) -> Response<ResponseBody> {
+    pub(super) async fn run(mut self) -> Response<ResponseBody> {
         let kind = self.ticket.route().kind;
         if let Some(refused) = self.refused_suspect() {
             return self.local_response(&SearchOutcome::Quarantined(refused));
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -36,6 +36,7 @@
 mod residency_updates;
 mod response_head;
 mod restorations;
+mod serve;
 pub mod signals;
 mod sockets;
 mod stop;
