Add the messages on target speeds and waiting requests to statuses and relay updates

Cause: no instance sees enough outcomes of one target to know how fast it is, and none knows what waits at the others.

Change: statuses carry reports on the speed of targets and numbers of waiting requests, relays pass sums of both to their subscribers. Nothing fills them yet.

--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -232,6 +232,7 @@
     fn next_status(&mut self, ended: bool, now: Time) -> Status {
         self.exchange.seq += 1;
         let spent = self.quotas.take_spend_reports(SPENDING_TTL, now);
+        let pace = self.pace.take_reports(now);
         let loads = self.local_loads();
         Status {
             from: ShortHash::of(self.local.name.as_str()),
@@ -254,6 +255,8 @@
             in_flight: loads
                 .map(|(target, load)| (ShortHash::of(target.as_str()), load))
                 .collect(),
+            pace,
+            waiting: self.wait_queue.local_counts(),
             loads: self.loads.active,
             waiting_loads: self.loads.waiting,
             adapter_slots: self
--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -13,6 +13,7 @@
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::status::{Role, Status};
 use crate::decide::tables::Tables;
+use crate::decide::wait_queue::WaitingCounts;
 
 /// Time since a peer's start within which no instance can have counted what the peer has spent.
 const NEW_PEER_PERIOD: Duration = Duration::from_millis(1_500);
@@ -27,6 +28,14 @@
     Unknown,
 }
 
+/// Counts of all other instances in a relay's update.
+struct Sums {
+    loads: Loads,
+    waiting: WaitingCounts,
+    spent: Vec<(ShortHash, i64)>,
+    lag: Duration,
+}
+
 impl Tables {
     /// Processes a message. Returns the responses to its sender.
     pub fn receive_message(
@@ -170,6 +179,7 @@
                 now,
             );
         }
+        self.pace.record_peer(status.from, &status.pace, now);
         if status.ended {
             self.peers.remove(&member.name);
         } else {
@@ -206,7 +216,14 @@
         for (workspace, remaining) in update.remaining.iter().filter(|_| is_first) {
             self.quotas.set_remaining(*workspace, *remaining);
         }
-        self.apply_sums(name, &update.relay, update.loads, &update.spent, lag, now);
+        self.pace.record_sums(&update.pace, now);
+        let sums = Sums {
+            loads: update.loads,
+            waiting: update.waiting,
+            spent: update.spent,
+            lag,
+        };
+        self.apply_sums(name, &update.relay, sums, now);
         if self.exchange.role != Role::Subscriber {
             // A relay candidate also receives a status from each instance.
             return Vec::new();
@@ -237,15 +254,13 @@
     }
 
     /// Replaces the counts that this instance received directly by a relay's sums.
-    fn apply_sums(
-        &mut self,
-        name: InstanceId,
-        relay: &Status,
-        loads: Loads,
-        spent: &[(ShortHash, i64)],
-        lag: Duration,
-        now: Time,
-    ) {
+    fn apply_sums(&mut self, name: InstanceId, relay: &Status, sums: Sums, now: Time) {
+        let Sums {
+            loads,
+            waiting,
+            spent,
+            lag,
+        } = sums;
         let before = self.peers.view().map(|view| (view.relay.clone(), view.at));
         match before {
             // Spending between the last update of one relay and the first of the next is in
@@ -256,8 +271,7 @@
         }
         for (workspace, count) in spent {
             let from = (relay.from, relay.incarnation);
-            self.quotas
-                .record_relay_count(from, *workspace, *count, now);
+            self.quotas.record_relay_count(from, workspace, count, now);
         }
         let targets = self.registry.target_hashes().collect::<Vec<_>>();
         if let Some(loads) = loads.unpack(&targets, self.registry.digest()) {
@@ -266,6 +280,7 @@
                 at: now,
                 lag,
                 loads,
+                waiting,
             }));
         }
     }
--- a/crates/gateway/src/decide/exchange/updates.rs
+++ b/crates/gateway/src/decide/exchange/updates.rs
@@ -30,6 +30,7 @@
             Vec::new()
         };
         let sums = self.sums();
+        let local_waiting = self.wait_queue.local_counts();
         let digest = self.registry.digest();
         let mut outgoing = Vec::new();
         for (name, subscriber) in subscribers {
@@ -42,6 +43,8 @@
             } else {
                 Loads::by_name(&loads)
             };
+            let mut waiting = self.peers.waiting_except(Some(&name), now);
+            waiting.add_all(&local_waiting);
             let span = if subscriber.wants_all {
                 Duration::MAX
             } else {
@@ -52,6 +55,8 @@
                 other_statuses: other_statuses.clone(),
                 lag_ms: millis(self.exchange.lag),
                 loads,
+                pace: self.pace.sums_for(ShortHash::of(name.as_str()), now),
+                waiting,
                 spent: self.quotas.spent_by_others(&name, span, now).collect(),
                 remaining: if subscriber.wants_all {
                     self.quotas.remaining().collect()
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -12,6 +12,7 @@
 use super::relay_update::RelayView;
 use super::rendezvous::{ShortHash, weight};
 use super::status::{Role, Status};
+use super::wait_queue::WaitingCounts;
 
 /// Registration of an instance.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -145,6 +146,8 @@
     pub quarantine_digest: u64,
     /// Its load at each target, by the target's hash.
     pub in_flight: HashMap<ShortHash, Load>,
+    /// Its requests that wait for a place at targets.
+    pub waiting: WaitingCounts,
     /// Loads from the weight store in progress.
     pub loads: u16,
     /// Adapters that wait for a load on engines of its shards.
@@ -270,6 +273,7 @@
         };
         subtract(&mut self.sums, &peer.in_flight);
         peer.in_flight.clear();
+        peer.waiting = WaitingCounts::default();
         if !report.live {
             let down_since = now - DOWN_THRESHOLD;
             peer.last_seen = peer.last_seen.map(|last_seen| last_seen.min(down_since));
@@ -361,6 +365,27 @@
         sums.get(&target).copied().unwrap_or_default()
     }
 
+    /// Requests of all peers that wait for a place at targets.
+    #[must_use]
+    pub fn waiting(&self, now: Time) -> WaitingCounts {
+        if let Some(view) = &self.view {
+            return view.waiting.clone();
+        }
+        self.waiting_except(None, now)
+    }
+
+    /// Requests that wait for a place at targets, of all live peers but one.
+    #[must_use]
+    pub fn waiting_except(&self, left_out: Option<&InstanceId>, now: Time) -> WaitingCounts {
+        let mut sum = WaitingCounts::default();
+        let counted = self.live(now);
+        let counted = counted.filter(|peer| Some(&peer.member.name) != left_out);
+        for peer in counted {
+            sum.add_all(&peer.waiting);
+        }
+        sum
+    }
+
     /// Returns the live peer that holds a loader shard.
     #[must_use]
     pub fn holder(&self, shard: u8, now: Time) -> Option<&Peer> {
@@ -386,6 +411,7 @@
             evacuations: EvacuationsVersion::default(),
             quarantine_digest: 0,
             in_flight: HashMap::new(),
+            waiting: WaitingCounts::default(),
             loads: 0,
             waiting_loads: 0,
             adapter_slots: HashMap::new(),
@@ -413,6 +439,7 @@
             evacuations: status.evacuations,
             quarantine_digest: status.quarantine_digest,
             in_flight: status.in_flight.iter().copied().collect(),
+            waiting: status.waiting.clone(),
             loads: status.loads,
             waiting_loads: status.waiting_loads,
             adapter_slots: status.adapter_slots.iter().copied().collect(),
@@ -450,6 +477,9 @@
                 .iter()
                 .map(|(hash, load)| (*hash, *load))
                 .collect(),
+            // Pace is passed on by the relays of its own failure domain as they receive it.
+            pace: Vec::new(),
+            waiting: self.waiting.clone(),
             loads: self.loads,
             waiting_loads: self.waiting_loads,
             adapter_slots: self
--- a/crates/gateway/src/decide/relay_update.rs
+++ b/crates/gateway/src/decide/relay_update.rs
@@ -7,9 +7,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::pace::PaceReports;
 use super::peers::Load;
 use super::rendezvous::ShortHash;
 use super::status::Status;
+use super::wait_queue::WaitingCounts;
 
 /// Unit of prompt tokens in an update. An engine processes about as many in a millisecond.
 const TOKENS_PER_PROMPT_UNIT: u32 = 32;
@@ -26,6 +28,10 @@
     pub lag_ms: u16,
     /// Load of all other instances at targets.
     pub loads: Loads,
+    /// What all other instances have lately seen of the speed of some targets.
+    pub pace: PaceReports,
+    /// Requests of all other instances that wait for a place at targets.
+    pub waiting: WaitingCounts,
     /// What all other instances have spent since the relay started, where that changed recently.
     pub spent: Vec<(ShortHash, i64)>,
     /// What remains of quotas by the relay's count. Only in response to a request for all counts.
@@ -205,4 +211,6 @@
     pub lag: Duration,
     /// Load of all other instances at targets.
     pub loads: HashMap<ShortHash, Load>,
+    /// Requests of all other instances that wait for a place at targets.
+    pub waiting: WaitingCounts,
 }
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -5,9 +5,11 @@
 
 use super::evacuations::EvacuationsVersion;
 use super::loader::AdapterSlots;
+use super::pace::PaceReports;
 use super::peers::Load;
 use super::quota::SpendReport;
 use super::rendezvous::ShortHash;
+use super::wait_queue::WaitingCounts;
 
 /// Part that an instance plays in relaying updates.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -83,6 +85,10 @@
     pub spent: Vec<SpendReport>,
     /// Its load at each target.
     pub in_flight: Vec<(ShortHash, Load)>,
+    /// What it has lately seen of the speed of some targets.
+    pub pace: PaceReports,
+    /// Its requests that wait for a place at targets.
+    pub waiting: WaitingCounts,
     /// Loads from the weight store in progress.
     pub loads: u16,
     /// Adapters that wait for a load on engines of its shards.
@@ -102,6 +108,8 @@
         Self {
             spent: Vec::new(),
             in_flight: Vec::new(),
+            pace: Vec::new(),
+            waiting: WaitingCounts::default(),
             ..self.clone()
         }
     }
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -17,6 +17,7 @@
 use super::lease::SHARDS;
 use super::limits::Limits;
 use super::loader::AdapterSlots;
+use super::pace::Pace;
 use super::partition::Partitions;
 use super::paths::Paths;
 use super::peers::{Load, Member, Peer, Peers};
@@ -35,6 +36,7 @@
 use super::stream_origins::{StreamOrigin, StreamOrigins};
 use super::target::Target;
 use super::versions::Versions;
+use super::wait_queue::WaitQueue;
 
 /// Fraction of a route's target latency for which a request may wait for its workspace's quota. A
 /// rejected caller would lose more time on its way back, and an engine can still respond in the
@@ -98,6 +100,10 @@
     pub origins: StreamOrigins,
     /// Prompts that engines have not started.
     pub queues: PromptQueues,
+    /// Speed of targets.
+    pub pace: Pace,
+    /// Requests that wait for a place.
+    pub wait_queue: WaitQueue,
     /// Shards for which this instance may order loads.
     pub shards: Vec<u8>,
     /// Shards whose leases this instance holds, including those for which it may not order loads
@@ -209,6 +215,8 @@
             evacuations: Evacuations::default(),
             origins: StreamOrigins::default(),
             queues: PromptQueues::default(),
+            pace: Pace::default(),
+            wait_queue: WaitQueue::default(),
             shards: Vec::new(),
             claims: Vec::new(),
             loads: LocalLoads::default(),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -83,6 +83,7 @@
         evacuations: EvacuationsVersion::default(),
         quarantine_digest: 0,
         in_flight: std::collections::HashMap::new(),
+        waiting: bluebellstage_gateway::decide::wait_queue::WaitingCounts::default(),
         loads: 0,
         waiting_loads: 0,
         adapter_slots: std::collections::HashMap::new(),
