Weigh how widespread a prompt part is over all instances, and how many targets crash at the same time without it

By the model, two estimates are wrong in a large fleet. An instance compares the part with its own few requests at other engines, but at the crashed engine the requests of all instances count: a part that is on nearly every engine looks rare. And the rate of crashes is that of ten seconds, though 28 engines crashed within half a second.

Change: the probability that a part runs longer at another target counts as many instances as had requests at the crashed one; crashes that the part was not in, while those with it happened, raise the rate that its runs are weighed by.

--- a/crates/gateway/src/decide/quarantine/part_evidence.rs
+++ b/crates/gateway/src/decide/quarantine/part_evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence against prompt parts from the crashes that they were in.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bluebellstage_core::Time;
@@ -19,6 +19,10 @@
 const MIN_LONGER: Duration = Duration::from_millis(100);
 /// Maximum number of instances whose reports of a part at a crashed target are kept.
 const MAX_REPORTS_PER_PART: usize = 16;
+/// Maximum number of instances that are counted as having had requests at a crashed target.
+const MAX_REPORTERS: usize = 128;
+/// Shortest time over which the rate of crashes without a part is computed.
+const MIN_RATE_WINDOW: Duration = Duration::from_millis(500);
 
 /// What all instances report of a part at a crashed target.
 #[derive(Clone, Debug, Default)]
@@ -27,7 +31,7 @@
     reports: BTreeMap<ShortHash, (InterruptedPart, u16)>,
     /// All reports together.
     merged: Option<InterruptedPart>,
-    /// Fraction of other targets that had been running the part for longer.
+    /// Probability that one instance had been running the part for longer at another target.
     longer_elsewhere: f64,
 }
 
@@ -50,8 +54,8 @@
         true
     }
 
-    /// Returns the fraction of other targets that had been running the part for longer, or zero if too few targets
-    /// were compared.
+    /// Returns the fraction of other targets where an instance had been running the part for longer, or zero if too
+    /// few targets were compared. An instance compares its own requests only.
     fn compare_elsewhere(&self) -> f64 {
         let reports = self.reports.values();
         let sampled = reports.clone().map(|(_, sampled)| u32::from(*sampled));
@@ -73,22 +77,43 @@
     pub(super) at: Time,
     /// Crashes per second and target around that time.
     pub(super) rate: f64,
+    /// Number of targets at that time.
+    pub(super) targets: u32,
     /// Whether a part is known to be the cause.
     pub(super) explained: bool,
     pub(super) parts: BTreeMap<PromptPart, PartAtCrash>,
+    /// Instances whose requests there had shared parts.
+    pub(super) reporters: BTreeSet<ShortHash>,
 }
 
 impl PartCrash {
-    /// Returns the probability that a part was there by coincidence.
-    pub(super) fn coincidence(&self, part: PromptPart) -> f64 {
+    /// Records that an instance had requests with shared parts there.
+    pub(super) fn add_reporter(&mut self, reporter: ShortHash) {
+        if self.reporters.len() < MAX_REPORTERS {
+            self.reporters.insert(reporter);
+        }
+    }
+
+    /// Returns the probability that a target runs a part for longer on behalf of any of as many instances as had
+    /// requests at the crashed one.
+    fn longer_at_another_target(&self, at_crash: &PartAtCrash) -> f64 {
+        let reporters = i32::try_from(self.reporters.len()).unwrap_or(i32::MAX);
+        1.0 - (1.0 - at_crash.longer_elsewhere).powi(reporters.max(1))
+    }
+
+    /// Returns the probability that a part was there by coincidence, where crashes that it was not in happen at
+    /// `other_rate` per second and target.
+    pub(super) fn coincidence(&self, part: PromptPart, other_rate: f64) -> f64 {
         let Some(at_crash) = self.parts.get(&part) else {
             return 1.0;
         };
         let merged = at_crash.merged.as_ref();
         let total_ms = merged.map_or(0, |part| part.total_ms);
         let run_time = Duration::from_millis(u64::from(total_ms)).max(MIN_RUN_TIME);
-        let interrupted = self.rate * run_time.as_secs_f64();
-        interrupted.max(at_crash.longer_elsewhere).min(1.0)
+        let interrupted = self.rate.max(other_rate) * run_time.as_secs_f64();
+        interrupted
+            .max(self.longer_at_another_target(at_crash))
+            .min(1.0)
     }
 
     /// Returns what all instances together report of a part.
@@ -145,7 +170,9 @@
         return 0.0;
     }
     let count = to_f64(crashes.len());
-    let coincidences = crashes.iter().map(|crash| crash.coincidence(part));
+    let other_rate = rate_of_others(crashes, all);
+    let coincidences = crashes.iter();
+    let coincidences = coincidences.map(|crash| crash.coincidence(part, other_rate));
     // The part may have met each of the other crashes as well.
     let expected = coincidences.sum::<f64>() * to_f64(all.max(crashes.len())) / count;
     if expected >= count {
@@ -156,6 +183,17 @@
     nats / std::f64::consts::LN_10
 }
 
+/// Returns the rate per second and target of the crashes, of `all` in that time, that are not among those given, which
+/// are in order of time. If many targets crash within a moment, it is far above the rate over a longer time.
+fn rate_of_others(crashes: &[&PartCrash], all: usize) -> f64 {
+    let [Some(first), Some(last)] = [crashes.first(), crashes.last()] else {
+        return 0.0;
+    };
+    let window = last.at.since(first.at).max(MIN_RATE_WINDOW);
+    let others = to_f64(all.saturating_sub(crashes.len()));
+    others / window.as_secs_f64() / f64::from(first.targets.max(1))
+}
+
 pub(super) fn evidence_against(
     part: PromptPart,
     crashes: &[&PartCrash],
--- a/crates/gateway/src/decide/quarantine/part_suspects.rs
+++ b/crates/gateway/src/decide/quarantine/part_suspects.rs
@@ -72,11 +72,16 @@
         let crash = crash.or_insert_with(|| PartCrash {
             at,
             rate,
+            targets: report.targets,
             explained: false,
             parts: BTreeMap::new(),
+            reporters: BTreeSet::new(),
         });
         // The report that took the shortest way tells the time best.
         crash.at = crash.at.min(at);
+        if !report.parts.is_empty() {
+            crash.add_reporter(report.reporter);
+        }
         if crash.explained {
             return false;
         }
--- a/crates/gateway/tests/quarantine_parts.rs
+++ b/crates/gateway/tests/quarantine_parts.rs
@@ -107,6 +107,24 @@
     assert_none_refused(1, &outcome);
 }
 
+/// Guards against refusing a sound part that is on nearly every engine, because each instance sees only its own few
+/// requests at the engines that live on.
+#[test]
+fn no_part_is_refused_when_a_quarter_of_the_engines_crashes_in_a_large_fleet() {
+    for seed in 0..4 {
+        let scenario = CrashScenario {
+            instances: 72,
+            engines: 112,
+            rate: 430,
+            // Within half a second, each in an outage of its own.
+            outages: (0..28).map(|idx| (3_000 + idx * 20, 1)).collect(),
+            seconds: 6,
+            ..large(seed)
+        };
+        assert_none_refused(seed, &scenario.run());
+    }
+}
+
 /// Guards against refusing a sound part that many requests share because engines crash for another reason.
 #[test]
 fn no_part_is_refused_in_an_outage() {
