Take answers on any connection as signs of a path, and probe before paths count as lost

Cause: only connections that were opened showed that targets can be reached. Beside kept connections few are opened. Where a quarter of 112 engines crashed at once, the runs that broke were sent again to engines of which a quarter was down as well; four refused connections without one that was opened between them were read as "no target of 112 can be reached", while answers arrived over kept connections.

Change: an answer or an event on any connection is recorded, for each stream every 100 ms at most. Unless all targets have failed, one in eight of them (6 to 16), those least recently tested first and each instance in an order of its own, must be probed in vain before their paths count as lost. While answers arrive two are probed first, and the others if both fail. A target of which a connection failed just after another one was reached is no reason to forward a request. Answers bring lost paths back. An answer of a target that refuses new connections does not count, so that all paths that are lost for new connections only are noticed as before.

The tests of partitions, unchanged, pass in both crates.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -24,6 +24,7 @@
 pub mod loader;
 pub mod pace;
 pub mod partition;
+mod path_checks;
 pub mod paths;
 pub mod peers;
 mod picking;
--- a/crates/gateway/src/decide/partition.rs
+++ b/crates/gateway/src/decide/partition.rs
@@ -4,25 +4,18 @@
 //! Its peers can: they report the services whose targets they can't reach either. While at least one does not,
 //! requests are forwarded to such peers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bluebellstage_core::{FailureDomain, InstanceId, ServiceId, TargetId, Time};
 
 use super::drain_state::DrainState;
+use super::path_checks::PathCheck;
 use super::paths::ConnectOutcome;
 use super::peers::{Member, Peer};
 use super::rendezvous::ShortHash;
 use super::tables::Tables;
 
-/// Minimum interval between two rounds of probes after failed connections.
-const SUSPICION_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of targets that are probed after a failed connection.
-const SUSPICION_PROBES: usize = 6;
-/// Interval between two rounds of probes of a service whose targets can't be reached.
-const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of targets that are probed in such a round.
-const RECOVERY_PROBES: usize = 2;
 /// A failure domain serves its own callers and instances as long as at least one in this number of its instances
 /// reaches the targets; fewer would be overloaded.
 const MIN_SERVING_DIVISOR: usize = 3;
@@ -54,7 +47,7 @@
 #[derive(Debug, Default)]
 pub struct Partitions {
     lost: BTreeMap<ServiceId, LostPaths>,
-    last_probed: BTreeMap<ServiceId, Time>,
+    pub(super) checks: BTreeMap<ServiceId, PathCheck>,
     /// Requests that peers are serving for this instance.
     forwarded: BTreeMap<InstanceId, u32>,
 }
@@ -89,7 +82,7 @@
 
 impl Tables {
     /// Targets of a service to which a path should exist: those that do not leave.
-    fn expected_targets(&self, service: &ServiceId, now: Time) -> Vec<TargetId> {
+    pub(super) fn expected_targets(&self, service: &ServiceId, now: Time) -> Vec<TargetId> {
         let targets = self.registry.all();
         let expected = targets.filter(|target| {
             target.service == *service && self.drain_state(target, now) == DrainState::Open
@@ -112,20 +105,41 @@
         if outcome == ConnectOutcome::Opened && !self.is_partitioned_from(&service) {
             return PathChange::None;
         }
+        if self.is_partitioned_from(&service) {
+            return self.check_back(service, now);
+        }
+        self.check_lost(service, now)
+    }
+
+    /// Records that an answer or an event arrived from a target, on any connection.
+    pub fn record_answer(&mut self, target: &TargetId, now: Time) -> PathChange {
+        self.paths.record_answer(target, now);
+        if self.partitions.lost.is_empty() {
+            return PathChange::None;
+        }
+        let known = self.registry.get(target);
+        let service = known.map(|known| known.service.clone());
+        service.map_or(PathChange::None, |service| self.check_back(service, now))
+    }
+
+    fn check_back(&mut self, service: ServiceId, now: Time) -> PathChange {
+        let Some(lost) = self.partitions.lost.get(&service).copied() else {
+            return PathChange::None;
+        };
         let targets = self.expected_targets(&service, now);
-        match self.partitions.lost.get(&service).copied() {
-            None => self.check_lost(service, &targets, now),
-            Some(lost) if self.paths.are_back(&targets, now) => {
-                self.partitions.lost.remove(&service);
-                self.forget_failures(&targets, lost, now);
-                PathChange::Regained(service, now.since(lost.since))
-            }
-            Some(_) => PathChange::None,
+        if !self.paths.are_back(&targets, now) {
+            return PathChange::None;
         }
+        self.partitions.lost.remove(&service);
+        self.forget_failures(&targets, lost, now);
+        PathChange::Regained(service, now.since(lost.since))
     }
 
-    fn check_lost(&mut self, service: ServiceId, targets: &[TargetId], now: Time) -> PathChange {
-        let Some(since) = self.paths.lost_since(targets, now) else {
+    fn check_lost(&mut self, service: ServiceId, now: Time) -> PathChange {
+        let targets = self.expected_targets(&service, now);
+        let check = self.partitions.checks.get(&service);
+        let probed = check.map_or(&[][..], PathCheck::probed);
+        let Some(since) = self.paths.lost_since(&targets, probed, now) else {
             return PathChange::None;
         };
         let lost = LostPaths {
@@ -151,7 +165,7 @@
     }
 
     /// Updates since when peers have reached the targets of a service that can't be reached from here.
-    fn update_reached_by_peer(&mut self, service: &ServiceId, now: Time) {
+    pub(super) fn update_reached_by_peer(&mut self, service: &ServiceId, now: Time) {
         let can_forward = self.can_forward(service, now);
         if let Some(lost) = self.partitions.lost.get_mut(service) {
             let since = lost.reached_by_peer_since.unwrap_or(now);
@@ -172,49 +186,12 @@
             .collect()
     }
 
-    /// Whether no target of a service was connected since `since`, so that a failed connection may be due to
-    /// the network of this instance.
+    /// Whether no target of a service was reached since `since` or just before it, so that a failed connection may
+    /// be due to the network of this instance.
     #[must_use]
     pub fn is_path_in_doubt(&self, service: &ServiceId, since: Time, now: Time) -> bool {
         let targets = self.expected_targets(service, now);
-        self.is_partitioned_from(service) || self.paths.last_opened(&targets) < Some(since)
-    }
-
-    /// Returns the targets to which connections should be opened now, to find out whether paths are lost or back.
-    pub fn due_probes(&mut self, now: Time) -> Vec<TargetId> {
-        let mut due = Vec::new();
-        let reported = self.services_lost_by_peers(now);
-        let is_all_well = self.paths.failing_count() == 0 && self.partitions.lost.is_empty();
-        if is_all_well && reported.is_empty() {
-            return due;
-        }
-        let services = self.routes.config().services.iter();
-        let services = services.map(|service| service.name.clone());
-        for service in services.collect::<Vec<_>>() {
-            let targets = self.expected_targets(&service, now);
-            let last_probed = self.partitions.last_probed.get(&service);
-            let since_probes = last_probed.map_or(Duration::MAX, |last| now.since(*last));
-            let count = if self.is_partitioned_from(&service) {
-                self.update_reached_by_peer(&service, now);
-                (since_probes >= RECOVERY_INTERVAL).then_some(RECOVERY_PROBES)
-            } else {
-                let is_reported = reported.contains(&ShortHash::of(service.as_str()));
-                let is_suspect = self.paths.has_failed_last(&targets, now)
-                    || is_reported && !self.paths.are_fresh(&targets, now);
-                (is_suspect && since_probes >= SUSPICION_INTERVAL).then_some(SUSPICION_PROBES)
-            };
-            if let Some(count) = count {
-                due.extend(self.paths.least_recently_tested(&targets, count));
-                self.partitions.last_probed.insert(service, now);
-            }
-        }
-        due
-    }
-
-    /// Services whose targets live peers can't reach.
-    fn services_lost_by_peers(&self, now: Time) -> BTreeSet<ShortHash> {
-        let lost = self.peers.live(now).flat_map(|peer| &peer.lost_services);
-        lost.copied().collect()
+        self.is_partitioned_from(service) || !self.paths.are_reached_since(&targets, since, now)
     }
 
     /// Live peers that accept requests and do not report that they can't reach the service's targets.
--- a/crates/gateway/src/decide/paths.rs
+++ b/crates/gateway/src/decide/paths.rs
@@ -1,20 +1,30 @@
-//! Paths to targets, as the connections that this instance opens show them.
+//! Paths to targets, as connections that this instance opens and answers on any connection show them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
 
 use super::health::MAX_SILENCE;
+use super::rendezvous::weight;
 
 /// Age from which a failed connection no longer shows that the path is lost.
 const FAILURE_TTL: Duration = Duration::from_secs(2);
 /// Age from which a result no longer counts when it is decided whether paths are back.
 const RESULT_TTL: Duration = Duration::from_secs(1);
-/// Number of targets that must fail, of a service that has more, before their paths count as lost.
-const MIN_FAILED: usize = 4;
-/// Number of targets that must be connected, of a service that has more, before paths count as back.
-const MIN_OPENED: usize = 2;
+/// Age up to which an answer shows that a path works now. Answers are recorded at [`ANSWER_INTERVAL`].
+const RECENT_ANSWER: Duration = Duration::from_millis(200);
+/// Interval at which the events of a stream are recorded as answers.
+pub const ANSWER_INTERVAL: Duration = Duration::from_millis(100);
+/// One in this number of targets, of a service that has many, must be probed in vain before their paths count as
+/// lost.
+const TARGETS_PER_PROBE: usize = 8;
+/// Minimum number of such probes.
+const MIN_PROBES: usize = 6;
+/// Maximum number of such probes: so many targets fail by chance only if nearly all are down.
+const MAX_PROBES: usize = 16;
+/// Number of targets that must be reached, of a service that has more, before paths count as back.
+const MIN_REACHED: usize = 2;
 
 /// Result of opening a connection to a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,6 +41,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Path {
     opened_at: Option<Time>,
+    /// When an answer or an event last arrived, on any connection.
+    answered_at: Option<Time>,
     failed_at: Option<Time>,
     /// When the first connection failed after the last one that was opened.
     failing_since: Option<Time>,
@@ -42,15 +54,36 @@
     /// Whether connections have failed in a way that a sound target's do not: they were refused, or there was no
     /// response for longer than a sound target may be silent.
     fn is_down(&self, now: Time) -> bool {
-        let silence = self.failing_since.map(|since| now.since(since));
+        let silent_since = self.failing_since.max(self.reached_at());
+        let silence = silent_since.filter(|_| !self.is_reached());
+        let silence = silence.map(|since| now.since(since));
         silence.is_some_and(|silence| self.is_refusing || silence >= MAX_SILENCE)
     }
 
+    /// When the target was last reached. An answer of a target that refuses new connections does not count: it
+    /// says nothing of other targets.
+    fn reached_at(&self) -> Option<Time> {
+        let refuses = self.failing_since.is_some() && self.is_refusing;
+        let answered_at = self.answered_at.filter(|_| !refuses);
+        self.opened_at.max(answered_at)
+    }
+
     fn tested_at(&self) -> Option<Time> {
-        self.opened_at.max(self.failed_at)
+        self.reached_at().max(self.failed_at)
+    }
+
+    fn is_reached(&self) -> bool {
+        self.failing_since.is_none() || self.reached_at() > self.failed_at
     }
 }
 
+/// Returns the number of targets, of a service that has `targets`, that must be probed in vain before their paths
+/// count as lost.
+#[must_use]
+pub fn probes_required(targets: usize) -> usize {
+    (targets / TARGETS_PER_PROBE).clamp(MIN_PROBES, MAX_PROBES)
+}
+
 /// Paths of this instance to targets.
 #[derive(Debug, Default)]
 pub struct Paths {
@@ -74,56 +107,91 @@
         }
     }
 
+    /// Records that an answer or an event arrived from a target, on any connection.
+    pub fn record_answer(&mut self, target: &TargetId, now: Time) {
+        let path = self.by_target.entry(target.clone()).or_default();
+        path.answered_at = Some(now);
+    }
+
     fn of<'a>(&'a self, targets: &'a [TargetId]) -> impl Iterator<Item = (&'a TargetId, &'a Path)> {
         let known = targets.iter();
         known.filter_map(|target| Some((target, self.by_target.get(target)?)))
     }
 
-    /// Returns when a connection to one of these targets was last opened.
+    /// Returns when one of these targets was last reached.
     #[must_use]
-    pub fn last_opened(&self, targets: &[TargetId]) -> Option<Time> {
-        let opened = self.of(targets).filter_map(|(_, path)| path.opened_at);
-        opened.max()
+    pub fn last_reached(&self, targets: &[TargetId]) -> Option<Time> {
+        let reached = self.of(targets).filter_map(|(_, path)| path.reached_at());
+        reached.max()
     }
 
-    /// Returns when connections to the first of these targets began to fail, if the paths to all of them look
-    /// lost: several were tried lately, and none was opened after the others had failed.
+    /// Whether one of these targets was reached after `since`, or just before it.
     #[must_use]
-    pub fn lost_since(&self, targets: &[TargetId], now: Time) -> Option<Time> {
-        let last_opened = self.last_opened(targets);
+    pub fn are_reached_since(&self, targets: &[TargetId], since: Time, now: Time) -> bool {
+        let max_age = now.since(since).max(RECENT_ANSWER);
+        let last_reached = self.last_reached(targets);
+        last_reached.is_some_and(|at| now.since(at) <= max_age)
+    }
+
+    /// Those of these targets whose connections failed lately and after the last one was reached.
+    fn failed_last<'a>(
+        &'a self,
+        targets: &'a [TargetId],
+        now: Time,
+    ) -> BTreeMap<&'a TargetId, &'a Path> {
+        let last_reached = self.last_reached(targets);
         let failed = self.of(targets).filter(|(_, path)| {
-            let is_recent = |at: &Time| now.since(*at) < FAILURE_TTL && last_opened < Some(*at);
-            path.failed_at.as_ref().is_some_and(is_recent)
+            let is_recent = |at: Time| now.since(at) < FAILURE_TTL && last_reached < Some(at);
+            path.failed_at.is_some_and(is_recent)
         });
-        let failed = failed.map(|(_, path)| path).collect::<Vec<_>>();
-        let is_lost = match failed[..] {
-            [] => false,
-            [path] => targets.len() == 1 && path.is_down(now),
-            _ => failed.len() >= targets.len().min(MIN_FAILED),
+        failed.collect()
+    }
+
+    /// Returns when connections to the first of these targets began to fail, if the paths to all of them look
+    /// lost: none was reached after connections to all of them failed, or to as many of those that were `probed`
+    /// as their number calls for.
+    #[must_use]
+    pub fn lost_since(&self, targets: &[TargetId], probed: &[TargetId], now: Time) -> Option<Time> {
+        let failed = self.failed_last(targets, now);
+        let is_lost = match failed.len() {
+            0 => false,
+            1 if targets.len() == 1 => failed.values().all(|path| path.is_down(now)),
+            count if count == targets.len() => true,
+            _ => {
+                let is_checked = probed.len() >= probes_required(targets.len());
+                is_checked && probed.iter().all(|target| failed.contains_key(target))
+            }
         };
-        let since = failed
-            .iter()
-            .map(|path| path.failing_since.max(last_opened));
+        let last_reached = self.last_reached(targets);
+        let since = failed.values();
+        let since = since.map(|path| path.failing_since.max(last_reached));
         is_lost.then(|| since.flatten().min()).flatten()
     }
 
-    /// Whether a connection to one of these targets failed lately, and none was opened since.
+    /// Whether connections to all of the `probed` targets failed lately, and none of `targets` was reached since.
+    #[must_use]
+    pub fn have_failed(&self, probed: &[TargetId], targets: &[TargetId], now: Time) -> bool {
+        let failed = self.failed_last(targets, now);
+        probed.iter().all(|target| failed.contains_key(target))
+    }
+
+    /// Whether a connection to one of these targets failed lately, and none was reached since.
     #[must_use]
     pub fn has_failed_last(&self, targets: &[TargetId], now: Time) -> bool {
         let failed = self.of(targets).filter_map(|(_, path)| path.failed_at);
         let last_failed = failed.max();
         let is_recent = last_failed.is_some_and(|at| now.since(at) < FAILURE_TTL);
-        is_recent && self.last_opened(targets) < last_failed
+        is_recent && self.last_reached(targets) < last_failed
     }
 
-    /// Whether a connection to one of these targets was opened lately.
+    /// Whether one of these targets was reached lately.
     #[must_use]
     pub fn are_fresh(&self, targets: &[TargetId], now: Time) -> bool {
-        let last_opened = self.last_opened(targets);
-        last_opened.is_some_and(|at| now.since(at) < RESULT_TTL)
+        let last_reached = self.last_reached(targets);
+        last_reached.is_some_and(|at| now.since(at) < RESULT_TTL)
     }
 
-    /// Returns whether lost paths to these targets are back: most of those that were tried lately were connected.
+    /// Returns whether lost paths to these targets are back: most of those that were tried lately were reached.
     #[must_use]
     pub fn are_back(&self, targets: &[TargetId], now: Time) -> bool {
         let is_recent = |path: &&Path| {
@@ -132,16 +200,26 @@
         };
         let recent = self.of(targets).map(|(_, path)| path).filter(is_recent);
         let recent = recent.collect::<Vec<_>>();
-        let opened = recent.iter().filter(|path| path.failing_since.is_none());
-        let opened = opened.count();
-        opened >= targets.len().clamp(1, MIN_OPENED) && opened * 2 > recent.len()
+        let reached = recent.iter().filter(|path| path.is_reached()).count();
+        reached >= targets.len().clamp(1, MIN_REACHED) && reached * 2 > recent.len()
     }
 
-    /// Returns up to `count` of these targets whose paths were tested least recently.
+    /// Returns up to `count` of these targets whose paths were tested least recently, without those that were
+    /// `probed`. Each `key` orders targets that were not tested in its own way.
     #[must_use]
-    pub fn least_recently_tested(&self, targets: &[TargetId], count: usize) -> Vec<TargetId> {
-        let mut targets = targets.to_vec();
-        targets.sort_by_key(|target| self.by_target.get(target).and_then(Path::tested_at));
+    pub fn least_recently_tested(
+        &self,
+        targets: &[TargetId],
+        probed: &[TargetId],
+        count: usize,
+        key: u64,
+    ) -> Vec<TargetId> {
+        let targets = targets.iter().filter(|target| !probed.contains(target));
+        let mut targets = targets.cloned().collect::<Vec<_>>();
+        targets.sort_by_cached_key(|target| {
+            let tested_at = self.by_target.get(target).and_then(Path::tested_at);
+            (tested_at, weight(key, target.as_str()))
+        });
         targets.truncate(count);
         targets
     }
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -169,6 +169,7 @@
     node.metrics.attempt_ended(outcome.name());
     match outcome {
         Exchange::Response(parts, body, connection) => {
+            in_flight.record_answer();
             let head = record_response_head(node, sender, &parts);
             if parts.status.as_u16() != 421 {
                 record_brittleness(node, sender, &head, in_flight.sent);
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -13,6 +13,7 @@
 use crate::error::GatewayError;
 
 use super::node::Node;
+use super::paths::record_answer;
 use super::pool::Connection;
 use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
@@ -85,6 +86,7 @@
         let (head, body) = exchange(target.address, &mut connection, req)
             .await?
             .into_parts();
+        record_answer(node, &target.id, node.now());
         record_response_head(node, ResponseSender::of(target), &head);
         node.pool.put(&target.id, connection, None);
         Ok(Response::from_parts(head, body))
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -8,6 +8,7 @@
 
 use crate::decide::adapter::AdapterKey;
 use crate::decide::health::TargetOutcome;
+use crate::decide::paths::ANSWER_INTERVAL;
 use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::quarantine::RunKey;
 use crate::decide::tables::Tables;
@@ -18,6 +19,7 @@
 use super::framing::Framing;
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::paths::record_answer;
 use super::target_connection::still_runs;
 
 /// Counts a request as in flight at a target until it is dropped.
@@ -39,6 +41,8 @@
     /// When the target began to respond.
     responding_since: Option<Time>,
     is_outcome_recorded: bool,
+    /// When it was last recorded that something arrived from the target.
+    answer_recorded_at: Option<Time>,
 }
 
 impl<E: Edge> InFlight<E> {
@@ -78,6 +82,7 @@
             suspect: params.suspect,
             responding_since: None,
             is_outcome_recorded: false,
+            answer_recorded_at: None,
         };
         in_flight.notify_loader(AdapterRequestKind::Started);
         in_flight
@@ -93,6 +98,17 @@
         }
     }
 
+    /// Records that something arrived from the target, so that a path leads there.
+    pub(super) fn record_answer(&mut self) {
+        let now = self.node.now();
+        let recorded_at = self.answer_recorded_at;
+        if recorded_at.is_some_and(|at| now.since(at) < ANSWER_INTERVAL) {
+            return;
+        }
+        self.answer_recorded_at = Some(now);
+        record_answer(&self.node, &self.target, now);
+    }
+
     /// Records that the engine has started the request. Engines send the response head with the first event.
     pub(super) fn record_started(&mut self) {
         let now = self.node.now();
--- a/crates/gateway/src/net/paths.rs
+++ b/crates/gateway/src/net/paths.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::TargetId;
+use bluebellstage_core::{TargetId, Time};
 
 use crate::decide::partition::PathChange;
 use crate::edge::Edge;
@@ -42,6 +42,12 @@
     }
 }
 
+/// Records that an answer or an event arrived from a target, on any connection.
+pub(super) fn record_answer<E: Edge>(node: &Node<E>, target: &TargetId, now: Time) {
+    let change = node.tables().record_answer(target, now);
+    record_change(node, &change);
+}
+
 /// Logs and counts a change of the paths to a service's targets, and wakes those that wait for it.
 pub(super) fn record_change<E: Edge>(node: &Node<E>, change: &PathChange) {
     let (log_event, service, span) = match change {
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Records that events arrived.
+    fn record_arrival(&mut self) {
+        if let Self::Target(source) = self {
+            source.in_flight.record_answer();
+        }
+    }
+
     fn record_first_event(&mut self) {
         if let Self::Target(source) = self {
             let age = source.in_flight.age();
@@ -259,9 +266,11 @@
 
     fn record_event(&mut self) {
         let first = !std::mem::replace(&mut self.has_started, true);
-        if let Some(source) = &mut self.source
-            && first
-        {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        source.record_arrival();
+        if first {
             source.record_first_event();
         }
     }
