--- a/crates/gateway/src/decide/pace/mod.rs
+++ b/crates/gateway/src/decide/pace/mod.rs
@@ -13,7 +13,7 @@
 
 /// Speed of targets, from this instance's outcomes and the reports of others.
 #[derive(Debug, Default)]
-pub struct Pace {}
+pub struct Pace;
 
 impl Pace {
     /// Returns what this instance reports in its next status: a bounded number of targets, in turn.
--- a/crates/gateway/src/decide/wait_queue/mod.rs
+++ b/crates/gateway/src/decide/wait_queue/mod.rs
@@ -6,7 +6,7 @@
 
 /// Requests that wait for places, of this instance and as far as known of all others.
 #[derive(Debug, Default)]
-pub struct WaitQueue {}
+pub struct WaitQueue;
 
 impl WaitQueue {
     /// Returns the requests of this instance that wait, for its next status.
