--- a/crates/cli/src/commands/catalogue.rs
+++ b/crates/cli/src/commands/catalogue.rs
@@ -42,14 +42,14 @@
     };
     Output::new(args.json).print(&file, || {
         serde_saphyr::to_string(&file).unwrap_or_else(|error| format!("# can't be shown: {error}"))
-    });
+    })?;
     Ok(Exit::Done)
 }
 
 async fn diff(admin: &Admin, args: &CatalogueDiffArgs) -> Result<Exit, CliError> {
     let (revision, changes) = compare(admin, &args.file).await?;
     let shown = json!({ "revision": revision, "changes": changes });
-    Output::new(args.json).print(&shown, || summary(revision, &changes));
+    Output::new(args.json).print(&shown, || summary(revision, &changes))?;
     Ok(if changes.is_empty() {
         Exit::Done
     } else {
@@ -60,9 +60,9 @@
 async fn apply(admin: &Admin, args: &CatalogueApplyArgs) -> Result<Exit, CliError> {
     let output = Output::new(args.json);
     let (revision, changes) = compare(admin, &args.file).await?;
-    output.progress(summary(revision, &changes).trim_end());
+    output.progress(summary(revision, &changes).trim_end())?;
     if changes.is_empty() {
-        output.print(&json!({ "revision": revision, "changes": [] }), String::new);
+        output.print(&json!({ "revision": revision, "changes": [] }), String::new)?;
         return Ok(Exit::Done);
     }
     let id = args.change_id.clone().unwrap_or_else(change::drawn_id);
@@ -74,7 +74,7 @@
     });
     output.print(&shown, || {
         format!("revision {} is in force everywhere", accepted.revision)
-    });
+    })?;
     Ok(Exit::Done)
 }
 
--- a/crates/cli/src/commands/change.rs
+++ b/crates/cli/src/commands/change.rs
@@ -62,13 +62,13 @@
     revision: Revision,
     output: Output,
 ) -> Result<Accepted, CliError> {
-    output.progress(&format!("accepted as revision {revision}"));
+    output.progress(&format!("accepted as revision {revision}"))?;
     let begun = Instant::now();
     let mut seen = Vec::new();
     while begun.elapsed() < IN_FORCE_TIMEOUT {
         // One lost answer is no reason to give up: the change is accepted already.
         if let Ok(status) = admin.status().await {
-            note_new(&status, revision, &mut seen, begun, output);
+            note_new(&status, revision, &mut seen, begun, output)?;
             if status.is_everywhere(revision) {
                 return Ok(Accepted {
                     revision,
@@ -87,14 +87,15 @@
     seen: &mut Vec<String>,
     begun: Instant,
     output: Output,
-) {
+) -> Result<(), CliError> {
     for instance in &status.instances {
         let name = instance.id.to_string();
         let has = instance.revision.is_some_and(|known| known >= revision);
         if has && !seen.contains(&name) {
             let millis = begun.elapsed().as_millis();
-            output.progress(&format!("in force at {name} (seen after {millis} ms)"));
+            output.progress(&format!("in force at {name} (seen after {millis} ms)"))?;
             seen.push(name);
         }
     }
+    Ok(())
 }
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -17,14 +17,14 @@
     let output = Output::new(args.json);
     let name = admin.status().await?.me.id;
     admin.stop().await?;
-    output.progress(&format!("{name} is stopping"));
+    output.progress(&format!("{name} is stopping"))?;
     let begun = Instant::now();
     let mut shown = None;
     while begun.elapsed() < Duration::from_secs(args.wait_s) {
         match admin.status().await {
             Ok(status) => {
                 if shown != Some(status.requests) {
-                    output.progress(&format!("{} requests under way", status.requests));
+                    output.progress(&format!("{} requests under way", status.requests))?;
                     shown = Some(status.requests);
                 }
             }
@@ -33,7 +33,7 @@
                 let took = begun.elapsed().as_millis();
                 output.print(&json!({ "stopped": name, "took_ms": took }), || {
                     format!("{name} has stopped")
-                });
+                })?;
                 return Ok(Exit::Done);
             }
             Err(error) => return Err(error),
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -4,6 +4,7 @@
 
 use crate::args::ExplainArgs;
 use crate::error::{CliError, Exit};
+use crate::output::print_line;
 
 use super::log_lines::{Line, read};
 
@@ -103,6 +104,15 @@
                 self.field("charge"),
                 self.continued_stream(),
             ),
+            "BS3414" => format!(
+                "its stream at {} ended: first event after {} ms of {}, longest gap {} ms, held here for {} ms at most, of {}",
+                self.field("target"),
+                self.field("first_ms"),
+                self.field("aim_ms"),
+                self.field("gap_ms"),
+                self.field("held_ms"),
+                self.field("gap_aim_ms"),
+            ),
             code => format!("{code}: {}", self.field("msg")),
         }
     }
@@ -149,7 +159,12 @@
             1 => String::new(),
             _ => format!("{}: ", line.field("request")),
         };
-        println!("{} {}: {request}{}", line.at, line.source, line.told());
+        print_line(&format!(
+            "{} {}: {request}{}",
+            line.at,
+            line.source,
+            line.told()
+        ))?;
     }
     Ok(Exit::Done)
 }
--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -17,7 +17,7 @@
 
 use crate::args::InstanceArgs;
 use crate::error::{CliError, Exit};
-use crate::output::pretty;
+use crate::output::{pretty, print_line};
 
 /// An instance answers from memory; one that takes longer is stuck.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -61,15 +61,17 @@
 pub(super) async fn run(args: &InstanceArgs) -> Result<Exit, CliError> {
     if let Some(suspect) = args.clear {
         clear(args.control, suspect).await?;
-        println!("{suspect} is sent to targets again, on all instances");
+        print_line(&format!(
+            "{suspect} is sent to targets again, on all instances"
+        ))?;
         return Ok(Exit::Done);
     }
     let dump = read(args.control).await?;
     if args.json {
         let value = serde_json::to_value(&dump).unwrap_or_default();
-        println!("{}", pretty(&value));
+        print_line(&pretty(&value))?;
     } else {
-        print!("{}", text(&dump));
+        print_line(text(&dump).trim_end())?;
     }
     Ok(Exit::Done)
 }
--- a/crates/cli/src/commands/key.rs
+++ b/crates/cli/src/commands/key.rs
@@ -41,7 +41,7 @@
     let shown = json!({ "name": args.name, "workspace": args.workspace, "key": key });
     output.print(&shown, || {
         format!("key (shown this once; only its digest is kept):\n{key}")
-    });
+    })?;
     accepted.map(|_accepted| Exit::Done)
 }
 
@@ -51,7 +51,7 @@
     let accepted = change::send(admin, change::drawn_id(), None, changes, output).await?;
     output.print(&json!({ "name": args.name, "withdrawn": accepted }), || {
         format!("key {} is withdrawn everywhere", args.name)
-    });
+    })?;
     Ok(Exit::Done)
 }
 
@@ -62,7 +62,7 @@
             .iter()
             .map(|key| format!("{}  {}\n", key.id, key.workspace));
         format!("NAME  WORKSPACE\n{}", lines.collect::<String>())
-    });
+    })?;
     Ok(Exit::Done)
 }
 
--- a/crates/cli/src/commands/request.rs
+++ b/crates/cli/src/commands/request.rs
@@ -18,7 +18,7 @@
 async fn show(admin: &Admin, args: &RequestShowArgs) -> Result<Exit, CliError> {
     let path = format!("/admin/v1/requests/{}", args.id);
     let request: Value = admin.read(&path).await?;
-    Output::new(args.json).print(&request, || pretty(&request));
+    Output::new(args.json).print(&request, || pretty(&request))?;
     Ok(Exit::Done)
 }
 
@@ -40,6 +40,6 @@
         });
         let lines: String = lines.collect();
         format!("{lines}each may have run: ask its service before it is filed again")
-    });
+    })?;
     Ok(Exit::Done)
 }
--- a/crates/cli/src/commands/state.rs
+++ b/crates/cli/src/commands/state.rs
@@ -9,22 +9,22 @@
 use crate::admin::Admin;
 use crate::args::{DumpArgs, StatusArgs};
 use crate::error::{CliError, Exit};
-use crate::output::{Output, pretty};
+use crate::output::{Output, pretty, print_line};
 use crate::view::Status;
 
 pub(super) async fn status(admin: &Admin, args: &StatusArgs) -> Result<Exit, CliError> {
     let raw: Value = admin.read("/admin/v1/status").await?;
     let status: Status = admin.status().await?;
-    Output::new(args.json).print(&raw, || text(&status));
+    Output::new(args.json).print(&raw, || text(&status))?;
     Ok(Exit::Done)
 }
 
 pub(super) async fn dump(admin: &Admin, args: &DumpArgs) -> Result<Exit, CliError> {
     let dump: Value = admin.read("/admin/v1/dump").await?;
     if args.json {
-        println!("{dump}");
+        print_line(&dump.to_string())?;
     } else {
-        println!("{}", pretty(&dump));
+        print_line(&pretty(&dump))?;
     }
     Ok(Exit::Done)
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -50,6 +50,9 @@
     /// A file can't be read.
     #[error("{file} can't be read: {cause}")]
     Unreadable { file: Box<str>, cause: Box<str> },
+    /// Standard output can't be written.
+    #[error("standard output can't be written: {cause}")]
+    Unwritable { cause: Box<str> },
     /// A catalogue file does not parse.
     #[error("{file} is no catalogue: {cause}")]
     Malformed { file: Box<str>, cause: Box<str> },
@@ -98,6 +101,7 @@
             | Self::NoToken
             | Self::NoLines { .. }
             | Self::Unreadable { .. }
+            | Self::Unwritable { .. }
             | Self::Malformed { .. }
             | Self::NotQuarantined { .. }
             | Self::Answered { .. } => Exit::Failed,
@@ -117,6 +121,9 @@
                 "name the logs of all instances; lines may have been left out (BS3007)".into()
             }
             Self::Unreadable { .. } => "name a readable file".into(),
+            Self::Unwritable { .. } => {
+                "make room where the output goes; a change that was sent may be in force".into()
+            }
             Self::Malformed { .. } => {
                 "compare the file with what `bluebellstage catalogue get` prints".into()
             }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,9 +1,13 @@
 //! Printing: for people, or as JSON.
 
+use std::io::{ErrorKind, Write};
+
 use serde::Serialize;
 
 use bluebellstage_core::catalogue::Change;
 
+use crate::error::CliError;
+
 /// How results are printed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Output {
@@ -20,21 +24,42 @@
     }
 
     /// Prints a result: `value` as JSON, or the text.
-    pub(crate) fn print<T: Serialize>(self, value: &T, text: impl FnOnce() -> String) {
+    pub(crate) fn print<T: Serialize>(
+        self,
+        value: &T,
+        text: impl FnOnce() -> String,
+    ) -> Result<(), CliError> {
         match self {
-            Self::Json => println!("{}", pretty(value)),
-            Self::Text => println!("{}", text().trim_end()),
+            Self::Json => print_line(&pretty(value)),
+            Self::Text => print_line(text().trim_end()),
         }
     }
 
     /// Tells a person how it goes on; a program waits for the result.
-    pub(crate) fn progress(self, text: &str) {
-        if self == Self::Text {
-            println!("{text}");
+    pub(crate) fn progress(self, text: &str) -> Result<(), CliError> {
+        match self {
+            Self::Json => Ok(()),
+            Self::Text => print_line(text),
         }
     }
 }
 
+/// Prints a line. A reader that has left, such as `head`, needs no more lines, and the command goes on without it.
+///
+/// # Errors
+///
+/// The line can't be written for another reason.
+pub(crate) fn print_line(text: &str) -> Result<(), CliError> {
+    let mut out = std::io::stdout().lock();
+    let written = writeln!(out, "{text}").and_then(|()| out.flush());
+    match written {
+        Err(err) if err.kind() != ErrorKind::BrokenPipe => Err(CliError::Unwritable {
+            cause: err.to_string().into(),
+        }),
+        Ok(()) | Err(_) => Ok(()),
+    }
+}
+
 /// JSON that a person can read, too.
 pub(crate) fn pretty<T: Serialize>(value: &T) -> String {
     serde_json::to_string_pretty(value).unwrap_or_default()
--- a/crates/gateway/src/decide/refusal.rs
+++ b/crates/gateway/src/decide/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bluebellstage_core::{Rate, WorkspaceId};
+use bluebellstage_core::Rate;
 
 /// Reason for which a request is refused.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,10 +19,6 @@
     UnknownKey,
     /// The workspace's quota is used up.
     OverQuota {
-        /// Route of the request.
-        route: Box<str>,
-        /// Workspace that used up its quota.
-        workspace: WorkspaceId,
         /// Time until the request would fit.
         retry_after: Duration,
         /// Remaining units.
@@ -54,23 +50,20 @@
         }
     }
 
-    /// Returns the values that the refusal is based on, by log key.
+    /// Returns the numbers that the refusal is based on, by log key.
     #[must_use]
     pub fn inputs(&self) -> Vec<(&'static str, String)> {
         let Self::OverQuota {
-            route,
-            workspace,
             retry_after,
             remaining,
             charge,
             rate,
+            ..
         } = self
         else {
             return Vec::new();
         };
         vec![
-            ("route", route.to_string()),
-            ("workspace", workspace.to_string()),
             ("charge", charge.to_string()),
             ("left", remaining.to_string()),
             ("rate", rate.0.to_string()),
--- a/crates/gateway/src/decide/routes.rs
+++ b/crates/gateway/src/decide/routes.rs
@@ -98,6 +98,16 @@
         routes.iter().find(matches).copied()
     }
 
+    /// Returns the names of the route and of the workspace of `call`, as far as they are known, by log key.
+    #[must_use]
+    pub fn names(&self, call: &Call) -> Vec<(&'static str, &str)> {
+        let route = self.find_route(call).map(|idx| &*self.route(idx).name);
+        let workspace = call.key.as_ref().and_then(|key| self.workspace_of(key));
+        let route = route.map(|name| ("route", name));
+        let workspace = workspace.map(|name| ("workspace", name.as_str()));
+        route.into_iter().chain(workspace).collect()
+    }
+
     /// Returns the route at an index from [`Self::find`].
     #[must_use]
     pub fn route(&self, idx: usize) -> &Route {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -311,8 +311,6 @@
                     remaining,
                 } => {
                     return Err(Refusal::OverQuota {
-                        route: routes.route(route).name.clone(),
-                        workspace: name.clone(),
                         retry_after: retry_after.min(MAX_RETRY_AFTER),
                         remaining,
                         charge,
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -73,11 +73,7 @@
         Ok(ticket) => ticket,
         Err(refusal) => {
             node.metrics.request_refused(refusal.name());
-            let inputs = refusal.inputs();
-            let inputs = inputs.iter().map(|(name, value)| (*name, value.as_str()));
-            let fields = [("request", &*call.id), ("reason", refusal.name())];
-            let fields = fields.into_iter().chain(inputs).collect::<Vec<_>>();
-            event(LogEvent::RequestRefused, &fields);
+            log_refusal(&node, &call, &refusal);
             return refusal_response(&node.protocol, &refusal, call.timeout);
         }
     };
@@ -112,6 +108,15 @@
     job.run().await
 }
 
+fn log_refusal<E: Edge>(node: &Node<E>, call: &Call, refusal: &Refusal) {
+    let routes = Arc::clone(&node.tables().routes);
+    let inputs = refusal.inputs();
+    let inputs = inputs.iter().map(|(name, value)| (*name, value.as_str()));
+    let fields = [("request", &*call.id), ("reason", refusal.name())];
+    let fields = fields.into_iter().chain(routes.names(call)).chain(inputs);
+    event(LogEvent::RequestRefused, &fields.collect::<Vec<_>>());
+}
+
 fn admit<E: Edge>(
     node: &Node<E>,
     call: &Call,
