Go on probing a single silent target, and forward a request that reaches none of three

A check that had probed all targets of a service took itself for one that goes on, so a single target that is silent was probed once and its lost path never noticed. And where kept connections go on but no new one opens, a request went from target to target, because answers arrived.

Change: a check is over when all targets are probed. A request whose connections to three targets failed goes to a peer.

--- a/crates/gateway/src/decide/partition.rs
+++ b/crates/gateway/src/decide/partition.rs
@@ -20,6 +20,9 @@
 /// reaches the targets; fewer would be overloaded.
 const MIN_SERVING_DIVISOR: usize = 3;
 
+/// Number of targets that a request could not be sent to after which it goes to a peer, whatever answers arrive here
+/// on connections that are kept.
+const MAX_UNREACHED: usize = 3;
 /// Time for which a peer must have reached the targets before they count as unharmed: when targets fail, other
 /// instances take a while to notice.
 const MIN_TIME_REACHED_BY_PEER: Duration = Duration::from_secs(1);
@@ -186,12 +189,21 @@
             .collect()
     }
 
-    /// Whether no target of a service was reached since `since` or just before it, so that a failed connection may
-    /// be due to the network of this instance.
+    /// Whether connections of a request that tried these targets may have failed due to the network of this
+    /// instance: several did, or no target of the service was reached since `since` or just before it.
     #[must_use]
-    pub fn is_path_in_doubt(&self, service: &ServiceId, since: Time, now: Time) -> bool {
+    pub fn is_path_in_doubt(
+        &self,
+        service: &ServiceId,
+        tried: &[TargetId],
+        since: Time,
+        now: Time,
+    ) -> bool {
+        let is_failing = |target: &&TargetId| self.paths.failing_since(target).is_some();
         let targets = self.expected_targets(service, now);
-        self.is_partitioned_from(service) || !self.paths.are_reached_since(&targets, since, now)
+        self.is_partitioned_from(service)
+            || tried.iter().filter(is_failing).count() >= MAX_UNREACHED
+            || !self.paths.are_reached_since(&targets, since, now)
     }
 
     /// Live peers that accept requests and do not report that they can't reach the service's targets.
--- a/crates/gateway/src/decide/path_checks.rs
+++ b/crates/gateway/src/decide/path_checks.rs
@@ -98,7 +98,7 @@
         targets: &[TargetId],
         now: Time,
     ) -> Vec<TargetId> {
-        let required = probes_required(targets.len());
+        let required = probes_required(targets.len()).min(targets.len());
         let check = self.partitions.checks.entry(service.clone()).or_default();
         let goes_on = !check.probed.is_empty()
             && check.probed.len() < required
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -454,7 +454,7 @@
                 self.tried.push(target);
                 let is_doubtful = {
                     let tables = self.node.tables();
-                    tables.is_path_in_doubt(&service, now, self.node.now())
+                    tables.is_path_in_doubt(&service, &self.tried, now, self.node.now())
                 };
                 if is_doubtful {
                     return self.forward_or_return(&service).await;
--- a/crates/gateway/tests/path_evidence.rs
+++ b/crates/gateway/tests/path_evidence.rs
@@ -5,11 +5,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, Time};
+use bluebellstage_core::{Revision, ServiceId, Time};
 use bluebellstage_gateway::decide::partition::PathChange;
 use bluebellstage_gateway::decide::paths::ConnectOutcome;
+use bluebellstage_gateway::decide::tables::Tables;
 use support::fleet::{Fleet, TARGETS, target_id};
-use support::target;
+use support::{at, engine, tables, tables_with_engines, target};
 
 const INSTANCES: usize = 72;
 const DOMAINS: usize = 3;
@@ -255,3 +256,38 @@
         assert_eq!(noticed.into_iter().collect::<Vec<_>>(), third, "{lost:?}");
     }
 }
+
+/// Guards against a silent target that is probed once only: whether it is down shows after a longer silence.
+#[test]
+fn the_lost_path_to_a_single_target_is_noticed_by_probes_alone() {
+    let court = ServiceId::try_from("court").unwrap();
+    let mut tables = tables();
+    let single = target("c1", "court");
+    tables.registry.put(single.clone(), Revision(2), at(0));
+    let fail = |tables: &mut Tables, ms| {
+        let _change = tables.record_connect(&single.id, ConnectOutcome::TimedOut, at(ms));
+    };
+    fail(&mut tables, 1_000);
+    for ms in (1_000..3_000).step_by(50) {
+        if !tables.due_probes(at(ms)).is_empty() {
+            fail(&mut tables, ms + 250);
+        }
+    }
+    assert!(tables.is_partitioned_from(&court));
+}
+
+/// Guards against a request that is tried at one target after another while new connections fail and kept ones go on.
+#[test]
+fn a_request_that_reaches_none_of_three_targets_goes_to_a_peer() {
+    let writers = ServiceId::try_from("writers").unwrap();
+    let engines = (0..ENGINES).map(|idx| engine(target_id(idx).as_str(), 1, &[]));
+    let mut tables = tables_with_engines(&engines.collect::<Vec<_>>());
+    let tried = (0..3).map(target_id).collect::<Vec<_>>();
+    let _change = tables.record_answer(&target_id(9), at(1_000));
+    for target in &tried {
+        let _change = tables.record_connect(target, ConnectOutcome::Refused, at(1_001));
+    }
+    let is_doubtful = |tried| tables.is_path_in_doubt(&writers, tried, at(1_001), at(1_002));
+    assert!(!is_doubtful(&tried[..2]));
+    assert!(is_doubtful(&tried));
+}
