Tell prompts at engines by rank, and count only those ahead of a request

Cause: engines begin more urgent requests first, but all prompts queued at an engine counted as ahead of each request. Urgent requests were refused because of overnight prompts, which a factor for the first rank mended in part.

Change: loads at targets tell prompt tokens by class of rank (three classes a service). A request counts those of its class and of earlier ones. The factor for the first rank is gone; the placement test that held it (813 ms) now holds the plain bound (625 ms). Waits of prompts that others may overtake are not taken for an engine's speed. In relays' updates later classes cost bytes only where they occur.

--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -9,6 +9,7 @@
 
 use super::evacuations::EvacuationsVersion;
 use super::loader::AdapterSlots;
+use super::ranked_tokens::RankedTokens;
 use super::relay_update::RelayView;
 use super::rendezvous::{ShortHash, weight};
 use super::status::{Role, Status};
@@ -64,20 +65,20 @@
     /// Number of requests.
     pub requests: u32,
     /// Prompt tokens of the requests that the target has not started.
-    pub prompts: u32,
+    pub prompts: RankedTokens,
 }
 
 impl Load {
     /// Adds another load.
     pub fn add(&mut self, other: Self) {
         self.requests = self.requests.saturating_add(other.requests);
-        self.prompts = self.prompts.saturating_add(other.prompts);
+        self.prompts.add(other.prompts);
     }
 
     /// Subtracts another load.
     pub fn subtract(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
-        self.prompts = self.prompts.saturating_sub(other.prompts);
+        self.prompts.subtract(other.prompts);
     }
 }
 
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -239,14 +239,17 @@
         let limit = config.service(&ticket.service).map_or(1, |service| {
             self.connection_limit(service.max_connections, now)
         });
+        let class = ticket.rank_class();
         let candidates = targets.iter().map(|target| {
             let local = self.local_in_flight(&target.id);
             let others = self.peers.load(ShortHash::of(target.id.as_str()));
-            let prompts = self.queues.local_tokens(&target.id) + u64::from(others.prompts);
+            let mut prompts = self.queues.local_tokens(&target.id);
+            prompts.add(others.prompts);
+            let ahead = prompts.ahead_of(class);
             Candidate {
                 target,
                 in_flight: local + others.requests,
-                queue_wait: self.queues.reading_time(&target.id, prompts),
+                queue_wait: self.queues.reading_time(&target.id, ahead),
                 prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
                 can_connect: local < limit
@@ -264,7 +267,6 @@
             versions: &self.versions,
             failure_domain: &self.local.failure_domain,
             target_latency: ticket.route().target_latency,
-            rank: ticket.rank,
             load_requested_at: self.load_requested_target(call, now),
             sample,
             now,
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -29,9 +29,6 @@
 /// refused if nothing can start it sooner. A longer queue makes all requests in it late and serves
 /// no more of them. It is a little over 1 because information about queues is out of date.
 const MAX_START_FRACTION: f64 = 1.25;
-/// Factor by which the queue may be longer for requests of the first rank, which engines process
-/// first.
-const FIRST_RANK_FACTOR: f64 = 1.3;
 /// Cost of a plain request in another failure domain, as a fraction of a slot's work.
 const REMOTE_DOMAIN_COST: f64 = 0.15;
 /// Cost of an idle target, in the same unit; with it a fast target is preferred over a slow one.
@@ -46,7 +43,7 @@
     pub target: &'a Target,
     /// Requests in flight there from all instances, as far as known.
     pub in_flight: u32,
-    /// Time until the prompts queued there have been processed.
+    /// Time until the prompts queued there that come before the request have been processed.
     pub queue_wait: Duration,
     /// Time to process the request's own prompt.
     pub prompt_time: Duration,
@@ -73,8 +70,6 @@
     pub failure_domain: &'a FailureDomain,
     /// Target time to the first event on the request's route.
     pub target_latency: Duration,
-    /// Priority rank of the request, 0 first.
-    pub rank: u8,
     /// Engine on which the adapter was recently requested.
     pub load_requested_at: Option<&'a TargetId>,
     /// Random number between 0 and 1, evenly distributed.
@@ -141,13 +136,7 @@
 
     /// Returns by how much the request would start too late; zero if in time.
     pub(super) fn excess_delay(&self, cx: &PickContext<'_>) -> Duration {
-        let is_first_rank = cx.rank == 0;
-        let factor = if is_first_rank {
-            FIRST_RANK_FACTOR
-        } else {
-            1.0
-        };
-        let limit = cx.target_latency.mul_f64(MAX_START_FRACTION * factor);
+        let limit = cx.target_latency.mul_f64(MAX_START_FRACTION);
         (self.queue_wait + self.prompt_time).saturating_sub(limit)
     }
 
--- a/crates/gateway/src/decide/prompt_queues.rs
+++ b/crates/gateway/src/decide/prompt_queues.rs
@@ -10,6 +10,8 @@
 use bluebellstage_core::{TargetId, Time};
 use slotmap::{SlotMap, new_key_type};
 
+use super::ranked_tokens::{RankClass, RankedTokens};
+
 new_key_type! {
     /// Identifies a request that was sent and has not started.
     pub struct WaitingKey;
@@ -50,16 +52,25 @@
 #[derive(Debug)]
 struct WaitingPrompt {
     target: TargetId,
+    class: RankClass,
     tokens: u64,
-    /// Tokens queued before it, plus its own.
+    /// Tokens that the engine processes before it, plus its own.
     queued_tokens: u64,
     sent_at: Time,
 }
 
+impl WaitingPrompt {
+    /// Whether prompts that were sent later may have been processed before it. Then its wait does not show the
+    /// engine's speed.
+    const fn may_be_overtaken(&self) -> bool {
+        !self.class.is_first() && self.queued_tokens > self.tokens
+    }
+}
+
 #[derive(Debug, Default)]
 struct Queue {
     /// Tokens of this instance's requests that have not started.
-    local_tokens: u64,
+    local_tokens: RankedTokens,
     rate: ReadRate,
     max_wait: Duration,
     max_wait_at: Time,
@@ -80,21 +91,23 @@
 }
 
 impl PromptQueues {
-    /// Records that a request with a prompt of `tokens` is sent to `target`, where peers have
-    /// `others` tokens queued.
+    /// Records that a request of `class` with a prompt of `tokens` is sent to `target`, where peers have
+    /// `others` queued.
     pub fn record_sent(
         &mut self,
         target: &TargetId,
-        tokens: u64,
-        others: u64,
+        (class, tokens): (RankClass, u64),
+        others: RankedTokens,
         now: Time,
     ) -> WaitingKey {
         let queue = self.queues.entry(target.clone()).or_default();
-        queue.local_tokens += tokens;
+        queue.local_tokens.add(RankedTokens::of(class, tokens));
+        let local = queue.local_tokens.ahead_of(class);
         self.waiting.insert(WaitingPrompt {
             target: target.clone(),
+            class,
             tokens,
-            queued_tokens: queue.local_tokens + others,
+            queued_tokens: local.saturating_add(others.ahead_of(class)),
             sent_at: now,
         })
     }
@@ -112,7 +125,7 @@
             queue.max_wait = elapsed;
             queue.max_wait_at = now;
         }
-        if waiting.tokens == 0 {
+        if waiting.tokens == 0 || waiting.may_be_overtaken() {
             return;
         }
         let tokens = to_f64(waiting.queued_tokens);
@@ -129,17 +142,17 @@
     fn take(&mut self, key: WaitingKey) -> Option<WaitingPrompt> {
         let waiting = self.waiting.remove(key)?;
         if let Some(queue) = self.queues.get_mut(&waiting.target) {
-            queue.local_tokens = queue.local_tokens.saturating_sub(waiting.tokens);
+            let tokens = RankedTokens::of(waiting.class, waiting.tokens);
+            queue.local_tokens.subtract(tokens);
         }
         Some(waiting)
     }
 
     /// Returns the tokens of this instance's requests that wait at `target`.
     #[must_use]
-    pub fn local_tokens(&self, target: &TargetId) -> u64 {
-        self.queues
-            .get(target)
-            .map_or(0, |queue| queue.local_tokens)
+    pub fn local_tokens(&self, target: &TargetId) -> RankedTokens {
+        let queue = self.queues.get(target);
+        queue.map_or_else(RankedTokens::default, |queue| queue.local_tokens)
     }
 
     /// Returns the time that `target` needs to process `tokens`; zero while no engine's speed is
@@ -169,7 +182,7 @@
     /// Returns the age of the oldest request of this instance that waits at `target`.
     #[must_use]
     pub fn oldest_wait(&self, target: &TargetId, now: Time) -> Duration {
-        if self.local_tokens(target) == 0 {
+        if self.local_tokens(target).total() == 0 {
             return Duration::ZERO;
         }
         let at_target = self
@@ -183,6 +196,6 @@
     /// Removes engines that no longer exist.
     pub fn retain_targets(&mut self, is_present: impl Fn(&TargetId) -> bool) {
         self.queues
-            .retain(|target, queue| queue.local_tokens > 0 || is_present(target));
+            .retain(|target, queue| queue.local_tokens.total() > 0 || is_present(target));
     }
 }
--- a/crates/gateway/src/decide/relay_update.rs
+++ b/crates/gateway/src/decide/relay_update.rs
@@ -9,12 +9,13 @@
 
 use super::pace::PaceReports;
 use super::peers::Load;
+use super::ranked_tokens::RankedTokens;
 use super::rendezvous::ShortHash;
 use super::status::Status;
 use super::wait_queue::WaitingCounts;
 
 /// Unit of prompt tokens in an update. An engine processes about as many in a millisecond.
-const TOKENS_PER_PROMPT_UNIT: u32 = 32;
+const TOKENS_PER_PROMPT_UNIT: u64 = 32;
 
 /// State of all other instances, from a relay to a subscriber.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -47,8 +48,10 @@
     InOrder {
         /// Digest of that list.
         digest: u32,
-        /// Requests, and prompt tokens in units of [`TOKENS_PER_PROMPT_UNIT`].
-        loads: Vec<(u32, u32)>,
+        /// Requests, and prompt tokens of the first rank in units of [`TOKENS_PER_PROMPT_UNIT`].
+        loads: Vec<(u32, u64)>,
+        /// Prompt tokens of later ranks in the same unit, by position in the list, where there are any.
+        later: Vec<(u16, [u64; 2])>,
     },
     /// By the target's name, for a receiver with a different list.
     ByName(Vec<(ShortHash, Load)>),
@@ -58,14 +61,19 @@
     /// Packs the load of all targets in the order of the target list with this digest.
     #[must_use]
     pub fn in_order(loads: &[(ShortHash, Load)], digest: u32) -> Self {
-        let loads = loads.iter().map(|(_, load)| {
-            let prompts =
-                load.prompts.saturating_add(TOKENS_PER_PROMPT_UNIT / 2) / TOKENS_PER_PROMPT_UNIT;
-            (load.requests, prompts)
-        });
+        let mut first = Vec::with_capacity(loads.len());
+        let mut later = Vec::new();
+        for (idx, (_, load)) in loads.iter().enumerate() {
+            let (prompts, of_later) = load.prompts.map(to_units).split_first();
+            first.push((load.requests, prompts));
+            if let (Ok(idx), true) = (u16::try_from(idx), of_later != [0, 0]) {
+                later.push((idx, of_later));
+            }
+        }
         Self::InOrder {
             digest,
-            loads: loads.collect(),
+            loads: first,
+            later,
         }
     }
 
@@ -82,13 +90,22 @@
     pub fn unpack(self, targets: &[ShortHash], own: u32) -> Option<HashMap<ShortHash, Load>> {
         match self {
             Self::ByName(loads) => Some(loads.into_iter().collect()),
-            Self::InOrder { digest, loads } => {
+            Self::InOrder {
+                digest,
+                loads,
+                later,
+            } => {
                 if digest != own || loads.len() != targets.len() {
                     return None;
                 }
-                let loads = loads.into_iter().map(|(requests, prompts)| Load {
+                let mut of_later = vec![[0, 0]; loads.len()];
+                for (idx, prompts) in later {
+                    *of_later.get_mut(usize::from(idx))? = prompts;
+                }
+                let loads = loads.into_iter().zip(of_later);
+                let loads = loads.map(|((requests, prompts), of_later)| Load {
                     requests,
-                    prompts: prompts.saturating_mul(TOKENS_PER_PROMPT_UNIT),
+                    prompts: RankedTokens::join(prompts, of_later).map(from_units),
                 });
                 Some(targets.iter().copied().zip(loads).collect())
             }
@@ -96,6 +113,14 @@
     }
 }
 
+const fn to_units(tokens: u64) -> u64 {
+    tokens.saturating_add(TOKENS_PER_PROMPT_UNIT / 2) / TOKENS_PER_PROMPT_UNIT
+}
+
+const fn from_units(units: u64) -> u64 {
+    units.saturating_mul(TOKENS_PER_PROMPT_UNIT)
+}
+
 /// An instance in a roster.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct RosterEntry {
--- a/crates/gateway/src/decide/routes.rs
+++ b/crates/gateway/src/decide/routes.rs
@@ -7,6 +7,8 @@
 
 use super::call::Call;
 use super::config::{Config, Route, Workspace};
+use super::ranked_tokens::RankClass;
+use super::service_ranks::ServiceRanks;
 
 /// A configuration with its lookup tables.
 #[derive(Debug, Default)]
@@ -14,6 +16,7 @@
     config: Arc<Config>,
     by_host: HashMap<Box<str>, Vec<usize>>,
     by_key: HashMap<Box<str>, usize>,
+    ranks: HashMap<ServiceId, ServiceRanks>,
 }
 
 /// Result of a route lookup.
@@ -48,10 +51,12 @@
         let by_key = keys
             .flat_map(|(idx, workspace)| workspace.keys.iter().map(move |key| (key.clone(), idx)))
             .collect();
+        let ranks = ServiceRanks::of_services(&config);
         Self {
             config,
             by_host,
             by_key,
+            ranks,
         }
     }
 
@@ -67,6 +72,20 @@
         self.config.version
     }
 
+    /// Returns the class of a rank among those of a service.
+    #[must_use]
+    pub fn rank_class(&self, service: &ServiceId, rank: u8) -> RankClass {
+        let ranks = self.ranks.get(service);
+        ranks.map_or_else(RankClass::default, |ranks| ranks.class(rank))
+    }
+
+    /// Whether later ranks of a service leave room to requests of earlier ones that wait.
+    #[must_use]
+    pub fn later_ranks_can_wait(&self, service: &ServiceId) -> bool {
+        let ranks = self.ranks.get(service);
+        ranks.is_some_and(ServiceRanks::later_can_wait)
+    }
+
     /// Looks up the route and the workspace of `call`. The route is checked before the key: an unknown path
     /// is reported as such whatever the key.
     #[must_use]
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -25,6 +25,7 @@
 use super::prompt_queues::{PromptQueues, WaitingKey};
 use super::quarantine::Quarantine;
 use super::quota::{ChargeOutcome, PeerVisibility, Quotas};
+use super::ranked_tokens::RankClass;
 pub use super::refusal::Refusal;
 use super::registry::Registry;
 use super::rendezvous::{ShortHash, name_hash};
@@ -155,6 +156,12 @@
         self.routes.route(self.route)
     }
 
+    /// Class of its rank among those of its service.
+    #[must_use]
+    pub fn rank_class(&self) -> RankClass {
+        self.routes.rank_class(&self.service, self.rank)
+    }
+
     /// Version of the configuration under which the request was admitted.
     #[must_use]
     pub fn config(&self) -> Revision {
@@ -414,17 +421,23 @@
         self.in_flight.iter().map(|(target, requests)| {
             let load = Load {
                 requests: *requests,
-                prompts: u32::try_from(self.queues.local_tokens(target)).unwrap_or(u32::MAX),
+                prompts: self.queues.local_tokens(target),
             };
             (target, load)
         })
     }
 
     /// Records a prompt that is sent to an engine and waits there until the engine starts it.
-    pub fn record_prompt(&mut self, target: &TargetId, call: &Call, now: Time) -> WaitingKey {
+    pub fn record_prompt(
+        &mut self,
+        target: &TargetId,
+        class: RankClass,
+        call: &Call,
+        now: Time,
+    ) -> WaitingKey {
         let others = self.peers.load(ShortHash::of(target.as_str())).prompts;
         self.queues
-            .record_sent(target, call.prompt_tokens.0, u64::from(others), now)
+            .record_sent(target, (class, call.prompt_tokens.0), others, now)
     }
 
     /// Records that a request is sent to a target.
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -13,6 +13,7 @@
 use crate::decide::health::TargetOutcome;
 use crate::decide::limits::{Change, ReportedLimit};
 use crate::decide::quarantine::Fingerprint;
+use crate::decide::ranked_tokens::RankClass;
 use crate::decide::rests::ReportedRest;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
@@ -120,6 +121,8 @@
     pub(super) head: &'a request::Parts,
     pub(super) body: &'a Bytes,
     pub(super) call: &'a Call,
+    /// Class of the request's rank among those of the service.
+    pub(super) class: RankClass,
     pub(super) fingerprint: Fingerprint,
     /// Whether a pooled connection may be used.
     pub(super) reuse: bool,
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -412,6 +412,7 @@
             head: &self.head,
             body: &self.body,
             call: &self.call,
+            class: self.ticket.rank_class(),
             fingerprint: self.fingerprint,
             reuse: kind != RouteKind::Unsafe,
             service,
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -62,7 +62,7 @@
         }
         let call = params.call;
         let prompts = call.wanted.is_some();
-        let waiting = prompts.then(|| tables.record_prompt(target, call, now));
+        let waiting = prompts.then(|| tables.record_prompt(target, params.class, call, now));
         let runs = &mut tables.quarantine.runs;
         let run = runs.send(target, params.fingerprint, &call.prompt_parts, now);
         drop(tables);
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -8,6 +8,7 @@
 use bluebellstage_gateway::decide::follower::{Follower, StoreRequest};
 use bluebellstage_gateway::decide::kind::Kind;
 use bluebellstage_gateway::decide::peers::{Load, Peer, Strength};
+use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use bluebellstage_gateway::decide::tables::Tables;
 use support::{adapter_at, at, config, peer, tables, target};
 
@@ -443,7 +444,7 @@
         let mut peer = peer(name, at(0));
         let load = Load {
             requests: count,
-            prompts: 10 * count,
+            prompts: RankedTokens::of(RankClass::default(), u64::from(10 * count)),
         };
         peer.in_flight.insert(hash, load);
         tables.peers.update(peer);
@@ -451,7 +452,7 @@
     assert_eq!(tables.peers.load(hash).requests, 9);
     tables.peers.remove(&peer("i2", at(0)).member.name);
     assert_eq!(tables.peers.load(hash).requests, 5);
-    assert_eq!(tables.peers.load(hash).prompts, 50);
+    assert_eq!(tables.peers.load(hash).prompts.total(), 50);
     tables.peers.sweep(at(2_000));
     assert_eq!(tables.peers.load(hash).requests, 0);
     tables.peers.update(peer("i1", at(2_100)));
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -6,14 +6,17 @@
 
 use bluebellstage_core::{AdapterVersion, Revision, TargetId, Time};
 use bluebellstage_gateway::decide::call::Call;
+use bluebellstage_gateway::decide::config::{Route, RouteKind};
 use bluebellstage_gateway::decide::health::TargetOutcome;
 use bluebellstage_gateway::decide::loader::AdapterSlots;
+use bluebellstage_gateway::decide::peers::Load;
 use bluebellstage_gateway::decide::placement::Pick;
+use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::tables::{Refusal, Tables, shard_of};
 use bluebellstage_gateway::decide::versions::MAX_ANNOUNCEMENT_AGE;
-use support::{adapter, adapter_at, at, call, draft, tables, target};
+use support::{adapter, adapter_at, at, call, config, draft, peer, route, tables, target};
 
 fn id(name: &str) -> TargetId {
     TargetId::try_from(name).unwrap()
@@ -44,6 +47,11 @@
     tables.pick(&ticket, call, &[], draw, now)
 }
 
+/// A prompt of 1,000 tokens whose rank comes after `earlier` other ones.
+fn prompt(earlier: usize) -> (RankClass, u64) {
+    (RankClass::after(earlier), 1_000)
+}
+
 fn sent_to(pick: &Pick) -> &str {
     match pick {
         Pick::Send { target, .. } => target.as_str(),
@@ -200,7 +208,9 @@
         .announce(&adapter_at("a1", 2), Duration::ZERO, at(0));
     let soon = pick(&mut tables, &draft("a1"), 0.5, at(1_500));
     assert_eq!(sent_to(&soon), "e0");
-    let waiting = tables.queues.record_sent(&id("e0"), 1_000, 0, at(100));
+    let waiting = tables
+        .queues
+        .record_sent(&id("e0"), prompt(0), RankedTokens::default(), at(100));
     let slow = pick(&mut tables, &draft("a1"), 0.5, at(1_500));
     assert_eq!(slow, Pick::Load(id("e1")));
     tables.queues.record_started(waiting, at(1_600));
@@ -257,29 +267,113 @@
     let mut tables = tables();
     add_writers(&mut tables, 1);
     set_resident(&mut tables, "e0", "a1", 1);
-    let known = tables.queues.record_sent(&id("e0"), 1_000, 0, at(0));
+    let known = tables
+        .queues
+        .record_sent(&id("e0"), prompt(0), RankedTokens::default(), at(0));
     tables.queues.record_started(known, at(100));
     for _request in 0..6 {
-        tables.queues.record_sent(&id("e0"), 1_000, 0, at(200));
+        tables
+            .queues
+            .record_sent(&id("e0"), prompt(0), RankedTokens::default(), at(200));
     }
     assert_eq!(
         sent_to(&pick(&mut tables, &draft("a1"), 0.5, at(201))),
         "e0"
     );
     for _request in 0..3 {
-        tables.queues.record_sent(&id("e0"), 1_000, 0, at(201));
+        tables
+            .queues
+            .record_sent(&id("e0"), prompt(0), RankedTokens::default(), at(201));
     }
     let late = pick(&mut tables, &draft("a1"), 0.5, at(202));
     let Pick::Late { excess, .. } = late else {
         panic!("not refused: {late:?}");
     };
-    let expected = Duration::from_millis(900 - 813);
+    let expected = Duration::from_millis(900 - 625);
     assert!(
         excess.abs_diff(expected) < Duration::from_millis(2),
         "{excess:?}"
     );
 }
 
+/// Adds a route of a later rank to the drafts of rank 0.
+fn add_overnight_route(tables: &mut Tables) {
+    let mut cfg = config(2);
+    cfg.routes.push(Route {
+        rank: 2,
+        target_latency: Duration::from_secs(2),
+        ..route(
+            "overnight",
+            "/overnight/",
+            "writers",
+            RouteKind::SingleStream,
+        )
+    });
+    assert!(tables.adopt(cfg, at(0)));
+}
+
+/// Guards against urgent requests that are refused because of overnight prompts, which engines process after them.
+#[test]
+fn overnight_prompts_at_every_engine_delay_no_urgent_request() {
+    let mut tables = tables();
+    add_overnight_route(&mut tables);
+    add_writers(&mut tables, 3);
+    for engine in ["e0", "e1", "e2"] {
+        set_resident(&mut tables, engine, "a1", 1);
+        let known =
+            tables
+                .queues
+                .record_sent(&id(engine), prompt(0), RankedTokens::default(), at(0));
+        tables.queues.record_started(known, at(100));
+        let load = Load {
+            requests: 1,
+            prompts: RankedTokens::of(RankClass::after(1), 18_000),
+        };
+        let mut other = peer("i1", at(200));
+        other.in_flight = tables
+            .peers
+            .get(&other.member.name)
+            .map_or_else(std::collections::HashMap::new, |known| {
+                known.in_flight.clone()
+            });
+        other.in_flight.insert(ShortHash::of(engine), load);
+        tables.peers.update(other);
+        for _overnight in 0..2 {
+            tables
+                .queues
+                .record_sent(&id(engine), prompt(1), RankedTokens::default(), at(200));
+        }
+    }
+    let urgent = draft("a1");
+    let overnight = Call {
+        path: "/overnight/1".into(),
+        ..draft("a1")
+    };
+    assert!(matches!(
+        pick(&mut tables, &urgent, 0.5, at(201)),
+        Pick::Send { .. }
+    ));
+    assert!(matches!(
+        pick(&mut tables, &overnight, 0.5, at(201)),
+        Pick::Send { .. }
+    ));
+    for engine in ["e0", "e1", "e2"] {
+        for _overnight in 0..6 {
+            tables
+                .queues
+                .record_sent(&id(engine), prompt(1), RankedTokens::default(), at(201));
+        }
+    }
+    assert!(matches!(
+        pick(&mut tables, &urgent, 0.5, at(202)),
+        Pick::Send { .. }
+    ));
+    assert!(matches!(
+        pick(&mut tables, &overnight, 0.5, at(202)),
+        Pick::Late { .. }
+    ));
+}
+
 /// Guards against a hot adapter's engine that processes prompts for seconds while others idle: only
 /// a fifth of its slots was taken, so it did not count as full.
 #[test]
@@ -288,11 +382,16 @@
     add_writers(&mut tables, 3);
     for engine in ["e0", "e1"] {
         set_resident(&mut tables, engine, "a1", 1);
-        let known = tables.queues.record_sent(&id(engine), 1_000, 0, at(0));
+        let known =
+            tables
+                .queues
+                .record_sent(&id(engine), prompt(0), RankedTokens::default(), at(0));
         tables.queues.record_started(known, at(100));
     }
     for _request in 0..5 {
-        tables.queues.record_sent(&id("e0"), 1_000, 0, at(200));
+        tables
+            .queues
+            .record_sent(&id("e0"), prompt(0), RankedTokens::default(), at(200));
     }
     for draw in [0.0, 0.5, 0.99] {
         assert_eq!(
@@ -301,7 +400,9 @@
         );
     }
     for _request in 0..6 {
-        tables.queues.record_sent(&id("e1"), 1_000, 0, at(201));
+        tables
+            .queues
+            .record_sent(&id("e1"), prompt(0), RankedTokens::default(), at(201));
     }
     let Pick::Send { load_at, .. } = pick(&mut tables, &draft("a1"), 0.5, at(202)) else {
         panic!("not sent");
--- a/crates/gateway/tests/prompt_queues.rs
+++ b/crates/gateway/tests/prompt_queues.rs
@@ -6,16 +6,25 @@
 
 use bluebellstage_core::TargetId;
 use bluebellstage_gateway::decide::prompt_queues::PromptQueues;
+use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use support::at;
 
 fn id(name: &str) -> TargetId {
     TargetId::try_from(name).unwrap()
 }
 
+fn of_first(tokens: u64) -> (RankClass, u64) {
+    (RankClass::default(), tokens)
+}
+
+fn others(tokens: u64) -> RankedTokens {
+    RankedTokens::of(RankClass::default(), tokens)
+}
+
 /// Processes prompts of 1,000 tokens one after the other, in `ms` milliseconds each.
 fn process_prompts(queues: &mut PromptQueues, engine: &str, ms: u64, count: u64) {
     for idx in 0..count {
-        let key = queues.record_sent(&id(engine), 1_000, 0, at(idx * 1_000));
+        let key = queues.record_sent(&id(engine), of_first(1_000), others(0), at(idx * 1_000));
         queues.record_started(key, at(idx * 1_000 + ms));
     }
 }
@@ -46,7 +55,7 @@
     let mut queues = PromptQueues::default();
     for idx in 0..10 {
         let since = at(idx * 2_000);
-        let key = queues.record_sent(&id("e0"), 1_000, 9_000, since);
+        let key = queues.record_sent(&id("e0"), of_first(1_000), others(9_000), since);
         queues.record_started(key, since + Duration::from_millis(500));
     }
     assert_eq!(to_millis(queues.reading_time(&id("e0"), 1_000)), 50);
@@ -63,20 +72,20 @@
 #[test]
 fn a_removed_request_no_longer_counts_as_waiting() {
     let mut queues = PromptQueues::default();
-    let first = queues.record_sent(&id("e0"), 1_000, 0, at(0));
-    let second = queues.record_sent(&id("e0"), 500, 0, at(1));
-    assert_eq!(queues.local_tokens(&id("e0")), 1_500);
+    let first = queues.record_sent(&id("e0"), of_first(1_000), others(0), at(0));
+    let second = queues.record_sent(&id("e0"), of_first(500), others(0), at(1));
+    assert_eq!(queues.local_tokens(&id("e0")).total(), 1_500);
     queues.remove(first);
     queues.remove(first);
-    assert_eq!(queues.local_tokens(&id("e0")), 500);
+    assert_eq!(queues.local_tokens(&id("e0")).total(), 500);
     queues.record_started(second, at(20));
-    assert_eq!(queues.local_tokens(&id("e0")), 0);
+    assert_eq!(queues.local_tokens(&id("e0")).total(), 0);
 }
 
 #[test]
 fn a_long_wait_is_remembered_for_a_while() {
     let mut queues = PromptQueues::default();
-    let key = queues.record_sent(&id("e0"), 1_000, 0, at(0));
+    let key = queues.record_sent(&id("e0"), of_first(1_000), others(0), at(0));
     assert_eq!(
         to_millis(queues.recent_max_wait(&id("e0"), at(1_500))),
         1_500
@@ -93,10 +102,31 @@
 #[test]
 fn impossible_values_are_not_learned_from() {
     let mut queues = PromptQueues::default();
-    let empty = queues.record_sent(&id("e0"), 0, 0, at(0));
+    let empty = queues.record_sent(&id("e0"), of_first(0), others(0), at(0));
     queues.record_started(empty, at(90));
     assert_eq!(queues.reading_time(&id("e0"), 1_000), Duration::ZERO);
-    let backwards = queues.record_sent(&id("e0"), 1_000, u64::from(u32::MAX), at(100));
+    let backwards = queues.record_sent(
+        &id("e0"),
+        of_first(1_000),
+        others(u64::from(u32::MAX)),
+        at(100),
+    );
     queues.record_started(backwards, at(0));
     assert!(queues.reading_time(&id("e0"), u64::MAX) < Duration::from_secs(u64::MAX / 2));
 }
+
+/// Guards against an engine that is taken for a slow one because urgent prompts keep overtaking others there.
+#[test]
+fn the_wait_of_a_prompt_that_others_overtake_shows_no_speed() {
+    let mut queues = PromptQueues::default();
+    let later = RankClass::after(1);
+    for idx in 0..10 {
+        let since = at(idx * 2_000);
+        let key = queues.record_sent(&id("e0"), (later, 1_000), others(1_000), since);
+        queues.record_started(key, since + Duration::from_millis(1_900));
+    }
+    assert_eq!(queues.reading_time(&id("e0"), 1_000), Duration::ZERO);
+    let key = queues.record_sent(&id("e0"), (later, 1_000), others(0), at(30_000));
+    queues.record_started(key, at(30_050));
+    assert_eq!(to_millis(queues.reading_time(&id("e0"), 1_000)), 50);
+}
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -15,6 +15,7 @@
 use bluebellstage_gateway::decide::peers::Peer;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::prompt_queues::WaitingKey;
+use bluebellstage_gateway::decide::ranked_tokens::RankClass;
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
@@ -322,7 +323,8 @@
         }
         node.loader.request_started(&request.key, now);
         tables.start_request(target, now);
-        let waiting = tables.record_prompt(target, request_call, now);
+        let class = RankClass::default();
+        let waiting = tables.record_prompt(target, class, request_call, now);
         tables.residency.record_success(target, &request.key);
         let tokens = f64::from(u32::try_from(self.scenario.prompt_tokens).unwrap());
         let prompt_duration = Duration::from_secs_f64(tokens / node.tokens_per_ms / 1_000.0);
