--- a/crates/gateway/src/decide/adapter_choice.rs
+++ b/crates/gateway/src/decide/adapter_choice.rs
@@ -45,18 +45,19 @@
         let available = self
             .resident_engines()
             .filter(|candidate| self.has_newest(candidate))
-            .filter(|candidate| candidate.congestion(self.cx) < 1.0)
+            .filter(|candidate| candidate.congestion(self.cx) < self.cx.terms.room)
             .collect::<Vec<_>>();
         if let Some(candidate) = self.choose_by_free_capacity(&available) {
             return self.send(candidate, Vec::new());
         }
-        let congestion = |candidate: &Candidate<'_>| candidate.congestion(self.cx);
+        let congestion = |candidate: &Candidate<'_>| candidate.congestion_ahead(self.cx);
         let least_congested = self
             .resident_engines()
             .min_by(|a, b| congestion(a).total_cmp(&congestion(b)));
         match least_congested.map(|candidate| (candidate, candidate.excess_delay(self.cx))) {
             Some((candidate, Duration::ZERO)) => self.send(candidate, self.replica_targets()),
-            Some((_, excess)) => Pick::Late {
+            Some((candidate, excess)) => Pick::Late {
+                target: candidate.target.id.clone(),
                 excess,
                 load_at: self.replica_targets(),
             },
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -1,6 +1,6 @@
 //! State of an instance for operators, without API keys.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bluebellstage_core::{
@@ -19,6 +19,7 @@
 use super::status::Role;
 use super::store_position::{Era, StorePosition};
 use super::tables::Tables;
+use super::wait_queue::WaitingCounts;
 
 /// State of an instance.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -65,6 +66,9 @@
     pub peers: Vec<PeerDump>,
     /// Quotas, by name of the workspace.
     pub quotas: Vec<QuotaDump>,
+    /// Requests that wait for room, by service and rank.
+    #[serde(default)]
+    pub waiting: Vec<WaitingDump>,
     /// Requests that are rejected because targets crash under them.
     pub quarantined: Vec<QuarantineDump>,
     /// Requests that were on crashed targets.
@@ -191,6 +195,19 @@
     pub left: i64,
 }
 
+/// Requests of one rank that wait for room at a service.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct WaitingDump {
+    /// The service.
+    pub service: ServiceId,
+    /// Priority rank, 0 first.
+    pub rank: u8,
+    /// Number that wait at this instance.
+    pub here: u16,
+    /// Number that wait at the other instances and can still begin in time, as far as known.
+    pub elsewhere: u16,
+}
+
 /// A request that is rejected because targets crash under it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct QuarantineDump {
@@ -260,6 +277,7 @@
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
+            waiting: self.dump_waiting_with(&self.peers.waiting(now)),
             quarantined: self.dump_quarantined(now),
             suspects: self.dump_suspects(),
             quarantined_parts: self.dump_quarantined_parts(now),
@@ -353,6 +371,32 @@
         dumped.collect()
     }
 
+    /// Returns the requests of this instance that wait for room.
+    #[must_use]
+    pub fn dump_waiting(&self) -> Vec<WaitingDump> {
+        self.dump_waiting_with(&WaitingCounts::default())
+    }
+
+    fn dump_waiting_with(&self, elsewhere: &WaitingCounts) -> Vec<WaitingDump> {
+        let here = self.wait_queue.all_counts();
+        let services = self.routes.config().services.iter();
+        let mut dumped = Vec::new();
+        for service in services.map(|service| &service.name) {
+            let hash = ShortHash::of(service.as_str());
+            let counts = here.iter().chain(elsewhere.iter());
+            let ranks = counts.filter(|count| count.service == hash);
+            for rank in ranks.map(|count| count.rank).collect::<BTreeSet<_>>() {
+                dumped.push(WaitingDump {
+                    service: service.clone(),
+                    rank,
+                    here: here.at(hash, rank),
+                    elsewhere: elsewhere.at(hash, rank),
+                });
+            }
+        }
+        dumped
+    }
+
     fn dump_quarantined(&self, now: Time) -> Vec<QuarantineDump> {
         let rejected = self.quarantine.refused(now);
         let requests = rejected.filter_map(|(suspect, since)| match suspect {
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -256,7 +256,7 @@
                 .map(|(target, load)| (ShortHash::of(target.as_str()), load))
                 .collect(),
             pace,
-            waiting: self.wait_queue.local_counts(),
+            waiting: self.wait_queue.local_counts(now),
             loads: self.loads.active,
             waiting_loads: self.loads.waiting,
             adapter_slots: self
--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -183,8 +183,9 @@
         if status.ended {
             self.peers.remove(&member.name);
         } else {
-            self.peers
-                .update(Peer::from_status(member, status, last_seen));
+            let mut peer = Peer::from_status(member, status, last_seen);
+            self.bound_waiting(&mut peer.waiting, 1);
+            self.peers.update(peer);
         }
         StatusOutcome::Applied
     }
@@ -217,9 +218,11 @@
             self.quotas.set_remaining(*workspace, *remaining);
         }
         self.pace.record_sums(&update.pace, now);
+        let mut waiting = update.waiting;
+        self.bound_waiting(&mut waiting, self.peers.sharing_count(now));
         let sums = Sums {
             loads: update.loads,
-            waiting: update.waiting,
+            waiting,
             spent: update.spent,
             lag,
         };
@@ -242,6 +245,13 @@
         responses
     }
 
+    /// Bounds the counts of waiting requests of a number of other instances by what their queues can hold.
+    fn bound_waiting(&mut self, counts: &mut WaitingCounts, instances: usize) {
+        if counts.bound(instances) {
+            self.wait_queue.record_malformed_counts();
+        }
+    }
+
     /// Applies statuses. Returns the senders that are unknown.
     fn apply_statuses(&mut self, statuses: &[Status], now: Time) -> Vec<ShortHash> {
         let mut unknown = Vec::new();
--- a/crates/gateway/src/decide/exchange/updates.rs
+++ b/crates/gateway/src/decide/exchange/updates.rs
@@ -30,7 +30,7 @@
             Vec::new()
         };
         let sums = self.sums();
-        let local_waiting = self.wait_queue.local_counts();
+        let local_waiting = self.wait_queue.local_counts(now);
         let digest = self.registry.digest();
         let mut outgoing = Vec::new();
         for (name, subscriber) in subscribers {
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -23,6 +23,7 @@
 pub use self::order::{Order, OrderKind, OrderOutcome, Report};
 pub use self::slots::AdapterSlots;
 use super::adapter::{AdapterKey, VersionedAdapter};
+use super::ranked_tokens::RankClass;
 
 /// Maximum number of adapters that an engine loads concurrently.
 pub const MAX_CONCURRENT_LOADS: usize = 4;
@@ -175,11 +176,22 @@
 
     /// Records that a request waits for `key` at `version` or newer.
     pub fn request_load(&mut self, key: AdapterKey, version: Option<AdapterVersion>, now: Time) {
+        self.request_load_for(RankClass::default(), key, version, now);
+    }
+
+    /// Records that a request of a class of ranks waits for `key` at `version` or newer.
+    pub fn request_load_for(
+        &mut self,
+        class: RankClass,
+        key: AdapterKey,
+        version: Option<AdapterVersion>,
+        now: Time,
+    ) {
         let request = self
             .load_requests
             .entry(key)
             .or_insert_with(|| LoadRequest::new(now));
-        request.record_repeat(version, now);
+        request.record_repeat(version, class, now);
     }
 
     /// Requests a load of the base model, which the engine lacks.
@@ -409,7 +421,8 @@
             .retain(|key, request| !satisfied(key, request));
     }
 
-    /// Returns the adapter that most requests wait for, the one requested first on a tie. A new
+    /// Returns the adapter for the most urgent requests; of several the one that most requests wait for, then the one
+    /// requested first. A new
     /// version waits until the old one is idle.
     ///
     /// After a cold start every adapter is missing and loads queue up for seconds; loading a hot
@@ -422,6 +435,7 @@
             .filter(|(key, _)| !(self.resident.contains_key(*key) && self.is_busy(key, now)));
         let most_requested = open.max_by_key(|(_, request)| {
             (
+                std::cmp::Reverse(request.class(now)),
                 request.estimated_requests(),
                 std::cmp::Reverse(request.first_requested),
             )
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -240,6 +240,7 @@
             self.connection_limit(service.max_connections, now)
         });
         let class = ticket.rank_class();
+        let terms = self.start_terms(ticket, now);
         let candidates = targets.iter().map(|target| {
             let local = self.local_in_flight(&target.id);
             let others = self.peers.load(ShortHash::of(target.id.as_str()));
@@ -250,6 +251,7 @@
                 target,
                 in_flight: local + others.requests,
                 queue_wait: self.queues.reading_time(&target.id, ahead),
+                all_wait: self.queues.reading_time(&target.id, prompts.total()),
                 prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
                 can_connect: local < limit
@@ -267,6 +269,7 @@
             versions: &self.versions,
             failure_domain: &self.local.failure_domain,
             target_latency: ticket.route().target_latency,
+            terms,
             load_requested_at: self.load_requested_target(call, now),
             sample,
             now,
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -28,7 +28,7 @@
 /// Time to the first event, as a fraction of the route's target latency, above which a request is
 /// refused if nothing can start it sooner. A longer queue makes all requests in it late and serves
 /// no more of them. It is a little over 1 because information about queues is out of date.
-const MAX_START_FRACTION: f64 = 1.25;
+pub(super) const MAX_START_FRACTION: f64 = 1.25;
 /// Cost of a plain request in another failure domain, as a fraction of a slot's work.
 const REMOTE_DOMAIN_COST: f64 = 0.15;
 /// Cost of an idle target, in the same unit; with it a fast target is preferred over a slow one.
@@ -45,6 +45,8 @@
     pub in_flight: u32,
     /// Time until the prompts queued there that come before the request have been processed.
     pub queue_wait: Duration,
+    /// Time until all prompts queued there have been processed.
+    pub all_wait: Duration,
     /// Time to process the request's own prompt.
     pub prompt_time: Duration,
     /// Longest time that a request recently took to start there.
@@ -57,6 +59,15 @@
     pub adapter_slots: AdapterSlots,
 }
 
+/// How late, and at which load, a request may begin at an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StartTerms {
+    /// Longest time until its first event.
+    pub limit: Duration,
+    /// Fraction of an engine's capacity that it may use up; the rest is left to others.
+    pub room: f64,
+}
+
 /// Context of a selection apart from the candidates.
 #[derive(Clone, Copy, Debug)]
 pub struct PickContext<'a> {
@@ -70,6 +81,8 @@
     pub failure_domain: &'a FailureDomain,
     /// Target time to the first event on the request's route.
     pub target_latency: Duration,
+    /// How late, and at which load, the request may begin.
+    pub terms: StartTerms,
     /// Engine on which the adapter was recently requested.
     pub load_requested_at: Option<&'a TargetId>,
     /// Random number between 0 and 1, evenly distributed.
@@ -98,7 +111,9 @@
     Full,
     /// Engines that hold the adapter would start the request too late.
     Late {
-        /// How much too late the least busy of them would start it.
+        /// The least busy of them.
+        target: TargetId,
+        /// How much too late it would start the request.
         excess: Duration,
         /// Engines that should load the adapter as well.
         load_at: Vec<TargetId>,
@@ -122,9 +137,10 @@
         f64::from(self.in_flight) / f64::from(self.target.slots.max(1))
     }
 
-    /// Returns the wait for the first event as a fraction of the route's target latency.
+    /// Returns the wait for all queued prompts as a fraction of the route's target latency. Those of later ranks count
+    /// as well: they are delayed by the request.
     fn relative_wait(&self, cx: &PickContext<'_>) -> f64 {
-        self.queue_wait.as_secs_f64() / cx.target_latency.as_secs_f64().max(MIN_LATENCY_SECONDS)
+        relative(self.all_wait, cx)
     }
 
     /// Returns the load of the engine for requests on a resident adapter or model; from 1 on, other
@@ -134,10 +150,15 @@
         (self.utilization() / MAX_AFFINITY_UTILIZATION).max(wait_ratio)
     }
 
+    /// Returns the same, but counts only the prompts that come before the request.
+    pub(super) fn congestion_ahead(&self, cx: &PickContext<'_>) -> f64 {
+        let wait_ratio = relative(self.queue_wait, cx) / MAX_AFFINITY_WAIT_FRACTION;
+        (self.utilization() / MAX_AFFINITY_UTILIZATION).max(wait_ratio)
+    }
+
     /// Returns by how much the request would start too late; zero if in time.
     pub(super) fn excess_delay(&self, cx: &PickContext<'_>) -> Duration {
-        let limit = cx.target_latency.mul_f64(MAX_START_FRACTION);
-        (self.queue_wait + self.prompt_time).saturating_sub(limit)
+        (self.queue_wait + self.prompt_time).saturating_sub(cx.terms.limit)
     }
 
     /// Returns whether a replica of an adapter may be loaded there in addition to those elsewhere.
@@ -147,6 +168,10 @@
     }
 }
 
+fn relative(wait: Duration, cx: &PickContext<'_>) -> f64 {
+    wait.as_secs_f64() / cx.target_latency.as_secs_f64().max(MIN_LATENCY_SECONDS)
+}
+
 /// Picks a target for a plain request: the least loaded and fastest one, with a preference for this
 /// instance's failure domain.
 #[must_use]
@@ -225,7 +250,7 @@
 
 fn pick_for_base_model(engines: &[&Candidate<'_>], cx: &PickContext<'_>) -> Pick {
     let open = || engines.iter().filter(|candidate| candidate.can_connect);
-    let available = open().find(|candidate| candidate.congestion(cx) < 1.0);
+    let available = open().find(|candidate| candidate.congestion(cx) < cx.terms.room);
     let least_congested = || open().min_by(|a, b| a.congestion(cx).total_cmp(&b.congestion(cx)));
     let chosen = available.or_else(least_congested);
     chosen.map_or(Pick::Full, |candidate| {
--- a/crates/gateway/src/decide/ranked_tokens.rs
+++ b/crates/gateway/src/decide/ranked_tokens.rs
@@ -3,10 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 /// Number of classes of ranks that are told apart; all later ranks share the last one.
-const CLASSES: usize = 3;
+pub(super) const CLASSES: usize = 3;
 
 /// Position of a rank among the ranks of a service, 0 first.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
 pub struct RankClass(u8);
 
 impl RankClass {
@@ -23,7 +24,7 @@
         self.0 == 0
     }
 
-    fn idx(self) -> usize {
+    pub(super) fn idx(self) -> usize {
         usize::from(self.0).min(CLASSES - 1)
     }
 }
--- a/crates/gateway/src/decide/retry_after.rs
+++ b/crates/gateway/src/decide/retry_after.rs
@@ -15,6 +15,10 @@
 /// Range over which callers return that wait for the same target.
 const REST_SPREAD: Duration = Duration::from_millis(240);
 
+/// Shortest time after which a caller returns that found no room, and the range over which such callers return.
+const MIN_ROOM_DELAY: Duration = Duration::from_millis(80);
+const ROOM_SPREAD: Duration = Duration::from_millis(240);
+
 fn latest(timeout: Option<Duration>) -> Duration {
     let timeout = timeout.unwrap_or(DEFAULT_TIMEOUT);
     timeout.mul_f64(MAX_TIMEOUT_FRACTION).min(MAX_RETRY_AFTER)
@@ -33,6 +37,14 @@
     }
 }
 
+/// Returns the time after which a caller returns when there is room for its request after `room_in`: soon after that,
+/// or as late as the caller can be told. `sample` is a random number from 0 to 1.
+#[must_use]
+pub fn when_room_comes(room_in: Duration, timeout: Option<Duration>, sample: f64) -> Duration {
+    let after = MIN_ROOM_DELAY + ROOM_SPREAD.mul_f64(sample);
+    (room_in + after).min(latest(timeout)).max(after)
+}
+
 /// Returns the time after which a caller returns when nothing can run its request, and it is not known for how
 /// long: as late as the caller can be told, since a late response is worth the same whenever it arrives before
 /// the timeout, and most callers return only once. `sample` is a random number from 0 to 1.
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -37,7 +37,7 @@
 use super::stream_origins::{StreamOrigin, StreamOrigins};
 use super::target::Target;
 use super::versions::Versions;
-use super::wait_queue::WaitQueue;
+use super::wait_queue::{Patience, WaitQueue};
 
 /// Fraction of a route's target latency for which a request may wait for its workspace's quota. A
 /// rejected caller would lose more time on its way back, and an engine can still respond in the
@@ -147,6 +147,10 @@
     /// Software version that began the request's stream; only its targets may continue it. `None` if the stream has
     /// not begun.
     pub software: Option<SoftwareVersion>,
+    /// Until when its start is worth something; without it the request never waits for room.
+    pub patience: Option<Patience>,
+    /// Whether it has waited for room.
+    pub waits: bool,
 }
 
 impl Ticket {
@@ -162,6 +166,22 @@
         self.routes.rank_class(&self.service, self.rank)
     }
 
+    /// Class of its rank where loads for more urgent requests come first; elsewhere all are alike.
+    #[must_use]
+    pub fn load_class(&self) -> RankClass {
+        if self.later_ranks_can_wait() {
+            self.rank_class()
+        } else {
+            RankClass::default()
+        }
+    }
+
+    /// Whether later ranks of its service leave room to requests of earlier ones that wait.
+    #[must_use]
+    pub fn later_ranks_can_wait(&self) -> bool {
+        self.routes.later_ranks_can_wait(&self.service)
+    }
+
     /// Version of the configuration under which the request was admitted.
     #[must_use]
     pub fn config(&self) -> Revision {
@@ -337,6 +357,8 @@
             quota_wait,
             rank: rank.unwrap_or(routes.route(route).rank),
             software: None,
+            patience: None,
+            waits: false,
             route,
             routes,
         })
@@ -370,6 +392,8 @@
             quota_wait: Duration::ZERO,
             rank: rank.unwrap_or(routes.route(route).rank),
             software: None,
+            patience: None,
+            waits: false,
             route,
             routes,
         })
--- a/crates/gateway/src/decide/wait_queue/report.rs
+++ b/crates/gateway/src/decide/wait_queue/report.rs
@@ -2,8 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::MAX_WAITING;
 use crate::decide::rendezvous::ShortHash;
 
+/// Most entries that are believed; a service has few ranks.
+const MAX_ENTRIES: usize = 64;
+/// Last priority rank.
+const LAST_RANK: u8 = 9;
+
 /// Number of requests of one rank that wait for a place at a service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct WaitingCount {
@@ -41,6 +47,25 @@
         }
     }
 
+    /// Bounds the counts by what the queues of a number of instances can hold. Returns whether any was higher.
+    pub fn bound(&mut self, instances: usize) -> bool {
+        let most = MAX_WAITING.saturating_mul(instances);
+        let most = u16::try_from(most).unwrap_or(u16::MAX);
+        let is_plausible = |count: &WaitingCount| count.rank <= LAST_RANK && count.count <= most;
+        let is_malformed = self.0.len() > MAX_ENTRIES || !self.0.iter().all(is_plausible);
+        self.0.truncate(MAX_ENTRIES);
+        self.0.retain(|count| count.rank <= LAST_RANK);
+        for count in &mut self.0 {
+            count.count = count.count.min(most);
+        }
+        is_malformed
+    }
+
+    /// The counts.
+    pub fn iter(&self) -> impl Iterator<Item = &WaitingCount> {
+        self.0.iter()
+    }
+
     /// Number of requests of a service that wait, of ranks that come before `rank`.
     #[must_use]
     pub fn before(&self, service: ShortHash, rank: u8) -> u32 {
@@ -49,6 +74,14 @@
         before.map(|count| u32::from(count.count)).sum()
     }
 
+    /// Number of requests of a service that wait, of one rank.
+    #[must_use]
+    pub fn at(&self, service: ShortHash, rank: u8) -> u16 {
+        let mut counts = self.0.iter();
+        let known = counts.find(|count| count.service == service && count.rank == rank);
+        known.map_or(0, |count| count.count)
+    }
+
     /// Number of requests of a service that wait, of all ranks.
     #[must_use]
     pub fn of(&self, service: ShortHash) -> u32 {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -27,6 +27,7 @@
 use super::peer_forwarding::{ForwardedRequest, PeerResponse, PeerResult};
 use super::quarantine;
 use super::stream;
+use super::wait_places::AfterTurn;
 
 /// Time reserved for a local response to reach the caller before the caller's timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
@@ -50,8 +51,6 @@
 pub(super) const NO_PATH: &str = "no target can be reached from here: use another instance";
 /// Message for a request that is rejected because all targets have asked for rest.
 pub(super) const ALL_RESTING: &str = "all targets have asked for rest: try again";
-/// Delay before another check for free capacity at plain targets.
-const FULL_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
 /// repeatable request is retried at another target.
 const PLAIN_WAIT_FACTOR: u32 = 3;
@@ -194,17 +193,24 @@
 
     /// Remaining time before the caller's timeout, less the margin for the response.
     pub(super) fn time_left(&self) -> Duration {
-        let route = self.ticket.route().timeout;
-        let limit = self.call.timeout.map_or(route, |own| own.min(route));
         let passed = self.node.now().since(self.arrived);
-        limit.saturating_sub(passed + RESPONSE_MARGIN)
+        self.time_limit().saturating_sub(passed + RESPONSE_MARGIN)
+    }
+
+    /// Time after its arrival until which the request may take: the caller's timeout or the route's.
+    fn time_limit(&self) -> Duration {
+        let route = self.ticket.route().timeout;
+        self.call.timeout.map_or(route, |own| own.min(route))
     }
 
     /// Sends the request to targets until one responds or no further attempt is possible.
     pub(super) async fn find_response(&mut self) -> SearchOutcome<E> {
         let route_latency = self.ticket.route().target_latency;
         let started = self.node.now();
-        let full_until = self.node.now() + route_latency / 2;
+        let rest_until = started + route_latency / 2;
+        let timeout = self.time_limit();
+        self.ticket.set_patience(timeout, self.arrived);
+        let mut place = None;
         loop {
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return self.out_of_time();
@@ -217,7 +223,16 @@
             if let Some(refused) = self.refused_suspect() {
                 return SearchOutcome::Quarantined(refused);
             }
-            match self.pick(draw, now) {
+            let pick = self.pick(draw, now);
+            if let Pick::Late { load_at, .. } = &pick {
+                self.request_loads(load_at.clone());
+            }
+            match self.wait_for_turn(&mut place, &pick, now).await {
+                AfterTurn::GoOn => {}
+                AfterTurn::PickAgain => continue,
+                AfterTurn::Refused(found) => return found,
+            }
+            match pick {
                 Pick::Send {
                     target,
                     version,
@@ -245,16 +260,12 @@
                     let _woken = tokio::time::timeout(LOAD_REQUEST_INTERVAL, changed).await;
                     self.load_waited += self.node.now().since(now);
                 }
-                Pick::Late { excess, load_at } => {
-                    self.request_loads(load_at);
-                    return self.late(excess);
-                }
+                Pick::Late { excess, .. } => return self.late(excess),
                 Pick::Cold { left } => return self.cold(left),
-                Pick::Resting { left } if now + left < full_until => {
+                Pick::Resting { left } if now + left < rest_until => {
                     tokio::time::sleep(left).await;
                 }
                 Pick::Resting { left } => return self.resting(left),
-                Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
                 Pick::Full => return self.unserved("all targets are full"),
                 Pick::NoTarget if self.is_version_gone(now) => return self.version_gone(),
                 Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
@@ -285,7 +296,7 @@
         )
     }
 
-    fn late(&self, excess: Duration) -> SearchOutcome<E> {
+    pub(super) fn late(&self, excess: Duration) -> SearchOutcome<E> {
         if self.runs == 0 {
             SearchOutcome::QueueTooLong(excess)
         } else {
@@ -364,8 +375,14 @@
     fn send_adapter_request(&self, target: TargetId, kind: AdapterRequestKind) {
         if let Some(key) = Tables::adapter_of(&self.call) {
             let key = key.clone();
-            self.node
-                .queue_adapter_request(AdapterRequest { target, key, kind });
+            let class = self.ticket.load_class();
+            let adapter_request = AdapterRequest {
+                target,
+                key,
+                kind,
+                class,
+            };
+            self.node.queue_adapter_request(adapter_request);
         }
     }
 
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -217,12 +217,21 @@
     match packet {
         Packet::Exchange(message) => {
             let mut tables = node.tables();
+            let malformed = tables.wait_queue.malformed_counts();
             let replies = tables.receive_message(message, from, now);
+            let is_malformed = tables.wait_queue.malformed_counts() > malformed;
             let behind = tables
                 .peers
                 .at(from)
                 .is_some_and(|peer| tables.is_behind(peer));
             drop(tables);
+            if is_malformed {
+                event(
+                    LogEvent::WaitingCountsMalformed,
+                    &[("from", &from.to_string())],
+                );
+            }
+            node.loads_changed.notify_one();
             if behind {
                 node.peer_is_newer.notify_one();
             }
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -10,7 +10,9 @@
 use crate::decide::health::TargetOutcome;
 use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::quarantine::RunKey;
+use crate::decide::ranked_tokens::RankClass;
 use crate::decide::tables::Tables;
+use crate::decide::wait_queue::Room;
 use crate::edge::Edge;
 use crate::packet::{AdapterRequest, AdapterRequestKind};
 
@@ -89,6 +91,7 @@
                 target: self.target.clone(),
                 key: key.clone(),
                 kind,
+                class: RankClass::default(),
             });
         }
     }
@@ -104,6 +107,8 @@
         if let Some(waiting) = self.waiting.take() {
             tables.queues.record_started(waiting, now);
         }
+        drop(tables);
+        self.node.room_came(&Room::At(self.target.clone()));
     }
 
     /// Records that the response was complete.
@@ -223,5 +228,6 @@
         }
         drop(tables);
         self.notify_loader(AdapterRequestKind::Ended);
+        self.node.room_came(&Room::At(self.target.clone()));
     }
 }
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -18,7 +18,8 @@
     VERSION_GONE,
 };
 use super::local_response::{
-    ResponseBody, error_response, late_retry_after, rest_retry_after, spread_retry_after,
+    ResponseBody, error_response, late_retry_after, rest_retry_after, room_retry_after,
+    spread_retry_after,
 };
 use super::log::{LogEvent, event};
 use super::peer_forwarding::{ForwardOutcome, ForwardReport};
@@ -114,7 +115,7 @@
             }
             SearchOutcome::QueueTooLong(excess) => {
                 self.node.tables().refund(&self.ticket);
-                let after = Some(*excess + spread_retry_after());
+                let after = Some(room_retry_after(*excess, self.call.timeout));
                 (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
             }
             SearchOutcome::Cold(left) => {
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -105,7 +105,9 @@
             }
             match req.kind {
                 AdapterRequestKind::Load(version) => {
-                    entry.loader.request_load(req.key, version, now);
+                    entry
+                        .loader
+                        .request_load_for(req.class, req.key, version, now);
                 }
                 AdapterRequestKind::Started => entry.loader.request_started(&req.key, now),
                 AdapterRequestKind::Ended => entry.loader.request_ended(&req.key, now),
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -128,6 +128,16 @@
     SoftwareGone = 3412, Warn, "no target of the software version that began the stream";
     /// It is not known at which software version the stream began that a request continues.
     OriginUnknown = 3413, Warn, "software version that began the stream is not known";
+    /// A peer reports more waiting requests than its queue can hold.
+    WaitingCountsMalformed = 3425, Warn, "peer reports more waiting requests than it can hold";
+    /// A request waits for room.
+    RequestWaits = 3426, Debug, "request waits for room";
+    /// A request that waited got room.
+    RequestPlaced = 3427, Debug, "waiting request got room";
+    /// A request can't begin in a useful time.
+    WaitRefused = 3428, Info, "request can't begin in a useful time";
+    /// A request lost its place in a full queue to one that comes first.
+    WaitQueueFull = 3429, Warn, "wait queue is full: its last request is refused";
     /// A target's limit is not a number.
     LimitMalformed = 3407, Info, "target's limit is not a number";
     /// A target's report of whether it leaves is malformed.
@@ -158,6 +168,8 @@
                 | Self::DepartureMalformed
                 | Self::RestMalformed
                 | Self::BrittlenessMalformed
+                | Self::WaitingCountsMalformed
+                | Self::WaitQueueFull
         )
     }
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -14,6 +14,7 @@
 
 use super::crash_metrics::CrashMetrics;
 use super::stream_metrics::StreamMetrics;
+use super::wait_metrics::WaitMetrics;
 
 /// Bounds of the duration buckets in seconds: 1 ms to 15 s, the max wait of callers.
 const SECONDS_BUCKETS: &[f64] = &[
@@ -25,6 +26,7 @@
     instruments: Instruments,
     pub(super) crashes: CrashMetrics,
     pub(super) streams: StreamMetrics,
+    pub(super) waits: WaitMetrics,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     response_time: Histogram<f64>,
@@ -169,6 +171,7 @@
             ),
             crashes: CrashMetrics::new(&instruments),
             streams: StreamMetrics::new(&instruments),
+            waits: WaitMetrics::new(&instruments),
             instruments,
         }
     }
@@ -287,6 +290,7 @@
             .record(count(tables.partitions.lost().count()), &[]);
         self.crashes.record(tables, now);
         self.streams.record(tables, now);
+        self.waits.record(tables);
         self.departing.record(count(tables.departures.count()), &[]);
         self.brittle.record(count(tables.brittle.count()), &[]);
         self.resting.record(count(tables.rests.count(now)), &[]);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -45,3 +45,5 @@
 mod sync;
 mod target_connection;
 mod unknown_headers;
+mod wait_metrics;
+mod wait_places;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -23,6 +23,7 @@
 use super::pool::Pool;
 use super::residency_updates::ResidencyQueue;
 use super::unknown_headers::UnknownHeaders;
+use super::wait_places::Wakers;
 
 /// Destination of a datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -66,6 +67,10 @@
     pub(super) peer_is_newer: Notify,
     /// Notified when an adapter was loaded, or a target was added or removed.
     pub(super) changed: Notify,
+    /// Notified when a peer has told its load.
+    pub(super) loads_changed: Notify,
+    /// Wakes the requests that wait for room.
+    pub(super) wakers: Wakers,
     /// Notified when requests or prompt parts are refused from now on.
     pub(super) quarantine_changed: Notify,
     /// Notified when a peer has replied to a query for the origin of a stream.
@@ -124,6 +129,8 @@
             crash_checks: CrashChecks::default(),
             peer_is_newer: Notify::new(),
             changed: Notify::new(),
+            loads_changed: Notify::new(),
+            wakers: Wakers::default(),
             quarantine_changed: Notify::new(),
             origin_replied: Notify::new(),
             path_doubted: Notify::new(),
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -17,7 +17,7 @@
 use super::sockets::listen;
 use super::{
     follow, gossip, leases, loaders, origins, paths, peer_copy, quarantine, reload, restorations,
-    stop, sync,
+    stop, sync, wait_places,
 };
 
 /// Interval between two removals of expired state.
@@ -85,6 +85,7 @@
     tokio::spawn(leases::run(Arc::clone(&node)));
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(paths::run(Arc::clone(&node)));
+    tokio::spawn(wait_places::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
     reload::run(Arc::clone(&node), source, signals.hangup);
     let [name, front] = [
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -10,6 +10,7 @@
 use crate::decide::adapter::{AdapterKey, VersionedAdapter};
 use crate::decide::exchange::Message;
 use crate::decide::quarantine::QuarantineMessage;
+use crate::decide::ranked_tokens::RankClass;
 use crate::decide::residency::ResidencyVersion;
 use crate::decide::stream_origins::OriginMessage;
 
@@ -98,6 +99,8 @@
     pub key: AdapterKey,
     /// What is requested or reported.
     pub kind: AdapterRequestKind,
+    /// Class of the rank of the request that waits, where more urgent ones come first.
+    pub class: RankClass,
 }
 
 /// What is requested or reported of an adapter on an engine.
--- a/crates/gateway/tests/load_simulation.rs
+++ b/crates/gateway/tests/load_simulation.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::load_simulation::{LoadScenario, Results};
+use support::load_simulation::{DRAFT_RANK, LoadScenario, Outcomes, Results, Wave};
 
 /// Returns a scenario whose engines have few slots and are saturated by prompts; its figures vary
 /// with the seed.
@@ -20,6 +20,13 @@
         skew: 1.2,
         requests_per_second: 60.0,
         prompt_tokens: varied(1_800, 900),
+        drafts_per_second: 0.0,
+        draft_tokens: 0,
+        waves: Vec::new(),
+        loss: None,
+        restart: None,
+        has_queue: true,
+        knows_ranks: true,
         tokens_per_ms: (17.0, 24.0),
         response_duration: Duration::from_millis(varied(500, 400)),
         seconds: 20,
@@ -95,3 +102,115 @@
     assert_eq!(differing, None);
     assert_eq!(first.len(), second.len());
 }
+
+/// Callers who wait, and drafts that are in no hurry; `instances` share as many engines.
+fn mixed(instances: usize, seed: u64) -> LoadScenario {
+    let engines = 16;
+    LoadScenario {
+        instances,
+        engines,
+        adapter_slots: 8,
+        host_copies: 40,
+        adapters: 100,
+        skew: 0.6,
+        requests_per_second: 150.0,
+        prompt_tokens: 1_200,
+        drafts_per_second: 60.0,
+        draft_tokens: 1_200,
+        seconds: 12,
+        ..scenario(seed)
+    }
+}
+
+/// Overnight drafts at 2.5 times their usual, then callers who wait at 1.8 times, twice.
+fn waves() -> Vec<Wave> {
+    let wave = |rank, from, until, factor| Wave {
+        rank,
+        from,
+        until,
+        factor,
+    };
+    vec![
+        wave(DRAFT_RANK, 2, 4, 2.5),
+        wave(0, 4, 6, 1.8),
+        wave(DRAFT_RANK, 6, 8, 2.5),
+        wave(0, 8, 10, 1.8),
+    ]
+}
+
+fn outcomes(scenario: LoadScenario) -> (Outcomes, Outcomes) {
+    let results = scenario.run();
+    let of = |rank: u8| results.by_rank.get(&rank).copied().unwrap_or_default();
+    (of(0), of(DRAFT_RANK))
+}
+
+/// Plays a load with the decisions on and off. Returns what callers who wait, and drafts, got.
+fn on_and_off(scenario: LoadScenario) -> [(Outcomes, Outcomes); 2] {
+    let off = LoadScenario {
+        has_queue: false,
+        knows_ranks: false,
+        ..scenario.clone()
+    };
+    let played = [scenario, off].map(outcomes);
+    println!("{played:?}");
+    played
+}
+
+/// Checks that callers who wait are served in time, and that drafts make room for them but are answered, too.
+fn assert_urgent_first(scenario: LoadScenario, in_time: f64, refused: f64) {
+    let [(urgent, drafts), (before, _)] = on_and_off(scenario);
+    assert!(urgent.fraction(urgent.in_time) >= in_time, "{urgent:?}");
+    assert!(urgent.fraction(urgent.refused) <= refused, "{urgent:?}");
+    assert!(before.fraction(before.in_time) < in_time, "{before:?}");
+    assert!(before.fraction(before.refused) > refused, "{before:?}");
+    assert!(drafts.fraction(drafts.refused) <= refused, "{drafts:?}");
+}
+
+/// Guards against urgent callers who are refused or late because of overnight work.
+#[test]
+fn callers_who_wait_come_before_overnight_drafts() {
+    for instances in [8, 72] {
+        let load = LoadScenario {
+            waves: waves(),
+            ..mixed(instances, 1)
+        };
+        assert_urgent_first(load, 0.8, 0.1);
+    }
+}
+
+/// The same at 380 instances, where each knows the others by sums.
+#[test]
+fn callers_who_wait_come_before_overnight_drafts_at_380_instances() {
+    let load = LoadScenario {
+        waves: waves(),
+        seconds: 6,
+        ..mixed(380, 1)
+    };
+    assert_urgent_first(load, 0.65, 0.1);
+}
+
+/// Guards against urgent callers who pay for a fifth of the room that is lost in a wave.
+#[test]
+fn callers_who_wait_come_first_when_a_fifth_of_the_engines_is_lost() {
+    for instances in [8, 72] {
+        let load = LoadScenario {
+            waves: waves(),
+            loss: Some((5, 0.2)),
+            ..mixed(instances, 1)
+        };
+        assert_urgent_first(load, 0.7, 0.15);
+    }
+}
+
+/// Guards against a queue that forgets its order when all instances begin anew and all callers return at once.
+#[test]
+fn callers_who_wait_come_first_after_a_restart_of_all_instances() {
+    for instances in [8, 72] {
+        let load = LoadScenario {
+            waves: waves(),
+            restart: Some(5),
+            ..mixed(instances, 1)
+        };
+        assert_urgent_first(load, 0.75, 0.1);
+    }
+}
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -4,27 +4,30 @@
 //!
 //! The real tables, loaders and target selection run in it; only their environment is simulated.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use bluebellstage_core::{Revision, TargetId, Time, Tokens};
 use bluebellstage_gateway::decide::adapter::AdapterKey;
 use bluebellstage_gateway::decide::call::Call;
+use bluebellstage_gateway::decide::config::{Route, RouteKind};
 use bluebellstage_gateway::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
 use bluebellstage_gateway::decide::loader::{LoadStep, Loader, Order, OrderOutcome};
-use bluebellstage_gateway::decide::peers::Peer;
+use bluebellstage_gateway::decide::peers::{Load, Peer};
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::prompt_queues::WaitingKey;
 use bluebellstage_gateway::decide::ranked_tokens::RankClass;
+use bluebellstage_gateway::decide::relay_update::RelayView;
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::tables::{Tables, shard_of};
+use bluebellstage_gateway::decide::wait_queue::{Room, Turn, WaitKey, WaitingCounts};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::engine::Engine;
-use super::{adapter, at, call, config, inform, member, peer, target};
+use super::{adapter, at, call, config, inform, member, peer, route, target};
 
 /// Step of the virtual time.
 const TICK: Duration = Duration::from_millis(5);
@@ -56,6 +59,20 @@
     pub requests_per_second: f64,
     /// Prompt tokens of each request.
     pub prompt_tokens: u64,
+    /// Drafts of a later rank that are in no hurry; 0 for none.
+    pub drafts_per_second: f64,
+    /// Prompt tokens of each draft.
+    pub draft_tokens: u64,
+    /// Times at which more callers come.
+    pub waves: Vec<Wave>,
+    /// Second at which a part of the engines is lost, and that part.
+    pub loss: Option<(u64, f64)>,
+    /// Second at which all requests are lost and all instances begin anew.
+    pub restart: Option<u64>,
+    /// Whether requests wait for room in order.
+    pub has_queue: bool,
+    /// Whether prompts at engines are told apart by rank.
+    pub knows_ranks: bool,
     /// Tokens that an engine processes per millisecond: the slowest and the fastest engine.
     pub tokens_per_ms: (f64, f64),
     /// Time from the first event to the last.
@@ -64,6 +81,35 @@
     pub seed: u64,
 }
 
+/// A time at which more callers of one rank come.
+#[derive(Clone, Copy, Debug)]
+pub struct Wave {
+    pub rank: u8,
+    pub from: u64,
+    pub until: u64,
+    pub factor: f64,
+}
+
+/// Rank of drafts.
+pub const DRAFT_RANK: u8 = 2;
+/// Target time to the first event of drafts.
+const DRAFT_LATENCY: Duration = Duration::from_secs(2);
+
+/// What callers of one rank got.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outcomes {
+    pub received: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+}
+
+impl Outcomes {
+    pub fn fraction(&self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.received.max(1))
+    }
+}
+
 /// Results of all requests.
 #[derive(Clone, Debug, Default)]
 pub struct Results {
@@ -72,6 +118,7 @@
     pub in_time: u32,
     pub late: u32,
     pub refused: u32,
+    pub by_rank: BTreeMap<u8, Outcomes>,
     /// Loads from the weight store.
     pub loads: u32,
 }
@@ -100,15 +147,25 @@
     retry_at: Time,
     instance: usize,
     attempt: u32,
+    rank: u8,
+    /// Its place in the queue of its instance.
+    place: Option<WaitKey>,
 }
 
 struct RunningRequest {
     request: Request,
     waiting: Option<WaitingKey>,
-    /// Times at which the first event is sent and the request ends.
-    starts_at: Time,
-    ends_at: Time,
+    /// When the first event is sent.
+    starts_at: Option<Time>,
     engine: usize,
+    id: u64,
+}
+
+/// A prompt at an engine; those of earlier ranks are processed first.
+struct QueuedPrompt {
+    rank: u8,
+    id: u64,
+    left: Duration,
 }
 
 struct EngineNode {
@@ -116,8 +173,9 @@
     engine: Engine,
     loader: Loader,
     tokens_per_ms: f64,
-    /// Time until which it processes the prompts queued so far.
-    busy_until: Time,
+    /// Prompts that it has not processed.
+    prompts: Vec<QueuedPrompt>,
+    is_lost: bool,
     /// Adapters that it keeps copies of in host memory, the latest last.
     host_copies: VecDeque<AdapterKey>,
     updates_sent: u64,
@@ -130,6 +188,7 @@
     nodes: Vec<EngineNode>,
     waiting: Vec<Request>,
     running: Vec<RunningRequest>,
+    sent: u64,
     cumulative_weights: Vec<f64>,
     results: Results,
     decisions: Vec<(Time, Decision)>,
@@ -161,13 +220,15 @@
             engine: Engine::new(scenario.adapter_slots),
             loader: Loader::new(scenario.adapter_slots),
             tokens_per_ms: rng.random_range(scenario.tokens_per_ms.0..=scenario.tokens_per_ms.1),
-            busy_until: at(0),
+            prompts: Vec::new(),
+            is_lost: false,
             host_copies: VecDeque::new(),
             updates_sent: 0,
         });
         let nodes = nodes.collect::<Vec<_>>();
         let tables = (0..scenario.instances).map(|idx| tables(&scenario, idx, &nodes));
-        let tables = tables.collect();
+        let mut tables = tables.collect::<Vec<_>>();
+        introduce(&mut tables);
         let cumulative_weights = (1..=scenario.adapters).scan(0.0, |sum, rank| {
             *sum += f64::from(rank).powf(-scenario.skew);
             Some(*sum)
@@ -178,6 +239,7 @@
             nodes,
             waiting: Vec::new(),
             running: Vec::new(),
+            sent: 0,
             results: Results::default(),
             decisions: Vec::new(),
             rng,
@@ -190,8 +252,11 @@
         for node in &mut self.nodes {
             node.engine.advance(now);
         }
+        self.process_prompts(now);
         self.finish_requests(now);
-        self.add_requests(now);
+        self.apply_faults(ms, now);
+        self.add_requests(0, self.scenario.requests_per_second, now);
+        self.add_requests(DRAFT_RANK, self.scenario.drafts_per_second, now);
         self.serve_due_requests(now);
         self.step_loaders(now);
         if ms.is_multiple_of(25) {
@@ -202,8 +267,101 @@
         }
     }
 
-    fn add_requests(&mut self, now: Time) {
-        let expected_requests = self.scenario.requests_per_second * TICK.as_secs_f64();
+    /// Engines process the prompts of earlier ranks first.
+    fn process_prompts(&mut self, now: Time) {
+        for node in &mut self.nodes {
+            let mut budget = TICK;
+            loop {
+                let next = node.prompts.iter().enumerate();
+                let next = next.min_by_key(|(_, prompt)| (prompt.rank, prompt.id));
+                let Some((idx, _)) = next else { break };
+                let prompt = &mut node.prompts[idx];
+                if prompt.left > budget {
+                    prompt.left -= budget;
+                    break;
+                }
+                budget -= prompt.left;
+                let id = node.prompts.swap_remove(idx).id;
+                let running = self.running.iter_mut().find(|running| running.id == id);
+                running.unwrap().starts_at = Some(now - budget);
+            }
+        }
+    }
+
+    fn apply_faults(&mut self, ms: u64, now: Time) {
+        if let Some((second, part)) = self.scenario.loss
+            && ms == second * 1_000
+        {
+            let lost = (self.nodes.len() as f64 * part) as usize;
+            for idx in 0..lost {
+                self.lose_engine(idx, now);
+            }
+        }
+        if self.scenario.restart.map(|second| second * 1_000) == Some(ms) {
+            self.restart_instances(now);
+        }
+    }
+
+    fn lose_engine(&mut self, idx: usize, now: Time) {
+        let node = &mut self.nodes[idx];
+        node.is_lost = true;
+        node.prompts.clear();
+        for tables in &mut self.tables {
+            tables.registry.remove(&node.id, Revision(9), now);
+        }
+        let (lost, rest) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|running| running.engine == idx);
+        self.running = rest;
+        for mut running in Vec::from_iter::<Vec<RunningRequest>>(lost) {
+            let tables = &mut self.tables[running.request.instance];
+            tables.end_request(&self.nodes[idx].id);
+            if let Some(waiting) = running.waiting.take() {
+                tables.queues.remove(waiting);
+                self.refuse_request(running.request, Duration::ZERO, now);
+            }
+        }
+    }
+
+    /// All instances begin anew at once: what waited or ran is lost, and its callers come again.
+    fn restart_instances(&mut self, now: Time) {
+        for idx in 0..self.tables.len() {
+            self.tables[idx] = tables(&self.scenario, idx, &self.nodes);
+        }
+        introduce(&mut self.tables);
+        self.publish_all(now);
+        let running = std::mem::take(&mut self.running);
+        let waiting = std::mem::take(&mut self.waiting);
+        for node in &mut self.nodes {
+            node.prompts.clear();
+        }
+        for running in running {
+            let node = &mut self.nodes[running.engine];
+            node.engine.end_request(&running.request.key);
+            node.loader.request_ended(&running.request.key, now);
+            if running.waiting.is_some() {
+                self.refuse_request(running.request, Duration::ZERO, now);
+            }
+        }
+        for mut request in waiting {
+            request.place = None;
+            self.refuse_request(request, Duration::ZERO, now);
+        }
+    }
+
+    fn factor(&self, rank: u8, now: Time) -> f64 {
+        let waves = self.scenario.waves.iter();
+        let mut current = waves.filter(|wave| {
+            wave.rank == rank && now >= at(wave.from * 1_000) && now < at(wave.until * 1_000)
+        });
+        current.next().map_or(1.0, |wave| wave.factor)
+    }
+
+    fn add_requests(&mut self, rank: u8, per_second: f64, now: Time) {
+        let expected_requests = per_second * self.factor(rank, now) * TICK.as_secs_f64();
+        if expected_requests == 0.0 {
+            return;
+        }
         let mut count = expected_requests.floor();
         count += f64::from(u8::from(self.rng.random_bool(expected_requests.fract())));
         while count >= 1.0 {
@@ -211,15 +369,18 @@
             let point = self
                 .rng
                 .random_range(0.0..*self.cumulative_weights.last().unwrap());
-            let rank = self.cumulative_weights.partition_point(|sum| *sum < point);
+            let popularity = self.cumulative_weights.partition_point(|sum| *sum < point);
             self.results.received += 1;
+            self.results.by_rank.entry(rank).or_default().received += 1;
             self.waiting.push(Request {
-                key: adapter(&format!("a{rank}")),
+                key: adapter(&format!("a{popularity}")),
                 first_attempt: now,
                 attempt_started: now,
                 retry_at: now,
                 instance: self.rng.random_range(0..self.scenario.instances),
                 attempt: 1,
+                rank,
+                place: None,
             });
         }
     }
@@ -235,31 +396,55 @@
     }
 
     fn place_request(&mut self, mut request: Request, now: Time) {
+        let (path, tokens) = if request.rank == DRAFT_RANK {
+            ("/overnight/1", self.scenario.draft_tokens)
+        } else {
+            ("/draft/1", self.scenario.prompt_tokens)
+        };
         let request_call = Call {
-            prompt_tokens: Tokens(self.scenario.prompt_tokens),
+            prompt_tokens: Tokens(tokens),
             timeout: Some(CALLER_TIMEOUT),
             wanted: Some(
                 bluebellstage_gateway::decide::adapter::RequestedModel::Adapter(
                     request.key.clone(),
                 ),
             ),
-            ..call("/draft/1", Some("key-1"))
+            ..call(path, Some("key-1"))
         };
         let sample = self.rng.random();
         let tables = &mut self.tables[request.instance];
-        let ticket = tables.admit(&request_call, 0, now).unwrap();
-        match tables.pick(&ticket, &request_call, &[], sample, now) {
+        let mut ticket = tables.admit(&request_call, 0, now).unwrap();
+        if self.scenario.has_queue {
+            ticket.set_patience(CALLER_TIMEOUT, request.attempt_started);
+            ticket.waits = request.place.is_some();
+        }
+        let pick = tables.pick(&ticket, &request_call, &[], sample, now);
+        let turn = tables.take_turn(request.place, &pick, (&ticket, &request_call), false, now);
+        if let Pick::Late { load_at, .. } = &pick {
+            self.request_load(load_at, &request, now);
+        }
+        match turn {
+            Turn::TryNow => self.leave_queue(&mut request),
+            Turn::Wait { key, until, .. } => {
+                request.place = Some(key);
+                request.retry_at = until;
+                return self.waiting.push(request);
+            }
+            Turn::Refuse { room_in } => return self.refuse_request(request, room_in, now),
+        }
+        let tables = &mut self.tables[request.instance];
+        match pick {
             Pick::Send {
                 target, load_at, ..
             } => {
-                self.request_load(&load_at, &request.key, now);
+                self.request_load(&load_at, &request, now);
                 self.send_request(request, &target, &request_call, now);
             }
             Pick::Load(target) => {
                 let congested = tables.is_loading_congested(&ticket, now);
                 let waited = now.since(request.attempt_started);
                 match load_wait(waited, CALLER_TIMEOUT, TARGET_LATENCY, congested) {
-                    LoadWaitAction::RequestLoad => self.request_load(&[target], &request.key, now),
+                    LoadWaitAction::RequestLoad => self.request_load(&[target], &request, now),
                     LoadWaitAction::Wait => {}
                     LoadWaitAction::Refuse => {
                         return self.refuse_request(request, Duration::ZERO, now);
@@ -270,8 +455,10 @@
                 request.retry_at = now + LOAD_REQUEST_INTERVAL / 2;
                 self.waiting.push(request);
             }
-            Pick::Late { excess, load_at } => {
-                self.request_load(&load_at, &request.key, now);
+            Pick::Late {
+                excess, load_at, ..
+            } => {
+                self.request_load(&load_at, &request, now);
                 self.refuse_request(request, excess, now);
             }
             Pick::Cold { .. } | Pick::Resting { .. } | Pick::Full | Pick::NoTarget => {
@@ -280,10 +467,38 @@
         }
     }
 
-    fn request_load(&mut self, targets: &[TargetId], key: &AdapterKey, now: Time) {
+    /// Lets those in the queue of an instance try that may find room now.
+    fn wake(&mut self, instance: usize, room: &Room, now: Time) {
+        let services = self.tables[instance].wait_queue.room_came(room);
+        for service in services {
+            while let Some(key) = self.tables[instance].wait_queue.next(service, now) {
+                let is_next =
+                    |request: &Request| request.instance == instance && request.place == Some(key);
+                let idx = self.waiting.iter().position(is_next).unwrap();
+                let request = self.waiting.remove(idx);
+                self.place_request(request, now);
+            }
+        }
+    }
+
+    fn wake_all(&mut self, now: Time) {
+        for instance in 0..self.tables.len() {
+            self.wake(instance, &Room::Anywhere, now);
+        }
+    }
+
+    fn leave_queue(&mut self, request: &mut Request) {
+        if let Some(key) = request.place.take() {
+            self.tables[request.instance].wait_queue.leave(key);
+        }
+    }
+
+    fn request_load(&mut self, targets: &[TargetId], request: &Request, now: Time) {
+        let class = RankClass::after(usize::from(request.rank));
         for node in &mut self.nodes {
             if targets.contains(&node.id) {
-                node.loader.request_load(key.clone(), None, now);
+                let key = request.key.clone();
+                node.loader.request_load_for(class, key, None, now);
             }
         }
     }
@@ -291,8 +506,14 @@
     fn refuse_request(&mut self, mut request: Request, excess: Duration, now: Time) {
         let decision = Decision::Refused(request.key.clone());
         self.decisions.push((now, decision));
+        self.leave_queue(&mut request);
         if request.attempt > 1 {
             self.results.refused += 1;
+            self.results
+                .by_rank
+                .entry(request.rank)
+                .or_default()
+                .refused += 1;
             return;
         }
         request.attempt += 1;
@@ -323,45 +544,70 @@
         }
         node.loader.request_started(&request.key, now);
         tables.start_request(target, now);
-        let class = RankClass::default();
+        let class = if self.scenario.knows_ranks {
+            RankClass::after(usize::from(request.rank))
+        } else {
+            RankClass::default()
+        };
         let waiting = tables.record_prompt(target, class, request_call, now);
         tables.residency.record_success(target, &request.key);
-        let tokens = f64::from(u32::try_from(self.scenario.prompt_tokens).unwrap());
+        let tokens = f64::from(u32::try_from(request_call.prompt_tokens.0).unwrap());
         let prompt_duration = Duration::from_secs_f64(tokens / node.tokens_per_ms / 1_000.0);
-        node.busy_until = node.busy_until.max(now) + prompt_duration;
+        self.sent += 1;
+        let id = self.sent;
+        node.prompts.push(QueuedPrompt {
+            rank: request.rank,
+            id,
+            left: prompt_duration,
+        });
         self.running.push(RunningRequest {
             request,
             waiting: Some(waiting),
-            starts_at: node.busy_until,
-            ends_at: node.busy_until + self.scenario.response_duration,
+            starts_at: None,
             engine: idx,
+            id,
         });
     }
 
     fn finish_requests(&mut self, now: Time) {
+        let mut room = Vec::new();
+        let duration = self.scenario.response_duration;
         for running in &mut self.running {
-            if running.starts_at <= now
+            if let Some(starts_at) = running.starts_at
                 && let Some(waiting) = running.waiting.take()
             {
                 let tables = &mut self.tables[running.request.instance];
-                tables.queues.record_started(waiting, running.starts_at);
-                let elapsed = running.starts_at.since(running.request.first_attempt);
-                if elapsed <= TARGET_LATENCY {
+                tables.queues.record_started(waiting, starts_at);
+                room.push((running.request.instance, running.engine));
+                let elapsed = starts_at.since(running.request.first_attempt);
+                let outcomes = self
+                    .results
+                    .by_rank
+                    .entry(running.request.rank)
+                    .or_default();
+                if elapsed <= latency(running.request.rank) {
                     self.results.in_time += 1;
+                    outcomes.in_time += 1;
                 } else {
                     self.results.late += 1;
+                    outcomes.late += 1;
                 }
             }
         }
         let (ended, running) = std::mem::take(&mut self.running)
             .into_iter()
-            .partition(|running| running.ends_at <= now);
+            .partition(|running| running.starts_at.is_some_and(|at| at + duration <= now));
         self.running = running;
         for running in Vec::from_iter::<Vec<RunningRequest>>(ended) {
             let node = &mut self.nodes[running.engine];
             node.engine.end_request(&running.request.key);
             node.loader.request_ended(&running.request.key, now);
             self.tables[running.request.instance].end_request(&node.id);
+            room.push((running.request.instance, running.engine));
+        }
+        for (instance, engine) in room {
+            let id = self.nodes[engine].id.clone();
+            self.wake(instance, &Room::At(id), now);
         }
     }
 
@@ -374,6 +620,9 @@
             let all = all.sum::<usize>();
             let has_store_capacity = all < self.scenario.max_concurrent_loads;
             let node = &mut self.nodes[idx];
+            if node.is_lost {
+                continue;
+            }
             match node.loader.step(|_| None, has_store_capacity, now) {
                 LoadStep::Idle | LoadStep::Wait(_) => {}
                 LoadStep::Read => node.loader.apply_report(Some(node.engine.report(now)), now),
@@ -408,10 +657,27 @@
     }
 
     fn publish_adapters(&mut self, now: Time) {
-        for node in &mut self.nodes {
-            if !node.loader.take_changed() {
-                continue;
+        let mut has_changed = false;
+        for idx in 0..self.nodes.len() {
+            if self.nodes[idx].loader.take_changed() {
+                self.publish(idx, now);
+                has_changed = true;
             }
+        }
+        if has_changed {
+            self.wake_all(now);
+        }
+    }
+
+    fn publish_all(&mut self, now: Time) {
+        for idx in 0..self.nodes.len() {
+            self.publish(idx, now);
+        }
+    }
+
+    fn publish(&mut self, idx: usize, now: Time) {
+        let node = &mut self.nodes[idx];
+        {
             node.updates_sent += 1;
             let order = ResidencyVersion {
                 fencing: 1,
@@ -428,6 +694,7 @@
 
     fn gossip(&mut self, now: Time) {
         let count = self.tables.len();
+        let mut updates = Vec::new();
         for idx in 0..count {
             let is_local = |node: &&EngineNode| owner_index(&node.id, count) == idx;
             let local_nodes = self.nodes.iter().filter(is_local);
@@ -452,18 +719,86 @@
             let loads = loads.map(|(id, load)| (ShortHash::of(id.as_str()), load));
             let update = Peer {
                 in_flight: loads.collect(),
+                waiting: tables.wait_queue.local_counts(now),
                 loads: tables.loads.active,
                 waiting_loads: tables.loads.waiting,
                 adapter_slots: places,
                 shards: tables.shards.clone(),
                 ..peer(tables.local.name.as_str(), now)
             };
-            for (other, tables) in self.tables.iter_mut().enumerate() {
-                if other != idx {
-                    tables.peers.update(update.clone());
-                }
-            }
+            updates.push(update);
         }
+        spread(&mut self.tables, &updates, now);
+        self.wake_all(now);
+    }
+}
+
+/// Largest number of instances that tell each other everything directly.
+const MAX_MESH: usize = 16;
+
+fn latency(rank: u8) -> Duration {
+    if rank == DRAFT_RANK {
+        DRAFT_LATENCY
+    } else {
+        TARGET_LATENCY
+    }
+}
+
+/// Makes all instances of a large deployment known to each other for good.
+fn introduce(tables: &mut [Tables]) {
+    if tables.len() <= MAX_MESH {
+        return;
+    }
+    let peers = tables.iter().map(|tables| Peer {
+        shards: tables.shards.clone(),
+        ..peer(tables.local.name.as_str(), at(10_000_000))
+    });
+    let peers = peers.collect::<Vec<_>>();
+    for (idx, tables) in tables.iter_mut().enumerate() {
+        let others = peers.iter().enumerate().filter(|(other, _)| *other != idx);
+        for (_, peer) in others {
+            tables.peers.update(peer.clone());
+        }
+    }
+}
+
+/// Tells the updates of all instances to all: directly, or in a large deployment as sums.
+fn spread(tables: &mut [Tables], updates: &[Peer], now: Time) {
+    let is_mesh = tables.len() <= MAX_MESH;
+    let mut sums = HashMap::<ShortHash, Load>::new();
+    for (hash, load) in updates.iter().flat_map(|update| &update.in_flight) {
+        sums.entry(*hash).or_default().add(*load);
+    }
+    for (idx, tables) in tables.iter_mut().enumerate() {
+        let others = updates.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != idx);
+        let others = others.map(|(_, update)| update);
+        for update in others
+            .clone()
+            .filter(|update| is_mesh || !update.shards.is_empty())
+        {
+            let last_seen = if is_mesh { now } else { at(10_000_000) };
+            tables.peers.update(Peer {
+                last_seen: Some(last_seen),
+                ..update.clone()
+            });
+        }
+        if is_mesh {
+            continue;
+        }
+        let mut loads = sums.clone();
+        for (hash, load) in &updates[idx].in_flight {
+            loads.entry(*hash).or_default().subtract(*load);
+        }
+        let mut waiting = WaitingCounts::default();
+        others.for_each(|update| waiting.add_all(&update.waiting));
+        tables.peers.set_view(Some(RelayView {
+            relay: updates[0].member.name.clone(),
+            at: now,
+            lag: Duration::ZERO,
+            loads,
+            waiting,
+        }));
     }
 }
 
@@ -489,6 +824,18 @@
     let mut tables = Tables::new(member(&format!("i{idx}"), "north"), budget);
     let mut cfg = config(1);
     cfg.routes[0].target_latency = TARGET_LATENCY;
+    if scenario.drafts_per_second > 0.0 {
+        cfg.routes.push(Route {
+            rank: DRAFT_RANK,
+            target_latency: DRAFT_LATENCY,
+            ..route(
+                "overnight",
+                "/overnight/",
+                "writers",
+                RouteKind::SingleStream,
+            )
+        });
+    }
     let engine = cfg.services[0].engine.as_mut().unwrap();
     engine.slots = 64;
     engine.adapter_slots = u32::try_from(scenario.adapter_slots).unwrap();
