--- a/crates/gateway/tests/load_simulation.rs
+++ b/crates/gateway/tests/load_simulation.rs
@@ -195,7 +195,7 @@
     for instances in [8, 72] {
         let load = LoadScenario {
             waves: waves(),
-            loss: Some((5, 0.2)),
+            loss: Some((5, 5)),
             ..mixed(instances, 1)
         };
         assert_urgent_first(load, 0.7, 0.15);
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -65,8 +65,8 @@
     pub draft_tokens: u64,
     /// Times at which more callers come.
     pub waves: Vec<Wave>,
-    /// Second at which a part of the engines is lost, and that part.
-    pub loss: Option<(u64, f64)>,
+    /// Second at which one in so many engines is lost.
+    pub loss: Option<(u64, usize)>,
     /// Second at which all requests are lost and all instances begin anew.
     pub restart: Option<u64>,
     /// Whether requests wait for room in order.
@@ -292,7 +292,7 @@
         if let Some((second, part)) = self.scenario.loss
             && ms == second * 1_000
         {
-            let lost = (self.nodes.len() as f64 * part) as usize;
+            let lost = self.nodes.len() / part;
             for idx in 0..lost {
                 self.lose_engine(idx, now);
             }
