--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -1,33 +1,23 @@
-//! Runs an admitted request: choice of a target, retries.
+//! An admitted request, from its admission to its response.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{AdapterVersion, InstanceId, SoftwareVersion, TargetId, Time};
+use bluebellstage_core::{InstanceId, SoftwareVersion, TargetId, Time};
 use bytes::Bytes;
 use http::{Response, request};
-use rand::Rng;
 
-use crate::decide::call::{Call, Forward};
-use crate::decide::config::RouteKind;
-use crate::decide::health::MAX_SILENCE;
-use crate::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
-use crate::decide::placement::Pick;
-use crate::decide::quarantine::{Fingerprint, InterruptedRun, Suspect};
-use crate::decide::tables::{Tables, Ticket};
+use crate::decide::call::Call;
+use crate::decide::quarantine::{Fingerprint, Suspect};
+use crate::decide::tables::Ticket;
 use crate::edge::Edge;
-use crate::packet::{AdapterRequest, AdapterRequestKind};
 
-use super::attempt::{Attempt, FailedRun, Failure, NotRunReason, SendParams, TargetResponse, send};
-use super::crash_check::record_interruption;
+use super::attempt::TargetResponse;
 use super::local_response::{ResponseBody, full_body};
-use super::log::{LogEvent, event};
 use super::node::Node;
 use super::origins::Continuation;
 use super::peer_forwarding::{ForwardedRequest, PeerResponse, PeerResult};
-use super::quarantine;
 use super::stream;
-use super::wait_places::AfterTurn;
 
 /// Time reserved for a local response to reach the caller before the caller's timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
@@ -51,14 +41,6 @@
 pub(super) const NO_PATH: &str = "no target can be reached from here: use another instance";
 /// Message for a request that is rejected because all targets have asked for rest.
 pub(super) const ALL_RESTING: &str = "all targets have asked for rest: try again";
-/// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
-/// repeatable request is retried at another target.
-const PLAIN_WAIT_FACTOR: u32 = 3;
-/// The same factor for the response head of a stream.
-const STREAM_WAIT_FACTOR: u32 = 3;
-/// Minimum of the wait for a plain target. It is shorter than a sound target may be silent: a read is repeated
-/// within the retry budget rather than answered late.
-const MIN_RESPONSE_WAIT: Duration = Duration::from_millis(250);
 
 /// A request and the state that its attempts share.
 #[derive(Debug)]
@@ -198,322 +180,8 @@
     }
 
     /// Time after its arrival until which the request may take: the caller's timeout or the route's.
-    fn time_limit(&self) -> Duration {
+    pub(super) fn time_limit(&self) -> Duration {
         let route = self.ticket.route().timeout;
         self.call.timeout.map_or(route, |own| own.min(route))
     }
-
-    /// Sends the request to targets until one responds or no further attempt is possible.
-    pub(super) async fn find_response(&mut self) -> SearchOutcome<E> {
-        let route_latency = self.ticket.route().target_latency;
-        let started = self.node.now();
-        let rest_until = started + route_latency / 2;
-        let timeout = self.time_limit();
-        self.ticket.set_patience(timeout, self.arrived);
-        let mut place = None;
-        loop {
-            if self.time_left() < MIN_ATTEMPT_TIME {
-                return self.out_of_time();
-            }
-            if let Some(found) = self.forward_if_partitioned().await {
-                return found;
-            }
-            let now = self.node.now();
-            let draw = rand::rng().random_range(0.0..1.0);
-            if let Some(refused) = self.refused_suspect() {
-                return SearchOutcome::Quarantined(refused);
-            }
-            let pick = self.pick(draw, now);
-            if let Pick::Late { load_at, .. } = &pick {
-                self.request_loads(load_at.clone());
-            }
-            match self.wait_for_turn(&mut place, &pick, now).await {
-                AfterTurn::GoOn => {}
-                AfterTurn::PickAgain => continue,
-                AfterTurn::Refused(found) => return found,
-            }
-            match pick {
-                Pick::Send {
-                    target,
-                    version,
-                    trial,
-                    load_at,
-                } => {
-                    self.request_loads(load_at);
-                    if let Some(found) = self.try_target(target, version, trial).await {
-                        return found;
-                    }
-                }
-                Pick::Load(target) => {
-                    match self.load_wait(started, now) {
-                        LoadWaitAction::RequestLoad => {
-                            self.send_adapter_request(target, self.load_request());
-                        }
-                        LoadWaitAction::Wait => {}
-                        LoadWaitAction::Refuse => {
-                            self.log_failed_attempt(&target, "adapter not loaded in time");
-                            return self.unserved("its adapter could not be loaded in time");
-                        }
-                    }
-                    self.node.loader_work.notify_waiters();
-                    let changed = self.node.changed.notified();
-                    let _woken = tokio::time::timeout(LOAD_REQUEST_INTERVAL, changed).await;
-                    self.load_waited += self.node.now().since(now);
-                }
-                Pick::Late { excess, .. } => return self.late(excess),
-                Pick::Cold { left } => return self.cold(left),
-                Pick::Resting { left } if now + left < rest_until => {
-                    tokio::time::sleep(left).await;
-                }
-                Pick::Resting { left } => return self.resting(left),
-                Pick::Full => return self.unserved("all targets are full"),
-                Pick::NoTarget if self.is_version_gone(now) => return self.version_gone(),
-                Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
-                Pick::NoTarget => return self.unserved(NO_TARGET),
-            }
-        }
-    }
-
-    /// Returns why the request must not be sent: itself, or a part of its prompt.
-    fn refused_suspect(&self) -> Option<Suspect> {
-        quarantine::refused_suspect(&self.node, self.fingerprint, &self.call)
-    }
-
-    fn pick(&self, draw: f64, now: Time) -> Pick {
-        let request = self.fingerprint;
-        let mut tables = self.node.tables();
-        tables.pick_apart(request, &self.ticket, &self.call, &self.tried, draw, now)
-    }
-
-    fn load_wait(&self, started: Time, now: Time) -> LoadWaitAction {
-        let route = self.ticket.route();
-        let is_congested = self.node.tables().is_loading_congested(&self.ticket, now);
-        load_wait(
-            now.since(started),
-            self.call.timeout.unwrap_or(route.timeout),
-            route.target_latency,
-            is_congested,
-        )
-    }
-
-    pub(super) fn late(&self, excess: Duration) -> SearchOutcome<E> {
-        if self.runs == 0 {
-            SearchOutcome::QueueTooLong(excess)
-        } else {
-            SearchOutcome::MayHaveRun(TOO_LATE)
-        }
-    }
-
-    fn cold(&self, left: Duration) -> SearchOutcome<E> {
-        if self.runs == 0 {
-            SearchOutcome::Cold(left)
-        } else {
-            SearchOutcome::MayHaveRun(ALL_COLD)
-        }
-    }
-
-    fn resting(&self, left: Duration) -> SearchOutcome<E> {
-        if self.runs == 0 {
-            SearchOutcome::Resting(left)
-        } else {
-            SearchOutcome::MayHaveRun(ALL_RESTING)
-        }
-    }
-
-    fn is_version_gone(&self, now: Time) -> bool {
-        let is_held = self.ticket.software.is_some();
-        is_held && !self.node.tables().has_serving_target(&self.ticket, now)
-    }
-
-    /// Reports that no target of the version that began the stream may get requests.
-    fn version_gone(&self) -> SearchOutcome<E> {
-        self.node.metrics.streams.version_was_gone();
-        let software = self.ticket.software.as_ref().map(ToString::to_string);
-        event(
-            LogEvent::SoftwareGone,
-            &[
-                ("request", &self.call.id),
-                ("service", self.ticket.service.as_str()),
-                ("software", &software.unwrap_or_default()),
-            ],
-        );
-        if self.runs == 0 {
-            SearchOutcome::VersionGone
-        } else {
-            SearchOutcome::MayHaveRun(VERSION_GONE)
-        }
-    }
-
-    pub(super) fn unserved(&self, why: &'static str) -> SearchOutcome<E> {
-        if self.runs == 0 {
-            SearchOutcome::NotRun(why)
-        } else {
-            SearchOutcome::MayHaveRun(why)
-        }
-    }
-
-    fn out_of_time(&self) -> SearchOutcome<E> {
-        if self.runs == 0 {
-            SearchOutcome::NotRun("no target took it in time")
-        } else {
-            SearchOutcome::TimedOut
-        }
-    }
-
-    fn load_request(&self) -> AdapterRequestKind {
-        let key = Tables::adapter_of(&self.call);
-        let newest = key.and_then(|key| self.node.tables().versions.newest(key));
-        AdapterRequestKind::Load(newest)
-    }
-
-    fn request_loads(&self, targets: Vec<TargetId>) {
-        for target in targets {
-            self.send_adapter_request(target, self.load_request());
-        }
-    }
-
-    fn send_adapter_request(&self, target: TargetId, kind: AdapterRequestKind) {
-        if let Some(key) = Tables::adapter_of(&self.call) {
-            let key = key.clone();
-            let class = self.ticket.load_class();
-            let adapter_request = AdapterRequest {
-                target,
-                key,
-                kind,
-                class,
-            };
-            self.node.queue_adapter_request(adapter_request);
-        }
-    }
-
-    fn max_wait(&self) -> Duration {
-        let route = self.ticket.route();
-        let time_left = self.time_left();
-        if !route.kind.repeatable() || self.runs + 1 >= route.max_attempts {
-            return time_left;
-        }
-        let times = if route.kind.streams() {
-            STREAM_WAIT_FACTOR
-        } else {
-            PLAIN_WAIT_FACTOR
-        };
-        let min_wait = if route.kind.streams() {
-            MAX_SILENCE
-        } else {
-            MIN_RESPONSE_WAIT
-        };
-        (route.target_latency * times).max(min_wait).min(time_left)
-    }
-
-    async fn try_target(
-        &mut self,
-        target: TargetId,
-        version: Option<AdapterVersion>,
-        trial: bool,
-    ) -> Option<SearchOutcome<E>> {
-        let service = &self.ticket.service;
-        let now = self.node.now();
-        if self.sends > 0 && !self.node.tables().take_retry(service, now) {
-            return Some(self.unserved(NO_RETRY_BUDGET));
-        }
-        let kind = self.ticket.route().kind;
-        let forward = Forward {
-            time_left: self.time_left(),
-            target: target.as_str(),
-            workspace: self.ticket.workspace.as_ref(),
-            adapter_version: version.map(|version| version.0),
-            priority: self.call.wanted.is_some().then(|| self.ticket.rank.min(9)),
-            resume_after: self.call.resume_after,
-        };
-        let params = SendParams {
-            head: &self.head,
-            body: &self.body,
-            call: &self.call,
-            class: self.ticket.rank_class(),
-            fingerprint: self.fingerprint,
-            reuse: kind != RouteKind::Unsafe,
-            service,
-            max_wait_without_path: kind
-                .repeatable()
-                .then(|| self.ticket.route().target_latency),
-            trial,
-            suspect: self.node.tables().quarantine.crash_count(self.fingerprint) > 0,
-            version,
-            max_wait: self.max_wait(),
-        };
-        self.sends += 1;
-        self.last_send = Some((target.clone(), now));
-        let attempt = send(&self.node, &target, params, &forward).await;
-        let service = self.ticket.service.clone();
-        match attempt {
-            Attempt::Response(response) => {
-                self.runs += 1;
-                self.software = Some(response.in_flight.software.clone());
-                if let Some(key) = Tables::adapter_of(&self.call) {
-                    self.node.tables().residency.record_success(&target, key);
-                    self.node.changed.notify_waiters();
-                }
-                Some(SearchOutcome::Response(response))
-            }
-            Attempt::NotRun(reason) => {
-                self.log_not_run(&target, reason);
-                if reason == NotRunReason::Misdirected && Tables::adapter_of(&self.call).is_some() {
-                    // The adapter is not loaded yet or was evicted. The engine may still serve the request
-                    // later, so it is not excluded.
-                    self.record_missing_adapter(&target);
-                } else {
-                    self.tried.push(target);
-                }
-                None
-            }
-            Attempt::Unreachable => {
-                self.sends -= 1;
-                self.log_failed_attempt(&target, "no connection");
-                self.tried.push(target);
-                let is_doubtful = {
-                    let tables = self.node.tables();
-                    tables.is_path_in_doubt(&service, now, self.node.now())
-                };
-                if is_doubtful {
-                    return self.forward_or_return(&service).await;
-                }
-                None
-            }
-            Attempt::Failed(failed_run) => {
-                self.runs += 1;
-                self.log_failed_attempt(&target, &format!("{:?}", failed_run.failure));
-                self.check_for_crash(&target, failed_run).await;
-                if !self.may_retry() {
-                    return Some(SearchOutcome::MayHaveRun("the target gave no whole answer"));
-                }
-                self.tried.push(target);
-                None
-            }
-        }
-    }
-
-    /// Checks whether the target crashed, if the failed run ended with a broken connection.
-    pub(super) async fn check_for_crash(&self, target: &TargetId, failed_run: FailedRun) {
-        if failed_run.failure != Failure::Broken {
-            return;
-        }
-        let run = InterruptedRun::new(self.fingerprint, failed_run.run_time);
-        record_interruption(&self.node, target, run, &self.call.prompt_parts).await;
-    }
-
-    /// Records that a target sent a complete response.
-    pub(super) fn record_served(&self) {
-        quarantine::record_served(&self.node, self.fingerprint);
-    }
-
-    fn record_missing_adapter(&self, target: &TargetId) {
-        if let Some(key) = Tables::adapter_of(&self.call) {
-            let now = self.node.now();
-            self.node
-                .tables()
-                .residency
-                .record_missing(target, key, now);
-        }
-        self.send_adapter_request(target.clone(), AdapterRequestKind::Missing);
-    }
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -10,7 +10,9 @@
 pub mod run;
 
 mod accept;
+mod adapter_loads;
 mod attempt;
+mod attempts;
 mod batches;
 mod control;
 mod crash_check;
@@ -36,6 +38,7 @@
 mod residency_updates;
 mod response_head;
 mod restorations;
+mod search;
 mod serve;
 pub mod signals;
 mod sockets;
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -6,6 +6,7 @@
 use bluebellstage_gateway::decide::loader::{
     LoadStep, Loader, Order, OrderKind, OrderOutcome, Report,
 };
+use bluebellstage_gateway::decide::ranked_tokens::RankClass;
 use support::{adapter, adapter_at, at};
 
 const NO_VERSIONS: fn(
@@ -403,3 +404,22 @@
     loader.request_load(adapter("a3"), None, at(1_402));
     assert_eq!(expect_order(step(&mut loader, at(1_402))), load("a3"));
 }
+
+/// Guards against urgent requests whose adapters wait behind those of overnight work, and against overnight work that
+/// never gets an adapter.
+#[test]
+fn adapters_for_more_urgent_requests_are_loaded_first_but_not_for_long() {
+    for (asked_at, expected) in [(900, "urgent"), (300, "overnight")] {
+        let mut loader = Loader::new(4);
+        loader.apply_report(Some(Report::default()), at(0));
+        for ms in (asked_at..=1_000).step_by(50) {
+            for _request in 0..3 {
+                let overnight = adapter("overnight");
+                loader.request_load_for(RankClass::after(1), overnight, None, at(ms));
+            }
+        }
+        loader.request_load_for(RankClass::default(), adapter("urgent"), None, at(1_000));
+        let order = expect_order(step(&mut loader, at(1_001)));
+        assert_eq!(order, load(expected));
+    }
+}
--- a/crates/gateway/tests/wait_queue.rs
+++ b/crates/gateway/tests/wait_queue.rs
@@ -387,3 +387,34 @@
     assert_eq!(counts.of(service()), u32::try_from(MAX_WAITING).unwrap());
     assert!(!counts.bound(1));
 }
+
+/// Guards against an instance that was suspended and then serves those first whose callers have gone.
+#[test]
+fn after_a_suspension_only_what_is_still_useful_gets_room() {
+    let mut tables = writers();
+    let prompt = (RankClass::default(), 8_000);
+    let queues = &mut tables.queues;
+    let ahead = queues.record_sent(&id("e0"), prompt, RankedTokens::default(), at(200));
+    let mut gone = arrive(&mut tables, urgent(100), at(200));
+    assert!(waits(gone.turn(&mut tables, at(200))));
+    tables.queues.remove(ahead);
+    send(&mut tables, "e0", 8_000, at(9_000), None);
+    let mut fresh = arrive(&mut tables, urgent(200), at(9_000));
+    assert!(waits(fresh.turn(&mut tables, at(9_000))));
+    assert!(matches!(
+        gone.turn(&mut tables, at(9_000)),
+        Turn::Refuse { .. }
+    ));
+}
+
+/// Guards against a request that holds its place after its instance forgot its engine.
+#[test]
+fn a_waiting_request_goes_on_when_its_engine_is_gone() {
+    let mut tables = writers();
+    send(&mut tables, "e0", 8_000, at(200), None);
+    let mut request = arrive(&mut tables, urgent(100), at(200));
+    assert!(waits(request.turn(&mut tables, at(200))));
+    tables.registry.remove(&id("e0"), Revision(2), at(300));
+    add_engine(&mut tables, "e1");
+    assert_eq!(request.turn(&mut tables, at(300)), Turn::TryNow);
+}
