--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -25,6 +25,7 @@
 use super::prompt_queues::{PromptQueues, WaitingKey};
 use super::quarantine::Quarantine;
 use super::quota::{ChargeOutcome, PeerVisibility, Quotas};
+use super::ranked_tokens::RankClass;
 pub use super::refusal::Refusal;
 use super::registry::Registry;
 use super::rendezvous::{ShortHash, name_hash};
@@ -36,7 +37,7 @@
 use super::stream_origins::{StreamOrigin, StreamOrigins};
 use super::target::Target;
 use super::versions::Versions;
-use super::wait_queue::WaitQueue;
+use super::wait_queue::{Patience, WaitQueue};
 
 /// Fraction of a route's target latency for which a request may wait for its workspace's quota. A
 /// rejected caller would lose more time on its way back, and an engine can still respond in the
@@ -146,6 +147,10 @@
     /// Software version that began the request's stream; only its targets may continue it. `None` if the stream has
     /// not begun.
     pub software: Option<SoftwareVersion>,
+    /// Until when its start is worth something; without it the request never waits for room.
+    pub patience: Option<Patience>,
+    /// Whether it has waited for room.
+    pub waits: bool,
 }
 
 impl Ticket {
@@ -155,6 +160,28 @@
         self.routes.route(self.route)
     }
 
+    /// Class of its rank among those of its service.
+    #[must_use]
+    pub fn rank_class(&self) -> RankClass {
+        self.routes.rank_class(&self.service, self.rank)
+    }
+
+    /// Class of its rank where loads for more urgent requests come first; elsewhere all are alike.
+    #[must_use]
+    pub fn load_class(&self) -> RankClass {
+        if self.later_ranks_can_wait() {
+            self.rank_class()
+        } else {
+            RankClass::default()
+        }
+    }
+
+    /// Whether later ranks of its service leave room to requests of earlier ones that wait.
+    #[must_use]
+    pub fn later_ranks_can_wait(&self) -> bool {
+        self.routes.later_ranks_can_wait(&self.service)
+    }
+
     /// Version of the configuration under which the request was admitted.
     #[must_use]
     pub fn config(&self) -> Revision {
@@ -328,6 +355,8 @@
             quota_wait,
             rank: rank.unwrap_or(routes.route(route).rank),
             software: None,
+            patience: None,
+            waits: false,
             route,
             routes,
         })
@@ -361,6 +390,8 @@
             quota_wait: Duration::ZERO,
             rank: rank.unwrap_or(routes.route(route).rank),
             software: None,
+            patience: None,
+            waits: false,
             route,
             routes,
         })
@@ -412,17 +443,23 @@
         self.in_flight.iter().map(|(target, requests)| {
             let load = Load {
                 requests: *requests,
-                prompts: u32::try_from(self.queues.local_tokens(target)).unwrap_or(u32::MAX),
+                prompts: self.queues.local_tokens(target),
             };
             (target, load)
         })
     }
 
     /// Records a prompt that is sent to an engine and waits there until the engine starts it.
-    pub fn record_prompt(&mut self, target: &TargetId, call: &Call, now: Time) -> WaitingKey {
+    pub fn record_prompt(
+        &mut self,
+        target: &TargetId,
+        class: RankClass,
+        call: &Call,
+        now: Time,
+    ) -> WaitingKey {
         let others = self.peers.load(ShortHash::of(target.as_str())).prompts;
         self.queues
-            .record_sent(target, call.prompt_tokens.0, u64::from(others), now)
+            .record_sent(target, (class, call.prompt_tokens.0), others, now)
     }
 
     /// Records that a request is sent to a target.
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -11,7 +11,9 @@
 use crate::decide::paths::ANSWER_INTERVAL;
 use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::quarantine::RunKey;
+use crate::decide::ranked_tokens::RankClass;
 use crate::decide::tables::Tables;
+use crate::decide::wait_queue::Room;
 use crate::edge::Edge;
 use crate::packet::{AdapterRequest, AdapterRequestKind};
 
@@ -66,7 +68,7 @@
         }
         let call = params.call;
         let prompts = call.wanted.is_some();
-        let waiting = prompts.then(|| tables.record_prompt(target, call, now));
+        let waiting = prompts.then(|| tables.record_prompt(target, params.class, call, now));
         let runs = &mut tables.quarantine.runs;
         let run = runs.send(target, params.fingerprint, &call.prompt_parts, now);
         drop(tables);
@@ -94,6 +96,7 @@
                 target: self.target.clone(),
                 key: key.clone(),
                 kind,
+                class: RankClass::default(),
             });
         }
     }
@@ -120,6 +123,8 @@
         if let Some(waiting) = self.waiting.take() {
             tables.queues.record_started(waiting, now);
         }
+        drop(tables);
+        self.node.room_came(&Room::At(self.target.clone()));
     }
 
     /// Records that the response was complete.
@@ -239,5 +244,6 @@
         }
         drop(tables);
         self.notify_loader(AdapterRequestKind::Ended);
+        self.node.room_came(&Room::At(self.target.clone()));
     }
 }
