Measure streams' gaps, and know the speed of targets from all instances

Cause: streams are late by gaps between their events, which no log, metric or decision knows. An instance sees too few outcomes of one engine to know its speed, so fast and slow ones look alike.

Change: each stream's times are kept; BS3414 names its first event, longest gap and longest time held here, and histograms show gaps and holding times. Instances report prompts, events and long gaps by target incarnation, aged, a bounded number in turn; relays add them up without the receiver's part. Implausible reports and unknown targets are dropped, counted and logged (BS3420). The wait at an engine follows from the shared speed; without enough evidence it is the mean of its service.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -48,6 +48,7 @@
 pub mod store_calls;
 pub mod store_position;
 pub mod stream_origins;
+pub mod stream_times;
 pub mod tables;
 pub mod target;
 pub mod versions;
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -8,6 +8,7 @@
 use super::call::Call;
 use super::config::Config;
 use super::loader::AdapterSlots;
+use super::pace::PaceTarget;
 use super::placement::{Candidate, Pick, PickContext, pick_engine, pick_plain};
 use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
@@ -243,11 +244,12 @@
             let local = self.local_in_flight(&target.id);
             let others = self.peers.load(ShortHash::of(target.id.as_str()));
             let prompts = self.queues.local_tokens(&target.id) + u64::from(others.prompts);
+            let speed = self.pace.speed(PaceTarget::from(*target), now);
             Candidate {
                 target,
                 in_flight: local + others.requests,
-                queue_wait: self.queues.reading_time(&target.id, prompts),
-                prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
+                queue_wait: speed.reading_time(prompts),
+                prompt_time: speed.reading_time(call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
                 can_connect: local < limit
                     && self.brittle.has_room(target, local + others.requests),
--- a/crates/gateway/src/decide/prompt_queues.rs
+++ b/crates/gateway/src/decide/prompt_queues.rs
@@ -1,10 +1,10 @@
-//! Estimates how long engines take to start a request, from the prompts queued there and the
-//! measured speed at which each engine processes prompts.
+//! Prompts of this instance's requests that engines have not started.
 //!
 //! An engine may be saturated although most of its slots are free: a few requests with long prompts
-//! keep it processing prompts all the time. Its load is therefore measured in time, not in slots.
+//! keep it processing prompts all the time. Its load is therefore measured in time, by its
+//! [speed](super::pace), not in slots.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
@@ -15,36 +15,20 @@
     pub struct WaitingKey;
 }
 
-/// Factor by which earlier outcomes decay with each new one: an engine that turns slow is detected
-/// after ten outcomes.
-const DECAY_FACTOR: f64 = 0.9;
-/// Number of outcomes of one engine before its own speed is used; until then the average of all
-/// engines is used.
-const MIN_OUTCOMES: u32 = 4;
 /// How long a long wait is remembered.
 const MAX_WAIT_RETENTION: Duration = Duration::from_secs(5);
-/// Minimum duration of an outcome, in seconds: clocks have millisecond resolution.
-const MIN_SECONDS: f64 = 0.001;
-
-/// Prompt tokens processed over time, with recent outcomes weighing more.
-#[derive(Clone, Copy, Debug, Default)]
-struct ReadRate {
-    tokens: f64,
-    seconds: f64,
-    outcomes: u32,
-}
-
-impl ReadRate {
-    fn record(&mut self, tokens: f64, seconds: f64) {
-        self.tokens = self.tokens * DECAY_FACTOR + tokens;
-        self.seconds = self.seconds * DECAY_FACTOR + seconds;
-        self.outcomes = self.outcomes.saturating_add(1);
-    }
-
-    /// Returns the tokens processed per second; `None` before the first outcome.
-    fn tokens_per_second(&self) -> Option<f64> {
-        (self.outcomes > 0 && self.tokens > 0.0).then(|| self.tokens / self.seconds)
-    }
+/// Time that a request may take to start beyond twice the predicted time, before its engine counts as slow.
+const SLOW_MARGIN: Duration = Duration::from_millis(100);
+
+/// A request that its engine has started.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StartedPrompt {
+    /// The engine.
+    pub target: TargetId,
+    /// Prompt tokens that the engine processed since the request was sent.
+    pub tokens: u64,
+    /// Time since the request was sent.
+    pub elapsed: Duration,
 }
 
 #[derive(Debug)]
@@ -60,7 +44,6 @@
 struct Queue {
     /// Tokens of this instance's requests that have not started.
     local_tokens: u64,
-    rate: ReadRate,
     max_wait: Duration,
     max_wait_at: Time,
 }
@@ -70,13 +53,6 @@
 pub struct PromptQueues {
     waiting: SlotMap<WaitingKey, WaitingPrompt>,
     queues: HashMap<TargetId, Queue>,
-    /// Read rate of all engines together.
-    overall_rate: ReadRate,
-}
-
-#[expect(clippy::cast_precision_loss, reason = "tokens stay far below 2^52")]
-fn to_f64(tokens: u64) -> f64 {
-    tokens as f64
 }
 
 impl PromptQueues {
@@ -99,26 +75,21 @@
         })
     }
 
-    /// Records that the request has started, and learns from how long that took.
-    pub fn record_started(&mut self, key: WaitingKey, now: Time) {
-        let Some(waiting) = self.take(key) else {
-            return;
-        };
+    /// Records that the request has started. Returns what its engine did meanwhile; `None` if the request has no
+    /// prompt or is unknown.
+    pub fn record_started(&mut self, key: WaitingKey, now: Time) -> Option<StartedPrompt> {
+        let waiting = self.take(key)?;
         let elapsed = now.since(waiting.sent_at);
-        let Some(queue) = self.queues.get_mut(&waiting.target) else {
-            return;
-        };
+        let queue = self.queues.get_mut(&waiting.target)?;
         if elapsed >= queue.max_wait || now.since(queue.max_wait_at) > MAX_WAIT_RETENTION {
             queue.max_wait = elapsed;
             queue.max_wait_at = now;
         }
-        if waiting.tokens == 0 {
-            return;
-        }
-        let tokens = to_f64(waiting.queued_tokens);
-        let seconds = elapsed.as_secs_f64().max(MIN_SECONDS);
-        queue.rate.record(tokens, seconds);
-        self.overall_rate.record(tokens, seconds);
+        (waiting.tokens > 0).then_some(StartedPrompt {
+            target: waiting.target,
+            tokens: waiting.queued_tokens,
+            elapsed,
+        })
     }
 
     /// Removes a request that ended without starting or was cancelled.
@@ -142,18 +113,17 @@
             .map_or(0, |queue| queue.local_tokens)
     }
 
-    /// Returns the time that `target` needs to process `tokens`; zero while no engine's speed is
-    /// known.
-    #[must_use]
-    pub fn reading_time(&self, target: &TargetId, tokens: u64) -> Duration {
-        let engine_rate = self.queues.get(target).map(|queue| &queue.rate);
-        let engine_rate = engine_rate.filter(|rate| rate.outcomes >= MIN_OUTCOMES);
-        let tokens_per_second = engine_rate
-            .unwrap_or(&self.overall_rate)
-            .tokens_per_second();
-        tokens_per_second.map_or(Duration::ZERO, |tokens_per_second| {
-            Duration::try_from_secs_f64(to_f64(tokens) / tokens_per_second).unwrap_or(Duration::MAX)
-        })
+    /// Returns the engines at which a request has waited far longer than `reading_time` predicts.
+    pub fn slow_targets(
+        &self,
+        reading_time: impl Fn(&TargetId, u64) -> Duration,
+        now: Time,
+    ) -> BTreeSet<&TargetId> {
+        let overdue = self.waiting.values().filter(|waiting| {
+            let predicted = reading_time(&waiting.target, waiting.queued_tokens);
+            !predicted.is_zero() && now.since(waiting.sent_at) > predicted * 2 + SLOW_MARGIN
+        });
+        overdue.map(|waiting| &waiting.target).collect()
     }
 
     /// Returns the longest time that a request of this instance recently took to start at `target`,
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -17,7 +17,7 @@
 use super::lease::SHARDS;
 use super::limits::Limits;
 use super::loader::AdapterSlots;
-use super::pace::Pace;
+use super::pace::{Pace, PaceTarget};
 use super::partition::Partitions;
 use super::paths::Paths;
 use super::peers::{Load, Member, Peer, Peers};
@@ -34,6 +34,7 @@
 use super::routes::{RouteTable, Routed, pick_service};
 use super::store_calls::StoreCalls;
 use super::stream_origins::{StreamOrigin, StreamOrigins};
+use super::stream_times::EventGap;
 use super::target::Target;
 use super::versions::Versions;
 use super::wait_queue::WaitQueue;
@@ -427,6 +428,39 @@
             .record_sent(target, call.prompt_tokens.0, u64::from(others), now)
     }
 
+    /// Records that an engine has started a request, and learns from how long that took.
+    pub fn record_started(&mut self, waiting: WaitingKey, now: Time) {
+        let Some(started) = self.queues.record_started(waiting, now) else {
+            return;
+        };
+        if let Some(target) = self.registry.get(&started.target) {
+            let target = PaceTarget::from(target);
+            self.pace
+                .record_prompt(target, started.tokens, started.elapsed, now);
+        }
+    }
+
+    /// Records events of a stream, and whether the gap before them was longer than its route's target gap.
+    pub fn record_events(&mut self, target: &TargetId, gap: EventGap, is_long: bool, now: Time) {
+        if let Some(target) = self.registry.get(target) {
+            self.pace
+                .record_events(PaceTarget::from(target), gap, is_long, now);
+        }
+    }
+
+    /// Updates which targets are slow at the moment, as far as this instance sees.
+    pub fn update_slow_targets(&mut self, now: Time) {
+        let known = |target: &TargetId| self.registry.get(target).map(PaceTarget::from);
+        let reading_time = |target: &TargetId, tokens| {
+            known(target).map_or(Duration::ZERO, |target| {
+                self.pace.speed(target, now).reading_time(tokens)
+            })
+        };
+        let slow = self.queues.slow_targets(reading_time, now);
+        let slow = slow.into_iter().filter_map(known).collect::<Vec<_>>();
+        self.pace.set_slow(slow.into_iter());
+    }
+
     /// Records that a request is sent to a target.
     pub fn start_request(&mut self, target: &TargetId, now: Time) {
         *self.in_flight.entry(target.clone()).or_default() += 1;
@@ -498,6 +532,7 @@
             .retain(|_, (_, at)| now.since(*at) < LOAD_TARGET_TTL);
         self.queues
             .retain_targets(|target| registry.get(target).is_some());
+        self.pace.sweep(registry.all(), now);
     }
 
     /// Returns the adapter that the request needs, if it needs one.
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -10,6 +10,7 @@
 use crate::decide::health::TargetOutcome;
 use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::quarantine::RunKey;
+use crate::decide::stream_times::EventGap;
 use crate::decide::tables::Tables;
 use crate::edge::Edge;
 use crate::packet::{AdapterRequest, AdapterRequestKind};
@@ -102,10 +103,18 @@
             tables.quarantine.runs.begin(run, now);
         }
         if let Some(waiting) = self.waiting.take() {
-            tables.queues.record_started(waiting, now);
+            tables.record_started(waiting, now);
         }
     }
 
+    /// Records events of the response's stream. A gap longer than `target_gap` is long.
+    pub(super) fn record_events(&self, gap: EventGap, target_gap: Option<Duration>) {
+        let now = self.node.now();
+        let is_long = target_gap.is_some_and(|target_gap| gap.gap > target_gap);
+        let mut tables = self.node.tables();
+        tables.record_events(&self.target, gap, is_long, now);
+    }
+
     /// Records that the response was complete.
     pub(super) fn record_complete(&self) {
         if let Some(run) = self.run {
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -140,6 +140,10 @@
     RequestForwarded = 3410, Info, "request forwarded to a peer";
     /// A target's response to a request was forwarded.
     RequestAnswered = 3406, Debug, "request answered";
+    /// A stream has ended, whole or not.
+    StreamEnded = 3414, Debug, "stream ended";
+    /// Reports of other instances on the speed of targets were dropped.
+    PaceDropped = 3420, Info, "reports on the speed of targets dropped";
 }
 
 impl LogEvent {
@@ -149,7 +153,7 @@
         self.code() >= FIRST_FREQUENT_CODE
     }
 
-    /// Whether one target can cause the event with each of its responses, so that it is logged once a second.
+    /// Whether one target or peer can cause the event with each of its messages, so that it is logged once a second.
     #[must_use]
     pub const fn is_repeated(self) -> bool {
         matches!(
@@ -158,6 +162,7 @@
                 | Self::DepartureMalformed
                 | Self::RestMalformed
                 | Self::BrittlenessMalformed
+                | Self::PaceDropped
         )
     }
 }
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -6,6 +6,7 @@
 use bluebellstage_core::Time;
 use tokio::net::UdpSocket;
 
+use crate::decide::pace::DroppedReports;
 use crate::edge::{Edge, Kind};
 use crate::error::GatewayError;
 use crate::settings::NodeSettings;
@@ -102,6 +103,7 @@
         let now = node.now();
         node.tables().sweep(now);
         log_ended_departures(&node, now);
+        log_dropped_reports(&node);
         quarantine::sweep(&node, now);
         origins::replicate(&node);
         node.pool.sweep();
@@ -110,6 +112,20 @@
     }
 }
 
+/// Counts and logs the reports on the speed of targets that were dropped since the last sweep.
+fn log_dropped_reports<E: Edge>(node: &Node<E>) {
+    let dropped = node.tables().pace.take_dropped();
+    if dropped == DroppedReports::default() {
+        return;
+    }
+    let metrics = &node.metrics.streams;
+    metrics.pace_dropped("unknown", dropped.unknown);
+    metrics.pace_dropped("implausible", dropped.implausible);
+    let [unknown, implausible] = [dropped.unknown, dropped.implausible].map(|n| n.to_string());
+    let fields = [("unknown", &*unknown), ("implausible", &*implausible)];
+    event(LogEvent::PaceDropped, &fields);
+}
+
 fn log_ended_departures<E: Edge>(node: &Node<E>, now: Time) {
     let ended = node.tables().sweep_departures(now);
     for target in ended {
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -14,6 +14,7 @@
 use crate::decide::health::{MAX_SILENCE, TargetOutcome};
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::stream_origins::StreamOrigin;
+use crate::decide::stream_times::StreamTimes;
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
@@ -119,6 +120,9 @@
     is_single_source: bool,
     /// Whether the replicas have been told where the stream began.
     is_origin_stored: bool,
+    times: StreamTimes,
+    /// Name of the present or last target or peer.
+    source_name: String,
 }
 
 enum Chunk {
@@ -167,6 +171,7 @@
     let splitter = EventSplitter::new(job.call.resume_after);
     let is_single_source = job.ticket.software.is_none();
     let mut res = job.forward_response(parts, super::local_response::full_body(Bytes::new()));
+    let [source_name, _software] = source.names();
     let forwarder = StreamForwarder {
         job,
         source: Some(source),
@@ -174,6 +179,8 @@
         has_started: false,
         is_single_source,
         is_origin_stored: false,
+        times: StreamTimes::default(),
+        source_name,
     };
     let frames = unfold(Some(forwarder), |forwarder| async move {
         let mut forwarder = forwarder?;
@@ -190,7 +197,9 @@
 impl<E: Edge> StreamForwarder<E> {
     /// Returns the next events, or `None` at the end of the stream.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        self.times.record_asked(self.job.node.now());
         loop {
+            let last_id = self.splitter.last_id();
             let failure = match self.next_chunk().await {
                 Chunk::Data(_) if !self.is_of_version() => {
                     StreamFailure::Unusable("the target runs another software version")
@@ -198,7 +207,7 @@
                 Chunk::Data(data) => match self.push(&data) {
                     SplitResult::Events(events) if events.is_empty() => continue,
                     SplitResult::Events(events) => {
-                        self.record_event();
+                        self.record_events(last_id);
                         return Ok(Some(events));
                     }
                     SplitResult::Invalid => StreamFailure::Unusable("events out of order"),
@@ -257,13 +266,23 @@
         }
     }
 
-    fn record_event(&mut self) {
-        let first = !std::mem::replace(&mut self.has_started, true);
+    /// Records the events that were read after the one with the number `last_id`.
+    fn record_events(&mut self, last_id: Option<u64>) {
+        let is_first = !std::mem::replace(&mut self.has_started, true);
         if let Some(source) = &mut self.source
-            && first
+            && is_first
         {
             source.record_first_event();
         }
+        let numbers = last_id.zip(self.splitter.last_id());
+        let events = numbers.map_or(1, |(before, last)| last.saturating_sub(before).max(1));
+        let Some(gap) = self.times.record_events(events, self.job.node.now()) else {
+            return;
+        };
+        if let Some(Source::Target(source)) = &self.source {
+            let target_gap = self.job.ticket.route().target_gap;
+            source.in_flight.record_events(gap, target_gap);
+        }
     }
 
     fn read_timeout(&self) -> Duration {
@@ -357,6 +376,8 @@
             }
         };
         let [next_target, next_software] = next.names();
+        self.times.record_resumed();
+        self.source_name.clone_from(&next_target);
         let next_names = [("next", &*next_target), ("next_software", &next_software)];
         event(
             LogEvent::StreamResumed,
@@ -366,3 +387,32 @@
         Ok(())
     }
 }
+
+impl<E: Edge> Drop for StreamForwarder<E> {
+    fn drop(&mut self) {
+        let millis = |span: Duration| span.as_millis().to_string();
+        let route = self.job.ticket.route();
+        let workspace = self.job.ticket.workspace.as_ref().map(ToString::to_string);
+        let workspace = workspace.unwrap_or_default();
+        let first = self.times.first_event();
+        let first = first.map(|first| millis(first.since(self.job.arrived)));
+        let aim = millis(route.target_latency);
+        let [gap, held] = [self.times.max_gap(), self.times.max_held()];
+        let [gap_ms, held_ms] = [gap, held].map(millis);
+        let gap_aim = route.target_gap.map(millis);
+        let mut fields = vec![
+            ("request", &*self.job.call.id),
+            ("route", &*route.name),
+            ("workspace", &*workspace),
+            ("target", &*self.source_name),
+            ("aim_ms", &*aim),
+            ("gap_ms", &*gap_ms),
+            ("held_ms", &*held_ms),
+        ];
+        fields.extend(first.iter().map(|first| ("first_ms", &**first)));
+        fields.extend(gap_aim.iter().map(|aim| ("gap_aim_ms", &**aim)));
+        event(LogEvent::StreamEnded, &fields);
+        let metrics = &self.job.node.metrics.streams;
+        metrics.stream_ended(&route.name, gap, held);
+    }
+}
--- a/crates/gateway/src/net/stream_metrics.rs
+++ b/crates/gateway/src/net/stream_metrics.rs
@@ -1,18 +1,26 @@
 //! Metrics of streams and of the software versions that they are held to.
 
+use std::time::Duration;
+
 use bluebellstage_core::Time;
 use bluebellstage_telemetry::instruments::Instruments;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::decide::tables::Tables;
 
+/// Bounds of the buckets of gaps and holding times, in seconds.
+const SECONDS_BUCKETS: &[f64] = &[0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
 /// Instruments of streams.
 pub(super) struct StreamMetrics {
     software_versions: Gauge<u64>,
     versions_gone: Counter<u64>,
     lookups: Counter<u64>,
     origins: Gauge<u64>,
+    max_gap: Histogram<f64>,
+    max_held: Histogram<f64>,
+    pace_dropped: Counter<u64>,
 }
 
 impl StreamMetrics {
@@ -34,6 +42,20 @@
                 "bluebellstage.stream_origins",
                 "Streams of which this instance keeps the software version",
             ),
+            max_gap: instruments.seconds(
+                "bluebellstage.stream_gap",
+                "Longest gap between two events of a stream, by route",
+                SECONDS_BUCKETS,
+            ),
+            max_held: instruments.seconds(
+                "bluebellstage.stream_held",
+                "Longest time that an event of a stream waited here for its caller, by route",
+                SECONDS_BUCKETS,
+            ),
+            pace_dropped: instruments.counter(
+                "bluebellstage.pace_reports_dropped",
+                "Reports of other instances on the speed of targets that were dropped, by reason",
+            ),
         }
     }
 
@@ -47,6 +69,19 @@
         self.versions_gone.add(1, &[]);
     }
 
+    /// Records the longest gap and holding time of a stream that has ended.
+    pub(super) fn stream_ended(&self, route: &str, gap: Duration, held: Duration) {
+        let route = [KeyValue::new("route", route.to_owned())];
+        self.max_gap.record(gap.as_secs_f64(), &route);
+        self.max_held.record(held.as_secs_f64(), &route);
+    }
+
+    /// Counts reports on the speed of targets that were dropped.
+    pub(super) fn pace_dropped(&self, reason: &'static str, count: u64) {
+        self.pace_dropped
+            .add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Updates the gauges.
     pub(super) fn record(&self, tables: &Tables, now: Time) {
         let origins = u64::try_from(tables.origins.count()).unwrap_or(u64::MAX);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -203,7 +203,7 @@
     let waiting = tables.queues.record_sent(&id("e0"), 1_000, 0, at(100));
     let slow = pick(&mut tables, &draft("a1"), 0.5, at(1_500));
     assert_eq!(slow, Pick::Load(id("e1")));
-    tables.queues.record_started(waiting, at(1_600));
+    tables.record_started(waiting, at(1_600));
     let remembered = pick(&mut tables, &draft("a1"), 0.5, at(1_700));
     assert_eq!(remembered, Pick::Load(id("e1")));
 }
@@ -258,7 +258,7 @@
     add_writers(&mut tables, 1);
     set_resident(&mut tables, "e0", "a1", 1);
     let known = tables.queues.record_sent(&id("e0"), 1_000, 0, at(0));
-    tables.queues.record_started(known, at(100));
+    tables.record_started(known, at(100));
     for _request in 0..6 {
         tables.queues.record_sent(&id("e0"), 1_000, 0, at(200));
     }
@@ -289,7 +289,7 @@
     for engine in ["e0", "e1"] {
         set_resident(&mut tables, engine, "a1", 1);
         let known = tables.queues.record_sent(&id(engine), 1_000, 0, at(0));
-        tables.queues.record_started(known, at(100));
+        tables.record_started(known, at(100));
     }
     for _request in 0..5 {
         tables.queues.record_sent(&id("e0"), 1_000, 0, at(200));
--- a/crates/gateway/tests/prompt_queues.rs
+++ b/crates/gateway/tests/prompt_queues.rs
@@ -12,52 +12,34 @@
     TargetId::try_from(name).unwrap()
 }
 
-/// Processes prompts of 1,000 tokens one after the other, in `ms` milliseconds each.
-fn process_prompts(queues: &mut PromptQueues, engine: &str, ms: u64, count: u64) {
-    for idx in 0..count {
-        let key = queues.record_sent(&id(engine), 1_000, 0, at(idx * 1_000));
-        queues.record_started(key, at(idx * 1_000 + ms));
-    }
-}
-
 fn to_millis(span: Duration) -> u128 {
     span.as_millis()
 }
 
-#[test]
-fn no_reading_time_is_predicted_before_the_first_outcome() {
-    let queues = PromptQueues::default();
-    assert_eq!(queues.reading_time(&id("e0"), 50_000), Duration::ZERO);
-}
-
-#[test]
-fn an_engine_without_enough_outcomes_is_assumed_to_have_average_speed() {
-    let mut queues = PromptQueues::default();
-    process_prompts(&mut queues, "e0", 50, 10);
-    assert_eq!(to_millis(queues.reading_time(&id("e1"), 2_000)), 100);
-    process_prompts(&mut queues, "e1", 200, 10);
-    assert_eq!(to_millis(queues.reading_time(&id("e1"), 2_000)), 400);
-    assert_eq!(to_millis(queues.reading_time(&id("e0"), 2_000)), 100);
-}
-
-/// A fast engine with a long queue responds late, which must not lower the estimate of its speed.
+/// A fast engine with a long queue responds late, which must not count as a low speed.
 #[test]
 fn tokens_queued_ahead_of_a_request_count_as_read() {
     let mut queues = PromptQueues::default();
-    for idx in 0..10 {
-        let since = at(idx * 2_000);
-        let key = queues.record_sent(&id("e0"), 1_000, 9_000, since);
-        queues.record_started(key, since + Duration::from_millis(500));
-    }
-    assert_eq!(to_millis(queues.reading_time(&id("e0"), 1_000)), 50);
+    queues.record_sent(&id("e0"), 2_000, 0, at(0));
+    let key = queues.record_sent(&id("e0"), 1_000, 7_000, at(0));
+    let started = queues.record_started(key, at(500)).unwrap();
+    assert_eq!((started.tokens, to_millis(started.elapsed)), (10_000, 500));
 }
 
 #[test]
-fn an_engine_that_turned_slow_is_detected_after_ten_requests() {
+fn an_engine_is_slow_while_a_request_waits_far_longer_than_predicted() {
     let mut queues = PromptQueues::default();
-    process_prompts(&mut queues, "e0", 50, 20);
-    process_prompts(&mut queues, "e0", 400, 10);
-    assert!(to_millis(queues.reading_time(&id("e0"), 1_000)) > 250);
+    let key = queues.record_sent(&id("e0"), 1_000, 1_000, at(0));
+    let is_slow = |queues: &PromptQueues, ms| {
+        let reading_time = |_: &TargetId, tokens| Duration::from_millis(tokens / 10);
+        !queues.slow_targets(reading_time, at(ms)).is_empty()
+    };
+    assert!(!is_slow(&queues, 490));
+    assert!(is_slow(&queues, 510));
+    let unknown = queues.slow_targets(|_, _| Duration::ZERO, at(510));
+    assert!(unknown.is_empty());
+    queues.record_started(key, at(600));
+    assert!(!is_slow(&queues, 600));
 }
 
 #[test]
@@ -89,14 +71,10 @@
     assert_eq!(to_millis(queues.recent_max_wait(&id("e0"), at(9_000))), 0);
 }
 
-/// Impossible times and counts must neither be learned from nor divided by.
 #[test]
-fn impossible_values_are_not_learned_from() {
+fn a_request_without_a_prompt_shows_no_speed() {
     let mut queues = PromptQueues::default();
-    let empty = queues.record_sent(&id("e0"), 0, 0, at(0));
-    queues.record_started(empty, at(90));
-    assert_eq!(queues.reading_time(&id("e0"), 1_000), Duration::ZERO);
-    let backwards = queues.record_sent(&id("e0"), 1_000, u64::from(u32::MAX), at(100));
-    queues.record_started(backwards, at(0));
-    assert!(queues.reading_time(&id("e0"), u64::MAX) < Duration::from_secs(u64::MAX / 2));
+    let empty = queues.record_sent(&id("e0"), 0, 9_000, at(0));
+    assert_eq!(queues.record_started(empty, at(90)), None);
+    assert_eq!(queues.record_started(empty, at(90)), None);
 }
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -342,7 +342,7 @@
                 && let Some(waiting) = running.waiting.take()
             {
                 let tables = &mut self.tables[running.request.instance];
-                tables.queues.record_started(waiting, running.starts_at);
+                tables.record_started(waiting, running.starts_at);
                 let elapsed = running.starts_at.since(running.request.first_attempt);
                 if elapsed <= TARGET_LATENCY {
                     self.results.in_time += 1;
@@ -442,6 +442,8 @@
                 .map(|node| node.loader.store_loads_in_progress())
                 .sum::<usize>();
             let tables = &mut self.tables[idx];
+            tables.update_slow_targets(now);
+            let reports = tables.pace.take_reports(now);
             tables.loads.adapter_slots.clone_from(&places);
             tables.loads.waiting = u16::try_from(waiting).unwrap();
             tables.loads.active = u16::try_from(loading).unwrap();
@@ -459,6 +461,8 @@
             for (other, tables) in self.tables.iter_mut().enumerate() {
                 if other != idx {
                     tables.peers.update(update.clone());
+                    let name = ShortHash::of(update.member.name.as_str());
+                    tables.pace.record_peer(name, &reports, now);
                 }
             }
         }
