Choose engines by the predicted gap of the streams there as well

Cause: prompts that are processed between two events of running streams delay all of these, and placing counted prompts for the time to the first event only.

Change: where routes of a service have a target gap, the load of an engine is the maximum of its taken slots, its wait and the predicted longest gap there: queued prompts and the new one over its speed, plus its time for an event, over the strictest target gap. Replicas go to engines with the shortest predicted time first. Nothing is refused because of the gap.

--- a/crates/gateway/src/decide/adapter_choice.rs
+++ b/crates/gateway/src/decide/adapter_choice.rs
@@ -106,7 +106,11 @@
         let max_replicas = self.resident_engines().count().clamp(1, MAX_NEW_REPLICAS);
         let targets = self.load_targets();
         let targets = targets.filter(|candidate| candidate.accepts_replica(self.cx));
-        let ids = targets.map(|candidate| candidate.target.id.clone());
+        let mut targets = targets.collect::<Vec<_>>();
+        targets.sort_by_key(|candidate| candidate.predicted_steps(self.cx));
+        let ids = targets
+            .into_iter()
+            .map(|candidate| candidate.target.id.clone());
         let mut ids = ids.take(max_replicas).collect::<Vec<_>>();
         if ids.is_empty() {
             let mut any = self.engines.iter().filter(|candidate| candidate.can_load);
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -232,7 +232,6 @@
     fn next_status(&mut self, ended: bool, now: Time) -> Status {
         self.exchange.seq += 1;
         let spent = self.quotas.take_spend_reports(SPENDING_TTL, now);
-        self.update_slow_targets(now);
         let pace = self.pace.take_reports(now);
         let loads = self.local_loads();
         Status {
--- a/crates/gateway/src/decide/pace/evidence.rs
+++ b/crates/gateway/src/decide/pace/evidence.rs
@@ -103,7 +103,6 @@
             prompts: Work::pack(self.prompts.amount, self.prompts.seconds),
             events,
             long_gaps: long_gaps.amount.min(events.amount),
-            slow: 0,
         }
     }
 }
--- a/crates/gateway/src/decide/pace/mod.rs
+++ b/crates/gateway/src/decide/pace/mod.rs
@@ -11,7 +11,7 @@
 pub use self::report::{PaceReport, PaceReports, Work};
 pub use self::speed::Speed;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bluebellstage_core::Time;
@@ -27,8 +27,6 @@
 const REPORT_TTL: Duration = Duration::from_secs(30);
 /// Time after which the sums of a relay that is no longer heard give way to what peers report directly.
 const RELAY_TTL: Duration = Duration::from_secs(2);
-/// Time for which the word of another instance counts that a target is slow.
-const SLOW_TTL: Duration = Duration::from_millis(400);
 /// Minimum time of a unit of work, in seconds: clocks have millisecond resolution.
 const MIN_SECONDS: f64 = 0.001;
 
@@ -73,8 +71,6 @@
     services: BTreeMap<ShortHash, ShortHash>,
     local: BTreeMap<ShortHash, Evidence>,
     local_services: BTreeMap<ShortHash, Evidence>,
-    /// Targets that this instance sees to be slow.
-    slow: BTreeSet<ShortHash>,
     turns: Turns,
     /// Reports that peers sent directly, by peer.
     peers: BTreeMap<ShortHash, Reports>,
@@ -120,11 +116,6 @@
         }
     }
 
-    /// Sets the targets that this instance sees to be slow at the moment.
-    pub fn set_slow(&mut self, targets: impl Iterator<Item = PaceTarget>) {
-        self.slow = targets.map(|target| target.incarnation).collect();
-    }
-
     /// Returns the speed of a target. As far as too little is known of it, it is that of its service.
     #[must_use]
     pub fn speed(&self, target: PaceTarget, now: Time) -> Speed {
@@ -138,28 +129,13 @@
         Speed {
             tokens_per_second: of_target.prompts.rate_among(of_service.prompts),
             events_per_second: of_target.events.rate_among(of_service.events),
-            is_slow: self.is_slow(target.incarnation, now),
-        }
-    }
-
-    fn is_slow(&self, target: ShortHash, now: Time) -> bool {
-        let says_slow = |reports: &Reports| {
-            let known = reports.get(&target);
-            known.is_some_and(|known| known.report.slow > 0 && now.since(known.at) < SLOW_TTL)
-        };
-        if self.slow.contains(&target) {
-            return true;
         }
-        if self.has_sums(now) {
-            return says_slow(&self.sums);
-        }
-        self.peers.values().any(says_slow)
     }
 
     /// Returns what this instance reports in its next status: a bounded number of targets, in turn.
     pub fn take_reports(&mut self, now: Time) -> PaceReports {
         let seen = self.local.keys().copied().collect();
-        let targets = self.turns.next(&self.slow, &seen);
+        let targets = self.turns.next(&seen);
         let reports = targets
             .into_iter()
             .map(|target| (target, self.local_report(target, now)));
@@ -168,10 +144,7 @@
 
     fn local_report(&self, target: ShortHash, now: Time) -> PaceReport {
         let evidence = self.local.get(&target).copied().unwrap_or_default();
-        PaceReport {
-            slow: u16::from(self.slow.contains(&target)),
-            ..evidence.aged(now).report()
-        }
+        evidence.aged(now).report()
     }
 
     /// Records the reports in a peer's status.
@@ -200,7 +173,7 @@
         let sums = self.round.1.iter().map(|(target, sum)| {
             let mut sum = *sum;
             if let Some(own) = own.and_then(|own| own.get(target)) {
-                sum.subtract(&own.report_at(now));
+                sum.subtract(&own.report);
             }
             (*target, sum)
         });
@@ -209,19 +182,15 @@
 
     /// Returns the sums of all instances for the targets of the next round.
     fn next_sums(&mut self, now: Time) -> PaceReports {
-        let reported = self.peers.values().flatten();
-        let slow = reported.filter(|(_, received)| received.report_at(now).slow > 0);
-        let mut slow = slow.map(|(target, _)| *target).collect::<BTreeSet<_>>();
-        slow.extend(&self.slow);
         let seen = self.local.keys().chain(self.others.keys());
-        let targets = self.sum_turns.next(&slow, &seen.copied().collect());
+        let targets = self.sum_turns.next(&seen.copied().collect());
         let sums = targets.into_iter().map(|target| {
             let mut sum = self.local_report(target, now);
             let reported = self
                 .peers
                 .values()
                 .filter_map(|reports| reports.get(&target));
-            reported.for_each(|received| sum.add(&received.report_at(now)));
+            reported.for_each(|received| sum.add(&received.report));
             (target, sum)
         });
         sums.collect()
@@ -304,17 +273,6 @@
     }
 }
 
-impl Received {
-    /// Returns the report with only what counts at `now`.
-    fn report_at(&self, now: Time) -> PaceReport {
-        let is_fresh = now.since(self.at) < SLOW_TTL;
-        PaceReport {
-            slow: if is_fresh { self.report.slow } else { 0 },
-            ..self.report
-        }
-    }
-}
-
 /// Returns what this instance and others have seen.
 fn total(
     local: &BTreeMap<ShortHash, Evidence>,
--- a/crates/gateway/src/decide/pace/report.rs
+++ b/crates/gateway/src/decide/pace/report.rs
@@ -77,8 +77,6 @@
     pub events: Work,
     /// Gaps between events that were longer than the route's target gap.
     pub long_gaps: u32,
-    /// Instances that see at the moment that the target is slow.
-    pub slow: u16,
 }
 
 impl PaceReport {
@@ -91,7 +89,6 @@
         self.prompts.add(other.prompts);
         self.events.add(other.events);
         self.long_gaps = self.long_gaps.saturating_add(other.long_gaps);
-        self.slow = self.slow.saturating_add(other.slow);
     }
 
     /// Subtracts what another instance has seen.
@@ -99,7 +96,6 @@
         self.prompts.subtract(other.prompts);
         self.events.subtract(other.events);
         self.long_gaps = self.long_gaps.saturating_sub(other.long_gaps);
-        self.slow = self.slow.saturating_sub(other.slow);
     }
 
     /// Whether a target may have done what a sum shows.
@@ -112,7 +108,7 @@
     #[must_use]
     pub fn is_plausible_of_one(&self) -> bool {
         let is_bounded = self.work().into_iter().all(Work::is_within_bound);
-        is_bounded && self.slow <= 1 && self.is_plausible()
+        is_bounded && self.is_plausible()
     }
 }
 
--- a/crates/gateway/src/decide/pace/speed.rs
+++ b/crates/gateway/src/decide/pace/speed.rs
@@ -9,8 +9,6 @@
     pub(super) tokens_per_second: Option<f64>,
     /// Events of a stream per second; `None` while nothing is known of its service.
     pub(super) events_per_second: Option<f64>,
-    /// An instance sees that it is slow at the moment.
-    pub is_slow: bool,
 }
 
 impl Speed {
--- a/crates/gateway/src/decide/pace/turns.rs
+++ b/crates/gateway/src/decide/pace/turns.rs
@@ -18,30 +18,20 @@
 }
 
 impl Turns {
-    /// Returns the targets of the next message: those that are `urgent`, and in every third round as many of the
-    /// others as there is room for, in turn.
-    pub(super) fn next(
-        &mut self,
-        urgent: &BTreeSet<ShortHash>,
-        others: &BTreeSet<ShortHash>,
-    ) -> Vec<ShortHash> {
-        let mut targets = urgent.iter().copied().take(MAX_TARGETS).collect::<Vec<_>>();
+    /// Returns the targets of the next message: none but in every third round, then as many of `targets` as a message
+    /// holds, in turn.
+    pub(super) fn next(&mut self, targets: &BTreeSet<ShortHash>) -> Vec<ShortHash> {
         let is_due = self.rounds.is_multiple_of(TURN_INTERVAL);
         self.rounds = self.rounds.wrapping_add(1);
         if !is_due {
-            return targets;
+            return Vec::new();
         }
-        let room = MAX_TARGETS - targets.len();
         let after = self.last.map_or(Bound::Unbounded, Bound::Excluded);
-        let rest = others.range((after, Bound::Unbounded));
-        let in_order = rest.chain(others).copied();
-        let chosen = in_order.take(room.min(others.len()));
-        for target in chosen {
-            self.last = Some(target);
-            if !urgent.contains(&target) {
-                targets.push(target);
-            }
-        }
-        targets
+        let rest = targets.range((after, Bound::Unbounded));
+        let in_order = rest.chain(targets).copied();
+        let count = targets.len().min(MAX_TARGETS);
+        let chosen = in_order.take(count).collect::<Vec<_>>();
+        self.last = chosen.last().copied().or(self.last);
+        chosen
     }
 }
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -248,7 +248,9 @@
             Candidate {
                 target,
                 in_flight: local + others.requests,
+                speed,
                 queue_wait: speed.reading_time(prompts),
+                prompt_backlog: speed.reading_time(prompts),
                 prompt_time: speed.reading_time(call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
                 can_connect: local < limit
@@ -266,6 +268,7 @@
             versions: &self.versions,
             failure_domain: &self.local.failure_domain,
             target_latency: ticket.route().target_latency,
+            target_gap: self.routes.target_gap(&ticket.service),
             rank: ticket.rank,
             load_requested_at: self.load_requested_target(call, now),
             sample,
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -8,6 +8,7 @@
 use super::adapter_choice::pick_for_adapter;
 use super::health::{Health, HealthState};
 use super::loader::AdapterSlots;
+use super::pace::Speed;
 use super::rendezvous::{name_hash, weight};
 use super::residency::Residency;
 use super::target::Target;
@@ -32,6 +33,9 @@
 /// Factor by which the queue may be longer for requests of the first rank, which engines process
 /// first.
 const FIRST_RANK_FACTOR: f64 = 1.3;
+/// Engines whose predicted times to the first event differ by less are taken as equally fast: their queues are known
+/// only as they were a moment ago.
+const PREDICTION_STEP: Duration = Duration::from_millis(50);
 /// Cost of a plain request in another failure domain, as a fraction of a slot's work.
 const REMOTE_DOMAIN_COST: f64 = 0.15;
 /// Cost of an idle target, in the same unit; with it a fast target is preferred over a slow one.
@@ -46,8 +50,12 @@
     pub target: &'a Target,
     /// Requests in flight there from all instances, as far as known.
     pub in_flight: u32,
-    /// Time until the prompts queued there have been processed.
+    /// Its speed.
+    pub speed: Speed,
+    /// Time until the prompts queued there that come before the request have been processed.
     pub queue_wait: Duration,
+    /// Time until all prompts queued there have been processed.
+    pub prompt_backlog: Duration,
     /// Time to process the request's own prompt.
     pub prompt_time: Duration,
     /// Longest time that a request recently took to start there.
@@ -73,6 +81,8 @@
     pub failure_domain: &'a FailureDomain,
     /// Target time to the first event on the request's route.
     pub target_latency: Duration,
+    /// Strictest target gap between events on the routes of the service; `None` if they have none.
+    pub target_gap: Option<Duration>,
     /// Priority rank of the request, 0 first.
     pub rank: u8,
     /// Engine on which the adapter was recently requested.
@@ -136,7 +146,28 @@
     /// engines are preferred.
     pub(super) fn congestion(&self, cx: &PickContext<'_>) -> f64 {
         let wait_ratio = self.relative_wait(cx) / MAX_AFFINITY_WAIT_FRACTION;
-        (self.utilization() / MAX_AFFINITY_UTILIZATION).max(wait_ratio)
+        let load = (self.utilization() / MAX_AFFINITY_UTILIZATION).max(wait_ratio);
+        load.max(self.relative_gap(cx))
+    }
+
+    /// Returns the predicted time to a request's first event in steps of [`PREDICTION_STEP`]; zero where no route has
+    /// a target gap.
+    pub(super) fn predicted_steps(&self, cx: &PickContext<'_>) -> u128 {
+        if cx.target_gap.is_none() {
+            return 0;
+        }
+        let predicted = self.prompt_backlog + self.prompt_time + self.speed.event_time();
+        predicted.as_millis() / PREDICTION_STEP.as_millis()
+    }
+
+    /// Returns the longest gap between two events that the streams there would see with the request, as a fraction
+    /// of the target gap: the prompts that are processed between the two delay all streams.
+    pub(super) fn relative_gap(&self, cx: &PickContext<'_>) -> f64 {
+        let Some(target_gap) = cx.target_gap.filter(|_| self.in_flight > 0) else {
+            return 0.0;
+        };
+        let gap = self.prompt_backlog + self.prompt_time + self.speed.event_time();
+        gap.as_secs_f64() / target_gap.as_secs_f64().max(MIN_LATENCY_SECONDS)
     }
 
     /// Returns by how much the request would start too late; zero if in time.
--- a/crates/gateway/src/decide/prompt_queues.rs
+++ b/crates/gateway/src/decide/prompt_queues.rs
@@ -4,7 +4,7 @@
 //! keep it processing prompts all the time. Its load is therefore measured in time, by its
 //! [speed](super::pace), not in slots.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
@@ -17,9 +17,6 @@
 
 /// How long a long wait is remembered.
 const MAX_WAIT_RETENTION: Duration = Duration::from_secs(5);
-/// Time that a request may take to start beyond twice the predicted time, before its engine counts as slow.
-const SLOW_MARGIN: Duration = Duration::from_millis(100);
-
 /// A request that its engine has started.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartedPrompt {
@@ -113,19 +110,6 @@
             .map_or(0, |queue| queue.local_tokens)
     }
 
-    /// Returns the engines at which a request has waited far longer than `reading_time` predicts.
-    pub fn slow_targets(
-        &self,
-        reading_time: impl Fn(&TargetId, u64) -> Duration,
-        now: Time,
-    ) -> BTreeSet<&TargetId> {
-        let overdue = self.waiting.values().filter(|waiting| {
-            let predicted = reading_time(&waiting.target, waiting.queued_tokens);
-            !predicted.is_zero() && now.since(waiting.sent_at) > predicted * 2 + SLOW_MARGIN
-        });
-        overdue.map(|waiting| &waiting.target).collect()
-    }
-
     /// Returns the longest time that a request of this instance recently took to start at `target`,
     /// including those still waiting.
     #[must_use]
--- a/crates/gateway/src/decide/routes.rs
+++ b/crates/gateway/src/decide/routes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bluebellstage_core::{Revision, ServiceId, WorkspaceId};
 
@@ -67,6 +68,17 @@
         self.config.version
     }
 
+    /// Returns the strictest target gap of the routes that lead to a service; `None` if they have none.
+    #[must_use]
+    pub fn target_gap(&self, service: &ServiceId) -> Option<Duration> {
+        let routes = self.config.routes.iter();
+        let leading = routes.filter(|route| {
+            let mut split = route.split.iter();
+            split.any(|(name, weight)| name == service && *weight > 0)
+        });
+        leading.filter_map(|route| route.target_gap).min()
+    }
+
     /// Looks up the route and the workspace of `call`. The route is checked before the key: an unknown path
     /// is reported as such whatever the key.
     #[must_use]
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -448,19 +448,6 @@
         }
     }
 
-    /// Updates which targets are slow at the moment, as far as this instance sees.
-    pub fn update_slow_targets(&mut self, now: Time) {
-        let known = |target: &TargetId| self.registry.get(target).map(PaceTarget::from);
-        let reading_time = |target: &TargetId, tokens| {
-            known(target).map_or(Duration::ZERO, |target| {
-                self.pace.speed(target, now).reading_time(tokens)
-            })
-        };
-        let slow = self.queues.slow_targets(reading_time, now);
-        let slow = slow.into_iter().filter_map(known).collect::<Vec<_>>();
-        self.pace.set_slow(slow.into_iter());
-    }
-
     /// Records that a request is sent to a target.
     pub fn start_request(&mut self, target: &TargetId, now: Time) {
         *self.in_flight.entry(target.clone()).or_default() += 1;
--- a/crates/gateway/tests/load_simulation.rs
+++ b/crates/gateway/tests/load_simulation.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::load_simulation::{LoadScenario, Results};
+use support::load_simulation::{LoadScenario, MAX_GAP, Results};
 
 /// Returns a scenario whose engines have few slots and are saturated by prompts; its figures vary
 /// with the seed.
@@ -21,6 +21,11 @@
         requests_per_second: 60.0,
         prompt_tokens: varied(1_800, 900),
         tokens_per_ms: (17.0, 24.0),
+        speeds: &[],
+        is_noisy: false,
+        long_prompts: 0..0,
+        engines_lost_at: None,
+        target_gap: None,
         response_duration: Duration::from_millis(varied(500, 400)),
         seconds: 20,
         seed,
@@ -95,3 +100,102 @@
     assert_eq!(differing, None);
     assert_eq!(first.len(), second.len());
 }
+
+/// Returns a scenario of engines that run many streams and keep all adapters, at half of what they can process.
+fn streams(seed: u64) -> LoadScenario {
+    LoadScenario {
+        instances: 8,
+        engines: 12,
+        adapter_slots: 10,
+        host_copies: 100,
+        adapters: 60,
+        skew: 0.9,
+        requests_per_second: 200.0,
+        prompt_tokens: 1_200,
+        tokens_per_ms: (38.0, 38.0),
+        response_duration: Duration::from_millis(700),
+        seconds: 14,
+        ..scenario(seed)
+    }
+}
+
+/// Engines of three speeds.
+const SPEEDS: &[f64] = &[0.7, 1.0, 1.7];
+
+/// Mean shares of requests that began in time, and of those whose streams had no long gap.
+fn mean_shares(load: &LoadScenario, target_gap: Option<Duration>) -> (f64, f64) {
+    let runs = (1..=3).map(|seed| {
+        let load = LoadScenario {
+            seed,
+            target_gap,
+            ..load.clone()
+        };
+        load.run()
+    });
+    let runs = runs.collect::<Vec<_>>();
+    let mean = |share: fn(&Results) -> f64| runs.iter().map(share).sum::<f64>() / 3.0;
+    (
+        mean(Results::in_time_fraction),
+        mean(Results::even_fraction),
+    )
+}
+
+/// Checks what callers get, and that without a target gap at least `gain` fewer streams have no long gap.
+fn assert_shares(load: &LoadScenario, in_time: f64, even: f64, gain: f64) {
+    let with = mean_shares(load, Some(MAX_GAP));
+    let without = mean_shares(load, None);
+    let shares = format!("{with:?}, without a target gap {without:?}");
+    assert!(with.0 >= in_time && with.1 >= even, "{shares}");
+    assert!(with.1 >= without.1 + gain, "{shares}");
+    assert!(with.0 >= without.0 - 0.02, "{shares}");
+}
+
+/// Guards against streams that pause while their engine processes others' prompts.
+#[test]
+fn streams_at_even_engines_keep_to_their_target_gap() {
+    assert_shares(&streams(1), 0.95, 0.9, 0.05);
+}
+
+/// Engines of three speeds, at 0.8 of what they can process together.
+#[test]
+fn streams_at_engines_of_three_speeds_keep_to_their_target_gap() {
+    let load = LoadScenario {
+        speeds: SPEEDS,
+        requests_per_second: 340.0,
+        ..streams(1)
+    };
+    assert_shares(&load, 0.9, 0.7, 0.05);
+}
+
+/// At each moment 15 in 100 engines are 2.5 times slower, for 0.6 s at a time.
+#[test]
+fn streams_keep_to_their_target_gap_while_engines_are_slow_for_a_moment() {
+    let load = LoadScenario {
+        is_noisy: true,
+        ..streams(1)
+    };
+    assert_shares(&load, 0.95, 0.7, 0.02);
+}
+
+/// A third of the requests of four seconds have prompts of up to 9,000 tokens.
+#[test]
+fn streams_keep_to_their_target_gap_through_a_wave_of_long_prompts() {
+    let load = LoadScenario {
+        speeds: SPEEDS,
+        long_prompts: 6..10,
+        requests_per_second: 190.0,
+        ..streams(1)
+    };
+    assert_shares(&load, 0.95, 0.88, 0.05);
+}
+
+#[test]
+fn streams_keep_to_their_target_gap_when_a_quarter_of_the_engines_is_gone() {
+    let load = LoadScenario {
+        speeds: SPEEDS,
+        engines_lost_at: Some(7),
+        requests_per_second: 250.0,
+        ..streams(1)
+    };
+    assert_shares(&load, 0.92, 0.8, 0.08);
+}
