--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -8,6 +8,7 @@
 use super::call::Call;
 use super::config::Config;
 use super::loader::AdapterSlots;
+use super::pace::PaceTarget;
 use super::placement::{Candidate, Pick, PickContext, pick_engine, pick_plain};
 use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
@@ -246,13 +247,14 @@
             let others = self.peers.load(ShortHash::of(target.id.as_str()));
             let mut prompts = self.queues.local_tokens(&target.id);
             prompts.add(others.prompts);
-            let ahead = prompts.ahead_of(class);
+            let speed = self.pace.speed(PaceTarget::from(*target), now);
             Candidate {
                 target,
                 in_flight: local + others.requests,
-                queue_wait: self.queues.reading_time(&target.id, ahead),
-                all_wait: self.queues.reading_time(&target.id, prompts.total()),
-                prompt_time: self.queues.reading_time(&target.id, call.prompt_tokens.0),
+                speed,
+                queue_wait: speed.reading_time(prompts.ahead_of(class)),
+                prompt_backlog: speed.reading_time(prompts.total()),
+                prompt_time: speed.reading_time(call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
                 can_connect: local < limit
                     && self.brittle.has_room(target, local + others.requests),
@@ -270,6 +272,7 @@
             failure_domain: &self.local.failure_domain,
             target_latency: ticket.route().target_latency,
             terms,
+            target_gap: self.routes.target_gap(&ticket.service),
             load_requested_at: self.load_requested_target(call, now),
             sample,
             now,
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -17,7 +17,7 @@
 use super::lease::SHARDS;
 use super::limits::Limits;
 use super::loader::AdapterSlots;
-use super::pace::Pace;
+use super::pace::{Pace, PaceTarget};
 use super::partition::Partitions;
 use super::paths::Paths;
 use super::peers::{Load, Member, Peer, Peers};
@@ -35,6 +35,7 @@
 use super::routes::{RouteTable, Routed, pick_service};
 use super::store_calls::StoreCalls;
 use super::stream_origins::{StreamOrigin, StreamOrigins};
+use super::stream_times::EventGap;
 use super::target::Target;
 use super::versions::Versions;
 use super::wait_queue::{Patience, WaitQueue};
@@ -462,6 +463,34 @@
             .record_sent(target, (class, call.prompt_tokens.0), others, now)
     }
 
+    /// Records that an engine has started a request, and learns from how long that took.
+    pub fn record_started(&mut self, waiting: WaitingKey, now: Time) {
+        let Some(started) = self.queues.record_started(waiting, now) else {
+            return;
+        };
+        if let Some(target) = self.registry.get(&started.target) {
+            let target = PaceTarget::from(target);
+            self.pace
+                .record_prompt(target, started.tokens, started.elapsed, now);
+        }
+    }
+
+    /// Returns the time that a target needs to process prompt tokens; zero if it is unknown.
+    #[must_use]
+    pub fn reading_time(&self, target: &TargetId, tokens: u64, now: Time) -> Duration {
+        let known = self.registry.get(target);
+        let speed = known.map(|known| self.pace.speed(PaceTarget::from(known), now));
+        speed.map_or(Duration::ZERO, |speed| speed.reading_time(tokens))
+    }
+
+    /// Records events of a stream, and whether the gap before them was longer than its route's target gap.
+    pub fn record_events(&mut self, target: &TargetId, gap: EventGap, is_long: bool, now: Time) {
+        if let Some(target) = self.registry.get(target) {
+            self.pace
+                .record_events(PaceTarget::from(target), gap, is_long, now);
+        }
+    }
+
     /// Records that a request is sent to a target.
     pub fn start_request(&mut self, target: &TargetId, now: Time) {
         *self.in_flight.entry(target.clone()).or_default() += 1;
@@ -533,6 +562,7 @@
             .retain(|_, (_, at)| now.since(*at) < LOAD_TARGET_TTL);
         self.queues
             .retain_targets(|target| registry.get(target).is_some());
+        self.pace.sweep(registry.all(), now);
     }
 
     /// Returns the adapter that the request needs, if it needs one.
--- a/crates/gateway/src/decide/wait_queue/turn.rs
+++ b/crates/gateway/src/decide/wait_queue/turn.rs
@@ -126,7 +126,7 @@
             return Duration::ZERO;
         };
         let tokens = self.wait_queue.tokens_before(waiter, hash(target), now);
-        self.queues.reading_time(target, tokens)
+        self.reading_time(target, tokens, now)
     }
 
     /// Returns how late and at which load a request may begin.
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -5,6 +5,7 @@
 //! The real tables, loaders and target selection run in it; only their environment is simulated.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::ops::Range;
 use std::time::Duration;
 
 use bluebellstage_core::{Revision, TargetId, Time, Tokens};
@@ -21,6 +22,7 @@
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
+use bluebellstage_gateway::decide::stream_times::EventGap;
 use bluebellstage_gateway::decide::tables::{Tables, shard_of};
 use bluebellstage_gateway::decide::wait_queue::{Room, Turn, WaitKey, WaitingCounts};
 use rand::{Rng, SeedableRng};
@@ -35,6 +37,12 @@
 const GOSSIP_INTERVAL_MS: u64 = 100;
 /// Target time to the first event.
 const TARGET_LATENCY: Duration = Duration::from_millis(800);
+/// Gap between two events that makes a stream late.
+pub const MAX_GAP: Duration = Duration::from_millis(300);
+/// Time between two events of a stream at an engine of speed 1 that processes no prompts.
+const EVENT_TIME: Duration = Duration::from_millis(35);
+/// Events of a stream.
+const EVENTS: u64 = 20;
 /// How long callers wait.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Duration of a load from host memory.
@@ -75,6 +83,14 @@
     pub knows_ranks: bool,
     /// Tokens that an engine processes per millisecond: the slowest and the fastest engine.
     pub tokens_per_ms: (f64, f64),
+    /// Speeds of engines in turn, as multiples of the above.
+    pub speeds: &'static [f64],
+    /// Whether each engine is slower for a moment now and then.
+    pub is_noisy: bool,
+    /// Seconds in which a third of the requests have long prompts.
+    pub long_prompts: Range<u64>,
+    /// Target gap between events, if the route has one.
+    pub target_gap: Option<Duration>,
     /// Time from the first event to the last.
     pub response_duration: Duration,
     pub seconds: u64,
@@ -119,6 +135,9 @@
     pub late: u32,
     pub refused: u32,
     pub by_rank: BTreeMap<u8, Outcomes>,
+    /// Streams that began, and those of them with a gap over [`MAX_GAP`].
+    pub streams: u32,
+    pub long_gaps: u32,
     /// Loads from the weight store.
     pub loads: u32,
 }
@@ -127,6 +146,11 @@
     pub fn in_time_fraction(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.received.max(1))
     }
+
+    /// Share of all requests that began in time or late, and went on without a long gap.
+    pub fn even_fraction(&self) -> f64 {
+        f64::from(self.streams - self.long_gaps) / f64::from(self.received.max(1))
+    }
 }
 
 /// A decision of the simulated deployment.
@@ -142,6 +166,7 @@
 
 struct Request {
     key: AdapterKey,
+    prompt_tokens: u64,
     first_attempt: Time,
     attempt_started: Time,
     retry_at: Time,
@@ -159,6 +184,18 @@
     starts_at: Option<Time>,
     engine: usize,
     id: u64,
+    max_gap: Duration,
+}
+
+impl RunningRequest {
+    /// Returns the time for which the engine processes prompts after this request's own.
+    fn prompts_behind(&self, prompts: &[QueuedPrompt]) -> Duration {
+        let own = (self.request.rank, self.id);
+        let behind = prompts.iter();
+        let behind =
+            behind.filter(|prompt| self.starts_at.is_some() || (prompt.rank, prompt.id) > own);
+        behind.map(|prompt| prompt.left).sum()
+    }
 }
 
 /// A prompt at an engine; those of earlier ranks are processed first.
@@ -173,6 +210,10 @@
     engine: Engine,
     loader: Loader,
     tokens_per_ms: f64,
+    /// Time between two events of a stream while no prompts are processed.
+    event_time: Duration,
+    /// Offset of its slow moments, in milliseconds.
+    phase: u64,
     /// Prompts that it has not processed.
     prompts: Vec<QueuedPrompt>,
     is_lost: bool,
@@ -219,7 +260,10 @@
             id: TargetId::try_from(&*format!("e{idx}")).unwrap(),
             engine: Engine::new(scenario.adapter_slots),
             loader: Loader::new(scenario.adapter_slots),
-            tokens_per_ms: rng.random_range(scenario.tokens_per_ms.0..=scenario.tokens_per_ms.1),
+            tokens_per_ms: rng.random_range(scenario.tokens_per_ms.0..=scenario.tokens_per_ms.1)
+                * speed_of(&scenario, idx),
+            event_time: EVENT_TIME.div_f64(speed_of(&scenario, idx)),
+            phase: u64::try_from(idx).unwrap() * 1_009,
             prompts: Vec::new(),
             is_lost: false,
             host_copies: VecDeque::new(),
@@ -372,8 +416,10 @@
             let popularity = self.cumulative_weights.partition_point(|sum| *sum < point);
             self.results.received += 1;
             self.results.by_rank.entry(rank).or_default().received += 1;
+            let prompt_tokens = self.next_prompt(rank, now);
             self.waiting.push(Request {
                 key: adapter(&format!("a{popularity}")),
+                prompt_tokens,
                 first_attempt: now,
                 attempt_started: now,
                 retry_at: now,
@@ -385,6 +431,20 @@
         }
     }
 
+    /// Draws the prompt tokens of a request: long ones have 2,400 on average and up to 9,000.
+    fn next_prompt(&mut self, rank: u8, now: Time) -> u64 {
+        if rank == DRAFT_RANK {
+            return self.scenario.draft_tokens;
+        }
+        let second = now.since(at(0)).as_secs();
+        if self.scenario.long_prompts.contains(&second) && self.rng.random_bool(1.0 / 3.0) {
+            let draw = self.rng.random_range(0.0..1.0_f64);
+            let extra = Duration::from_secs_f64(8.0 * draw.powi(5));
+            return 1_000 + u64::try_from(extra.as_millis()).unwrap();
+        }
+        self.scenario.prompt_tokens
+    }
+
     fn serve_due_requests(&mut self, now: Time) {
         let (due, rest) = std::mem::take(&mut self.waiting)
             .into_iter()
@@ -396,13 +456,13 @@
     }
 
     fn place_request(&mut self, mut request: Request, now: Time) {
-        let (path, tokens) = if request.rank == DRAFT_RANK {
-            ("/overnight/1", self.scenario.draft_tokens)
+        let path = if request.rank == DRAFT_RANK {
+            "/overnight/1"
         } else {
-            ("/draft/1", self.scenario.prompt_tokens)
+            "/draft/1"
         };
         let request_call = Call {
-            prompt_tokens: Tokens(tokens),
+            prompt_tokens: Tokens(request.prompt_tokens),
             timeout: Some(CALLER_TIMEOUT),
             wanted: Some(
                 bluebellstage_gateway::decide::adapter::RequestedModel::Adapter(
@@ -551,21 +611,33 @@
         };
         let waiting = tables.record_prompt(target, class, request_call, now);
         tables.residency.record_success(target, &request.key);
-        let tokens = f64::from(u32::try_from(request_call.prompt_tokens.0).unwrap());
+        let tokens = f64::from(u32::try_from(request.prompt_tokens).unwrap());
+        let slowness = if self.scenario.is_noisy {
+            node.slowness(now)
+        } else {
+            1.0
+        };
         let prompt_duration = Duration::from_secs_f64(tokens / node.tokens_per_ms / 1_000.0);
         self.sent += 1;
         let id = self.sent;
         node.prompts.push(QueuedPrompt {
             rank: request.rank,
             id,
-            left: prompt_duration,
+            left: prompt_duration.mul_f64(slowness),
         });
+        let event_time = node.event_time.mul_f64(slowness);
+        let at_engine = self.running.iter_mut();
+        for running in at_engine.filter(|running| running.engine == idx) {
+            let gap = running.prompts_behind(&node.prompts) + event_time;
+            running.max_gap = running.max_gap.max(gap);
+        }
         self.running.push(RunningRequest {
             request,
             waiting: Some(waiting),
             starts_at: None,
             engine: idx,
             id,
+            max_gap: event_time,
         });
     }
 
@@ -577,7 +649,8 @@
                 && let Some(waiting) = running.waiting.take()
             {
                 let tables = &mut self.tables[running.request.instance];
-                tables.queues.record_started(waiting, starts_at);
+                tables.record_started(waiting, starts_at);
+                self.results.streams += 1;
                 room.push((running.request.instance, running.engine));
                 let elapsed = starts_at.since(running.request.first_attempt);
                 let outcomes = self
@@ -602,7 +675,15 @@
             let node = &mut self.nodes[running.engine];
             node.engine.end_request(&running.request.key);
             node.loader.request_ended(&running.request.key, now);
-            self.tables[running.request.instance].end_request(&node.id);
+            let tables = &mut self.tables[running.request.instance];
+            tables.end_request(&node.id);
+            let is_long = running.max_gap > MAX_GAP;
+            self.results.long_gaps += u32::from(is_long);
+            let gap = EventGap {
+                events: EVENTS,
+                gap: node.event_time * u32::try_from(EVENTS).unwrap(),
+            };
+            tables.record_events(&node.id, gap, is_long, now);
             room.push((running.request.instance, running.engine));
         }
         for (instance, engine) in room {
@@ -729,13 +810,45 @@
             updates.push(update);
         }
         spread(&mut self.tables, &updates, now);
+        self.spread_pace(now);
         self.wake_all(now);
     }
+
+    fn spread_pace(&mut self, now: Time) {
+        if self.tables.len() > MAX_MESH {
+            return;
+        }
+        for idx in 0..self.tables.len() {
+            let from = &mut self.tables[idx];
+            let name = ShortHash::of(from.local.name.as_str());
+            let reports = from.pace.take_reports(now);
+            let others = self.tables.iter_mut().enumerate();
+            for (_, tables) in others.filter(|(other, _)| *other != idx) {
+                tables.pace.record_peer(name, &reports, now);
+            }
+        }
+    }
 }
 
 /// Largest number of instances that tell each other everything directly.
 const MAX_MESH: usize = 16;
 
+fn speed_of(scenario: &LoadScenario, idx: usize) -> f64 {
+    let speeds = scenario.speeds;
+    if speeds.is_empty() {
+        return 1.0;
+    }
+    speeds[idx % speeds.len()]
+}
+
+impl EngineNode {
+    /// Returns by how much the engine is slower at the moment: 2.5 times for 0.6 of 4 s.
+    fn slowness(&self, now: Time) -> f64 {
+        let ms = u64::try_from(now.since(at(0)).as_millis()).unwrap() + self.phase;
+        if ms % 4_000 < 600 { 2.5 } else { 1.0 }
+    }
+}
+
 fn latency(rank: u8) -> Duration {
     if rank == DRAFT_RANK {
         DRAFT_LATENCY
@@ -824,6 +937,7 @@
     let mut tables = Tables::new(member(&format!("i{idx}"), "north"), budget);
     let mut cfg = config(1);
     cfg.routes[0].target_latency = TARGET_LATENCY;
+    cfg.routes[0].target_gap = scenario.target_gap;
     if scenario.drafts_per_second > 0.0 {
         cfg.routes.push(Route {
             rank: DRAFT_RANK,
