--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -7,7 +7,7 @@
 use bluebellstage_gateway::decide::drain_state::DrainState;
 use bluebellstage_gateway::decide::dump::{
     Dump, EvacuationDump, PeerDump, QuarantinedPartDump, QuotaDump, SoftwareDump, Stage,
-    StoreCallDump, StoreLink, SuspectDump, SuspectedPartDump, TargetDump,
+    StoreCallDump, StoreLink, SuspectDump, SuspectedPartDump, TargetDump, WaitingDump,
 };
 use bluebellstage_gateway::decide::health::HealthState;
 use bluebellstage_gateway::decide::quarantine::Suspect;
@@ -136,6 +136,18 @@
     dump.quotas
         .iter()
         .try_for_each(|quota| write_quota(out, quota))?;
+    for waiting in &dump.waiting {
+        let WaitingDump {
+            service,
+            rank,
+            here,
+            elsewhere,
+        } = waiting;
+        writeln!(
+            out,
+            "waiting    {service}  rank {rank}  {here} here, {elsewhere} elsewhere"
+        )?;
+    }
     for held in &dump.quarantined {
         let seconds = held.since_ms / 1_000;
         writeln!(out, "refused    {}  for {seconds} s", held.fingerprint)?;
--- a/crates/gateway/tests/ranked_tokens.rs
+++ b/crates/gateway/tests/ranked_tokens.rs
@@ -31,7 +31,8 @@
 /// Guards against another release's tokens that are read as those of other ranks.
 #[test]
 fn tokens_of_more_classes_than_known_are_refused() {
-    assert!(RankedTokens::try_from(vec![1, 2, 3, 4]).is_err());
+    let refused = RankedTokens::try_from(vec![1, 2, 3, 4]).unwrap_err();
+    assert!(refused.to_string().starts_with("tokens of 4 classes"));
 }
 
 #[test]
