Share scarce room among workspaces by their quotas

Cause: a workspace that sends several times its usual below its quota takes the room of all others in the same seconds. No decision knew what waits or who spends it.

Change: `decide/fair_share` divides what all workspaces spent lately, max-min fair by the rates of their quotas, from the counts that instances report already. While a service with engines is short of room, workspaces beyond their share come after the others, and the largest excess gives way with its own reason and the time until its share is back. Without a shortage nobody is held back. Peers' counts that jump beyond what a quota allows in a minute are believed only up to that, and no longer overflow the sums. Events BS3430 to BS3433, metrics, dump, `bluebellstage instance`.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -6,7 +6,7 @@
 
 use bluebellstage_gateway::decide::drain_state::DrainState;
 use bluebellstage_gateway::decide::dump::{
-    Dump, EvacuationDump, PeerDump, QuarantinedPartDump, QuotaDump, SoftwareDump, Stage,
+    Dump, EvacuationDump, PeerDump, QuarantinedPartDump, QuotaDump, ShareDump, SoftwareDump, Stage,
     StoreCallDump, StoreLink, SuspectDump, SuspectedPartDump, TargetDump,
 };
 use bluebellstage_gateway::decide::health::HealthState;
@@ -136,6 +136,13 @@
     dump.quotas
         .iter()
         .try_for_each(|quota| write_quota(out, quota))?;
+    dump.short_of_room
+        .iter()
+        .try_for_each(|service| writeln!(out, "shortage   {service}  shared by quotas"))?;
+    let beyond = dump.shares.iter().filter(|share| share.beyond);
+    for share in beyond {
+        write_share(out, share)?;
+    }
     for held in &dump.quarantined {
         let seconds = held.since_ms / 1_000;
         writeln!(out, "refused    {}  for {seconds} s", held.fingerprint)?;
@@ -248,6 +255,17 @@
     )
 }
 
+fn write_share(out: &mut String, share: &ShareDump) -> std::fmt::Result {
+    let units = share
+        .share
+        .map_or_else(|| "all".into(), |units| units.to_string());
+    writeln!(
+        out,
+        "beyond     {}  spends {} a second, its share is {units}",
+        share.workspace, share.spending
+    )
+}
+
 fn write_quota(out: &mut String, quota: &QuotaDump) -> std::fmt::Result {
     writeln!(
         out,
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -65,6 +65,10 @@
     pub peers: Vec<PeerDump>,
     /// Quotas, by name of the workspace.
     pub quotas: Vec<QuotaDump>,
+    /// Services whose targets are short of room.
+    pub short_of_room: Vec<ServiceId>,
+    /// Fair shares of workspaces, by name.
+    pub shares: Vec<ShareDump>,
     /// Requests that are rejected because targets crash under them.
     pub quarantined: Vec<QuarantineDump>,
     /// Requests that were on crashed targets.
@@ -191,6 +195,19 @@
     pub left: i64,
 }
 
+/// A workspace's share while targets are short of room.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ShareDump {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// Units a second that are its share; `None` while all get what they ask for.
+    pub share: Option<u64>,
+    /// Units a second that it spent lately.
+    pub spending: u64,
+    /// Whether it spends more than its share; nobody is held back unless a service is short of room.
+    pub beyond: bool,
+}
+
 /// A request that is rejected because targets crash under it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct QuarantineDump {
@@ -260,6 +277,8 @@
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
+            short_of_room: self.fair_shares.short_services(now),
+            shares: self.fair_shares.dump(),
             quarantined: self.dump_quarantined(now),
             suspects: self.dump_suspects(),
             quarantined_parts: self.dump_quarantined_parts(now),
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod evacuations;
 pub mod event_stream;
 pub mod exchange;
+pub mod fair_share;
 pub mod follower;
 pub mod health;
 pub mod kind;
--- a/crates/gateway/src/decide/quota.rs
+++ b/crates/gateway/src/decide/quota.rs
@@ -70,10 +70,13 @@
 /// rate would exceed its quota.
 const PEER_RATE_STALENESS_FACTOR: u32 = 5;
 
-/// Refill time of the bucket that bounds a plausible increase of a relay's count between two reports. A
-/// larger increase can't have been spent, so the count refers to something else.
+/// Refill time of the bucket that bounds a plausible increase of a count between two reports. A larger increase can't
+/// have been spent: a relay's count refers to something else, and of a peer's no more is believed.
 const MAX_PLAUSIBLE_REFILL: Duration = Duration::from_mins(1);
 
+/// Largest increase of a count whatever the quota, so that the sums over all peers can't overflow.
+const MAX_COUNT: i64 = 1 << 40;
+
 /// Charges up to this fraction of the burst count as small.
 const SMALL_CHARGE_FRACTION: f64 = 0.04;
 /// Fraction of the burst reserved for small charges: a filing costs a fifth of a draft's tokens and would
@@ -81,7 +84,7 @@
 const RESERVED_FRACTION: f64 = 0.1;
 
 /// Spending of a peer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct PeerCount {
     /// The count that the next report is compared with, and the incarnation that it belongs to.
     base: Option<(Incarnation, SpentUnits)>,
@@ -117,6 +120,8 @@
     /// changed.
     peers_spent: i64,
     peers_changed_at: Time,
+    /// Units of peers that were deducted from the level, whichever way they were reported.
+    peers_deducted: f64,
     /// The last count of the upstream relay.
     relay_count: Option<RelayCount>,
     /// Smoothed spending of all peers, in units per second.
@@ -164,6 +169,7 @@
             peers: HashMap::new(),
             peers_spent: 0,
             peers_changed_at: now,
+            peers_deducted: 0.0,
             relay_count: None,
             peer_rate: 0.0,
             peer_rate_at: now,
@@ -186,6 +192,7 @@
     fn add_peer_spending(&mut self, units: f64, now: Time) {
         self.decay_peer_rate(now);
         self.level -= units;
+        self.peers_deducted += units;
         self.peer_rate += units / self.peer_rate_window;
     }
 
@@ -195,6 +202,17 @@
         self.peer_rate_at = now;
     }
 
+    /// Largest plausible increase of a count between two reports.
+    fn max_plausible_increase(&self) -> i64 {
+        let refill = self
+            .quota
+            .rate
+            .0
+            .saturating_mul(MAX_PLAUSIBLE_REFILL.as_secs());
+        let most = self.quota.burst.0.saturating_add(refill);
+        i64::try_from(most).unwrap_or(i64::MAX).min(MAX_COUNT)
+    }
+
     fn refill(&mut self, now: Time, silent_fraction: f64) {
         self.grant_initial_burst(silent_fraction);
         let rate = unsigned_to_f64(self.quota.rate.0) * (1.0 - silent_fraction);
@@ -282,6 +300,15 @@
         }
     }
 
+    /// Returns what all instances have charged to an account since this process knows of it, as far as reported; it
+    /// falls when charges are refunded. `None` if the account has no bucket.
+    #[must_use]
+    pub fn spent_by_all(&self, account: impl Into<Account>) -> Option<i64> {
+        let bucket = self.buckets.get(&account.into())?;
+        let peers = truncate(bucket.peers_deducted);
+        Some(bucket.local_spent.cast_signed().saturating_add(peers))
+    }
+
     /// Returns the remaining quota of each workspace as of its last charge, sorted by name.
     #[must_use]
     pub fn dump(&self) -> Vec<QuotaDump> {
@@ -332,11 +359,8 @@
         let Some(bucket) = self.by_hash(report.account) else {
             return;
         };
-        let peer_count = bucket.peers.entry(peer.clone());
-        let peer_count = peer_count.or_insert(PeerCount {
-            base: None,
-            spent: 0,
-        });
+        let most = bucket.max_plausible_increase();
+        let peer_count = bucket.peers.entry(peer.clone()).or_default();
         let previous = peer_count.base.replace((incarnation, report.total));
         let previous = previous.filter(|(previous, _)| *previous == incarnation);
         let first = if started_later {
@@ -350,6 +374,7 @@
                 .cast_signed()
                 .wrapping_sub(previous.cast_signed())
         });
+        let increase = increase.clamp(-most, most);
         peer_count.spent += increase;
         bucket.peers_spent += increase;
         bucket.peers_changed_at = now;
@@ -400,12 +425,9 @@
         let Some(previous) = previous.filter(|previous| previous.relay == relay) else {
             return;
         };
-        let increase = signed_to_f64(count.wrapping_sub(previous.count));
-        let quota = bucket.quota;
-        let max_increase = unsigned_to_f64(quota.burst.0)
-            + unsigned_to_f64(quota.rate.0) * MAX_PLAUSIBLE_REFILL.as_secs_f64();
-        if increase.abs() <= max_increase {
-            bucket.add_peer_spending(increase, now);
+        let increase = count.wrapping_sub(previous.count);
+        if increase.unsigned_abs() <= bucket.max_plausible_increase().unsigned_abs() {
+            bucket.add_peer_spending(signed_to_f64(increase), now);
         }
     }
 
--- a/crates/gateway/src/decide/retry_after.rs
+++ b/crates/gateway/src/decide/retry_after.rs
@@ -12,7 +12,7 @@
 /// Callers that are rejected at the same moment return over the last part of the time, of this fraction.
 const SPREAD_FRACTION: f64 = 0.5;
 
-/// Range over which callers return that wait for the same target.
+/// Range over which callers return that wait for the same target or share.
 const REST_SPREAD: Duration = Duration::from_millis(240);
 
 fn latest(timeout: Option<Duration>) -> Duration {
@@ -25,6 +25,17 @@
 /// to 1.
 #[must_use]
 pub fn when_targets_rest(left: Duration, timeout: Option<Duration>, sample: f64) -> Duration {
+    soon_after(left, timeout, sample)
+}
+
+/// Returns the time after which a caller returns whose workspace has its share back after `back_in`: soon after that,
+/// or as late as the caller can be told. `sample` is a random number from 0 to 1.
+#[must_use]
+pub fn when_share_is_back(back_in: Duration, timeout: Option<Duration>, sample: f64) -> Duration {
+    soon_after(back_in, timeout, sample)
+}
+
+fn soon_after(left: Duration, timeout: Option<Duration>, sample: f64) -> Duration {
     let after = left + REST_SPREAD.mul_f64(sample);
     if after <= latest(timeout) {
         after
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -13,6 +13,7 @@
 use super::departures::Departures;
 use super::evacuations::Evacuations;
 use super::exchange::Exchange;
+use super::fair_share::FairShares;
 use super::health::Health;
 use super::lease::SHARDS;
 use super::limits::Limits;
@@ -104,6 +105,8 @@
     pub pace: Pace,
     /// Requests that wait for a place.
     pub wait_queue: WaitQueue,
+    /// Shares of workspaces in services that are short of room.
+    pub fair_shares: FairShares,
     /// Shards for which this instance may order loads.
     pub shards: Vec<u8>,
     /// Shards whose leases this instance holds, including those for which it may not order loads
@@ -217,6 +220,7 @@
             queues: PromptQueues::default(),
             pace: Pace::default(),
             wait_queue: WaitQueue::default(),
+            fair_shares: FairShares::default(),
             shards: Vec::new(),
             claims: Vec::new(),
             loads: LocalLoads::default(),
--- /dev/null
+++ b/crates/gateway/src/decide/wait_queue/standing.rs
@@ -0,0 +1,11 @@
+//! Whether a workspace is within its fair share.
+
+/// Whether a waiting request's workspace is within its fair share of the service.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Standing {
+    /// It is, or nothing is scarce.
+    #[default]
+    Within,
+    /// It has spent more.
+    Beyond,
+}
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -50,6 +50,13 @@
 pub(super) const NO_PATH: &str = "no target can be reached from here: use another instance";
 /// Message for a request that is rejected because all targets have asked for rest.
 pub(super) const ALL_RESTING: &str = "all targets have asked for rest: try again";
+/// Message for a request that is rejected because all targets are full.
+pub(super) const ALL_FULL: &str = "all targets are full";
+/// Message for a request that is rejected because its adapter was not loaded in time.
+pub(super) const NOT_LOADED: &str = "its adapter could not be loaded in time";
+/// Message for a request whose workspace spends far more than its share.
+pub(super) const BEYOND_SHARE: &str =
+    "workspace beyond its fair share while targets are short of room: try again later";
 /// Delay before another check for free capacity at plain targets.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
@@ -116,6 +123,8 @@
     Cold(Duration),
     /// The request has not run: every target that could run it has asked for rest, the first for this long.
     Resting(Duration),
+    /// The request has not run: its workspace is far beyond its share, which is back after this time.
+    BeyondShare(Duration),
     /// The request may have run.
     MayHaveRun(&'static str),
     /// The request, or a part of its prompt, is quarantined because targets crash under it; it is not sent any more.
@@ -217,7 +226,11 @@
             if let Some(refused) = self.refused_suspect() {
                 return SearchOutcome::Quarantined(refused);
             }
-            match self.pick(draw, now) {
+            let pick = self.pick(draw, now);
+            if let Some(back_in) = self.gives_way(&pick, now) {
+                return SearchOutcome::BeyondShare(back_in);
+            }
+            match pick {
                 Pick::Send {
                     target,
                     version,
@@ -237,7 +250,7 @@
                         LoadWaitAction::Wait => {}
                         LoadWaitAction::Refuse => {
                             self.log_failed_attempt(&target, "adapter not loaded in time");
-                            return self.unserved("its adapter could not be loaded in time");
+                            return self.unserved(NOT_LOADED);
                         }
                     }
                     self.node.loader_work.notify_waiters();
@@ -255,7 +268,7 @@
                 }
                 Pick::Resting { left } => return self.resting(left),
                 Pick::Full if now < full_until => tokio::time::sleep(FULL_RETRY_DELAY).await,
-                Pick::Full => return self.unserved("all targets are full"),
+                Pick::Full => return self.unserved(ALL_FULL),
                 Pick::NoTarget if self.is_version_gone(now) => return self.version_gone(),
                 Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
                 Pick::NoTarget => return self.unserved(NO_TARGET),
--- a/crates/gateway/src/net/gossip.rs
+++ b/crates/gateway/src/net/gossip.rs
@@ -15,6 +15,7 @@
 use crate::edge::Edge;
 use crate::packet::{AdapterRequest, MAX_DATAGRAM_BYTES, Packet, PacketError, ResidencyUpdate};
 
+use super::fair_shares;
 use super::log::{LogEvent, event};
 use super::node::{Destination, Node, Outgoing};
 use super::origins;
@@ -61,6 +62,7 @@
         for OutgoingMessage { to, message } in outgoing {
             send_all(node, socket, &Packet::Exchange(message), &to).await;
         }
+        fair_shares::review(node);
         quarantine::review_parts(node);
         quarantine::resend(node, ROUND_INTERVAL);
         tokio::time::sleep(ROUND_INTERVAL).await;
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -91,6 +91,7 @@
     }
 
     pub(super) fn local_response(&self, found: &SearchOutcome<E>) -> Response<ResponseBody> {
+        self.record_want_of_room(found);
         let (status, message, after) = match found {
             SearchOutcome::NotRun(why) => {
                 self.node.tables().refund(&self.ticket);
@@ -127,6 +128,7 @@
                 let after = Some(rest_retry_after(*left, self.call.timeout));
                 (StatusCode::SERVICE_UNAVAILABLE, ALL_RESTING, after)
             }
+            SearchOutcome::BeyondShare(back_in) => self.beyond_share(*back_in),
             SearchOutcome::NoPath => {
                 let after = Some(spread_retry_after());
                 (StatusCode::SERVICE_UNAVAILABLE, NO_PATH, after)
--- a/crates/gateway/src/net/local_response.rs
+++ b/crates/gateway/src/net/local_response.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use rand::Rng;
 
-use crate::decide::retry_after::{when_nothing_can_run, when_targets_rest};
+use crate::decide::retry_after::{when_nothing_can_run, when_share_is_back, when_targets_rest};
 use crate::decide::tables::Refusal;
 use crate::edge::Protocol;
 
@@ -64,6 +64,12 @@
     when_targets_rest(left, timeout, rand::rng().random_range(0.0..1.0))
 }
 
+/// Returns the delay after which a caller with this timeout should retry whose workspace has its share back after
+/// `back_in`.
+pub(super) fn share_retry_after(back_in: Duration, timeout: Option<Duration>) -> Duration {
+    when_share_is_back(back_in, timeout, rand::rng().random_range(0.0..1.0))
+}
+
 /// Returns the response to a rejected request. Every status below means that the request has not run.
 pub(super) fn refusal_response<P: Protocol>(
     protocol: &P,
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -128,6 +128,14 @@
     SoftwareGone = 3412, Warn, "no target of the software version that began the stream";
     /// It is not known at which software version the stream began that a request continues.
     OriginUnknown = 3413, Warn, "software version that began the stream is not known";
+    /// A workspace spends more than its share of a service that is short of room.
+    BeyondShare = 3430, Info, "workspace beyond its fair share: it comes after others";
+    /// A workspace is within its share again.
+    WithinShare = 3431, Info, "workspace within its fair share again";
+    /// The targets of a service are short of room.
+    ShortageBegun = 3432, Info, "targets of the service are short of room: it is shared by quotas";
+    /// The targets of a service have room again.
+    ShortageEnded = 3433, Info, "targets of the service have room again: nobody is held back";
     /// A target's limit is not a number.
     LimitMalformed = 3407, Info, "target's limit is not a number";
     /// A target's report of whether it leaves is malformed.
@@ -146,7 +154,15 @@
     /// Whether the event occurs with each request or order, so that its rate must be limited.
     #[must_use]
     pub const fn is_frequent(self) -> bool {
-        self.code() >= FIRST_FREQUENT_CODE
+        self.code() >= FIRST_FREQUENT_CODE && !self.is_share_change()
+    }
+
+    /// Whether the event is a change of a shortage or of a workspace in it, which must not be lost among the requests.
+    const fn is_share_change(self) -> bool {
+        matches!(
+            self,
+            Self::BeyondShare | Self::WithinShare | Self::ShortageBegun | Self::ShortageEnded
+        )
     }
 
     /// Whether one target can cause the event with each of its responses, so that it is logged once a second.
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -34,6 +34,7 @@
     lost_services: Gauge<u64>,
     paths_lost: Counter<u64>,
     forwarded: Counter<u64>,
+    beyond_share: Gauge<u64>,
     limited: Gauge<u64>,
     unknown_headers: Counter<u64>,
     malformed_headers: Counter<u64>,
@@ -107,6 +108,10 @@
                 "bluebellstage.forwarded_requests",
                 "Requests forwarded to peers, by outcome",
             ),
+            beyond_share: gauge(
+                "bluebellstage.workspaces_beyond_share",
+                "Workspaces beyond their fair share of a service that is short of room",
+            ),
             limited: gauge("bluebellstage.limited_targets", "Targets that name a limit"),
             unknown_headers: counter(
                 "bluebellstage.unknown_headers",
@@ -279,6 +284,8 @@
     pub(super) fn text(&self, tables: &Tables, connections: usize, now: Time) -> String {
         self.config_version.record(tables.routes.version().0, &[]);
         self.record_open_store_calls(tables, now);
+        self.beyond_share
+            .record(count(tables.fair_shares.beyond_count()), &[]);
         self.limited
             .record(count(tables.limits.iter().count()), &[]);
         self.unreachable
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod crash_check;
 mod crash_metrics;
 mod directory;
+mod fair_shares;
 mod follow;
 mod framing;
 mod front;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod limited;
 pub mod load_simulation;
+pub mod shared_room;
 pub mod store;
 pub mod streams;
 
