Test that scarce engines are left to workspaces within their shares

Cause: the choice of an engine that begins late was tested with loads only, and the load without the decision at 8 instances only.

Change: a test with a queue at an engine; the load without the decision at 72 instances as well.

--- a/crates/gateway/tests/fair_share.rs
+++ b/crates/gateway/tests/fair_share.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bluebellstage_core::{Incarnation, InstanceId, Time};
+use bluebellstage_core::{Incarnation, InstanceId, TargetId, Time};
 use bluebellstage_gateway::decide::call::Call;
 use bluebellstage_gateway::decide::fair_share::{Claim, ShareChange, Shortage, max_min_level};
 use bluebellstage_gateway::decide::placement::Pick;
@@ -86,11 +86,13 @@
 /// The same load without the decision.
 #[test]
 fn without_the_decision_small_workspaces_are_refused() {
-    let mut simulation = start((8, 3), senders(20, 0.8, 5.0), false);
-    simulation.run_ms(3_000);
-    let outcomes = simulation.outcomes_of_ms(6_000);
-    assert!(worst_tenth(&outcomes) < 0.7, "{outcomes:?}");
-    assert!(slowest(&outcomes) > TARGET_LATENCY, "{outcomes:?}");
+    for size in [(8, 3), (72, 3)] {
+        let mut simulation = start(size, senders(20, 0.8, 5.0), false);
+        simulation.run_ms(3_000);
+        let outcomes = simulation.outcomes_of_ms(6_000);
+        assert!(worst_tenth(&outcomes) < 0.7, "{size:?} {outcomes:?}");
+        assert!(slowest(&outcomes) > TARGET_LATENCY, "{size:?} {outcomes:?}");
+    }
 }
 
 /// Guards against a workspace that is held back although there is room for all.
@@ -184,6 +186,26 @@
     assert_eq!(gives_way(&mut tables, &continued, &load(), now), None);
 }
 
+/// Guards against room that is given to a workspace beyond its share until others come too late.
+#[test]
+fn an_engine_that_begins_late_is_left_to_those_within_their_shares() {
+    let mut tables = short_instance();
+    let now = at(2_000);
+    let target = TargetId::try_from("e1").unwrap();
+    let learned = tables.queues.record_sent(&target, 1_000, 0, at(0));
+    tables.queues.record_started(learned, at(100));
+    let send = Pick::Send {
+        target: target.clone(),
+        version: None,
+        trial: false,
+        load_at: Vec::new(),
+    };
+    assert_eq!(gives_way(&mut tables, &call_of(1), &send, now), None);
+    let _queued = tables.queues.record_sent(&target, 2_000, 0, now);
+    assert!(gives_way(&mut tables, &call_of(1), &send, now).is_some());
+    assert_eq!(gives_way(&mut tables, &call_of(0), &send, now), None);
+}
+
 /// Guards against a workspace that is held back for longer than the shortage, or by shares of the past.
 #[test]
 fn a_workspace_is_beyond_its_share_only_during_a_shortage() {
