--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -69,6 +69,10 @@
     /// Requests that wait for room, by service and rank.
     #[serde(default)]
     pub waiting: Vec<WaitingDump>,
+    /// Services whose targets are short of room.
+    pub short_of_room: Vec<ServiceId>,
+    /// Fair shares of workspaces, by name.
+    pub shares: Vec<ShareDump>,
     /// Requests that are rejected because targets crash under them.
     pub quarantined: Vec<QuarantineDump>,
     /// Requests that were on crashed targets.
@@ -208,6 +212,19 @@
     pub elsewhere: u16,
 }
 
+/// A workspace's share while targets are short of room.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ShareDump {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// Units a second that are its share; `None` while all get what they ask for.
+    pub share: Option<u64>,
+    /// Units a second that it spent lately.
+    pub spending: u64,
+    /// Whether it spends more than its share; nobody is held back unless a service is short of room.
+    pub beyond: bool,
+}
+
 /// A request that is rejected because targets crash under it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct QuarantineDump {
@@ -278,6 +295,8 @@
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
             waiting: self.dump_waiting_with(&self.peers.waiting(now)),
+            short_of_room: self.fair_shares.short_services(now),
+            shares: self.fair_shares.dump(),
             quarantined: self.dump_quarantined(now),
             suspects: self.dump_suspects(),
             quarantined_parts: self.dump_quarantined_parts(now),
--- a/crates/gateway/src/decide/wait_queue/standing.rs
+++ b/crates/gateway/src/decide/wait_queue/standing.rs
@@ -1,11 +1,11 @@
-//! How a workspace stands to its share of scarce room.
+//! Whether a workspace is within its fair share.
 
-/// Whether a request's workspace has used up its share.
+/// Whether a waiting request's workspace is within its fair share of the service.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Standing {
-    /// It is within its share.
+    /// It is, or nothing is scarce.
     #[default]
     Within,
-    /// It is beyond its share and gives way.
+    /// It has spent more.
     Beyond,
 }
--- a/crates/gateway/src/decide/wait_queue/turn.rs
+++ b/crates/gateway/src/decide/wait_queue/turn.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::{TargetId, Time};
 
-use super::{Contended, Entered, Patience, Standing, WaitKey, Waiter};
+use super::{Contended, Entered, Patience, WaitKey, Waiter};
 use crate::decide::call::Call;
 use crate::decide::placement::{MAX_START_FRACTION, Pick, StartTerms};
 use crate::decide::rendezvous::ShortHash;
@@ -52,7 +52,7 @@
         has_tried: bool,
         now: Time,
     ) -> Turn {
-        let Some(mut waiter) = waiter(ticket, call, now) else {
+        let Some(mut waiter) = self.waiter(ticket, call, now) else {
             return Turn::TryNow;
         };
         let Some(lack) = self.lack(pick, &waiter, ticket, has_tried, now) else {
@@ -150,6 +150,21 @@
         }
     }
 
+    fn waiter(&self, ticket: &Ticket, call: &Call, now: Time) -> Option<Waiter> {
+        let patience = ticket.patience?;
+        let adapter = Self::adapter_of(call);
+        Some(Waiter {
+            service: ShortHash::of(ticket.service.as_str()),
+            rank: ticket.rank,
+            standing: self.standing(ticket, now),
+            patience,
+            tokens: call.prompt_tokens.0,
+            adapter: adapter.map(|key| ShortHash::of(key.adapter.as_str())),
+            contended: Contended::Service,
+            starts_at: now,
+        })
+    }
+
     /// Returns the fraction of room that the request leaves to requests of earlier ranks that wait at any instance
     /// and can still begin in time.
     fn reserved_fraction(&self, ticket: &Ticket, now: Time) -> f64 {
@@ -171,21 +186,6 @@
     }
 }
 
-fn waiter(ticket: &Ticket, call: &Call, now: Time) -> Option<Waiter> {
-    let patience = ticket.patience?;
-    let adapter = Tables::adapter_of(call);
-    Some(Waiter {
-        service: ShortHash::of(ticket.service.as_str()),
-        rank: ticket.rank,
-        standing: Standing::default(),
-        patience,
-        tokens: call.prompt_tokens.0,
-        adapter: adapter.map(|key| ShortHash::of(key.adapter.as_str())),
-        contended: Contended::Service,
-        starts_at: now,
-    })
-}
-
 fn hash(target: &TargetId) -> ShortHash {
     ShortHash::of(target.as_str())
 }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -41,6 +41,13 @@
 pub(super) const NO_PATH: &str = "no target can be reached from here: use another instance";
 /// Message for a request that is rejected because all targets have asked for rest.
 pub(super) const ALL_RESTING: &str = "all targets have asked for rest: try again";
+/// Message for a request that is rejected because all targets are full.
+pub(super) const ALL_FULL: &str = "all targets are full";
+/// Message for a request that is rejected because its adapter was not loaded in time.
+pub(super) const NOT_LOADED: &str = "its adapter could not be loaded in time";
+/// Message for a request whose workspace spends far more than its share.
+pub(super) const BEYOND_SHARE: &str =
+    "workspace beyond its fair share while targets are short of room: try again later";
 
 /// A request and the state that its attempts share.
 #[derive(Debug)]
@@ -97,6 +104,8 @@
     Cold(Duration),
     /// The request has not run: every target that could run it has asked for rest, the first for this long.
     Resting(Duration),
+    /// The request has not run: its workspace is far beyond its share, which is back after this time.
+    BeyondShare(Duration),
     /// The request may have run.
     MayHaveRun(&'static str),
     /// The request, or a part of its prompt, is quarantined because targets crash under it; it is not sent any more.
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -138,6 +138,14 @@
     WaitRefused = 3428, Info, "request can't begin in a useful time";
     /// A request lost its place in a full queue to one that comes first.
     WaitQueueFull = 3429, Warn, "wait queue is full: its last request is refused";
+    /// A workspace spends more than its share of a service that is short of room.
+    BeyondShare = 3430, Info, "workspace beyond its fair share: it comes after others";
+    /// A workspace is within its share again.
+    WithinShare = 3431, Info, "workspace within its fair share again";
+    /// The targets of a service are short of room.
+    ShortageBegun = 3432, Info, "targets of the service are short of room: it is shared by quotas";
+    /// The targets of a service have room again.
+    ShortageEnded = 3433, Info, "targets of the service have room again: nobody is held back";
     /// A target's limit is not a number.
     LimitMalformed = 3407, Info, "target's limit is not a number";
     /// A target's report of whether it leaves is malformed.
@@ -160,7 +168,15 @@
     /// Whether the event occurs with each request or order, so that its rate must be limited.
     #[must_use]
     pub const fn is_frequent(self) -> bool {
-        self.code() >= FIRST_FREQUENT_CODE
+        self.code() >= FIRST_FREQUENT_CODE && !self.is_share_change()
+    }
+
+    /// Whether the event is a change of a shortage or of a workspace in it, which must not be lost among the requests.
+    const fn is_share_change(self) -> bool {
+        matches!(
+            self,
+            Self::BeyondShare | Self::WithinShare | Self::ShortageBegun | Self::ShortageEnded
+        )
     }
 
     /// Whether one target or peer can cause the event with each of its messages, so that it is logged once a second.
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -11,7 +11,8 @@
 use crate::edge::Edge;
 
 use super::front::{
-    ALL_COLD, ALL_RESTING, Job, MIN_ATTEMPT_TIME, NO_TARGET, SearchOutcome, TOO_LATE, VERSION_GONE,
+    ALL_COLD, ALL_FULL, ALL_RESTING, Job, MIN_ATTEMPT_TIME, NO_TARGET, NOT_LOADED, SearchOutcome,
+    TOO_LATE, VERSION_GONE,
 };
 use super::log::{LogEvent, event};
 use super::quarantine;
@@ -24,7 +25,14 @@
         let started = self.node.now();
         let rest_until = started + route_latency / 2;
         let timeout = self.time_limit();
-        self.ticket.set_patience(timeout, self.arrived);
+        // After a run its caller waits since that ended.
+        let since = if self.runs == 0 {
+            self.arrived
+        } else {
+            started
+        };
+        self.ticket.set_patience(timeout, since);
+        self.ticket.waits = false;
         let mut place = None;
         loop {
             if self.time_left() < MIN_ATTEMPT_TIME {
@@ -39,6 +47,11 @@
                 return SearchOutcome::Quarantined(refused);
             }
             let pick = self.pick(draw, now);
+            if place.is_none()
+                && let Some(back_in) = self.gives_way(&pick, now)
+            {
+                return SearchOutcome::BeyondShare(back_in);
+            }
             if let Pick::Late { load_at, .. } = &pick {
                 self.request_loads(load_at.clone());
             }
@@ -67,7 +80,7 @@
                         LoadWaitAction::Wait => {}
                         LoadWaitAction::Refuse => {
                             self.log_failed_attempt(&target, "adapter not loaded in time");
-                            return self.unserved("its adapter could not be loaded in time");
+                            return self.unserved(NOT_LOADED);
                         }
                     }
                     self.node.loader_work.notify_waiters();
@@ -81,7 +94,7 @@
                     tokio::time::sleep(left).await;
                 }
                 Pick::Resting { left } => return self.resting(left),
-                Pick::Full => return self.unserved("all targets are full"),
+                Pick::Full => return self.unserved(ALL_FULL),
                 Pick::NoTarget if self.is_version_gone(now) => return self.version_gone(),
                 Pick::NoTarget if self.runs == 0 => return SearchOutcome::NoTarget,
                 Pick::NoTarget => return self.unserved(NO_TARGET),
--- a/crates/gateway/src/net/wait_places.rs
+++ b/crates/gateway/src/net/wait_places.rs
@@ -12,7 +12,7 @@
 use crate::decide::wait_queue::{Room, Turn, WaitKey, Waiter};
 use crate::edge::Edge;
 
-use super::front::{Job, SearchOutcome};
+use super::front::{ALL_FULL, Job, SearchOutcome};
 use super::log::{LogEvent, event};
 use super::node::Node;
 
@@ -235,7 +235,7 @@
 
     fn no_room(&self, pick: &Pick, room_in: Duration) -> SearchOutcome<E> {
         match pick {
-            Pick::Full => self.unserved("all targets are full"),
+            Pick::Full => self.unserved(ALL_FULL),
             _ => self.late(room_in),
         }
     }
