Let a stream that goes on elsewhere wait from when its run ended

Cause: a resumed request's patience counted from its arrival, so it was refused at once where all targets were full. Change: after a run, patience counts from the start of the new search.

--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -24,7 +24,14 @@
         let started = self.node.now();
         let rest_until = started + route_latency / 2;
         let timeout = self.time_limit();
-        self.ticket.set_patience(timeout, self.arrived);
+        // After a run its caller waits since that ended.
+        let since = if self.runs == 0 {
+            self.arrived
+        } else {
+            started
+        };
+        self.ticket.set_patience(timeout, since);
+        self.ticket.waits = false;
         let mut place = None;
         loop {
             if self.time_left() < MIN_ATTEMPT_TIME {
