--- a/crates/gateway/tests/load_simulation.rs
+++ b/crates/gateway/tests/load_simulation.rs
@@ -126,8 +126,8 @@
 fn mean_shares(load: &LoadScenario, target_gap: Option<Duration>) -> (f64, f64) {
     let runs = (1..=3).map(|seed| {
         let load = LoadScenario {
-            seed,
             target_gap,
+            seed,
             ..load.clone()
         };
         load.run()
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -99,9 +99,9 @@
 fn all_targets_come_round_in_bounded_messages() {
     let targets = engines(40);
     let mut pace = pace_of(&targets);
-    targets
-        .iter()
-        .for_each(|target| read_prompts(&mut pace, target, 50, 1));
+    for target in &targets {
+        read_prompts(&mut pace, target, 50, 1);
+    }
     let rounds = (0..12).map(|round| pace.take_reports(at(100 * round)));
     let rounds = rounds.collect::<Vec<_>>();
     assert!(rounds.iter().all(|reports| reports.len() <= 12));
