Bound what an instance holds for slow callers and targets by a part of its memory limit

Cause: request bodies, buffered responses of up to 4 MB and what callers do not take were not counted in all. A crowd of slow readers or large bodies could take an instance past its memory limit.

Change: where the settings give a memory limit and ask for it, all of these are counted by connection and workspace. Beyond a first mark only connections and workspaces below their max-min fair part get more, responses are passed through rather than buffered, and callers that move nothing for 5 s are ended while memory is short. Beyond a last mark new requests are refused as not run. Bytes of requests at a target are bounded by what it has borne, divided by the number of instances.

--- a/crates/cli/src/commands/instance.rs
+++ b/crates/cli/src/commands/instance.rs
@@ -10,6 +10,7 @@
     StoreCallDump, StoreLink, SuspectDump, SuspectedPartDump, TargetDump,
 };
 use bluebellstage_gateway::decide::health::HealthState;
+use bluebellstage_gateway::decide::memory_budget::{Mark, MemoryDump};
 use bluebellstage_gateway::decide::quarantine::Suspect;
 use bluebellstage_gateway::decide::status::Role;
 use reqwest::Client;
@@ -109,6 +110,9 @@
         "loading    shards {:?}, {} loads under way",
         dump.shards, dump.loads
     )?;
+    if let Some(memory) = &dump.memory {
+        write_memory(out, memory)?;
+    }
     dump.store_waits
         .iter()
         .try_for_each(|wait| write_store_wait(out, wait))?;
@@ -150,6 +154,25 @@
     write_parts(out, dump)
 }
 
+fn write_memory(out: &mut String, memory: &MemoryDump) -> std::fmt::Result {
+    let mark = match memory.mark {
+        Mark::Below => "",
+        Mark::First => ", short: it is divided",
+        Mark::Last => ", short: new requests are refused",
+    };
+    writeln!(
+        out,
+        "memory     {} KB held of {} KB{mark}: {} request bodies, {} responses, {} untaken; {} callers wait, {} are stalled",
+        memory.held() / 1_000,
+        memory.budget / 1_000,
+        memory.request_bodies / 1_000,
+        memory.responses / 1_000,
+        memory.untaken / 1_000,
+        memory.waiting,
+        memory.stalled,
+    )
+}
+
 fn write_parts(out: &mut String, dump: &Dump) -> std::fmt::Result {
     for QuarantinedPartDump { part, since_ms } in &dump.quarantined_parts {
         let seconds = since_ms / 1_000;
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -14,6 +14,7 @@
 use super::health::HealthState;
 use super::kind::Kind;
 use super::limits::RequestRate;
+use super::memory_budget::MemoryDump;
 use super::quarantine::{Fingerprint, Suspect};
 use super::rendezvous::ShortHash;
 use super::status::Role;
@@ -73,6 +74,9 @@
     pub quarantined_parts: Vec<QuarantinedPartDump>,
     /// Parts of prompts that were on several crashed targets.
     pub suspected_parts: Vec<SuspectedPartDump>,
+    /// What it holds for callers, if its memory is limited.
+    #[serde(default)]
+    pub memory: Option<MemoryDump>,
 }
 
 /// Whether an instance accepts callers.
@@ -264,6 +268,7 @@
             suspects: self.dump_suspects(),
             quarantined_parts: self.dump_quarantined_parts(now),
             suspected_parts: self.dump_suspected_parts(),
+            memory: None,
         }
     }
 
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -22,6 +22,7 @@
 pub mod limits;
 pub mod load_wait;
 pub mod loader;
+pub mod memory_budget;
 pub mod pace;
 pub mod partition;
 pub mod paths;
--- a/crates/gateway/src/decide/reload.rs
+++ b/crates/gateway/src/decide/reload.rs
@@ -30,6 +30,7 @@
         ("directory", read.directory != running.directory),
         ("metrics", read.metrics != running.metrics),
         ("handover", read.handover != running.handover),
+        ("memory_limit", read.memory_limit != running.memory_limit),
     ];
     let differing = differing.into_iter().filter(|(_, differs)| *differs);
     let at_restart = differing.map(|(key, _)| key).collect::<Vec<_>>();
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -15,10 +15,12 @@
 
 use crate::edge::Edge;
 
-use super::local_response::ResponseBody;
+use super::caller_memory::CallerMemory;
 use super::log::{LogEvent, event};
+use super::memory::Memory;
 use super::node::Node;
 use super::peer_forwarding::REQUEST_HEADER;
+use super::response_body::CountedBody;
 use super::sockets::set_options;
 
 /// Delay after a connection could not be accepted, for example when file descriptors run out.
@@ -49,6 +51,7 @@
 ) {
     loop {
         match listener.accept().await {
+            Ok((stream, _)) if is_memory_used_up(&node, listener_kind) => drop(stream),
             Ok((stream, _)) => {
                 set_options(&stream);
                 tokio::spawn(connection(Arc::clone(&node), stream, listener_kind));
@@ -61,6 +64,21 @@
     }
 }
 
+/// Whether a connection must be closed unread: there is no memory left for a response that says so.
+fn is_memory_used_up<E: Edge>(node: &Node<E>, listener_kind: ListenerKind) -> bool {
+    let memory = node.memory.as_ref();
+    listener_kind == ListenerKind::Front
+        && memory.is_some_and(|memory| memory.budget().is_used_up())
+}
+
+/// Returns when the caller must be ended because memory is short.
+async fn until_ended(caller: Option<&CallerMemory>) {
+    match caller {
+        Some(caller) => caller.until_ended().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Requests in progress on a connection, and its idle time.
 #[derive(Debug, Default)]
 struct Activity {
@@ -111,7 +129,13 @@
     let limits = node.tables().routes.config().limits;
     let activity = Arc::new(Activity::default());
     activity.idle_since.store(millis(&node), Ordering::Relaxed);
-    let service = service_fn(|req| {
+    let memory = node.memory.as_ref();
+    let memory = memory.filter(|_| listener_kind != ListenerKind::Directory);
+    let caller = memory.map(Memory::open);
+    let service = service_fn(|mut req| {
+        if let Some(caller) = &caller {
+            req.extensions_mut().insert(Arc::clone(caller));
+        }
         let node = Arc::clone(&node);
         let activity = Arc::clone(&activity);
         async move { Ok::<_, Infallible>(respond(node, activity, req, listener_kind).await) }
@@ -127,6 +151,7 @@
         tokio::select! {
             // The caller of a broken connection can't be notified. Its request logged the failure.
             _ended = serving.as_mut() => break,
+            () = until_ended(caller.as_deref()) => break,
             () = tick => {}
             () = node.stop.notified(), if !is_shutting_down => {}
         }
@@ -158,6 +183,7 @@
         node: Arc::clone(&node),
         activity,
     };
+    let caller = req.extensions().get::<Arc<CallerMemory>>().cloned();
     let is_forwarded = req.headers().contains_key(REQUEST_HEADER);
     let mut counted = None;
     let mut res = match listener_kind {
@@ -174,7 +200,7 @@
         res.headers_mut().insert(header::CONNECTION, close);
     }
     res.map(|body| GuardedBody {
-        body,
+        body: CountedBody::new(body, caller),
         _guard: guard,
         _counted: counted,
     })
@@ -195,7 +221,7 @@
 
 /// A response body that marks its connection as active until it is sent.
 struct GuardedBody<E: Edge> {
-    body: ResponseBody,
+    body: CountedBody,
     _guard: ActivityGuard<E>,
     /// Set for a request that a peer forwards: a planned stop waits for it as for callers' connections.
     _counted: Option<ConnectionGuard<E>>,
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -17,10 +17,13 @@
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
+use super::caller_memory::CallerMemory;
 use super::framing::Framing;
 use super::in_flight::InFlight;
 use super::log::{LogEvent, event};
+use super::memory::BytesAtTarget;
 use super::node::Node;
+use super::pass_through::{Buffered, Collected, buffer, pass_through};
 use super::pool::Connection;
 use super::quarantine::until_refused;
 use super::response_head::{
@@ -42,6 +45,8 @@
     pub(super) in_flight: InFlight<E>,
     framing: Framing,
     connection: Connection,
+    /// Counts what is buffered, if memory is limited.
+    caller: Option<Arc<CallerMemory>>,
 }
 
 /// Why an attempt failed that may have run.
@@ -110,6 +115,8 @@
     NotRun(NotRunReason),
     /// No connection could be opened, so nothing was sent.
     Unreachable,
+    /// Nothing was sent, since the target holds as many bytes of requests as it may.
+    Busy,
     /// The attempt failed and may have run.
     Failed(FailedRun),
 }
@@ -153,7 +160,11 @@
         return Attempt::Unreachable;
     };
     let sender = ResponseSender { target, born };
+    let Ok(bytes_at_target) = start_at_target(node, target, params) else {
+        return Attempt::Busy;
+    };
     let mut in_flight = InFlight::begin(node, target, (address, software), params);
+    in_flight.bytes_at_target = bytes_at_target.map(Box::new);
     let exchange = exchange(node, target, address, params, forward);
     let outcome = tokio::select! {
         outcome = tokio::time::timeout(params.max_wait, exchange) => match outcome {
@@ -198,6 +209,26 @@
     }
 }
 
+/// A target holds as many bytes of requests as it may.
+struct TargetBusy;
+
+/// Counts the bytes of a request at a target, if memory is limited.
+fn start_at_target<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    params: SendParams<'_>,
+) -> Result<Option<BytesAtTarget>, TargetBusy> {
+    let Some(memory) = &node.memory else {
+        return Ok(None);
+    };
+    let sharing = node.tables().peers.sharing_count(node.now());
+    let bytes = u64::try_from(params.body.len()).unwrap_or(u64::MAX);
+    match memory.start_at_target(target, bytes, sharing) {
+        Some(started) => Ok(Some(started)),
+        None => Err(TargetBusy),
+    }
+}
+
 /// Records the limit that a target reported in its response to a request that was sent at `sent`.
 fn record_limit<E: Edge>(node: &Node<E>, target: &TargetId, reported: ReportedLimit, sent: Time) {
     let now = node.now();
@@ -314,6 +345,7 @@
         body,
         in_flight,
         connection,
+        caller: params.head.extensions.get().cloned(),
     }))
 }
 
@@ -380,23 +412,34 @@
 
 impl<E: Edge> TargetResponse<E> {
     /// Reads the complete body, then returns the connection to the pool if it can be reused.
-    pub(super) async fn collect(
-        self,
-        timeout: Duration,
-    ) -> Result<(response::Parts, Bytes), FailedRun> {
+    /// If memory is limited and there is no room for it, it is passed through.
+    pub(super) async fn collect(self, timeout: Duration) -> Result<Collected, FailedRun> {
         let Self {
             parts,
             head,
-            body,
+            mut body,
             mut in_flight,
             framing,
             connection,
+            caller,
         } = self;
-        let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let reading = read(&mut body, caller.as_ref());
         let read = tokio::time::timeout(timeout, reading).await;
         let failure = match read {
-            Ok(Ok(_)) if !in_flight.confirms_end(framing).await => Failure::Broken,
-            Ok(Ok(body)) => {
+            Ok(Some(Buffered::Part(read))) => {
+                in_flight.node.metrics.memory.passed_through();
+                let source = TargetStream {
+                    head,
+                    body,
+                    in_flight,
+                    framing,
+                    connection,
+                };
+                let body = pass_through(read, source, timeout);
+                return Ok(Collected::PassedThrough(parts, body));
+            }
+            Ok(Some(_)) if !in_flight.confirms_end(framing).await => Failure::Broken,
+            Ok(Some(Buffered::Whole(body))) => {
                 let failed = parts.status.is_server_error();
                 in_flight.record_outcome(if failed {
                     TargetOutcome::Failure
@@ -405,11 +448,14 @@
                 });
                 in_flight.record_complete();
                 return_to_pool(&in_flight, &head, connection);
-                return Ok((parts, body.to_bytes()));
+                return Ok(Collected::Whole(parts, body));
             }
-            Ok(Err(_broken)) => Failure::Broken,
+            Ok(None) => Failure::Broken,
             Err(_elapsed) => Failure::Silent,
         };
+        if failure == Failure::Broken {
+            in_flight.record_broken();
+        }
         let outcome = in_flight.failure_outcome(failure);
         in_flight.record_outcome(outcome);
         let run_time = in_flight.run_time();
@@ -429,6 +475,15 @@
     }
 }
 
+/// Reads a body as far as there is room for it; returns `None` if it broke off.
+async fn read(body: &mut Incoming, caller: Option<&Arc<CallerMemory>>) -> Option<Buffered> {
+    if let Some(caller) = caller {
+        return buffer(body, caller).await.ok();
+    }
+    let read = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
+    Some(Buffered::Whole(read.ok()?.to_bytes()))
+}
+
 /// The body of a streamed response.
 #[derive(Debug)]
 pub(super) struct TargetStream<E: Edge> {
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -109,12 +109,16 @@
 ) -> Response<ResponseBody> {
     if req.uri().path() == METRICS_PATH {
         let connections = node.connections.load(Ordering::Relaxed);
+        if let Some(memory) = &node.memory {
+            node.metrics.memory.record(&memory.dump());
+        }
         let tables = node.tables();
         let text = node.metrics.text(&tables, connections, node.now());
         return Response::new(full_body(Bytes::from(text)));
     }
     if req.uri().path() == DUMP_PATH {
-        let dump = node.tables().dump(node.now());
+        let mut dump = node.tables().dump(node.now());
+        dump.memory = node.memory.as_ref().map(|memory| memory.dump());
         return match serde_json::to_vec(&dump) {
             Ok(body) => Response::new(full_body(Bytes::from(body))),
             Err(err) => failed(node, &err),
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -24,6 +24,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::origins::Continuation;
+use super::pass_through::Collected;
 use super::peer_forwarding::{ForwardedRequest, PeerResponse, PeerResult};
 use super::quarantine;
 use super::stream;
@@ -161,7 +162,10 @@
             }
             let target = response.in_flight.target.clone();
             match response.collect(self.time_left()).await {
-                Ok((parts, body)) => {
+                Ok(Collected::PassedThrough(parts, body)) => {
+                    return self.forward_response(&parts, body);
+                }
+                Ok(Collected::Whole(parts, body)) => {
                     self.record_served();
                     let should_retry = parts.status.is_server_error() && self.may_retry();
                     if !should_retry {
@@ -448,6 +452,13 @@
                 }
                 None
             }
+            Attempt::Busy => {
+                self.sends -= 1;
+                let fields = [("request", &*self.call.id), ("target", target.as_str())];
+                event(LogEvent::TargetBytesFull, &fields);
+                self.tried.push(target);
+                None
+            }
             Attempt::Unreachable => {
                 self.sends -= 1;
                 self.log_failed_attempt(&target, "no connection");
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -17,6 +17,7 @@
 use super::attempt::{Attempt, FailedRun, Failure, SendParams};
 use super::framing::Framing;
 use super::log::{LogEvent, event};
+use super::memory::BytesAtTarget;
 use super::node::Node;
 use super::target_connection::still_runs;
 
@@ -39,6 +40,8 @@
     /// When the target began to respond.
     responding_since: Option<Time>,
     is_outcome_recorded: bool,
+    /// The bytes of the request, if memory is limited.
+    pub(super) bytes_at_target: Option<Box<BytesAtTarget>>,
 }
 
 impl<E: Edge> InFlight<E> {
@@ -78,6 +81,7 @@
             suspect: params.suspect,
             responding_since: None,
             is_outcome_recorded: false,
+            bytes_at_target: None,
         };
         in_flight.notify_loader(AdapterRequestKind::Started);
         in_flight
@@ -121,7 +125,19 @@
         self.apply_outcome(outcome);
     }
 
+    /// Records that the target broke under the requests that it holds.
+    pub(super) fn record_broken(&self) {
+        if let Some(bytes) = &self.bytes_at_target {
+            bytes.record_broken();
+        }
+    }
+
     fn apply_outcome(&self, outcome: TargetOutcome) {
+        if let TargetOutcome::Answer(_) = outcome
+            && let Some(bytes) = &self.bytes_at_target
+        {
+            bytes.record_borne();
+        }
         let now = self.node.now();
         let mut tables = self.node.tables();
         if outcome == TargetOutcome::Unreachable {
@@ -151,10 +167,14 @@
     /// Records a failure, even if an outcome was recorded before.
     pub(super) fn record_failure(&mut self) {
         self.is_outcome_recorded = true;
+        self.record_broken();
         self.apply_outcome(TargetOutcome::Failure);
     }
 
     pub(super) fn failed_attempt(&self, failure: Failure) -> Attempt<E> {
+        if failure == Failure::Broken {
+            self.record_broken();
+        }
         let run_time = self.run_time();
         Attempt::Failed(FailedRun { failure, run_time })
     }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -114,6 +114,17 @@
     /// An engine did not accept an order or gave no report.
     OrderFailed = 3304, Info, "order not accepted by engine";
 
+    /// What is held for callers has reached a mark of the memory budget.
+    MemoryMarkReached = 3435, Warn, "memory held for callers reached a mark";
+    /// What is held for callers has fallen below a mark of the memory budget.
+    MemoryMarkLeft = 3436, Info, "memory held for callers fell below a mark";
+    /// A request was refused because memory is short.
+    MemoryRefused = 3437, Info, "request refused because memory is short";
+    /// A caller was ended because memory is short and it makes no progress.
+    CallerEnded = 3438, Warn, "caller ended: memory is short and it makes no progress";
+    /// A target gets no more requests for now because it has not answered those that it holds.
+    TargetBytesFull = 3439, Info, "target holds as many bytes of requests as it may";
+
     /// A request was rejected.
     RequestRefused = 3401, Info, "request refused";
     /// A target did not run a request; the request is sent elsewhere.
@@ -149,7 +160,7 @@
         self.code() >= FIRST_FREQUENT_CODE
     }
 
-    /// Whether one target can cause the event with each of its responses, so that it is logged once a second.
+    /// Whether one target, or a shortage, can cause the event with each request, so that it is logged once a second.
     #[must_use]
     pub const fn is_repeated(self) -> bool {
         matches!(
@@ -158,6 +169,8 @@
                 | Self::DepartureMalformed
                 | Self::RestMalformed
                 | Self::BrittlenessMalformed
+                | Self::MemoryRefused
+                | Self::TargetBytesFull
         )
     }
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -13,6 +13,7 @@
 use crate::decide::tables::Tables;
 
 use super::crash_metrics::CrashMetrics;
+use super::memory_metrics::MemoryMetrics;
 use super::stream_metrics::StreamMetrics;
 
 /// Bounds of the duration buckets in seconds: 1 ms to 15 s, the max wait of callers.
@@ -24,6 +25,7 @@
 pub(super) struct Metrics {
     instruments: Instruments,
     pub(super) crashes: CrashMetrics,
+    pub(super) memory: MemoryMetrics,
     pub(super) streams: StreamMetrics,
     requests: Counter<u64>,
     refusals: Counter<u64>,
@@ -168,6 +170,7 @@
                 "Instances that this one relays news to",
             ),
             crashes: CrashMetrics::new(&instruments),
+            memory: MemoryMetrics::new(&instruments),
             streams: StreamMetrics::new(&instruments),
             instruments,
         }
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bluebellstage_core::{InstanceId, TargetId, Time};
@@ -19,6 +19,7 @@
 use super::crash_check::CrashChecks;
 use super::leases::Leases;
 use super::loaders::Loaders;
+use super::memory::Memory;
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::residency_updates::ResidencyQueue;
@@ -58,6 +59,8 @@
     pub(super) loaders: Loaders,
     pub(super) residency_updates: ResidencyQueue,
     pub(super) metrics: Metrics,
+    /// What is held for callers, if memory is limited.
+    pub(super) memory: Option<Arc<Memory>>,
     pub(super) unknown_headers: UnknownHeaders,
     pub(super) leases: Leases,
     /// Checks of targets on which runs were interrupted.
@@ -108,6 +111,7 @@
         tables.rests.set_max_rest(settings.max_rest);
         let (outgoing, packets) = mpsc::channel(OUTGOING_QUEUE);
         let leases = Leases::new(&settings.member.name, settings.handover);
+        let memory = settings.memory_limit.map(Memory::new).map(Arc::new);
         let node = Self {
             reloadable_settings: Mutex::new(settings.reloadable.clone()),
             settings,
@@ -119,6 +123,7 @@
             loaders: Loaders::default(),
             residency_updates: ResidencyQueue::default(),
             metrics: Metrics::new(Instruments::new()),
+            memory,
             unknown_headers: UnknownHeaders::default(),
             leases,
             crash_checks: CrashChecks::default(),
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -21,6 +21,7 @@
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::MAX_BUFFERED_BYTES;
+use super::caller_memory::CallerMemory;
 use super::front::{Job, MIN_ATTEMPT_TIME, NO_RETRY_BUDGET, SearchOutcome};
 use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
@@ -281,7 +282,11 @@
             let broken = SearchOutcome::MayHaveRun("the peer's answer broke off");
             return PeerResult::Response(self.local_response(&broken));
         };
-        let body = full_body(body.to_bytes());
+        let mut body = body.to_bytes();
+        if let Some(caller) = self.head.extensions.get::<Arc<CallerMemory>>() {
+            body = caller.buffered(body);
+        }
+        let body = full_body(body);
         let peer = stream.peer().clone();
         stream.finish();
         PeerResult::Response(if is_answered {
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -14,10 +14,10 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::signals::Signals;
-use super::sockets::listen;
+use super::sockets::{limit_buffers, listen};
 use super::{
-    follow, gossip, leases, loaders, origins, paths, peer_copy, quarantine, reload, restorations,
-    stop, sync,
+    follow, gossip, leases, loaders, memory, origins, paths, peer_copy, quarantine, reload,
+    restorations, stop, sync,
 };
 
 /// Interval between two removals of expired state.
@@ -47,6 +47,9 @@
     for (address, listener_kind) in listeners {
         let Some(address) = address else { continue };
         let listener = listen(address).map_err(|cause| GatewayError::Listen { address, cause })?;
+        if node.memory.is_some() && listener_kind == ListenerKind::Front {
+            limit_buffers(&listener);
+        }
         tokio::spawn(serve(Arc::clone(&node), listener, listener_kind));
     }
     if let Some(address) = settings.metrics {
@@ -85,6 +88,7 @@
     tokio::spawn(leases::run(Arc::clone(&node)));
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(paths::run(Arc::clone(&node)));
+    tokio::spawn(memory::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
     reload::run(Arc::clone(&node), source, signals.hangup);
     let [name, front] = [
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::Time;
-use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::Rng;
 
@@ -15,13 +13,15 @@
 use crate::decide::tables::{Refusal, Ticket};
 use crate::edge::{Edge, Protocol};
 
+use super::caller_memory::CallerMemory;
 use super::front::Job;
-use super::local_response::{ResponseBody, error_response, refusal_response};
+use super::local_response::{ResponseBody, error_response, refusal_response, spread_retry_after};
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::peer_forwarding::{
     ForwardOutcome, ForwardReport, ForwardedRequest, REPORT_HEADER, REQUEST_HEADER,
 };
+use super::request_body::{BodyFailure, read_body};
 
 /// Serves one request of a caller.
 pub(super) async fn serve<E: Edge>(
@@ -81,11 +81,16 @@
             return refusal_response(&node.protocol, &refusal, call.timeout);
         }
     };
-    let body = match read_body(&node, body).await {
+    let caller = head.extensions.get::<Arc<CallerMemory>>();
+    if let Some(caller) = caller {
+        caller.start_request(ticket.workspace.as_ref());
+    }
+    let limit = node.tables().routes.config().limits.body_bytes;
+    let body = match read_body(body, caller, limit).await {
         Ok(body) => body,
-        Err(status) => {
+        Err(failure) => {
             node.tables().refund(&ticket);
-            return error_response(&node.protocol, status, "the body is too long or cut", None);
+            return unread_response(&node, &call, &ticket, failure);
         }
     };
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -136,11 +141,40 @@
     }
 }
 
-async fn read_body<E: Edge>(node: &Node<E>, body: Incoming) -> Result<Bytes, StatusCode> {
-    let limit = node.tables().routes.config().limits.body_bytes;
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_cut) => Err(StatusCode::BAD_REQUEST),
+/// Returns the response to a request whose body was not read.
+fn unread_response<E: Edge>(
+    node: &Node<E>,
+    call: &Call,
+    ticket: &Ticket,
+    failure: BodyFailure,
+) -> Response<ResponseBody> {
+    let (message, after) = match failure {
+        BodyFailure::TooLong | BodyFailure::Cut => ("the body is too long or cut", None),
+        BodyFailure::OutOfMemory => {
+            record_out_of_memory(node, call, ticket);
+            let message = "this instance is short of memory: try again, or use another one";
+            (message, Some(spread_retry_after()))
+        }
+    };
+    error_response(&node.protocol, failure.status(), message, after)
+}
+
+fn record_out_of_memory<E: Edge>(node: &Node<E>, call: &Call, ticket: &Ticket) {
+    node.metrics.request_refused("memory_short");
+    node.metrics.memory.request_refused();
+    let workspace = ticket.workspace.as_ref().map(ToString::to_string);
+    let fields = [
+        ("request", &*call.id),
+        ("route", &*ticket.route().name),
+        ("workspace", &*workspace.unwrap_or_default()),
+        ("status", "503"),
+        ("reason", "memory_short"),
+    ];
+    event(LogEvent::RequestRefused, &fields);
+    if let Some(memory) = &node.memory {
+        let dump = memory.dump();
+        let [held, budget] = [dump.held(), dump.budget].map(|bytes| bytes.to_string());
+        let fields = [("request", &*call.id), ("held", &held), ("budget", &budget)];
+        event(LogEvent::MemoryRefused, &fields);
     }
 }
--- a/crates/gateway/src/net/sockets.rs
+++ b/crates/gateway/src/net/sockets.rs
@@ -10,6 +10,8 @@
 
 /// Length of the accept queue. A full queue costs the caller a second.
 const BACKLOG: i32 = 1_024;
+/// Bytes that the kernel buffers of what a caller sends or does not take, if memory is limited.
+const CALLER_BUFFER: usize = 64 * 1_024;
 
 /// Sets the options of a connection. A failure is only logged: it costs speed or makes a timeout later.
 pub(super) fn set_options(stream: &TcpStream) {
@@ -30,6 +32,21 @@
     }
 }
 
+/// Bounds what the kernel buffers in each direction of a listener's connections, which the memory budget doesn't see.
+/// A failure is only logged.
+pub(super) fn limit_buffers(listener: &TcpListener) {
+    let sock = SockRef::from(listener);
+    let set = sock
+        .set_send_buffer_size(CALLER_BUFFER)
+        .and_then(|()| sock.set_recv_buffer_size(CALLER_BUFFER));
+    if let Err(err) = set {
+        super::log::event(
+            super::log::LogEvent::SocketOption,
+            &[("cause", &err.to_string())],
+        );
+    }
+}
+
 /// Opens a listener on an address.
 pub(super) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let sock = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::decide::memory_budget::MemoryLimit;
 use crate::decide::peers::Member;
 use crate::decide::retry_budget::RetryBudget;
 
@@ -21,6 +22,8 @@
     pub handover: Duration,
     /// Longest rest that a target gets when it asks for one.
     pub max_rest: Duration,
+    /// Memory at which the process is killed; `None` if what is held for callers is not bounded.
+    pub memory_limit: Option<MemoryLimit>,
     /// Settings that may change while the process runs.
     pub reloadable: ReloadableSettings,
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -241,6 +241,7 @@
         metrics: None,
         handover: Duration::from_secs(3),
         max_rest: DEFAULT_MAX_REST,
+        memory_limit: None,
         reloadable: ReloadableSettings {
             seeds: Vec::new(),
             retry_budget: retry_budget(),
