Count what connections buffer while they receive, and keep their buffers small

Cause: a process with a limit of 48 MB reached 53 MB under slow readers, claimed lengths and refused bodies. What connections buffer of bodies was not counted, and each could buffer 64 KB in each direction.

Change: where memory is limited, a body that is received, or refused and still on its connection, counts with its connection's buffer, and buffers are half as large. The least limit is 64 MB.

--- a/crates/gateway/src/decide/memory_budget/memory_limit.rs
+++ b/crates/gateway/src/decide/memory_budget/memory_limit.rs
@@ -1,7 +1,7 @@
 //! The memory limit of a process.
 
 /// Least limit: the process by itself needs a part of it.
-const MIN_BYTES: u64 = 48 * 1_000_000;
+const MIN_BYTES: u64 = 64 * 1_000_000;
 
 /// Bytes of memory at which the process is killed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -32,6 +32,13 @@
 /// request may be in transit and gets a response that says it was not run.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 
+/// Least request head that fits a connection's buffer, in bytes.
+const MIN_HEADER_BYTES: usize = 8 * 1_024;
+/// Size of a connection's buffers, as a multiple of the longest request head.
+const HEADS_IN_BUFFER: usize = 4;
+/// The same if memory is limited.
+const HEADS_IN_SMALL_BUFFER: usize = 2;
+
 /// Which requests a listener serves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ListenerKind {
@@ -140,8 +147,13 @@
         let activity = Arc::clone(&activity);
         async move { Ok::<_, Infallible>(respond(node, activity, req, listener_kind).await) }
     });
+    let heads = match caller {
+        Some(_) => HEADS_IN_SMALL_BUFFER,
+        None => HEADS_IN_BUFFER,
+    };
+    let buf_size = limits.header_bytes.max(MIN_HEADER_BYTES) * heads;
     let serving = http1::Builder::new()
-        .max_buf_size(limits.header_bytes.max(8 * 1_024) * 4)
+        .max_buf_size(buf_size)
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
     let mut is_shutting_down = false;
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -13,7 +13,7 @@
 use crate::error::GatewayError;
 
 use super::node::Node;
-use super::pool::Connection;
+use super::pool::{BUF_SIZE, Connection};
 use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
 use super::target_connection;
@@ -33,7 +33,7 @@
 async fn open(address: SocketAddr) -> Result<Connection, GatewayError> {
     let stream = connect(address, CONNECT_TIMEOUT).await;
     let stream = stream.map_err(|err| failed(address, &err))?;
-    let connection = Connection::handshake(stream).await;
+    let connection = Connection::handshake(stream, BUF_SIZE).await;
     connection.map_err(|err| failed(address, &err))
 }
 
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -26,7 +26,7 @@
 use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::pool::Connection;
+use super::pool::{BUF_SIZE, Connection};
 use super::sockets::connect;
 
 /// Header of a request that an instance forwards to a peer; contains a [`ForwardedRequest`].
@@ -386,7 +386,7 @@
 
 async fn open(peer: &Member) -> Option<Connection> {
     let stream = connect(peer.control, CONNECT_TIMEOUT).await.ok()?;
-    Connection::handshake(stream).await.ok()
+    Connection::handshake(stream, BUF_SIZE).await.ok()
 }
 
 /// Returns when a peer is down: it was killed, or is suspended or partitioned from this instance.
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -22,6 +22,11 @@
 /// Max number of idle connections to a target or peer.
 const MAX_IDLE_PER_ID: usize = 16;
 
+/// Largest buffer of a connection, in bytes.
+pub(super) const BUF_SIZE: usize = 64 * 1_024;
+/// The same if memory is limited. It is read ahead of the caller, and not counted.
+pub(super) const SMALL_BUF_SIZE: usize = 32 * 1_024;
+
 /// A connection to a target. It is closed when dropped, so that the work for a caller that disconnected is
 /// cancelled.
 #[derive(Debug)]
@@ -33,9 +38,9 @@
 }
 
 impl Connection {
-    pub(super) async fn handshake(stream: TcpStream) -> hyper::Result<Self> {
+    pub(super) async fn handshake(stream: TcpStream, buf_size: usize) -> hyper::Result<Self> {
         let (tx, driver) = Builder::new()
-            .max_buf_size(64 * 1_024)
+            .max_buf_size(buf_size)
             .handshake(TokioIo::new(stream))
             .await?;
         let drive = async move {
--- a/crates/gateway/src/net/request_body.rs
+++ b/crates/gateway/src/net/request_body.rs
@@ -20,7 +20,9 @@
 /// caller may not get the refusal.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// How much of a refused body is received and dropped meanwhile. What is longer is left with its sender.
-const MAX_DISCARDED: usize = 64 * 1_024;
+const MAX_DISCARDED: usize = 16 * 1_024;
+/// What a connection buffers of a body while it is received.
+const RECEIVE_BUFFER: usize = 32 * 1_024;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -66,7 +68,7 @@
     let mut body = body;
     let read = read_counted(&mut body, caller, limit).await;
     if read == Err(BodyFailure::OutOfMemory) {
-        tokio::spawn(linger(body));
+        tokio::spawn(linger(body, Arc::clone(caller)));
     }
     read
 }
@@ -94,6 +96,8 @@
         }
         buf.reserve_exact(len, MAX_ROOM_WAIT).await?;
     }
+    let mut receiving = Arc::clone(caller).hold(HeldKind::RequestBody);
+    receiving.add(RECEIVE_BUFFER);
     let turn = caller.start_turn();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_cut| BodyFailure::Cut)?.into_data() else {
@@ -109,7 +113,9 @@
 }
 
 /// Keeps the connection of a refused body while its caller gets the response.
-async fn linger(mut body: Incoming) {
+async fn linger(mut body: Incoming, caller: Arc<CallerMemory>) {
+    let mut receiving = caller.hold(HeldKind::RequestBody);
+    receiving.add(RECEIVE_BUFFER);
     let _received_or_late = tokio::time::timeout(LINGER_TIME, discard(&mut body)).await;
 }
 
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -12,7 +12,7 @@
 
 use super::node::Node;
 use super::paths;
-use super::pool::Connection;
+use super::pool::{BUF_SIZE, Connection, SMALL_BUF_SIZE};
 use super::sockets::connect;
 
 /// Longest time beyond its timeout that a failed connection took and still says something of the path: one
@@ -64,7 +64,11 @@
     timeout: Duration,
 ) -> std::io::Result<Connection> {
     let stream = connect_to_target(node, target, address, timeout).await?;
-    let connection = Connection::handshake(stream).await;
+    let buf_size = match node.memory {
+        Some(_) => SMALL_BUF_SIZE,
+        None => BUF_SIZE,
+    };
+    let connection = Connection::handshake(stream, buf_size).await;
     connection.map_err(std::io::Error::other)
 }
 
