--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -23,6 +23,7 @@
 pub mod limits;
 pub mod load_wait;
 pub mod loader;
+pub mod memory_budget;
 pub mod pace;
 pub mod partition;
 mod path_checks;
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -14,6 +14,7 @@
 use super::attempt::{Attempt, FailedRun, Failure, NotRunReason, SendParams, send};
 use super::crash_check::record_interruption;
 use super::front::{Job, NO_RETRY_BUDGET, SearchOutcome};
+use super::log::{LogEvent, event};
 use super::quarantine;
 
 /// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
@@ -106,6 +107,13 @@
                 }
                 None
             }
+            Attempt::Busy => {
+                self.sends -= 1;
+                let fields = [("request", &*self.call.id), ("target", target.as_str())];
+                event(LogEvent::TargetBytesFull, &fields);
+                self.tried.push(target);
+                None
+            }
             Attempt::Unreachable => {
                 self.sends -= 1;
                 self.log_failed_attempt(&target, "no connection");
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -16,6 +16,7 @@
 use super::local_response::{ResponseBody, full_body};
 use super::node::Node;
 use super::origins::Continuation;
+use super::pass_through::Collected;
 use super::peer_forwarding::{ForwardedRequest, PeerResponse, PeerResult};
 use super::stream;
 
@@ -151,7 +152,10 @@
             }
             let target = response.in_flight.target.clone();
             match response.collect(self.time_left()).await {
-                Ok((parts, body)) => {
+                Ok(Collected::PassedThrough(parts, body)) => {
+                    return self.forward_response(&parts, body);
+                }
+                Ok(Collected::Whole(parts, body)) => {
                     self.record_served();
                     let should_retry = parts.status.is_server_error() && self.may_retry();
                     if !should_retry {
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -13,6 +13,7 @@
 use crate::decide::tables::Tables;
 
 use super::crash_metrics::CrashMetrics;
+use super::memory_metrics::MemoryMetrics;
 use super::stream_metrics::StreamMetrics;
 use super::wait_metrics::WaitMetrics;
 
@@ -25,6 +26,7 @@
 pub(super) struct Metrics {
     instruments: Instruments,
     pub(super) crashes: CrashMetrics,
+    pub(super) memory: MemoryMetrics,
     pub(super) streams: StreamMetrics,
     pub(super) waits: WaitMetrics,
     requests: Counter<u64>,
@@ -175,6 +177,7 @@
                 "Instances that this one relays news to",
             ),
             crashes: CrashMetrics::new(&instruments),
+            memory: MemoryMetrics::new(&instruments),
             streams: StreamMetrics::new(&instruments),
             waits: WaitMetrics::new(&instruments),
             instruments,
