--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -35,7 +35,7 @@
 /// Where the events of a stream come from.
 #[derive(Debug)]
 enum Source<E: Edge> {
-    Target(TargetStream<E>),
+    Target(Box<TargetStream<E>>),
     /// A peer to which the request was forwarded.
     Peer(PeerStream<E>),
 }
@@ -158,7 +158,7 @@
 /// Returns the response to the caller; its body forwards the events as the target sends them.
 pub(super) fn forward<E: Edge>(job: Job<E>, response: TargetResponse<E>) -> Response<ResponseBody> {
     let (parts, source) = response.into_stream();
-    forward_source(job, &parts, Source::Target(source))
+    forward_source(job, &parts, Source::Target(Box::new(source)))
 }
 
 /// Returns the response to the caller; its body forwards the events as a peer sends them.
@@ -346,7 +346,7 @@
         let reason = failure.reason();
         let [target, software] = self.source.as_ref().map(Source::names).unwrap_or_default();
         if let Some(Source::Target(source)) = self.source.take() {
-            self.end_target(source, failure).await;
+            self.end_target(*source, failure).await;
         }
         self.splitter.drop_partial();
         let last = self
@@ -373,7 +373,7 @@
         }
         let next = match self.job.find_response().await {
             SearchOutcome::Response(response) if response.parts.status.is_success() => {
-                Source::Target(response.into_stream().1)
+                Source::Target(Box::new(response.into_stream().1))
             }
             SearchOutcome::PeerResponse(response) if response.is_successful() => {
                 Source::Peer(response.stream)
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -324,7 +324,7 @@
             tables
                 .queues
                 .record_sent(&id(engine), prompt(0), RankedTokens::default(), at(0));
-        tables.queues.record_started(known, at(100));
+        tables.record_started(known, at(100));
         let load = Load {
             requests: 1,
             prompts: RankedTokens::of(RankClass::after(1), 18_000),
--- a/crates/gateway/tests/wait_queue.rs
+++ b/crates/gateway/tests/wait_queue.rs
@@ -189,10 +189,10 @@
 /// Sends an urgent prompt that starts at a time, or waits at the engine.
 fn send(tables: &mut Tables, engine: &str, tokens: u64, now: Time, starts: Option<Time>) {
     let prompt = (RankClass::default(), tokens);
-    let queues = &mut tables.queues;
-    let key = queues.record_sent(&id(engine), prompt, RankedTokens::default(), now);
+    let none = RankedTokens::default();
+    let key = tables.queues.record_sent(&id(engine), prompt, none, now);
     if let Some(starts) = starts {
-        queues.record_started(key, starts);
+        tables.record_started(key, starts);
     }
 }
 
