Heed the gaps of streams only where engines are uneven

Change: gaps count in the choice only if the time for an event at slow engines is 1.75 times that at fast ones, a sixth at each end left out.

--- a/crates/gateway/src/decide/pace/mod.rs
+++ b/crates/gateway/src/decide/pace/mod.rs
@@ -9,7 +9,7 @@
 mod turns;
 
 pub use self::report::{PaceReport, PaceReports, Work};
-pub use self::speed::Speed;
+pub use self::speed::{Speed, are_uneven};
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/gateway/src/decide/pace/speed.rs
+++ b/crates/gateway/src/decide/pace/speed.rs
@@ -27,6 +27,25 @@
     }
 }
 
+/// Ratio of the times for an event at slow and at fast targets from which their speeds count as uneven.
+const MIN_UNEVEN_RATIO: f64 = 1.75;
+/// Fraction of the targets, at each end, that are left out of this comparison.
+const OUTLIERS_DIVISOR: usize = 6;
+
+/// Returns whether the speeds of targets differ so much that the choice among them has to heed it.
+#[must_use]
+pub fn are_uneven(speeds: impl Iterator<Item = Speed>) -> bool {
+    let mut times = speeds.map(|speed| speed.event_time()).collect::<Vec<_>>();
+    times.sort_unstable();
+    let outliers = times.len() / OUTLIERS_DIVISOR;
+    let [Some(fast), Some(slow)] =
+        [outliers, times.len().saturating_sub(outliers + 1)].map(|idx| times.get(idx).copied())
+    else {
+        return false;
+    };
+    !fast.is_zero() && slow >= fast.mul_f64(MIN_UNEVEN_RATIO)
+}
+
 fn duration(amount: f64, per_second: Option<f64>) -> Duration {
     per_second.map_or(Duration::ZERO, |rate| {
         Duration::try_from_secs_f64(amount / rate).unwrap_or(Duration::MAX)
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -8,7 +8,7 @@
 use super::call::Call;
 use super::config::Config;
 use super::loader::AdapterSlots;
-use super::pace::PaceTarget;
+use super::pace::{PaceTarget, are_uneven};
 use super::placement::{Candidate, Pick, PickContext, pick_engine, pick_plain};
 use super::quarantine::Fingerprint;
 use super::rendezvous::ShortHash;
@@ -272,7 +272,7 @@
             failure_domain: &self.local.failure_domain,
             target_latency: ticket.route().target_latency,
             terms,
-            target_gap: self.routes.target_gap(&ticket.service),
+            target_gap: self.target_gap(ticket, &candidates),
             load_requested_at: self.load_requested_target(call, now),
             sample,
             now,
@@ -285,6 +285,14 @@
         }
     }
 
+    /// Returns the target gap that the choice of an engine heeds: none where all engines are about equally fast, as
+    /// all streams have the same gaps there wherever they run.
+    fn target_gap(&self, ticket: &Ticket, candidates: &[Candidate<'_>]) -> Option<Duration> {
+        let target_gap = self.routes.target_gap(&ticket.service)?;
+        let speeds = candidates.iter().map(|candidate| candidate.speed);
+        are_uneven(speeds).then_some(target_gap)
+    }
+
     /// Picks like [`Tables::pick`], but keeps a suspect request apart from the others if possible.
     #[must_use]
     pub fn pick_apart(
