Mend what a reader of the whole change stumbled on

Cause: a reader who had not seen the parts read the diff. Reports on pace were added up unaged by relays, so that a dead instance's last one counted as fresh for 30 s; a request that engines would begin too late counted as refused before it was; a request that left the queue for another reason than room counted as placed; callers that had been ended for memory counted toward the next ones' end.

Change: these, and the wording of comments that no longer matched the merged code.

--- a/crates/gateway/src/decide/fair_share/giving_way.rs
+++ b/crates/gateway/src/decide/fair_share/giving_way.rs
@@ -23,7 +23,7 @@
 const MIN_SHARING_WORKSPACES: usize = 2;
 
 impl Tables {
-    /// Divides what the workspaces spend anew. Called in each round of gossip. Returns what changed.
+    /// Computes the shares of all workspaces again from their recent spending. Called in each round of gossip. Returns what changed.
     pub fn review_shares(&mut self, now: Time) -> Vec<ShareChange> {
         let spending = self.workspace_spending();
         if spending.len() < MIN_SHARING_WORKSPACES {
@@ -79,11 +79,11 @@
         pick: &Pick,
         now: Time,
     ) -> Option<Duration> {
-        let room = self.room_for(ticket, call, pick, now);
         if call.resume_after.is_some() || ticket.software.is_some() {
             return None;
         }
         let workspace = ticket.workspace.as_ref()?;
+        let room = self.room_for(ticket, call, pick, now);
         self.fair_shares
             .gives_way(workspace, &ticket.service, room, now)
     }
--- a/crates/gateway/src/decide/fair_share/mod.rs
+++ b/crates/gateway/src/decide/fair_share/mod.rs
@@ -58,6 +58,11 @@
         shortage.record_refusal(now);
     }
 
+    fn record_late(&mut self, service: &ServiceId, now: Time) {
+        let shortage = self.shortages.entry(service.clone()).or_default();
+        shortage.record_late(now);
+    }
+
     fn record_scarce(&mut self, service: &ServiceId, now: Time) {
         if let Some(shortage) = self.shortages.get_mut(service) {
             shortage.record_scarce(now);
@@ -75,7 +80,7 @@
         }
     }
 
-    /// Divides what was spent lately anew. Called in each round of gossip with the spending of all workspaces that
+    /// Computes the shares of all workspaces again from their recent spending. Called in each round of gossip with the spending of all workspaces that
     /// have a quota; others are forgotten. Returns what changed under a shortage since the last review.
     pub fn review(&mut self, spending: &[WorkspaceSpending], now: Time) -> Vec<ShareChange> {
         let known = spending.iter().map(|spent| &spent.workspace);
@@ -147,7 +152,7 @@
         match room {
             Room::Free => return None,
             Room::Scarce => self.record_scarce(service, now),
-            Room::Late => self.record_refusal(service, now),
+            Room::Late => self.record_late(service, now),
             Room::NoSlot => {}
         }
         match self.use_of(workspace, service, now) {
--- a/crates/gateway/src/decide/fair_share/share.rs
+++ b/crates/gateway/src/decide/fair_share/share.rs
@@ -9,7 +9,7 @@
 const BEYOND_FACTOR: f64 = 1.1;
 /// Least excess, as a fraction of the share, from which requests give way: what a workspace spends varies by chance.
 const MIN_FAR_EXCESS: f64 = 0.25;
-/// Largest multiple of a share that is told apart.
+/// Largest ratio of spending to share; higher ones are treated as this one.
 const MAX_RATIO: f64 = 1_000.0;
 
 /// How a workspace uses its share while there is a shortage.
--- a/crates/gateway/src/decide/fair_share/shortage.rs
+++ b/crates/gateway/src/decide/fair_share/shortage.rs
@@ -25,6 +25,11 @@
         self.refused = self.refused.saturating_add(1);
     }
 
+    /// Records that engines would begin a request too late.
+    pub fn record_late(&mut self, now: Time) {
+        self.record(now);
+    }
+
     /// Records how many requests wait for a place.
     pub fn record_waiting(&mut self, waiting: u32, now: Time) {
         if waiting > 0 {
--- a/crates/gateway/src/decide/memory_budget/mod.rs
+++ b/crates/gateway/src/decide/memory_budget/mod.rs
@@ -41,8 +41,8 @@
 /// Time without progress after which a caller is ended while memory is short. A target ends a response that is not read
 /// for some seconds as well.
 pub const STALL_TIME: Duration = Duration::from_secs(5);
-/// Divisor of the rest up to the last mark that one reservation may take beyond the first mark, so that large ones leave
-/// room for small ones.
+/// Beyond the first mark, one reservation may take at most one in this number of the bytes that are left below the last
+/// mark, so that large ones leave room for small ones.
 const REST_DIVISOR: u64 = 4;
 /// How long the fair levels are used before they are computed again.
 const LEVELS_TTL: Duration = Duration::from_millis(50);
@@ -79,7 +79,7 @@
 pub struct BudgetCheck {
     /// Callers whose connections must be closed.
     pub ended: Vec<EndedCaller>,
-    /// The former mark, if another one was reached.
+    /// The mark before this check, if it has changed.
     pub left: Option<Mark>,
 }
 
@@ -306,8 +306,9 @@
 
     /// Ends callers that hold most for longest, until what is held and waited for fits below the first mark.
     fn end_stalled(&mut self) -> Vec<EndedCaller> {
-        let demands = self.connections.values().map(Connection::demand);
-        let demand = demands.sum::<u64>();
+        let running = self.connections.values();
+        let running = running.filter(|connection| !connection.is_ended);
+        let demand = running.map(Connection::demand).sum::<u64>();
         let mut excess = demand.saturating_sub(self.parts.first_mark);
         if excess == 0 {
             return Vec::new();
--- a/crates/gateway/src/decide/memory_budget/target_bytes.rs
+++ b/crates/gateway/src/decide/memory_budget/target_bytes.rs
@@ -1,4 +1,4 @@
-//! Bytes of requests at targets, which have limits of their own that nobody states.
+//! Bytes of requests at targets. Targets have memory limits of their own, which are not known here.
 
 use std::collections::HashMap;
 
--- a/crates/gateway/src/decide/pace/mod.rs
+++ b/crates/gateway/src/decide/pace/mod.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Reports that were not believed.
+/// Numbers of reports that were dropped.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct DroppedReports {
     /// Reports on targets that are not registered here.
@@ -62,6 +62,13 @@
     at: Time,
 }
 
+impl Received {
+    /// Returns what the report still shows.
+    fn aged_report(&self, now: Time) -> PaceReport {
+        Evidence::of(&self.report, now.since(self.at), now).report()
+    }
+}
+
 type Reports = BTreeMap<ShortHash, Received>;
 
 /// Speed of targets, from this instance's outcomes and the reports of others.
@@ -150,7 +157,7 @@
     /// Records the reports in a peer's status.
     pub fn record_peer(&mut self, peer: ShortHash, reports: &PaceReports, now: Time) {
         for (target, report) in reports {
-            if self.is_believed(*target, report.is_plausible_of_one()) {
+            if self.accept(*target, report.is_plausible_of_one()) {
                 let of_peer = self.peers.entry(peer).or_default();
                 of_peer.insert(
                     *target,
@@ -173,7 +180,7 @@
         let sums = self.round.1.iter().map(|(target, sum)| {
             let mut sum = *sum;
             if let Some(own) = own.and_then(|own| own.get(target)) {
-                sum.subtract(&own.report);
+                sum.subtract(&own.aged_report(now));
             }
             (*target, sum)
         });
@@ -190,7 +197,7 @@
                 .peers
                 .values()
                 .filter_map(|reports| reports.get(&target));
-            reported.for_each(|received| sum.add(&received.report));
+            reported.for_each(|received| sum.add(&received.aged_report(now)));
             (target, sum)
         });
         sums.collect()
@@ -200,7 +207,7 @@
     pub fn record_sums(&mut self, sums: &PaceReports, now: Time) {
         self.sums_at = Some(now);
         for (target, sum) in sums {
-            if self.is_believed(*target, sum.is_plausible()) {
+            if self.accept(*target, sum.is_plausible()) {
                 self.sums.insert(
                     *target,
                     Received {
@@ -212,8 +219,9 @@
         }
     }
 
-    /// Counts a report that is dropped. Nothing is counted before the targets are known.
-    fn is_believed(&mut self, target: ShortHash, is_plausible: bool) -> bool {
+    /// Whether a report is used; counts it as dropped if not. Reports on unknown targets are not counted while no
+    /// target is registered.
+    fn accept(&mut self, target: ShortHash, is_plausible: bool) -> bool {
         if !is_plausible {
             self.dropped.implausible += 1;
             return false;
--- a/crates/gateway/src/decide/pace/speed.rs
+++ b/crates/gateway/src/decide/pace/speed.rs
@@ -29,7 +29,7 @@
 
 /// Ratio of the times for an event at slow and at fast targets from which their speeds count as uneven.
 const MIN_UNEVEN_RATIO: f64 = 1.75;
-/// Fraction of the targets, at each end, that are left out of this comparison.
+/// One in this number of targets is left out of the comparison at each end.
 const OUTLIERS_DIVISOR: usize = 6;
 
 /// Returns whether the speeds of targets differ so much that the choice among them has to heed it.
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -89,7 +89,8 @@
     pub target_latency: Duration,
     /// How late, and at which load, the request may begin.
     pub terms: StartTerms,
-    /// Strictest target gap between events on the routes of the service; `None` if they have none.
+    /// Strictest target gap between events on the routes of the service; `None` if they have none, or if all engines
+    /// are about equally fast.
     pub target_gap: Option<Duration>,
     /// Engine on which the adapter was recently requested.
     pub load_requested_at: Option<&'a TargetId>,
@@ -159,8 +160,8 @@
         load.max(self.relative_gap(cx))
     }
 
-    /// Returns the predicted time to a request's first event in steps of [`PREDICTION_STEP`]; zero where no route has
-    /// a target gap.
+    /// Returns the predicted time to a request's first event in steps of [`PREDICTION_STEP`]; zero if
+    /// [`PickContext::target_gap`] is `None`.
     pub(super) fn predicted_steps(&self, cx: &PickContext<'_>) -> u128 {
         if cx.target_gap.is_none() {
             return 0;
@@ -179,7 +180,8 @@
         gap.as_secs_f64() / target_gap.as_secs_f64().max(MIN_LATENCY_SECONDS)
     }
 
-    /// Returns the same, but counts only the prompts that come before the request.
+    /// Returns the load of the engine like [`Self::congestion`], but counts only the prompts that come before the
+    /// request, and no gaps.
     pub(super) fn congestion_ahead(&self, cx: &PickContext<'_>) -> f64 {
         let wait_ratio = relative(self.queue_wait, cx) / MAX_AFFINITY_WAIT_FRACTION;
         (self.utilization() / MAX_AFFINITY_UTILIZATION).max(wait_ratio)
--- a/crates/gateway/src/decide/wait_queue/standing.rs
+++ b/crates/gateway/src/decide/wait_queue/standing.rs
@@ -3,9 +3,9 @@
 /// Whether a waiting request's workspace is within its fair share of the service.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Standing {
-    /// It is, or nothing is scarce.
+    /// It is, or the service is not short of room.
     #[default]
     Within,
-    /// It has spent more.
+    /// It has spent more than its share.
     Beyond,
 }
--- a/crates/gateway/src/decide/wait_queue/waiter.rs
+++ b/crates/gateway/src/decide/wait_queue/waiter.rs
@@ -12,7 +12,7 @@
     Target(ShortHash),
     /// Any target of the service.
     Service,
-    /// What is left of the targets after some were tried; others don't need just that.
+    /// Any target of the service that the request has not tried yet. It holds back no other request.
     Remainder,
 }
 
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -17,11 +17,9 @@
 use super::log::{LogEvent, event};
 use super::quarantine;
 
-/// Max wait for the response head of a plain target, as a multiple of the route's target latency, before a
-/// repeatable request is retried at another target.
-const PLAIN_WAIT_FACTOR: u32 = 3;
-/// The same factor for the response head of a stream.
-const STREAM_WAIT_FACTOR: u32 = 3;
+/// Max wait for the response head, as a multiple of the route's target latency, before a repeatable request is retried
+/// at another target.
+const RESPONSE_WAIT_FACTOR: u32 = 3;
 /// Minimum of the wait for a plain target. It is shorter than a sound target may be silent: a read is repeated
 /// within the retry budget rather than answered late.
 const MIN_RESPONSE_WAIT: Duration = Duration::from_millis(250);
@@ -33,17 +31,14 @@
         if !route.kind.repeatable() || self.runs + 1 >= route.max_attempts {
             return time_left;
         }
-        let times = if route.kind.streams() {
-            STREAM_WAIT_FACTOR
-        } else {
-            PLAIN_WAIT_FACTOR
-        };
         let min_wait = if route.kind.streams() {
             MAX_SILENCE
         } else {
             MIN_RESPONSE_WAIT
         };
-        (route.target_latency * times).max(min_wait).min(time_left)
+        (route.target_latency * RESPONSE_WAIT_FACTOR)
+            .max(min_wait)
+            .min(time_left)
     }
 
     pub(super) async fn try_target(
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -1,4 +1,4 @@
-//! Searches a target that responds to a request.
+//! Looks for a target that responds to a request.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/net/wait_metrics.rs
+++ b/crates/gateway/src/net/wait_metrics.rs
@@ -8,7 +8,7 @@
 
 use crate::decide::tables::Tables;
 
-/// Bounds of the buckets of waiting times in seconds: up to the longest useful wait.
+/// Bounds of the buckets of waiting times in seconds.
 const SECONDS_BUCKETS: &[f64] = &[0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
 /// Instruments of requests that wait for room.
--- a/crates/gateway/src/net/wait_places.rs
+++ b/crates/gateway/src/net/wait_places.rs
@@ -128,7 +128,7 @@
     ) -> AfterTurn<E> {
         match self.take_turn(place, pick, now) {
             Turn::TryNow => {
-                self.leave_queue(place);
+                self.leave_queue(place, pick);
                 AfterTurn::GoOn
             }
             Turn::Wait {
@@ -182,11 +182,15 @@
         turn
     }
 
-    fn leave_queue(&self, place: &mut Option<Place<E>>) {
+    fn leave_queue(&self, place: &mut Option<Place<E>>, pick: &Pick) {
         let Some(place) = place.take() else {
             return;
         };
         let waited = place.waited();
+        if !matches!(pick, Pick::Send { .. }) {
+            self.node.metrics.waits.ended("held up", waited);
+            return;
+        }
         self.node.metrics.waits.ended("placed", waited);
         let waited_ms = waited.as_millis().to_string();
         event(
