Compare a prompt part with its runs elsewhere at all its crashes together

Each instance has few requests elsewhere: at one crash often none of them had run for longer, which counted as if none ever did.

Change: the fraction of longer runs elsewhere is at least that at all crashes of the part together.

--- a/crates/gateway/src/decide/quarantine/part_evidence.rs
+++ b/crates/gateway/src/decide/quarantine/part_evidence.rs
@@ -31,8 +31,8 @@
     reports: BTreeMap<ShortHash, (InterruptedPart, u16)>,
     /// All reports together.
     merged: Option<InterruptedPart>,
-    /// Probability that one instance had been running the part for longer at another target.
-    longer_elsewhere: f64,
+    /// How often instances had been running the part for longer at other targets.
+    elsewhere: Comparison,
 }
 
 impl PartAtCrash {
@@ -50,24 +50,49 @@
             merged.merge(&part);
             merged
         });
-        self.longer_elsewhere = self.compare_elsewhere();
+        self.elsewhere = self.compare_elsewhere();
         true
     }
 
-    /// Returns the fraction of other targets where an instance had been running the part for longer, or zero if too
-    /// few targets were compared. An instance compares its own requests only.
-    fn compare_elsewhere(&self) -> f64 {
+    /// Compares the part's longest run here with those of the same instances at other targets.
+    fn compare_elsewhere(&self) -> Comparison {
         let reports = self.reports.values();
         let sampled = reports.clone().map(|(_, sampled)| u32::from(*sampled));
-        let sampled = sampled.sum::<u32>();
-        if sampled < MIN_SAMPLED_TARGETS {
-            return 0.0;
-        }
         let longest_here = self.merged.as_ref().map(InterruptedPart::run_time);
         let least = longest_here.unwrap_or_default() + MIN_LONGER;
-        let elsewhere = reports.flat_map(|(part, _)| &part.elsewhere_ms);
+        let elsewhere = reports.clone().flat_map(|(part, _)| &part.elsewhere_ms);
         let longer = elsewhere.filter(|run_ms| Duration::from_millis(u64::from(**run_ms)) > least);
-        to_f64(longer.count()) / f64::from(sampled)
+        Comparison {
+            longer: longer.count(),
+            sampled: sampled.sum(),
+        }
+    }
+}
+
+/// Comparison of a part's run at a crashed target with runs at other targets. An instance compares its own requests
+/// only.
+#[derive(Clone, Copy, Debug, Default)]
+struct Comparison {
+    /// Number of targets where an instance had been running the part for longer.
+    longer: usize,
+    /// Number of targets that were compared.
+    sampled: u32,
+}
+
+impl Comparison {
+    fn add(self, other: Self) -> Self {
+        Self {
+            longer: self.longer + other.longer,
+            sampled: self.sampled.saturating_add(other.sampled),
+        }
+    }
+
+    /// Returns the fraction of targets where the run was longer, or zero if too few were compared.
+    fn fraction(self) -> f64 {
+        if self.sampled < MIN_SAMPLED_TARGETS {
+            return 0.0;
+        }
+        to_f64(self.longer) / f64::from(self.sampled)
     }
 }
 
@@ -96,14 +121,14 @@
 
     /// Returns the probability that a target runs a part for longer on behalf of any of as many instances as had
     /// requests at the crashed one.
-    fn longer_at_another_target(&self, at_crash: &PartAtCrash) -> f64 {
+    fn longer_at_another_target(&self, at_crash: &PartAtCrash, longer: f64) -> f64 {
         let reporters = i32::try_from(self.reporters.len()).unwrap_or(i32::MAX);
-        1.0 - (1.0 - at_crash.longer_elsewhere).powi(reporters.max(1))
+        1.0 - (1.0 - at_crash.elsewhere.fraction().max(longer)).powi(reporters.max(1))
     }
 
     /// Returns the probability that a part was there by coincidence, where crashes that it was not in happen at
-    /// `other_rate` per second and target.
-    pub(super) fn coincidence(&self, part: PromptPart, other_rate: f64) -> f64 {
+    /// `other_rate` per second and target, and one instance runs the part for longer at this fraction of targets.
+    pub(super) fn coincidence(&self, part: PromptPart, other_rate: f64, longer: f64) -> f64 {
         let Some(at_crash) = self.parts.get(&part) else {
             return 1.0;
         };
@@ -112,7 +137,7 @@
         let run_time = Duration::from_millis(u64::from(total_ms)).max(MIN_RUN_TIME);
         let interrupted = self.rate.max(other_rate) * run_time.as_secs_f64();
         interrupted
-            .max(self.longer_at_another_target(at_crash))
+            .max(self.longer_at_another_target(at_crash, longer))
             .min(1.0)
     }
 
@@ -172,7 +197,9 @@
     let count = to_f64(crashes.len());
     let other_rate = rate_of_others(crashes, all);
     let coincidences = crashes.iter();
-    let coincidences = coincidences.map(|crash| crash.coincidence(part, other_rate));
+    // At one crash the samples of a large fleet are too few to show a run that is longer.
+    let longer = longer_elsewhere(part, crashes).fraction();
+    let coincidences = coincidences.map(|crash| crash.coincidence(part, other_rate, longer));
     // The part may have met each of the other crashes as well.
     let expected = coincidences.sum::<f64>() * to_f64(all.max(crashes.len())) / count;
     if expected >= count {
@@ -183,6 +210,15 @@
     nats / std::f64::consts::LN_10
 }
 
+/// Returns the comparisons at all these crashes together.
+fn longer_elsewhere(part: PromptPart, crashes: &[&PartCrash]) -> Comparison {
+    let at_crashes = crashes.iter();
+    let at_crashes = at_crashes.filter_map(|crash| crash.parts.get(&part));
+    at_crashes.fold(Comparison::default(), |sum, at_crash| {
+        sum.add(at_crash.elsewhere)
+    })
+}
+
 /// Returns the rate per second and target of the crashes, of `all` in that time, that are not among those given, which
 /// are in order of time. If many targets crash within a moment, it is far above the rate over a longer time.
 fn rate_of_others(crashes: &[&PartCrash], all: usize) -> f64 {
