Tell why a stream was broken off, how long its target was silent, and what the search for another one found

It now has the silence, why no other target took the stream up and how long that was tried, a limit of its own, and a counter by cause; BS3414 has the last silence. The outcome of a search has a module of its own.

--- a/crates/gateway/src/decide/stream_times.rs
+++ b/crates/gateway/src/decide/stream_times.rs
@@ -59,6 +59,12 @@
         self.is_same_target = false;
     }
 
+    /// Time since the last event; `None` before the first one.
+    #[must_use]
+    pub fn silence(&self, now: Time) -> Option<Duration> {
+        Some(now.since(self.last_event?))
+    }
+
     /// When the first event arrived.
     #[must_use]
     pub const fn first_event(&self) -> Option<Time> {
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -13,9 +13,10 @@
 
 use super::attempt::{Attempt, FailedRun, Failure, NotRunReason, SendParams, send};
 use super::crash_check::record_interruption;
-use super::front::{Job, NO_RETRY_BUDGET, SearchOutcome};
+use super::front::Job;
 use super::log::{LogEvent, event};
 use super::quarantine;
+use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 
 /// Max wait for the response head, as a multiple of the route's target latency, before a repeatable request is retried
 /// at another target.
--- a/crates/gateway/src/net/fair_shares.rs
+++ b/crates/gateway/src/net/fair_shares.rs
@@ -9,10 +9,11 @@
 use crate::decide::placement::Pick;
 use crate::edge::Edge;
 
-use super::front::{ALL_FULL, BEYOND_SHARE, Job, NOT_LOADED, SearchOutcome};
+use super::front::Job;
 use super::local_response::share_retry_after;
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::search_outcome::{ALL_FULL, NOT_LOADED, SearchOutcome};
 
 /// Reviews the shares of all workspaces and logs what changed.
 pub(super) fn review<E: Edge>(node: &Node<E>) {
@@ -44,14 +45,11 @@
     }
 
     /// Returns the response to a request that gave way.
-    pub(super) fn beyond_share(
-        &self,
-        back_in: Duration,
-    ) -> (StatusCode, &'static str, Option<Duration>) {
+    pub(super) fn beyond_share(&self, back_in: Duration) -> (StatusCode, Option<Duration>) {
         self.node.tables().refund(&self.ticket);
         self.node.metrics.request_refused("beyond_share");
         let after = share_retry_after(back_in, self.call.timeout);
-        (StatusCode::SERVICE_UNAVAILABLE, BEYOND_SHARE, Some(after))
+        (StatusCode::SERVICE_UNAVAILABLE, Some(after))
     }
 }
 
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -13,23 +13,14 @@
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::NotRunReason;
-use super::front::{
-    ALL_COLD, ALL_RESTING, Job, NO_PATH, NO_TARGET, ORIGIN_UNKNOWN, SearchOutcome, TOO_LATE,
-    VERSION_GONE,
-};
+use super::front::Job;
 use super::local_response::{
     ResponseBody, error_response, late_retry_after, rest_retry_after, room_retry_after,
     spread_retry_after,
 };
 use super::log::{LogEvent, event};
 use super::peer_forwarding::{ForwardOutcome, ForwardReport};
-
-/// Message for a request under which targets crash. The request has run, so the response has no `Retry-After`.
-const QUARANTINED: &str =
-    "targets ended each time this request ran: change it, or ask an operator to let it through";
-
-/// The same for a request with a part in its prompt under which targets crash.
-const PART_QUARANTINED: &str = "targets ended each time they ran a part of its prompt: leave that part out, or ask an operator to let it through";
+use super::search_outcome::SearchOutcome;
 
 impl<E: Edge> Job<E> {
     pub(super) fn log_not_run(&self, target: &TargetId, reason: NotRunReason) {
@@ -93,63 +84,58 @@
 
     pub(super) fn local_response(&self, found: &SearchOutcome<E>) -> Response<ResponseBody> {
         self.record_want_of_room(found);
-        let (status, message, after) = match found {
-            SearchOutcome::NotRun(why) => {
+        let message = found.reason();
+        let (status, after) = match found {
+            SearchOutcome::NotRun(_) => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, *why, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::NoTarget => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(late_retry_after(self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, NO_TARGET, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::OriginUnknown => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, ORIGIN_UNKNOWN, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::VersionGone => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(late_retry_after(self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, VERSION_GONE, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::QueueTooLong(excess) => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(room_retry_after(*excess, self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, TOO_LATE, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::Cold(left) => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(*left + spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, ALL_COLD, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::Resting(left) => {
                 self.node.tables().refund(&self.ticket);
                 let after = Some(rest_retry_after(*left, self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, ALL_RESTING, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
             SearchOutcome::BeyondShare(back_in) => self.beyond_share(*back_in),
             SearchOutcome::NoPath => {
                 let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, NO_PATH, after)
+                (StatusCode::SERVICE_UNAVAILABLE, after)
             }
-            SearchOutcome::MayHaveRun(why) => (StatusCode::BAD_GATEWAY, *why, None),
-            SearchOutcome::Quarantined(suspect) => {
+            SearchOutcome::MayHaveRun(_) => (StatusCode::BAD_GATEWAY, None),
+            SearchOutcome::Quarantined(_) => {
                 if self.runs == 0 {
                     self.node.tables().refund(&self.ticket);
                 }
-                let message = match suspect {
-                    Suspect::Request(_) => QUARANTINED,
-                    Suspect::Part(_) => PART_QUARANTINED,
-                };
-                (StatusCode::BAD_GATEWAY, message, None)
+                (StatusCode::BAD_GATEWAY, None)
             }
             SearchOutcome::TimedOut
             | SearchOutcome::Response(_)
-            | SearchOutcome::PeerResponse(_) => {
-                (StatusCode::GATEWAY_TIMEOUT, "no answer in time", None)
-            }
+            | SearchOutcome::PeerResponse(_) => (StatusCode::GATEWAY_TIMEOUT, None),
         };
         self.record_response(status);
         let [sends, config] = [self.sends.to_string(), self.ticket.config().to_string()];
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -1,7 +1,7 @@
 //! The numbered log events of the gateway. A test compares docs/EVENTS.md with this list.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 pub use bluebellstage_telemetry::LOG_TARGET;
@@ -10,6 +10,9 @@
 /// dropped, so that a burst of rejections does not spend the CPU on logging.
 const REQUEST_EVENTS_PER_SECOND: u32 = 60;
 
+/// The same of last words, which are counted apart: they say why an answer that had begun has no end.
+const LAST_WORDS_PER_SECOND: u32 = 60;
+
 /// Events with this code or a higher one occur with each request or order to an engine.
 const FIRST_FREQUENT_CODE: u16 = 3_303;
 
@@ -190,6 +193,11 @@
         )
     }
 
+    /// Whether the event is the last word on an answer that had begun, which must not be lost among the requests.
+    const fn is_last_word(self) -> bool {
+        matches!(self, Self::StreamBroken)
+    }
+
     /// Whether one target or peer, or a shortage, can cause the event with each of its messages or requests, so that it
     /// is logged once a second.
     #[must_use]
@@ -209,17 +217,47 @@
     }
 }
 
+/// Bounds the events of one kind that are written per second.
 struct RateLimit {
+    per_second: u32,
     window_start: Option<Instant>,
     written: u32,
     left_out: u32,
 }
 
-static RATE_LIMIT: Mutex<RateLimit> = Mutex::new(RateLimit {
-    window_start: None,
-    written: 0,
-    left_out: 0,
-});
+impl RateLimit {
+    const fn new(per_second: u32) -> Self {
+        Self {
+            per_second,
+            window_start: None,
+            written: 0,
+            left_out: 0,
+        }
+    }
+
+    fn allows_event(&mut self) -> bool {
+        let is_new_window = self
+            .window_start
+            .is_none_or(|window_start| window_start.elapsed() > Duration::from_secs(1));
+        if is_new_window {
+            let left_out = std::mem::take(&mut self.left_out);
+            self.window_start = Some(Instant::now());
+            self.written = 0;
+            if left_out > 0 {
+                write(LogEvent::EventsLeftOut, &[("count", &left_out.to_string())]);
+            }
+        }
+        if self.written >= self.per_second {
+            self.left_out += 1;
+            return false;
+        }
+        self.written += 1;
+        true
+    }
+}
+
+static REQUEST_EVENTS: Mutex<RateLimit> = Mutex::new(RateLimit::new(REQUEST_EVENTS_PER_SECOND));
+static LAST_WORDS: Mutex<RateLimit> = Mutex::new(RateLimit::new(LAST_WORDS_PER_SECOND));
 
 /// Logs an event with its fields, subject to the rate limit of frequent events.
 pub fn event(event: LogEvent, fields: &[(&'static str, &str)]) {
@@ -229,7 +267,7 @@
     if event.is_repeated() && !is_first_in_second(event) {
         return;
     }
-    if event.is_frequent() && !is_within_rate_limit() {
+    if event.is_frequent() && !is_within_rate_limit(event) {
         return;
     }
     write(event, fields);
@@ -276,9 +314,7 @@
 static LAST_LOGGED: Mutex<BTreeMap<u16, Instant>> = Mutex::new(BTreeMap::new());
 
 fn is_first_in_second(event: LogEvent) -> bool {
-    let mut last_logged = LAST_LOGGED
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut last_logged = LAST_LOGGED.lock().unwrap_or_else(PoisonError::into_inner);
     let last = last_logged.get(&event.code());
     if last.is_some_and(|last| last.elapsed() < Duration::from_secs(1)) {
         return false;
@@ -287,25 +323,12 @@
     true
 }
 
-fn is_within_rate_limit() -> bool {
-    let mut rate_limit = RATE_LIMIT
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
-    let is_new_window = rate_limit
-        .window_start
-        .is_none_or(|window_start| window_start.elapsed() > Duration::from_secs(1));
-    if is_new_window {
-        let left_out = std::mem::take(&mut rate_limit.left_out);
-        rate_limit.window_start = Some(Instant::now());
-        rate_limit.written = 0;
-        if left_out > 0 {
-            write(LogEvent::EventsLeftOut, &[("count", &left_out.to_string())]);
-        }
-    }
-    if rate_limit.written >= REQUEST_EVENTS_PER_SECOND {
-        rate_limit.left_out += 1;
-        return false;
-    }
-    rate_limit.written += 1;
-    true
+fn is_within_rate_limit(event: LogEvent) -> bool {
+    let rate_limit = if event.is_last_word() {
+        &LAST_WORDS
+    } else {
+        &REQUEST_EVENTS
+    };
+    let mut rate_limit = rate_limit.lock().unwrap_or_else(PoisonError::into_inner);
+    rate_limit.allows_event()
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -47,6 +47,7 @@
 mod response_head;
 mod restorations;
 mod search;
+mod search_outcome;
 mod serve;
 pub mod signals;
 mod sockets;
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -22,11 +22,12 @@
 
 use super::attempt::MAX_BUFFERED_BYTES;
 use super::caller_memory::CallerMemory;
-use super::front::{Job, MIN_ATTEMPT_TIME, NO_RETRY_BUDGET, SearchOutcome};
+use super::front::{Job, MIN_ATTEMPT_TIME};
 use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::pool::{BUF_SIZE, Connection};
+use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 use super::sockets::connect;
 
 /// Header of a request that an instance forwards to a peer; contains a [`ForwardedRequest`].
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -10,12 +10,12 @@
 use crate::decide::quarantine::Suspect;
 use crate::edge::Edge;
 
-use super::front::{
-    ALL_COLD, ALL_FULL, ALL_RESTING, Job, MIN_ATTEMPT_TIME, NO_TARGET, NOT_LOADED, SearchOutcome,
-    TOO_LATE, VERSION_GONE,
-};
+use super::front::{Job, MIN_ATTEMPT_TIME};
 use super::log::{LogEvent, event};
 use super::quarantine;
+use super::search_outcome::{
+    ALL_COLD, ALL_FULL, ALL_RESTING, NO_TARGET, NOT_LOADED, SearchOutcome, TOO_LATE, VERSION_GONE,
+};
 use super::wait_places::AfterTurn;
 
 impl<E: Edge> Job<E> {
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -19,10 +19,11 @@
 use crate::edge::Edge;
 
 use super::attempt::{FailedRun, TargetResponse, TargetStream};
-use super::front::{Job, SearchOutcome};
+use super::front::Job;
 use super::local_response::ResponseBody;
 use super::log::{LogEvent, event};
 use super::peer_forwarding::{PeerResponse, PeerStream};
+use super::search_outcome::SearchOutcome;
 
 /// Time without an event, as a multiple of the route's target gap between events, after which the stream is
 /// resumed at another target. Callers time out after eight.
@@ -361,9 +362,10 @@
             ("cause", reason),
             ("last_event", &last),
         ];
+        let silent_ms = self.silent_ms();
         if !self.job.may_retry() {
-            event(LogEvent::StreamBroken, &fields);
-            return Err(io::Error::other(reason));
+            let search = SearchReport::not_made();
+            return Err(self.break_off(reason, &fields, &silent_ms, search));
         }
         self.job.call.resume_after = self.splitter.last_id();
         if self.has_started {
@@ -371,6 +373,7 @@
         } else if self.is_single_source {
             self.job.ticket.software = None;
         }
+        let search_began = self.job.node.now();
         let next = match self.job.find_response().await {
             SearchOutcome::Response(response) if response.parts.status.is_success() => {
                 Source::Target(Box::new(response.into_stream().1))
@@ -378,9 +381,12 @@
             SearchOutcome::PeerResponse(response) if response.is_successful() => {
                 Source::Peer(response.stream)
             }
-            _ => {
-                event(LogEvent::StreamBroken, &fields);
-                return Err(io::Error::other(reason));
+            failed => {
+                let search = SearchReport {
+                    reason: failed.reason(),
+                    took: self.job.node.now().since(search_began),
+                };
+                return Err(self.break_off(reason, &fields, &silent_ms, search));
             }
         };
         let [next_target, next_software] = next.names();
@@ -396,6 +402,51 @@
     }
 }
 
+/// Why no other target took a stream up.
+#[derive(Clone, Copy, Debug)]
+struct SearchReport {
+    reason: &'static str,
+    took: Duration,
+}
+
+impl SearchReport {
+    const fn not_made() -> Self {
+        Self {
+            reason: "no further attempt is allowed",
+            took: Duration::ZERO,
+        }
+    }
+}
+
+impl<E: Edge> StreamForwarder<E> {
+    /// Returns the milliseconds since the last event; empty before the first one.
+    fn silent_ms(&self) -> String {
+        let silence = self.times.silence(self.job.node.now());
+        silence.map_or_else(String::new, |silence| silence.as_millis().to_string())
+    }
+
+    /// Reports that the caller's answer ends in the middle.
+    fn break_off(
+        &self,
+        cause: &'static str,
+        fields: &[(&'static str, &str)],
+        silent_ms: &str,
+        search: SearchReport,
+    ) -> io::Error {
+        let route = &self.job.ticket.route().name;
+        let metrics = &self.job.node.metrics.streams;
+        metrics.broken_off(route, cause, search.reason);
+        let search_ms = search.took.as_millis().to_string();
+        let search_fields = [
+            ("silent_ms", silent_ms),
+            ("search", search.reason),
+            ("search_ms", &search_ms),
+        ];
+        event(LogEvent::StreamBroken, &[fields, &search_fields].concat());
+        io::Error::other(cause)
+    }
+}
+
 impl<E: Edge> Drop for StreamForwarder<E> {
     fn drop(&mut self) {
         let millis = |span: Duration| span.as_millis().to_string();
@@ -407,6 +458,7 @@
         let aim = millis(route.target_latency);
         let [gap, held] = [self.times.max_gap(), self.times.max_held()];
         let [gap_ms, held_ms] = [gap, held].map(millis);
+        let silent_ms = self.silent_ms();
         let gap_aim = route.target_gap.map(millis);
         let mut fields = vec![
             ("request", &*self.job.call.id),
@@ -416,6 +468,7 @@
             ("aim_ms", &*aim),
             ("gap_ms", &*gap_ms),
             ("held_ms", &*held_ms),
+            ("silent_ms", &*silent_ms),
         ];
         fields.extend(first.iter().map(|first| ("first_ms", &**first)));
         fields.extend(gap_aim.iter().map(|aim| ("gap_aim_ms", &**aim)));
--- a/crates/gateway/src/net/stream_metrics.rs
+++ b/crates/gateway/src/net/stream_metrics.rs
@@ -15,6 +15,7 @@
 /// Instruments of streams.
 pub(super) struct StreamMetrics {
     software_versions: Gauge<u64>,
+    broken_off: Counter<u64>,
     versions_gone: Counter<u64>,
     lookups: Counter<u64>,
     origins: Gauge<u64>,
@@ -30,6 +31,10 @@
                 "bluebellstage.software_versions",
                 "Software versions of the registered targets, by service",
             ),
+            broken_off: instruments.counter(
+                "bluebellstage.streams_broken_off",
+                "Streams that were broken off, by route, cause and why no other target took them up",
+            ),
             versions_gone: instruments.counter(
                 "bluebellstage.streams_without_version",
                 "Times that a stream could not go on because no target has its software version",
@@ -59,6 +64,16 @@
         }
     }
 
+    /// Counts a stream that was broken off for this cause. `search` tells why no other target took it up.
+    pub(super) fn broken_off(&self, route: &str, cause: &'static str, search: &'static str) {
+        let labels = [
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("cause", cause),
+            KeyValue::new("search", search),
+        ];
+        self.broken_off.add(1, &labels);
+    }
+
     /// Counts a lookup of a stream's origin by its outcome.
     pub(super) fn origin_looked_up(&self, outcome: &'static str) {
         self.lookups.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/gateway/src/net/wait_places.rs
+++ b/crates/gateway/src/net/wait_places.rs
@@ -12,9 +12,10 @@
 use crate::decide::wait_queue::{Room, Turn, WaitKey, Waiter};
 use crate::edge::Edge;
 
-use super::front::{ALL_FULL, Job, SearchOutcome};
+use super::front::Job;
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::search_outcome::{ALL_FULL, SearchOutcome};
 
 /// Wakes the requests of the queue.
 #[derive(Debug, Default)]
