--- a/crates/gateway/src/net/fair_shares.rs
+++ b/crates/gateway/src/net/fair_shares.rs
@@ -3,14 +3,12 @@
 use std::time::Duration;
 
 use bluebellstage_core::{ServiceId, Time, WorkspaceId};
-use http::StatusCode;
 
 use crate::decide::fair_share::{Share, ShareChange};
 use crate::decide::placement::Pick;
 use crate::edge::Edge;
 
 use super::front::Job;
-use super::local_response::share_retry_after;
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::search_outcome::{ALL_FULL, NOT_LOADED, SearchOutcome};
@@ -43,14 +41,6 @@
         let mut tables = self.node.tables();
         tables.fair_shares.record_refusal(&self.ticket.service, now);
     }
-
-    /// Returns the response to a request that gave way.
-    pub(super) fn beyond_share(&self, back_in: Duration) -> (StatusCode, Option<Duration>) {
-        self.node.tables().refund(&self.ticket);
-        self.node.metrics.request_refused("beyond_share");
-        let after = share_retry_after(back_in, self.call.timeout);
-        (StatusCode::SERVICE_UNAVAILABLE, Some(after))
-    }
 }
 
 fn is_for_want_of_room<E: Edge>(found: &SearchOutcome<E>) -> bool {
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -16,7 +16,7 @@
 use super::front::Job;
 use super::local_response::{
     ResponseBody, error_response, late_retry_after, rest_retry_after, room_retry_after,
-    spread_retry_after,
+    share_retry_after, spread_retry_after,
 };
 use super::log::{LogEvent, event};
 use super::peer_forwarding::{ForwardOutcome, ForwardReport};
@@ -82,61 +82,52 @@
         self.node.now().since(self.arrived).as_millis().to_string()
     }
 
-    pub(super) fn local_response(&self, found: &SearchOutcome<E>) -> Response<ResponseBody> {
-        self.record_want_of_room(found);
-        let message = found.reason();
-        let (status, after) = match found {
-            SearchOutcome::NotRun(_) => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, after)
-            }
-            SearchOutcome::NoTarget => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(late_retry_after(self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, after)
-            }
-            SearchOutcome::OriginUnknown => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, after)
-            }
-            SearchOutcome::VersionGone => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(late_retry_after(self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, after)
-            }
-            SearchOutcome::QueueTooLong(excess) => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(room_retry_after(*excess, self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, after)
-            }
-            SearchOutcome::Cold(left) => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(*left + spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, after)
-            }
-            SearchOutcome::Resting(left) => {
-                self.node.tables().refund(&self.ticket);
-                let after = Some(rest_retry_after(*left, self.call.timeout));
-                (StatusCode::SERVICE_UNAVAILABLE, after)
+    /// Whether the caller's workspace is not charged, as nothing ran. An instance that got the request from a peer has
+    /// charged nothing.
+    fn is_refunded(&self, found: &SearchOutcome<E>) -> bool {
+        match found {
+            SearchOutcome::Quarantined(_) => self.runs == 0,
+            SearchOutcome::NoPath
+            | SearchOutcome::MayHaveRun(_)
+            | SearchOutcome::TimedOut
+            | SearchOutcome::Response(_)
+            | SearchOutcome::PeerResponse(_) => false,
+            _ => true,
+        }
+    }
+
+    /// Returns the status of the response, and when the caller may come back.
+    fn status_of(&self, found: &SearchOutcome<E>) -> (StatusCode, Option<Duration>) {
+        let timeout = self.call.timeout;
+        let after = match found {
+            SearchOutcome::NotRun(_) | SearchOutcome::OriginUnknown | SearchOutcome::NoPath => {
+                spread_retry_after()
             }
-            SearchOutcome::BeyondShare(back_in) => self.beyond_share(*back_in),
-            SearchOutcome::NoPath => {
-                let after = Some(spread_retry_after());
-                (StatusCode::SERVICE_UNAVAILABLE, after)
+            SearchOutcome::NoTarget | SearchOutcome::VersionGone => late_retry_after(timeout),
+            SearchOutcome::QueueTooLong(excess) => room_retry_after(*excess, timeout),
+            SearchOutcome::Cold(left) => *left + spread_retry_after(),
+            SearchOutcome::Resting(left) => rest_retry_after(*left, timeout),
+            SearchOutcome::BeyondShare(back_in) => {
+                self.node.metrics.request_refused("beyond_share");
+                share_retry_after(*back_in, timeout)
             }
-            SearchOutcome::MayHaveRun(_) => (StatusCode::BAD_GATEWAY, None),
-            SearchOutcome::Quarantined(_) => {
-                if self.runs == 0 {
-                    self.node.tables().refund(&self.ticket);
-                }
-                (StatusCode::BAD_GATEWAY, None)
+            SearchOutcome::MayHaveRun(_) | SearchOutcome::Quarantined(_) => {
+                return (StatusCode::BAD_GATEWAY, None);
             }
             SearchOutcome::TimedOut
             | SearchOutcome::Response(_)
-            | SearchOutcome::PeerResponse(_) => (StatusCode::GATEWAY_TIMEOUT, None),
+            | SearchOutcome::PeerResponse(_) => return (StatusCode::GATEWAY_TIMEOUT, None),
         };
+        (StatusCode::SERVICE_UNAVAILABLE, Some(after))
+    }
+
+    pub(super) fn local_response(&self, found: &SearchOutcome<E>) -> Response<ResponseBody> {
+        self.record_want_of_room(found);
+        if self.is_refunded(found) {
+            self.node.tables().refund(&self.ticket);
+        }
+        let message = found.reason();
+        let (status, after) = self.status_of(found);
         self.record_response(status);
         let [sends, config] = [self.sends.to_string(), self.ticket.config().to_string()];
         let ms = self.elapsed_ms();
