Readmit a target that was ejected for its silence once it is heard

Callers were refused for want of room after a silence was over: an ejection lasts 1 to 4 s, and nothing that a target sent on other connections ended it. A target from which nothing at all was heard is good again when something arrives, on any connection; one that answers others and leaves some requests without a response stays out. The test: ejected before, good now; without the readmission it fails.

--- a/crates/gateway/src/decide/health.rs
+++ b/crates/gateway/src/decide/health.rs
@@ -54,17 +54,40 @@
     last_answer: Time,
     /// When the first request without a response was sent after the last answer.
     silent_since: Option<Time>,
+    /// Whether it is ejected only because nothing at all was heard from it.
+    is_ejected_for_silence: bool,
+}
+
+/// What a request without a response in time shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Silence {
+    /// Nothing yet: a sound target may be silent for so long.
+    Short,
+    /// The target answers others, but not this request.
+    OfRequest,
+    /// Nothing has been heard from the target for too long.
+    OfTarget,
 }
 
 impl Record {
-    /// Whether a request without a response shows a failure: the target has been silent for too long, or has
-    /// answered others meanwhile.
-    fn is_silence_failure(&mut self, sent: Time, now: Time) -> bool {
+    /// Returns what it shows that a request has no response that was sent then.
+    fn silence(&mut self, sent: Time, now: Time) -> Silence {
         if sent < self.last_answer {
-            return true;
+            return Silence::OfRequest;
         }
         let since = *self.silent_since.get_or_insert(sent);
-        now.since(since) >= MAX_SILENCE
+        if now.since(since) < MAX_SILENCE {
+            return Silence::Short;
+        }
+        Silence::OfTarget
+    }
+
+    /// Ends an ejection for silence: the target is heard again.
+    fn readmit(&mut self) {
+        self.is_ejected_for_silence = false;
+        self.ejected_until = Time::default();
+        self.failure_rate = 0.0;
+        self.ejections = self.ejections.saturating_sub(1);
     }
 }
 
@@ -90,9 +113,11 @@
     /// Records an outcome. Returns `true` if it ejects the target.
     pub fn record_outcome(&mut self, target: &TargetId, outcome: TargetOutcome, now: Time) -> bool {
         let record = self.records.entry(target.clone()).or_default();
-        if let TargetOutcome::Silent(sent) = outcome
-            && !record.is_silence_failure(sent, now)
-        {
+        let silence = match outcome {
+            TargetOutcome::Silent(sent) => Some(record.silence(sent, now)),
+            _ => None,
+        };
+        if silence == Some(Silence::Short) {
             record.trial_in_progress = false;
             return false;
         }
@@ -127,6 +152,7 @@
                     let duration = INITIAL_EJECTION * 2_u32.pow(record.ejections.min(2));
                     record.ejected_until = now + duration.min(MAX_EJECTION);
                     record.ejections += 1;
+                    record.is_ejected_for_silence = silence == Some(Silence::OfTarget);
                 }
                 exceeds_failure_rate || was_trial
             }
@@ -188,6 +214,9 @@
         if let Some(record) = self.records.get_mut(target) {
             record.last_answer = now;
             record.silent_since = None;
+            if record.is_ejected_for_silence {
+                record.readmit();
+            }
         }
     }
 
