--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -91,10 +91,25 @@
                 self.field("last_event"),
             ),
             "BS3405" => format!(
-                "its stream from {} broke ({}) after event {} and can't go on",
+                "its stream from {} broke ({}) after event {} and can't go on{}",
                 self.field("target"),
                 self.field("cause"),
                 self.field("last_event"),
+                match self.optional_field("search") {
+                    "" => String::new(),
+                    search => format!(": {search}"),
+                },
+            ),
+            "BS3415" => format!(
+                "nothing came from {} for {} ms ({}): another target is looked for while it is awaited",
+                self.field("target"),
+                self.field("silent_ms"),
+                self.field("cause"),
+            ),
+            "BS3416" => format!(
+                "no other target took it in {} ms ({}): the silent one is awaited",
+                self.field("search_ms"),
+                self.field("search"),
             ),
             "BS3406" => format!(
                 "a target's answer with status {} went to the caller after {} ms; {} charged {}{}",
--- a/crates/cli/src/commands/losses/cause.rs
+++ b/crates/cli/src/commands/losses/cause.rs
@@ -87,7 +87,10 @@
         let Some(gap_aim) = number(line, "gap_aim_ms") else {
             return Some(Self::InTime);
         };
-        let [gap, held] = ["gap_ms", "held_ms"].map(|name| number(line, name).unwrap_or(0));
+        // The last silence is a gap, too, if the caller left in it.
+        let gaps = ["gap_ms", "silent_ms"].map(|name| number(line, name).unwrap_or(0));
+        let gap = gaps[0].max(gaps[1]);
+        let held = number(line, "held_ms").unwrap_or(0);
         Some(if gap.max(held) <= gap_aim {
             Self::InTime
         } else if gap >= held {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -8,6 +8,9 @@
 2026-06-04T14:44:13.473Z INFO code=BS3401 request=r2 route=r-n53h8h5 status=502 reason="the target gave no whole answer" sends=1 config=6 ms=1080 msg="request refused"
 2026-06-04T14:44:13.472Z INFO code=BS3403 request=r2 target=i-a306a9acab cause=Silent runs=1 adapter="" msg="attempt failed"
 2026-06-04T14:44:12.272Z WARN code=BS3405 request=r3 target=i-1 cause="the target fell silent" last_event=9 msg="stream broken off"
+2026-06-04T14:44:23.000Z INFO code=BS3415 request=r7 target=i-1 cause="the target fell silent" silent_ms=1402 msg="run is silent: another target is looked for while it goes on"
+2026-06-04T14:44:23.600Z INFO code=BS3416 request=r7 search="all targets are full" search_ms=598 msg="nothing replaces the silent run: it is awaited"
+2026-06-04T14:44:30.000Z WARN code=BS3405 request=r7 target=i-1 software=v1 cause="the time of the request is over" last_event=9 silent_ms=8402 search="no further attempt is allowed" search_ms=0 msg="stream broken off"
 2026-06-04T14:44:12.000Z INFO code=BS3101 version=7 msg="configuration in force"
 2026-06-04T14:44:15.000Z INFO code=BS3401 request=r5 route=r-1 status=502 reason="targets ended each time this request ran: change it" sends=0 config=7 ms=1 fingerprint=00112233445566778899aabbccddeeff msg="request refused"
 2026-06-04T14:44:16.000Z INFO code=BS3401 request=r6 route=r-1 status=502 reason="targets ended each time they ran a part of its prompt: leave that part out" sends=0 config=7 ms=1 part=5c1e07a2 msg="request refused"
@@ -51,6 +54,15 @@
     insta::assert_snapshot!(explain("r3").1, @"2026-06-04T14:44:12.272Z stdin: its stream from i-1 broke (the target fell silent) after event 9 and can't go on");
 }
 
+#[test]
+fn a_silent_run_tells_what_was_looked_for_besides() {
+    insta::assert_snapshot!(explain("r7").1, @r"
+    2026-06-04T14:44:23.000Z stdin: nothing came from i-1 for 1402 ms (the target fell silent): another target is looked for while it is awaited
+    2026-06-04T14:44:23.600Z stdin: no other target took it in 598 ms (all targets are full): the silent one is awaited
+    2026-06-04T14:44:30.000Z stdin: its stream from i-1 broke (the time of the request is over) after event 9 and can't go on: no further attempt is allowed
+    ");
+}
+
 /// Guards against a stream whose story ends with the attempt that is asked for.
 #[test]
 fn a_stream_is_told_over_all_attempts_of_its_caller() {
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -93,6 +93,18 @@
     insta::assert_snapshot!(told.join("\n"));
 }
 
+/// Guards against a last silence that is left out of a stream's gaps.
+#[test]
+fn a_stream_that_its_caller_left_in_a_silence_is_late() {
+    let log = r#"2026-06-04T14:44:08.100Z DEBUG code=BS3406 request=r1 route=chat status=200 workspace=w1 target=e1 target_ms=120 aim_ms=800 ms=125 msg="request answered"
+2026-06-04T14:44:09.100Z DEBUG code=BS3414 request=r1 route=chat workspace=w1 target=e1 aim_ms=800 gap_ms=30 held_ms=12 silent_ms=2004 first_ms=126 gap_aim_ms=300 msg="stream ended""#;
+    insta::assert_snapshot!(losses_of(log, &[]), @r"
+    all: 1 requests
+             1  100.0 %  late: paused at the target
+    1 lines were no events; instances left 0 events out
+    ");
+}
+
 /// Guards against a panic when the reader, such as `head`, has left.
 #[test]
 fn a_closed_pipe_ends_commands_quietly() {
