Count a target as silent since its last request without a response, and readmit only what failed by silence alone

A target that was silent for over 4 s counted as heard again, so that searches used it: the time was counted from the begin of its silence. An ejection with failures before the silence was lifted with the silence, and nobody waiting for room was woken. Found by review and by silence::a_target_that_is_still_silent_at_a_later_request_is_silent_again, which failed before (left: [], right: [t1]).

--- a/crates/gateway/src/decide/health.rs
+++ b/crates/gateway/src/decide/health.rs
@@ -54,8 +54,14 @@
     last_answer: Time,
     /// When the first request without a response was sent after the last answer.
     silent_since: Option<Time>,
-    /// Whether it is ejected only because nothing at all was heard from it.
+    /// When the last request had no response in time.
+    last_silence: Time,
+    /// Failure rate before it fell silent.
+    rate_before_silence: f64,
+    /// Whether its last ejection is for its silence.
     is_ejected_for_silence: bool,
+    /// When it was heard after nothing at all had been heard from it.
+    heard_again: Option<Time>,
 }
 
 /// What a request without a response in time shows.
@@ -75,6 +81,10 @@
         if sent < self.last_answer {
             return Silence::OfRequest;
         }
+        self.last_silence = now;
+        if self.silent_since.is_none() {
+            self.rate_before_silence = self.failure_rate;
+        }
         let since = *self.silent_since.get_or_insert(sent);
         if now.since(since) < MAX_SILENCE {
             return Silence::Short;
@@ -82,12 +92,16 @@
         Silence::OfTarget
     }
 
-    /// Ends an ejection for silence: the target is heard again.
-    fn readmit(&mut self) {
+    /// Ends an ejection for silence. Returns `false` if the target had failed before it fell silent.
+    fn readmit(&mut self) -> bool {
         self.is_ejected_for_silence = false;
+        self.failure_rate = self.rate_before_silence;
+        if self.failure_rate > MAX_FAILURE_RATE {
+            return false;
+        }
         self.ejected_until = Time::default();
-        self.failure_rate = 0.0;
         self.ejections = self.ejections.saturating_sub(1);
+        true
     }
 }
 
@@ -143,6 +157,7 @@
             }
             TargetOutcome::Unreachable => {
                 record.ejected_until = now + UNREACHABLE_EJECTION;
+                record.is_ejected_for_silence = false;
                 true
             }
             TargetOutcome::Failure | TargetOutcome::Silent(_) => {
@@ -203,21 +218,27 @@
     /// Returns the targets that have not been heard since a request to them had no response in time.
     pub fn silent(&self, now: Time) -> impl Iterator<Item = &TargetId> {
         let silent = self.records.iter().filter(move |(_, record)| {
-            let since = record.silent_since;
-            since.is_some_and(|since| now.since(since) < SILENCE_RETENTION)
+            record.silent_since.is_some() && now.since(record.last_silence) < SILENCE_RETENTION
         });
         silent.map(|(target, _)| target)
     }
 
-    /// Records that something arrived from a target, which is not silent then.
-    pub fn record_heard(&mut self, target: &TargetId, now: Time) {
-        if let Some(record) = self.records.get_mut(target) {
-            record.last_answer = now;
-            record.silent_since = None;
-            if record.is_ejected_for_silence {
-                record.readmit();
-            }
+    /// Records that something arrived from a target, which is not silent then. Returns whether that ends an ejection.
+    pub fn record_heard(&mut self, target: &TargetId, now: Time) -> bool {
+        let Some(record) = self.records.get_mut(target) else {
+            return false;
+        };
+        record.last_answer = now;
+        if record.silent_since.take().is_some() {
+            record.heard_again = Some(now);
         }
+        record.is_ejected_for_silence && record.readmit()
+    }
+
+    /// Returns when a target was last heard after nothing at all had been heard from it.
+    #[must_use]
+    pub fn heard_again(&self, target: &TargetId) -> Option<Time> {
+        self.records.get(target)?.heard_again
     }
 
     /// Returns the moving average of the response time, in seconds; zero before the first response.
--- a/crates/gateway/src/decide/partition.rs
+++ b/crates/gateway/src/decide/partition.rs
@@ -117,7 +117,6 @@
     /// Records that an answer or an event arrived from a target, on any connection.
     pub fn record_answer(&mut self, target: &TargetId, now: Time) -> PathChange {
         self.paths.record_answer(target, now);
-        self.health.record_heard(target, now);
         if self.partitions.lost.is_empty() {
             return PathChange::None;
         }
--- a/crates/gateway/src/net/paths.rs
+++ b/crates/gateway/src/net/paths.rs
@@ -6,6 +6,7 @@
 use bluebellstage_core::{TargetId, Time};
 
 use crate::decide::partition::PathChange;
+use crate::decide::wait_queue::Room;
 use crate::edge::Edge;
 
 use super::log::{LogEvent, event};
@@ -44,8 +45,14 @@
 
 /// Records that an answer or an event arrived from a target, on any connection.
 pub(super) fn record_answer<E: Edge>(node: &Node<E>, target: &TargetId, now: Time) {
-    let change = node.tables().record_answer(target, now);
+    let mut tables = node.tables();
+    let change = tables.record_answer(target, now);
+    let is_readmitted = tables.health.record_heard(target, now);
+    drop(tables);
     record_change(node, &change);
+    if is_readmitted {
+        node.room_came(&Room::At(target.clone()));
+    }
 }
 
 /// Logs and counts a change of the paths to a service's targets, and wakes those that wait for it.
