Decide on silences with what else is known: a pause of this instance, a target that is heard again, a live peer

After a pause of the process all timers are due before anything is read, and all targets looked silent. A target that has just been heard again on another connection works through what has piled up; a second attempt then would be in vain. A live peer looks for another target by itself, and how many attempts it has used is not known here: with three attempts allowed, five could be sent.

--- a/crates/gateway/src/decide/silence.rs
+++ b/crates/gateway/src/decide/silence.rs
@@ -9,18 +9,23 @@
 
 /// Interval between two searches for another target while a run is silent.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which the news of a silent sender is looked at.
+/// Interval at which it is decided anew: news of a sender wake nobody.
 const NEWS_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How much longer a live peer may be silent than a target: it looks for another target by itself.
-const PEER_HEAD_START: Duration = Duration::from_millis(300);
+/// Longest time by which a decision is late unless this process did not run.
+const MAX_OVERRUN: Duration = Duration::from_millis(150);
+/// How long the events of one stream may take after its target has been silent as a whole and is heard again: it works
+/// through what has piled up.
+const BACKLOG_TIME: Duration = Duration::from_millis(250);
 
 /// What is known of a sender besides its silence.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SenderNews {
     /// Nothing: a target shows only by its answers that it is sound.
     Unknown,
-    /// It is a peer that is live.
+    /// It is a target that was silent as a whole and was heard again at this time, on another connection.
+    HeardAgain(Time),
+    /// It is a peer that is live: it looks for another target by itself if its own is silent.
     Live,
     /// It is a peer that is down.
     Down,
@@ -41,6 +46,8 @@
     since: Time,
     search_after: Duration,
     last_search: Option<Time>,
+    /// When the next decision is due, if it waits for something to be heard.
+    next_due: Option<Time>,
 }
 
 impl Silence {
@@ -51,6 +58,7 @@
             since: now,
             search_after,
             last_search: None,
+            next_due: None,
         }
     }
 
@@ -69,21 +77,33 @@
     /// Records the begin of a search, or its end without a response.
     pub const fn record_search(&mut self, now: Time) {
         self.last_search = Some(now);
+        self.next_due = None;
     }
 
     /// Decides what to do. `may_retry` is whether another attempt is allowed.
     #[must_use]
-    pub fn next(&self, news: SenderNews, may_retry: bool, now: Time) -> SilenceAction {
-        let due = match (news, self.last_search) {
-            (_, Some(last)) => last + SEARCH_INTERVAL,
-            (SenderNews::Down, None) => now,
-            (SenderNews::Unknown, None) => self.since + self.search_after,
-            (SenderNews::Live, None) => self.since + self.search_after + PEER_HEAD_START,
+    pub fn next(&mut self, news: SenderNews, may_retry: bool, now: Time) -> SilenceAction {
+        let due = self.next_due.take();
+        if due.is_some_and(|due| now.since(due) > MAX_OVERRUN) {
+            // This process was suspended or had no processor time: what was sent meanwhile is not read yet.
+            *self = Self::new(now, self.search_after);
+        }
+        let due = match self.last_search {
+            Some(last) => last + SEARCH_INTERVAL,
+            None => self.since + self.search_after,
+        };
+        let due = match news {
+            SenderNews::Live => None,
+            SenderNews::HeardAgain(at) => Some(due.max(at + BACKLOG_TIME)),
+            SenderNews::Down if self.last_search.is_none() => Some(now),
+            SenderNews::Unknown | SenderNews::Down => Some(due),
         };
-        if may_retry && due <= now {
+        let due = due.filter(|_| may_retry).unwrap_or(Time(u64::MAX));
+        if due <= now {
             return SilenceAction::Search;
         }
-        let due = if may_retry { due } else { Time(u64::MAX) };
-        SilenceAction::WaitUntil(due.min(now + NEWS_INTERVAL))
+        let until = due.min(now + NEWS_INTERVAL);
+        self.next_due = Some(until);
+        SilenceAction::WaitUntil(until)
     }
 }
