Ask a silent target again whether the end of its answer was whole

What callers saw: an answer with neither a length nor chunks was taken for cut if its target was silent at its end: a write ended with 502, a stream was broken off after its last event. Cause: the connection that shows whether the target still runs was tried once, for 250 ms, and a timeout counted as a crash. A timeout shows nothing: only a refusal does.

Now a target that is silent is asked again until it accepts a connection, refuses one, or the time of the request is over; a body that is passed through has as long as its other silences.

--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -40,6 +40,8 @@
     /// Its run, if its prompt has shared parts.
     run: Option<RunKey>,
     pub(super) sent: Time,
+    /// Until when its end may be confirmed.
+    end_by: Time,
     /// The request was in flight at a target that crashed.
     suspect: bool,
     /// When the target began to respond.
@@ -85,6 +87,7 @@
             waiting,
             run,
             sent: now,
+            end_by: now + params.max_wait,
             suspect: params.suspect,
             responding_since: None,
             is_outcome_recorded: false,
@@ -220,13 +223,19 @@
         registered.map_or(&self.software, |known| &known.software)
     }
 
+    /// Lets the end of the response be confirmed until then.
+    pub(super) const fn extend(&mut self, end_by: Time) {
+        self.end_by = end_by;
+    }
+
     /// Returns whether the end of the response's body shows that the response is complete. If the end of the
-    /// connection marks it, the target must still run: a crash ends the connection alike.
+    /// connection marks it, the target must still run: a crash ends the connection alike. A target that is silent
+    /// is asked again until the time of the request is over.
     pub(super) async fn confirms_end(&self, framing: Framing) -> bool {
         if framing == Framing::Explicit {
             return true;
         }
-        let is_confirmed = still_runs(&self.node, &self.target, self.address).await;
+        let is_confirmed = still_runs(&self.node, &self.target, self.address, self.end_by).await;
         let metrics = &self.node.metrics.crashes;
         metrics.unframed_response_ended(is_confirmed);
         is_confirmed
--- a/crates/gateway/src/net/pass_through.rs
+++ b/crates/gateway/src/net/pass_through.rs
@@ -113,6 +113,8 @@
         loop {
             let frame = tokio::time::timeout(self.max_silence, self.source.body.frame()).await?;
             let Some(frame) = frame else {
+                let in_flight = &mut self.source.in_flight;
+                in_flight.extend(in_flight.node.now() + self.max_silence);
                 let is_whole = self.source.confirms_end().await;
                 let broken = || io::Error::other("the connection and the target ended");
                 return is_whole.then_some(None).ok_or_else(broken);
