--- a/crates/daemon/tests/services.rs
+++ b/crates/daemon/tests/services.rs
@@ -9,6 +9,7 @@
 use bluebellstage_standin::{CallKind, Fault, FaultKind, Pod};
 use reqwest::{Method, StatusCode};
 use serde_json::Value;
+use socket2::{SockFilter, SockRef};
 use support::{Bench, BenchBuilder};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -212,10 +213,29 @@
     );
 }
 
+/// Guards against a filing that is taken for one in doubt because its service was silent at the end of its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_its_connection_is_whole_if_the_service_is_silent_for_a_second() {
+    let service = UnframedService::start(AfterAnswer::IgnoreNew).await;
+    let bench = with_service_at(service).await;
+    let whole = file(&bench, 0, "filing-1", "{}").await;
+    assert_eq!(
+        (whole.0, &*whole.2),
+        (StatusCode::OK, UnframedService::BODY)
+    );
+}
+
+/// For how long a sound service acknowledges no new connections.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Instruction of a packet filter that returns a constant.
+const RETURN_CONSTANT: u16 = 0x06;
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum AfterAnswer {
     RunOn,
     Exit,
+    /// Acknowledge no new connections for a while, and then run on.
+    IgnoreNew,
 }
 
 /// A service on bare TCP whose answers have neither a length nor chunks.
@@ -238,8 +258,16 @@
                     Self::BODY
                 );
                 stream.write_all(answer.as_bytes()).await.unwrap();
-                if after == AfterAnswer::Exit {
-                    return;
+                match after {
+                    AfterAnswer::RunOn => {}
+                    AfterAnswer::Exit => return,
+                    AfterAnswer::IgnoreNew => {
+                        let ignore_all = [SockFilter::new(RETURN_CONSTANT, 0, 0, 0)];
+                        SockRef::from(&listener).attach_filter(&ignore_all).unwrap();
+                        drop(stream);
+                        tokio::time::sleep(SILENCE).await;
+                        SockRef::from(&listener).detach_filter().unwrap();
+                    }
                 }
             }
         });
