Ask a silent engine for the rest of a stream for as long as it may be silent

What callers saw: an answer whose connection broke was computed anew, or broken off where no engine took it up, although its engine had the stream and was only silent for seconds. Cause: the request for the rest was given up after 2 s, or after the 1 s of a connection, while an engine may be silent for limits.engine_silence_ms; the run was cancelled then, before another one had begun.

Now a request for the rest that meets only silence is repeated until the engine has been silent for as long as it may. A connection that is refused or breaks, and an engine that no longer keeps the stream, end it at once as before.

Evidence: crates/daemon/tests/relay, a_cut_connection_to_an_engine_that_is_silent_for_seconds_is_resumed.

--- a/crates/daemon/src/request/engine.rs
+++ b/crates/daemon/src/request/engine.rs
@@ -8,7 +8,7 @@
 use futures::stream::BoxStream;
 use futures::{StreamExt, TryStreamExt};
 use reqwest::{Response, StatusCode};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::bytes::Bytes;
 
 use crate::process::Shell;
@@ -21,8 +21,10 @@
 const REQUEST_HEADER: &str = "X-Request-Id";
 /// Header that names the last event that arrived.
 const LAST_EVENT_HEADER: &str = "Last-Event-ID";
-/// How long a resume may take to begin; an engine that has the stream answers at once.
+/// How long one try of a resume may take to begin; an engine that has the stream answers at once.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause between two tries.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
 /// How long one try of a cancel may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a cancel is tried; an engine that can't be reached ends the stream by itself.
@@ -43,6 +45,15 @@
     Malformed,
 }
 
+/// How an engine took a request for the rest of a stream.
+enum Rest {
+    Answered(Response),
+    /// The connection was refused, or broke.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
 /// An engine that works on a request.
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
@@ -79,17 +90,31 @@
         }
     }
 
-    /// Asks for what comes after `last`; none if the engine no longer keeps the stream.
-    pub(super) async fn resume(self, last: u64) -> Option<Chunks> {
-        let request = self
-            .shell
-            .targets
-            .pooled
-            .get(self.stream_url())
-            .header(LAST_EVENT_HEADER, last.to_string());
-        let response = timeout(RESUME_TIMEOUT, request.send()).await.ok()?.ok()?;
-        record_target_report(&self.shell, self.request, &response);
-        (response.status() == StatusCode::OK).then(|| chunks(response))
+    /// Asks for what comes after `last`; none if the engine no longer keeps the stream. One that is silent is asked
+    /// again for as long as `patience`, and at least once.
+    pub(super) async fn resume(self, last: u64, patience: Duration) -> Option<Chunks> {
+        let until = Instant::now() + patience;
+        loop {
+            match self.rest(last).await {
+                Rest::Answered(response) => {
+                    record_target_report(&self.shell, self.request, &response);
+                    return (response.status() == StatusCode::OK).then(|| chunks(response));
+                }
+                Rest::Broken => return None,
+                Rest::Silent if Instant::now() + RESUME_PAUSE >= until => return None,
+                Rest::Silent => sleep(RESUME_PAUSE).await,
+            }
+        }
+    }
+
+    async fn rest(&self, last: u64) -> Rest {
+        let request = self.shell.targets.pooled.get(self.stream_url());
+        let request = request.header(LAST_EVENT_HEADER, last.to_string());
+        match timeout(RESUME_TIMEOUT, request.send()).await {
+            Ok(Ok(response)) => Rest::Answered(response),
+            Ok(Err(error)) if !error.is_timeout() => Rest::Broken,
+            Ok(Err(_)) | Err(_) => Rest::Silent,
+        }
     }
 
     /// Ends the engine's work on the request, in a task of its own.
--- a/crates/daemon/src/request/relay/steps.rs
+++ b/crates/daemon/src/request/relay/steps.rs
@@ -191,7 +191,10 @@
         }
         self.resumed_at = Some(self.delivered);
         let last = self.delivered - self.offset;
-        let resumed = run.engine.clone().resume(last);
+        let limits = &self.shell().settings.limits;
+        let silent = limits.keep_alive * self.silent_ticks;
+        let patience = limits.engine_silence.saturating_sub(silent);
+        let resumed = run.engine.clone().resume(last, patience);
         let answer = resumed.map(Answer::Resumed).boxed();
         self.stage = Stage::Asking { run, answer };
     }
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -10,6 +10,9 @@
 use serde_json::{Value, json};
 use support::{BenchBuilder, Events, KEY, chat, expected, quick_engine};
 
+/// For how long a sound engine answers nothing, in milliseconds.
+const ENGINE_SILENCE_MS: u64 = 3_000;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_arrives_whole_through_any_instance() {
     let bench = BenchBuilder::instances(3)
@@ -70,6 +73,30 @@
     assert_eq!(engine.log().runs.len(), 1);
 }
 
+/// Guards against a run that is cancelled because its engine is silent for seconds after the connection broke.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_connection_to_an_engine_that_is_silent_for_seconds_is_resumed() {
+    let engine = bluebellstage_standin::engine::EngineConfig {
+        stream_kept: Duration::from_hours(1),
+        ..quick_engine("e1")
+    };
+    let bench = BenchBuilder::instances(1).engine(engine).start().await;
+    let engine = &bench.engines[0];
+    engine.faults().add(
+        Fault::new(CallKind::Generate, FaultKind::Cut)
+            .after_tokens(7)
+            .times(1),
+    );
+    let silent = Fault::new(CallKind::Resume, FaultKind::Delay).times(1);
+    engine.faults().add(silent.delay_ms(ENGINE_SILENCE_MS));
+    let answer = bench.chat(0, &chat("letters", 60, true)).await;
+    let events = Events::parse(&answer.text().await.unwrap());
+    assert_eq!(events.text, expected("letters@2", 60));
+    assert_eq!(events.ids, (1..=60).collect::<Vec<_>>());
+    assert!(events.done);
+    assert_eq!(engine.log().runs.len(), 1);
+}
+
 /// A parent at a counter would see a clause stop in mid-sentence: the engine restarts and forgets
 /// what it ran. The answer goes on at another engine from the token after the last delivered one.
 #[tokio::test(flavor = "multi_thread")]
