Keep connections between instances open as long as their pools use them

A shrunk idle timeout of callers applied to connections between instances at once, while peers' pools kept using those that were idle for up to 4 s by the configuration of their last request. A request that crossed the close was broken off: another attempt for a read or a resumable stream, 502 for a stream that may run once only. Instances now close connections between them after twice the time that pools keep them, or later.

--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -20,6 +20,7 @@
 use super::memory::Memory;
 use super::node::Node;
 use super::peer_forwarding::REQUEST_HEADER;
+use super::pool::MAX_IDLE;
 use super::response_body::CountedBody;
 use super::sockets::set_options;
 
@@ -168,7 +169,7 @@
             () = node.stop.notified(), if !is_shutting_down => {}
         }
         let unused = activity.open_requests.load(Ordering::Relaxed) == 0;
-        let limit = node.tables().routes.config().limits.idle_timeout;
+        let limit = idle_limit(&node, listener_kind);
         let first_request_wait = activity.first_request_wait(&node);
         if node.is_closing() && !first_request_wait.is_zero() {
             next_check = first_request_wait;
@@ -183,6 +184,16 @@
     drop(connection_guard);
 }
 
+/// Returns the idle time after which a connection is closed. Peers' pools keep connections by the configuration of
+/// the last request, so that a shrunk limit would close those that they still use.
+fn idle_limit<E: Edge>(node: &Node<E>, listener_kind: ListenerKind) -> Duration {
+    let limit = node.tables().routes.config().limits.idle_timeout;
+    match listener_kind {
+        ListenerKind::Front | ListenerKind::Directory => limit,
+        ListenerKind::Control => limit.max(MAX_IDLE * 2),
+    }
+}
+
 async fn respond<E: Edge>(
     node: Arc<Node<E>>,
     activity: Arc<Activity>,
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -18,7 +18,7 @@
 /// Max idle time of a connection to a target that states no limit.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_millis(500);
 /// Max idle time of any connection. The longer a connection is idle, the more likely it has broken unnoticed.
-const MAX_IDLE: Duration = Duration::from_secs(4);
+pub(super) const MAX_IDLE: Duration = Duration::from_secs(4);
 /// Max number of idle connections to a target or peer.
 const MAX_IDLE_PER_ID: usize = 16;
 
