--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -136,7 +136,7 @@
     /// The requested version of the adapter.
     pub(super) version: Option<AdapterVersion>,
     pub(super) at_deadline: AtDeadline,
-    /// Max wait for the response head.
+    /// Time that is left to the request: the response head is awaited, and the response's end confirmed, until then.
     pub(super) max_wait: Duration,
 }
 
