Look for another peer when the one that a request was forwarded to has lost its paths too

What callers saw: reads at a partitioned instance got 502 after the whole of their time. A peer that is partitioned as well finds that out late on its kept connections; the instance that had forwarded waited as long as the peer was heard. It reports its lost paths, which are looked at now: another peer is asked, and the first one is awaited besides.

--- a/crates/gateway/src/decide/partition.rs
+++ b/crates/gateway/src/decide/partition.rs
@@ -213,6 +213,14 @@
         live.filter(move |peer| !peer.lost_services.contains(&service))
     }
 
+    /// Whether a live peer reports that it can't reach the service's targets.
+    #[must_use]
+    pub fn has_peer_lost(&self, service: &ServiceId, peer: &InstanceId, now: Time) -> bool {
+        let service = ShortHash::of(service.as_str());
+        let mut live = self.peers.live(now);
+        live.any(|live| live.member.name == *peer && live.lost_services.contains(&service))
+    }
+
     /// Whether a peer may reach the targets of a service that can't be reached from here.
     #[must_use]
     pub fn can_forward(&self, service: &ServiceId, now: Time) -> bool {
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -23,7 +23,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
-use super::peer_forwarding::until_down;
+use super::peer_forwarding::until_doubted;
 use super::quarantine;
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
@@ -161,8 +161,8 @@
                 suspicion.name()
             }
             Recipient::Peer(peer) => {
-                until_down(&self.node, peer).await;
-                "peer_down"
+                let doubt = until_doubted(&self.node, peer, &self.ticket.service).await;
+                doubt.name()
             }
         };
         let silent = self.node.now().since(sent);
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, WorkspaceId};
+use bluebellstage_core::{InstanceId, ServiceId, WorkspaceId};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -442,12 +442,40 @@
     Connection::handshake(stream, BUF_SIZE).await.ok()
 }
 
-/// Returns when a peer is down: it was killed, or is suspended or partitioned from this instance.
-pub(super) async fn until_down<E: Edge>(node: &Node<E>, peer: &InstanceId) {
+/// Why a peer is not expected to answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PeerDoubt {
+    /// It was killed, or is suspended or partitioned from this instance.
+    Down,
+    /// It reports that it can't reach the service's targets either.
+    PathLost,
+}
+
+impl PeerDoubt {
+    /// Short name for the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Down => "peer_down",
+            Self::PathLost => "peer_path_lost",
+        }
+    }
+}
+
+/// Returns when a peer is not expected to answer a request for a service any more.
+pub(super) async fn until_doubted<E: Edge>(
+    node: &Node<E>,
+    peer: &InstanceId,
+    service: &ServiceId,
+) -> PeerDoubt {
     loop {
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
-        if !node.tables().peers.is_live(peer, node.now()) {
-            return;
+        let now = node.now();
+        let tables = node.tables();
+        if !tables.peers.is_live(peer, now) {
+            return PeerDoubt::Down;
+        }
+        if tables.has_peer_lost(service, peer, now) {
+            return PeerDoubt::PathLost;
         }
     }
 }
