Tell of connections that are closed while received bytes lie unread

Cause: an idle close and a close at a planned stop had neither an event nor a counter, so that a request that no line names could not be told from one that never came. Change: the socket of an accepted connection looks, when it is dropped, at what the kernel still holds: BS3012 with the reason, and bluebellstage.connections_closed by reason. Result: no decision changes.

--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -16,6 +16,7 @@
 use crate::edge::Edge;
 
 use super::caller_memory::CallerMemory;
+use super::caller_stream::{CallerStream, CloseReason, SharedCloseReason};
 use super::log::{LogEvent, event};
 use super::memory::Memory;
 use super::node::Node;
@@ -153,6 +154,8 @@
         None => HEADS_IN_BUFFER,
     };
     let buf_size = limits.header_bytes.max(MIN_HEADER_BYTES) * heads;
+    let close_reason = Arc::<SharedCloseReason>::default();
+    let stream = CallerStream::new(stream, Arc::clone(&close_reason), Arc::clone(&node));
     let serving = http1::Builder::new()
         .max_buf_size(buf_size)
         .serve_connection(TokioIo::new(stream), service);
@@ -164,7 +167,10 @@
         tokio::select! {
             // The caller of a broken connection can't be notified. Its request logged the failure.
             _ended = serving.as_mut() => break,
-            () = until_ended(caller.as_deref()) => break,
+            () = until_ended(caller.as_deref()) => {
+                close_reason.set(CloseReason::Memory);
+                break;
+            }
             () = tick => {}
             () = node.stop.notified(), if !is_shutting_down => {}
         }
@@ -177,6 +183,11 @@
         }
         next_check = IDLE_CHECK_INTERVAL;
         if !is_shutting_down && (node.is_closing() || unused && activity.idle_time(&node) > limit) {
+            close_reason.set(if node.is_closing() {
+                CloseReason::Stop
+            } else {
+                CloseReason::Idle
+            });
             serving.as_mut().graceful_shutdown();
             is_shutting_down = true;
         }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -35,6 +35,8 @@
     AcceptFailed = 3008, Warn, "connection can't be accepted";
     /// The metrics' port can't be opened.
     MetricsPortRefused = 3009, Warn, "metrics port can't be opened";
+    /// A connection was closed while received bytes lay unread on it.
+    ClosedUnread = 3012, Warn, "connection closed with unread bytes";
 
     /// Settings were reloaded.
     SettingsReloaded = 3010, Info, "settings reloaded";
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -12,6 +12,7 @@
 use crate::decide::kind::Kind;
 use crate::decide::tables::Tables;
 
+use super::connection_metrics::ConnectionMetrics;
 use super::crash_metrics::CrashMetrics;
 use super::memory_metrics::MemoryMetrics;
 use super::stream_metrics::StreamMetrics;
@@ -25,6 +26,7 @@
 /// Instruments of this process.
 pub(super) struct Metrics {
     instruments: Instruments,
+    pub(super) callers: ConnectionMetrics,
     pub(super) crashes: CrashMetrics,
     pub(super) memory: MemoryMetrics,
     pub(super) streams: StreamMetrics,
@@ -176,6 +178,7 @@
                 "bluebellstage.news_readers",
                 "Instances that this one relays news to",
             ),
+            callers: ConnectionMetrics::new(&instruments),
             crashes: CrashMetrics::new(&instruments),
             memory: MemoryMetrics::new(&instruments),
             streams: StreamMetrics::new(&instruments),
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -15,6 +15,8 @@
 mod attempts;
 mod batches;
 mod caller_memory;
+mod caller_stream;
+mod connection_metrics;
 mod control;
 mod crash_check;
 mod crash_metrics;
