Close a connection only when nothing that was received lies unread on it

Callers saw: a request on a kept connection had neither an answer nor a refusal. Cause: the check of idle connections asked what the process had read, not what the kernel held, and shut the connection down; select! takes its branches in random order, so that even a thread that had just woken up could close before it read. A shrunk idle timeout made all kept connections due at one check. Change: the check only marks a connection as due; its socket reports the end of the stream when a read finds nothing, no request or head has begun, and the kernel holds no byte (FIONREAD, as the reactor may not have reported it yet). The timeout of the last response holds if it was longer.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod change_log;
 pub mod cold;
 pub mod config;
+pub mod connection_end;
 pub mod departures;
 pub mod drain_state;
 pub mod dump;
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
@@ -13,10 +13,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::decide::connection_end::{CHECK_INTERVAL, ConnectionState, NextStep, next_step};
 use crate::edge::Edge;
 
 use super::caller_memory::CallerMemory;
-use super::caller_stream::{CallerStream, CloseReason, SharedCloseReason};
+use super::caller_stream::{CallerStream, CloseReason};
+use super::connection_activity::{Activity, OpenRequest};
 use super::log::{LogEvent, event};
 use super::memory::Memory;
 use super::node::Node;
@@ -27,12 +29,8 @@
 
 /// Delay after a connection could not be accepted, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Interval of the checks of a connection's idle time.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-
-/// How long a connection that has not carried a request stays open once the instance closes: its first
-/// request may be in transit and gets a response that says it was not run.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+/// Value of the header that says that a connection closes after its response.
+const CLOSE: &str = "close";
 
 /// Least request head that fits a connection's buffer, in bytes.
 const MIN_HEADER_BYTES: usize = 8 * 1_024;
@@ -88,35 +86,6 @@
     }
 }
 
-/// Requests in progress on a connection, and its idle time.
-#[derive(Debug, Default)]
-struct Activity {
-    open_requests: AtomicUsize,
-    /// When the last response ended, in milliseconds of [`Node::now`].
-    idle_since: AtomicU64,
-    /// Whether a request has arrived.
-    was_used: AtomicBool,
-}
-
-impl Activity {
-    fn idle_time<E: Edge>(&self, node: &Node<E>) -> Duration {
-        let idle_since = self.idle_since.load(Ordering::Relaxed);
-        Duration::from_millis(millis(node).saturating_sub(idle_since))
-    }
-
-    /// Returns how much longer the first request may take to arrive.
-    fn first_request_wait<E: Edge>(&self, node: &Node<E>) -> Duration {
-        if self.was_used.load(Ordering::Relaxed) {
-            return Duration::ZERO;
-        }
-        FIRST_REQUEST_GRACE.saturating_sub(self.idle_time(node))
-    }
-}
-
-fn millis<E: Edge>(node: &Node<E>) -> u64 {
-    node.now().0 / 1_000
-}
-
 struct ConnectionGuard<E: Edge>(Arc<Node<E>>);
 
 impl<E: Edge> ConnectionGuard<E> {
@@ -136,8 +105,8 @@
     let connection_guard =
         (listener_kind == ListenerKind::Front).then(|| ConnectionGuard::new(&node));
     let limits = node.tables().routes.config().limits;
-    let activity = Arc::new(Activity::default());
-    activity.idle_since.store(millis(&node), Ordering::Relaxed);
+    let activity = Activity::new(node.now(), idle_timeout(&node, listener_kind));
+    let activity = Arc::new(activity);
     let memory = node.memory.as_ref();
     let memory = memory.filter(|_| listener_kind != ListenerKind::Directory);
     let caller = memory.map(Memory::open);
@@ -147,121 +116,123 @@
         }
         let node = Arc::clone(&node);
         let activity = Arc::clone(&activity);
-        async move { Ok::<_, Infallible>(respond(node, activity, req, listener_kind).await) }
+        let open_request = OpenRequest::begin(&node, &activity);
+        async move {
+            let res = respond(&node, open_request, req, listener_kind).await;
+            activity.record_response(idle_timeout(&node, listener_kind), is_close_told(&res));
+            Ok::<_, Infallible>(res)
+        }
     });
     let heads = match caller {
         Some(_) => HEADS_IN_SMALL_BUFFER,
         None => HEADS_IN_BUFFER,
     };
     let buf_size = limits.header_bytes.max(MIN_HEADER_BYTES) * heads;
-    let close_reason = Arc::<SharedCloseReason>::default();
-    let stream = CallerStream::new(stream, Arc::clone(&close_reason), Arc::clone(&node));
+    let stream = CallerStream::new(stream, Arc::clone(&activity), Arc::clone(&node));
     let serving = http1::Builder::new()
         .max_buf_size(buf_size)
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
-    let mut is_shutting_down = false;
-    let mut next_check = IDLE_CHECK_INTERVAL;
+    let mut next_check = CHECK_INTERVAL;
     loop {
-        let tick = tokio::time::sleep(next_check);
         tokio::select! {
             // The caller of a broken connection can't be notified. Its request logged the failure.
             _ended = serving.as_mut() => break,
             () = until_ended(caller.as_deref()) => {
-                close_reason.set(CloseReason::Memory);
+                activity.close(CloseReason::Memory);
                 break;
             }
-            () = tick => {}
-            () = node.stop.notified(), if !is_shutting_down => {}
-        }
-        let unused = activity.open_requests.load(Ordering::Relaxed) == 0;
-        let limit = idle_limit(&node, listener_kind);
-        let first_request_wait = activity.first_request_wait(&node);
-        if node.is_closing() && !first_request_wait.is_zero() {
-            next_check = first_request_wait;
-            continue;
-        }
-        next_check = IDLE_CHECK_INTERVAL;
-        if !is_shutting_down && (node.is_closing() || unused && activity.idle_time(&node) > limit) {
-            close_reason.set(if node.is_closing() {
-                CloseReason::Stop
-            } else {
-                CloseReason::Idle
-            });
-            serving.as_mut().graceful_shutdown();
-            is_shutting_down = true;
+            () = tokio::time::sleep(next_check) => {}
+            () = node.stop.notified() => {}
         }
+        next_check = match next_step(connection_state(&node, &activity, listener_kind)) {
+            NextStep::Keep(span) => span,
+            NextStep::CloseOnceRead => {
+                activity.close(if node.is_closing() {
+                    CloseReason::Stop
+                } else {
+                    CloseReason::Idle
+                });
+                CHECK_INTERVAL
+            }
+            NextStep::Cut => {
+                activity.close(CloseReason::SlowHead);
+                break;
+            }
+        };
     }
     drop(connection_guard);
 }
 
-/// Returns the idle time after which a connection is closed. Peers' pools keep connections by the configuration of
-/// the last request, so that a shrunk limit would close those that they still use.
-fn idle_limit<E: Edge>(node: &Node<E>, listener_kind: ListenerKind) -> Duration {
-    let limit = node.tables().routes.config().limits.idle_timeout;
+fn connection_state<E: Edge>(
+    node: &Node<E>,
+    activity: &Activity,
+    listener_kind: ListenerKind,
+) -> ConnectionState {
+    let (told_timeout, is_close_told) = activity.told();
+    ConnectionState {
+        now: activity.current_use(node.now()),
+        idle_timeout: idle_timeout(node, listener_kind).max(told_timeout),
+        header_timeout: node.tables().routes.config().limits.header_timeout,
+        is_closing: node.is_closing(),
+        is_close_told,
+    }
+}
+
+/// Returns the idle timeout that is in force. Peers' pools keep connections by the configuration of the last request,
+/// so that a shrunk timeout would close those that they still use.
+fn idle_timeout<E: Edge>(node: &Node<E>, listener_kind: ListenerKind) -> Duration {
+    let timeout = node.tables().routes.config().limits.idle_timeout;
     match listener_kind {
-        ListenerKind::Front | ListenerKind::Directory => limit,
-        ListenerKind::Control => limit.max(MAX_IDLE * 2),
+        ListenerKind::Front | ListenerKind::Directory => timeout,
+        ListenerKind::Control => timeout.max(MAX_IDLE * 2),
     }
 }
 
+/// Whether a response says that its connection closes.
+fn is_close_told<B>(res: &Response<B>) -> bool {
+    let value = res.headers().get(header::CONNECTION);
+    value.is_some_and(|value| value == CLOSE)
+}
+
 async fn respond<E: Edge>(
-    node: Arc<Node<E>>,
-    activity: Arc<Activity>,
+    node: &Arc<Node<E>>,
+    open_request: OpenRequest<E>,
     req: Request<Incoming>,
     listener_kind: ListenerKind,
-) -> Response<GuardedBody<E>> {
-    activity.open_requests.fetch_add(1, Ordering::Relaxed);
-    activity.was_used.store(true, Ordering::Relaxed);
-    let guard = ActivityGuard {
-        node: Arc::clone(&node),
-        activity,
-    };
+) -> Response<RespondedBody<E>> {
     let caller = req.extensions().get::<Arc<CallerMemory>>().cloned();
     let is_forwarded = req.headers().contains_key(REQUEST_HEADER);
     let mut counted = None;
     let mut res = match listener_kind {
-        ListenerKind::Front => super::serve::serve(Arc::clone(&node), req).await,
+        ListenerKind::Front => super::serve::serve(Arc::clone(node), req).await,
         ListenerKind::Control if is_forwarded => {
-            counted = Some(ConnectionGuard::new(&node));
-            super::serve::serve_forwarded(Arc::clone(&node), req).await
+            counted = Some(ConnectionGuard::new(node));
+            super::serve::serve_forwarded(Arc::clone(node), req).await
         }
-        ListenerKind::Directory => super::directory::respond(&node, &req),
-        ListenerKind::Control => super::control::respond(&node, &req),
+        ListenerKind::Directory => super::directory::respond(node, &req),
+        ListenerKind::Control => super::control::respond(node, &req),
     };
     if node.is_stopping() {
-        let close = HeaderValue::from_static("close");
+        let close = HeaderValue::from_static(CLOSE);
         res.headers_mut().insert(header::CONNECTION, close);
     }
-    res.map(|body| GuardedBody {
+    res.map(|body| RespondedBody {
         body: CountedBody::new(body, caller),
-        _guard: guard,
+        _open_request: open_request,
         _counted: counted,
     })
 }
 
-struct ActivityGuard<E: Edge> {
-    node: Arc<Node<E>>,
-    activity: Arc<Activity>,
-}
-
-impl<E: Edge> Drop for ActivityGuard<E> {
-    fn drop(&mut self) {
-        let now = millis(&self.node);
-        self.activity.idle_since.store(now, Ordering::Relaxed);
-        self.activity.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A response body that marks its connection as active until it is sent.
-struct GuardedBody<E: Edge> {
+/// The body of a response. Its request is open until it is sent.
+struct RespondedBody<E: Edge> {
     body: CountedBody,
-    _guard: ActivityGuard<E>,
+    _open_request: OpenRequest<E>,
     /// Set for a request that a peer forwards: a planned stop waits for it as for callers' connections.
     _counted: Option<ConnectionGuard<E>>,
 }
 
-impl<E: Edge> Body for GuardedBody<E> {
+impl<E: Edge> Body for RespondedBody<E> {
     type Data = bytes::Bytes;
     type Error = std::io::Error;
 
--- a/crates/gateway/src/net/caller_stream.rs
+++ b/crates/gateway/src/net/caller_stream.rs
@@ -1,9 +1,8 @@
-//! The socket of an accepted connection, which tells what lies unread on it when it is closed.
+//! The socket of an accepted connection, which is closed by the instance only when nothing lies unread on it.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::task::{Context, Poll};
 
 use rustix::io::ioctl_fionread;
@@ -12,71 +11,58 @@
 
 use crate::edge::Edge;
 
+use super::connection_activity::Activity;
 use super::log::{LogEvent, event};
 use super::node::Node;
 
-/// Why a connection ends.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-#[repr(u8)]
+/// Name of the end of a connection that its caller closed, or that broke or was refused as malformed.
+const ENDED: &str = "ended";
+
+/// Why an instance closes a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CloseReason {
-    /// Its caller closed it, or it broke or was refused as malformed.
-    #[default]
-    Ended,
-    /// It was idle for longer than the limit.
+    /// It was idle for longer than its timeout.
     Idle,
     /// The instance stops.
     Stop,
+    /// Its caller did not complete the head of a request in time.
+    SlowHead,
     /// Memory is short.
     Memory,
 }
 
 impl CloseReason {
-    const ALL: [Self; 4] = [Self::Ended, Self::Idle, Self::Stop, Self::Memory];
-
     /// Short name for logs and metrics.
     const fn name(self) -> &'static str {
         match self {
-            Self::Ended => "ended",
             Self::Idle => "idle",
             Self::Stop => "stop",
+            Self::SlowHead => "slow_head",
             Self::Memory => "memory",
         }
     }
 }
 
-/// The reason for which a connection is closed, shared with its socket.
-#[derive(Debug, Default)]
-pub(super) struct SharedCloseReason(AtomicU8);
-
-impl SharedCloseReason {
-    pub(super) fn set(&self, reason: CloseReason) {
-        self.0.store(reason as u8, Ordering::Relaxed);
-    }
-
-    fn get(&self) -> CloseReason {
-        let idx = usize::from(self.0.load(Ordering::Relaxed));
-        CloseReason::ALL[idx]
-    }
-}
-
 /// The socket of an accepted connection.
+///
+/// When the connection is due to close, it is read until nothing is left in the kernel, and only then the socket reports
+/// the end of its stream. So a request that was received before is served.
 #[derive(Debug)]
 pub(super) struct CallerStream<E: Edge> {
     stream: TcpStream,
-    reason: Arc<SharedCloseReason>,
+    activity: Arc<Activity>,
     node: Arc<Node<E>>,
+    /// Whether a part of a response waits for the caller to take more.
+    is_write_blocked: bool,
 }
 
 impl<E: Edge> CallerStream<E> {
-    pub(super) fn new(
-        stream: TcpStream,
-        reason: Arc<SharedCloseReason>,
-        node: Arc<Node<E>>,
-    ) -> Self {
+    pub(super) fn new(stream: TcpStream, activity: Arc<Activity>, node: Arc<Node<E>>) -> Self {
         Self {
             stream,
-            reason,
+            activity,
             node,
+            is_write_blocked: false,
         }
     }
 
@@ -85,12 +71,19 @@
         // A socket that can't tell has been reset, so that nothing can be read.
         ioctl_fionread(&self.stream).unwrap_or(0)
     }
+
+    /// Whether the connection ends now, although its caller could send more.
+    fn is_close_due(&self) -> bool {
+        // What has just arrived may not have been reported by the reactor yet.
+        self.activity.is_close_due() && !self.is_write_blocked && self.unread() == 0
+    }
 }
 
 impl<E: Edge> Drop for CallerStream<E> {
     fn drop(&mut self) {
         let unread = self.unread();
-        let reason = self.reason.get().name();
+        let reason = self.activity.close_reason();
+        let reason = reason.map_or(ENDED, CloseReason::name);
         self.node.metrics.callers.closed(reason, unread > 0);
         if unread > 0 {
             let unread = unread.to_string();
@@ -106,7 +99,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() && self.is_close_due() {
+            return Poll::Ready(Ok(()));
+        }
+        if buf.filled().len() > before {
+            self.activity.record_read(self.node.now());
+        }
+        read
     }
 }
 
@@ -116,7 +117,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.is_write_blocked = written.is_pending();
+        written
     }
 
     fn poll_write_vectored(
@@ -124,7 +127,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.is_write_blocked = written.is_pending();
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- /dev/null
+++ b/crates/gateway/src/net/connection_activity.rs
@@ -0,0 +1,125 @@
+//! What an accepted connection does, shared by its socket, its requests and the checks of its end.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bluebellstage_core::Time;
+
+use crate::decide::connection_end::Use;
+use crate::edge::Edge;
+
+use super::caller_stream::CloseReason;
+use super::node::Node;
+
+#[derive(Debug)]
+struct State {
+    open_requests: usize,
+    /// When the last response ended or the connection was accepted.
+    idle_since: Time,
+    /// When the first bytes of the next request arrived.
+    head_since: Option<Time>,
+    /// The idle timeout when the last response began.
+    idle_timeout: Duration,
+    /// Whether the last response said that the connection closes.
+    is_close_told: bool,
+    /// Why the instance closes it.
+    close_reason: Option<CloseReason>,
+}
+
+/// What an accepted connection does.
+#[derive(Debug)]
+pub(super) struct Activity(Mutex<State>);
+
+impl Activity {
+    pub(super) fn new(now: Time, idle_timeout: Duration) -> Self {
+        Self(Mutex::new(State {
+            open_requests: 0,
+            idle_since: now,
+            head_since: None,
+            idle_timeout,
+            is_close_told: false,
+            close_reason: None,
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that bytes were read, which begin a request unless one is open.
+    pub(super) fn record_read(&self, now: Time) {
+        let mut state = self.lock();
+        if state.open_requests == 0 {
+            state.head_since.get_or_insert(now);
+        }
+    }
+
+    /// Records what the head of a response tells its caller.
+    pub(super) fn record_response(&self, idle_timeout: Duration, is_close_told: bool) {
+        let mut state = self.lock();
+        state.idle_timeout = idle_timeout;
+        state.is_close_told = is_close_told;
+    }
+
+    /// Returns what it does now.
+    pub(super) fn current_use(&self, now: Time) -> Use {
+        let state = self.lock();
+        match state.head_since {
+            _ if state.open_requests > 0 => Use::Request,
+            Some(since) => Use::PartialHead(now.since(since)),
+            None => Use::Idle(now.since(state.idle_since)),
+        }
+    }
+
+    /// Returns the idle timeout when the last response began, and whether that said that the connection closes.
+    pub(super) fn told(&self) -> (Duration, bool) {
+        let state = self.lock();
+        (state.idle_timeout, state.is_close_told)
+    }
+
+    /// Lets it close. A request that begins before that keeps it open.
+    pub(super) fn close(&self, reason: CloseReason) {
+        self.lock().close_reason = Some(reason);
+    }
+
+    /// Returns why the instance closes it, if it does.
+    pub(super) fn close_reason(&self) -> Option<CloseReason> {
+        self.lock().close_reason
+    }
+
+    /// Whether it closes, and no request has begun.
+    pub(super) fn is_close_due(&self) -> bool {
+        let state = self.lock();
+        state.close_reason.is_some() && state.open_requests == 0 && state.head_since.is_none()
+    }
+}
+
+/// A request on a connection, until its response is sent.
+#[derive(Debug)]
+pub(super) struct OpenRequest<E: Edge> {
+    node: Arc<Node<E>>,
+    activity: Arc<Activity>,
+}
+
+impl<E: Edge> OpenRequest<E> {
+    pub(super) fn begin(node: &Arc<Node<E>>, activity: &Arc<Activity>) -> Self {
+        let mut state = activity.lock();
+        state.open_requests += 1;
+        state.head_since = None;
+        state.close_reason = None;
+        drop(state);
+        Self {
+            node: Arc::clone(node),
+            activity: Arc::clone(activity),
+        }
+    }
+}
+
+impl<E: Edge> Drop for OpenRequest<E> {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let mut state = self.activity.lock();
+        state.open_requests -= 1;
+        state.idle_since = now;
+    }
+}
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod batches;
 mod caller_memory;
 mod caller_stream;
+mod connection_activity;
 mod connection_metrics;
 mod control;
 mod crash_check;
