Move admission and its ticket out of the state of an instance

Change: moves only: what decides on admission is in decide/admission.rs, what holds for an admitted request in decide/ticket.rs.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod account;
 pub mod adapter;
 mod adapter_choice;
+mod admission;
 pub mod availability;
 pub mod brittle;
 pub mod call;
@@ -58,5 +59,6 @@
 pub mod stream_times;
 pub mod tables;
 pub mod target;
+pub mod ticket;
 pub mod versions;
 pub mod wait_queue;
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, ServiceId, SoftwareVersion, TargetId, Time, WorkspaceId};
+use bluebellstage_core::{Revision, ServiceId, TargetId, Time};
 
 use super::adapter::{AdapterKey, RequestedModel};
 use super::brittle::BrittleTargets;
 use super::call::Call;
-use super::config::{Config, Route};
+use super::config::Config;
 use super::departures::Departures;
 use super::evacuations::Evacuations;
 use super::exchange::Exchange;
@@ -25,7 +25,7 @@
 use super::picking::LOAD_TARGET_TTL;
 use super::prompt_queues::{PromptQueues, WaitingKey};
 use super::quarantine::Quarantine;
-use super::quota::{ChargeOutcome, PeerVisibility, Quotas};
+use super::quota::Quotas;
 use super::ranked_tokens::RankClass;
 pub use super::refusal::Refusal;
 use super::registry::Registry;
@@ -33,21 +33,13 @@
 use super::residency::Residency;
 use super::rests::Rests;
 use super::retry_budget::{RetryBudget, RetryCounts};
-use super::routes::{RouteTable, Routed, pick_service};
+use super::routes::RouteTable;
 use super::store_calls::StoreCalls;
-use super::stream_origins::{StreamOrigin, StreamOrigins};
+use super::stream_origins::StreamOrigins;
 use super::stream_times::EventGap;
-use super::target::Target;
+pub use super::ticket::Ticket;
 use super::versions::Versions;
-use super::wait_queue::{Patience, WaitQueue};
-
-/// Fraction of a route's target latency for which a request may wait for its workspace's quota. A
-/// rejected caller would lose more time on its way back, and an engine can still respond in the
-/// rest.
-const QUOTA_WAIT_FRACTION: f64 = 0.4;
-/// Maximum time after which a rejected caller is told to retry. With a longer one the caller would
-/// have little time left.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+use super::wait_queue::WaitQueue;
 
 /// Loads on the engines whose shards this instance holds.
 #[derive(Clone, Debug, Default)]
@@ -133,94 +125,6 @@
     pub(super) recent_engines: HashMap<AdapterKey, (TargetId, Time)>,
 }
 
-/// An admitted request.
-#[derive(Clone, Debug)]
-pub struct Ticket {
-    routes: Arc<RouteTable>,
-    route: usize,
-    /// The service that runs it.
-    pub service: ServiceId,
-    /// The workspace that is charged.
-    pub workspace: Option<WorkspaceId>,
-    /// Units that were charged.
-    pub charge: u64,
-    /// Time to wait until the quota allows the request.
-    pub quota_wait: Duration,
-    /// Priority rank; 0 comes first.
-    pub rank: u8,
-    /// Software version that began the request's stream; only its targets may continue it. `None` if the stream has
-    /// not begun.
-    pub software: Option<SoftwareVersion>,
-    /// Until when its start is worth something; without it the request never waits for room.
-    pub patience: Option<Patience>,
-    /// Whether it has waited for room.
-    pub waits: bool,
-}
-
-impl Ticket {
-    /// The route.
-    #[must_use]
-    pub fn route(&self) -> &Route {
-        self.routes.route(self.route)
-    }
-
-    /// Class of its rank among those of its service.
-    #[must_use]
-    pub fn rank_class(&self) -> RankClass {
-        self.routes.rank_class(&self.service, self.rank)
-    }
-
-    /// Class of its rank where loads for more urgent requests come first; elsewhere all are alike.
-    #[must_use]
-    pub fn load_class(&self) -> RankClass {
-        if self.later_ranks_can_wait() {
-            self.rank_class()
-        } else {
-            RankClass::default()
-        }
-    }
-
-    /// Whether later ranks of its service leave room to requests of earlier ones that wait.
-    #[must_use]
-    pub fn later_ranks_can_wait(&self) -> bool {
-        self.routes.later_ranks_can_wait(&self.service)
-    }
-
-    /// Version of the configuration under which the request was admitted.
-    #[must_use]
-    pub fn config(&self) -> Revision {
-        self.routes.version()
-    }
-
-    /// Returns where the request's stream began; `None` if it has not.
-    #[must_use]
-    pub fn stream_origin(&self) -> Option<StreamOrigin> {
-        let software = self.software.clone()?;
-        let service = ShortHash::of(self.service.as_str());
-        Some(StreamOrigin { service, software })
-    }
-
-    /// Holds the request to the origin of the stream that it continues. If its route no longer leads to that service,
-    /// the one that was drawn remains, and only targets of the same software version may run it.
-    pub fn hold_to(&mut self, origin: &StreamOrigin) {
-        let mut split = self.route().split.iter();
-        let began = split.find(|(service, weight)| {
-            *weight > 0 && ShortHash::of(service.as_str()) == origin.service
-        });
-        if let Some((service, _)) = began {
-            self.service = service.clone();
-        }
-        self.software = Some(origin.software.clone());
-    }
-
-    /// Whether a target may run the request, by its service and its software version.
-    #[must_use]
-    pub fn allows(&self, target: &Target) -> bool {
-        let is_of_version = |version: &SoftwareVersion| *version == target.software;
-        target.service == self.service && self.software.as_ref().is_none_or(is_of_version)
-    }
-}
-
 impl Tables {
     /// Creates the state of an instance that knows only itself.
     #[must_use]
@@ -302,122 +206,6 @@
         true
     }
 
-    /// Admits or rejects a request. `draw` is a random number.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal if the request is rejected.
-    pub fn admit(&mut self, call: &Call, draw: u64, now: Time) -> Result<Ticket, Refusal> {
-        if !self.informed() {
-            return Err(self.why_not_informed(now));
-        }
-        let (route, workspace) = match self.routes.find(call) {
-            Routed::To { route, workspace } => (route, workspace),
-            Routed::NoRoute => return Err(Refusal::NoRoute),
-            Routed::UnknownKey => return Err(Refusal::UnknownKey),
-        };
-        let routes = Arc::clone(&self.routes);
-        let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
-        let workspace = workspace.map(|idx| routes.workspace(idx));
-        let mut charge = 0;
-        let mut quota_wait = Duration::ZERO;
-        if let Some(workspace) = workspace
-            && let Some(quota) = workspace.quota
-        {
-            charge = quota.unit.charge(call.tokens);
-            let sharing = PeerVisibility {
-                silent_fraction: self.unknown_spending_fraction(now),
-                staleness: self.update_age(now),
-            };
-            let max_quota_wait = routes
-                .route(route)
-                .target_latency
-                .mul_f64(QUOTA_WAIT_FRACTION);
-            let name = &workspace.name;
-            let quotas = &mut self.quotas;
-            match quotas.charge(name, quota, charge, sharing, max_quota_wait, now) {
-                ChargeOutcome::Accepted => {}
-                ChargeOutcome::AcceptedAfter(wait) => quota_wait = wait,
-                ChargeOutcome::Rejected {
-                    retry_after,
-                    remaining,
-                } => {
-                    return Err(Refusal::OverQuota {
-                        retry_after: retry_after.min(MAX_RETRY_AFTER),
-                        remaining,
-                        charge,
-                        rate: quota.rate,
-                    });
-                }
-            }
-        }
-        self.retries.record_request(service, now);
-        let rank = workspace.and_then(|workspace| workspace.rank);
-        Ok(Ticket {
-            service: service.clone(),
-            workspace: workspace.map(|workspace| workspace.name.clone()),
-            charge,
-            quota_wait,
-            rank: rank.unwrap_or(routes.route(route).rank),
-            software: None,
-            patience: None,
-            waits: false,
-            route,
-            routes,
-        })
-    }
-
-    /// Admits a request that a peer forwards and has charged to `workspace`. `draw` is a random number.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal if the request is rejected.
-    pub fn admit_forwarded(
-        &mut self,
-        call: &Call,
-        workspace: Option<&WorkspaceId>,
-        draw: u64,
-        now: Time,
-    ) -> Result<Ticket, Refusal> {
-        if !self.informed() {
-            return Err(self.why_not_informed(now));
-        }
-        let route = self.routes.find_route(call).ok_or(Refusal::NoRoute)?;
-        let routes = Arc::clone(&self.routes);
-        let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
-        let known = workspace.map(|name| routes.workspace_named(name).ok_or(Refusal::UnknownKey));
-        let rank = known.transpose()?.and_then(|known| known.rank);
-        self.retries.record_request(service, now);
-        Ok(Ticket {
-            service: service.clone(),
-            workspace: workspace.cloned(),
-            charge: 0,
-            quota_wait: Duration::ZERO,
-            rank: rank.unwrap_or(routes.route(route).rank),
-            software: None,
-            patience: None,
-            waits: false,
-            route,
-            routes,
-        })
-    }
-
-    fn why_not_informed(&self, now: Time) -> Refusal {
-        let has_source = self.peers.live(now).any(|peer| peer.ready);
-        if has_source || self.store_calls.has_response() {
-            Refusal::NotConfigured
-        } else {
-            Refusal::StoreUnreachable
-        }
-    }
-
-    /// Refunds the charge of a request that did not run.
-    pub fn refund(&mut self, ticket: &Ticket) {
-        if let Some(workspace) = &ticket.workspace {
-            self.quotas.refund(workspace, ticket.charge);
-        }
-    }
-
     /// Whether `peer` has store data that this instance lacks.
     #[must_use]
     pub fn is_behind(&self, peer: &Peer) -> bool {
