Give up a response whose informational heads don't end

Callers saw: beside a target that sends 1xx heads without end, reads got 504 although a sound target was free, and callers of other services waited for the instance's only thread. Cause: hyper skips any number of informational heads in one poll, without giving the thread up, so that neither timeouts nor the drop of the connection came through. Change: the socket of a connection to a target or peer knows of the informational heads of a response; it reads in small parts after one, lets other tasks have their turn between two reads, and fails the read beyond 16 KB of such heads. That, a head that can't be parsed or is too large, and a switch of protocols count as a wrong answer, which goes elsewhere.

--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -42,6 +42,7 @@
 pub mod reload;
 pub mod rendezvous;
 pub mod residency;
+pub mod response_heads;
 pub mod rests;
 pub mod retry_after;
 pub mod retry_budget;
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -25,7 +25,7 @@
 use super::memory::BytesAtTarget;
 use super::node::Node;
 use super::pass_through::{Buffered, Collected, buffer, pass_through};
-use super::pool::Connection;
+use super::pool::{Connection, SendFailure};
 use super::quarantine::until_refused;
 use super::response_head::{
     ResponseSender, record_brittleness, record_response_head, record_taken,
@@ -349,15 +349,14 @@
         return Exchange::Unreachable;
     };
     let req = target_request(node, params, forward);
-    match connection.tx.try_send_request(req).await {
+    match connection.send(req).await {
         Ok(response) => {
             let (parts, body) = response.into_parts();
             Exchange::Response(Box::new(parts), body, connection)
         }
-        Err(mut err) => match err.take_message() {
-            Some(_unsent) => Exchange::Unreachable,
-            None => Exchange::Failed(Failure::Broken),
-        },
+        Err(SendFailure::NotSent(_)) => Exchange::Unreachable,
+        Err(SendFailure::Broken(_)) => Exchange::Failed(Failure::Broken),
+        Err(SendFailure::WrongAnswer(_)) => Exchange::Failed(Failure::WrongAnswer),
     }
 }
 
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -43,7 +43,7 @@
     connection: &mut Connection,
     req: Request<Bytes>,
 ) -> Result<Response<Bytes>, GatewayError> {
-    let sent = connection.tx.send_request(req.map(Full::new)).await;
+    let sent = connection.send(req.map(Full::new)).await;
     let (head, body) = sent.map_err(|err| failed(address, &err))?.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|err| failed(address, &err))?;
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -61,6 +61,7 @@
 mod stream_source;
 mod sync;
 mod target_connection;
+mod target_socket;
 mod unknown_headers;
 mod wait_metrics;
 mod wait_places;
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -27,7 +27,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
-use super::pool::{BUF_SIZE, Connection};
+use super::pool::{BUF_SIZE, Connection, SendFailure};
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 use super::sockets::connect;
@@ -410,7 +410,7 @@
         return PeerAttempt::NotSent;
     };
     let in_flight = InFlightAtPeer::begin(&node, &peer.name);
-    let sent = connection.tx.try_send_request(req);
+    let sent = connection.send(req);
     match tokio::time::timeout(time_left, sent).await {
         Ok(Ok(response)) => {
             let (mut parts, body) = response.into_parts();
@@ -429,11 +429,10 @@
                 stream,
             }))
         }
-        Ok(Err(mut err)) => match err.take_message() {
-            Some(_unsent) => PeerAttempt::NotSent,
-            None => PeerAttempt::Broken,
-        },
-        Err(_elapsed) => PeerAttempt::Broken,
+        Ok(Err(SendFailure::NotSent(_))) => PeerAttempt::NotSent,
+        Ok(Err(SendFailure::Broken(_) | SendFailure::WrongAnswer(_))) | Err(_) => {
+            PeerAttempt::Broken
+        }
     }
 }
 
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -1,17 +1,24 @@
 //! Pool of idle connections to targets or peers.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::hash::Hash;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::decide::response_heads::ResponseHeads;
+
+use super::target_socket::{SharedHeads, TargetSocket};
+
 /// Fraction of a target's idle limit for which a connection is reused. The target started its idle timer
 /// earlier than the pool, and a request that is sent while the target closes the connection may be lost.
 const IDLE_LIMIT_FRACTION: f64 = 0.6;
@@ -27,21 +34,44 @@
 /// The same if memory is limited. It is read ahead of the caller, and not counted.
 pub(super) const SMALL_BUF_SIZE: usize = 32 * 1_024;
 
+/// Why a request that was handed to a connection has no response.
+#[derive(Debug)]
+pub(super) enum SendFailure {
+    /// The connection had ended before any part of the request was sent.
+    NotSent(hyper::Error),
+    /// The connection broke.
+    Broken(hyper::Error),
+    /// What arrived is no response, or only informational heads without end.
+    WrongAnswer(Box<str>),
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(err) | Self::Broken(err) => err.fmt(f),
+            Self::WrongAnswer(cause) => cause.fmt(f),
+        }
+    }
+}
+
 /// A connection to a target. It is closed when dropped, so that the work for a caller that disconnected is
 /// cancelled.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    heads: SharedHeads,
     /// Whether it has carried a request before.
     pub(super) reused: bool,
 }
 
 impl Connection {
     pub(super) async fn handshake(stream: TcpStream, buf_size: usize) -> hyper::Result<Self> {
+        let heads = SharedHeads::default();
+        let socket = TargetSocket::new(stream, heads.clone());
         let (tx, driver) = Builder::new()
             .max_buf_size(buf_size)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await?;
         let drive = async move {
             // The exchange that uses the connection gets the same error and reports it.
@@ -50,9 +80,43 @@
         Ok(Self {
             tx,
             task: tokio::spawn(drive).abort_handle(),
+            heads,
             reused: false,
         })
     }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// There is no response. The connection can't be used any more and should be dropped.
+    pub(super) async fn send(
+        &mut self,
+        mut req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        *self.heads.lock() = ResponseHeads::default();
+        let heads = self.heads.clone();
+        hyper::ext::on_informational(&mut req, move |_head| heads.lock().record_informational());
+        match self.tx.try_send_request(req).await {
+            // A protocol that nobody asked for.
+            Ok(response) if response.status().is_informational() => {
+                Err(SendFailure::WrongAnswer("a switch of protocols".into()))
+            }
+            Ok(response) => Ok(response),
+            Err(mut err) => Err(match err.take_message() {
+                Some(_unsent) => SendFailure::NotSent(err.into_error()),
+                None => self.failure(err.into_error()),
+            }),
+        }
+    }
+
+    fn failure(&self, err: hyper::Error) -> SendFailure {
+        if err.is_parse() || self.heads.lock().is_exceeded() {
+            SendFailure::WrongAnswer(err.to_string().into())
+        } else {
+            SendFailure::Broken(err)
+        }
+    }
 }
 
 impl Drop for Connection {
