Send a request on a new connection if the kept one was closed before

Callers saw: a read got 503 although its target was sound and free: the target had closed the kept connection as idle while the instance was busy. Cause: the pool asked hyper, which knows of a close only after the reactor has reported it; the request was then handed back unsent, and that was taken for a target that can't be reached, which the search leaves out. Change: the pool looks at what the kernel holds (a peek at the socket) before it uses a connection, and a request that was handed back goes on the next idle connection or on a new one: it was certainly not received, so that it counts as one send. The same holds for requests to peers and for reports and orders.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -340,17 +340,23 @@
     params: SendParams<'_>,
     forward: &Forward<'_>,
 ) -> Exchange {
-    let pooled = params.reuse.then(|| node.pool.take(target)).flatten();
-    let connection = match pooled {
-        Some(connection) => Some(connection),
-        None => open(node, target, address, CONNECT_TIMEOUT).await.ok(),
+    let req = target_request(node, params, forward);
+    let sent = if params.reuse {
+        node.pool.send(target, req).await
+    } else {
+        Err(SendFailure::NotSent(Box::new(req)))
     };
-    let Some(mut connection) = connection else {
-        return Exchange::Unreachable;
+    let sent = match sent {
+        Err(SendFailure::NotSent(req)) => {
+            match open(node, target, address, CONNECT_TIMEOUT).await {
+                Ok(connection) => connection.send(*req).await,
+                Err(_) => return Exchange::Unreachable,
+            }
+        }
+        sent => sent,
     };
-    let req = target_request(node, params, forward);
-    match connection.send(req).await {
-        Ok(response) => {
+    match sent {
+        Ok((response, connection)) => {
             let (parts, body) = response.into_parts();
             Exchange::Response(Box::new(parts), body, connection)
         }
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 
 use crate::decide::target::Target;
 use crate::edge::Edge;
@@ -14,7 +15,7 @@
 
 use super::node::Node;
 use super::paths::record_answer;
-use super::pool::{BUF_SIZE, Connection};
+use super::pool::{BUF_SIZE, Connection, SendFailure};
 use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
 use super::target_connection;
@@ -38,13 +39,11 @@
     connection.map_err(|err| failed(address, &err))
 }
 
-async fn exchange(
+async fn read(
     address: SocketAddr,
-    connection: &mut Connection,
-    req: Request<Bytes>,
+    response: Response<Incoming>,
 ) -> Result<Response<Bytes>, GatewayError> {
-    let sent = connection.send(req.map(Full::new)).await;
-    let (head, body) = sent.map_err(|err| failed(address, &err))?.into_parts();
+    let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|err| failed(address, &err))?;
     Ok(Response::from_parts(head, body.to_bytes()))
@@ -61,8 +60,10 @@
     timeout: Duration,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
-        let mut connection = open(address).await?;
-        exchange(address, &mut connection, req).await
+        let connection = open(address).await?;
+        let sent = connection.send(req.map(Full::new)).await;
+        let (response, _connection) = sent.map_err(|err| failed(address, &err))?;
+        read(address, response).await
     };
     let result = tokio::time::timeout(timeout, calling).await;
     result.map_err(|elapsed| failed(address, &elapsed))?
@@ -76,16 +77,19 @@
     timeout: Duration,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
-        let mut connection = if let Some(connection) = node.pool.take(&target.id) {
-            connection
-        } else {
-            let opened =
-                target_connection::open(node, &target.id, target.address, CONNECT_TIMEOUT).await;
-            opened.map_err(|err| failed(target.address, &err))?
+        let sent = node.pool.send(&target.id, req.map(Full::new)).await;
+        let sent = match sent {
+            Err(SendFailure::NotSent(req)) => {
+                let opened =
+                    target_connection::open(node, &target.id, target.address, CONNECT_TIMEOUT)
+                        .await;
+                let connection = opened.map_err(|err| failed(target.address, &err))?;
+                connection.send(*req).await
+            }
+            sent => sent,
         };
-        let (head, body) = exchange(target.address, &mut connection, req)
-            .await?
-            .into_parts();
+        let (response, connection) = sent.map_err(|err| failed(target.address, &err))?;
+        let (head, body) = read(target.address, response).await?.into_parts();
         record_answer(node, &target.id, node.now());
         record_response_head(node, ResponseSender::of(target), &head);
         node.pool.put(&target.id, connection, None);
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -27,7 +27,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
-use super::pool::{BUF_SIZE, Connection, SendFailure};
+use super::pool::{Answer, BUF_SIZE, Connection, SendFailure};
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 use super::sockets::connect;
@@ -401,18 +401,10 @@
     reuse: bool,
     time_left: Duration,
 ) -> PeerAttempt<E> {
-    let pooled = reuse.then(|| node.peer_pool.take(&peer.name)).flatten();
-    let opened = match pooled {
-        Some(connection) => Some(connection),
-        None => open(peer).await,
-    };
-    let Some(mut connection) = opened else {
-        return PeerAttempt::NotSent;
-    };
     let in_flight = InFlightAtPeer::begin(&node, &peer.name);
-    let sent = connection.send(req);
-    match tokio::time::timeout(time_left, sent).await {
-        Ok(Ok(response)) => {
+    let sending = send(&node, peer, req, reuse);
+    match tokio::time::timeout(time_left, sending).await {
+        Ok(Ok((response, connection))) => {
             let (mut parts, body) = response.into_parts();
             let Some(report) = ForwardReport::take_from(&mut parts.headers) else {
                 return PeerAttempt::NotSent;
@@ -436,6 +428,27 @@
     }
 }
 
+/// Sends a request to a peer, on a kept connection if it may.
+async fn send<E: Edge>(
+    node: &Node<E>,
+    peer: &Member,
+    req: Request<Full<Bytes>>,
+    reuse: bool,
+) -> Result<Answer, SendFailure> {
+    let sent = if reuse {
+        node.peer_pool.send(&peer.name, req).await
+    } else {
+        Err(SendFailure::NotSent(Box::new(req)))
+    };
+    match sent {
+        Err(SendFailure::NotSent(req)) => match open(peer).await {
+            Some(connection) => connection.send(*req).await,
+            None => Err(SendFailure::NotSent(req)),
+        },
+        sent => sent,
+    }
+}
+
 async fn open(peer: &Member) -> Option<Connection> {
     let stream = connect(peer.control, CONNECT_TIMEOUT).await.ok()?;
     Connection::handshake(stream, BUF_SIZE).await.ok()
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -17,7 +17,7 @@
 
 use crate::decide::response_heads::ResponseHeads;
 
-use super::target_socket::{SharedHeads, TargetSocket};
+use super::target_socket::{IdleProbe, SharedHeads, TargetSocket};
 
 /// Fraction of a target's idle limit for which a connection is reused. The target started its idle timer
 /// earlier than the pool, and a request that is sent while the target closes the connection may be lost.
@@ -34,11 +34,11 @@
 /// The same if memory is limited. It is read ahead of the caller, and not counted.
 pub(super) const SMALL_BUF_SIZE: usize = 32 * 1_024;
 
-/// Why a request that was handed to a connection has no response.
+/// Why a request has no response.
 #[derive(Debug)]
 pub(super) enum SendFailure {
-    /// The connection had ended before any part of the request was sent.
-    NotSent(hyper::Error),
+    /// No connection carried any part of the request.
+    NotSent(Box<Request<Full<Bytes>>>),
     /// The connection broke.
     Broken(hyper::Error),
     /// What arrived is no response, or only informational heads without end.
@@ -48,12 +48,16 @@
 impl fmt::Display for SendFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NotSent(err) | Self::Broken(err) => err.fmt(f),
+            Self::NotSent(_) => f.write_str("the connection ended before the request was sent"),
+            Self::Broken(err) => err.fmt(f),
             Self::WrongAnswer(cause) => cause.fmt(f),
         }
     }
 }
 
+/// The head of a response, and the connection that its body comes from.
+pub(super) type Answer = (Response<Incoming>, Connection);
+
 /// A connection to a target. It is closed when dropped, so that the work for a caller that disconnected is
 /// cancelled.
 #[derive(Debug)]
@@ -61,6 +65,7 @@
     pub(super) tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     heads: SharedHeads,
+    idle_probe: IdleProbe,
     /// Whether it has carried a request before.
     pub(super) reused: bool,
 }
@@ -69,6 +74,7 @@
     pub(super) async fn handshake(stream: TcpStream, buf_size: usize) -> hyper::Result<Self> {
         let heads = SharedHeads::default();
         let socket = TargetSocket::new(stream, heads.clone());
+        let idle_probe = socket.idle_probe();
         let (tx, driver) = Builder::new()
             .max_buf_size(buf_size)
             .handshake(TokioIo::new(socket))
@@ -81,6 +87,7 @@
             tx,
             task: tokio::spawn(drive).abort_handle(),
             heads,
+            idle_probe,
             reused: false,
         })
     }
@@ -89,11 +96,11 @@
     ///
     /// # Errors
     ///
-    /// There is no response. The connection can't be used any more and should be dropped.
+    /// There is no response. The connection is closed.
     pub(super) async fn send(
-        &mut self,
+        mut self,
         mut req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendFailure> {
+    ) -> Result<Answer, SendFailure> {
         *self.heads.lock() = ResponseHeads::default();
         let heads = self.heads.clone();
         hyper::ext::on_informational(&mut req, move |_head| heads.lock().record_informational());
@@ -102,9 +109,9 @@
             Ok(response) if response.status().is_informational() => {
                 Err(SendFailure::WrongAnswer("a switch of protocols".into()))
             }
-            Ok(response) => Ok(response),
+            Ok(response) => Ok((response, self)),
             Err(mut err) => Err(match err.take_message() {
-                Some(_unsent) => SendFailure::NotSent(err.into_error()),
+                Some(unsent) => SendFailure::NotSent(Box::new(unsent)),
                 None => self.failure(err.into_error()),
             }),
         }
@@ -117,6 +124,11 @@
             SendFailure::Broken(err)
         }
     }
+
+    /// Whether it can carry a request, as far as this process and the kernel know.
+    fn is_usable(&self) -> bool {
+        self.tx.is_ready() && self.idle_probe.is_open_and_empty()
+    }
 }
 
 impl Drop for Connection {
@@ -147,7 +159,7 @@
 
 impl<I: Clone + Eq + Hash> Pool<I> {
     /// Takes the most recently used connection; older connections expire meanwhile.
-    pub(super) fn take(&self, id: &I) -> Option<Connection> {
+    fn take(&self, id: &I) -> Option<Connection> {
         let mut idle_connections = self
             .idle_connections
             .lock()
@@ -155,7 +167,7 @@
         let stack = idle_connections.get_mut(id)?;
         let now = Instant::now();
         while let Some(mut last) = stack.pop() {
-            if now < last.expires_at && last.connection.tx.is_ready() {
+            if now < last.expires_at && last.connection.is_usable() {
                 last.connection.reused = true;
                 return Some(last.connection);
             }
@@ -163,6 +175,27 @@
         None
     }
 
+    /// Sends a request on an idle connection. One that the other side closes meanwhile, before it has received any part
+    /// of the request, says nothing of whether a new connection can be opened.
+    ///
+    /// # Errors
+    ///
+    /// There is no response; [`SendFailure::NotSent`] if no idle connection could carry the request.
+    pub(super) async fn send(
+        &self,
+        id: &I,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Answer, SendFailure> {
+        let mut unsent = Box::new(req);
+        while let Some(connection) = self.take(id) {
+            match connection.send(*unsent).await {
+                Err(SendFailure::NotSent(req)) => unsent = req,
+                sent => return sent,
+            }
+        }
+        Err(SendFailure::NotSent(unsent))
+    }
+
     /// Returns a connection whose last response was complete to the pool.
     pub(super) fn put(&self, id: &I, connection: Connection, limit: Option<Duration>) {
         let stated = limit.map(|limit| limit.mul_f64(IDLE_LIMIT_FRACTION));
--- a/crates/gateway/src/net/target_socket.rs
+++ b/crates/gateway/src/net/target_socket.rs
@@ -1,10 +1,12 @@
 //! The socket of a connection to a target or peer, which gives a response up whose informational heads don't end.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -20,34 +22,53 @@
     }
 }
 
+fn lock(stream: &Mutex<TcpStream>) -> MutexGuard<'_, TcpStream> {
+    stream.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Tells whether an idle connection can be used, without keeping it open.
+#[derive(Debug)]
+pub(super) struct IdleProbe(Weak<Mutex<TcpStream>>);
+
+impl IdleProbe {
+    /// Whether the connection is open and nothing lies unread on it, as the kernel knows: the end of the stream may not
+    /// have been reported to this process yet, and bytes that belong to no request make the connection useless.
+    pub(super) fn is_open_and_empty(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else {
+            return false;
+        };
+        let peeked = SockRef::from(&*lock(&stream)).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
 /// The socket of a connection to a target or peer.
 #[derive(Debug)]
 pub(super) struct TargetSocket {
-    stream: TcpStream,
+    stream: Arc<Mutex<TcpStream>>,
     heads: SharedHeads,
 }
 
 impl TargetSocket {
     pub(super) fn new(stream: TcpStream, heads: SharedHeads) -> Self {
-        Self { stream, heads }
+        Self {
+            stream: Arc::new(Mutex::new(stream)),
+            heads,
+        }
     }
 
-    fn poll_read_any(
-        &mut self,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    pub(super) fn idle_probe(&self) -> IdleProbe {
+        IdleProbe(Arc::downgrade(&self.stream))
+    }
+
+    fn poll_read_any(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut *lock(&self.stream)).poll_read(cx, buf))?;
         self.heads.lock().record_read(buf.filled().len() - before);
         Poll::Ready(Ok(()))
     }
 
-    fn poll_read_part(
-        &mut self,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read_part(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let len = buf.remaining().min(PART_BYTES);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
         ready!(self.poll_read_any(cx, &mut part))?;
@@ -59,7 +80,7 @@
 
 impl AsyncRead for TargetSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -82,30 +103,30 @@
 
 impl AsyncWrite for TargetSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(&mut *lock(&self.stream)).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut *lock(&self.stream)).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        lock(&self.stream).is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.stream)).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.stream)).poll_shutdown(cx)
     }
 }
