Send a read again whose kept connection its target closes under it

Callers saw: a read got 502 although its only target was sound: the target closed the idle connection when the request was in transit. Cause: such an end was taken for a broken run of the target, which the search then leaves out, and which counts against the target. Change: a connection that had been idle and ends within 100 ms without a byte of a response is told apart; a request that may run again is sent once more, to the same target on a new connection, if that still takes connections and the retry budget allows it. Later than that the target would be given its time twice. Requests that run once are not sent again.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends one attempt of a request to one target.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
 use super::memory::BytesAtTarget;
 use super::node::Node;
 use super::pass_through::{Buffered, Collected, buffer, pass_through};
-use super::pool::{Connection, SendFailure};
+use super::pool::{Answer, Connection, SendFailure};
 use super::quarantine::until_refused;
 use super::response_head::{
     ResponseSender, record_brittleness, record_response_head, record_taken,
@@ -34,6 +35,9 @@
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time within which a connection that was closed when a request was in transit ends. Later, the request has begun to
+/// run, and its target must not be given the same time again.
+const MAX_TRANSIT: Duration = Duration::from_millis(100);
 /// Max size of a response body that is buffered before it is forwarded.
 pub(super) const MAX_BUFFERED_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -119,6 +123,16 @@
     Nothing,
 }
 
+/// Use of connections that were idle. Their target may close them while a request is in transit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Reuse {
+    Never,
+    /// The request is not sent again.
+    Once,
+    /// The request is sent once more, on a new connection, if there was no answer.
+    Repeat,
+}
+
 /// Parameters of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SendParams<'a> {
@@ -128,8 +142,7 @@
     /// Class of the request's rank among those of the service.
     pub(super) class: RankClass,
     pub(super) fingerprint: Fingerprint,
-    /// Whether a pooled connection may be used.
-    pub(super) reuse: bool,
+    pub(super) reuse: Reuse,
     pub(super) trial: bool,
     /// The request was in flight at a target that crashed.
     pub(super) suspect: bool,
@@ -333,39 +346,84 @@
     }
 }
 
+impl From<Result<Answer, SendFailure>> for Exchange {
+    fn from(sent: Result<Answer, SendFailure>) -> Self {
+        match sent {
+            Ok((response, connection)) => {
+                let (parts, body) = response.into_parts();
+                Self::Response(Box::new(parts), body, connection)
+            }
+            Err(SendFailure::NotSent(_)) => Self::Unreachable,
+            Err(SendFailure::Broken(_) | SendFailure::Ended(_)) => Self::Failed(Failure::Broken),
+            Err(SendFailure::WrongAnswer(_)) => Self::Failed(Failure::WrongAnswer),
+        }
+    }
+}
+
 async fn exchange<E: Edge>(
     node: &Arc<Node<E>>,
     target: &TargetId,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     params: SendParams<'_>,
     forward: &Forward<'_>,
 ) -> Exchange {
+    let started = node.now();
     let req = target_request(node, params, forward);
-    let sent = if params.reuse {
-        node.pool.send(target, req).await
-    } else {
+    let sent = if params.reuse == Reuse::Never {
         Err(SendFailure::NotSent(Box::new(req)))
+    } else {
+        node.pool.send(target, req).await
     };
-    let sent = match sent {
+    match sent {
         Err(SendFailure::NotSent(req)) => {
             match open(node, target, address, CONNECT_TIMEOUT).await {
-                Ok(connection) => connection.send(*req).await,
-                Err(_) => return Exchange::Unreachable,
+                Ok(connection) => connection.send(*req).await.into(),
+                Err(_unreachable) => Exchange::Unreachable,
             }
         }
-        sent => sent,
-    };
-    match sent {
-        Ok((response, connection)) => {
-            let (parts, body) = response.into_parts();
-            Exchange::Response(Box::new(parts), body, connection)
+        Err(SendFailure::Ended(_))
+            if params.reuse == Reuse::Repeat && node.now().since(started) < MAX_TRANSIT =>
+        {
+            repeat(node, target, address, params, forward).await
         }
-        Err(SendFailure::NotSent(_)) => Exchange::Unreachable,
-        Err(SendFailure::Broken(_)) => Exchange::Failed(Failure::Broken),
-        Err(SendFailure::WrongAnswer(_)) => Exchange::Failed(Failure::WrongAnswer),
+        sent => sent.into(),
     }
 }
 
+/// Sends a request again to a target that closed its connection when the request was in transit, if the target still
+/// takes connections and the retry budget allows it: the request may have run.
+async fn repeat<E: Edge>(
+    node: &Arc<Node<E>>,
+    target: &TargetId,
+    address: SocketAddr,
+    params: SendParams<'_>,
+    forward: &Forward<'_>,
+) -> Exchange {
+    let Ok(connection) = open(node, target, address, CONNECT_TIMEOUT).await else {
+        return Exchange::Failed(Failure::Broken);
+    };
+    if !take_retry(node, target) {
+        node.pool.put(target, connection, None);
+        return Exchange::Failed(Failure::Broken);
+    }
+    node.metrics.attempt_ended("ended_idle");
+    let req = target_request(node, params, forward);
+    match connection.send(req).await.into() {
+        Exchange::Unreachable => Exchange::Failed(Failure::Broken),
+        ended => ended,
+    }
+}
+
+fn take_retry<E: Edge>(node: &Node<E>, target: &TargetId) -> bool {
+    let now = node.now();
+    let mut tables = node.tables();
+    let service = tables
+        .registry
+        .get(target)
+        .map(|known| known.service.clone());
+    service.is_some_and(|service| tables.take_retry(&service, now))
+}
+
 fn target_request<E: Edge>(
     node: &Node<E>,
     params: SendParams<'_>,
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -14,7 +14,7 @@
 use crate::edge::Edge;
 
 use super::attempt::{
-    AtDeadline, Attempt, FailedRun, Failure, MIN_BLAMED_WAIT, NotRunReason, SendParams,
+    AtDeadline, Attempt, FailedRun, Failure, MIN_BLAMED_WAIT, NotRunReason, Reuse, SendParams,
     TargetResponse, send,
 };
 use super::crash_check::record_interruption;
@@ -109,7 +109,11 @@
         let ticket = &self.ticket;
         let workspace = ticket.workspace.clone();
         let (class, rank, fingerprint) = (ticket.rank_class(), ticket.rank, self.fingerprint);
-        let reuse = ticket.route().kind != RouteKind::Unsafe;
+        let reuse = match ticket.route().kind {
+            RouteKind::Unsafe => Reuse::Never,
+            RouteKind::SingleStream => Reuse::Once,
+            RouteKind::Safe | RouteKind::ResumableStream => Reuse::Repeat,
+        };
         let time_left = self.time_left();
         let at_deadline = if self.may_follow(self.runs + 1) {
             AtDeadline::Nothing
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -422,9 +422,7 @@
             }))
         }
         Ok(Err(SendFailure::NotSent(_))) => PeerAttempt::NotSent,
-        Ok(Err(SendFailure::Broken(_) | SendFailure::WrongAnswer(_))) | Err(_) => {
-            PeerAttempt::Broken
-        }
+        Ok(Err(_)) | Err(_) => PeerAttempt::Broken,
     }
 }
 
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -41,6 +41,9 @@
     NotSent(Box<Request<Full<Bytes>>>),
     /// The connection broke.
     Broken(hyper::Error),
+    /// A connection that had been idle ended before a byte of the response. The other side may have closed it when the
+    /// request was in transit, or have ended.
+    Ended(hyper::Error),
     /// What arrived is no response, or only informational heads without end.
     WrongAnswer(Box<str>),
 }
@@ -49,7 +52,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(_) => f.write_str("the connection ended before the request was sent"),
-            Self::Broken(err) => err.fmt(f),
+            Self::Broken(err) | Self::Ended(err) => err.fmt(f),
             Self::WrongAnswer(cause) => cause.fmt(f),
         }
     }
@@ -118,8 +121,11 @@
     }
 
     fn failure(&self, err: hyper::Error) -> SendFailure {
-        if err.is_parse() || self.heads.lock().is_exceeded() {
+        let heads = self.heads.lock();
+        if err.is_parse() || heads.is_exceeded() {
             SendFailure::WrongAnswer(err.to_string().into())
+        } else if self.reused && heads.is_empty() {
+            SendFailure::Ended(err)
         } else {
             SendFailure::Broken(err)
         }
