Take only an answer for proof that a target lives on

Callers saw: an answer with neither a length nor chunks, whose target crashed, looked whole (200, last chunk, half of the events). Beside it the part of the prompt that caused the crash was cleared of suspicion, and crashes were not counted, so that the part was refused late or never.

Cause: a connection that opens was taken for proof that the process lives: still_runs looked after 5 ms whether its own driver task had seen a close, and the crash check asked for nothing but an open connection. The kernel opens connections as long as the listener is there, also for a process that is ending: closing its sockets one by one takes as long as the machine is loaded. Traced beside load: a probe counted as open 35 ms after the listener and all connections had been closed, as its driver task had not run.

Change: both ask for the target's report on a new connection, with the name of the instance. An answer proves that the process lives; 421 and a refused connection prove that it ended; a connection that is closed or silent proves nothing and is asked again, for an end until the request's time is over, for a crash check up to 0.8 s. After 50 ms of a check only requests that were on a crashed target before wait for it, as for a target that is silent.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bluebellstage_core::{FailureDomain, Revision};
+use bluebellstage_core::{FailureDomain, Revision, TargetId};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, StatusCode, request, response};
 
@@ -62,8 +62,8 @@
     /// Returns the body of a response that the instance itself generates.
     fn error_body(&self, message: &str) -> Bytes;
 
-    /// Returns the request that reads an engine's report.
-    fn report_request(&self, target: &Target) -> Request<Bytes>;
+    /// Returns the request that reads an engine's report. Other targets respond to it as well, if only with a failure.
+    fn report_request(&self, target: &TargetId, address: SocketAddr) -> Request<Bytes>;
 
     /// Decodes an engine's report; `None` if it is malformed.
     fn report(&self, body: &[u8]) -> Option<Report>;
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -1,11 +1,11 @@
 //! Checks whether a target crashed when runs on it were interrupted.
 //!
 //! A broken connection alone is no proof of a crash: it may have been reset, or the network partitioned. A
-//! process that has ended refuses new connections.
+//! process that has ended refuses new connections; one that is ending may still take them, but does not answer.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::quarantine;
-use super::target_connection::{PROBE_TIMEOUT, connect_to_target};
+use super::target_connection::{PROBE_TIMEOUT, ProcessState, connect_to_target, process_state};
 
 /// Number of other targets that are probed to find out whether this instance reaches any.
 const PATH_PROBES: usize = 3;
@@ -31,6 +31,10 @@
 const GATHER_DELAY: Duration = Duration::from_millis(8);
 /// Max wait of an interrupted request for the result of the check.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a check is doubtful.
+const DOUBT_DELAY: Duration = Duration::from_millis(50);
+/// Max time of a check. The runs that were interrupted are kept for longer.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a check is kept, for runs whose interruption is noticed late.
 const CHECK_RETENTION: Duration = Duration::from_secs(5);
 /// Max number of requests, and of prompt parts, in one log line.
@@ -41,6 +45,8 @@
 enum CheckResult {
     /// The check is in progress.
     Pending,
+    /// The check takes long: the target neither answers nor refuses connections.
+    Doubtful,
     /// The target's process ended; its interrupted runs are not evaluated yet.
     Crashed,
     /// The target's process ended and its interrupted runs are evaluated.
@@ -147,7 +153,7 @@
     // A first crash quarantines nothing, so a request without an earlier crash need not wait for the evaluation.
     let waits = |result: &CheckResult| match result {
         CheckResult::Pending => true,
-        CheckResult::Crashed => {
+        CheckResult::Doubtful | CheckResult::Crashed => {
             let tables = node.tables();
             tables.quarantine.is_repeated_suspect(run.request, parts)
         }
@@ -178,7 +184,17 @@
 }
 
 async fn check<E: Edge>(node: Arc<Node<E>>, target: Serving) {
-    if !has_crashed(&node, &target).await {
+    let mut has_crashed = pin!(has_crashed(&node, &target));
+    let known = tokio::time::timeout(DOUBT_DELAY, &mut has_crashed).await;
+    let has_crashed = match known {
+        Ok(has_crashed) => has_crashed,
+        Err(_elapsed) => {
+            node.crash_checks
+                .set_result(target.incarnation, CheckResult::Doubtful);
+            has_crashed.await
+        }
+    };
+    if !has_crashed {
         node.crash_checks
             .set_result(target.incarnation, CheckResult::Alive);
         return;
@@ -200,9 +216,9 @@
 }
 
 async fn has_crashed<E: Edge>(node: &Node<E>, target: &Serving) -> bool {
-    let connected = connect_to_target(node, &target.id, target.address, PROBE_TIMEOUT).await;
-    let is_refused = connected.is_err_and(|err| err.kind() == ErrorKind::ConnectionRefused);
-    is_refused && reaches_others(node, target).await
+    let until = node.now() + CHECK_TIMEOUT;
+    let state = process_state(node, &target.id, target.address, until).await;
+    state == ProcessState::Ended && reaches_others(node, target).await
 }
 
 /// Whether another target of the service can be reached, or there is none. If none can be, the network of this
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -365,7 +365,7 @@
 }
 
 async fn read<E: Edge>(node: &Arc<Node<E>>, target: &Target) {
-    let req = node.protocol.report_request(target);
+    let req = node.protocol.report_request(&target.id, target.address);
     let result = call_target(node, target, req, REPORT_TIMEOUT).await;
     let report = match result {
         Ok(res) if res.status().is_success() => node.protocol.report(res.body()),
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -5,14 +5,17 @@
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
+use http::StatusCode;
+use http_body_util::{BodyExt, Full, Limited};
 use tokio::net::TcpStream;
 
 use crate::decide::paths::ConnectOutcome;
-use crate::edge::Edge;
+use crate::edge::{Edge, Protocol};
 
 use super::node::Node;
 use super::paths;
 use super::pool::{BUF_SIZE, Connection, SMALL_BUF_SIZE};
+use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
 
 /// Longest time beyond its timeout that a failed connection took and still says something of the path: one
@@ -23,8 +26,10 @@
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause between two such connections.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
-/// Time after which a process that is ending has closed the connections that its listener still accepted.
-const CLOSE_DELAY: Duration = Duration::from_millis(5);
+/// Timeout for a response on such a connection.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Max size of a report that is read so that its connection can be kept.
+const MAX_REPORT_BYTES: usize = 1_024 * 1_024;
 
 /// Opens a connection to a target.
 ///
@@ -74,17 +79,28 @@
     connection.map_err(std::io::Error::other)
 }
 
-/// What a new connection to a target that has just closed one shows.
+/// Whether the process of a target that has closed a connection still runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ProcessState {
+pub(super) enum ProcessState {
     Runs,
     Ended,
-    /// Nothing: the target or the path to it is silent.
+    /// The target or the path to it is silent, or the target closes new connections.
     Unknown,
 }
 
+/// What a request to a target that has closed a connection shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Answer {
+    Answered,
+    /// Nothing listens at the address, or another process does.
+    Refused,
+    /// The connection was closed: the process is ending, or has too many connections.
+    Closed,
+    Silent,
+}
+
 /// Returns whether a target that has just closed a connection still runs, as far as this instance can tell by the
-/// time `until`. A connection that shows this is kept for requests.
+/// time `until`.
 pub(super) async fn still_runs<E: Edge>(
     node: &Node<E>,
     target: &TargetId,
@@ -92,44 +108,67 @@
     until: Time,
 ) -> bool {
     let started = start_time(node, target);
-    loop {
-        match process_state(node, target, address).await {
-            ProcessState::Runs => return !has_restarted(started, start_time(node, target)),
-            ProcessState::Ended => return false,
-            ProcessState::Unknown if node.now() + PROBE_INTERVAL >= until => return false,
-            ProcessState::Unknown => tokio::time::sleep(PROBE_INTERVAL).await,
-        }
-    }
+    let state = process_state(node, target, address, until).await;
+    state == ProcessState::Runs && !has_restarted(started, start_time(node, target))
 }
 
-async fn process_state<E: Edge>(
+/// Asks a target that has just closed a connection until it answers, or refuses a connection, or the time `until`.
+///
+/// An open connection proves nothing: the kernel accepts it for a process that is about to end.
+pub(super) async fn process_state<E: Edge>(
     node: &Node<E>,
     target: &TargetId,
     address: SocketAddr,
+    until: Time,
 ) -> ProcessState {
-    match open(node, target, address, PROBE_TIMEOUT).await {
-        Ok(connection) => {
-            tokio::time::sleep(CLOSE_DELAY).await;
-            if !connection.tx.is_closed() {
-                node.pool.put(target, connection, None);
-                return ProcessState::Runs;
+    let mut was_closed = false;
+    loop {
+        match ask(node, target, address, until).await {
+            Answer::Answered => return ProcessState::Runs,
+            Answer::Refused => return ProcessState::Ended,
+            // A process that ends has closed its listener after the connections that it had not accepted.
+            Answer::Closed if !std::mem::replace(&mut was_closed, true) => {}
+            Answer::Closed | Answer::Silent if node.now() + PROBE_INTERVAL >= until => {
+                return ProcessState::Unknown;
             }
+            Answer::Closed | Answer::Silent => tokio::time::sleep(PROBE_INTERVAL).await,
         }
-        Err(err) => return state_shown_by(&err),
-    }
-    // A target with too many connections closes new ones, too.
-    match connect_to_target(node, target, address, PROBE_TIMEOUT).await {
-        Ok(_) => ProcessState::Runs,
-        Err(err) => state_shown_by(&err),
     }
 }
 
-/// Returns what a connection that could not be opened shows. Only a refusal is an answer.
-fn state_shown_by(err: &std::io::Error) -> ProcessState {
-    match err.kind() {
-        ErrorKind::ConnectionRefused => ProcessState::Ended,
-        _ => ProcessState::Unknown,
+/// Asks for a report. The connection is new, as a late answer to an earlier request may arrive on a kept one.
+async fn ask<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+    until: Time,
+) -> Answer {
+    let mut connection = match open(node, target, address, PROBE_TIMEOUT).await {
+        Ok(connection) => connection,
+        Err(err) if err.kind() == ErrorKind::ConnectionRefused => return Answer::Refused,
+        Err(err) if err.kind() == ErrorKind::TimedOut => return Answer::Silent,
+        Err(_) => return Answer::Closed,
+    };
+    let born = start_time(node, target);
+    let req = node.protocol.report_request(target, address).map(Full::new);
+    let timeout = ANSWER_TIMEOUT.min(until.since(node.now()));
+    let sent = tokio::time::timeout(timeout, connection.tx.send_request(req)).await;
+    let (parts, body) = match sent {
+        Ok(Ok(res)) => res.into_parts(),
+        Ok(Err(_closed)) => return Answer::Closed,
+        Err(_elapsed) => return Answer::Silent,
+    };
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return Answer::Refused;
+    }
+    paths::record_answer(node, target, node.now());
+    let head = record_response_head(node, ResponseSender { target, born }, &parts);
+    let body = Limited::new(body, MAX_REPORT_BYTES).collect();
+    let read = tokio::time::timeout(PROBE_TIMEOUT, body).await;
+    if matches!(read, Ok(Ok(_))) && !head.closes_connection {
+        node.pool.put(target, connection, head.idle_timeout);
     }
+    Answer::Answered
 }
 
 /// Whether another process has started at the target's address, if the target reports that.
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bluebellstage_core::Revision;
+use bluebellstage_core::{Revision, TargetId};
 use bluebellstage_gateway::decide::call::{Call, Forward, ResponseHead};
 use bluebellstage_gateway::decide::loader::{Order, OrderOutcome, Report};
 use bluebellstage_gateway::decide::peers::Member;
@@ -251,7 +251,7 @@
         Bytes::new()
     }
 
-    fn report_request(&self, _target: &Target) -> Request<Bytes> {
+    fn report_request(&self, _target: &TargetId, _address: std::net::SocketAddr) -> Request<Bytes> {
         unreachable!("there are no engines")
     }
 
