Clear no prompt part by a run that is still under way

Cause: a run that lasted four times as long as the part's runs at crashes, and 250 ms at least, cleared the part, although it was still running.

Change: only a complete run clears parts and is told to peers. A longer run that is under way holds a refusal back at its own instance, as long as it lasts: if it turns out to be the next crash, its evidence counts.

Tests: a_run_that_crashes_a_slow_target_clears_no_part, which failed before (a survival was recorded and told). a_survival_clears_a_part_at_peers let a run clear the part while it was under way, which is the fault; it now completes the run, and asks the same of the peers.

--- a/crates/gateway/src/decide/quarantine/mod.rs
+++ b/crates/gateway/src/decide/quarantine/mod.rs
@@ -16,7 +16,7 @@
 mod suspect;
 mod suspects;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use bluebellstage_core::{TargetId, Time};
@@ -178,22 +178,36 @@
             .retain(|_, reported| now.since(*reported) < WATCH_TIME);
         let mut refused = Vec::new();
         // Each refusal explains crashes in which other parts were, too.
-        while let Some(cause) = self.find_part_cause() {
+        while let Some(cause) = self.find_part_cause(now) {
             refused.push(self.refuse(Suspect::Part(cause), now));
         }
         refused
     }
 
-    fn find_part_cause(&self) -> Option<PromptPart> {
+    fn find_part_cause(&self, now: Time) -> Option<PromptPart> {
+        let outlived = self.parts_outlived_so_far(now);
         let watched = self.watched_parts.keys().copied();
-        self.part_suspects.find_cause(watched)
+        let suspects = watched.filter(|part| !outlived.contains(part));
+        self.part_suspects.find_cause(suspects)
+    }
+
+    /// Returns the parts of runs that are still under way and have lasted for longer than the part's runs at crashes.
+    /// That is no survival yet: such a run may be the next to crash its target, which is only slow.
+    fn parts_outlived_so_far(&self, now: Time) -> BTreeSet<PromptPart> {
+        let running = self.runs.sound(now).filter(|run| !run.is_complete);
+        let parts = running.flat_map(|run| {
+            let parts = run.parts.iter().copied();
+            let outlived = parts.filter(|part| self.part_suspects.is_outlived(*part, &run));
+            outlived.collect::<Vec<_>>()
+        });
+        parts.collect()
     }
 
     /// Clears parts of suspicion with which targets outlived runs of this instance. Returns the messages to send to
     /// peers.
     pub fn record_survivals(&mut self, now: Time) -> Vec<QuarantineMessage> {
         let mut messages = Vec::new();
-        for run in self.runs.sound(now) {
+        for run in self.runs.sound(now).filter(|run| run.is_complete) {
             for part in &run.parts {
                 if !self.part_suspects.is_outlived(*part, &run) {
                     continue;
--- a/crates/gateway/tests/quarantine_parts.rs
+++ b/crates/gateway/tests/quarantine_parts.rs
@@ -371,12 +371,33 @@
     let run = one.runs.send(&target, request(77), &[TWIN], begun).unwrap();
     one.runs.begin(run, begun);
     let now = begun + Duration::from_millis(300);
+    one.runs.complete(run);
+    one.runs.end(run, now);
     for message in one.record_survivals(now) {
         assert!(two.apply(&message, now));
     }
     assert_eq!(two.suspected_parts().count(), 0);
 }
 
+/// Guards against a part that is cleared by a run under which its slow target then crashes, too.
+#[test]
+fn a_run_that_crashes_a_slow_target_clears_no_part() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=4 {
+        let parts = vec![interrupted(BAD, number, 60)];
+        quarantine.record_crash(&crash(number, parts), crashed_at(number));
+    }
+    let target = TargetId::try_from("e99").unwrap();
+    let begun = crashed_at(4) + Duration::from_millis(10);
+    let run = quarantine.runs.send(&target, request(77), &[BAD], begun);
+    quarantine.runs.begin(run.unwrap(), begun);
+    let crashed = begun + Duration::from_millis(400);
+    assert!(quarantine.record_survivals(crashed).is_empty());
+    assert!(quarantine.evaluate_parts(crashed).is_empty());
+    let parts = quarantine.runs.parts_at_crash(&target, crashed).parts;
+    assert_eq!(record(&mut quarantine, 5, parts), [Suspect::Part(BAD)]);
+}
+
 /// Guards against blaming a part of a request that was still waiting at the target.
 #[test]
 fn a_waiting_request_is_no_evidence_against_a_part_that_began_elsewhere() {
