--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -65,7 +65,7 @@
 /// cancelled.
 #[derive(Debug)]
 pub(super) struct Connection {
-    pub(super) tx: SendRequest<Full<Bytes>>,
+    tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     heads: SharedHeads,
     idle_probe: IdleProbe,
