Bound each short response by what its caller needs

Every short response could have 8 MB: also an engine's report, or the response to an order, of which only the status counts. An instance reads the reports of hundreds of engines at once, so garbage without end from a few fills its memory.

Longer ones end as broken, as before.

--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -19,11 +19,18 @@
 use super::sockets::connect;
 use super::target_connection;
 
-/// Max size of a response body.
-const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// What a response may take.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseLimits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time to the end of the body, from the opening of the connection.
+    pub timeout: Duration,
+}
+
 fn failed(address: SocketAddr, cause: &dyn fmt::Display) -> GatewayError {
     GatewayError::Exchange {
         address,
@@ -42,10 +49,11 @@
     address: SocketAddr,
     connection: &mut Connection,
     req: Request<Bytes>,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, GatewayError> {
     let sent = connection.tx.send_request(req.map(Full::new)).await;
     let (head, body) = sent.map_err(|err| failed(address, &err))?.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|err| failed(address, &err))?;
     Ok(Response::from_parts(head, body.to_bytes()))
 }
@@ -54,17 +62,17 @@
 ///
 /// # Errors
 ///
-/// The connection fails, or the response is incomplete or takes longer than `timeout`.
+/// The connection fails, or the response is incomplete or exceeds the limits.
 pub async fn call(
     address: SocketAddr,
     req: Request<Bytes>,
-    timeout: Duration,
+    limits: ResponseLimits,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
         let mut connection = open(address).await?;
-        exchange(address, &mut connection, req).await
+        exchange(address, &mut connection, req, limits.body_bytes).await
     };
-    let result = tokio::time::timeout(timeout, calling).await;
+    let result = tokio::time::timeout(limits.timeout, calling).await;
     result.map_err(|elapsed| failed(address, &elapsed))?
 }
 
@@ -73,7 +81,7 @@
     node: &Node<E>,
     target: &Target,
     req: Request<Bytes>,
-    timeout: Duration,
+    limits: ResponseLimits,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
         let mut connection = if let Some(connection) = node.pool.take(&target.id) {
@@ -83,14 +91,13 @@
                 target_connection::open(node, &target.id, target.address, CONNECT_TIMEOUT).await;
             opened.map_err(|err| failed(target.address, &err))?
         };
-        let (head, body) = exchange(target.address, &mut connection, req)
-            .await?
-            .into_parts();
+        let res = exchange(target.address, &mut connection, req, limits.body_bytes).await?;
+        let (head, body) = res.into_parts();
         record_answer(node, &target.id, node.now());
         record_response_head(node, ResponseSender::of(target), &head);
         node.pool.put(&target.id, connection, None);
         Ok(Response::from_parts(head, body))
     };
-    let result = tokio::time::timeout(timeout, calling).await;
+    let result = tokio::time::timeout(limits.timeout, calling).await;
     result.map_err(|elapsed| failed(target.address, &elapsed))?
 }
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -17,7 +17,7 @@
 use crate::edge::{Edge, Protocol};
 use crate::packet::{AdapterRequest, AdapterRequestKind, Packet, ResidencyUpdate};
 
-use super::http_client::call_target;
+use super::http_client::{ResponseLimits, call_target};
 use super::log::{LogEvent, event};
 use super::node::{Destination, Node};
 
@@ -28,12 +28,18 @@
 const LOADS_DENOMINATOR: usize = 4;
 /// Concurrent loads that every shard holder may have in any case.
 const MIN_CONCURRENT_LOADS: usize = 2;
-/// Timeout for an engine's report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for the response to an order. Engines respond in 3 ms, and a machine whose CPU quota is used up
+/// Limits of an engine's report. It names each run and each resident adapter.
+const REPORT_LIMITS: ResponseLimits = ResponseLimits {
+    body_bytes: 256 * 1_024,
+    timeout: Duration::from_millis(400),
+};
+/// Limits of the response to an order, of which only the status counts. Engines respond in 3 ms, and a machine whose CPU quota is used up
 /// is throttled for most of 100 ms. An order that takes longer is considered lost, which is safe, and the
 /// adapter's requests wait no longer for it.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(130);
+const ORDER_LIMITS: ResponseLimits = ResponseLimits {
+    body_bytes: 16 * 1_024,
+    timeout: Duration::from_millis(130),
+};
 /// Minimum interval between residency updates without changes. They are repeated because a datagram may be
 /// lost.
 const MIN_REPEAT_INTERVAL: Duration = Duration::from_secs(4);
@@ -366,7 +372,7 @@
 
 async fn read<E: Edge>(node: &Arc<Node<E>>, target: &Target) {
     let req = node.protocol.report_request(target);
-    let result = call_target(node, target, req, REPORT_TIMEOUT).await;
+    let result = call_target(node, target, req, REPORT_LIMITS).await;
     let report = match result {
         Ok(res) if res.status().is_success() => node.protocol.report(res.body()),
         Ok(_) | Err(_) => None,
@@ -398,7 +404,7 @@
     if node.leases.may_order(shard, node.now()) != Some(fencing) {
         return false;
     }
-    let result = call_target(node, target, req, ORDER_TIMEOUT).await;
+    let result = call_target(node, target, req, ORDER_LIMITS).await;
     let (outcome, status) = match result {
         Ok(res) => (
             node.protocol.order_outcome(res.status()),
--- a/crates/gateway/src/net/peer_copy.rs
+++ b/crates/gateway/src/net/peer_copy.rs
@@ -14,15 +14,18 @@
 use crate::error::GatewayError;
 
 use super::control::{COPY_PATH, KnownState, StateCopy};
-use super::http_client::call;
+use super::http_client::{ResponseLimits, call};
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::sync::{adopt_config, announce, record_evacuations};
 
 /// Interval between two copies from peers.
 const COPY_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout for a peer's copy; then the next peer is tried.
-const COPY_TIMEOUT: Duration = Duration::from_millis(600);
+/// Limits of a peer's copy; then the next peer is tried.
+const COPY_LIMITS: ResponseLimits = ResponseLimits {
+    body_bytes: 8 * 1_024 * 1_024,
+    timeout: Duration::from_millis(600),
+};
 /// Max number of peers that are tried in turn.
 const MAX_COPY_SOURCES: usize = 4;
 /// Initial and max backoff between two rounds of copy requests of an instance without a configuration.
@@ -120,7 +123,7 @@
             address,
             cause: err.to_string().into(),
         })?;
-    let res = call(address, req, COPY_TIMEOUT).await?;
+    let res = call(address, req, COPY_LIMITS).await?;
     bincode::deserialize(res.body()).map_err(|err| GatewayError::Unreadable {
         from: address.to_string().into(),
         what: "a copy of its state",
