Bound what the own interface reads from engines and the platform

What callers saw: a request whose engine refused it with a body that drips waited without end (the body was read after the time limit had been taken off). Comments, events beyond the longest answer and an event that repeats counted as progress and were passed on without end, the last two as an answer. Reports, errors and the platform's answers were read without a limit; a watch that drips never ended; a long event in small pieces was searched anew at each piece.

Now: the body of a refusal has the time of a silence and 64 KB, a report 256 KB, the platform's answers 64 MB; a watch ends after the time for which it was asked; a token that came before, or a megabyte without a token, ends the stream as broken, and one beyond the ordered length breaks the run off, so that the core asks another engine. The search for the end of an event goes on where it stopped.

The tests of the platform's answers and of the watch are missing.

Open, and listed: 1xx heads without end on a connection whose request has ended.

--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) use self::admin::admin_port;
 pub(crate) use self::callers::caller_port;
 pub use self::http::http_client;
+pub(crate) use self::http::{read_body, read_json};
 pub(crate) use self::peer_server::PeerServer;
 pub(crate) use self::peers::Peers;
 pub(crate) use self::port::{LateShell, Port};
--- a/crates/daemon/src/process/orders.rs
+++ b/crates/daemon/src/process/orders.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout};
 
+use crate::connection::read_json;
+
 use super::Shell;
 
 /// Header that carries the issuer's fencing number.
@@ -15,6 +17,12 @@
 /// How long a load report may take: a late one says nothing about now.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest load report. It names each resident adapter.
+const MAX_REPORT_BYTES: u64 = 256 * 1_024;
+
+/// Largest error of an engine.
+const MAX_ERROR_BYTES: u64 = 64 * 1_024;
+
 /// Error code of an engine that refuses an old fencing number.
 const FENCED: &str = "fenced";
 
@@ -89,9 +97,9 @@
         StatusCode::OK => OrderOutcome::Done,
         // What is not loaded is unloaded.
         StatusCode::NOT_FOUND if unloads => OrderOutcome::Done,
-        StatusCode::CONFLICT => match response.json::<EngineError>().await {
-            Ok(body) if *body.error.code == *FENCED => OrderOutcome::Fenced,
-            Ok(_) | Err(_) => OrderOutcome::Failed,
+        StatusCode::CONFLICT => match read_json::<EngineError>(response, MAX_ERROR_BYTES).await {
+            Some(body) if *body.error.code == *FENCED => OrderOutcome::Fenced,
+            Some(_) | None => OrderOutcome::Failed,
         },
         StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE => OrderOutcome::Failed,
         status if status.is_client_error() => OrderOutcome::Failed,
@@ -109,9 +117,9 @@
     if response.status() != StatusCode::OK {
         return OrderOutcome::Failed;
     }
-    match response.json::<EngineReport>().await {
-        Ok(report) => OrderOutcome::Reported(report),
-        Err(_) => OrderOutcome::Unknown,
+    match read_json::<EngineReport>(response, MAX_REPORT_BYTES).await {
+        Some(report) => OrderOutcome::Reported(report),
+        None => OrderOutcome::Unknown,
     }
 }
 
--- a/crates/daemon/src/process/platform/client.rs
+++ b/crates/daemon/src/process/platform/client.rs
@@ -10,7 +10,7 @@
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
 
-use crate::connection::http_client;
+use crate::connection::{http_client, read_json};
 use crate::process::{Clock, Metrics, log_event};
 use crate::settings::PlatformSettings;
 
@@ -20,6 +20,9 @@
 /// Idle connections kept to the platform; enough for a takeover's burst of reads.
 const IDLE_CONNECTIONS: usize = 8;
 
+/// Largest answer: a list of all pods of a large deployment.
+const MAX_ANSWER_BYTES: u64 = 64 * 1_024 * 1_024;
+
 /// Client of the platform's object API.
 #[derive(Debug)]
 pub(in crate::process) struct PlatformClient {
@@ -262,10 +265,8 @@
 }
 
 async fn read<T: DeserializeOwned>(response: Response) -> Result<T, Failure> {
-    response
-        .json()
-        .await
-        .map_err(|_broken| Failure::Unknown("broken answer"))
+    let parsed = read_json(response, MAX_ANSWER_BYTES).await;
+    parsed.ok_or(Failure::Unknown("broken answer"))
 }
 
 const fn operation(op: &PlatformOp) -> &'static str {
--- a/crates/daemon/src/process/platform/watch.rs
+++ b/crates/daemon/src/process/platform/watch.rs
@@ -6,7 +6,7 @@
 use bluebellstage_core::{Event, ObjectVersion};
 use futures::StreamExt;
 use reqwest::{Response, StatusCode};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 use tokio_util::bytes::BytesMut;
 
 use crate::process::{Shell, log_event};
@@ -16,7 +16,7 @@
 
 /// How long the platform is asked to hold one watch open.
 const HOLD: Duration = Duration::from_secs(30);
-/// What a silent watch gets beyond that before it counts as broken.
+/// What a watch gets beyond that before it counts as broken.
 const SLACK: Duration = Duration::from_secs(5);
 /// A watch that held this long was sound.
 const SETTLED: Duration = Duration::from_secs(5);
@@ -64,14 +64,15 @@
         StatusCode::GONE if *from > ObjectVersion(0) => return WatchEnd::TooOld,
         _ => return WatchEnd::Failed("refused"),
     }
+    let until = Instant::now() + HOLD + SLACK;
     let mut chunks = response.bytes_stream();
     let mut buf = BytesMut::new();
     loop {
-        match timeout(HOLD + SLACK, chunks.next()).await {
+        match timeout_at(until.into(), chunks.next()).await {
             Ok(Some(Ok(chunk))) => buf.extend_from_slice(&chunk),
             Ok(None) => return WatchEnd::Closed,
             Ok(Some(Err(_))) => return WatchEnd::Failed("broken connection"),
-            Err(_) => return WatchEnd::Failed("silent"),
+            Err(_) => return WatchEnd::Failed("silent or without an end"),
         }
         while let Some(end) = buf.iter().position(|byte| *byte == b'\n') {
             let line = buf.split_to(end + 1);
--- a/crates/daemon/src/request/engine.rs
+++ b/crates/daemon/src/request/engine.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::bytes::Bytes;
 
+use crate::connection::read_json;
 use crate::process::Shell;
 
 use super::Endpoint;
@@ -32,6 +33,9 @@
 /// Pause between two tries.
 const CANCEL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Largest error of an engine.
+const MAX_ERROR_BYTES: u64 = 64 * 1_024;
+
 /// Bytes of an answer as they arrive.
 pub(super) type Chunks = BoxStream<'static, Result<Bytes, reqwest::Error>>;
 
@@ -83,7 +87,7 @@
         match timeout(silence, request.send()).await {
             Ok(Ok(response)) => {
                 record_target_report(&self.shell, self.request, &response);
-                sent(response).await
+                sent(response, silence).await
             }
             Ok(Err(error)) if error.is_connect() => Sent::Failed(Finish::Unreachable),
             Ok(Err(_)) | Err(_) => Sent::Failed(Finish::Interrupted { delivered }),
@@ -142,13 +146,15 @@
     }
 }
 
-async fn sent(response: Response) -> Sent {
+async fn sent(response: Response, silence: Duration) -> Sent {
     match response.status() {
         StatusCode::OK => Sent::Streaming(chunks(response)),
         StatusCode::NOT_FOUND => Sent::Failed(Finish::WrongAdapter),
         StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => Sent::Malformed,
         _ => {
-            let error: EngineError = response.json().await.unwrap_or_default();
+            let reading = read_json::<EngineError>(response, MAX_ERROR_BYTES);
+            let error = timeout(silence, reading).await.ok().flatten();
+            let error = error.unwrap_or_default();
             let leaving = &*error.error.code == "draining";
             Sent::Failed(Finish::Rejected { leaving })
         }
--- a/crates/daemon/src/request/relay/stage.rs
+++ b/crates/daemon/src/request/relay/stage.rs
@@ -1,6 +1,6 @@
 //! Where a relay stands.
 
-use bluebellstage_core::{RequestAction, TargetId};
+use bluebellstage_core::{RequestAction, TargetId, Tokens};
 use futures::future::BoxFuture;
 use tokio_util::bytes::Bytes;
 
@@ -33,6 +33,8 @@
     pub(super) engine: Engine,
     /// What must run, as `adapter@version`.
     pub(super) adapter: Box<str>,
+    /// Most tokens that it may add.
+    pub(super) max_answer: Tokens,
 }
 
 /// An engine's answer to a call.
--- a/crates/daemon/src/request/relay/steps.rs
+++ b/crates/daemon/src/request/relay/steps.rs
@@ -36,6 +36,7 @@
                     target,
                     engine,
                     adapter: adapter.to_string().into(),
+                    max_answer,
                 };
                 self.dispatch(run, body);
                 None
@@ -120,7 +121,7 @@
     }
 
     fn stream(&mut self, run: Run, chunks: Chunks) {
-        let scanner = Scanner::new(&run.adapter);
+        let scanner = Scanner::new(&run.adapter).after(self.delivered - self.offset);
         self.silent_ticks = 0;
         self.stage = Stage::Streaming {
             run,
@@ -130,7 +131,7 @@
     }
 
     pub(super) fn chunk(&mut self, chunk: Option<Result<Bytes, reqwest::Error>>) -> Option<Piece> {
-        let Stage::Streaming { scanner, .. } = &mut self.stage else {
+        let Stage::Streaming { scanner, run, .. } = &mut self.stage else {
             return None;
         };
         let Some(Ok(bytes)) = chunk else {
@@ -139,6 +140,13 @@
         };
         self.silent_ticks = 0;
         let block = scanner.push(bytes)?;
+        if block
+            .last_id
+            .is_some_and(|last| Tokens(last) > run.max_answer)
+        {
+            self.overrun();
+            return None;
+        }
         match block.end {
             BlockEnd::More | BlockEnd::Done => {
                 let is_done = block.end == BlockEnd::Done;
@@ -214,6 +222,13 @@
         });
     }
 
+    /// The engine goes on beyond what it was asked for.
+    fn overrun(&mut self) {
+        if let Stage::Streaming { run, .. } = std::mem::replace(&mut self.stage, Stage::Deciding) {
+            self.break_off(run);
+        }
+    }
+
     /// What ran was not what was asked for: nothing of it reaches the caller.
     fn wrong_adapter(&mut self) {
         let Stage::Streaming { run, .. } = std::mem::replace(&mut self.stage, Stage::Deciding)
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -8,7 +8,6 @@
     Finish, IdempotencyKey, Refusal, RefusalKind, RequestAction, RequestId, ServiceCall, ServiceId,
     StoredResponse, Tokens,
 };
-use futures::StreamExt;
 use reqwest::Method;
 use rocket::http::Status;
 use rocket::response::{Responder, Response, Result as RocketResult};
@@ -16,6 +15,7 @@
 use sha2::{Digest, Sha256};
 use tokio::time::{Instant, timeout};
 
+use crate::connection::read_body;
 use crate::process::{RequestHandle, Shell, log_event};
 
 use super::Refused;
@@ -227,7 +227,7 @@
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.unwrap_or(DEFAULT_CONTENT_TYPE).into();
     let is_end_doubtful = ends_with_connection(&response);
-    let body = read(response, shell.settings.limits.service_answer_bytes)
+    let body = read_body(response, shell.settings.limits.service_answer_bytes)
         .await
         .ok_or(broken.clone())?;
     if is_end_doubtful && !still_runs(address).await {
@@ -242,19 +242,6 @@
     })
 }
 
-/// Reads an answer's body; none if it breaks off or is over the limit.
-async fn read(response: reqwest::Response, limit: u64) -> Option<Vec<u8>> {
-    let mut chunks = response.bytes_stream();
-    let mut body = Vec::new();
-    while let Some(chunk) = chunks.next().await {
-        body.extend_from_slice(&chunk.ok()?);
-        if body.len() as u64 > limit {
-            return None;
-        }
-    }
-    Some(body)
-}
-
 impl ServiceAnswer {
     fn earlier(request: RequestId, stored: StoredResponse) -> Self {
         let origin = if stored.body.is_some() {
--- a/crates/daemon/src/request/sse.rs
+++ b/crates/daemon/src/request/sse.rs
@@ -4,9 +4,12 @@
 
 use super::chunk::ErrorChunk;
 
-/// An event longer than this is no token: the engine is at fault.
+/// An event longer than this is no token, nor are as many bytes without one: the engine is at fault.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Bytes in which the end of an event may lie across two chunks.
+const MAX_END_BYTES: usize = 3;
+
 const DONE: &[u8] = b"[DONE]";
 
 /// Cuts an engine's bytes into blocks of whole events and checks what ran.
@@ -19,6 +22,11 @@
     stamp: Box<str>,
     ran: Box<str>,
     buf: BytesMut,
+    // Bytes at the beginning of the buffer that hold no end of an event.
+    searched: usize,
+    last_id: u64,
+    // Bytes since the last token.
+    idle_bytes: usize,
 }
 
 /// Whole events that arrived together.
@@ -54,9 +62,19 @@
             stamp: format!("\"system_fingerprint\":\"{adapter}\"").into(),
             ran: adapter.into(),
             buf: BytesMut::new(),
+            searched: 0,
+            last_id: 0,
+            idle_bytes: 0,
         }
     }
 
+    /// The same for what comes after the token `last`.
+    #[must_use]
+    pub fn after(mut self, last: u64) -> Self {
+        self.last_id = last;
+        self
+    }
+
     /// Takes bytes; gives the whole events that are there now, if any.
     #[must_use]
     pub fn push(&mut self, chunk: Bytes) -> Option<Block> {
@@ -70,24 +88,34 @@
     }
 
     fn take_whole(&mut self) -> Option<Bytes> {
-        let Some(end) = end_of_last_event(&self.buf) else {
+        let from = self.searched.saturating_sub(MAX_END_BYTES);
+        let Some(end) = end_of_last_event(&self.buf[from..]) else {
+            self.searched = self.buf.len();
             if self.buf.len() > MAX_EVENT_BYTES {
                 // Ends the stream as failed: the buffer must not grow without bound.
                 self.buf.clear();
+                self.searched = 0;
                 return Some(Bytes::from_static(b"data: {\"error\":{}}\n\n"));
             }
             return None;
         };
-        Some(self.buf.split_to(end).freeze())
+        let whole = self.buf.split_to(from + end).freeze();
+        self.searched = self.buf.len();
+        Some(whole)
     }
 
-    fn inspect(&self, bytes: Bytes) -> Block {
+    fn inspect(&mut self, bytes: Bytes) -> Block {
         let mut last_id = None;
         let mut end = BlockEnd::More;
         for line in bytes.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(id) = field(line, b"id:") {
-                last_id = number(id).or(last_id);
+                match number(id) {
+                    // A token that came before, or none that can be.
+                    Some(id) if id <= last_id.unwrap_or(self.last_id) => end = BlockEnd::Failed,
+                    Some(id) => last_id = Some(id),
+                    None => {}
+                }
             } else if let Some(data) = field(line, b"data:") {
                 end = self.inspect_data(data);
             }
@@ -95,6 +123,16 @@
                 break;
             }
         }
+        match last_id {
+            Some(id) => {
+                self.last_id = id;
+                self.idle_bytes = 0;
+            }
+            None => self.idle_bytes += bytes.len(),
+        }
+        if self.idle_bytes > MAX_EVENT_BYTES && end == BlockEnd::More {
+            end = BlockEnd::Failed;
+        }
         Block {
             bytes,
             last_id,
--- a/crates/daemon/tests/scanner.rs
+++ b/crates/daemon/tests/scanner.rs
@@ -1,5 +1,7 @@
 //! Events from engines: whole, checked, however the bytes arrive.
 
+use std::time::{Duration, Instant};
+
 use bluebellstage_daemon::{Block, BlockEnd, Scanner};
 use tokio_util::bytes::Bytes;
 
@@ -105,3 +107,30 @@
     let failed = (0..100).find_map(|_| push(&mut scanner, &piece));
     assert_eq!(failed.unwrap().end, BlockEnd::Failed);
 }
+
+/// Guards against a search through all that lies in the buffer at each piece of a long event.
+#[test]
+fn a_long_event_in_small_pieces_takes_linear_time() {
+    let mut scanner = Scanner::new("a@1");
+    let piece = "x\n".repeat(32);
+    let begun = Instant::now();
+    let failed = (0..100_000).find_map(|_| push(&mut scanner, &piece));
+    assert_eq!(failed.unwrap().end, BlockEnd::Failed);
+    assert!(begun.elapsed() < Duration::from_secs(1));
+}
+
+/// Guards against a token that reaches the caller twice, and against a run of events without tokens.
+#[test]
+fn tokens_that_came_before_and_events_without_tokens_are_failures() {
+    let mut scanner = Scanner::new("a@1").after(3);
+    let old = push(&mut scanner, &event(3, "a@1", "x")).unwrap();
+    assert_eq!(old.end, BlockEnd::Failed);
+    let next = push(&mut scanner, &event(4, "a@1", "x")).unwrap();
+    assert_eq!((next.last_id, next.end), (Some(4), BlockEnd::More));
+    let comment = format!(": {}\n\n", "x".repeat(1_000));
+    let ends = (0..2_000).filter_map(|_| push(&mut scanner, &comment));
+    assert!(
+        ends.map(|block| block.end)
+            .any(|end| end == BlockEnd::Failed)
+    );
+}
