--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -20,11 +20,18 @@
 use super::sockets::connect;
 use super::target_connection;
 
-/// Max size of a response body.
-const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// What a response may take.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseLimits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time to the end of the body, from the opening of the connection.
+    pub timeout: Duration,
+}
+
 fn failed(address: SocketAddr, cause: &dyn fmt::Display) -> GatewayError {
     GatewayError::Exchange {
         address,
@@ -42,9 +49,10 @@
 async fn read(
     address: SocketAddr,
     response: Response<Incoming>,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, GatewayError> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|err| failed(address, &err))?;
     Ok(Response::from_parts(head, body.to_bytes()))
 }
@@ -53,19 +61,19 @@
 ///
 /// # Errors
 ///
-/// The connection fails, or the response is incomplete or takes longer than `timeout`.
+/// The connection fails, or the response is incomplete or exceeds the limits.
 pub async fn call(
     address: SocketAddr,
     req: Request<Bytes>,
-    timeout: Duration,
+    limits: ResponseLimits,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
         let connection = open(address).await?;
         let sent = connection.send(req.map(Full::new)).await;
         let (response, _connection) = sent.map_err(|err| failed(address, &err))?;
-        read(address, response).await
+        read(address, response, limits.body_bytes).await
     };
-    let result = tokio::time::timeout(timeout, calling).await;
+    let result = tokio::time::timeout(limits.timeout, calling).await;
     result.map_err(|elapsed| failed(address, &elapsed))?
 }
 
@@ -74,7 +82,7 @@
     node: &Node<E>,
     target: &Target,
     req: Request<Bytes>,
-    timeout: Duration,
+    limits: ResponseLimits,
 ) -> Result<Response<Bytes>, GatewayError> {
     let calling = async {
         let sent = node.pool.send(&target.id, req.map(Full::new)).await;
@@ -89,12 +97,13 @@
             sent => sent,
         };
         let (response, connection) = sent.map_err(|err| failed(target.address, &err))?;
-        let (head, body) = read(target.address, response).await?.into_parts();
+        let res = read(target.address, response, limits.body_bytes).await?;
+        let (head, body) = res.into_parts();
         record_answer(node, &target.id, node.now());
         record_response_head(node, ResponseSender::of(target), &head);
         node.pool.put(&target.id, connection, None);
         Ok(Response::from_parts(head, body))
     };
-    let result = tokio::time::timeout(timeout, calling).await;
+    let result = tokio::time::timeout(limits.timeout, calling).await;
     result.map_err(|elapsed| failed(target.address, &elapsed))?
 }
