Receive and drop the bodies of refused requests

Callers saw: a body that is sent in pieces to a withdrawn key, a removed route, over a quota, beside a stop or without a configuration had its write broken after the first piece; a caller that reads after its write had neither an answer nor a refusal. A refusal also cost its connection. Cause: such a refusal is sent before the body is read, hyper drops the body and closes the connection, and a connection that is closed with unread bytes is reset. Only the refusal for want of memory had something against it. The same for a head or a body that is malformed.

Change: the owner of a request's body (accept.rs) hands what its request left of it to one task, once the head of the response is written (before that hyper would send 100 Continue). It receives and drops the rest while the connection counts as in use. Bounds are what callers may do anyway: maxBodyBytes, the caller's deadline within the longest route's timeout, the header timeout between two parts; and the receive buffers of all such bodies together. Beyond them, and after malformed input, the response and the end of the stream are sent, and what comes is dropped for at most the header timeout before the close. A response after which the connection can't be used says so. A body whose stated length is beyond the limit is refused before 100 Continue. BS3401 tells how much of the body was read, and now also stands for malformed requests and bodies; a counter tells how discarded bodies ended.

--- a/crates/gateway/src/decide/memory_budget/mod.rs
+++ b/crates/gateway/src/decide/memory_budget/mod.rs
@@ -356,6 +356,12 @@
             .map_or(0, |connection| connection.held.total())
     }
 
+    /// Returns how many bytes may be held.
+    #[must_use]
+    pub const fn budget(&self) -> u64 {
+        self.parts.budget
+    }
+
     /// Returns the state for operators.
     #[must_use]
     pub fn dump(&self) -> MemoryDump {
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -37,6 +37,7 @@
 pub mod quota;
 pub mod ranked_tokens;
 pub mod refusal;
+pub mod refused_body;
 pub mod registry;
 pub mod relay_update;
 pub mod reload;
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::decide::connection_end::{CHECK_INTERVAL, ConnectionState, NextStep, next_step};
+use crate::decide::refused_body::UploadBounds;
 use crate::edge::Edge;
 
 use super::caller_memory::CallerMemory;
@@ -24,6 +25,8 @@
 use super::node::Node;
 use super::peer_forwarding::REQUEST_HEADER;
 use super::pool::MAX_IDLE;
+use super::refused_body::RefusedBody;
+use super::request_body::RequestBody;
 use super::response_body::CountedBody;
 use super::sockets::set_options;
 
@@ -118,7 +121,7 @@
         let activity = Arc::clone(&activity);
         let open_request = OpenRequest::begin(&node, &activity);
         async move {
-            let res = respond(&node, open_request, req, listener_kind).await;
+            let res = respond(&node, &activity, open_request, req, listener_kind).await;
             activity.record_response(idle_timeout(&node, listener_kind), is_close_told(&res));
             Ok::<_, Infallible>(res)
         }
@@ -197,39 +200,71 @@
 
 async fn respond<E: Edge>(
     node: &Arc<Node<E>>,
+    activity: &Arc<Activity>,
     open_request: OpenRequest<E>,
     req: Request<Incoming>,
     listener_kind: ListenerKind,
 ) -> Response<RespondedBody<E>> {
-    let caller = req.extensions().get::<Arc<CallerMemory>>().cloned();
-    let is_forwarded = req.headers().contains_key(REQUEST_HEADER);
+    let (head, body) = req.into_parts();
+    let bounds = UploadBounds::of_anyone(&node.tables().routes.config().limits);
+    let mut body = RequestBody::new(&head, body, node.now(), bounds);
+    let caller = head.extensions.get::<Arc<CallerMemory>>().cloned();
+    let is_forwarded = head.headers.contains_key(REQUEST_HEADER);
     let mut counted = None;
     let mut res = match listener_kind {
-        ListenerKind::Front => super::serve::serve(Arc::clone(node), req).await,
+        ListenerKind::Front => super::serve::serve(Arc::clone(node), head, &mut body).await,
         ListenerKind::Control if is_forwarded => {
             counted = Some(ConnectionGuard::new(node));
-            super::serve::serve_forwarded(Arc::clone(node), req).await
+            super::serve::serve_forwarded(Arc::clone(node), head, &mut body).await
         }
-        ListenerKind::Directory => super::directory::respond(node, &req),
-        ListenerKind::Control => super::control::respond(node, &req),
+        ListenerKind::Directory => super::directory::respond(node, &head),
+        ListenerKind::Control => super::control::respond(node, &head),
     };
-    if node.is_stopping() {
+    let refused = RefusedBody::of(node, body, caller.clone());
+    let must_close = refused.as_ref();
+    let must_close = must_close.is_some_and(|refused| refused.must_close(node.now()));
+    if node.is_stopping() || must_close {
         let close = HeaderValue::from_static(CLOSE);
         res.headers_mut().insert(header::CONNECTION, close);
     }
     res.map(|body| RespondedBody {
         body: CountedBody::new(body, caller),
-        _open_request: open_request,
-        _counted: counted,
+        in_use: Arc::new(InUse {
+            _request: open_request,
+            _counted: counted,
+        }),
+        refused: refused.map(|refused| (refused, Arc::clone(node), Arc::clone(activity))),
     })
 }
 
+/// A connection is in use until its response is sent and the body of its request is read or dropped.
+struct InUse<E: Edge> {
+    _request: OpenRequest<E>,
+    /// Set for a request that a peer forwards: a planned stop waits for it as for callers' connections.
+    _counted: Option<ConnectionGuard<E>>,
+}
+
 /// The body of a response. Its request is open until it is sent.
 struct RespondedBody<E: Edge> {
     body: CountedBody,
-    _open_request: OpenRequest<E>,
-    /// Set for a request that a peer forwards: a planned stop waits for it as for callers' connections.
-    _counted: Option<ConnectionGuard<E>>,
+    in_use: Arc<InUse<E>>,
+    /// What is left of the request's body, until the head of the response is written.
+    refused: Option<(RefusedBody, Arc<Node<E>>, Arc<Activity>)>,
+}
+
+impl<E: Edge> RespondedBody<E> {
+    /// Begins to drop what is left of the request's body.
+    fn discard_refused(&mut self) {
+        if let Some((refused, node, activity)) = self.refused.take() {
+            refused.discard(node, activity, Arc::clone(&self.in_use));
+        }
+    }
+}
+
+impl<E: Edge> Drop for RespondedBody<E> {
+    fn drop(&mut self) {
+        self.discard_refused();
+    }
 }
 
 impl<E: Edge> Body for RespondedBody<E> {
@@ -240,6 +275,7 @@
         mut self: std::pin::Pin<&mut Self>,
         cx: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        self.discard_refused();
         std::pin::Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/gateway/src/net/caller_stream.rs
+++ b/crates/gateway/src/net/caller_stream.rs
@@ -3,12 +3,14 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use rustix::io::ioctl_fionread;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
+use crate::decide::refused_body::{Discard, DiscardStep, UploadBounds};
 use crate::edge::Edge;
 
 use super::connection_activity::Activity;
@@ -18,6 +20,9 @@
 /// Name of the end of a connection that its caller closed, or that broke or was refused as malformed.
 const ENDED: &str = "ended";
 
+/// Size of the parts in which bytes that nobody wants are read.
+const UNWANTED_PART: usize = 4 * 1_024;
+
 /// Why an instance closes a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CloseReason {
@@ -54,6 +59,15 @@
     node: Arc<Node<E>>,
     /// Whether a part of a response waits for the caller to take more.
     is_write_blocked: bool,
+    /// Set once the last response has been sent, while its caller may still send.
+    leaving: Option<Leaving>,
+}
+
+/// The end of a connection whose caller may still send, and would lose the last response by a reset.
+#[derive(Debug)]
+struct Leaving {
+    discard: Discard,
+    until: Pin<Box<Sleep>>,
 }
 
 impl<E: Edge> CallerStream<E> {
@@ -63,6 +77,7 @@
             activity,
             node,
             is_write_blocked: false,
+            leaving: None,
         }
     }
 
@@ -72,6 +87,42 @@
         ioctl_fionread(&self.stream).unwrap_or(0)
     }
 
+    /// Begins to read and drop what its caller still sends, and returns whether it may send anything.
+    fn begin_leaving(&mut self) -> bool {
+        if !self.activity.end_requests() {
+            return false;
+        }
+        let limits = self.node.tables().routes.config().limits;
+        let bounds = UploadBounds::of_anyone(&limits);
+        let now = self.node.now();
+        self.leaving = Some(Leaving {
+            discard: Discard::new(bounds, now, now),
+            until: Box::pin(tokio::time::sleep(bounds.time)),
+        });
+        true
+    }
+
+    /// Returns once its caller has closed the connection, or sends too much or for too long.
+    fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(leaving) = &mut self.leaving else {
+            return Poll::Ready(());
+        };
+        // Before the read, as a caller that always sends would use up what the task may do at once.
+        if leaving.until.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut part = [0; UNWANTED_PART];
+        while leaving.discard.next_step(self.node.now()) != DiscardStep::Leave {
+            let mut buf = ReadBuf::new(&mut part);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            if read.is_err() || buf.filled().is_empty() {
+                break;
+            }
+            leaving.discard.record(buf.filled().len(), self.node.now());
+        }
+        Poll::Ready(())
+    }
+
     /// Whether the connection ends now, although its caller could send more.
     fn is_close_due(&self) -> bool {
         // What has just arrived may not have been reported by the reactor yet.
@@ -141,6 +192,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if self.leaving.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            if !self.begin_leaving() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        self.poll_left(cx).map(Ok)
     }
 }
--- a/crates/gateway/src/net/connection_activity.rs
+++ b/crates/gateway/src/net/connection_activity.rs
@@ -24,6 +24,10 @@
     is_close_told: bool,
     /// Why the instance closes it.
     close_reason: Option<CloseReason>,
+    /// Bodies of refused requests that have not come to their end: at most one, once what was received is read.
+    rests: usize,
+    /// Whether its last response was sent, and what its caller still sends is dropped.
+    is_ending: bool,
 }
 
 /// What an accepted connection does.
@@ -39,6 +43,8 @@
             idle_timeout,
             is_close_told: false,
             close_reason: None,
+            rests: 0,
+            is_ending: false,
         }))
     }
 
@@ -65,7 +71,7 @@
     pub(super) fn current_use(&self, now: Time) -> Use {
         let state = self.lock();
         match state.head_since {
-            _ if state.open_requests > 0 => Use::Request,
+            _ if state.open_requests > 0 || state.is_ending => Use::Request,
             Some(since) => Use::PartialHead(now.since(since)),
             None => Use::Idle(now.since(state.idle_since)),
         }
@@ -87,6 +93,24 @@
         self.lock().close_reason
     }
 
+    /// Records that the body of a refused request has not come to its end.
+    pub(super) fn begin_rest(&self) {
+        self.lock().rests += 1;
+    }
+
+    /// Records that the body of a refused request has come to its end.
+    pub(super) fn end_rest(&self) {
+        self.lock().rests -= 1;
+    }
+
+    /// Ends its requests, and returns whether its caller may still send what is not read: the rest of a refused body or
+    /// of a malformed head.
+    pub(super) fn end_requests(&self) -> bool {
+        let mut state = self.lock();
+        state.is_ending = state.rests > 0 || state.head_since.is_some();
+        state.is_ending
+    }
+
     /// Whether it closes, and no request has begun.
     pub(super) fn is_close_due(&self) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/net/connection_metrics.rs
+++ b/crates/gateway/src/net/connection_metrics.rs
@@ -7,6 +7,7 @@
 /// Instruments for accepted connections.
 pub(super) struct ConnectionMetrics {
     closed: Counter<u64>,
+    discarded: Counter<u64>,
 }
 
 impl ConnectionMetrics {
@@ -16,9 +17,18 @@
                 "bluebellstage.connections_closed",
                 "Accepted connections that ended, by reason, and whether received bytes lay unread",
             ),
+            discarded: instruments.counter(
+                "bluebellstage.request_bodies_discarded",
+                "Bodies of refused requests that were received and dropped, by how that ended",
+            ),
         }
     }
 
+    /// Counts a refused body that was received and dropped.
+    pub(super) fn discarded(&self, outcome: &'static str) {
+        self.discarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a connection that ended.
     pub(super) fn closed(&self, reason: &'static str, has_unread: bool) {
         let reason = KeyValue::new("reason", reason);
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -7,8 +7,7 @@
 
 use bluebellstage_core::{Revision, Time};
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::{Method, Response, StatusCode, request};
 use serde::{Deserialize, Serialize};
 
 use crate::decide::config::Config;
@@ -105,9 +104,9 @@
 /// Serves a request on the control address.
 pub(super) fn respond<E: Edge>(
     node: &Arc<Node<E>>,
-    req: &Request<Incoming>,
+    head: &request::Parts,
 ) -> Response<ResponseBody> {
-    if req.uri().path() == METRICS_PATH {
+    if head.uri.path() == METRICS_PATH {
         let connections = node.connections.load(Ordering::Relaxed);
         if let Some(memory) = &node.memory {
             node.metrics.memory.record(&memory.dump());
@@ -116,7 +115,7 @@
         let text = node.metrics.text(&tables, connections, node.now());
         return Response::new(full_body(Bytes::from(text)));
     }
-    if req.uri().path() == DUMP_PATH {
+    if head.uri.path() == DUMP_PATH {
         let mut dump = node.tables().dump(node.now());
         dump.memory = node.memory.as_ref().map(|memory| memory.dump());
         return match serde_json::to_vec(&dump) {
@@ -124,13 +123,13 @@
             Err(err) => failed(node, &err),
         };
     }
-    if req.uri().path() == CLEAR_PATH {
-        return clear(node, req);
+    if head.uri.path() == CLEAR_PATH {
+        return clear(node, head);
     }
-    if req.uri().path() != COPY_PATH {
+    if head.uri.path() != COPY_PATH {
         return error_response(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     }
-    let known = KnownState::parse(req.uri().query().unwrap_or(""));
+    let known = KnownState::parse(head.uri.query().unwrap_or(""));
     let copy = build_copy(&node.tables(), known, node.now());
     match bincode::serialize(&copy) {
         Ok(body) => Response::new(full_body(Bytes::from(body))),
@@ -139,12 +138,12 @@
 }
 
 /// Clears the quarantine of a request that is rejected because targets crashed under it.
-fn clear<E: Edge>(node: &Arc<Node<E>>, req: &Request<Incoming>) -> Response<ResponseBody> {
+fn clear<E: Edge>(node: &Arc<Node<E>>, head: &request::Parts) -> Response<ResponseBody> {
     let reply = |status, message: &str| error_response(&node.protocol, status, message, None);
-    if req.method() != Method::POST {
+    if head.method != Method::POST {
         return reply(StatusCode::METHOD_NOT_ALLOWED, "use POST");
     }
-    let query = req.uri().query().unwrap_or("");
+    let query = head.uri.query().unwrap_or("");
     let request = match query.parse::<Suspect>() {
         Ok(request) => request,
         Err(err) => return reply(StatusCode::BAD_REQUEST, &err.to_string()),
--- a/crates/gateway/src/net/directory.rs
+++ b/crates/gateway/src/net/directory.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use bluebellstage_core::Time;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use http::{HeaderValue, Response, StatusCode, header, request};
 
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
@@ -16,14 +15,8 @@
 const MAX_ADDRESSES: usize = 64;
 
 /// Serves an address lookup or a readiness check.
-pub(super) fn respond<E: Edge>(node: &Node<E>, req: &Request<Incoming>) -> Response<ResponseBody> {
-    let (parts, ()) = {
-        let mut head = Request::new(());
-        *head.method_mut() = req.method().clone();
-        *head.uri_mut() = req.uri().clone();
-        head.into_parts()
-    };
-    if node.protocol.is_readiness(&parts) {
+pub(super) fn respond<E: Edge>(node: &Node<E>, head: &request::Parts) -> Response<ResponseBody> {
+    if node.protocol.is_readiness(head) {
         let ready = node.tables().ready();
         let status = if ready {
             StatusCode::OK
@@ -32,7 +25,7 @@
         };
         return error_response(&node.protocol, status, "readiness", None);
     }
-    let Some(failure_domain) = node.protocol.is_resolve(&parts) else {
+    let Some(failure_domain) = node.protocol.is_resolve(head) else {
         return error_response(&node.protocol, StatusCode::NOT_FOUND, "no such call", None);
     };
     let addresses = addresses(&node.tables(), failure_domain.as_deref(), node.now());
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -44,6 +44,7 @@
 mod peer_forwarding;
 mod pool;
 mod quarantine;
+mod refused_body;
 mod reload;
 mod request_body;
 mod residency_updates;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -95,6 +95,8 @@
     is_stopping: AtomicBool,
     is_closing: AtomicBool,
     pub(super) connections: AtomicUsize,
+    /// Bodies of refused requests that are received and dropped.
+    pub(super) discarding: Arc<AtomicUsize>,
     adapter_requests: Mutex<Vec<AdapterRequest>>,
     outgoing: mpsc::Sender<Outgoing>,
 }
@@ -148,6 +150,7 @@
             is_stopping: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
+            discarding: Arc::default(),
             adapter_requests: Mutex::default(),
             outgoing,
         };
--- a/crates/gateway/src/net/request_body.rs
+++ b/crates/gateway/src/net/request_body.rs
@@ -1,14 +1,18 @@
 //! Reads the bodies of requests within the memory budget.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bluebellstage_core::Time;
 use bytes::Bytes;
-use http::StatusCode;
+use http::{StatusCode, Version, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::decide::memory_budget::HeldKind;
+use crate::decide::refused_body::{RECEIVE_BUFFER, UploadBounds};
 
 use super::caller_memory::{CallerMemory, OutOfMemory};
 use super::held_buffer::HeldBuffer;
@@ -16,13 +20,8 @@
 /// Longest wait for memory, with nothing read from the caller. Callers give up on an instance that does not read
 /// their request for a second.
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
-/// For how long the connection of a refused request is kept. One that is closed with unread bytes is reset, and its
-/// caller may not get the refusal.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-/// How much of a refused body is received and dropped meanwhile. What is longer is left with its sender.
-const MAX_DISCARDED: usize = 16 * 1_024;
-/// What a connection buffers of a body while it is received.
-const RECEIVE_BUFFER: usize = 32 * 1_024;
+/// What a caller expects that sends a body only when it is told to.
+const CONTINUE: &str = "100-continue";
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,6 +43,15 @@
             Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
+
+    /// Short name for metrics and the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::TooLong => "body_too_long",
+            Self::Cut => "body_cut",
+            Self::OutOfMemory => "memory_short",
+        }
+    }
 }
 
 impl From<OutOfMemory> for BodyFailure {
@@ -52,28 +60,138 @@
     }
 }
 
+/// The body of a request, which knows how much of it was read.
+#[derive(Debug)]
+pub(super) struct RequestBody {
+    body: Incoming,
+    arrived: Time,
+    /// What its sender may send, if the request is refused.
+    pub(super) bounds: UploadBounds,
+    /// Whether its sender waits until it is told to send.
+    awaits_continue: bool,
+    progress: Progress,
+}
+
+/// How much of a body was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    /// Its request has none.
+    None,
+    Unread,
+    Partly,
+    Whole,
+    /// It was cut or its framing is broken, so that nothing more can be read.
+    Broken,
+}
+
+impl RequestBody {
+    pub(super) fn new(
+        head: &request::Parts,
+        body: Incoming,
+        arrived: Time,
+        bounds: UploadBounds,
+    ) -> Self {
+        let expected = head.headers.get(header::EXPECT);
+        let expected = expected.and_then(|value| value.to_str().ok());
+        let expects_continue = expected.is_some_and(|value| value.eq_ignore_ascii_case(CONTINUE));
+        let progress = if body.is_end_stream() {
+            Progress::None
+        } else {
+            Progress::Unread
+        };
+        Self {
+            body,
+            arrived,
+            bounds,
+            awaits_continue: expects_continue && head.version > Version::HTTP_10,
+            progress,
+        }
+    }
+
+    /// Returns when its request arrived.
+    pub(super) const fn arrived(&self) -> Time {
+        self.arrived
+    }
+
+    /// Whether nothing of it is left to read.
+    pub(super) const fn is_ended(&self) -> bool {
+        matches!(self.progress, Progress::None | Progress::Whole)
+    }
+
+    /// Whether nothing more of it can be read.
+    pub(super) const fn is_broken(&self) -> bool {
+        matches!(self.progress, Progress::Broken)
+    }
+
+    /// Whether its sender was not told to send it. What comes next on the connection may be the body or not.
+    pub(super) const fn is_awaiting_continue(&self) -> bool {
+        self.awaits_continue && matches!(self.progress, Progress::Unread)
+    }
+
+    /// Short name of how much was read, for the log.
+    pub(super) const fn progress(&self) -> &'static str {
+        match self.progress {
+            Progress::None => "none",
+            Progress::Unread => "unread",
+            Progress::Partly => "partly",
+            Progress::Whole => "whole",
+            Progress::Broken => "broken",
+        }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if self.progress == Progress::Unread {
+            self.progress = Progress::Partly;
+        }
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        self.progress = match &frame {
+            Some(Err(_)) => Progress::Broken,
+            // On a connection that waits for the next request, the end of the stream isn't reported after these.
+            Some(Ok(frame)) if frame.is_trailers() || self.body.is_end_stream() => Progress::Whole,
+            Some(Ok(_)) => Progress::Partly,
+            None => Progress::Whole,
+        };
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Reads a body of at most `limit` bytes; its bytes are counted if memory is limited.
 ///
 /// # Errors
 ///
 /// The body is too long or cut, or there is no memory for it.
 pub(super) async fn read_body(
-    body: Incoming,
+    body: &mut RequestBody,
     caller: Option<&Arc<CallerMemory>>,
     limit: usize,
 ) -> Result<Bytes, BodyFailure> {
-    let Some(caller) = caller else {
-        return read_uncounted(body, limit).await;
-    };
-    let mut body = body;
-    let read = read_counted(&mut body, caller, limit).await;
-    if read == Err(BodyFailure::OutOfMemory) {
-        tokio::spawn(linger(body, Arc::clone(caller)));
-    }
-    read
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(BodyFailure::TooLong);
+    }
+    match caller {
+        Some(caller) => read_counted(body, caller, limit).await,
+        None => read_uncounted(body, limit).await,
+    }
 }
 
-async fn read_uncounted(body: Incoming, limit: usize) -> Result<Bytes, BodyFailure> {
+async fn read_uncounted(body: &mut RequestBody, limit: usize) -> Result<Bytes, BodyFailure> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(err) if err.is::<LengthLimitError>() => Err(BodyFailure::TooLong),
@@ -84,16 +202,13 @@
 /// Reads a body. Memory for one of known length is taken at once, so that bodies that have been begun don't wait for
 /// each other.
 async fn read_counted(
-    body: &mut Incoming,
+    body: &mut RequestBody,
     caller: &Arc<CallerMemory>,
     limit: usize,
 ) -> Result<Bytes, BodyFailure> {
     let mut buf = HeldBuffer::new(Arc::clone(caller).hold(HeldKind::RequestBody));
     if let Some(len) = body.size_hint().exact() {
         let len = usize::try_from(len).unwrap_or(usize::MAX);
-        if len > limit {
-            return Err(BodyFailure::TooLong);
-        }
         buf.reserve_exact(len, MAX_ROOM_WAIT).await?;
     }
     let mut receiving = Arc::clone(caller).hold(HeldKind::RequestBody);
@@ -111,21 +226,3 @@
     }
     Ok(buf.into_bytes())
 }
-
-/// Keeps the connection of a refused body while its caller gets the response.
-async fn linger(mut body: Incoming, caller: Arc<CallerMemory>) {
-    let mut receiving = caller.hold(HeldKind::RequestBody);
-    receiving.add(RECEIVE_BUFFER);
-    let _received_or_late = tokio::time::timeout(LINGER_TIME, discard(&mut body)).await;
-}
-
-/// Receives a body and drops it, up to [`MAX_DISCARDED`].
-async fn discard(body: &mut Incoming) {
-    let mut discarded = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        discarded += frame.data_ref().map_or(0, Bytes::len);
-        if discarded > MAX_DISCARDED {
-            return std::future::pending().await;
-        }
-    }
-}
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use bluebellstage_core::Time;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::{Response, StatusCode, request};
 use rand::Rng;
 
 use crate::decide::call::Call;
 use crate::decide::quarantine::Fingerprint;
+use crate::decide::refused_body::UploadBounds;
 use crate::decide::tables::{Refusal, Ticket};
 use crate::edge::{Edge, Protocol};
 
@@ -21,28 +21,32 @@
 use super::peer_forwarding::{
     ForwardOutcome, ForwardReport, ForwardedRequest, REPORT_HEADER, REQUEST_HEADER,
 };
-use super::request_body::{BodyFailure, read_body};
+use super::request_body::{BodyFailure, RequestBody, read_body};
+
+/// Reason of a refusal in metrics and the log.
+const MALFORMED: &str = "malformed";
 
 /// Serves one request of a caller.
 pub(super) async fn serve<E: Edge>(
     node: Arc<Node<E>>,
-    req: Request<Incoming>,
+    head: request::Parts,
+    body: &mut RequestBody,
 ) -> Response<ResponseBody> {
-    serve_from(node, req, None).await
+    serve_from(node, head, body, None).await
 }
 
 /// Serves one request that a peer forwards.
 pub(super) async fn serve_forwarded<E: Edge>(
     node: Arc<Node<E>>,
-    mut req: Request<Incoming>,
+    mut head: request::Parts,
+    body: &mut RequestBody,
 ) -> Response<ResponseBody> {
-    let Some(forwarded) = ForwardedRequest::of(req.headers()) else {
-        let status = StatusCode::BAD_REQUEST;
-        return error_response(&node.protocol, status, "malformed forwarded request", None);
+    let Some(forwarded) = ForwardedRequest::of(&head.headers) else {
+        return malformed_response(&node, body, "malformed forwarded request");
     };
-    req.headers_mut().remove(REQUEST_HEADER);
+    head.headers.remove(REQUEST_HEADER);
     let runs = forwarded.runs;
-    let mut res = serve_from(node, req, Some(forwarded)).await;
+    let mut res = serve_from(node, head, body, Some(forwarded)).await;
     if !res.headers().contains_key(REPORT_HEADER) {
         let report = ForwardReport {
             outcome: ForwardOutcome::NoPath,
@@ -57,23 +61,20 @@
 
 async fn serve_from<E: Edge>(
     node: Arc<Node<E>>,
-    req: Request<Incoming>,
+    head: request::Parts,
+    body: &mut RequestBody,
     forwarded: Option<ForwardedRequest>,
 ) -> Response<ResponseBody> {
-    let arrived = node.now();
-    let (head, body) = req.into_parts();
+    let arrived = body.arrived();
     let call = match node.protocol.call(&head) {
         Ok(call) => call,
-        Err(bad) => {
-            let status = StatusCode::BAD_REQUEST;
-            return error_response(&node.protocol, status, &bad.to_string(), None);
-        }
+        Err(bad) => return malformed_response(&node, body, &bad.to_string()),
     };
+    body.bounds = UploadBounds::of_caller(node.tables().routes.config(), call.timeout);
     let ticket = match admit(&node, &call, forwarded.as_ref(), arrived) {
         Ok(ticket) => ticket,
         Err(refusal) => {
-            node.metrics.request_refused(refusal.name());
-            log_refusal(&node, &call, &refusal);
+            log_refusal(&node, &call, body, refusal.name(), &refusal.inputs());
             return refusal_response(&node.protocol, &refusal, call.timeout);
         }
     };
@@ -83,10 +84,10 @@
     }
     let limit = node.tables().routes.config().limits.body_bytes;
     let body = match read_body(body, caller, limit).await {
-        Ok(body) => body,
+        Ok(data) => data,
         Err(failure) => {
             node.tables().refund(&ticket);
-            return unread_response(&node, &call, &ticket, failure);
+            return unread_response(&node, &call, body, failure);
         }
     };
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -115,11 +116,32 @@
     job.run().await
 }
 
-fn log_refusal<E: Edge>(node: &Node<E>, call: &Call, refusal: &Refusal) {
+fn malformed_response<E: Edge>(
+    node: &Node<E>,
+    body: &RequestBody,
+    message: &str,
+) -> Response<ResponseBody> {
+    node.metrics.request_refused(MALFORMED);
+    let fields = [("reason", MALFORMED), ("body", body.progress())];
+    event(LogEvent::RequestRefused, &fields);
+    error_response(&node.protocol, StatusCode::BAD_REQUEST, message, None)
+}
+
+fn log_refusal<E: Edge>(
+    node: &Node<E>,
+    call: &Call,
+    body: &RequestBody,
+    reason: &'static str,
+    inputs: &[(&'static str, String)],
+) {
+    node.metrics.request_refused(reason);
     let routes = Arc::clone(&node.tables().routes);
-    let inputs = refusal.inputs();
     let inputs = inputs.iter().map(|(name, value)| (*name, value.as_str()));
-    let fields = [("request", &*call.id), ("reason", refusal.name())];
+    let fields = [
+        ("request", &*call.id),
+        ("reason", reason),
+        ("body", body.progress()),
+    ];
     let fields = fields.into_iter().chain(routes.names(call)).chain(inputs);
     event(LogEvent::RequestRefused, &fields.collect::<Vec<_>>());
 }
@@ -152,32 +174,25 @@
 fn unread_response<E: Edge>(
     node: &Node<E>,
     call: &Call,
-    ticket: &Ticket,
+    body: &RequestBody,
     failure: BodyFailure,
 ) -> Response<ResponseBody> {
+    let status = failure.status();
+    let inputs = [("status", status.as_str().to_owned())];
+    log_refusal(node, call, body, failure.name(), &inputs);
     let (message, after) = match failure {
         BodyFailure::TooLong | BodyFailure::Cut => ("the body is too long or cut", None),
         BodyFailure::OutOfMemory => {
-            record_out_of_memory(node, call, ticket);
+            record_out_of_memory(node, call);
             let message = "this instance is short of memory: try again, or use another one";
             (message, Some(spread_retry_after()))
         }
     };
-    error_response(&node.protocol, failure.status(), message, after)
+    error_response(&node.protocol, status, message, after)
 }
 
-fn record_out_of_memory<E: Edge>(node: &Node<E>, call: &Call, ticket: &Ticket) {
-    node.metrics.request_refused("memory_short");
+fn record_out_of_memory<E: Edge>(node: &Node<E>, call: &Call) {
     node.metrics.memory.request_refused();
-    let workspace = ticket.workspace.as_ref().map(ToString::to_string);
-    let fields = [
-        ("request", &*call.id),
-        ("route", &*ticket.route().name),
-        ("workspace", &*workspace.unwrap_or_default()),
-        ("status", "503"),
-        ("reason", "memory_short"),
-    ];
-    event(LogEvent::RequestRefused, &fields);
     if let Some(memory) = &node.memory {
         let dump = memory.dump();
         let [held, budget] = [dump.held(), dump.budget].map(|bytes| bytes.to_string());
