End uploads that can't be served any more with a refusal

Callers saw: a caller that stalled in its body held its connection without any time limit where memory is not limited, and got no answer at its deadline. An upload that was under way at a planned stop was cut when the process ended. Cause: the body was read without a clock, and the stop was looked at only before it. Change: reading ends when the request's time is over (408, not run) and when the instance begins to close its connections (503, not run), as a request that arrives then is refused, too. Its rest is received and dropped like that of other refused bodies.

--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -23,7 +23,7 @@
 use super::stream;
 
 /// Time reserved for a local response to reach the caller before the caller's timeout.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
+pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Minimum remaining time for which an attempt is sent.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 /// A request and the state that its attempts share.
@@ -147,7 +147,12 @@
 
     /// Time after its arrival until which the request may take: the caller's timeout or the route's.
     pub(super) fn time_limit(&self) -> Duration {
-        let route = self.ticket.route().timeout;
-        self.call.timeout.map_or(route, |own| own.min(route))
+        time_limit(&self.call, &self.ticket)
     }
 }
+
+/// Time after its arrival until which a request may take: the caller's timeout or the route's.
+pub(super) fn time_limit(call: &Call, ticket: &Ticket) -> Duration {
+    let route = ticket.route().timeout;
+    call.timeout.map_or(route, |own| own.min(route))
+}
--- a/crates/gateway/src/net/request_body.rs
+++ b/crates/gateway/src/net/request_body.rs
@@ -32,6 +32,10 @@
     Cut,
     /// There is no memory for it.
     OutOfMemory,
+    /// It was not complete when the request's time was over.
+    Late,
+    /// It was not complete when the instance began to close its connections.
+    Stopping,
 }
 
 impl BodyFailure {
@@ -40,7 +44,8 @@
         match self {
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Cut => StatusCode::BAD_REQUEST,
-            Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OutOfMemory | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
         }
     }
 
@@ -50,6 +55,8 @@
             Self::TooLong => "body_too_long",
             Self::Cut => "body_cut",
             Self::OutOfMemory => "memory_short",
+            Self::Late => "body_late",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::Time;
+use bytes::Bytes;
 use http::{Response, StatusCode, request};
 use rand::Rng;
 
@@ -14,7 +15,7 @@
 use crate::edge::{Edge, Protocol};
 
 use super::caller_memory::CallerMemory;
-use super::front::Job;
+use super::front::{Job, RESPONSE_MARGIN, time_limit};
 use super::local_response::{ResponseBody, error_response, refusal_response, spread_retry_after};
 use super::log::{LogEvent, event};
 use super::node::Node;
@@ -82,8 +83,8 @@
     if let Some(caller) = caller {
         caller.start_request(ticket.workspace.as_ref());
     }
-    let limit = node.tables().routes.config().limits.body_bytes;
-    let body = match read_body(body, caller, limit).await {
+    let time_limit = time_limit(&call, &ticket);
+    let body = match receive(&node, body, caller, time_limit).await {
         Ok(data) => data,
         Err(failure) => {
             node.tables().refund(&ticket);
@@ -116,6 +117,35 @@
     job.run().await
 }
 
+/// Reads the body of an admitted request. It is refused once the request could not be served any more.
+async fn receive<E: Edge>(
+    node: &Node<E>,
+    body: &mut RequestBody,
+    caller: Option<&Arc<CallerMemory>>,
+    time_limit: Duration,
+) -> Result<Bytes, BodyFailure> {
+    let limit = node.tables().routes.config().limits.body_bytes;
+    let passed = node.now().since(body.arrived());
+    let time_left = time_limit.saturating_sub(passed + RESPONSE_MARGIN);
+    tokio::select! {
+        biased;
+        read = read_body(body, caller, limit) => read,
+        () = until_closing(node) => Err(BodyFailure::Stopping),
+        () = tokio::time::sleep(time_left) => Err(BodyFailure::Late),
+    }
+}
+
+/// Returns when the instance begins to close its connections.
+async fn until_closing<E: Edge>(node: &Node<E>) {
+    loop {
+        let stop = node.stop.notified();
+        if node.is_closing() {
+            return;
+        }
+        stop.await;
+    }
+}
+
 fn malformed_response<E: Edge>(
     node: &Node<E>,
     body: &RequestBody,
@@ -174,7 +204,7 @@
 fn unread_response<E: Edge>(
     node: &Node<E>,
     call: &Call,
-    body: &RequestBody,
+    body: &mut RequestBody,
     failure: BodyFailure,
 ) -> Response<ResponseBody> {
     let status = failure.status();
@@ -182,11 +212,18 @@
     log_refusal(node, call, body, failure.name(), &inputs);
     let (message, after) = match failure {
         BodyFailure::TooLong | BodyFailure::Cut => ("the body is too long or cut", None),
+        BodyFailure::Late => {
+            body.bounds.time = Duration::ZERO;
+            ("the body came too slowly: send it faster", None)
+        }
         BodyFailure::OutOfMemory => {
             record_out_of_memory(node, call);
             let message = "this instance is short of memory: try again, or use another one";
             (message, Some(spread_retry_after()))
         }
+        BodyFailure::Stopping => {
+            return refusal_response(&node.protocol, &Refusal::Stopping, call.timeout);
+        }
     };
     error_response(&node.protocol, status, message, after)
 }
