Forward nothing of a stream but the events that are due

A byte now and then, or empty lines, kept a stream from the sound engine for all of its time.

Cause: only numbers that were there were compared; an event without one, of another form, or a comment counted as an event, and each byte as a sign of life.

Change: an event has one number, the next one, and lines that are fields; anything else makes the source unusable: its connection closes, its target's health learns of a failure, and another target is looked for after the last event. Comments and empty lines are dropped, count as no progress, and together with the event may have 64 KB. A stream has at most two events for each token that its response may have. Only a complete event ends a silence, or makes another target the source. The response begins with the first event: a head that is forwarded before would be taken back if nothing follows, and its caller would have no status.

The test of an event that is dropped with its target takes a new splitter for the next target, as the code does now; it asks for the same.

--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -40,6 +40,15 @@
     pub resumes: ResumedAttempt,
 }
 
+impl Call {
+    /// Returns the most tokens that the response may have, if the request says so.
+    #[must_use]
+    pub fn max_output_tokens(&self) -> Option<u64> {
+        let most = self.tokens?.0.checked_sub(self.prompt_tokens.0)?;
+        Some(most).filter(|most| *most > 0)
+    }
+}
+
 /// The attempt whose stream a request continues, as the caller names it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum ResumedAttempt {
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -85,7 +85,7 @@
                 {
                     PeerResult::Response(response) => return response,
                     PeerResult::Stream(response) => {
-                        return stream::forward_from_peer(self, response);
+                        return stream::forward_from_peer(self, response).await;
                     }
                     PeerResult::Retry => continue,
                 },
@@ -97,7 +97,7 @@
                 }
             };
             if kind.streams() && response.parts.status.is_success() {
-                return stream::forward(self, *response);
+                return stream::forward(self, *response).await;
             }
             let target = response.in_flight.target.clone();
             match response.collect(self.time_left()).await {
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -22,6 +22,7 @@
 mod crash_check;
 mod crash_metrics;
 mod directory;
+mod event_reader;
 mod fair_shares;
 mod follow;
 mod framing;
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -12,7 +12,6 @@
 use hyper::body::Frame;
 
 use crate::decide::call::Call;
-use crate::decide::event_stream::{EventSplitter, SplitResult};
 use crate::decide::health::MAX_SILENCE;
 use crate::decide::quarantine::{Fingerprint, InterruptedRun};
 use crate::decide::silence::{Silence, SilenceAction};
@@ -21,8 +20,9 @@
 
 use super::attempt::TargetResponse;
 use super::crash_check::record_interruption;
+use super::event_reader::{EventReader, Received};
 use super::front::Job;
-use super::local_response::ResponseBody;
+use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::OpenAttempts;
@@ -38,14 +38,17 @@
 const FIRST_EVENT_FACTOR: u32 = 3;
 /// Cause of a search while the connection to the target is open.
 const SILENT: &str = "the target fell silent";
+/// Cause of a search after the target has sent something else than the events that are due.
+const NO_EVENTS: &str = "the target sent no valid events";
 /// Cause of a search after the connection to the target has broken.
 const CONNECTION_BROKE: &str = "the connection to the target broke";
 
 #[derive(Debug)]
 struct StreamForwarder<E: Edge> {
     job: Job<E>,
-    source: Option<Source<E>>,
-    splitter: EventSplitter,
+    source: Option<EventReader<E>>,
+    /// Number of the last event that the caller has.
+    last_id: Option<u64>,
     has_started: bool,
     /// Whether all events of the stream are from the present source.
     is_single_source: bool,
@@ -59,15 +62,6 @@
     source_name: String,
 }
 
-/// What was read from a body; `None` is its end.
-type Received = Option<hyper::Result<Frame<Bytes>>>;
-
-enum Chunk {
-    Data(Bytes),
-    End,
-    Broken(StreamFailure),
-}
-
 /// Why a target's stream can't continue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StreamFailure {
@@ -88,35 +82,57 @@
     }
 }
 
-/// Returns the response to the caller; its body forwards the events as the target sends them.
-pub(super) fn forward<E: Edge>(job: Job<E>, response: TargetResponse<E>) -> Response<ResponseBody> {
+/// Returns why a stream can't go on after what was received; `None` if it can or has ended.
+const fn failure_of(received: &Received) -> Option<StreamFailure> {
+    match received {
+        Received::Invalid => Some(StreamFailure::Unusable(NO_EVENTS)),
+        Received::Broken => Some(StreamFailure::Interrupted(CONNECTION_BROKE)),
+        Received::Events(_) | Received::End => None,
+    }
+}
+
+/// Short name for metrics of what ends a silence.
+const fn silence_end(received: &Received) -> &'static str {
+    match received {
+        Received::Events(_) => "went_on",
+        Received::Invalid => "no_events",
+        Received::End => "ended",
+        Received::Broken => "broke",
+    }
+}
+
+/// Returns the response to the caller once there are events; its body forwards them as the target sends them.
+pub(super) async fn forward<E: Edge>(
+    job: Job<E>,
+    response: TargetResponse<E>,
+) -> Response<ResponseBody> {
     let (parts, source) = response.into_stream();
-    forward_source(job, &parts, Source::Target(Box::new(source)))
+    forward_source(job, &parts, Source::Target(Box::new(source))).await
 }
 
-/// Returns the response to the caller; its body forwards the events as a peer sends them.
-pub(super) fn forward_from_peer<E: Edge>(
+/// Returns the response to the caller once there are events; its body forwards them as a peer sends them.
+pub(super) async fn forward_from_peer<E: Edge>(
     job: Job<E>,
     response: Box<PeerResponse<E>>,
 ) -> Response<ResponseBody> {
     let PeerResponse { parts, stream, .. } = *response;
-    forward_source(job, &parts, Source::Peer(stream))
+    forward_source(job, &parts, Source::Peer(stream)).await
 }
 
-fn forward_source<E: Edge>(
+async fn forward_source<E: Edge>(
     job: Job<E>,
     parts: &response::Parts,
     source: Source<E>,
 ) -> Response<ResponseBody> {
-    let splitter = EventSplitter::new(job.call.resume_after);
+    let last_id = job.call.resume_after;
     let is_single_source = job.ticket.software.is_none();
-    let mut res = job.forward_response(parts, super::local_response::full_body(Bytes::new()));
     let [source_name, _software] = source.names();
     let silence = Silence::new(job.node.now(), MAX_SILENCE);
-    let forwarder = StreamForwarder {
+    let source = EventReader::new(source, &job.call, last_id);
+    let mut forwarder = StreamForwarder {
         job,
         source: Some(source),
-        splitter,
+        last_id,
         has_started: false,
         is_single_source,
         is_origin_stored: false,
@@ -125,12 +141,28 @@
         replacement: None,
         source_name,
     };
-    let frames = unfold(Some(forwarder), |forwarder| async move {
+    // A head without events would be taken back if none follow: its caller would have neither an answer nor a refusal.
+    let Ok(first) = forwarder.next().await else {
+        let is_over = forwarder.job.time_left().is_zero();
+        return forwarder.job.local_response(&if is_over {
+            SearchOutcome::TimedOut
+        } else {
+            SearchOutcome::MayHaveRun("the target's stream broke off before its first event")
+        });
+    };
+    let mut res = forwarder
+        .job
+        .forward_response(parts, full_body(Bytes::new()));
+    let state = (first, Some(forwarder));
+    let frames = unfold(state, |(first, forwarder)| async move {
+        if let Some(events) = first {
+            return Some((Ok(Frame::data(events)), (None, forwarder)));
+        }
         let mut forwarder = forwarder?;
         match forwarder.next().await {
-            Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(forwarder))),
+            Ok(Some(events)) => Some((Ok(Frame::data(events)), (None, Some(forwarder)))),
             Ok(None) => None,
-            Err(err) => Some((Err(err), None)),
+            Err(err) => Some((Err(err), (None, None))),
         }
     });
     *res.body_mut() = StreamBody::new(frames).boxed_unsync();
@@ -143,52 +175,45 @@
         self.times.record_asked(self.job.node.now());
         self.silence = self.new_silence();
         loop {
-            let last_id = self.splitter.last_id();
-            let failure = match self.next_chunk().await {
-                Chunk::Data(_) if !self.is_of_version() => {
+            let failure = match self.next_received().await {
+                Ok(Received::Events(_)) if !self.is_of_version() => {
                     StreamFailure::Unusable("the target runs another software version")
                 }
-                Chunk::Data(data) => match self.push(&data) {
-                    SplitResult::Events(events) if events.is_empty() => continue,
-                    SplitResult::Events(events) => {
-                        self.record_events(last_id);
-                        return Ok(Some(events));
-                    }
-                    SplitResult::Invalid => StreamFailure::Unusable("events out of order"),
-                },
-                Chunk::End if self.splitter.is_mid_event() => {
+                Ok(Received::Events(events)) => {
+                    self.record_events();
+                    return Ok(Some(events));
+                }
+                Ok(Received::Invalid) => StreamFailure::Unusable(NO_EVENTS),
+                Ok(Received::Broken) => StreamFailure::Interrupted(CONNECTION_BROKE),
+                Ok(Received::End) if self.is_mid_event() => {
                     StreamFailure::Interrupted("the stream ended in the middle of an event")
                 }
-                Chunk::End if !self.has_started => {
+                Ok(Received::End) if !self.has_started => {
                     StreamFailure::Interrupted("the stream ended before its first event")
                 }
-                Chunk::End if !self.is_end_confirmed().await => {
+                Ok(Received::End) if !self.is_end_confirmed().await => {
                     StreamFailure::Interrupted("the connection and the target ended")
                 }
-                Chunk::End => {
-                    if let Some(source) = self.source.take() {
-                        source.finish();
+                Ok(Received::End) => {
+                    if let Some(reader) = self.source.take() {
+                        reader.source.finish();
                         self.job.record_served();
                     }
                     return Ok(None);
                 }
-                Chunk::Broken(failure) => failure,
+                Err(failure) => failure,
             };
             self.resume(failure).await?;
         }
     }
 
-    /// Adds a chunk to the stream. The replicas are told where the stream began before its caller gets an event.
-    fn push(&mut self, data: &[u8]) -> SplitResult {
-        if !std::mem::replace(&mut self.is_origin_stored, true) {
-            self.job.store_origin();
-        }
-        self.splitter.push(data)
+    fn is_mid_event(&self) -> bool {
+        self.source.as_ref().is_some_and(EventReader::is_mid_event)
     }
 
     /// Whether the present source has the software version that began the stream. The first source sets it.
     fn is_of_version(&mut self) -> bool {
-        let Some(source) = &self.source else {
+        let Some(EventReader { source, .. }) = &self.source else {
             return true;
         };
         let ticket = &mut self.job.ticket;
@@ -205,26 +230,31 @@
 
     async fn is_end_confirmed(&self) -> bool {
         match &self.source {
-            Some(source) => source.confirms_end().await,
+            Some(reader) => reader.source.confirms_end().await,
             None => true,
         }
     }
 
-    /// Records the events that were read after the one with the number `last_id`.
-    fn record_events(&mut self, last_id: Option<u64>) {
+    /// Records the events that were read. The replicas are told where the stream began before its caller gets one.
+    fn record_events(&mut self) {
+        if !std::mem::replace(&mut self.is_origin_stored, true) {
+            self.job.store_origin();
+        }
         let is_first = !std::mem::replace(&mut self.has_started, true);
-        if let Some(source) = &mut self.source {
-            source.record_arrival();
+        let before = self.last_id;
+        if let Some(reader) = &mut self.source {
+            self.last_id = reader.last_id();
+            reader.source.record_arrival();
             if is_first {
-                source.record_first_event();
+                reader.source.record_first_event();
             }
         }
-        let numbers = last_id.zip(self.splitter.last_id());
+        let numbers = before.zip(self.last_id);
         let events = numbers.map_or(1, |(before, last)| last.saturating_sub(before).max(1));
         let Some(gap) = self.times.record_events(events, self.job.node.now()) else {
             return;
         };
-        if let Some(Source::Target(source)) = &self.source {
+        if let Some(Source::Target(source)) = self.source.as_ref().map(|reader| &reader.source) {
             let target_gap = self.job.ticket.route().target_gap;
             source.in_flight.record_events(gap, target_gap);
         }
@@ -243,27 +273,31 @@
         Silence::new(self.job.node.now(), max_silence.max(MAX_SILENCE))
     }
 
-    /// Reads on. While the sender is silent, another target is looked for; the first of the two that sends something
-    /// is the source from then on.
-    async fn next_chunk(&mut self) -> Chunk {
+    /// Reads on. While no event comes, another target is looked for; the first of the two that sends one is the source
+    /// from then on.
+    async fn next_received(&mut self) -> Result<Received, StreamFailure> {
         loop {
             let now = self.job.node.now();
             let time_left = self.job.time_left();
             if time_left.is_zero() {
-                return Chunk::Broken(StreamFailure::TimedOut);
+                return Err(StreamFailure::TimedOut);
             }
-            let Some(news) = self.source.as_ref().map(Source::news) else {
-                return Chunk::Broken(StreamFailure::Unusable("no target"));
+            let Some(news) = self.source.as_ref().map(|reader| reader.source.news()) else {
+                return Err(StreamFailure::Unusable("no target"));
             };
             let action = self.silence.next(news, self.job.may_retry(), now);
-            let frame = match action {
+            let received = match action {
                 SilenceAction::WaitUntil(until) => {
                     self.read_for(until.since(now).min(time_left)).await
                 }
                 SilenceAction::Search => self.search_besides().await,
             };
-            if let Some(frame) = frame {
-                return self.received(frame);
+            if let Some(received) = received {
+                self.record_silence_ended(silence_end(&received));
+                if let Received::Events(_) = received {
+                    self.silence = self.new_silence();
+                }
+                return Ok(received);
             }
         }
     }
@@ -271,25 +305,7 @@
     /// Returns what the source sends within `span`.
     async fn read_for(&mut self, span: Duration) -> Option<Received> {
         let source = self.source.as_mut()?;
-        tokio::time::timeout(span, source.body().frame()).await.ok()
-    }
-
-    fn received(&mut self, frame: Received) -> Chunk {
-        match frame {
-            Some(Ok(frame)) => {
-                self.record_silence_ended("went_on");
-                self.silence = self.new_silence();
-                Chunk::Data(frame.into_data().unwrap_or_default())
-            }
-            Some(Err(_cut)) => {
-                self.record_silence_ended("broke");
-                Chunk::Broken(StreamFailure::Interrupted(CONNECTION_BROKE))
-            }
-            None => {
-                self.record_silence_ended("ended");
-                Chunk::End
-            }
-        }
+        tokio::time::timeout(span, source.next()).await.ok()
     }
 
     /// Looks for another target while the source is silent, and makes it the source if it responds first. Returns what
@@ -297,7 +313,7 @@
     async fn search_besides(&mut self) -> Option<Received> {
         let began = self.job.node.now();
         self.prepare_search();
-        let source = self.source.as_mut()?;
+        let EventReader { source, .. } = self.source.as_ref()?;
         let is_first = !self.silence.was_searched();
         if is_first {
             source.record_silence(self.silence.since());
@@ -313,15 +329,16 @@
         let found = {
             let mut open = OpenAttempts::default();
             let mut finding = pin!(self.job.find_response(Reach::Heard, &mut open));
+            let reader = self.source.as_mut()?;
             tokio::select! {
                 biased;
                 found = finding.as_mut() => found,
-                received = source.body().frame() => {
-                    if matches!(received, Some(Err(_))) {
+                received = reader.next() => {
+                    if let Some(failure) = failure_of(&received) {
                         // The search goes on: an attempt that it has sent may be the one that answers.
                         let source = self.source.take();
-                        let (found, ()) = tokio::join!(finding, broken_run.end(source));
-                        let cause = CONNECTION_BROKE;
+                        let (found, ()) = tokio::join!(finding, broken_run.end(source, failure));
+                        let cause = failure.reason();
                         self.replacement = Some((EndedSource { cause, ..ended }, found));
                     }
                     return Some(received);
@@ -330,7 +347,7 @@
         };
         let reason = found.reason();
         if let Some(next) = source_of(found).filter(|next| self.continues(next)) {
-            return self.first_of(next, ended).await;
+            return self.first_of(self.reader(next), ended).await;
         }
         let now = self.job.node.now();
         if is_first {
@@ -340,33 +357,40 @@
         None
     }
 
-    /// Makes `next` the source if it sends something before the present one does. Returns what comes first.
-    async fn first_of(&mut self, mut next: Source<E>, ended: EndedSource) -> Option<Received> {
-        let source = self.source.as_mut()?;
+    /// Returns a reader of the events that the caller does not have.
+    fn reader(&self, source: Source<E>) -> EventReader<E> {
+        EventReader::new(source, &self.job.call, self.last_id)
+    }
+
+    /// Makes `next` the source if it sends an event before the present one does. Returns what comes first.
+    async fn first_of(&mut self, mut next: EventReader<E>, ended: EndedSource) -> Option<Received> {
+        let present = self.source.as_mut()?;
         let (received, is_next) = tokio::select! {
             biased;
-            received = next.body().frame() => (received, true),
-            received = source.body().frame() => (received, false),
+            received = next.next() => (received, true),
+            received = present.next() => (received, false),
             () = tokio::time::sleep(self.job.time_left()) => return None,
         };
         match (&received, is_next) {
-            (Some(Ok(_)), true) => {
+            (Received::Events(_), true) => {
                 self.record_silence_ended("replaced");
                 self.go_on_at(next, &ended);
                 Some(received)
             }
-            (Some(Err(_)) | None, true) => {
-                next.record_failure();
+            (Received::Invalid | Received::Broken | Received::End, true) => {
+                next.source.record_failure();
                 self.silence.record_search(self.job.node.now());
                 None
             }
-            (Some(Err(_)), false) => {
-                BrokenRun::new(&self.job).end(self.source.take()).await;
-                let cause = CONNECTION_BROKE;
+            (Received::Events(_) | Received::End, false) => Some(received),
+            (Received::Invalid | Received::Broken, false) => {
+                let failure = failure_of(&received)?;
+                let source = self.source.take();
+                BrokenRun::new(&self.job).end(source, failure).await;
+                let cause = failure.reason();
                 self.go_on_at(next, &EndedSource { cause, ..ended });
                 None
             }
-            (Some(Ok(_)) | None, false) => Some(received),
         }
     }
 
@@ -380,11 +404,12 @@
 
     /// Prepares the request to go on after the last event that the caller has, at another target.
     fn prepare_search(&mut self) {
-        Arc::make_mut(&mut self.job.call).resume_after = self.splitter.last_id();
+        Arc::make_mut(&mut self.job.call).resume_after = self.last_id;
         if !self.has_started && self.is_single_source {
             self.job.ticket.software = None;
         }
-        let target = self.source.as_ref().and_then(Source::target).cloned();
+        let source = self.source.as_ref().map(|reader| &reader.source);
+        let target = source.and_then(Source::target).cloned();
         if let Some(target) = target {
             self.job.exclude(target);
         }
@@ -397,9 +422,9 @@
     }
 
     /// Goes on at another target or peer. The connection of the present one is closed, so that it stops.
-    fn go_on_at(&mut self, next: Source<E>, ended: &EndedSource) {
+    fn go_on_at(&mut self, next: EventReader<E>, ended: &EndedSource) {
         let [target, software] = &ended.names;
-        let [next_target, next_software] = next.names();
+        let [next_target, next_software] = next.source.names();
         let last_event = self.last_event();
         event(
             LogEvent::StreamResumed,
@@ -416,7 +441,6 @@
         if self.has_started {
             self.is_single_source = false;
         }
-        self.splitter.drop_partial();
         self.times.record_resumed();
         self.source_name = next_target;
         self.source = Some(next);
@@ -424,25 +448,22 @@
     }
 
     fn last_event(&self) -> String {
-        let last = self.splitter.last_id();
-        last.map_or_else(|| "none".into(), |id| id.to_string())
+        self.last_id
+            .map_or_else(|| "none".into(), |id| id.to_string())
     }
 
     /// Ends the source, which failed, and prepares a search for another one.
     async fn end_source(&mut self, failure: StreamFailure) -> EndedSource {
         self.prepare_search();
+        let source = self.source.take();
         let ended = EndedSource {
-            names: self.source.as_ref().map(Source::names).unwrap_or_default(),
+            names: source
+                .as_ref()
+                .map(|reader| reader.source.names())
+                .unwrap_or_default(),
             cause: failure.reason(),
         };
-        let source = self.source.take();
-        if let StreamFailure::Interrupted(_) = failure {
-            BrokenRun::new(&self.job).end(source).await;
-        } else if let (Some(Source::Target(mut source)), StreamFailure::Unusable(_)) =
-            (source, failure)
-        {
-            source.in_flight.record_failure();
-        }
+        BrokenRun::new(&self.job).end(source, failure).await;
         ended
     }
 
@@ -457,7 +478,7 @@
             .and_then(source_of)
             .filter(|next| self.continues(next))
         {
-            self.go_on_at(next, &ended);
+            self.go_on_at(self.reader(next), &ended);
             return Ok(());
         }
         if !self.job.may_retry() {
@@ -473,12 +494,12 @@
         let Some(next) = source_of(found) else {
             return Err(self.break_off(&ended, &silent_ms, search));
         };
-        self.go_on_at(next, &ended);
+        self.go_on_at(self.reader(next), &ended);
         Ok(())
     }
 }
 
-/// A run whose connection broke, and what a crash check must know of its request.
+/// A run that can't go on, and what a crash check must know of its request.
 struct BrokenRun<E: Edge> {
     node: Arc<Node<E>>,
     fingerprint: Fingerprint,
@@ -494,17 +515,22 @@
         }
     }
 
-    /// Ends the run, and checks whether its target crashed.
-    async fn end(self, source: Option<Source<E>>) {
+    /// Ends the run. If its connection broke, it is checked whether its target crashed.
+    async fn end(self, reader: Option<EventReader<E>>, failure: StreamFailure) {
+        let source = reader.map(|reader| reader.source);
         let Some(Source::Target(mut source)) = source else {
             return;
         };
-        source.in_flight.record_failure();
+        if failure != StreamFailure::TimedOut {
+            source.in_flight.record_failure();
+        }
         let (target, run_time) = (source.in_flight.target.clone(), source.in_flight.run_time());
         // The connection is closed, so that this target stops before another one starts.
         drop(source);
-        let run = InterruptedRun::new(self.fingerprint, run_time);
-        record_interruption(&self.node, &target, run, &self.call.prompt_parts).await;
+        if let StreamFailure::Interrupted(_) = failure {
+            let run = InterruptedRun::new(self.fingerprint, run_time);
+            record_interruption(&self.node, &target, run, &self.call.prompt_parts).await;
+        }
     }
 }
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -15,7 +15,7 @@
 
 #[test]
 fn only_complete_events_are_forwarded() {
-    let mut splitter = EventSplitter::new(None);
+    let mut splitter = EventSplitter::new(None, None);
     let two = event(1) + &event(2);
     let (first, rest) = two.split_at(event(1).len() + 4);
     assert_eq!(
@@ -36,7 +36,7 @@
 #[test]
 fn gaps_and_repeated_events_are_detected() {
     for wrong in [2, 4] {
-        let mut splitter = EventSplitter::new(Some(2));
+        let mut splitter = EventSplitter::new(Some(2), None);
         assert_eq!(splitter.push(event(wrong).as_bytes()), SplitResult::Invalid);
         assert_eq!(splitter.last_id(), Some(2));
     }
@@ -44,19 +44,90 @@
 
 #[test]
 fn an_incomplete_event_is_dropped_with_its_target() {
-    let mut splitter = EventSplitter::new(None);
+    let mut splitter = EventSplitter::new(None, None);
     splitter.push(event(1).as_bytes());
     splitter.push(b"id: 2\nda");
-    splitter.drop_partial();
+    let mut splitter = EventSplitter::new(splitter.last_id(), None);
     assert_eq!(
         splitter.push(event(2).as_bytes()),
         SplitResult::Events(event(2).into())
     );
 }
 
+/// Guards against bytes that are no events and reach callers as an answer.
+#[test]
+fn what_is_no_event_is_invalid() {
+    let invalid: [&[u8]; 8] = [
+        b"data: without a number\n\n",
+        b"id: 3\ndata: x\n\ndata: without a number\n\n",
+        b"id: x\n",
+        b"id: -3\n",
+        b"id: 3\nid: 3\n",
+        b"id: 4\n",
+        b"no field\n",
+        b"data: \xff\n",
+    ];
+    for bytes in invalid {
+        let mut splitter = EventSplitter::new(Some(2), None);
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(splitter.push(bytes), SplitResult::Invalid, "{text:?}");
+        assert_eq!(splitter.last_id(), Some(2), "{text:?}");
+    }
+}
+
+/// Guards against a panic at a number that has none after it.
+#[test]
+fn nothing_follows_the_last_number() {
+    let mut splitter = EventSplitter::new(None, None);
+    let last = event(u64::MAX);
+    assert_eq!(
+        splitter.push(last.as_bytes()),
+        SplitResult::Events(last.into())
+    );
+    assert_eq!(splitter.push(event(0).as_bytes()), SplitResult::Invalid);
+}
+
+#[test]
+fn events_have_any_fields_and_line_ends() {
+    let mut splitter = EventSplitter::new(Some(6), None);
+    let events = "weight-versions:3\nid:7\nevent: piece\ndata: x\n\nid: 8\r\ndata: x\r\n\r\n";
+    assert_eq!(
+        splitter.push(events.as_bytes()),
+        SplitResult::Events(events.into())
+    );
+}
+
+/// Guards against comments and empty lines without end that count as a stream.
+#[test]
+fn comments_are_dropped_and_bounded() {
+    let mut splitter = EventSplitter::new(None, None);
+    let [first, second] = [event(1), event(2)];
+    let text = format!(": comment\n\n{first}\n:\n\n{second}:");
+    assert_eq!(
+        splitter.push(text.as_bytes()),
+        SplitResult::Events((first + &second).into())
+    );
+    for endless in [": comment\n\n", "\n", "id: 1\n:\n"] {
+        let mut splitter = EventSplitter::new(None, None);
+        let pushes = (0..70_000).map(|_| splitter.push(endless.as_bytes()));
+        let results = pushes.collect::<Vec<_>>();
+        assert!(results.contains(&SplitResult::Invalid), "{endless:?}");
+    }
+}
+
+/// Guards against events without end.
+#[test]
+fn a_response_has_no_more_events_than_its_tokens_allow() {
+    let mut splitter = EventSplitter::new(None, Some(10));
+    let forwarded = (1..100)
+        .take_while(|id| splitter.push(event(*id).as_bytes()) != SplitResult::Invalid)
+        .count();
+    assert_eq!(forwarded, 20);
+}
+
 #[test]
 fn an_event_that_is_too_long_is_invalid() {
-    let mut splitter = EventSplitter::new(None);
+    let mut splitter = EventSplitter::new(None, None);
     assert_eq!(splitter.push(&vec![b'x'; 70_000]), SplitResult::Invalid);
 }
 
