Bound an answer's body, and count it as an answer only when it is whole

What callers saw: with a memory limit, a body without end was passed on for as long as they took it (31 MB in 7.1 s to one of twelve, past deadline and route timeout), also beside a sound server and for filings. A body that comes byte by byte, or not at all after its head, was awaited until the deadline, and then told as 502, though a sound server was free.

Cause: a body that is passed through was bounded by each silence only. The search for a target ended with the head, so nothing was looked for besides while the body was read.

Change: an answer has 4 MB at most, with a memory limit too: one that claims more, or has more while it is buffered, fails before any of it is forwarded and the request is sent elsewhere; one that is passed through is cut there, and when the request's time is over. Reading the body is part of the open attempt: after the usual wait another target is looked for besides, the first whole body wins, and the other attempt is closed. What no other target answers is 504 at the end of its time. A body that is too long is logged and counted as too_long, and isn't taken for a crash.

Attempts, the budget for retries and filings, which are sent once, are as before.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{AdapterVersion, TargetId, Time};
+use bluebellstage_core::{AdapterVersion, SoftwareVersion, TargetId, Time};
 use bytes::Bytes;
 use http::{Request, StatusCode, request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::decide::call::{Call, Forward, ResponseHead};
@@ -24,7 +24,7 @@
 use super::log::{LogEvent, event};
 use super::memory::BytesAtTarget;
 use super::node::Node;
-use super::pass_through::{Buffered, Collected, buffer, pass_through};
+use super::pass_through::{Buffered, CollectedBody, Passing, collect};
 use super::pool::Connection;
 use super::quarantine::until_refused;
 use super::response_head::{
@@ -34,7 +34,7 @@
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Max size of a response body that is buffered before it is forwarded.
+/// Max size of a response body that is no stream.
 pub(super) const MAX_BUFFERED_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// A response of a target whose body has not been read.
@@ -50,6 +50,17 @@
     caller: Option<Arc<CallerMemory>>,
 }
 
+/// A response of a target that is no stream.
+#[derive(Debug)]
+pub(super) struct CollectedResponse<E: Edge> {
+    pub(super) parts: response::Parts,
+    pub(super) body: CollectedBody<E>,
+    pub(super) target: TargetId,
+    /// Software version of the target when the request was sent.
+    pub(super) software: SoftwareVersion,
+    pub(super) sent: Time,
+}
+
 /// Why an attempt failed that may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Failure {
@@ -61,6 +72,8 @@
     Outdated,
     /// The response is not from the target, or belongs to another request.
     WrongAnswer,
+    /// The response is longer than an answer may be.
+    TooLong,
     /// No response yet, and the request or a part of its prompt is quarantined.
     Quarantined,
 }
@@ -98,8 +111,10 @@
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub(super) enum Attempt<E: Edge> {
-    /// The target responded.
+    /// The target responded with a stream.
     Response(Box<TargetResponse<E>>),
+    /// The target responded with something else.
+    Collected(Box<CollectedResponse<E>>),
     /// The target reports that it did not run the request.
     NotRun(NotRunReason),
     /// No connection could be opened, so nothing was sent.
@@ -191,19 +206,29 @@
             Attempt::Unreachable
         }
         Exchange::Failed(failure) => {
-            let is_blamed = failure != Failure::Silent
-                || params.at_deadline == AtDeadline::RecordSilence
-                    && params.max_wait > MIN_BLAMED_WAIT;
             let is_of_target = !matches!(failure, Failure::Outdated | Failure::Quarantined);
-            if is_blamed && is_of_target {
-                let outcome = in_flight.failure_outcome(failure);
-                in_flight.record_outcome(outcome);
+            if is_of_target {
+                record_failed_attempt(&mut in_flight, failure, params);
             }
             in_flight.failed_attempt(failure)
         }
     }
 }
 
+/// Records what an attempt that failed shows of its target.
+fn record_failed_attempt<E: Edge>(
+    in_flight: &mut InFlight<E>,
+    failure: Failure,
+    params: SendParams<'_>,
+) {
+    let is_silence_new =
+        params.at_deadline == AtDeadline::RecordSilence && params.max_wait > MIN_BLAMED_WAIT;
+    if failure != Failure::Silent || is_silence_new {
+        let outcome = in_flight.failure_outcome(failure);
+        in_flight.record_outcome(outcome);
+    }
+}
+
 /// A target holds as many bytes of requests as it may.
 struct TargetBusy;
 
@@ -328,6 +353,7 @@
             Self::Failed(Failure::Silent) => "silent",
             Self::Failed(Failure::Outdated) => "outdated",
             Self::Failed(Failure::WrongAnswer) => "wrong_answer",
+            Self::Failed(Failure::TooLong) => "too_long",
             Self::Failed(Failure::Quarantined) => "quarantined",
         }
     }
@@ -376,53 +402,37 @@
 impl<E: Edge> TargetResponse<E> {
     /// Reads the complete body, then returns the connection to the pool if it can be reused.
     /// If memory is limited and there is no room for it, it is passed through.
-    pub(super) async fn collect(self, timeout: Duration) -> Result<Collected, FailedRun> {
-        let Self {
-            parts,
-            head,
-            mut body,
-            mut in_flight,
-            framing,
-            connection,
-            caller,
-        } = self;
-        let reading = read(&mut body, caller.as_ref());
-        let read = tokio::time::timeout(timeout, reading).await;
-        let failure = match read {
-            Ok(Some(Buffered::Part(read))) => {
-                in_flight.node.metrics.memory.passed_through();
-                let source = TargetStream {
-                    head,
-                    body,
-                    in_flight,
-                    framing,
-                    connection,
-                };
-                let body = pass_through(read, source, timeout);
-                return Ok(Collected::PassedThrough(parts, body));
+    pub(super) async fn collect(self, params: SendParams<'_>) -> Attempt<E> {
+        let time_left = params.max_wait.saturating_sub(self.in_flight.age());
+        let caller = self.caller.clone();
+        let (parts, mut source) = self.into_stream();
+        let reading = collect(&mut source.body, caller.as_ref());
+        let failure = match tokio::time::timeout(time_left, reading).await {
+            Ok(Ok(Buffered::Part(read))) => {
+                source.in_flight.node.metrics.memory.passed_through();
+                return source.collected(parts, |source| {
+                    CollectedBody::PassedThrough(Box::new(Passing::new(read, source, time_left)))
+                });
             }
-            Ok(Some(_)) if !in_flight.confirms_end(framing).await => Failure::Broken,
-            Ok(Some(Buffered::Whole(body))) => {
-                let failed = parts.status.is_server_error();
-                in_flight.record_outcome(if failed {
+            Ok(Ok(Buffered::TooLong)) => Failure::TooLong,
+            Ok(Ok(Buffered::Whole(_))) if !source.confirms_end().await => Failure::Broken,
+            Ok(Ok(Buffered::Whole(body))) => {
+                let outcome = if parts.status.is_server_error() {
                     TargetOutcome::Failure
                 } else {
-                    TargetOutcome::Answer(in_flight.age())
+                    TargetOutcome::Answer(source.in_flight.age())
+                };
+                source.in_flight.record_outcome(outcome);
+                return source.collected(parts, |source| {
+                    source.finish();
+                    CollectedBody::Whole(body)
                 });
-                in_flight.record_complete();
-                return_to_pool(&in_flight, &head, connection);
-                return Ok(Collected::Whole(parts, body));
             }
-            Ok(None) => Failure::Broken,
+            Ok(Err(_cut)) => Failure::Broken,
             Err(_elapsed) => Failure::Silent,
         };
-        if failure == Failure::Broken {
-            in_flight.record_broken();
-        }
-        let outcome = in_flight.failure_outcome(failure);
-        in_flight.record_outcome(outcome);
-        let run_time = in_flight.run_time();
-        Err(FailedRun { failure, run_time })
+        record_failed_attempt(&mut source.in_flight, failure, params);
+        source.in_flight.failed_attempt(failure)
     }
 
     /// Splits the response into its head and its stream.
@@ -438,16 +448,7 @@
     }
 }
 
-/// Reads a body as far as there is room for it; returns `None` if it broke off.
-async fn read(body: &mut Incoming, caller: Option<&Arc<CallerMemory>>) -> Option<Buffered> {
-    if let Some(caller) = caller {
-        return buffer(body, caller).await.ok();
-    }
-    let read = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    Some(Buffered::Whole(read.ok()?.to_bytes()))
-}
-
-/// The body of a streamed response.
+/// The body of a response that is being read.
 #[derive(Debug)]
 pub(super) struct TargetStream<E: Edge> {
     head: ResponseHead,
@@ -463,7 +464,28 @@
         self.in_flight.confirms_end(self.framing).await
     }
 
-    /// Handles the regular end of the stream: returns the connection to the pool.
+    /// Returns the response with the body that `body` makes of the rest.
+    fn collected(
+        self,
+        parts: response::Parts,
+        body: impl FnOnce(Self) -> CollectedBody<E>,
+    ) -> Attempt<E> {
+        let InFlight {
+            target,
+            software,
+            sent,
+            ..
+        } = &self.in_flight;
+        Attempt::Collected(Box::new(CollectedResponse {
+            parts,
+            target: target.clone(),
+            software: software.clone(),
+            sent: *sent,
+            body: body(self),
+        }))
+    }
+
+    /// Handles the regular end of the body: returns the connection to the pool.
     pub(super) fn finish(self) {
         self.in_flight.record_complete();
         return_to_pool(&self.in_flight, &self.head, self.connection);
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{AdapterVersion, ServiceId, TargetId, Time};
+use bluebellstage_core::{AdapterVersion, ServiceId, SoftwareVersion, TargetId, Time};
 
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
@@ -14,8 +14,8 @@
 use crate::edge::Edge;
 
 use super::attempt::{
-    AtDeadline, Attempt, FailedRun, Failure, MIN_BLAMED_WAIT, NotRunReason, SendParams,
-    TargetResponse, send,
+    AtDeadline, Attempt, CollectedResponse, FailedRun, Failure, MIN_BLAMED_WAIT, NotRunReason,
+    SendParams, TargetResponse, send,
 };
 use super::crash_check::record_interruption;
 use super::front::Job;
@@ -28,7 +28,7 @@
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 
-/// Max wait for the response head, as a multiple of the route's target latency, before another target is looked for.
+/// Max wait for a response, as a multiple of the route's target latency, before another target is looked for.
 const RESPONSE_WAIT_FACTOR: u32 = 3;
 /// Minimum of the wait for a plain target. It is shorter than a sound target may be silent: a read is repeated
 /// within the retry budget rather than answered late.
@@ -66,7 +66,7 @@
 }
 
 impl<E: Edge> Job<E> {
-    /// How long the response head is awaited before another target is looked for.
+    /// How long a response is awaited before another target is looked for: the whole of it, or the head of a stream.
     fn max_wait(&self) -> Duration {
         let route = self.ticket.route();
         let min_wait = if route.kind.streams() {
@@ -109,7 +109,8 @@
         let ticket = &self.ticket;
         let workspace = ticket.workspace.clone();
         let (class, rank, fingerprint) = (ticket.rank_class(), ticket.rank, self.fingerprint);
-        let reuse = ticket.route().kind != RouteKind::Unsafe;
+        let kind = ticket.route().kind;
+        let reuse = kind != RouteKind::Unsafe;
         let time_left = self.time_left();
         let at_deadline = if self.may_follow(self.runs + 1) {
             AtDeadline::Nothing
@@ -139,7 +140,12 @@
                 priority: call.wanted.is_some().then(|| rank.min(9)),
                 resume_after: call.resume_after,
             };
-            let attempt = send(&node, &target, params, &forward).await;
+            let attempt = match send(&node, &target, params, &forward).await {
+                Attempt::Response(res) if !(kind.streams() && res.parts.status.is_success()) => {
+                    res.collect(params).await
+                }
+                attempt => attempt,
+            };
             EndedAttempt::AtTarget {
                 target,
                 sent,
@@ -211,6 +217,7 @@
     ) -> Step<E> {
         match attempt {
             Attempt::Response(response) => Step::Found(self.accept(target, response)),
+            Attempt::Collected(response) => Step::Found(self.accept_collected(response)),
             Attempt::NotRun(reason) => {
                 self.runs -= 1;
                 self.log_not_run(&target, reason);
@@ -264,13 +271,29 @@
     }
 
     fn accept(&mut self, target: TargetId, response: Box<TargetResponse<E>>) -> SearchOutcome<E> {
-        self.software = Some(response.in_flight.software.clone());
+        let software = response.in_flight.software.clone();
+        self.record_response_of(target, software, response.in_flight.sent);
+        SearchOutcome::Response(response)
+    }
+
+    fn accept_collected(&mut self, response: Box<CollectedResponse<E>>) -> SearchOutcome<E> {
+        let CollectedResponse {
+            target,
+            software,
+            sent,
+            ..
+        } = &*response;
+        self.record_response_of(target.clone(), software.clone(), *sent);
+        SearchOutcome::Collected(response)
+    }
+
+    fn record_response_of(&mut self, target: TargetId, software: SoftwareVersion, sent: Time) {
+        self.software = Some(software);
         if let Some(key) = Tables::adapter_of(&self.call) {
             self.node.tables().residency.record_success(&target, key);
             self.node.changed.notify_waiters();
         }
-        self.last_send = Some((target, response.in_flight.sent));
-        SearchOutcome::Response(response)
+        self.last_send = Some((target, sent));
     }
 
     /// Checks whether the target crashed, if the failed run ended with a broken connection.
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -12,11 +12,10 @@
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
-use super::local_response::{ResponseBody, full_body};
+use super::local_response::ResponseBody;
 use super::node::Node;
 use super::open_attempts::OpenAttempts;
 use super::origins::Continuation;
-use super::pass_through::Collected;
 use super::peer_forwarding::{ForwardedRequest, PeerResult};
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
@@ -65,7 +64,6 @@
 
 impl<E: Edge> Job<E> {
     pub(super) async fn run(mut self) -> Response<ResponseBody> {
-        let kind = self.ticket.route().kind;
         if let Some(refused) = self.refused_suspect() {
             return self.local_response(&SearchOutcome::Quarantined(refused));
         }
@@ -79,51 +77,37 @@
         let mut open = OpenAttempts::default();
         loop {
             let found = self.find_response(Reach::All, &mut open).await;
-            let response = match found {
-                SearchOutcome::Response(response) => response,
+            match found {
+                SearchOutcome::Response(response) => return stream::forward(self, *response).await,
+                SearchOutcome::Collected(response) => {
+                    let is_whole = response.body.is_whole();
+                    if is_whole {
+                        self.record_served();
+                    }
+                    let may_go_on = self.may_retry() || !open.is_empty();
+                    let is_error = is_whole && response.parts.status.is_server_error();
+                    if !(is_error && may_go_on) {
+                        return self.forward_response(&response.parts, response.body.into_body());
+                    }
+                    self.exclude(response.target.clone());
+                    fallback = Some(response);
+                }
                 SearchOutcome::PeerResponse(response) => match self.finish_at_peer(*response).await
                 {
                     PeerResult::Response(response) => return response,
                     PeerResult::Stream(response) => {
                         return stream::forward_from_peer(self, response).await;
                     }
-                    PeerResult::Retry => continue,
+                    PeerResult::Retry => {}
                 },
                 other => {
                     return match fallback.take() {
-                        Some((parts, body)) => self.forward_response(&parts, full_body(body)),
+                        Some(response) => {
+                            self.forward_response(&response.parts, response.body.into_body())
+                        }
                         None => self.local_response(&other),
                     };
                 }
-            };
-            if kind.streams() && response.parts.status.is_success() {
-                return stream::forward(self, *response).await;
-            }
-            let target = response.in_flight.target.clone();
-            match response.collect(self.time_left()).await {
-                Ok(Collected::PassedThrough(parts, body)) => {
-                    return self.forward_response(&parts, body);
-                }
-                Ok(Collected::Whole(parts, body)) => {
-                    self.record_served();
-                    let may_go_on = self.may_retry() || !open.is_empty();
-                    let should_retry = parts.status.is_server_error() && may_go_on;
-                    if !should_retry {
-                        return self.forward_response(&parts, full_body(body));
-                    }
-                    fallback = Some((parts, body));
-                    self.exclude(target);
-                }
-                Err(failed_run) => {
-                    self.log_failed_attempt(&target, &format!("{:?} in body", failed_run.failure));
-                    self.check_for_crash(&target, failed_run).await;
-                    if !self.may_retry() && open.is_empty() {
-                        return self.local_response(&SearchOutcome::MayHaveRun(
-                            "the target's answer broke off",
-                        ));
-                    }
-                    self.exclude(target);
-                }
             }
         }
     }
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -230,11 +230,6 @@
         registered.map_or(&self.software, |known| &known.software)
     }
 
-    /// Lets the end of the response be confirmed until then.
-    pub(super) const fn extend(&mut self, end_by: Time) {
-        self.end_by = end_by;
-    }
-
     /// Returns whether the end of the response's body shows that the response is complete. If the end of the
     /// connection marks it, the target must still run: a crash ends the connection alike. A target that is silent
     /// is asked again until the time of the request is over.
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -118,6 +118,7 @@
             | SearchOutcome::MayHaveRun(_)
             | SearchOutcome::TimedOut
             | SearchOutcome::Response(_)
+            | SearchOutcome::Collected(_)
             | SearchOutcome::PeerResponse(_) => false,
             _ => true,
         }
@@ -143,6 +144,7 @@
             }
             SearchOutcome::TimedOut
             | SearchOutcome::Response(_)
+            | SearchOutcome::Collected(_)
             | SearchOutcome::PeerResponse(_) => return (StatusCode::GATEWAY_TIMEOUT, None),
         };
         (StatusCode::SERVICE_UNAVAILABLE, Some(after))
--- a/crates/gateway/src/net/search_outcome.rs
+++ b/crates/gateway/src/net/search_outcome.rs
@@ -5,7 +5,7 @@
 use crate::decide::quarantine::Suspect;
 use crate::edge::Edge;
 
-use super::attempt::TargetResponse;
+use super::attempt::{CollectedResponse, TargetResponse};
 use super::peer_forwarding::PeerResponse;
 
 /// Message for a request that is rejected because it would wait in a queue for too long.
@@ -48,8 +48,10 @@
 /// Outcome of the search for a target that responds.
 #[derive(Debug)]
 pub(super) enum SearchOutcome<E: Edge> {
-    /// A target responded.
+    /// A target responded with a stream.
     Response(Box<TargetResponse<E>>),
+    /// A target responded with something else.
+    Collected(Box<CollectedResponse<E>>),
     /// A peer to which it was forwarded responded.
     PeerResponse(Box<PeerResponse<E>>),
     /// The request has not run: it was forwarded to this instance, which can't reach its targets either.
@@ -83,7 +85,10 @@
     /// not go on.
     pub(super) fn is_final(&self) -> bool {
         match self {
-            Self::Response(response) => !response.parts.status.is_server_error(),
+            Self::Response(_) => true,
+            Self::Collected(response) => {
+                !response.body.is_whole() || !response.parts.status.is_server_error()
+            }
             Self::PeerResponse(response) => response.is_answered(),
             Self::Quarantined(_) | Self::TimedOut => true,
             _ => false,
@@ -92,7 +97,7 @@
 
     /// Returns the outcome if it is a response, which is forwarded if no other attempt has a better one.
     pub(super) fn into_fallback(self) -> Option<Self> {
-        matches!(self, Self::Response(_) | Self::PeerResponse(_)).then_some(self)
+        matches!(self, Self::Collected(_) | Self::PeerResponse(_)).then_some(self)
     }
 
     /// Says why the search ended without a response, for the caller and the log.
@@ -110,7 +115,7 @@
             Self::Quarantined(Suspect::Request(_)) => QUARANTINED,
             Self::Quarantined(Suspect::Part(_)) => PART_QUARANTINED,
             Self::TimedOut => TIMED_OUT,
-            Self::Response(_) | Self::PeerResponse(_) => UNUSABLE_RESPONSE,
+            Self::Response(_) | Self::Collected(_) | Self::PeerResponse(_) => UNUSABLE_RESPONSE,
         }
     }
 }
