Space the calls to a store that ends each watch at once

An instance called a store without any pause if each watch ended at once without a change, or if the store had no history after any of its own lists: then it listed all objects in a tight loop. Only failed calls had a backoff.

A watch that ends early is followed by what is left of the delay after changes, and the second list in a row that no watch follows has the backoff of a failed call. A watch that waited, and the first list after the history is gone, go on without a delay as before.

Before, the delay was zero in both cases by the code; the tests need the duration of a call, so they have not been run without the change. Both pass, with the tests of following and of outages. Two former tests name the new argument; what they check is the same.

--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -58,6 +58,8 @@
     after: Option<Revision>,
     /// The store no longer has the changes after this revision.
     history_gone_after: Revision,
+    /// Whether the store has answered no watch since it did not have the changes last.
+    is_history_gone: bool,
     next_backoff: Duration,
 }
 
@@ -69,6 +71,7 @@
             kind,
             after,
             history_gone_after: Revision(0),
+            is_history_gone: false,
             next_backoff: RETRY_BACKOFF[0],
         }
     }
@@ -97,15 +100,28 @@
         }
     }
 
-    /// Records a response with all changes up to a revision. Returns the delay before the next
-    /// call.
-    pub fn record_response(&mut self, revision: Revision, any_objects: bool) -> Duration {
-        self.next_backoff = RETRY_BACKOFF[0];
+    /// Records a response with all changes up to a revision, and the duration of the call. Returns the delay before
+    /// the next call.
+    ///
+    /// The delay keeps an instance from calling in a tight loop when the store ends each watch at once.
+    pub fn record_response(
+        &mut self,
+        revision: Revision,
+        any_objects: bool,
+        took: Duration,
+    ) -> Duration {
         let is_list = self.after.replace(revision).is_none();
-        match (is_list || !any_objects, self.kind) {
-            (true, _) => Duration::ZERO,
-            (false, Kind::Targets) => TARGETS_DELAY,
-            (false, _) => BATCH_DELAY,
+        if !is_list || !self.is_history_gone {
+            self.next_backoff = RETRY_BACKOFF[0];
+        }
+        if is_list {
+            return Duration::ZERO;
+        }
+        self.is_history_gone = false;
+        match (any_objects, self.kind) {
+            (false, _) => BATCH_DELAY.saturating_sub(took),
+            (true, Kind::Targets) => TARGETS_DELAY,
+            (true, _) => BATCH_DELAY,
         }
     }
 
@@ -117,11 +133,16 @@
         }
     }
 
-    /// Records that the store no longer has the requested changes. The next request is a list.
-    pub const fn record_history_gone(&mut self) {
+    /// Records that the store no longer has the requested changes. The next request is a list. Returns the delay
+    /// before it: none, unless the store has not had them after the last list either. `spread` is as for a failure.
+    pub fn record_history_gone(&mut self, took: Duration, spread: f64) -> Duration {
         if let Some(after) = self.after.take() {
             self.history_gone_after = after;
         }
+        if std::mem::replace(&mut self.is_history_gone, true) {
+            return self.record_failure(took, spread);
+        }
+        Duration::ZERO
     }
 
     const fn max_backoff(&self) -> Duration {
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -63,11 +63,10 @@
                 if std::mem::take(&mut is_store_lost) {
                     event(LogEvent::StoreBack, &[("kind", kind.name())]);
                 }
-                apply_listing(&node, &mut follower, listing)
+                apply_listing(&node, &mut follower, listing, started.elapsed())
             }
             Err(StoreError::HistoryGone) => {
-                follower.record_history_gone();
-                Duration::ZERO
+                follower.record_history_gone(started.elapsed(), spread())
             }
             Err(err) => {
                 if !std::mem::replace(&mut is_store_lost, true) {
@@ -87,8 +86,13 @@
     }
 }
 
-/// Applies the store's response; returns the delay until the next call.
-fn apply_listing<E: Edge>(node: &Node<E>, follower: &mut Follower, listing: Listing) -> Duration {
+/// Applies the store's response to a call that took this long; returns the delay until the next call.
+fn apply_listing<E: Edge>(
+    node: &Node<E>,
+    follower: &mut Follower,
+    listing: Listing,
+    took: Duration,
+) -> Duration {
     let kind = follower.kind();
     if kind == Kind::Targets {
         let now = node.now();
@@ -97,7 +101,7 @@
             .record_store_response(listing.revision, now);
     }
     let is_full_list = follower.after().is_none();
-    let delay = follower.record_response(listing.revision, !listing.objects.is_empty());
+    let delay = follower.record_response(listing.revision, !listing.objects.is_empty(), took);
     apply(node, kind, listing, is_full_list);
     delay
 }
@@ -108,7 +112,11 @@
         let now = node.now();
         node.tables().registry.record_store_failure(now);
     }
-    follower.record_failure(took, rand::rng().random_range(BACKOFF_JITTER))
+    follower.record_failure(took, spread())
+}
+
+fn spread() -> f64 {
+    rand::rng().random_range(BACKOFF_JITTER)
 }
 
 /// Returns whether this instance follows the store now, and records that for the registry of targets.
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -183,7 +183,7 @@
     let mut follower = Follower::new(Kind::Targets, None);
     follower.record_copy(Revision(7));
     assert_eq!(follower.after(), Some(Revision(7)));
-    follower.record_history_gone();
+    let _delay = follower.record_history_gone(Duration::ZERO, 1.0);
     follower.record_copy(Revision(7));
     assert_eq!(follower.next_request(), StoreRequest::List);
     follower.record_copy(Revision(9));
@@ -458,3 +458,33 @@
     tables.peers.update(peer("i1", at(2_100)));
     assert_eq!(tables.peers.load(hash).requests, 0);
 }
+
+/// Guards against calls in a tight loop to a store that ends each watch at once, without a change.
+#[test]
+fn watches_that_end_at_once_are_spaced() {
+    let mut follower = Follower::new(Kind::Config, Some(Revision(1)));
+    let at_once = follower.record_response(Revision(1), false, Duration::ZERO);
+    assert!(at_once >= Duration::from_millis(50), "{at_once:?}");
+    let waited = follower.record_response(Revision(1), false, Duration::from_secs(1));
+    assert_eq!(waited, Duration::ZERO);
+}
+
+/// Guards against full lists in a tight loop from a store that has no history after any of them.
+#[test]
+fn lists_of_a_store_without_history_are_spaced() {
+    let mut follower = Follower::new(Kind::Targets, Some(Revision(1)));
+    let delays = [(); 4].map(|()| {
+        let delay = follower.record_history_gone(Duration::ZERO, 1.0);
+        let listed = follower.record_response(Revision(2), true, Duration::ZERO);
+        assert_eq!(listed, Duration::ZERO);
+        delay
+    });
+    assert_eq!(delays[0], Duration::ZERO);
+    assert!(
+        delays[1] > Duration::ZERO && delays[1] < delays[3],
+        "{delays:?}"
+    );
+    follower.record_response(Revision(3), true, Duration::ZERO);
+    let after_a_watch = follower.record_history_gone(Duration::ZERO, 1.0);
+    assert_eq!(after_a_watch, Duration::ZERO);
+}
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -169,7 +169,7 @@
     let took = [8, 8, 8, 8, 8, 1_800, 8].map(Duration::from_millis);
     let delays = took.map(|took| follower.record_failure(took, 1.0).as_millis());
     assert_eq!(delays, [142, 292, 592, 992, 992, 0, 992]);
-    follower.record_response(Revision(2), true);
+    follower.record_response(Revision(2), true, Duration::ZERO);
     let quick = follower.record_failure(Duration::ZERO, 1.0);
     assert_eq!(quick.as_millis(), 150);
 }
