--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -1,12 +1,13 @@
 //! Sends one attempt of a request to one target.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{AdapterVersion, TargetId, Time};
+use bluebellstage_core::{AdapterVersion, SoftwareVersion, TargetId, Time};
 use bytes::Bytes;
 use http::{Request, StatusCode, request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::decide::call::{Call, Forward, ResponseHead};
@@ -24,8 +25,8 @@
 use super::log::{LogEvent, event};
 use super::memory::BytesAtTarget;
 use super::node::Node;
-use super::pass_through::{Buffered, Collected, buffer, pass_through};
-use super::pool::Connection;
+use super::pass_through::{Buffered, CollectedBody, Passing, collect};
+use super::pool::{Answer, Connection, SendFailure};
 use super::quarantine::until_refused;
 use super::response_head::{
     ResponseSender, record_brittleness, record_response_head, record_taken,
@@ -34,7 +35,10 @@
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Max size of a response body that is buffered before it is forwarded.
+/// Time within which a connection that was closed when a request was in transit ends. Later, the request has begun to
+/// run, and its target must not be given the same time again.
+const MAX_TRANSIT: Duration = Duration::from_millis(100);
+/// Max size of a response body that is no stream.
 pub(super) const MAX_BUFFERED_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// A response of a target whose body has not been read.
@@ -50,6 +54,17 @@
     caller: Option<Arc<CallerMemory>>,
 }
 
+/// A response of a target that is no stream.
+#[derive(Debug)]
+pub(super) struct CollectedResponse<E: Edge> {
+    pub(super) parts: response::Parts,
+    pub(super) body: CollectedBody<E>,
+    pub(super) target: TargetId,
+    /// Software version of the target when the request was sent.
+    pub(super) software: SoftwareVersion,
+    pub(super) sent: Time,
+}
+
 /// Why an attempt failed that may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Failure {
@@ -61,6 +76,8 @@
     Outdated,
     /// The response is not from the target, or belongs to another request.
     WrongAnswer,
+    /// The response is longer than an answer may be.
+    TooLong,
     /// No response yet, and the request or a part of its prompt is quarantined.
     Quarantined,
 }
@@ -98,8 +115,10 @@
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub(super) enum Attempt<E: Edge> {
-    /// The target responded.
+    /// The target responded with a stream.
     Response(Box<TargetResponse<E>>),
+    /// The target responded with something else.
+    Collected(Box<CollectedResponse<E>>),
     /// The target reports that it did not run the request.
     NotRun(NotRunReason),
     /// No connection could be opened, so nothing was sent.
@@ -119,6 +138,16 @@
     Nothing,
 }
 
+/// Use of connections that were idle. Their target may close them while a request is in transit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Reuse {
+    Never,
+    /// The request is not sent again.
+    Once,
+    /// The request is sent once more, on a new connection, if there was no answer.
+    Repeat,
+}
+
 /// Parameters of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SendParams<'a> {
@@ -128,8 +157,7 @@
     /// Class of the request's rank among those of the service.
     pub(super) class: RankClass,
     pub(super) fingerprint: Fingerprint,
-    /// Whether a pooled connection may be used.
-    pub(super) reuse: bool,
+    pub(super) reuse: Reuse,
     pub(super) trial: bool,
     /// The request was in flight at a target that crashed.
     pub(super) suspect: bool,
@@ -191,19 +219,29 @@
             Attempt::Unreachable
         }
         Exchange::Failed(failure) => {
-            let is_blamed = failure != Failure::Silent
-                || params.at_deadline == AtDeadline::RecordSilence
-                    && params.max_wait > MIN_BLAMED_WAIT;
             let is_of_target = !matches!(failure, Failure::Outdated | Failure::Quarantined);
-            if is_blamed && is_of_target {
-                let outcome = in_flight.failure_outcome(failure);
-                in_flight.record_outcome(outcome);
+            if is_of_target {
+                record_failed_attempt(&mut in_flight, failure, params);
             }
             in_flight.failed_attempt(failure)
         }
     }
 }
 
+/// Records what an attempt that failed shows of its target.
+fn record_failed_attempt<E: Edge>(
+    in_flight: &mut InFlight<E>,
+    failure: Failure,
+    params: SendParams<'_>,
+) {
+    let is_silence_new =
+        params.at_deadline == AtDeadline::RecordSilence && params.max_wait > MIN_BLAMED_WAIT;
+    if failure != Failure::Silent || is_silence_new {
+        let outcome = in_flight.failure_outcome(failure);
+        in_flight.record_outcome(outcome);
+    }
+}
+
 /// A target holds as many bytes of requests as it may.
 struct TargetBusy;
 
@@ -328,39 +366,90 @@
             Self::Failed(Failure::Silent) => "silent",
             Self::Failed(Failure::Outdated) => "outdated",
             Self::Failed(Failure::WrongAnswer) => "wrong_answer",
+            Self::Failed(Failure::TooLong) => "too_long",
             Self::Failed(Failure::Quarantined) => "quarantined",
         }
     }
 }
 
+impl From<Result<Answer, SendFailure>> for Exchange {
+    fn from(sent: Result<Answer, SendFailure>) -> Self {
+        match sent {
+            Ok((response, connection)) => {
+                let (parts, body) = response.into_parts();
+                Self::Response(Box::new(parts), body, connection)
+            }
+            Err(SendFailure::NotSent(_)) => Self::Unreachable,
+            Err(SendFailure::Broken(_) | SendFailure::Ended(_)) => Self::Failed(Failure::Broken),
+            Err(SendFailure::WrongAnswer(_)) => Self::Failed(Failure::WrongAnswer),
+        }
+    }
+}
+
 async fn exchange<E: Edge>(
     node: &Arc<Node<E>>,
     target: &TargetId,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     params: SendParams<'_>,
     forward: &Forward<'_>,
 ) -> Exchange {
-    let pooled = params.reuse.then(|| node.pool.take(target)).flatten();
-    let connection = match pooled {
-        Some(connection) => Some(connection),
-        None => open(node, target, address, CONNECT_TIMEOUT).await.ok(),
+    let started = node.now();
+    let req = target_request(node, params, forward);
+    let sent = if params.reuse == Reuse::Never {
+        Err(SendFailure::NotSent(Box::new(req)))
+    } else {
+        node.pool.send(target, req).await
     };
-    let Some(mut connection) = connection else {
-        return Exchange::Unreachable;
+    match sent {
+        Err(SendFailure::NotSent(req)) => {
+            match open(node, target, address, CONNECT_TIMEOUT).await {
+                Ok(connection) => connection.send(*req).await.into(),
+                Err(_unreachable) => Exchange::Unreachable,
+            }
+        }
+        Err(SendFailure::Ended(_))
+            if params.reuse == Reuse::Repeat && node.now().since(started) < MAX_TRANSIT =>
+        {
+            repeat(node, target, address, params, forward).await
+        }
+        sent => sent.into(),
+    }
+}
+
+/// Sends a request again to a target that closed its connection when the request was in transit, if the target still
+/// takes connections and the retry budget allows it: the request may have run.
+async fn repeat<E: Edge>(
+    node: &Arc<Node<E>>,
+    target: &TargetId,
+    address: SocketAddr,
+    params: SendParams<'_>,
+    forward: &Forward<'_>,
+) -> Exchange {
+    let Ok(connection) = open(node, target, address, CONNECT_TIMEOUT).await else {
+        return Exchange::Failed(Failure::Broken);
     };
+    if !take_retry(node, target) {
+        node.pool.put(target, connection, None);
+        return Exchange::Failed(Failure::Broken);
+    }
+    node.metrics.attempt_ended("ended_idle");
     let req = target_request(node, params, forward);
-    match connection.tx.try_send_request(req).await {
-        Ok(response) => {
-            let (parts, body) = response.into_parts();
-            Exchange::Response(Box::new(parts), body, connection)
-        }
-        Err(mut err) => match err.take_message() {
-            Some(_unsent) => Exchange::Unreachable,
-            None => Exchange::Failed(Failure::Broken),
-        },
+    match connection.send(req).await.into() {
+        Exchange::Unreachable => Exchange::Failed(Failure::Broken),
+        ended => ended,
     }
 }
 
+fn take_retry<E: Edge>(node: &Node<E>, target: &TargetId) -> bool {
+    let now = node.now();
+    let mut tables = node.tables();
+    let service = tables
+        .registry
+        .get(target)
+        .map(|known| known.service.clone());
+    service.is_some_and(|service| tables.take_retry(&service, now))
+}
+
 fn target_request<E: Edge>(
     node: &Node<E>,
     params: SendParams<'_>,
@@ -376,53 +465,37 @@
 impl<E: Edge> TargetResponse<E> {
     /// Reads the complete body, then returns the connection to the pool if it can be reused.
     /// If memory is limited and there is no room for it, it is passed through.
-    pub(super) async fn collect(self, timeout: Duration) -> Result<Collected, FailedRun> {
-        let Self {
-            parts,
-            head,
-            mut body,
-            mut in_flight,
-            framing,
-            connection,
-            caller,
-        } = self;
-        let reading = read(&mut body, caller.as_ref());
-        let read = tokio::time::timeout(timeout, reading).await;
-        let failure = match read {
-            Ok(Some(Buffered::Part(read))) => {
-                in_flight.node.metrics.memory.passed_through();
-                let source = TargetStream {
-                    head,
-                    body,
-                    in_flight,
-                    framing,
-                    connection,
-                };
-                let body = pass_through(read, source, timeout);
-                return Ok(Collected::PassedThrough(parts, body));
+    pub(super) async fn collect(self, params: SendParams<'_>) -> Attempt<E> {
+        let time_left = params.max_wait.saturating_sub(self.in_flight.age());
+        let caller = self.caller.clone();
+        let (parts, mut source) = self.into_stream();
+        let reading = collect(&mut source.body, caller.as_ref());
+        let failure = match tokio::time::timeout(time_left, reading).await {
+            Ok(Ok(Buffered::Part(read))) => {
+                source.in_flight.node.metrics.memory.passed_through();
+                return source.collected(parts, |source| {
+                    CollectedBody::PassedThrough(Box::new(Passing::new(read, source, time_left)))
+                });
             }
-            Ok(Some(_)) if !in_flight.confirms_end(framing).await => Failure::Broken,
-            Ok(Some(Buffered::Whole(body))) => {
-                let failed = parts.status.is_server_error();
-                in_flight.record_outcome(if failed {
+            Ok(Ok(Buffered::TooLong)) => Failure::TooLong,
+            Ok(Ok(Buffered::Whole(_))) if !source.confirms_end().await => Failure::Broken,
+            Ok(Ok(Buffered::Whole(body))) => {
+                let outcome = if parts.status.is_server_error() {
                     TargetOutcome::Failure
                 } else {
-                    TargetOutcome::Answer(in_flight.age())
+                    TargetOutcome::Answer(source.in_flight.age())
+                };
+                source.in_flight.record_outcome(outcome);
+                return source.collected(parts, |source| {
+                    source.finish();
+                    CollectedBody::Whole(body)
                 });
-                in_flight.record_complete();
-                return_to_pool(&in_flight, &head, connection);
-                return Ok(Collected::Whole(parts, body));
             }
-            Ok(None) => Failure::Broken,
+            Ok(Err(_cut)) => Failure::Broken,
             Err(_elapsed) => Failure::Silent,
         };
-        if failure == Failure::Broken {
-            in_flight.record_broken();
-        }
-        let outcome = in_flight.failure_outcome(failure);
-        in_flight.record_outcome(outcome);
-        let run_time = in_flight.run_time();
-        Err(FailedRun { failure, run_time })
+        record_failed_attempt(&mut source.in_flight, failure, params);
+        source.in_flight.failed_attempt(failure)
     }
 
     /// Splits the response into its head and its stream.
@@ -438,16 +511,7 @@
     }
 }
 
-/// Reads a body as far as there is room for it; returns `None` if it broke off.
-async fn read(body: &mut Incoming, caller: Option<&Arc<CallerMemory>>) -> Option<Buffered> {
-    if let Some(caller) = caller {
-        return buffer(body, caller).await.ok();
-    }
-    let read = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    Some(Buffered::Whole(read.ok()?.to_bytes()))
-}
-
-/// The body of a streamed response.
+/// The body of a response that is being read.
 #[derive(Debug)]
 pub(super) struct TargetStream<E: Edge> {
     head: ResponseHead,
@@ -463,7 +527,28 @@
         self.in_flight.confirms_end(self.framing).await
     }
 
-    /// Handles the regular end of the stream: returns the connection to the pool.
+    /// Returns the response with the body that `body` makes of the rest.
+    fn collected(
+        self,
+        parts: response::Parts,
+        body: impl FnOnce(Self) -> CollectedBody<E>,
+    ) -> Attempt<E> {
+        let InFlight {
+            target,
+            software,
+            sent,
+            ..
+        } = &self.in_flight;
+        Attempt::Collected(Box::new(CollectedResponse {
+            parts,
+            target: target.clone(),
+            software: software.clone(),
+            sent: *sent,
+            body: body(self),
+        }))
+    }
+
+    /// Handles the regular end of the body: returns the connection to the pool.
     pub(super) fn finish(self) {
         self.in_flight.record_complete();
         return_to_pool(&self.in_flight, &self.head, self.connection);
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -27,7 +27,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
-use super::pool::{BUF_SIZE, Connection};
+use super::pool::{Answer, BUF_SIZE, Connection, SendFailure};
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 use super::sockets::connect;
@@ -401,18 +401,10 @@
     reuse: bool,
     time_left: Duration,
 ) -> PeerAttempt<E> {
-    let pooled = reuse.then(|| node.peer_pool.take(&peer.name)).flatten();
-    let opened = match pooled {
-        Some(connection) => Some(connection),
-        None => open(peer).await,
-    };
-    let Some(mut connection) = opened else {
-        return PeerAttempt::NotSent;
-    };
     let in_flight = InFlightAtPeer::begin(&node, &peer.name);
-    let sent = connection.tx.try_send_request(req);
-    match tokio::time::timeout(time_left, sent).await {
-        Ok(Ok(response)) => {
+    let sending = send(&node, peer, req, reuse);
+    match tokio::time::timeout(time_left, sending).await {
+        Ok(Ok((response, connection))) => {
             let (mut parts, body) = response.into_parts();
             let Some(report) = ForwardReport::take_from(&mut parts.headers) else {
                 return PeerAttempt::NotSent;
@@ -429,11 +421,29 @@
                 stream,
             }))
         }
-        Ok(Err(mut err)) => match err.take_message() {
-            Some(_unsent) => PeerAttempt::NotSent,
-            None => PeerAttempt::Broken,
+        Ok(Err(SendFailure::NotSent(_))) => PeerAttempt::NotSent,
+        Ok(Err(_)) | Err(_) => PeerAttempt::Broken,
+    }
+}
+
+/// Sends a request to a peer, on a kept connection if it may.
+async fn send<E: Edge>(
+    node: &Node<E>,
+    peer: &Member,
+    req: Request<Full<Bytes>>,
+    reuse: bool,
+) -> Result<Answer, SendFailure> {
+    let sent = if reuse {
+        node.peer_pool.send(&peer.name, req).await
+    } else {
+        Err(SendFailure::NotSent(Box::new(req)))
+    };
+    match sent {
+        Err(SendFailure::NotSent(req)) => match open(peer).await {
+            Some(connection) => connection.send(*req).await,
+            None => Err(SendFailure::NotSent(req)),
         },
-        Err(_elapsed) => PeerAttempt::Broken,
+        sent => sent,
     }
 }
 
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -1,17 +1,24 @@
 //! Pool of idle connections to targets or peers.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::hash::Hash;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::decide::response_heads::ResponseHeads;
+
+use super::target_socket::{IdleProbe, SharedHeads, TargetSocket};
+
 /// Fraction of a target's idle limit for which a connection is reused. The target started its idle timer
 /// earlier than the pool, and a request that is sent while the target closes the connection may be lost.
 const IDLE_LIMIT_FRACTION: f64 = 0.6;
@@ -27,21 +34,53 @@
 /// The same if memory is limited. It is read ahead of the caller, and not counted.
 pub(super) const SMALL_BUF_SIZE: usize = 32 * 1_024;
 
+/// Why a request has no response.
+#[derive(Debug)]
+pub(super) enum SendFailure {
+    /// No connection carried any part of the request.
+    NotSent(Box<Request<Full<Bytes>>>),
+    /// The connection broke.
+    Broken(hyper::Error),
+    /// A connection that had been idle ended before a byte of the response. The other side may have closed it when the
+    /// request was in transit, or have ended.
+    Ended(hyper::Error),
+    /// What arrived is no response, or only informational heads without end.
+    WrongAnswer(Box<str>),
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(_) => f.write_str("the connection ended before the request was sent"),
+            Self::Broken(err) | Self::Ended(err) => err.fmt(f),
+            Self::WrongAnswer(cause) => cause.fmt(f),
+        }
+    }
+}
+
+/// The head of a response, and the connection that its body comes from.
+pub(super) type Answer = (Response<Incoming>, Connection);
+
 /// A connection to a target. It is closed when dropped, so that the work for a caller that disconnected is
 /// cancelled.
 #[derive(Debug)]
 pub(super) struct Connection {
-    pub(super) tx: SendRequest<Full<Bytes>>,
+    tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    heads: SharedHeads,
+    idle_probe: IdleProbe,
     /// Whether it has carried a request before.
     pub(super) reused: bool,
 }
 
 impl Connection {
     pub(super) async fn handshake(stream: TcpStream, buf_size: usize) -> hyper::Result<Self> {
+        let heads = SharedHeads::default();
+        let socket = TargetSocket::new(stream, heads.clone());
+        let idle_probe = socket.idle_probe();
         let (tx, driver) = Builder::new()
             .max_buf_size(buf_size)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await?;
         let drive = async move {
             // The exchange that uses the connection gets the same error and reports it.
@@ -50,9 +89,52 @@
         Ok(Self {
             tx,
             task: tokio::spawn(drive).abort_handle(),
+            heads,
+            idle_probe,
             reused: false,
         })
     }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// There is no response. The connection is closed.
+    pub(super) async fn send(
+        mut self,
+        mut req: Request<Full<Bytes>>,
+    ) -> Result<Answer, SendFailure> {
+        *self.heads.lock() = ResponseHeads::default();
+        let heads = self.heads.clone();
+        hyper::ext::on_informational(&mut req, move |_head| heads.lock().record_informational());
+        match self.tx.try_send_request(req).await {
+            // A protocol that nobody asked for.
+            Ok(response) if response.status().is_informational() => {
+                Err(SendFailure::WrongAnswer("a switch of protocols".into()))
+            }
+            Ok(response) => Ok((response, self)),
+            Err(mut err) => Err(match err.take_message() {
+                Some(unsent) => SendFailure::NotSent(Box::new(unsent)),
+                None => self.failure(err.into_error()),
+            }),
+        }
+    }
+
+    fn failure(&self, err: hyper::Error) -> SendFailure {
+        let heads = self.heads.lock();
+        if err.is_parse() || heads.is_exceeded() {
+            SendFailure::WrongAnswer(err.to_string().into())
+        } else if self.reused && heads.is_empty() {
+            SendFailure::Ended(err)
+        } else {
+            SendFailure::Broken(err)
+        }
+    }
+
+    /// Whether it can carry a request, as far as this process and the kernel know.
+    fn is_usable(&self) -> bool {
+        self.tx.is_ready() && self.idle_probe.is_open_and_empty()
+    }
 }
 
 impl Drop for Connection {
@@ -83,7 +165,7 @@
 
 impl<I: Clone + Eq + Hash> Pool<I> {
     /// Takes the most recently used connection; older connections expire meanwhile.
-    pub(super) fn take(&self, id: &I) -> Option<Connection> {
+    fn take(&self, id: &I) -> Option<Connection> {
         let mut idle_connections = self
             .idle_connections
             .lock()
@@ -91,7 +173,7 @@
         let stack = idle_connections.get_mut(id)?;
         let now = Instant::now();
         while let Some(mut last) = stack.pop() {
-            if now < last.expires_at && last.connection.tx.is_ready() {
+            if now < last.expires_at && last.connection.is_usable() {
                 last.connection.reused = true;
                 return Some(last.connection);
             }
@@ -99,6 +181,27 @@
         None
     }
 
+    /// Sends a request on an idle connection. One that the other side closes meanwhile, before it has received any part
+    /// of the request, says nothing of whether a new connection can be opened.
+    ///
+    /// # Errors
+    ///
+    /// There is no response; [`SendFailure::NotSent`] if no idle connection could carry the request.
+    pub(super) async fn send(
+        &self,
+        id: &I,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Answer, SendFailure> {
+        let mut unsent = Box::new(req);
+        while let Some(connection) = self.take(id) {
+            match connection.send(*unsent).await {
+                Err(SendFailure::NotSent(req)) => unsent = req,
+                sent => return sent,
+            }
+        }
+        Err(SendFailure::NotSent(unsent))
+    }
+
     /// Returns a connection whose last response was complete to the pool.
     pub(super) fn put(&self, id: &I, connection: Connection, limit: Option<Duration>) {
         let stated = limit.map(|limit| limit.mul_f64(IDLE_LIMIT_FRACTION));
