Send what is buffered before a response's body fails

A request whose stream began as its time ended had neither an answer nor a refusal, not even a status. The HTTP library ends the connection in the poll in which a body fails, and drops what is still in its buffer: the head, if the first poll fails, and the last events otherwise.

The failure of a body is now told at the next poll. In between the connection sends what it has.

--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -1,9 +1,10 @@
 //! Accepts callers' connections and ends idle ones.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
@@ -219,6 +220,7 @@
     }
     res.map(|body| RespondedBody {
         body: CountedBody::new(body, caller),
+        failure: None,
         _open_request: open_request,
         _counted: counted,
     })
@@ -227,6 +229,8 @@
 /// The body of a response. Its request is open until it is sent.
 struct RespondedBody<E: Edge> {
     body: CountedBody,
+    /// Why the body is cut, until it is told to the connection.
+    failure: Option<std::io::Error>,
     _open_request: OpenRequest<E>,
     /// Set for a request that a peer forwards: a planned stop waits for it as for callers' connections.
     _counted: Option<ConnectionGuard<E>>,
@@ -237,10 +241,21 @@
     type Error = std::io::Error;
 
     fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        std::pin::Pin::new(&mut self.body).poll_frame(cx)
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        if let Some(err) = self.failure.take() {
+            return Poll::Ready(Some(Err(err)));
+        }
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            // The connection drops what it has not sent yet once it knows of the failure, even the head.
+            Poll::Ready(Some(Err(err))) => {
+                self.failure = Some(err);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        }
     }
 
     fn is_end_stream(&self) -> bool {
