--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -1,9 +1,10 @@
 //! Accepts callers' connections and ends idle ones.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
@@ -229,6 +230,7 @@
     }
     res.map(|body| RespondedBody {
         body: CountedBody::new(body, caller),
+        failure: None,
         in_use: Arc::new(InUse {
             _request: open_request,
             _counted: counted,
@@ -247,6 +249,8 @@
 /// The body of a response. Its request is open until it is sent.
 struct RespondedBody<E: Edge> {
     body: CountedBody,
+    /// Why the body is cut, until it is told to the connection.
+    failure: Option<std::io::Error>,
     in_use: Arc<InUse<E>>,
     /// What is left of the request's body, until the head of the response is written.
     refused: Option<(RefusedBody, Arc<Node<E>>, Arc<Activity>)>,
@@ -272,11 +276,22 @@
     type Error = std::io::Error;
 
     fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        if let Some(err) = self.failure.take() {
+            return Poll::Ready(Some(Err(err)));
+        }
         self.discard_refused();
-        std::pin::Pin::new(&mut self.body).poll_frame(cx)
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            // The connection drops what it has not sent yet once it knows of the failure, even the head.
+            Poll::Ready(Some(Err(err))) => {
+                self.failure = Some(err);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        }
     }
 
     fn is_end_stream(&self) -> bool {
