--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -69,8 +69,8 @@
     task: AbortHandle,
     heads: SharedHeads,
     idle_probe: IdleProbe,
-    /// Whether it has carried a request before.
-    pub(super) reused: bool,
+    /// Whether it was idle before: its other side may close it at any time.
+    reused: bool,
 }
 
 impl Connection {
