--- a/crates/gateway/src/net/search_outcome.rs
+++ b/crates/gateway/src/net/search_outcome.rs
@@ -85,12 +85,11 @@
     /// not go on.
     pub(super) fn is_final(&self) -> bool {
         match self {
-            Self::Response(_) => true,
             Self::Collected(response) => {
                 !response.body.is_whole() || !response.parts.status.is_server_error()
             }
             Self::PeerResponse(response) => response.is_answered(),
-            Self::Quarantined(_) | Self::TimedOut => true,
+            Self::Response(_) | Self::Quarantined(_) | Self::TimedOut => true,
             _ => false,
         }
     }
