Take a target that closes new connections twice for a live one

Callers saw: a whole answer that ended with its connection got 502, or was sent again, if its target had as many connections as it takes and closed new ones: since only an answer proves that a process lives, such a target was asked until the request's time was over. Cause: a closed connection counted as nothing known. A process that ends closes what it has not accepted together with its listener, and then refuses; a listener that takes another connection after that is one of a live process. Change: the second closed connection in a row proves that. Garbage and local errors still prove nothing.

--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -14,7 +14,7 @@
 
 use super::node::Node;
 use super::paths;
-use super::pool::{BUF_SIZE, Connection, SMALL_BUF_SIZE};
+use super::pool::{BUF_SIZE, Connection, SMALL_BUF_SIZE, SendFailure};
 use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
 
@@ -94,7 +94,7 @@
     Answered,
     /// Nothing listens at the address, or another process does.
     Refused,
-    /// The connection was closed: the process is ending, or has too many connections.
+    /// The connection was opened, and closed without an answer: the process is ending, or has too many connections.
     Closed,
     Silent,
 }
@@ -125,13 +125,13 @@
     loop {
         match ask(node, target, address, until).await {
             Answer::Answered => return ProcessState::Runs,
+            // A process that ends closes what it has not accepted together with its listener, and then refuses. One whose
+            // listener takes a connection after that closes connections because it has too many.
+            Answer::Closed if was_closed => return ProcessState::Runs,
+            Answer::Closed => was_closed = true,
             Answer::Refused => return ProcessState::Ended,
-            // A process that ends has closed its listener after the connections that it had not accepted.
-            Answer::Closed if !std::mem::replace(&mut was_closed, true) => {}
-            Answer::Closed | Answer::Silent if node.now() + PROBE_INTERVAL >= until => {
-                return ProcessState::Unknown;
-            }
-            Answer::Closed | Answer::Silent => tokio::time::sleep(PROBE_INTERVAL).await,
+            Answer::Silent if node.now() + PROBE_INTERVAL >= until => return ProcessState::Unknown,
+            Answer::Silent => tokio::time::sleep(PROBE_INTERVAL).await,
         }
     }
 }
@@ -146,8 +146,8 @@
     let connection = match open(node, target, address, PROBE_TIMEOUT).await {
         Ok(connection) => connection,
         Err(err) if err.kind() == ErrorKind::ConnectionRefused => return Answer::Refused,
-        Err(err) if err.kind() == ErrorKind::TimedOut => return Answer::Silent,
-        Err(_) => return Answer::Closed,
+        Err(err) if err.kind() == ErrorKind::ConnectionReset => return Answer::Closed,
+        Err(_timed_out_or_local) => return Answer::Silent,
     };
     let born = start_time(node, target);
     let req = node.protocol.report_request(target, address).map(Full::new);
@@ -155,8 +155,8 @@
     let sent = tokio::time::timeout(timeout, connection.send(req)).await;
     let (res, connection) = match sent {
         Ok(Ok(answer)) => answer,
+        Ok(Err(SendFailure::WrongAnswer(_))) | Err(_) => return Answer::Silent,
         Ok(Err(_closed)) => return Answer::Closed,
-        Err(_elapsed) => return Answer::Silent,
     };
     let (parts, body) = res.into_parts();
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
