End a body that is passed through when its request's time is over

Cause: the time that was left was taken before a body was read into memory, and counted from after that, so that one that fills memory slowly was passed on for up to twice the request's time. Change: the end is computed once. Found by the reviewer; no test fills memory slowly.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -469,12 +469,13 @@
         let time_left = params.max_wait.saturating_sub(self.in_flight.age());
         let caller = self.caller.clone();
         let (parts, mut source) = self.into_stream();
+        let end_by = source.in_flight.node.now() + time_left;
         let reading = collect(&mut source.body, caller.as_ref());
         let failure = match tokio::time::timeout(time_left, reading).await {
             Ok(Ok(Buffered::Part(read))) => {
                 source.in_flight.node.metrics.memory.passed_through();
                 return source.collected(parts, |source| {
-                    CollectedBody::PassedThrough(Box::new(Passing::new(read, source, time_left)))
+                    CollectedBody::PassedThrough(Box::new(Passing::new(read, source, end_by)))
                 });
             }
             Ok(Ok(Buffered::TooLong)) => Failure::TooLong,
--- a/crates/gateway/src/net/pass_through.rs
+++ b/crates/gateway/src/net/pass_through.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bluebellstage_core::Time;
 use bytes::{Bytes, BytesMut};
@@ -121,13 +120,13 @@
 }
 
 impl<E: Edge> Passing<E> {
-    /// Passes on what was `read` and then the rest of the `source`, which must come within `time_left`.
-    pub(super) fn new(read: [Bytes; 2], source: TargetStream<E>, time_left: Duration) -> Self {
+    /// Passes on what was `read` and then the rest of the `source`, which must come by `end_by`.
+    pub(super) fn new(read: [Bytes; 2], source: TargetStream<E>, end_by: Time) -> Self {
         let mut read = Vec::from(read);
         read.reverse();
         let len = read.iter().map(Bytes::len).sum::<usize>();
         Self {
-            end_by: source.in_flight.node.now() + time_left,
+            end_by,
             read,
             source,
             bytes_left: MAX_BUFFERED_BYTES.saturating_sub(len),
