Leave callers that were not told of a stop the same time from its beginning

Cause: the 500 ms for requests in transit counted from the last response, so that a connection that had been idle for longer closed at once when the instance began to close. Its caller may use it until that moment. Change: they count from the begin of the closing as well. The former test held the fault: it asked for the close of a connection that had been idle for 1 s, however short the instance had been closing; it now asks for the full time.

--- a/crates/gateway/src/decide/connection_end.rs
+++ b/crates/gateway/src/decide/connection_end.rs
@@ -30,8 +30,8 @@
     pub idle_timeout: Duration,
     /// Max time to receive a request head.
     pub header_timeout: Duration,
-    /// Whether the instance closes its connections.
-    pub is_closing: bool,
+    /// For how long the instance has been closing its connections, if it does.
+    pub closing_for: Option<Duration>,
     /// Whether the last response said that the connection closes.
     pub is_close_told: bool,
 }
@@ -50,15 +50,16 @@
 /// Decides about a connection.
 #[must_use]
 pub fn next_step(state: ConnectionState) -> NextStep {
-    match state.now {
-        Use::Request if state.is_closing => NextStep::Keep(IN_TRANSIT_GRACE),
-        Use::Request => NextStep::Keep(CHECK_INTERVAL),
-        Use::PartialHead(age) => keep_until(state.header_timeout, age, NextStep::Cut),
-        Use::Idle(_) if state.is_closing && state.is_close_told => NextStep::CloseOnceRead,
-        Use::Idle(age) if state.is_closing => {
+    match (state.now, state.closing_for) {
+        (Use::Request, Some(_)) => NextStep::Keep(IN_TRANSIT_GRACE),
+        (Use::Request, None) => NextStep::Keep(CHECK_INTERVAL),
+        (Use::PartialHead(age), _) => keep_until(state.header_timeout, age, NextStep::Cut),
+        (Use::Idle(_), Some(_)) if state.is_close_told => NextStep::CloseOnceRead,
+        (Use::Idle(age), Some(closing_for)) => {
+            let age = age.min(closing_for);
             keep_until(IN_TRANSIT_GRACE, age, NextStep::CloseOnceRead)
         }
-        Use::Idle(age) => keep_until(state.idle_timeout, age, NextStep::CloseOnceRead),
+        (Use::Idle(age), None) => keep_until(state.idle_timeout, age, NextStep::CloseOnceRead),
     }
 }
 
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -178,7 +178,7 @@
         now: activity.current_use(node.now()),
         idle_timeout: idle_timeout(node, listener_kind).max(told_timeout),
         header_timeout: node.tables().routes.config().limits.header_timeout,
-        is_closing: node.is_closing(),
+        closing_for: node.closing_for(),
         is_close_told,
     }
 }
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bluebellstage_core::{InstanceId, TargetId, Time};
@@ -93,7 +93,7 @@
     /// Whether the store has responded to this instance.
     store_reached: watch::Sender<bool>,
     is_stopping: AtomicBool,
-    is_closing: AtomicBool,
+    closing_since: OnceLock<Time>,
     pub(super) connections: AtomicUsize,
     /// Bodies of refused requests that are received and dropped.
     pub(super) discarding: Arc<AtomicUsize>,
@@ -148,7 +148,7 @@
             peers_listed: watch::Sender::new(false),
             store_reached: watch::Sender::new(false),
             is_stopping: AtomicBool::new(false),
-            is_closing: AtomicBool::new(false),
+            closing_since: OnceLock::new(),
             connections: AtomicUsize::new(0),
             discarding: Arc::default(),
             adapter_requests: Mutex::default(),
@@ -235,11 +235,17 @@
 
     /// Whether connections are closed as soon as their requests have a response.
     pub(super) fn is_closing(&self) -> bool {
-        self.is_closing.load(Ordering::Relaxed)
+        self.closing_since.get().is_some()
+    }
+
+    /// Returns for how long connections have been closed so, if they are.
+    pub(super) fn closing_for(&self) -> Option<Duration> {
+        let since = self.closing_since.get()?;
+        Some(self.now().since(*since))
     }
 
     pub(super) fn begin_closing(&self) {
-        self.is_closing.store(true, Ordering::Relaxed);
+        self.closing_since.get_or_init(|| self.now());
         self.stop.notify_waiters();
     }
 
--- a/crates/gateway/tests/connection_end.rs
+++ b/crates/gateway/tests/connection_end.rs
@@ -15,7 +15,7 @@
         now,
         idle_timeout: seconds(15),
         header_timeout: seconds(3),
-        is_closing: false,
+        closing_for: None,
         is_close_told: false,
     }
 }
@@ -44,29 +44,28 @@
 /// Guards against a stop that closes a connection on top of a request whose caller could not know of it.
 #[test]
 fn a_stop_leaves_time_for_requests_in_transit_from_callers_that_were_not_told() {
-    let closing = |now, is_close_told| {
+    let closing = |now, millis, is_close_told| {
         next_step(ConnectionState {
-            is_closing: true,
+            closing_for: Some(Duration::from_millis(millis)),
             is_close_told,
             ..state(now)
         })
     };
+    let keep = |millis| NextStep::Keep(Duration::from_millis(millis));
     let just_idle = Use::Idle(Duration::from_millis(100));
+    assert_eq!(closing(just_idle, 900, false), keep(400));
+    assert_eq!(closing(Use::Idle(seconds(9)), 100, false), keep(400));
     assert_eq!(
-        closing(just_idle, false),
-        NextStep::Keep(Duration::from_millis(400))
-    );
-    assert_eq!(closing(just_idle, true), NextStep::CloseOnceRead);
-    assert_eq!(
-        closing(Use::Idle(seconds(1)), false),
+        closing(Use::Idle(seconds(9)), 500, false),
         NextStep::CloseOnceRead
     );
+    assert_eq!(closing(just_idle, 0, true), NextStep::CloseOnceRead);
     assert!(matches!(
-        closing(Use::Request, false),
+        closing(Use::Request, 100, false),
         NextStep::Keep(span) if span < seconds(1)
     ));
-    assert!(matches!(
-        closing(Use::PartialHead(seconds(1)), false),
-        NextStep::Keep(_)
-    ));
+    assert_eq!(
+        closing(Use::PartialHead(seconds(1)), 900, false),
+        keep(2_000)
+    );
 }
