Linger on bytes that the kernel holds, and name what is discarded

Cause: whether a connection lingers after its last response went by what the process had read. Bytes behind the last request lay in the kernel, and the close reset the connection, and with it the response. Change: unread bytes count, too. Names: a rest is what a target asks for; the rest of a refused body is an open discard, and a connection lingers. Found by the reviewer; the case has no test of its own.

--- a/crates/gateway/src/net/caller_stream.rs
+++ b/crates/gateway/src/net/caller_stream.rs
@@ -20,8 +20,8 @@
 /// Name of the end of a connection that its caller closed, or that broke or was refused as malformed.
 const ENDED: &str = "ended";
 
-/// Size of the parts in which bytes that nobody wants are read.
-const UNWANTED_PART: usize = 4 * 1_024;
+/// Size of the parts in which discarded bytes are read.
+const DISCARD_PART: usize = 4 * 1_024;
 
 /// Why an instance closes a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,12 +60,12 @@
     /// Whether a part of a response waits for the caller to take more.
     is_write_blocked: bool,
     /// Set once the last response has been sent, while its caller may still send.
-    leaving: Option<Leaving>,
+    lingering: Option<Lingering>,
 }
 
 /// The end of a connection whose caller may still send, and would lose the last response by a reset.
 #[derive(Debug)]
-struct Leaving {
+struct Lingering {
     discard: Discard,
     until: Pin<Box<Sleep>>,
 }
@@ -77,7 +77,7 @@
             activity,
             node,
             is_write_blocked: false,
-            leaving: None,
+            lingering: None,
         }
     }
 
@@ -88,14 +88,15 @@
     }
 
     /// Begins to read and drop what its caller still sends, and returns whether it may send anything.
-    fn begin_leaving(&mut self) -> bool {
-        if !self.activity.end_requests() {
+    fn begin_lingering(&mut self) -> bool {
+        let may_send = self.activity.end_requests();
+        if !may_send && self.unread() == 0 {
             return false;
         }
         let limits = self.node.tables().routes.config().limits;
         let bounds = UploadBounds::of_anyone(&limits);
         let now = self.node.now();
-        self.leaving = Some(Leaving {
+        self.lingering = Some(Lingering {
             discard: Discard::new(bounds, now, now),
             until: Box::pin(tokio::time::sleep(bounds.time)),
         });
@@ -103,22 +104,24 @@
     }
 
     /// Returns once its caller has closed the connection, or sends too much or for too long.
-    fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Some(leaving) = &mut self.leaving else {
+    fn poll_lingered(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(lingering) = &mut self.lingering else {
             return Poll::Ready(());
         };
         // Before the read, as a caller that always sends would use up what the task may do at once.
-        if leaving.until.as_mut().poll(cx).is_ready() {
+        if lingering.until.as_mut().poll(cx).is_ready() {
             return Poll::Ready(());
         }
-        let mut part = [0; UNWANTED_PART];
-        while leaving.discard.next_step(self.node.now()) != DiscardStep::Leave {
+        let mut part = [0; DISCARD_PART];
+        while lingering.discard.next_step(self.node.now()) != DiscardStep::Leave {
             let mut buf = ReadBuf::new(&mut part);
             let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
             if read.is_err() || buf.filled().is_empty() {
                 break;
             }
-            leaving.discard.record(buf.filled().len(), self.node.now());
+            lingering
+                .discard
+                .record(buf.filled().len(), self.node.now());
         }
         Poll::Ready(())
     }
@@ -192,12 +195,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.leaving.is_none() {
+        if self.lingering.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            if !self.begin_leaving() {
+            if !self.begin_lingering() {
                 return Poll::Ready(Ok(()));
             }
         }
-        self.poll_left(cx).map(Ok)
+        self.poll_lingered(cx).map(Ok)
     }
 }
--- a/crates/gateway/src/net/connection_activity.rs
+++ b/crates/gateway/src/net/connection_activity.rs
@@ -25,7 +25,7 @@
     /// Why the instance closes it.
     close_reason: Option<CloseReason>,
     /// Bodies of refused requests that have not come to their end: at most one, once what was received is read.
-    rests: usize,
+    open_discards: usize,
     /// Whether its last response was sent, and what its caller still sends is dropped.
     is_ending: bool,
 }
@@ -43,7 +43,7 @@
             idle_timeout,
             is_close_told: false,
             close_reason: None,
-            rests: 0,
+            open_discards: 0,
             is_ending: false,
         }))
     }
@@ -94,20 +94,20 @@
     }
 
     /// Records that the body of a refused request has not come to its end.
-    pub(super) fn begin_rest(&self) {
-        self.lock().rests += 1;
+    pub(super) fn begin_discard(&self) {
+        self.lock().open_discards += 1;
     }
 
     /// Records that the body of a refused request has come to its end.
-    pub(super) fn end_rest(&self) {
-        self.lock().rests -= 1;
+    pub(super) fn end_discard(&self) {
+        self.lock().open_discards -= 1;
     }
 
     /// Ends its requests, and returns whether its caller may still send what is not read: the rest of a refused body or
     /// of a malformed head.
     pub(super) fn end_requests(&self) -> bool {
         let mut state = self.lock();
-        state.is_ending = state.rests > 0 || state.head_since.is_some();
+        state.is_ending = state.open_discards > 0 || state.head_since.is_some();
         state.is_ending
     }
 
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -108,7 +108,7 @@
         let heads = self.heads.clone();
         hyper::ext::on_informational(&mut req, move |_head| heads.lock().record_informational());
         match self.tx.try_send_request(req).await {
-            // A protocol that nobody asked for.
+            // An upgrade that was not requested.
             Ok(response) if response.status().is_informational() => {
                 Err(SendFailure::WrongAnswer("a switch of protocols".into()))
             }
--- a/crates/gateway/src/net/refused_body.rs
+++ b/crates/gateway/src/net/refused_body.rs
@@ -112,11 +112,11 @@
         in_use: impl Send + 'static,
     ) {
         // The connection may end before this task learns that the rest is broken.
-        activity.begin_rest();
+        activity.begin_discard();
         tokio::spawn(async move {
             let outcome = self.receive(&node).await;
             if outcome == DiscardOutcome::Whole {
-                activity.end_rest();
+                activity.end_discard();
             }
             drop(self);
             node.metrics.callers.discarded(outcome.name());
