Refuse a stream whose first event is not its first

Callers saw: an event of another stream, or garbage of its form, as the first one of theirs: with no event before it, any number was taken. Cause: only numbers that followed were compared. Events are numbered one by one from their begin, so that a stream that begins later lacks some. Change: a new stream begins with event 0 or 1. The test of the last number takes a caller that has the event before it.

--- a/crates/gateway/src/decide/event_stream.rs
+++ b/crates/gateway/src/decide/event_stream.rs
@@ -16,6 +16,8 @@
 
 /// Maximum size of an event, in bytes, with the comments before it.
 const MAX_EVENT_BYTES: usize = 64 * 1_024;
+/// Highest number of a stream's first event. One that begins later lacks events.
+const MAX_FIRST_ID: u64 = 1;
 /// Events per token of the longest response; targets send one at most for each.
 const MAX_EVENTS_PER_TOKEN: u64 = 2;
 
@@ -147,9 +149,9 @@
     }
 
     fn is_next(&self, id: u64) -> bool {
-        let Some(last) = self.last_id else {
-            return true;
-        };
-        last.checked_add(1) == Some(id)
+        match self.last_id {
+            None => id <= MAX_FIRST_ID,
+            Some(last) => last.checked_add(1) == Some(id),
+        }
     }
 }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -75,10 +75,25 @@
     }
 }
 
+/// Guards against a stream that begins with an event of another one, or lacks its first events.
+#[test]
+fn a_stream_begins_with_its_first_event() {
+    for (id, is_first) in [(0, true), (1, true), (2, false), (u64::MAX, false)] {
+        let mut splitter = EventSplitter::new(None, None);
+        let first = event(id);
+        let expected = if is_first {
+            SplitResult::Events(first.clone().into())
+        } else {
+            SplitResult::Invalid
+        };
+        assert_eq!(splitter.push(first.as_bytes()), expected, "{id}");
+    }
+}
+
 /// Guards against a panic at a number that has none after it.
 #[test]
 fn nothing_follows_the_last_number() {
-    let mut splitter = EventSplitter::new(None, None);
+    let mut splitter = EventSplitter::new(Some(u64::MAX - 1), None);
     let last = event(u64::MAX);
     assert_eq!(
         splitter.push(last.as_bytes()),
