Tell and count each refusal of a brittle target

The log told every refusal alike, so that nobody could add up those of a brittle target over all instances, against what it bears. BS3417 names the target and what it bears; a metric counts them. No logic changes.

--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -180,6 +180,8 @@
     RunSilent = 3415, Info, "run is silent: another target is looked for while it goes on";
     /// Nothing replaces a silent run.
     RunNotReplaced = 3416, Info, "nothing replaces the silent run: it is awaited";
+    /// A brittle target refused a request.
+    BrittleRefused = 3417, Info, "brittle target refused a request";
     /// Reports of other instances on the speed of targets were dropped.
     PaceDropped = 3420, Info, "reports on the speed of targets dropped";
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -49,6 +49,7 @@
     rests_reported: Counter<u64>,
     resting: Gauge<u64>,
     brittle: Gauge<u64>,
+    brittle_refusals: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_restorations: Counter<u64>,
@@ -144,6 +145,10 @@
                 "bluebellstage.brittle_targets",
                 "Targets that fall over when they have to refuse too many requests",
             ),
+            brittle_refusals: counter(
+                "bluebellstage.brittle_refusals",
+                "Requests that brittle targets refused",
+            ),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -261,6 +266,11 @@
         self.rests_reported.add(1, &[]);
     }
 
+    /// Counts a request that a brittle target refused.
+    pub(super) fn brittle_target_refused(&self) {
+        self.brittle_refusals.add(1, &[]);
+    }
+
     /// Counts an order to an engine by its outcome.
     pub(super) fn order_ended(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", outcome)]);
--- a/crates/gateway/src/net/response_head.rs
+++ b/crates/gateway/src/net/response_head.rs
@@ -64,7 +64,20 @@
     if head.not_run && head.rest == ReportedRest::None {
         tables.record_refusal(sender.target, now);
     }
+    let known = tables.registry.get(sender.target);
+    let borne = known.and_then(|known| tables.brittle.max_refusals(known));
     drop(tables);
+    if let Some(max_refusals) = borne
+        && head.not_run
+    {
+        node.metrics.brittle_target_refused();
+        let max_refusals = max_refusals.to_string();
+        let fields = [
+            ("target", sender.target.as_str()),
+            ("max_refusals", &max_refusals),
+        ];
+        event(LogEvent::BrittleRefused, &fields);
+    }
     if let ReportedBrittleness::Brittle(max_refusals) = head.brittleness
         && is_new
     {
