--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -12,6 +12,7 @@
 use crate::decide::kind::Kind;
 use crate::decide::tables::Tables;
 
+use super::brittle_metrics::BrittleMetrics;
 use super::connection_metrics::ConnectionMetrics;
 use super::crash_metrics::CrashMetrics;
 use super::memory_metrics::MemoryMetrics;
@@ -26,6 +27,7 @@
 /// Instruments of this process.
 pub(super) struct Metrics {
     instruments: Instruments,
+    pub(super) brittle: BrittleMetrics,
     pub(super) callers: ConnectionMetrics,
     pub(super) crashes: CrashMetrics,
     pub(super) memory: MemoryMetrics,
@@ -48,8 +50,6 @@
     departing: Gauge<u64>,
     rests_reported: Counter<u64>,
     resting: Gauge<u64>,
-    brittle: Gauge<u64>,
-    brittle_refusals: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_restorations: Counter<u64>,
@@ -141,14 +141,6 @@
                 "Answers of targets that ask for rest",
             ),
             resting: gauge("bluebellstage.resting_targets", "Targets that rest"),
-            brittle: gauge(
-                "bluebellstage.brittle_targets",
-                "Targets that fall over when they have to refuse too many requests",
-            ),
-            brittle_refusals: counter(
-                "bluebellstage.brittle_refusals",
-                "Requests that brittle targets refused",
-            ),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
             store_calls: counter(
                 "bluebellstage.store_calls",
@@ -183,6 +175,7 @@
                 "bluebellstage.news_readers",
                 "Instances that this one relays news to",
             ),
+            brittle: BrittleMetrics::new(&instruments),
             callers: ConnectionMetrics::new(&instruments),
             crashes: CrashMetrics::new(&instruments),
             memory: MemoryMetrics::new(&instruments),
@@ -266,11 +259,6 @@
         self.rests_reported.add(1, &[]);
     }
 
-    /// Counts a request that a brittle target refused.
-    pub(super) fn brittle_target_refused(&self) {
-        self.brittle_refusals.add(1, &[]);
-    }
-
     /// Counts an order to an engine by its outcome.
     pub(super) fn order_ended(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", outcome)]);
@@ -315,7 +303,7 @@
         self.streams.record(tables, now);
         self.waits.record(tables);
         self.departing.record(count(tables.departures.count()), &[]);
-        self.brittle.record(count(tables.brittle.count()), &[]);
+        self.brittle.record(tables);
         self.resting.record(count(tables.rests.count(now)), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -14,6 +14,7 @@
 mod attempt;
 mod attempts;
 mod batches;
+mod brittle_metrics;
 mod caller_memory;
 mod caller_stream;
 mod connection_activity;
