Send to a brittle target from its owner alone, and count what it may refuse

Callers saw targets fall over again and again under the requests that these had to refuse: each instance left a full target alone only after a refusal of its own, had any number of requests under way by then, and took a target that was back from a fall for a sound one.

Cause: a bound of all instances that each one kept from what it alone saw. A share of six refusals for 75 instances is none, and nobody was told anything.

One instance now owns each brittle target, the first in the target's order as for cold targets, and the others forward to it. What the owner has sent and the target has not taken counts as refused for a second, and there is half of what the target bears for it, so that a new owner, which does not know the former one's refusals, stays within the rest. That a service is brittle is told in statuses; a target that has not spoken since its start is believed brittle while others of its service say so, until a sound answer or 15 s without a word. An owner's rest is told with its refusal.

--- a/crates/gateway/src/decide/admission.rs
+++ b/crates/gateway/src/decide/admission.rs
@@ -81,6 +81,7 @@
             software: None,
             patience: None,
             waits: false,
+            may_go_to_owner: true,
             route,
             routes,
         })
@@ -116,6 +117,7 @@
             software: None,
             patience: None,
             waits: false,
+            may_go_to_owner: true,
             route,
             routes,
         })
--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -8,7 +8,7 @@
 use super::cold::{ColdSign, ColdStart};
 use super::drain_state::DrainState;
 use super::evacuations::EvacuationChange;
-use super::rendezvous::{name_hash, weight};
+use super::owner::Owner;
 use super::tables::{Tables, Ticket};
 use super::target::Target;
 
@@ -102,27 +102,11 @@
         }
     }
 
-    /// Returns whether this instance admits the requests to a cold target: the first of the live, ready
-    /// instances in the target's order does.
-    ///
-    /// An instance that sees less than half of the fleet, or has just started, admits none, as another may
-    /// admit them.
+    /// Returns whether this instance admits the requests to a cold target: its owner does. One that has just started
+    /// admits none, as another may admit them.
     pub(super) fn owns_cold_target(&self, target: &TargetId, now: Time) -> bool {
-        let others = self.peers.all().count();
-        let live = self.peers.live(now).count();
-        if self.is_new(now) || live * 2 < others {
-            return false;
-        }
-        let Some(known) = self.registry.get(target) else {
-            return false;
-        };
-        if self.is_partitioned_from(&known.service) {
-            return false;
-        }
-        let key = name_hash(target.as_str());
-        let local = weight(key, self.local.name.as_str());
-        let mut ready = self.peers_that_reach(&known.service, now);
-        ready.all(|peer| weight(key, peer.member.name.as_str()) < local)
+        let known = self.registry.get(target);
+        known.is_some_and(|known| !self.is_new(now) && self.owner_of(known, now) == Owner::Local)
     }
 
     /// Admits a request to a cold target if this instance owns it and the target's rate allows it.
--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -381,7 +381,7 @@
                 limit: self.limits.get(&target.id),
                 cold_ms: millis(self.cold_time_left(target, now)),
                 rest_ms: millis(self.rests.time_left(target, now)),
-                max_refusals: self.brittle.max_refusals(target),
+                max_refusals: self.brittle.max_refusals(target, now),
                 standing: self.health.state(&target.id, now),
                 unreachable_ms: self
                     .paths
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -256,6 +256,7 @@
                 .map(|(target, load)| (ShortHash::of(target.as_str()), load))
                 .collect(),
             pace,
+            brittle: self.brittle.reports(now),
             waiting: self.wait_queue.local_counts(now),
             loads: self.loads.active,
             waiting_loads: self.loads.waiting,
--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -179,6 +179,9 @@
                 now,
             );
         }
+        for report in &status.brittle {
+            self.brittle.apply(report, now - age);
+        }
         self.pace.record_peer(status.from, &status.pace, now);
         if status.ended {
             self.peers.remove(&member.name);
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -26,6 +26,7 @@
 pub mod load_wait;
 pub mod loader;
 pub mod memory_budget;
+pub mod owner;
 pub mod pace;
 pub mod partition;
 mod path_checks;
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -480,6 +480,8 @@
                 .collect(),
             // Pace is passed on by the relays of its own failure domain as they receive it.
             pace: Vec::new(),
+            // Each instance tells the last report that it knows.
+            brittle: Vec::new(),
             waiting: self.waiting.clone(),
             loads: self.loads,
             waiting_loads: self.waiting_loads,
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -8,6 +8,7 @@
 use super::call::Call;
 use super::config::Config;
 use super::loader::AdapterSlots;
+use super::owner::Owner;
 use super::pace::{PaceTarget, are_uneven};
 use super::placement::{Candidate, Pick, PickContext, pick_engine, pick_plain};
 use super::quarantine::Fingerprint;
@@ -18,6 +19,8 @@
 /// Fraction of a target's connections that all instances together use: peers may not yet know of an
 /// instance that has just joined.
 const USABLE_CONNECTION_FRACTION: f64 = 0.85;
+/// Part of a brittle target's connections that its owner uses. Idle ones of the others last for some seconds.
+const OWNER_CONNECTION_DIVISOR: u32 = 2;
 /// How long load requests for an adapter keep going to the same engine: a load from the weight
 /// store takes at most half of this, even if twice as many loads are in progress as at full speed.
 pub(super) const LOAD_TARGET_TTL: Duration = Duration::from_secs(1);
@@ -67,6 +70,9 @@
     /// from 0 to 1. The request is charged to the target's limit, if it has one.
     ///
     /// Targets with a limit are used only for requests that no other target can run now.
+    ///
+    /// A brittle target gets requests from its owner only. A plain request goes to such a target of another owner only
+    /// if no other target can run it now; an engine is chosen whoever owns it.
     #[must_use]
     pub fn pick(
         &mut self,
@@ -75,6 +81,53 @@
         tried: &[TargetId],
         sample: f64,
         now: Time,
+    ) -> Pick {
+        if self.brittle.is_empty(now) {
+            return self.pick_of_any_owner(ticket, call, tried, sample, now);
+        }
+        self.update_owners(now);
+        let (of_peers, unowned) = self.brittle_targets_of_others(ticket);
+        let mut excluded = tried.to_vec();
+        excluded.extend(unowned);
+        if of_peers.is_empty() {
+            return self.pick_of_any_owner(ticket, call, &excluded, sample, now);
+        }
+        let mut excluded_or_of_peers = excluded.clone();
+        excluded_or_of_peers.extend(of_peers);
+        if !ticket.may_go_to_owner {
+            return self.pick_of_any_owner(ticket, call, &excluded_or_of_peers, sample, now);
+        }
+        if call.wanted.is_none() {
+            let pick = self.pick_of_any_owner(ticket, call, &excluded_or_of_peers, sample, now);
+            if matches!(pick, Pick::Send { .. }) {
+                return pick;
+            }
+        }
+        self.pick_of_any_owner(ticket, call, &excluded, sample, now)
+    }
+
+    /// Returns the brittle targets that peers own, and those whose owner is not known.
+    fn brittle_targets_of_others(&self, ticket: &Ticket) -> (Vec<TargetId>, Vec<TargetId>) {
+        let allowed = self.registry.all();
+        let allowed = allowed.filter(|target| ticket.allows(target));
+        let (mut of_peers, mut unowned) = (Vec::new(), Vec::new());
+        for target in allowed {
+            match self.brittle_owner(&target.id) {
+                None | Some(Owner::Local) => {}
+                Some(Owner::Peer(_)) => of_peers.push(target.id.clone()),
+                Some(Owner::Unknown) => unowned.push(target.id.clone()),
+            }
+        }
+        (of_peers, unowned)
+    }
+
+    fn pick_of_any_owner(
+        &mut self,
+        ticket: &Ticket,
+        call: &Call,
+        tried: &[TargetId],
+        sample: f64,
+        now: Time,
     ) -> Pick {
         if self.limits.is_empty() {
             return self.pick_ignoring_limits(ticket, call, tried, sample, now);
@@ -237,9 +290,11 @@
         now: Time,
     ) -> Pick {
         let config = self.routes.config();
-        let limit = config.service(&ticket.service).map_or(1, |service| {
-            self.connection_limit(service.max_connections, now)
-        });
+        let max_connections = config
+            .service(&ticket.service)
+            .map_or(1, |service| service.max_connections);
+        let limit = self.connection_limit(max_connections, now);
+        let owner_limit = (max_connections / OWNER_CONNECTION_DIVISOR).max(limit);
         let class = ticket.rank_class();
         let terms = self.start_terms(ticket, now);
         let candidates = targets.iter().map(|target| {
@@ -248,6 +303,10 @@
             let mut prompts = self.queues.local_tokens(&target.id);
             prompts.add(others.prompts);
             let speed = self.pace.speed(PaceTarget::from(*target), now);
+            let limit = match self.brittle_owner(&target.id) {
+                Some(Owner::Local) => owner_limit,
+                _ => limit,
+            };
             Candidate {
                 target,
                 in_flight: local + others.requests,
@@ -257,7 +316,7 @@
                 prompt_time: speed.reading_time(call.prompt_tokens.0),
                 recent_max_wait: self.queues.recent_max_wait(&target.id, now),
                 can_connect: local < limit
-                    && self.brittle.has_room(target, local + others.requests),
+                    && self.bears_request(target, local + others.requests, now),
                 // An adapter loaded on a target with a low limit would serve few requests.
                 can_load: self.loader_reachable(&target.id, now)
                     && self.limits.get(&target.id).is_none(),
@@ -285,6 +344,14 @@
         }
     }
 
+    /// Whether a target that has `in_flight` requests of all instances may get another one from here or from its owner,
+    /// if it is brittle.
+    fn bears_request(&self, target: &Target, in_flight: u32, now: Time) -> bool {
+        let is_owned_by_peer = matches!(self.brittle_owner(&target.id), Some(Owner::Peer(_)));
+        self.brittle.has_room(target, in_flight, now)
+            && (is_owned_by_peer || self.brittle.bears_refusal(target, now))
+    }
+
     /// Returns the target gap that the choice of an engine heeds: none where all engines are about equally fast, as
     /// all streams have the same gaps there wherever they run.
     fn target_gap(&self, ticket: &Ticket, candidates: &[Candidate<'_>]) -> Option<Duration> {
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -3,6 +3,7 @@
 use bluebellstage_core::Revision;
 use serde::{Deserialize, Serialize};
 
+use super::brittle::BrittleReport;
 use super::evacuations::EvacuationsVersion;
 use super::loader::AdapterSlots;
 use super::pace::PaceReports;
@@ -87,6 +88,8 @@
     pub in_flight: Vec<(ShortHash, Load)>,
     /// What it has lately seen of the speed of some targets.
     pub pace: PaceReports,
+    /// Services whose targets are brittle.
+    pub brittle: Vec<BrittleReport>,
     /// Its requests that wait for a place at targets.
     pub waiting: WaitingCounts,
     /// Loads from the weight store in progress.
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -18,6 +18,7 @@
 use super::lease::SHARDS;
 use super::limits::Limits;
 use super::loader::AdapterSlots;
+use super::owner::Owners;
 use super::pace::{Pace, PaceTarget};
 use super::partition::Partitions;
 use super::paths::Paths;
@@ -120,6 +121,8 @@
     in_flight: HashMap<TargetId, u32>,
     /// Requests suspected of crashing targets that this instance has at each target.
     pub(super) suspects_at: HashMap<TargetId, u32>,
+    /// Owners of brittle targets.
+    pub(super) owners: Owners,
     /// The engine last chosen to load each adapter, so that all requests for an adapter wait at one
     /// engine.
     pub(super) recent_engines: HashMap<AdapterKey, (TargetId, Time)>,
@@ -163,6 +166,7 @@
             budget,
             in_flight: HashMap::new(),
             suspects_at: HashMap::new(),
+            owners: Owners::default(),
             recent_engines: HashMap::new(),
         }
     }
@@ -320,13 +324,26 @@
         let Some(known) = self.registry.get(target) else {
             return;
         };
-        let instances = self.peers.sharing_count(now);
-        if let Some(pause) = self.brittle.pause(known, instances) {
+        if let Some(pause) = self.brittle.pause(known, now) {
             let born = known.born;
             self.rests.record(target, born, pause, now);
         }
     }
 
+    /// Returns for how much longer a target gets no requests because it has refused one.
+    #[must_use]
+    pub fn rest_left(&self, target: &TargetId, now: Time) -> Duration {
+        let known = self.registry.get(target);
+        known.map_or(Duration::ZERO, |known| self.rests.time_left(known, now))
+    }
+
+    /// Records for how much longer a target gets no requests from its owner.
+    pub fn record_rest_at_owner(&mut self, target: &TargetId, left: Duration, now: Time) {
+        if let Some(known) = self.registry.get(target).filter(|_| !left.is_zero()) {
+            self.rests.record(target, known.born, left, now);
+        }
+    }
+
     /// Removes outdated state. Called a few times a second.
     pub fn sweep(&mut self, now: Time) {
         self.registry.sweep(now);
@@ -339,7 +356,7 @@
         self.health
             .retain_targets(|target| registry.get(target).is_some());
         self.brittle
-            .retain_targets(|target| registry.get(target).is_some());
+            .sweep(|target| registry.get(target).is_some(), now);
         self.paths
             .retain_targets(|target| registry.get(target).is_some());
         for target in self
@@ -355,6 +372,7 @@
         self.queues
             .retain_targets(|target| registry.get(target).is_some());
         self.pace.sweep(registry.all(), now);
+        self.sweep_owners(now);
     }
 
     /// Returns the adapter that the request needs, if it needs one.
--- a/crates/gateway/src/decide/ticket.rs
+++ b/crates/gateway/src/decide/ticket.rs
@@ -35,6 +35,8 @@
     pub patience: Option<Patience>,
     /// Whether it has waited for room.
     pub waits: bool,
+    /// Whether it may be forwarded to the owner of a brittle target.
+    pub may_go_to_owner: bool,
 }
 
 impl Ticket {
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -13,6 +13,7 @@
 use crate::decide::call::{Call, Forward, ResponseHead};
 use crate::decide::health::TargetOutcome;
 use crate::decide::limits::{Change, ReportedLimit};
+use crate::decide::owner::Way;
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::ranked_tokens::RankClass;
 use crate::decide::rests::ReportedRest;
@@ -164,6 +165,8 @@
     /// The requested version of the adapter.
     pub(super) version: Option<AdapterVersion>,
     pub(super) at_deadline: AtDeadline,
+    /// Since when the request counts as one that a brittle target may refuse.
+    pub(super) charged_at: Option<Time>,
     /// Time that is left to the request: the response head is awaited, and the response's end confirmed, until then.
     pub(super) max_wait: Duration,
 }
@@ -205,6 +208,7 @@
         Exchange::Response(parts, body, connection) => {
             in_flight.record_answer();
             let head = record_response_head(node, sender, &parts);
+            in_flight.record_refusal(head.not_run && parts.status.as_u16() != 421);
             if parts.status.as_u16() != 421 {
                 record_brittleness(node, sender, &head, in_flight.sent);
             }
@@ -216,6 +220,7 @@
         }
         Exchange::Unreachable => {
             in_flight.record_outcome(TargetOutcome::Unreachable);
+            in_flight.record_refusal(false);
             Attempt::Unreachable
         }
         Exchange::Failed(failure) => {
@@ -428,7 +433,7 @@
     let Ok(connection) = open(node, target, address, CONNECT_TIMEOUT).await else {
         return Exchange::Failed(Failure::Broken);
     };
-    if !take_retry(node, target) {
+    if !may_repeat(node, target) {
         node.pool.put(target, connection, None);
         return Exchange::Failed(Failure::Broken);
     }
@@ -440,14 +445,16 @@
     }
 }
 
-fn take_retry<E: Edge>(node: &Node<E>, target: &TargetId) -> bool {
+/// Whether a request may be sent once more to the target that it was sent to, which may refuse it.
+fn may_repeat<E: Edge>(node: &Node<E>, target: &TargetId) -> bool {
     let now = node.now();
     let mut tables = node.tables();
     let service = tables
         .registry
         .get(target)
         .map(|known| known.service.clone());
-    service.is_some_and(|service| tables.take_retry(&service, now))
+    let is_within_budget = service.is_some_and(|service| tables.take_retry(&service, now));
+    is_within_budget && matches!(tables.way_to(target, now), Way::Direct { .. })
 }
 
 fn target_request<E: Edge>(
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -8,6 +8,7 @@
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
 use crate::decide::health::{MAX_SILENCE, TargetOutcome};
+use crate::decide::owner::Way;
 use crate::decide::quarantine::InterruptedRun;
 use crate::decide::silence::{SenderNews, Silence, SilenceAction};
 use crate::decide::tables::Tables;
@@ -44,6 +45,8 @@
     pub(super) version: Option<AdapterVersion>,
     /// Whether the request shows if the target serves again.
     pub(super) trial: bool,
+    /// Since when the request counts as one that a brittle target may refuse.
+    pub(super) charged_at: Option<Time>,
 }
 
 /// Why another target is looked for before an attempt has ended.
@@ -77,8 +80,26 @@
         (route.target_latency * RESPONSE_WAIT_FACTOR).max(min_wait)
     }
 
+    /// Sends the request to the target that was picked, from here or through the target's owner.
+    pub(super) fn send_picked(&mut self, picked: PickedTarget) -> Step<E> {
+        let now = self.node.now();
+        let way = self.node.tables().way_to(&picked.target, now);
+        match way {
+            Way::Direct { charged_at } => self.try_target(PickedTarget {
+                charged_at,
+                ..picked
+            }),
+            Way::Owner(peer) => self.forward_to_owner(&peer, picked.target),
+            Way::Later => Step::GoOn,
+            Way::None => {
+                self.refused.push(picked.target);
+                Step::GoOn
+            }
+        }
+    }
+
     /// Sends the request to a target.
-    pub(super) fn try_target(&mut self, picked: PickedTarget) -> Step<E> {
+    fn try_target(&mut self, picked: PickedTarget) -> Step<E> {
         let sent = self.node.now();
         let service = &self.ticket.service;
         if self.sends > 0 && !self.node.tables().take_retry(service, sent) {
@@ -102,6 +123,7 @@
             target,
             version,
             trial,
+            charged_at,
         } = picked;
         let node = Arc::clone(&self.node);
         let (head, call) = (Arc::clone(&self.head), Arc::clone(&self.call));
@@ -134,6 +156,7 @@
                 suspect: node.tables().quarantine.crash_count(fingerprint) > 0,
                 version,
                 at_deadline,
+                charged_at,
                 max_wait: time_left,
             };
             let forward = Forward {
@@ -208,8 +231,9 @@
             EndedAttempt::AtPeer {
                 peer,
                 runs_before,
+                owned,
                 attempt,
-            } => self.settle_at_peer(&peer, runs_before, attempt),
+            } => self.settle_at_peer(&peer, runs_before, owned, attempt),
         }
     }
 
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -114,7 +114,7 @@
     let now = node.now();
     let tables = node.tables();
     let target = tables.registry.get(id)?;
-    if tables.is_leaving(target, now) || tables.brittle.max_refusals(target).is_some() {
+    if tables.is_leaving(target, now) || tables.brittle.max_refusals(target, now).is_some() {
         return None;
     }
     let is_live = |other: &&Target| !tables.quarantine.has_crashed(incarnation(other));
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -45,6 +45,8 @@
     end_by: Time,
     /// The request was in flight at a target that crashed.
     suspect: bool,
+    /// Since when it counts as one that a brittle target may refuse.
+    charged_at: Option<Time>,
     /// When the target began to respond.
     responding_since: Option<Time>,
     is_outcome_recorded: bool,
@@ -90,6 +92,7 @@
             sent: now,
             end_by: now + params.max_wait,
             suspect: params.suspect,
+            charged_at: params.charged_at,
             responding_since: None,
             is_outcome_recorded: false,
             answer_recorded_at: None,
@@ -121,6 +124,20 @@
         record_answer(&self.node, &self.target, now);
     }
 
+    /// Records whether the target refused the request for want of room.
+    pub(super) fn record_refusal(&mut self, is_refused: bool) {
+        let Some(charged_at) = self.charged_at.take() else {
+            return;
+        };
+        let now = self.node.now();
+        let brittle = &mut self.node.tables().brittle;
+        if is_refused {
+            brittle.record_refused(&self.target, charged_at, now);
+        } else {
+            brittle.record_taken(&self.target, charged_at);
+        }
+    }
+
     /// Records that the engine has started the request. Engines send the response head with the first event.
     pub(super) fn record_started(&mut self) {
         let now = self.node.now();
@@ -280,6 +297,8 @@
 
 impl<E: Edge> Drop for InFlight<E> {
     fn drop(&mut self) {
+        // Without an answer it may still be refused.
+        self.record_refusal(true);
         let now = self.node.now();
         let mut tables = self.node.tables();
         tables.end_request(&self.target);
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -198,9 +198,14 @@
 
     /// Adds a report for the peer that forwarded the request, if one did.
     fn add_report(&self, res: &mut Response<ResponseBody>, outcome: ForwardOutcome, reason: &str) {
-        if self.forwarded.is_none() {
+        let Some(forwarded) = &self.forwarded else {
             return;
-        }
+        };
+        let now = self.node.now();
+        let owned = forwarded.owned.as_ref();
+        let rest = owned.map_or(Duration::ZERO, |target| {
+            self.node.tables().rest_left(target, now)
+        });
         let report = ForwardReport {
             outcome,
             runs: self.runs,
@@ -209,6 +214,7 @@
                 service: ShortHash::of(self.ticket.service.as_str()),
                 software,
             }),
+            rest_ms: u32::try_from(rest.as_millis()).unwrap_or(u32::MAX),
         };
         report.add_to(res.headers_mut());
     }
--- a/crates/gateway/src/net/open_attempts.rs
+++ b/crates/gateway/src/net/open_attempts.rs
@@ -42,6 +42,8 @@
         peer: InstanceId,
         /// Attempts that had run or may have run when it was forwarded.
         runs_before: u32,
+        /// The target as whose owner the peer got it.
+        owned: Option<TargetId>,
         attempt: PeerAttempt<E>,
     },
 }
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -1,12 +1,12 @@
-//! Forwards requests to peers while this instance can't reach their targets.
+//! Forwards requests to peers: while this instance can't reach their targets, and to the owners of brittle targets.
 //!
-//! A request is forwarded once only: the peer sends it to targets itself or refuses it. The instance that received
-//! it from the caller has authorized and charged it; the peer does the rest.
+//! The peer sends the request to targets itself or refuses it; only to the owner of a brittle target it may forward it once
+//! more. The instance that received it from the caller has authorized and charged it; the peer does the rest.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, ServiceId, WorkspaceId};
+use bluebellstage_core::{InstanceId, ServiceId, TargetId, WorkspaceId};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -55,6 +55,9 @@
     /// Where the stream began that the request continues.
     #[serde(default)]
     pub(super) stream: Option<StreamOrigin>,
+    /// The brittle target as whose owner the peer gets it.
+    #[serde(default)]
+    pub(super) owned: Option<TargetId>,
 }
 
 /// What became of a request that was forwarded to a peer.
@@ -94,6 +97,9 @@
     /// Service and software version of the target that answered.
     #[serde(default)]
     pub(super) stream: Option<StreamOrigin>,
+    /// Milliseconds for which the target gets no requests as whose owner the peer got the request.
+    #[serde(default)]
+    pub(super) rest_ms: u32,
 }
 
 fn header_value(value: &impl Serialize) -> Option<HeaderValue> {
@@ -159,6 +165,16 @@
         is_answered && !self.parts.status.is_server_error()
     }
 
+    /// Whether the request is not sent elsewhere after it: a peer that got it as the owner of a target may refuse it while
+    /// other targets have room.
+    fn ends_search(&self, to_owner: bool) -> bool {
+        match self.report.outcome {
+            ForwardOutcome::NoPath => false,
+            ForwardOutcome::NotRun => !to_owner,
+            ForwardOutcome::Answered | ForwardOutcome::Failed => true,
+        }
+    }
+
     /// Whether a target answered the request with success.
     pub(super) fn is_successful(&self) -> bool {
         self.report.outcome == ForwardOutcome::Answered && self.parts.status.is_success()
@@ -235,56 +251,90 @@
         }
     }
 
+    /// Whether a peer forwarded the request to this instance as the owner of a target.
+    pub(super) fn is_for_owner(&self) -> bool {
+        let forwarded = self.forwarded.as_ref();
+        forwarded.is_some_and(|forwarded| forwarded.owned.is_some())
+    }
+
     /// Forwards the request to a peer that it was not forwarded to before.
     fn forward_to_peer(&mut self) -> Step<E> {
         while self.tried_peers.len() < MAX_PEERS && self.time_left() > MIN_ATTEMPT_TIME {
             let service = &self.ticket.service;
             let sample = rand::rng().random_range(0..usize::MAX);
             let now = self.node.now();
-            let mut tables = self.node.tables();
-            let Some(peer) = tables.choose_peer(service, &self.tried_peers, sample, now) else {
+            let peer = self
+                .node
+                .tables()
+                .choose_peer(service, &self.tried_peers, sample, now);
+            let Some(peer) = peer else {
                 return Step::GoOn;
             };
-            if self.runs > 0 && !tables.take_retry(service, now) {
-                drop(tables);
-                return Step::Found(self.unserved(NO_RETRY_BUDGET));
-            }
-            if self.tried_peers.is_empty() {
-                // The peer counts it among the requests on which its retries are based.
-                tables.retries.forget_request(service);
-            }
-            drop(tables);
-            self.tried_peers.push(peer.name.clone());
-            if let Some(running) = self.open_peer_attempt(&peer) {
-                // It may run from now on, also if the search is dropped before it has ended.
-                self.runs += 1;
-                return Step::Sent(SentAttempt {
-                    recipient: Recipient::Peer(peer.name),
-                    sent: now,
-                    running,
-                });
+            if let Some(step) = self.forward(&peer, None) {
+                return step;
             }
         }
         Step::GoOn
     }
 
-    /// Decides what the end of an attempt at a peer means.
+    /// Forwards the request to the owner of a brittle target.
+    pub(super) fn forward_to_owner(&mut self, owner: &Member, target: TargetId) -> Step<E> {
+        let step = self.forward(owner, Some(target.clone()));
+        self.ticket.may_go_to_owner = self.tried_peers.len() < MAX_PEERS;
+        step.unwrap_or_else(|| {
+            self.refused.push(target);
+            Step::GoOn
+        })
+    }
+
+    /// Forwards the request to a peer, as the owner of a target if it is one. `None` if it can't be encoded.
+    fn forward(&mut self, peer: &Member, owned: Option<TargetId>) -> Option<Step<E>> {
+        let now = self.node.now();
+        let service = &self.ticket.service;
+        let mut tables = self.node.tables();
+        if self.runs > 0 && !tables.take_retry(service, now) {
+            drop(tables);
+            return Some(Step::Found(self.unserved(NO_RETRY_BUDGET)));
+        }
+        if self.tried_peers.is_empty() {
+            // The peer counts it among the requests on which its retries are based.
+            tables.retries.forget_request(service);
+        }
+        drop(tables);
+        self.tried_peers.push(peer.name.clone());
+        let running = self.open_peer_attempt(peer, owned)?;
+        // It may run from now on, also if the search is dropped before it has ended.
+        self.runs += 1;
+        Some(Step::Sent(SentAttempt {
+            recipient: Recipient::Peer(peer.name.clone()),
+            sent: now,
+            running,
+        }))
+    }
+
+    /// Decides what the end of an attempt at a peer means, which got it as the owner of `owned` if that is set.
     pub(super) fn settle_at_peer(
         &mut self,
         peer: &InstanceId,
         runs_before: u32,
+        owned: Option<TargetId>,
         attempt: PeerAttempt<E>,
     ) -> Step<E> {
-        self.record_forwarded(peer, &attempt);
+        self.record_forwarded(peer, owned.as_ref(), &attempt);
+        if let (Some(target), PeerAttempt::Response(response)) = (&owned, &attempt) {
+            let rest = Duration::from_millis(u64::from(response.report.rest_ms));
+            let now = self.node.now();
+            self.node.tables().record_rest_at_owner(target, rest, now);
+        }
         match attempt {
-            PeerAttempt::NotSent => {
+            PeerAttempt::Response(response) if !response.ends_search(owned.is_some()) => {
                 self.runs -= 1;
+                self.refused.extend(owned);
                 Step::GoOn
             }
-            PeerAttempt::Response(response)
-                if response.report.outcome == ForwardOutcome::NoPath =>
-            {
+            PeerAttempt::NotSent => {
                 self.runs -= 1;
+                self.refused.extend(owned);
                 Step::GoOn
             }
             PeerAttempt::Response(response) => {
@@ -334,7 +384,12 @@
         })
     }
 
-    fn record_forwarded(&self, peer: &InstanceId, attempt: &PeerAttempt<E>) {
+    fn record_forwarded(
+        &self,
+        peer: &InstanceId,
+        owned: Option<&TargetId>,
+        attempt: &PeerAttempt<E>,
+    ) {
         let outcome = match attempt {
             PeerAttempt::Response(response) => response.report.outcome.name(),
             PeerAttempt::NotSent => "not_sent",
@@ -345,14 +400,19 @@
             ("request", &*self.call.id),
             ("peer", peer.as_str()),
             ("outcome", outcome),
+            ("owner_of", owned.map_or("", TargetId::as_str)),
             ("ms", &*self.elapsed_ms()),
         ];
         event(LogEvent::RequestForwarded, &fields);
     }
 
     /// Forwards the request to a peer; `None` if it can't be encoded.
-    fn open_peer_attempt(&self, peer: &Member) -> Option<RunningAttempt<E>> {
-        let req = self.peer_request(peer)?;
+    fn open_peer_attempt(
+        &self,
+        peer: &Member,
+        owned: Option<TargetId>,
+    ) -> Option<RunningAttempt<E>> {
+        let req = self.peer_request(peer, owned.as_ref())?;
         let node = Arc::clone(&self.node);
         let reuse = self.ticket.route().kind != RouteKind::Unsafe;
         let time_left = self.time_left();
@@ -363,12 +423,17 @@
             EndedAttempt::AtPeer {
                 peer: peer.name,
                 runs_before,
+                owned,
                 attempt,
             }
         }))
     }
 
-    fn peer_request(&self, peer: &Member) -> Option<Request<Full<Bytes>>> {
+    fn peer_request(
+        &self,
+        peer: &Member,
+        owned: Option<&TargetId>,
+    ) -> Option<Request<Full<Bytes>>> {
         let forward = Forward {
             time_left: self.time_left(),
             target: peer.name.as_str(),
@@ -382,6 +447,7 @@
             workspace: self.ticket.workspace.clone(),
             runs: self.runs,
             stream: self.ticket.stream_origin(),
+            owned: owned.cloned(),
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
--- a/crates/gateway/src/net/response_head.rs
+++ b/crates/gateway/src/net/response_head.rs
@@ -58,19 +58,21 @@
         event(LogEvent::BrittlenessMalformed, &fields);
     }
     let mut tables = node.tables();
+    let Some(known) = tables.registry.get(sender.target).cloned() else {
+        return;
+    };
     let is_new = tables
         .brittle
-        .record(sender.target, sender.born, head.brittleness, sent, now);
+        .record(&known, sender.born, head.brittleness, sent, now);
     if head.not_run && head.rest == ReportedRest::None {
         tables.record_refusal(sender.target, now);
     }
-    let known = tables.registry.get(sender.target);
-    let borne = known.and_then(|known| tables.brittle.max_refusals(known));
+    let borne = tables.brittle.max_refusals(&known, now);
     drop(tables);
     if let Some(max_refusals) = borne
         && head.not_run
     {
-        node.metrics.brittle_target_refused();
+        node.metrics.brittle.target_refused();
         let max_refusals = max_refusals.to_string();
         let fields = [
             ("target", sender.target.as_str()),
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -7,6 +7,7 @@
 use tokio::net::UdpSocket;
 
 use crate::decide::pace::DroppedReports;
+use crate::decide::wait_queue::Room;
 use crate::edge::{Edge, Kind};
 use crate::error::GatewayError;
 use crate::settings::NodeSettings;
@@ -107,6 +108,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = node.now();
         node.tables().sweep(now);
+        wake_for_brittle_targets(&node, now);
         log_ended_departures(&node, now);
         log_dropped_reports(&node);
         quarantine::sweep(&node, now);
@@ -117,6 +119,13 @@
     }
 }
 
+/// Wakes waiting requests, as brittle targets bear refusals again without any other sign.
+fn wake_for_brittle_targets<E: Edge>(node: &Node<E>, now: Time) {
+    if !node.tables().brittle.is_empty(now) {
+        node.room_came(&Room::Anywhere);
+    }
+}
+
 /// Counts and logs the reports on the speed of targets that were dropped since the last sweep.
 fn log_dropped_reports<E: Edge>(node: &Node<E>) {
     let dropped = node.tables().pace.take_dropped();
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -210,10 +210,11 @@
                     load_at,
                 } => {
                     self.request_loads(load_at);
-                    return self.try_target(PickedTarget {
+                    return self.send_picked(PickedTarget {
                         target,
                         version,
                         trial,
+                        charged_at: None,
                     });
                 }
                 Pick::Load(target) => {
@@ -221,7 +222,9 @@
                         return Step::Found(refused);
                     }
                 }
-                Pick::Resting { left } if now + left < search.rest_until => {
+                Pick::Resting { left }
+                    if now + left < search.rest_until && !self.is_for_owner() =>
+                {
                     tokio::time::sleep(left).await;
                 }
                 pick => return Step::Found(self.nothing_found(&pick, now)),
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -54,6 +54,7 @@
             runs,
             reason: "refused before it was read".into(),
             stream: None,
+            rest_ms: 0,
         };
         report.add_to(res.headers_mut());
     }
@@ -192,6 +193,7 @@
         Some(forwarded) => {
             let workspace = forwarded.workspace.as_ref();
             let mut ticket = tables.admit_forwarded(call, workspace, draw, arrived)?;
+            ticket.may_go_to_owner = forwarded.owned.is_none();
             if let Some(origin) = &forwarded.stream {
                 ticket.hold_to(origin);
             }
--- /dev/null
+++ b/crates/gateway/tests/brittle.rs
@@ -0,0 +1,222 @@
+//! Tests of brittle targets before fleets of several sizes.
+
+mod support;
+
+use std::time::Duration;
+
+use bluebellstage_core::Time;
+use bluebellstage_gateway::decide::brittle::{BrittleTargets, ReportedBrittleness};
+use bluebellstage_gateway::decide::owner::{Owner, Way};
+use support::brittle::{MAX_REFUSALS, Simulation};
+use support::fleet::{Fleet, Network};
+use support::{at, target};
+
+/// Numbers of instances, failure domains and targets, and requests a second.
+const FLEETS: [(usize, usize, usize, u64); 3] =
+    [(8, 3, 6, 200), (75, 3, 6, 200), (380, 18, 30, 600)];
+
+/// Falls that users allow in one time in which a service's targets are brittle.
+fn allowed_falls(targets: usize) -> usize {
+    2 + targets / 10
+}
+
+/// Starts fleets of these sizes whose instances were told that the targets are brittle.
+fn fleets(
+    sizes: &[(usize, usize, usize, u64)],
+    seed: u64,
+) -> impl Iterator<Item = Simulation> + use<'_> {
+    sizes
+        .iter()
+        .map(move |(instances, domains, targets, rate)| {
+            let fleet = Fleet::start(*instances, *domains, seed);
+            let mut simulation = Simulation::start(fleet, *targets, true);
+            simulation.rate = *rate;
+            simulation
+        })
+}
+
+/// A request in a thousand may be refused where the other targets have room.
+fn assert_served(simulation: &Simulation) {
+    let Simulation {
+        served, refused, ..
+    } = simulation;
+    assert!(*served > 0);
+    assert!(
+        refused * 1_000 <= *served,
+        "{refused} refused, {served} served"
+    );
+}
+
+/// Guards against instances that together send more to a full target than it bears to refuse.
+#[test]
+fn full_brittle_targets_refuse_no_more_than_they_bear() {
+    for mut simulation in fleets(&FLEETS, 71) {
+        simulation.run_ms(200);
+        simulation.set_full(0, true);
+        simulation.set_full(1, true);
+        simulation.run_ms(1_500);
+        assert!(simulation.worst_second <= usize::try_from(MAX_REFUSALS).unwrap());
+        assert_eq!(simulation.falls, 0);
+        assert_served(&simulation);
+    }
+}
+
+/// Guards against a herd of instances that all see the same room.
+#[test]
+fn bursts_at_many_instances_do_not_make_brittle_targets_fall() {
+    for mut simulation in fleets(&FLEETS[..2], 72) {
+        simulation.burst = 100;
+        simulation.run_ms(1_500);
+        simulation.set_full(0, true);
+        simulation.run_ms(1_500);
+        assert_eq!(simulation.falls, 0);
+    }
+}
+
+/// Guards against restarted instances that know nothing of brittle targets, nor of their owners' refusals.
+#[test]
+fn restarts_in_series_do_not_make_brittle_targets_fall() {
+    for mut simulation in fleets(&FLEETS[..2], 73) {
+        simulation.fleet.network = Network::UNRELIABLE;
+        simulation.set_full(0, true);
+        for round in 0..6 {
+            simulation.run_ms(300);
+            let killed = (0..simulation.fleet.len()).filter(|idx| idx % 3 == round % 3);
+            let killed = killed.collect::<Vec<_>>();
+            for idx in &killed {
+                simulation.fleet.kill(*idx);
+            }
+            simulation.run_ms(200);
+            for idx in killed {
+                simulation.restart(idx);
+            }
+        }
+        simulation.run_ms(1_500);
+        assert!(simulation.falls <= allowed_falls(6), "{}", simulation.falls);
+    }
+}
+
+/// Guards against two parts of a fleet that both send as the owner.
+#[test]
+fn partitioned_fleets_do_not_make_brittle_targets_fall() {
+    for mut simulation in fleets(&FLEETS[..2], 74) {
+        simulation.set_full(0, true);
+        simulation.run_ms(500);
+        for other in 1..18 {
+            simulation.fleet.partitions.push((0, other));
+            simulation.fleet.partitions.push((other, 0));
+        }
+        simulation.run_ms(3_000);
+        simulation.fleet.partitions.clear();
+        simulation.run_ms(1_000);
+        assert_eq!(simulation.falls, 0);
+    }
+}
+
+fn brittle(max_refusals: u32) -> ReportedBrittleness {
+    ReportedBrittleness::Brittle(max_refusals)
+}
+
+fn now() -> Time {
+    at(0)
+}
+
+/// Guards against a target that is taken for a sound one because it has not spoken since it fell.
+#[test]
+fn a_new_incarnation_counts_as_brittle_until_it_speaks() {
+    let mut targets = BrittleTargets::default();
+    let fallen = target("c1", "court");
+    targets.record(&fallen, Some(1), brittle(6), now(), now());
+    let back = bluebellstage_gateway::decide::target::Target {
+        born: Some(2),
+        ..fallen
+    };
+    let other = target("c2", "court");
+    let of_other_service = target("e1", "writers");
+    assert_eq!(targets.max_refusals(&back, now()), Some(6));
+    assert_eq!(targets.max_refusals(&other, now()), Some(6));
+    assert_eq!(targets.max_refusals(&of_other_service, now()), None);
+    let later = now() + Duration::from_millis(10);
+    targets.record(&back, Some(2), ReportedBrittleness::None, later, later);
+    assert_eq!(targets.max_refusals(&back, later), None);
+    assert_eq!(targets.max_refusals(&other, later), Some(6));
+}
+
+/// Guards against a report that holds for good where nobody speaks any more.
+#[test]
+fn a_report_ends_after_a_time_without_a_word() {
+    let mut targets = BrittleTargets::default();
+    let target = target("c1", "court");
+    targets.record(&target, Some(1), brittle(6), now(), now());
+    let later = now() + Duration::from_secs(14);
+    assert_eq!(targets.max_refusals(&target, later), Some(6));
+    let later = now() + Duration::from_secs(15);
+    assert_eq!(targets.max_refusals(&target, later), None);
+    assert!(targets.is_empty(later));
+}
+
+/// Guards against an end of brittleness by an answer to a request from before the report.
+#[test]
+fn an_earlier_answer_does_not_withdraw_a_report() {
+    let mut targets = BrittleTargets::default();
+    let target = target("c1", "court");
+    let later = now() + Duration::from_millis(10);
+    targets.record(&target, Some(1), brittle(6), later, later);
+    targets.record(&target, Some(1), ReportedBrittleness::None, now(), later);
+    assert_eq!(targets.max_refusals(&target, later), Some(6));
+}
+
+/// Guards against requests under way that nobody counts as refusals yet.
+#[test]
+fn requests_without_an_answer_count_as_refusals_for_a_second() {
+    let mut targets = BrittleTargets::default();
+    let target = target("c1", "court");
+    targets.record(&target, Some(1), brittle(6), now(), now());
+    for _ in 0..3 {
+        assert!(targets.bears_refusal(&target, now()));
+        targets.record_sent(&target.id, now());
+    }
+    assert!(!targets.bears_refusal(&target, now()));
+    targets.record_taken(&target.id, now());
+    assert!(targets.bears_refusal(&target, now()));
+    targets.record_sent(&target.id, now());
+    let later = now() + Duration::from_millis(999);
+    assert!(!targets.bears_refusal(&target, later));
+    let later = now() + Duration::from_secs(1);
+    assert!(targets.bears_refusal(&target, later));
+}
+
+/// Guards against two instances that both take themselves for the owner, and against a target without one.
+#[test]
+fn each_target_has_one_owner() {
+    for mut simulation in fleets(&FLEETS[..2], 75) {
+        simulation.run_ms(500);
+        let now = simulation.fleet.now;
+        for number in 0..20 {
+            let target = target(&format!("c{number}"), "court");
+            let owners = (0..simulation.fleet.len())
+                .filter(|idx| simulation.fleet.tables(*idx).owner_of(&target, now) == Owner::Local);
+            assert_eq!(owners.count(), 1);
+        }
+    }
+}
+
+/// Guards against an instance that sends to a brittle target which it does not own.
+#[test]
+fn others_forward_requests_to_the_owner() {
+    let mut simulation = Simulation::start(Fleet::start(8, 3, 76), 2, true);
+    let now = simulation.fleet.now;
+    let id = target("c1", "court").id;
+    let ways = (0..8).map(|idx| {
+        let tables = simulation.fleet.tables_mut(idx);
+        let call = support::call("/file/1", Some("key-1"));
+        let ticket = tables.admit(&call, 0, now).unwrap();
+        let _updates_the_owners = tables.pick(&ticket, &call, &[], 0.5, now);
+        tables.way_to(&id, now)
+    });
+    let ways = ways.collect::<Vec<_>>();
+    let forwarded = ways.iter().filter(|way| matches!(way, Way::Owner(_)));
+    assert_eq!(forwarded.count(), 7);
+    let charged_at = Some(now);
+    assert!(ways.contains(&Way::Direct { charged_at }));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod answering;
+pub mod brittle;
 pub mod crashes;
 pub mod engine;
 pub mod fleet;
