Tell and count retries by cause, and what is left of their budget

BS3418 names each retry and its cause, two counters sum up those that were sent and those that the budget denied, and a gauge and the dump tell what is left. One function takes a retry and tells of it. No logic changes.

--- a/crates/gateway/src/decide/dump.rs
+++ b/crates/gateway/src/decide/dump.rs
@@ -67,6 +67,9 @@
     pub peers: Vec<PeerDump>,
     /// Quotas, by name of the workspace.
     pub quotas: Vec<QuotaDump>,
+    /// Retries, by service.
+    #[serde(default)]
+    pub retries: Vec<RetryDump>,
     /// Requests that wait for room, by service and rank.
     #[serde(default)]
     pub waiting: Vec<WaitingDump>,
@@ -203,6 +206,19 @@
     pub left: i64,
 }
 
+/// Retries of requests for a service within the window of their budget.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct RetryDump {
+    /// The service.
+    pub service: ServiceId,
+    /// Requests that this instance received.
+    pub requests: usize,
+    /// Requests that it sent once more.
+    pub retries: usize,
+    /// Requests that it may send once more now.
+    pub left: u32,
+}
+
 /// Requests of one rank that wait for room at a service.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct WaitingDump {
@@ -298,6 +314,7 @@
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
             quotas: self.quotas.dump(),
+            retries: self.dump_retries(now),
             waiting: self.dump_waiting_with(&self.peers.waiting(now)),
             short_of_room: self.fair_shares.short_services(now),
             shares: self.fair_shares.dump(),
--- a/crates/gateway/src/decide/retry_budget.rs
+++ b/crates/gateway/src/decide/retry_budget.rs
@@ -6,6 +6,8 @@
 use bluebellstage_core::{ServiceId, Time};
 use serde::{Deserialize, Serialize};
 
+use super::dump::RetryDump;
+
 /// Retry budget, as set by the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct RetryBudget {
@@ -17,6 +19,39 @@
     pub slack: f64,
 }
 
+/// Why a request is sent once more.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryCause {
+    /// The target did not run it.
+    #[default]
+    NotRun,
+    /// The attempt failed.
+    Failed,
+    /// Nothing is heard of the attempt.
+    Silent,
+    /// A kept connection ended when the request was in transit.
+    Ended,
+    /// The peer that it was forwarded to did not serve it.
+    Peer,
+    /// Its stream goes on elsewhere.
+    Resumed,
+}
+
+impl RetryCause {
+    /// Short name for metrics and the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+            Self::Ended => "ended",
+            Self::Peer => "peer",
+            Self::Resumed => "resumed",
+        }
+    }
+}
+
 /// Fraction of the budget that is used. The rest covers retries that fall into different windows here and at
 /// the target.
 const USED_FRACTION: f64 = 0.7;
@@ -44,6 +79,27 @@
     count as f64
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "what is left of a budget is a small number"
+)]
+fn to_u32(left: f64) -> u32 {
+    left.max(0.0) as u32
+}
+
+fn count_recent(times: &VecDeque<Time>, window: Duration, now: Time) -> usize {
+    let recent = times.iter().filter(|at| now.since(**at) <= window);
+    recent.count()
+}
+
+/// Returns how many retries an instance may send in a window in which it received so many requests. The slack is
+/// divided by the number of `instances` that share it.
+fn allowed(budget: RetryBudget, requests: usize, instances: usize) -> f64 {
+    let slack = budget.slack / to_f64(instances.max(1));
+    (budget.ratio * to_f64(requests) + slack) * USED_FRACTION
+}
+
 impl RetryCounts {
     /// Records a caller's request.
     pub fn record_request(&mut self, service: &ServiceId, now: Time) {
@@ -70,8 +126,7 @@
         let counts = self.services.entry(service.clone()).or_default();
         remove_expired(&mut counts.requests, budget.window, now);
         remove_expired(&mut counts.retries, budget.window, now);
-        let slack = budget.slack / to_f64(instances.max(1));
-        let allowed = (budget.ratio * to_f64(counts.requests.len()) + slack) * USED_FRACTION;
+        let allowed = allowed(budget, counts.requests.len(), instances);
         if to_f64(counts.retries.len()) + 1.0 > allowed {
             return false;
         }
@@ -79,6 +134,26 @@
         true
     }
 
+    /// Returns the counts of each service within the window: requests, retries, and retries that are left.
+    pub fn dump(
+        &self,
+        budget: RetryBudget,
+        instances: usize,
+        now: Time,
+    ) -> impl Iterator<Item = RetryDump> {
+        self.services.iter().map(move |(service, counts)| {
+            let [requests, retries] = [&counts.requests, &counts.retries]
+                .map(|times| count_recent(times, budget.window, now));
+            let left = allowed(budget, requests, instances) - to_f64(retries);
+            RetryDump {
+                service: service.clone(),
+                requests,
+                retries,
+                left: to_u32(left),
+            }
+        })
+    }
+
     /// Removes counts that are older than the window; called periodically to bound memory use.
     pub fn prune(&mut self, window: Duration, now: Time) {
         for counts in self.services.values_mut() {
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -11,6 +11,7 @@
 use super::call::Call;
 use super::config::Config;
 use super::departures::Departures;
+use super::dump::RetryDump;
 use super::evacuations::Evacuations;
 use super::exchange::Exchange;
 use super::fair_share::FairShares;
@@ -229,6 +230,18 @@
         self.retries.take_retry(service, self.budget, sharing, now)
     }
 
+    /// Returns the retries of each service within the window of the budget, sorted by name.
+    #[must_use]
+    pub fn dump_retries(&self, now: Time) -> Vec<RetryDump> {
+        let sharing = self.peers.sharing_count(now);
+        let mut dumped = self
+            .retries
+            .dump(self.budget, sharing, now)
+            .collect::<Vec<_>>();
+        dumped.sort_by(|a, b| a.service.cmp(&b.service));
+        dumped
+    }
+
     /// Returns the number of requests of this instance at a target.
     #[must_use]
     pub fn local_in_flight(&self, target: &TargetId) -> u32 {
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -17,6 +17,7 @@
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::ranked_tokens::RankClass;
 use crate::decide::rests::ReportedRest;
+use crate::decide::retry_budget::RetryCause;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
@@ -32,6 +33,7 @@
 use super::response_head::{
     ResponseSender, record_brittleness, record_response_head, record_taken,
 };
+use super::retries::take_retry;
 use super::target_connection::open;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
@@ -433,7 +435,7 @@
     let Ok(connection) = open(node, target, address, CONNECT_TIMEOUT).await else {
         return Exchange::Failed(Failure::Broken);
     };
-    if !may_repeat(node, target) {
+    if !may_repeat(node, target, params.call) {
         node.pool.put(target, connection, None);
         return Exchange::Failed(Failure::Broken);
     }
@@ -446,15 +448,16 @@
 }
 
 /// Whether a request may be sent once more to the target that it was sent to, which may refuse it.
-fn may_repeat<E: Edge>(node: &Node<E>, target: &TargetId) -> bool {
-    let now = node.now();
-    let mut tables = node.tables();
-    let service = tables
+fn may_repeat<E: Edge>(node: &Node<E>, target: &TargetId, call: &Call) -> bool {
+    let service = node
+        .tables()
         .registry
         .get(target)
         .map(|known| known.service.clone());
-    let is_within_budget = service.is_some_and(|service| tables.take_retry(&service, now));
-    is_within_budget && matches!(tables.way_to(target, now), Way::Direct { .. })
+    let is_within_budget =
+        service.is_some_and(|service| take_retry(node, &service, &call.id, RetryCause::Ended));
+    let now = node.now();
+    is_within_budget && matches!(node.tables().way_to(target, now), Way::Direct { .. })
 }
 
 fn target_request<E: Edge>(
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -10,6 +10,7 @@
 use crate::decide::health::{MAX_SILENCE, TargetOutcome};
 use crate::decide::owner::Way;
 use crate::decide::quarantine::InterruptedRun;
+use crate::decide::retry_budget::RetryCause;
 use crate::decide::silence::{SenderNews, Silence, SilenceAction};
 use crate::decide::tables::Tables;
 use crate::edge::Edge;
@@ -26,6 +27,7 @@
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
 use super::peer_forwarding::until_doubted;
 use super::quarantine;
+use super::retries::take_retry;
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 
@@ -102,7 +104,7 @@
     fn try_target(&mut self, picked: PickedTarget) -> Step<E> {
         let sent = self.node.now();
         let service = &self.ticket.service;
-        if self.sends > 0 && !self.node.tables().take_retry(service, sent) {
+        if self.sends > 0 && !take_retry(&self.node, service, &self.call.id, self.retry_cause) {
             return Step::Found(self.unserved(NO_RETRY_BUDGET));
         }
         let target = picked.target.clone();
@@ -198,6 +200,7 @@
                 doubt.name()
             }
         };
+        self.retry_cause = RetryCause::Silent;
         let silent = self.node.now().since(sent);
         self.log_silence(recipient.as_str(), cause, silent);
     }
@@ -248,6 +251,7 @@
             Attempt::Collected(response) => Step::Found(self.accept_collected(response)),
             Attempt::NotRun(reason) => {
                 self.runs -= 1;
+                self.retry_cause = RetryCause::NotRun;
                 self.log_not_run(&target, reason);
                 if reason == NotRunReason::Misdirected && Tables::adapter_of(&self.call).is_some() {
                     // The adapter is not loaded yet or was evicted. The engine may still serve the request
@@ -280,6 +284,7 @@
             }
             Attempt::Failed(failed_run) => {
                 self.log_failed_attempt(&target, &format!("{:?}", failed_run.failure));
+                self.retry_cause = RetryCause::Failed;
                 self.check_for_crash(&target, failed_run).await;
                 if !self.may_retry() {
                     let failed = SearchOutcome::MayHaveRun("the target gave no whole answer");
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::call::Call;
 use crate::decide::quarantine::Fingerprint;
+use crate::decide::retry_budget::RetryCause;
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
@@ -44,6 +45,8 @@
     pub(super) runs: u32,
     /// Attempts that were sent.
     pub(super) sends: u32,
+    /// Why it would be sent once more.
+    pub(super) retry_cause: RetryCause,
     /// When the last attempt began that could not connect, until it is known whether a path is lost.
     pub(super) unreached_at: Option<Time>,
     /// Time spent waiting for the request's adapter.
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -182,6 +182,8 @@
     RunNotReplaced = 3416, Info, "nothing replaces the silent run: it is awaited";
     /// A brittle target refused a request.
     BrittleRefused = 3417, Info, "brittle target refused a request";
+    /// A request is sent to a target once more.
+    RequestRetried = 3418, Debug, "request sent once more";
     /// Reports of other instances on the speed of targets were dropped.
     PaceDropped = 3420, Info, "reports on the speed of targets dropped";
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -16,6 +16,7 @@
 use super::connection_metrics::ConnectionMetrics;
 use super::crash_metrics::CrashMetrics;
 use super::memory_metrics::MemoryMetrics;
+use super::retry_metrics::RetryMetrics;
 use super::stream_metrics::StreamMetrics;
 use super::wait_metrics::WaitMetrics;
 
@@ -31,6 +32,7 @@
     pub(super) callers: ConnectionMetrics,
     pub(super) crashes: CrashMetrics,
     pub(super) memory: MemoryMetrics,
+    pub(super) retries: RetryMetrics,
     pub(super) streams: StreamMetrics,
     pub(super) waits: WaitMetrics,
     requests: Counter<u64>,
@@ -179,6 +181,7 @@
             callers: ConnectionMetrics::new(&instruments),
             crashes: CrashMetrics::new(&instruments),
             memory: MemoryMetrics::new(&instruments),
+            retries: RetryMetrics::new(&instruments),
             streams: StreamMetrics::new(&instruments),
             waits: WaitMetrics::new(&instruments),
             instruments,
@@ -300,6 +303,7 @@
         self.lost_services
             .record(count(tables.partitions.lost().count()), &[]);
         self.crashes.record(tables, now);
+        self.retries.record(tables, now);
         self.streams.record(tables, now);
         self.waits.record(tables);
         self.departing.record(count(tables.departures.count()), &[]);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -7,6 +7,8 @@
 pub mod keepalive;
 pub mod log;
 pub mod node;
+mod retries;
+mod retry_metrics;
 pub mod run;
 
 mod accept;
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -17,6 +17,7 @@
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
 use crate::decide::peers::Member;
+use crate::decide::retry_budget::RetryCause;
 use crate::decide::stream_origins::StreamOrigin;
 use crate::edge::{Edge, Protocol};
 
@@ -28,6 +29,7 @@
 use super::node::Node;
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
 use super::pool::{Answer, BUF_SIZE, Connection, SendFailure};
+use super::retries::take_retry;
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
 use super::sockets::connect;
@@ -291,16 +293,13 @@
     fn forward(&mut self, peer: &Member, owned: Option<TargetId>) -> Option<Step<E>> {
         let now = self.node.now();
         let service = &self.ticket.service;
-        let mut tables = self.node.tables();
-        if self.runs > 0 && !tables.take_retry(service, now) {
-            drop(tables);
+        if self.runs > 0 && !take_retry(&self.node, service, &self.call.id, self.retry_cause) {
             return Some(Step::Found(self.unserved(NO_RETRY_BUDGET)));
         }
         if self.tried_peers.is_empty() {
             // The peer counts it among the requests on which its retries are based.
-            tables.retries.forget_request(service);
+            self.node.tables().retries.forget_request(service);
         }
-        drop(tables);
         self.tried_peers.push(peer.name.clone());
         let running = self.open_peer_attempt(peer, owned)?;
         // It may run from now on, also if the search is dropped before it has ended.
@@ -320,6 +319,7 @@
         owned: Option<TargetId>,
         attempt: PeerAttempt<E>,
     ) -> Step<E> {
+        self.retry_cause = RetryCause::Peer;
         self.record_forwarded(peer, owned.as_ref(), &attempt);
         if let (Some(target), PeerAttempt::Response(response)) = (&owned, &attempt) {
             let rest = Duration::from_millis(u64::from(response.report.rest_ms));
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -11,6 +11,7 @@
 use crate::decide::call::Call;
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::refused_body::UploadBounds;
+use crate::decide::retry_budget::RetryCause;
 use crate::decide::tables::{Refusal, Ticket};
 use crate::edge::{Edge, Protocol};
 
@@ -106,6 +107,7 @@
         refused: Vec::new(),
         runs: forwarded.as_ref().map_or(0, |forwarded| forwarded.runs),
         sends: 0,
+        retry_cause: RetryCause::default(),
         unreached_at: None,
         load_waited: Duration::ZERO,
         last_send: None,
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -14,6 +14,7 @@
 use crate::decide::call::Call;
 use crate::decide::health::MAX_SILENCE;
 use crate::decide::quarantine::{Fingerprint, InterruptedRun};
+use crate::decide::retry_budget::RetryCause;
 use crate::decide::silence::{Silence, SilenceAction};
 use crate::decide::stream_times::StreamTimes;
 use crate::edge::Edge;
@@ -405,6 +406,7 @@
     /// Prepares the request to go on after the last event that the caller has, at another target.
     fn prepare_search(&mut self) {
         Arc::make_mut(&mut self.job.call).resume_after = self.last_id;
+        self.job.retry_cause = RetryCause::Resumed;
         if !self.has_started && self.is_single_source {
             self.job.ticket.software = None;
         }
