Count the attempts of a request over its hops

A request that a peer had sent in vain arrived once more without a retry being taken: the origin counted what may have run, not what had arrived, and what a target rejected has not run. So a rejected request was forwarded for nothing, the peer's first send was free to it, and so was the origin's next one.

A hop now carries how often the request has reached targets, and brings back how often it has after it. Who writes it to a target takes the retry, if it was or may have been sent before; the hop itself takes none.

--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -233,10 +233,10 @@
             } => self.settle_at_target(target, sent, attempt).await,
             EndedAttempt::AtPeer {
                 peer,
-                runs_before,
+                before,
                 owned,
                 attempt,
-            } => self.settle_at_peer(&peer, runs_before, owned, attempt),
+            } => self.settle_at_peer(&peer, before, owned, attempt),
         }
     }
 
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -43,7 +43,7 @@
     pub(super) refused: Vec<TargetId>,
     /// Attempts that ran or may have run.
     pub(super) runs: u32,
-    /// Attempts that were sent.
+    /// Attempts that reached targets or may have, here or at peers. Each but the first takes a retry.
     pub(super) sends: u32,
     /// Why it would be sent once more.
     pub(super) retry_cause: RetryCause,
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -209,6 +209,7 @@
         let report = ForwardReport {
             outcome,
             runs: self.runs,
+            sends: self.sends,
             reason: reason.into(),
             stream: self.software.clone().map(|software| StreamOrigin {
                 service: ShortHash::of(self.ticket.service.as_str()),
--- a/crates/gateway/src/net/open_attempts.rs
+++ b/crates/gateway/src/net/open_attempts.rs
@@ -29,6 +29,15 @@
     }
 }
 
+/// Counts of a request's attempts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct AttemptCounts {
+    /// Those that ran or may have run.
+    pub(super) runs: u32,
+    /// Those that reached targets or may have.
+    pub(super) sends: u32,
+}
+
 /// How an attempt ended.
 pub(super) enum EndedAttempt<E: Edge> {
     /// It was sent to a target.
@@ -40,8 +49,8 @@
     /// It was forwarded to a peer.
     AtPeer {
         peer: InstanceId,
-        /// Attempts that had run or may have run when it was forwarded.
-        runs_before: u32,
+        /// The attempts before it was forwarded.
+        before: AttemptCounts,
         /// The target as whose owner the peer got it.
         owned: Option<TargetId>,
         attempt: PeerAttempt<E>,
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -27,11 +27,10 @@
 use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
+use super::open_attempts::{AttemptCounts, EndedAttempt, Recipient, RunningAttempt, SentAttempt};
 use super::pool::{Answer, BUF_SIZE, Connection, SendFailure};
-use super::retries::take_retry;
 use super::search::Step;
-use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
+use super::search_outcome::SearchOutcome;
 use super::sockets::connect;
 
 /// Header of a request that an instance forwards to a peer; contains a [`ForwardedRequest`].
@@ -54,6 +53,9 @@
     pub(super) workspace: Option<WorkspaceId>,
     /// Attempts that ran or may have run.
     pub(super) runs: u32,
+    /// Attempts that reached targets or may have.
+    #[serde(default)]
+    pub(super) sends: u32,
     /// Where the stream began that the request continues.
     #[serde(default)]
     pub(super) stream: Option<StreamOrigin>,
@@ -94,6 +96,9 @@
     pub(super) outcome: ForwardOutcome,
     /// Attempts that ran or may have run, including earlier ones.
     pub(super) runs: u32,
+    /// Attempts that reached targets or may have, including earlier ones.
+    #[serde(default)]
+    pub(super) sends: u32,
     /// Why the peer refused it; empty if it did not.
     pub(super) reason: Box<str>,
     /// Service and software version of the target that answered.
@@ -293,17 +298,16 @@
     fn forward(&mut self, peer: &Member, owned: Option<TargetId>) -> Option<Step<E>> {
         let now = self.node.now();
         let service = &self.ticket.service;
-        if self.runs > 0 && !take_retry(&self.node, service, &self.call.id, self.retry_cause) {
-            return Some(Step::Found(self.unserved(NO_RETRY_BUDGET)));
-        }
         if self.tried_peers.is_empty() {
             // The peer counts it among the requests on which its retries are based.
             self.node.tables().retries.forget_request(service);
         }
         self.tried_peers.push(peer.name.clone());
         let running = self.open_peer_attempt(peer, owned)?;
-        // It may run from now on, also if the search is dropped before it has ended.
+        // It may run from now on, also if the search is dropped before it has ended. If it was sent before, the peer
+        // takes a retry when it sends it.
         self.runs += 1;
+        self.sends += 1;
         Some(Step::Sent(SentAttempt {
             recipient: Recipient::Peer(peer.name.clone()),
             sent: now,
@@ -315,7 +319,7 @@
     pub(super) fn settle_at_peer(
         &mut self,
         peer: &InstanceId,
-        runs_before: u32,
+        before: AttemptCounts,
         owned: Option<TargetId>,
         attempt: PeerAttempt<E>,
     ) -> Step<E> {
@@ -328,19 +332,18 @@
         }
         match attempt {
             PeerAttempt::Response(response) if !response.ends_search(owned.is_some()) => {
-                self.runs -= 1;
+                self.count_at_peer(before, &response.report);
                 self.refused.extend(owned);
                 Step::GoOn
             }
             PeerAttempt::NotSent => {
                 self.runs -= 1;
+                self.sends -= 1;
                 self.refused.extend(owned);
                 Step::GoOn
             }
             PeerAttempt::Response(response) => {
-                // What the peer has sent takes the place of the one attempt that was counted when it was forwarded.
-                self.runs += response.report.runs.saturating_sub(runs_before);
-                self.runs -= 1;
+                self.count_at_peer(before, &response.report);
                 Step::Found(SearchOutcome::PeerResponse(response))
             }
             PeerAttempt::Broken if self.may_retry() => Step::GoOn,
@@ -350,6 +353,12 @@
         }
     }
 
+    /// Counts what a peer has sent in place of the one attempt that was counted when the request was forwarded.
+    fn count_at_peer(&mut self, before: AttemptCounts, report: &ForwardReport) {
+        self.runs = self.runs - 1 + report.runs.saturating_sub(before.runs);
+        self.sends = self.sends - 1 + report.sends.saturating_sub(before.sends);
+    }
+
     /// Forwards a peer's response to the caller, or decides that the request is sent again.
     pub(super) async fn finish_at_peer(&mut self, response: PeerResponse<E>) -> PeerResult<E> {
         let is_answered = response.report.outcome == ForwardOutcome::Answered;
@@ -417,12 +426,15 @@
         let reuse = self.ticket.route().kind != RouteKind::Unsafe;
         let time_left = self.time_left();
         let peer = peer.clone();
-        let runs_before = self.runs;
+        let before = AttemptCounts {
+            runs: self.runs,
+            sends: self.sends,
+        };
         Some(Box::pin(async move {
             let attempt = exchange(node, &peer, req, reuse, time_left).await;
             EndedAttempt::AtPeer {
                 peer: peer.name,
-                runs_before,
+                before,
                 owned,
                 attempt,
             }
@@ -446,6 +458,7 @@
             origin: self.node.settings.member.name.clone(),
             workspace: self.ticket.workspace.clone(),
             runs: self.runs,
+            sends: self.sends,
             stream: self.ticket.stream_origin(),
             owned: owned.cloned(),
         };
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -47,12 +47,13 @@
         return malformed_response(&node, body, "malformed forwarded request");
     };
     head.headers.remove(REQUEST_HEADER);
-    let runs = forwarded.runs;
+    let (runs, sends) = (forwarded.runs, forwarded.sends);
     let mut res = serve_from(node, head, body, Some(forwarded)).await;
     if !res.headers().contains_key(REPORT_HEADER) {
         let report = ForwardReport {
             outcome: ForwardOutcome::NoPath,
             runs,
+            sends,
             reason: "refused before it was read".into(),
             stream: None,
             rest_ms: 0,
@@ -106,7 +107,7 @@
         tried: Vec::new(),
         refused: Vec::new(),
         runs: forwarded.as_ref().map_or(0, |forwarded| forwarded.runs),
-        sends: 0,
+        sends: forwarded.as_ref().map_or(0, |forwarded| forwarded.sends),
         retry_cause: RetryCause::default(),
         unreached_at: None,
         load_waited: Duration::ZERO,
