Count a request once for the budget of retries

Each peer to which a request was forwarded counted it among those on which its budget is based, and the origin forgot one, the last that it had recorded, whichever that was: with a second peer the budget grew by a request that no caller had sent.

A hop now says whether the peer counts the request: the first one does, and the origin forgets the request's own record.

--- a/crates/gateway/src/decide/admission.rs
+++ b/crates/gateway/src/decide/admission.rs
@@ -71,6 +71,7 @@
             }
         }
         self.retries.record_request(service, now);
+        let counted_at = Some(now);
         let rank = workspace.and_then(|workspace| workspace.rank);
         Ok(Ticket {
             service: service.clone(),
@@ -81,13 +82,15 @@
             software: None,
             patience: None,
             waits: false,
+            counted_at,
             may_go_to_owner: true,
             route,
             routes,
         })
     }
 
-    /// Admits a request that a peer forwards and has charged to `workspace`. `draw` is a random number.
+    /// Admits a request that a peer forwards and has charged to `workspace`. The budget of retries is based on it here if it
+    /// `counts`, else at another instance. `draw` is a random number.
     ///
     /// # Errors
     ///
@@ -96,6 +99,7 @@
         &mut self,
         call: &Call,
         workspace: Option<&WorkspaceId>,
+        counts: bool,
         draw: u64,
         now: Time,
     ) -> Result<Ticket, Refusal> {
@@ -107,7 +111,10 @@
         let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
         let known = workspace.map(|name| routes.workspace_named(name).ok_or(Refusal::UnknownKey));
         let rank = known.transpose()?.and_then(|known| known.rank);
-        self.retries.record_request(service, now);
+        let counted_at = counts.then_some(now);
+        if counts {
+            self.retries.record_request(service, now);
+        }
         Ok(Ticket {
             service: service.clone(),
             workspace: workspace.cloned(),
@@ -117,6 +124,7 @@
             software: None,
             patience: None,
             waits: false,
+            counted_at,
             may_go_to_owner: true,
             route,
             routes,
--- a/crates/gateway/src/decide/retry_budget.rs
+++ b/crates/gateway/src/decide/retry_budget.rs
@@ -129,11 +129,13 @@
         counts.requests.push_back(now);
     }
 
-    /// Forgets the last request that was recorded: another instance sends it to targets and records it.
-    pub fn forget_request(&mut self, service: &ServiceId) {
-        if let Some(counts) = self.services.get_mut(service) {
-            counts.requests.pop_back();
-        }
+    /// Forgets a request that was recorded at `recorded_at`: the peer that it is forwarded to records it.
+    pub fn forget_request(&mut self, service: &ServiceId, recorded_at: Time) {
+        let Some(counts) = self.services.get_mut(service) else {
+            return;
+        };
+        let idx = counts.requests.iter().rposition(|at| *at == recorded_at);
+        idx.and_then(|idx| counts.requests.remove(idx));
     }
 
     /// Takes one retry out of the budget; returns false if the instance's share is used up.
--- a/crates/gateway/src/decide/ticket.rs
+++ b/crates/gateway/src/decide/ticket.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, ServiceId, SoftwareVersion, WorkspaceId};
+use bluebellstage_core::{Revision, ServiceId, SoftwareVersion, Time, WorkspaceId};
 
 use super::config::Route;
 use super::ranked_tokens::RankClass;
@@ -35,6 +35,8 @@
     pub patience: Option<Patience>,
     /// Whether it has waited for room.
     pub waits: bool,
+    /// When it was recorded here as one on which the budget of retries is based; `None` if another instance records it.
+    pub counted_at: Option<Time>,
     /// Whether it may be forwarded to the owner of a brittle target.
     pub may_go_to_owner: bool,
 }
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -56,6 +56,9 @@
     /// Attempts that reached targets or may have.
     #[serde(default)]
     pub(super) sends: u32,
+    /// Whether the peer counts it among the requests on which the budget of retries is based.
+    #[serde(default)]
+    pub(super) counts: bool,
     /// Where the stream began that the request continues.
     #[serde(default)]
     pub(super) stream: Option<StreamOrigin>,
@@ -298,12 +301,22 @@
     fn forward(&mut self, peer: &Member, owned: Option<TargetId>) -> Option<Step<E>> {
         let now = self.node.now();
         let service = &self.ticket.service;
-        if self.tried_peers.is_empty() {
-            // The peer counts it among the requests on which its retries are based.
-            self.node.tables().retries.forget_request(service);
+        let counted_at = self.ticket.counted_at.take();
+        if let Some(counted_at) = counted_at {
+            let retries = &mut self.node.tables().retries;
+            retries.forget_request(service, counted_at);
         }
         self.tried_peers.push(peer.name.clone());
-        let running = self.open_peer_attempt(peer, owned)?;
+        let forwarded = ForwardedRequest {
+            origin: self.node.settings.member.name.clone(),
+            workspace: self.ticket.workspace.clone(),
+            runs: self.runs,
+            sends: self.sends,
+            counts: counted_at.is_some(),
+            stream: self.ticket.stream_origin(),
+            owned,
+        };
+        let running = self.open_peer_attempt(peer, forwarded)?;
         // It may run from now on, also if the search is dropped before it has ended. If it was sent before, the peer
         // takes a retry when it sends it.
         self.runs += 1;
@@ -419,23 +432,23 @@
     fn open_peer_attempt(
         &self,
         peer: &Member,
-        owned: Option<TargetId>,
+        forwarded: ForwardedRequest,
     ) -> Option<RunningAttempt<E>> {
-        let req = self.peer_request(peer, owned.as_ref())?;
+        let req = self.peer_request(peer, &forwarded)?;
         let node = Arc::clone(&self.node);
         let reuse = self.ticket.route().kind != RouteKind::Unsafe;
         let time_left = self.time_left();
         let peer = peer.clone();
         let before = AttemptCounts {
-            runs: self.runs,
-            sends: self.sends,
+            runs: forwarded.runs,
+            sends: forwarded.sends,
         };
         Some(Box::pin(async move {
             let attempt = exchange(node, &peer, req, reuse, time_left).await;
             EndedAttempt::AtPeer {
                 peer: peer.name,
                 before,
-                owned,
+                owned: forwarded.owned,
                 attempt,
             }
         }))
@@ -444,7 +457,7 @@
     fn peer_request(
         &self,
         peer: &Member,
-        owned: Option<&TargetId>,
+        forwarded: &ForwardedRequest,
     ) -> Option<Request<Full<Bytes>>> {
         let forward = Forward {
             time_left: self.time_left(),
@@ -454,20 +467,12 @@
             priority: None,
             resume_after: self.call.resume_after,
         };
-        let forwarded = ForwardedRequest {
-            origin: self.node.settings.member.name.clone(),
-            workspace: self.ticket.workspace.clone(),
-            runs: self.runs,
-            sends: self.sends,
-            stream: self.ticket.stream_origin(),
-            owned: owned.cloned(),
-        };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
         *req.uri_mut() = self.head.uri.clone();
         *req.headers_mut() = self.node.protocol.forward_headers(&self.head, &forward);
         req.headers_mut()
-            .insert(REQUEST_HEADER, header_value(&forwarded)?);
+            .insert(REQUEST_HEADER, header_value(forwarded)?);
         Some(req)
     }
 }
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -195,7 +195,8 @@
         None => tables.admit(call, draw, arrived),
         Some(forwarded) => {
             let workspace = forwarded.workspace.as_ref();
-            let mut ticket = tables.admit_forwarded(call, workspace, draw, arrived)?;
+            let mut ticket =
+                tables.admit_forwarded(call, workspace, forwarded.counts, draw, arrived)?;
             ticket.may_go_to_owner = forwarded.owned.is_none();
             if let Some(origin) = &forwarded.stream {
                 ticket.hold_to(origin);
--- a/crates/gateway/tests/support/brittle.rs
+++ b/crates/gateway/tests/support/brittle.rs
@@ -247,7 +247,7 @@
         let sample = self.fleet.random_fraction();
         let tables = self.fleet.tables_mut(idx);
         let call = call("/file/1", Some("key-1"));
-        let Ok(mut ticket) = tables.admit_forwarded(&call, None, 0, now) else {
+        let Ok(mut ticket) = tables.admit_forwarded(&call, None, false, 0, now) else {
             self.refused += 1;
             return;
         };
