Discard a request that is given up before its path delivered it

A request that had its answer from another target arrived at the first one as well, up to 4.5 s later, when the path between them healed: closing its connection leaves the kernel to send what it holds. Such arrivals come together with the repeats of that time, though they were counted in the window in which they were sent.

A connection whose request has no response yet is reset when it is dropped; the kernel discards what it has not delivered. The handle of the socket, which told whether an idle connection is usable, does that.

--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -17,7 +17,7 @@
 
 use crate::decide::response_heads::ResponseHeads;
 
-use super::target_socket::{IdleProbe, SharedHeads, TargetSocket};
+use super::target_socket::{SharedHeads, SocketHandle, TargetSocket};
 
 /// Fraction of a target's idle limit for which a connection is reused. The target started its idle timer
 /// earlier than the pool, and a request that is sent while the target closes the connection may be lost.
@@ -68,16 +68,18 @@
     tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     heads: SharedHeads,
-    idle_probe: IdleProbe,
+    socket: SocketHandle,
     /// Whether it was idle before: its other side may close it at any time.
     reused: bool,
+    /// Whether a request was sent that has no response yet.
+    awaits_response: bool,
 }
 
 impl Connection {
     pub(super) async fn handshake(stream: TcpStream, buf_size: usize) -> hyper::Result<Self> {
         let heads = SharedHeads::default();
         let socket = TargetSocket::new(stream, heads.clone());
-        let idle_probe = socket.idle_probe();
+        let handle = socket.handle();
         let (tx, driver) = Builder::new()
             .max_buf_size(buf_size)
             .handshake(TokioIo::new(socket))
@@ -90,8 +92,9 @@
             tx,
             task: tokio::spawn(drive).abort_handle(),
             heads,
-            idle_probe,
+            socket: handle,
             reused: false,
+            awaits_response: false,
         })
     }
 
@@ -107,7 +110,10 @@
         *self.heads.lock() = ResponseHeads::default();
         let heads = self.heads.clone();
         hyper::ext::on_informational(&mut req, move |_head| heads.lock().record_informational());
-        match self.tx.try_send_request(req).await {
+        self.awaits_response = true;
+        let sent = self.tx.try_send_request(req).await;
+        self.awaits_response = sent.is_err();
+        match sent {
             // An upgrade that was not requested.
             Ok(response) if response.status().is_informational() => {
                 Err(SendFailure::WrongAnswer("a switch of protocols".into()))
@@ -133,12 +139,15 @@
 
     /// Whether it can carry a request, as far as this process and the kernel know.
     fn is_usable(&self) -> bool {
-        self.tx.is_ready() && self.idle_probe.is_open_and_empty()
+        self.tx.is_ready() && self.socket.is_open_and_empty()
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.awaits_response {
+            self.socket.discard_on_close();
+        }
         self.task.abort();
     }
 }
--- a/crates/gateway/src/net/sockets.rs
+++ b/crates/gateway/src/net/sockets.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::keepalive;
+use super::log::{LogEvent, event};
 
 /// Length of the accept queue. A full queue costs the caller a second.
 const BACKLOG: i32 = 1_024;
@@ -24,14 +25,20 @@
         .set_tcp_nodelay(true)
         .and_then(|()| sock.set_tcp_user_timeout(Some(keepalive::USER_TIMEOUT)))
         .and_then(|()| sock.set_tcp_keepalive(&keepalive));
+    log_failure(set);
+}
+
+fn log_failure(set: std::io::Result<()>) {
     if let Err(err) = set {
-        super::log::event(
-            super::log::LogEvent::SocketOption,
-            &[("cause", &err.to_string())],
-        );
+        event(LogEvent::SocketOption, &[("cause", &err.to_string())]);
     }
 }
 
+/// Makes the close of a connection reset it. A failure is only logged.
+pub(super) fn set_reset_on_close(stream: &TcpStream) {
+    log_failure(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
+}
+
 /// Bounds what the kernel buffers in each direction of a listener's connections, which the memory budget doesn't see.
 /// A failure is only logged.
 pub(super) fn limit_buffers(listener: &TcpListener) {
@@ -39,12 +46,7 @@
     let set = sock
         .set_send_buffer_size(CALLER_BUFFER)
         .and_then(|()| sock.set_recv_buffer_size(CALLER_BUFFER));
-    if let Err(err) = set {
-        super::log::event(
-            super::log::LogEvent::SocketOption,
-            &[("cause", &err.to_string())],
-        );
-    }
+    log_failure(set);
 }
 
 /// Opens a listener on an address.
--- a/crates/gateway/src/net/target_socket.rs
+++ b/crates/gateway/src/net/target_socket.rs
@@ -12,6 +12,8 @@
 
 use crate::decide::response_heads::{NextRead, PART_BYTES, ResponseHeads};
 
+use super::sockets::set_reset_on_close;
+
 /// What has arrived since the last request, shared by a socket and the exchange that uses it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SharedHeads(Arc<Mutex<ResponseHeads>>);
@@ -26,11 +28,11 @@
     stream.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Tells whether an idle connection can be used, without keeping it open.
+/// The socket of a connection, which it does not keep open.
 #[derive(Debug)]
-pub(super) struct IdleProbe(Weak<Mutex<TcpStream>>);
+pub(super) struct SocketHandle(Weak<Mutex<TcpStream>>);
 
-impl IdleProbe {
+impl SocketHandle {
     /// Whether the connection is open and nothing lies unread on it, as the kernel knows: the end of the stream may not
     /// have been reported to this process yet, and bytes that belong to no request make the connection useless.
     pub(super) fn is_open_and_empty(&self) -> bool {
@@ -40,6 +42,14 @@
         let peeked = SockRef::from(&*lock(&stream)).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
     }
+
+    /// Makes the close of the connection discard what has not been delivered. Otherwise the kernel goes on sending it,
+    /// and a request that was given up arrives once its path heals. A failure is only logged.
+    pub(super) fn discard_on_close(&self) {
+        if let Some(stream) = self.0.upgrade() {
+            set_reset_on_close(&lock(&stream));
+        }
+    }
 }
 
 /// The socket of a connection to a target or peer.
@@ -57,8 +67,8 @@
         }
     }
 
-    pub(super) fn idle_probe(&self) -> IdleProbe {
-        IdleProbe(Arc::downgrade(&self.stream))
+    pub(super) fn handle(&self) -> SocketHandle {
+        SocketHandle(Arc::downgrade(&self.stream))
     }
 
     fn poll_read_any(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
