Leave a process that follows no other its whole retry budget

Cause: each new process was taken for the successor of one that had used its part. What tells the two apart is the registration: an instance that creates it follows no other process, or one that stopped as planned and took it away; one that finds it there follows a process that was killed. The first now has the whole part of an instance, once the list of instances tells how many share it. After a planned stop the former process has spent little in its last seconds, as callers have left it; that both together stay within one part is not shown.

--- a/crates/gateway/src/decide/retry_budget.rs
+++ b/crates/gateway/src/decide/retry_budget.rs
@@ -55,8 +55,8 @@
 /// Fraction of the budget that a process uses. The rest is for the process that follows it, and for retries that
 /// fall into different windows here and at the target.
 const USED_FRACTION: f64 = 0.7;
-/// The same for a process that is younger than the window: the one before it may have used its fraction just before
-/// it ended.
+/// The same for a process that is younger than the window and follows another one, which may have used its fraction
+/// just before it ended.
 const NEW_PROCESS_USED_FRACTION: f64 = 0.25;
 
 /// What an instance's part of the budget depends on.
@@ -64,8 +64,9 @@
 pub struct RetryShare {
     /// Number of instances that share the slack.
     pub instances: usize,
-    /// Time since the process started.
-    pub uptime: Duration,
+    /// Time for which the process has earned its part: since its start, or the whole window if no other process ran
+    /// before it.
+    pub earned_for: Duration,
 }
 
 impl RetryShare {
@@ -75,13 +76,13 @@
     /// than one that lives on.
     fn allowed(self, budget: RetryBudget, requests: usize) -> f64 {
         let slack = budget.slack / to_f64(self.instances.max(1));
-        let lived = self.uptime.as_secs_f64() / budget.window.as_secs_f64();
-        let used = if lived < 1.0 {
+        let earned = self.earned_for.as_secs_f64() / budget.window.as_secs_f64();
+        let used = if earned < 1.0 {
             NEW_PROCESS_USED_FRACTION
         } else {
             USED_FRACTION
         };
-        (budget.ratio * to_f64(requests) + slack * lived.min(1.0)) * used
+        (budget.ratio * to_f64(requests) + slack * earned.min(1.0)) * used
     }
 }
 
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -116,6 +116,8 @@
     pub exchange: Exchange,
     /// Whether a planned stop was requested.
     pub stopping: bool,
+    /// Whether no other process is known to have run under the name of this instance.
+    pub is_first_process: bool,
     /// Since when too few preferred instances follow the store.
     pub(super) follower_missing_since: Option<Time>,
     budget: RetryBudget,
@@ -163,6 +165,7 @@
             store_calls: StoreCalls::default(),
             exchange: Exchange::default(),
             stopping: false,
+            is_first_process: false,
             follower_missing_since: None,
             budget,
             in_flight: HashMap::new(),
@@ -237,7 +240,15 @@
         } else {
             self.peers.sharing_count(now)
         };
-        RetryShare { instances, uptime }
+        let earned_for = if self.is_first_process {
+            uptime.max(self.budget.window)
+        } else {
+            uptime
+        };
+        RetryShare {
+            instances,
+            earned_for,
+        }
     }
 
     /// Returns the retries of each service within the window of the budget, sorted by name.
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -248,6 +248,7 @@
     let content = Content::Member(Box::new(member));
     let mut backoff = REGISTER_BACKOFF[0];
     let mut expected_revision = None;
+    let mut is_first_process = true;
     while !node.is_stopping() {
         let written = node
             .store
@@ -255,8 +256,14 @@
             .await;
         node.mark_registration_tried();
         match written {
-            Ok(_revision) => return,
+            Ok(_revision) => {
+                // The list of instances tells with how many the budgets are shared.
+                node.wait_for_peer_list().await;
+                node.tables().is_first_process = is_first_process;
+                return;
+            }
             Err(StoreError::Conflict) => {
+                is_first_process = false;
                 let previous = node.store.read(Kind::Members, &name).await;
                 expected_revision = previous.ok().flatten().map(|object| object.revision);
             }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -158,7 +158,7 @@
     };
     let share = RetryShare {
         instances: 8,
-        uptime: Duration::from_mins(1),
+        earned_for: Duration::from_mins(1),
     };
     let mut counts = RetryCounts::default();
     let mut retries = 0;
