Count peers that a new process has not seen among those that share connections

A process that has just started and has heard nobody took the connections of all instances to each target for its own: after a kill of all, eight of them could open 680 where 100 are allowed, and those beyond are reset.

One function now tells it, for retries, connections and memory at targets; the quotas had a rule of their own, which is the same now.

gateway/tests/exchange, a_new_process_opens_no_more_than_its_part_of_a_targets_connections: red before, passes.

--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -222,7 +222,7 @@
         }
         self.pace.record_sums(&update.pace, now);
         let mut waiting = update.waiting;
-        self.bound_waiting(&mut waiting, self.peers.sharing_count(now));
+        self.bound_waiting(&mut waiting, self.sharing_count(now));
         let sums = Sums {
             loads: update.loads,
             waiting,
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -337,31 +337,21 @@
         peer.is_some_and(|peer| peer.seen_within(DOWN_THRESHOLD, now))
     }
 
-    /// Number of instances that share quotas, budgets and connections, including this one.
+    /// Number of instances that share quotas, budgets and connections, including this one. One that is `new` may not have
+    /// seen all registered peers yet; those that it has not seen are assumed to share, too.
     #[must_use]
-    pub fn sharing_count(&self, now: Time) -> usize {
-        let is_sharing = |peer: &&Peer| peer.seen_within(GONE_THRESHOLD, now);
+    pub fn sharing_count(&self, new: bool, now: Time) -> usize {
+        let is_sharing = |peer: &&Peer| {
+            peer.seen_within(GONE_THRESHOLD, now) || (new && peer.last_seen.is_none())
+        };
         1 + self.known.values().filter(is_sharing).count()
     }
 
-    /// Number of instances that may share budgets from the point of view of a process that has not seen all of them yet:
-    /// those that it has never seen count as well.
-    #[must_use]
-    pub fn expected_count(&self, now: Time) -> usize {
-        let unseen = self.known.values().filter(|peer| peer.last_seen.is_none());
-        self.sharing_count(now) + unseen.count()
-    }
-
-    /// Fraction of the sharing instances that are down, between 0 and 1. An instance that is `new`
-    /// may not have seen all registered peers yet; those that it has not seen are assumed to spend,
-    /// too.
+    /// Fraction of the sharing instances that are down, between 0 and 1, from the point of view of an instance that is
+    /// `new` or not.
     #[must_use]
     pub fn down_fraction(&self, new: bool, now: Time) -> f64 {
-        let undiscovered = self
-            .known
-            .values()
-            .filter(|peer| new && peer.last_seen.is_none());
-        let sharing = self.sharing_count(now) + undiscovered.count();
+        let sharing = self.sharing_count(new, now);
         let down = sharing - 1 - self.live(now).count();
         let [down, sharing] = [down, sharing].map(|count| u32::try_from(count).unwrap_or(1));
         f64::from(down) / f64::from(sharing)
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -396,7 +396,7 @@
     /// instances together may open `max_connections`.
     #[must_use]
     pub fn connection_limit(&self, max_connections: u32, now: Time) -> u32 {
-        let instances = u32::try_from(self.peers.sharing_count(now)).unwrap_or(u32::MAX);
+        let instances = u32::try_from(self.sharing_count(now)).unwrap_or(u32::MAX);
         let share = f64::from(max_connections) * USABLE_CONNECTION_FRACTION / f64::from(instances);
         #[expect(
             clippy::cast_possible_truncation,
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -235,22 +235,24 @@
 
     fn retry_share(&self, now: Time) -> RetryShare {
         let uptime = now.since(self.started);
-        let instances = if uptime < self.budget.window {
-            self.peers.expected_count(now)
-        } else {
-            self.peers.sharing_count(now)
-        };
         let earned_for = if self.is_first_process {
             uptime.max(self.budget.window)
         } else {
             uptime
         };
         RetryShare {
-            instances,
+            instances: self.sharing_count(now),
             earned_for,
         }
     }
 
+    /// Number of instances that share budgets and connections, including this one. A new process counts those that it
+    /// has not seen yet.
+    #[must_use]
+    pub fn sharing_count(&self, now: Time) -> usize {
+        self.peers.sharing_count(self.is_new(now), now)
+    }
+
     /// Returns the retries of each service within the window of the budget, sorted by name.
     #[must_use]
     pub fn dump_retries(&self, now: Time) -> Vec<RetryDump> {
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -261,7 +261,7 @@
     let Some(memory) = &node.memory else {
         return Ok(None);
     };
-    let sharing = node.tables().peers.sharing_count(node.now());
+    let sharing = node.tables().sharing_count(node.now());
     let bytes = u64::try_from(params.body.len()).unwrap_or(u64::MAX);
     match memory.start_at_target(target, bytes, sharing) {
         Some(started) => Ok(Some(started)),
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -520,3 +520,22 @@
         assert_eq!(role.name(), name);
     }
 }
+
+/// Guards against a new process that takes the connections of all instances until it has heard its peers.
+#[test]
+fn a_new_process_opens_no_more_than_its_part_of_a_targets_connections() {
+    let mut fleet = Fleet::start(8, 3, 91);
+    fleet.run_ms(3_000);
+    for idx in 0..8 {
+        fleet.kill(idx);
+    }
+    for idx in 0..8 {
+        fleet.restart(idx, false);
+    }
+    for _ in 0..40 {
+        fleet.run_ms(50);
+        let now = fleet.now;
+        let limits = (0..8).map(|idx| fleet.tables(idx).connection_limit(100, now));
+        assert!(limits.sum::<u32>() <= 100);
+    }
+}
