--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -25,7 +25,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::{EndedAttempt, Recipient, RunningAttempt, SentAttempt};
-use super::peer_forwarding::until_doubted;
+use super::peer_doubt::until_doubted;
 use super::quarantine;
 use super::retries::take_retry;
 use super::search::Step;
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -13,11 +13,12 @@
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
+use super::forwarded_request::ForwardedRequest;
 use super::local_response::ResponseBody;
 use super::node::Node;
 use super::open_attempts::OpenAttempts;
 use super::origins::Continuation;
-use super::peer_forwarding::{ForwardedRequest, PeerResult};
+use super::peer_forwarding::PeerResult;
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
 use super::stream;
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -13,13 +13,13 @@
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::NotRunReason;
+use super::forwarded_request::{ForwardOutcome, ForwardReport};
 use super::front::Job;
 use super::local_response::{
     ResponseBody, error_response, late_retry_after, rest_retry_after, room_retry_after,
     share_retry_after, spread_retry_after,
 };
 use super::log::{LogEvent, event};
-use super::peer_forwarding::{ForwardOutcome, ForwardReport};
 use super::search_outcome::SearchOutcome;
 
 impl<E: Edge> Job<E> {
--- a/crates/gateway/src/net/open_attempts.rs
+++ b/crates/gateway/src/net/open_attempts.rs
@@ -10,7 +10,7 @@
 use crate::edge::Edge;
 
 use super::attempt::Attempt;
-use super::peer_forwarding::PeerAttempt;
+use super::peer_exchange::PeerAttempt;
 
 /// To whom an attempt was sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/gateway/src/net/search_outcome.rs
+++ b/crates/gateway/src/net/search_outcome.rs
@@ -6,7 +6,7 @@
 use crate::edge::Edge;
 
 use super::attempt::{CollectedResponse, TargetResponse};
-use super::peer_forwarding::PeerResponse;
+use super::peer_exchange::PeerResponse;
 
 /// Message for a request that is rejected because it would wait in a queue for too long.
 pub(super) const TOO_LATE: &str = "engines would begin it too late: try again";
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -16,13 +16,13 @@
 use crate::edge::{Edge, Protocol};
 
 use super::caller_memory::CallerMemory;
+use super::forwarded_request::{
+    ForwardOutcome, ForwardReport, ForwardedRequest, REPORT_HEADER, REQUEST_HEADER,
+};
 use super::front::{Job, RESPONSE_MARGIN, time_limit};
 use super::local_response::{ResponseBody, error_response, refusal_response, spread_retry_after};
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::peer_forwarding::{
-    ForwardOutcome, ForwardReport, ForwardedRequest, REPORT_HEADER, REQUEST_HEADER,
-};
 use super::request_body::{BodyFailure, RequestBody, read_body};
 
 /// Reason of a refusal in metrics and the log.
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -27,7 +27,7 @@
 use super::log::{LogEvent, event};
 use super::node::Node;
 use super::open_attempts::OpenAttempts;
-use super::peer_forwarding::PeerResponse;
+use super::peer_exchange::PeerResponse;
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
 use super::stream_source::{Source, source_of};
--- a/crates/gateway/src/net/stream_source.rs
+++ b/crates/gateway/src/net/stream_source.rs
@@ -11,7 +11,7 @@
 use crate::edge::Edge;
 
 use super::attempt::TargetStream;
-use super::peer_forwarding::PeerStream;
+use super::peer_exchange::PeerStream;
 use super::search_outcome::SearchOutcome;
 
 /// The target or peer that sends the events of a stream.
