Use a target that is sound again without its former owner

A target that had answered soundly, while others of its service were still brittle, was left to the owner that it had: the owner was remembered, not whether the target is brittle. An instance that got a request as an owner could not use it, and others forwarded to it for nothing.

The owner of a target that is not brittle is not asked for any more. gateway/tests/brittle, a_target_that_is_sound_again_is_used_by_all: red before, passes.

--- a/crates/gateway/src/decide/owner.rs
+++ b/crates/gateway/src/decide/owner.rs
@@ -74,9 +74,10 @@
         live * 2 < others || (self.is_new(now) && (others == 0 || live < others))
     }
 
-    /// Returns the owner of a brittle target, if it is known.
-    pub(super) fn brittle_owner(&self, target: &TargetId) -> Option<&Owner> {
-        self.owners.by_target.get(target)
+    /// Returns the owner of a target; `None` if the target is not brittle, or its owner is not determined yet.
+    pub(super) fn brittle_owner(&self, target: &Target, now: Time) -> Option<&Owner> {
+        self.brittle.max_refusals(target, now)?;
+        self.owners.by_target.get(&target.id)
     }
 
     /// Determines the owners of the brittle targets that have none yet.
@@ -128,7 +129,7 @@
         let Some(known) = brittle else {
             return Way::Direct { charged_at: None };
         };
-        match self.brittle_owner(target) {
+        match self.brittle_owner(known, now) {
             Some(Owner::Local) if self.brittle.bears_refusal(known, now) => {
                 self.brittle.record_sent(target, now);
                 Way::Direct {
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -86,7 +86,7 @@
             return self.pick_of_any_owner(ticket, call, tried, sample, now);
         }
         self.update_owners(now);
-        let (of_peers, unowned) = self.brittle_targets_of_others(ticket);
+        let (of_peers, unowned) = self.brittle_targets_of_others(ticket, now);
         let mut excluded = tried.to_vec();
         excluded.extend(unowned);
         if of_peers.is_empty() {
@@ -107,12 +107,16 @@
     }
 
     /// Returns the brittle targets that peers own, and those whose owner is not known.
-    fn brittle_targets_of_others(&self, ticket: &Ticket) -> (Vec<TargetId>, Vec<TargetId>) {
+    fn brittle_targets_of_others(
+        &self,
+        ticket: &Ticket,
+        now: Time,
+    ) -> (Vec<TargetId>, Vec<TargetId>) {
         let allowed = self.registry.all();
         let allowed = allowed.filter(|target| ticket.allows(target));
         let (mut of_peers, mut unowned) = (Vec::new(), Vec::new());
         for target in allowed {
-            match self.brittle_owner(&target.id) {
+            match self.brittle_owner(target, now) {
                 None | Some(Owner::Local) => {}
                 Some(Owner::Peer(_)) => of_peers.push(target.id.clone()),
                 Some(Owner::Unknown) => unowned.push(target.id.clone()),
@@ -303,7 +307,7 @@
             let mut prompts = self.queues.local_tokens(&target.id);
             prompts.add(others.prompts);
             let speed = self.pace.speed(PaceTarget::from(*target), now);
-            let limit = match self.brittle_owner(&target.id) {
+            let limit = match self.brittle_owner(target, now) {
                 Some(Owner::Local) => owner_limit,
                 _ => limit,
             };
@@ -347,7 +351,7 @@
     /// Whether a target that has `in_flight` requests of all instances may get another one from here or from its owner,
     /// if it is brittle.
     fn bears_request(&self, target: &Target, in_flight: u32, now: Time) -> bool {
-        let is_owned_by_peer = matches!(self.brittle_owner(&target.id), Some(Owner::Peer(_)));
+        let is_owned_by_peer = matches!(self.brittle_owner(target, now), Some(Owner::Peer(_)));
         self.brittle.has_room(target, in_flight, now)
             && (is_owned_by_peer || self.brittle.bears_refusal(target, now))
     }
--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -7,6 +7,7 @@
 use bluebellstage_core::Time;
 use bluebellstage_gateway::decide::brittle::{BrittleTargets, ReportedBrittleness};
 use bluebellstage_gateway::decide::owner::{Owner, Way};
+use bluebellstage_gateway::decide::placement::Pick;
 use support::brittle::{MAX_REFUSALS, Simulation};
 use support::fleet::{Fleet, Network};
 use support::{at, target};
@@ -220,3 +221,29 @@
     let charged_at = Some(now);
     assert!(ways.contains(&Way::Direct { charged_at }));
 }
+
+/// Guards against a sound target that others leave to the owner that it had while it was brittle.
+#[test]
+fn a_target_that_is_sound_again_is_used_by_all() {
+    let mut simulation = Simulation::start(Fleet::start(8, 3, 77), 2, true);
+    let now = simulation.fleet.now;
+    let sound = target("c1", "court");
+    for idx in 0..8 {
+        let tables = simulation.fleet.tables_mut(idx);
+        let call = support::call("/file/1", Some("key-1"));
+        let mut ticket = tables.admit(&call, 0, now).unwrap();
+        let _updates_the_owners = tables.pick(&ticket, &call, &[], 0.5, now);
+        let reported = ReportedBrittleness::None;
+        tables
+            .brittle
+            .record(&sound, sound.born, reported, now, now);
+        ticket.may_go_to_owner = false;
+        let tried = [target("c0", "court").id];
+        let pick = tables.pick(&ticket, &call, &tried, 0.5, now);
+        assert!(matches!(pick, Pick::Send { target, .. } if target == sound.id));
+        assert_eq!(
+            tables.way_to(&sound.id, now),
+            Way::Direct { charged_at: None }
+        );
+    }
+}
