--- a/crates/gateway/src/net/response_head.rs
+++ b/crates/gateway/src/net/response_head.rs
@@ -7,6 +7,7 @@
 use crate::decide::call::ResponseHead;
 use crate::decide::departures::ReportedDeparture;
 use crate::decide::rests::ReportedRest;
+use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 use crate::edge::{Edge, Protocol};
 
@@ -58,16 +59,17 @@
         event(LogEvent::BrittlenessMalformed, &fields);
     }
     let mut tables = node.tables();
-    let Some(known) = tables.registry.get(sender.target).cloned() else {
+    let Tables {
+        registry, brittle, ..
+    } = &mut *tables;
+    let Some(known) = registry.get(sender.target) else {
         return;
     };
-    let is_new = tables
-        .brittle
-        .record(&known, sender.born, head.brittleness, sent, now);
+    let is_new = brittle.record(known, sender.born, head.brittleness, sent, now);
+    let borne = brittle.max_refusals(known, now);
     if head.not_run && head.rest == ReportedRest::None {
         tables.record_refusal(sender.target, now);
     }
-    let borne = tables.brittle.max_refusals(&known, now);
     drop(tables);
     if let Some(max_refusals) = borne
         && head.not_run
