--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub mod loader;
 pub mod memory_budget;
 pub mod owner;
+mod owner_picking;
 pub mod pace;
 pub mod partition;
 mod path_checks;
