Keep a told report of brittle targets when an answer from before it arrives

An instance that had only been told that a service's targets are brittle took one of them for sound when an answer without the report arrived, although its request had been sent before the trouble: it then sent there as to a sound target, one request too many for each such instance.

Cause: an answer from before a report was told apart by the target's own last report, of which such an instance has none. The beginning of the time in which a service's targets are brittle is kept now; an answer to a request from before it withdraws nothing.

gateway/tests/brittle, an_earlier_answer_does_not_withdraw_what_others_told: red before (listed by reading as left), passes.

--- a/crates/gateway/src/decide/brittle/mod.rs
+++ b/crates/gateway/src/decide/brittle/mod.rs
@@ -43,6 +43,8 @@
 struct ServiceReport {
     max_refusals: u32,
     reported_at: Time,
+    /// Since when the service's targets have been brittle.
+    since: Time,
 }
 
 impl ServiceReport {
@@ -65,8 +67,8 @@
 
 impl BrittleTargets {
     /// Records what an incarnation of a target, which started at `born`, reports in its answer to a request that was
-    /// sent at `sent`. An answer to a request from before the last report does not withdraw it. Returns whether the
-    /// target was not known to be brittle.
+    /// sent at `sent`. An answer to a request from before the target's last report, or from before others of its service
+    /// were brittle, does not withdraw what is known. Returns whether the target was not known to be brittle.
     pub fn record(
         &mut self,
         target: &Target,
@@ -83,16 +85,18 @@
             ReportedBrittleness::None => None,
         };
         if let Some(max_refusals) = max_refusals {
-            let report = ServiceReport {
-                max_refusals,
-                reported_at: now,
-            };
-            self.by_service.insert(service_hash(target), report);
+            self.renew_service_report(service_hash(target), max_refusals, now, now);
         } else if known.is_some_and(|known| sent < known.reported_at) {
             return false;
-        } else if self.service_report(target, now).is_none() {
-            self.by_target.remove(&target.id);
-            return false;
+        } else {
+            match self.service_report(target, now) {
+                None => {
+                    self.by_target.remove(&target.id);
+                    return false;
+                }
+                Some(of_service) if sent < of_service.since => return false,
+                Some(_) => {}
+            }
         }
         let report = TargetReport {
             born,
@@ -104,6 +108,25 @@
         max_refusals.is_some() && !was_brittle
     }
 
+    /// Records that a target of a service reported at `reported_at` that it is brittle. Whether a report is the first of
+    /// a time in which the service's targets are brittle is seen from `now`.
+    fn renew_service_report(
+        &mut self,
+        service: ShortHash,
+        max_refusals: u32,
+        reported_at: Time,
+        now: Time,
+    ) {
+        let known = self.by_service.get(&service);
+        let known = known.filter(|known| known.is_current(now));
+        let report = ServiceReport {
+            max_refusals,
+            reported_at,
+            since: known.map_or(reported_at, |known| known.since),
+        };
+        self.by_service.insert(service, report);
+    }
+
     fn service_report(&self, target: &Target, now: Time) -> Option<ServiceReport> {
         let report = self.by_service.get(&service_hash(target)).copied();
         report.filter(|report| report.is_current(now))
--- a/crates/gateway/src/decide/brittle/reports.rs
+++ b/crates/gateway/src/decide/brittle/reports.rs
@@ -5,7 +5,7 @@
 use bluebellstage_core::Time;
 use serde::{Deserialize, Serialize};
 
-use super::{BrittleTargets, ServiceReport};
+use super::{BrittleTargets, REPORT_TTL};
 use crate::decide::rendezvous::ShortHash;
 
 /// What a response reports about whether its target is brittle.
@@ -50,13 +50,11 @@
 
     /// Applies a report of another instance, if it is newer than what is known.
     pub fn apply(&mut self, report: &BrittleReport, now: Time) {
-        let told = ServiceReport {
-            max_refusals: report.max_refusals,
-            reported_at: now - Duration::from_millis(u64::from(report.age_ms)),
-        };
+        let reported_at = now - Duration::from_millis(u64::from(report.age_ms));
         let known = self.by_service.get(&report.service);
-        if told.is_current(now) && known.is_none_or(|known| known.reported_at < told.reported_at) {
-            self.by_service.insert(report.service, told);
+        let is_newer = known.is_none_or(|known| known.reported_at < reported_at);
+        if is_newer && now.since(reported_at) < REPORT_TTL {
+            self.renew_service_report(report.service, report.max_refusals, reported_at, now);
         }
     }
 }
--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bluebellstage_core::Time;
-use bluebellstage_gateway::decide::brittle::{BrittleTargets, ReportedBrittleness};
+use bluebellstage_gateway::decide::brittle::{BrittleReport, BrittleTargets, ReportedBrittleness};
 use bluebellstage_gateway::decide::owner::{Owner, Way};
 use bluebellstage_gateway::decide::placement::Pick;
+use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use support::brittle::{MAX_REFUSALS, Simulation};
 use support::fleet::{Fleet, Network};
 use support::{at, target};
@@ -167,6 +168,27 @@
     assert_eq!(targets.max_refusals(&target, later), Some(6));
 }
 
+/// Guards against an answer from before the trouble that makes an instance which was only told take a target for sound.
+#[test]
+fn an_earlier_answer_does_not_withdraw_what_others_told() {
+    let mut targets = BrittleTargets::default();
+    let told = BrittleReport {
+        service: ShortHash::of("court"),
+        max_refusals: 6,
+        age_ms: 0,
+    };
+    let target = target("c1", "court");
+    let [begun, renewed, answered] = [10, 200, 210].map(|ms| now() + Duration::from_millis(ms));
+    targets.apply(&told, begun);
+    targets.apply(&told, renewed);
+    let sound = ReportedBrittleness::None;
+    targets.record(&target, Some(1), sound, now(), answered);
+    assert_eq!(targets.max_refusals(&target, answered), Some(6));
+    let since = begun + Duration::from_millis(1);
+    targets.record(&target, Some(1), sound, since, answered);
+    assert_eq!(targets.max_refusals(&target, answered), None);
+}
+
 /// Guards against requests under way that nobody counts as refusals yet.
 #[test]
 fn requests_without_an_answer_count_as_refusals_for_a_second() {
