Play the restarts of brittle targets' senders under bursts

The test passed with every guard taken out: single requests hardly meet a full target while its senders restart.

--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -96,6 +96,7 @@
 fn restarts_in_series_do_not_make_brittle_targets_fall() {
     for mut simulation in fleets(&FLEETS[..2], 73) {
         simulation.fleet.network = Network::UNRELIABLE;
+        simulation.burst = 20;
         simulation.set_full(0, true);
         for round in 0..6 {
             simulation.run_ms(300);
