--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -1,73 +1,38 @@
 //! Sends one attempt of a request to one target.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{AdapterVersion, SoftwareVersion, TargetId, Time};
+use bluebellstage_core::{AdapterVersion, TargetId, Time};
 use bytes::Bytes;
-use http::{Request, StatusCode, request, response};
-use http_body_util::Full;
+use http::{StatusCode, request, response};
 use hyper::body::Incoming;
 
 use crate::decide::call::{Call, Forward, ResponseHead};
 use crate::decide::health::TargetOutcome;
 use crate::decide::limits::{Change, ReportedLimit};
-use crate::decide::owner::Way;
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::ranked_tokens::RankClass;
 use crate::decide::rests::ReportedRest;
-use crate::decide::retry_budget::RetryCause;
 use crate::decide::tables::Tables;
-use crate::edge::{Edge, Protocol};
+use crate::edge::Edge;
 
-use super::caller_memory::CallerMemory;
 use super::framing::Framing;
 use super::in_flight::InFlight;
 use super::log::{LogEvent, event};
 use super::memory::BytesAtTarget;
 use super::node::Node;
-use super::pass_through::{Buffered, CollectedBody, Passing, collect};
-use super::pool::{Answer, Connection, SendFailure};
+use super::pool::Connection;
 use super::quarantine::until_refused;
 use super::response_head::{
     ResponseSender, record_brittleness, record_response_head, record_taken,
 };
-use super::retries::take_retry;
-use super::target_connection::open;
+use super::target_exchange::{Exchange, exchange};
+use super::target_response::{CollectedResponse, TargetResponse};
 
-/// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time within which a connection that was closed when a request was in transit ends. Later, the request has begun to
-/// run, and its target must not be given the same time again.
-const MAX_TRANSIT: Duration = Duration::from_millis(100);
 /// Max size of a response body that is no stream.
 pub(super) const MAX_BUFFERED_BYTES: usize = 4 * 1_024 * 1_024;
 
-/// A response of a target whose body has not been read.
-#[derive(Debug)]
-pub(super) struct TargetResponse<E: Edge> {
-    pub(super) parts: response::Parts,
-    pub(super) head: ResponseHead,
-    pub(super) body: Incoming,
-    pub(super) in_flight: InFlight<E>,
-    framing: Framing,
-    connection: Connection,
-    /// Counts what is buffered, if memory is limited.
-    caller: Option<Arc<CallerMemory>>,
-}
-
-/// A response of a target that is no stream.
-#[derive(Debug)]
-pub(super) struct CollectedResponse<E: Edge> {
-    pub(super) parts: response::Parts,
-    pub(super) body: CollectedBody<E>,
-    pub(super) target: TargetId,
-    /// Software version of the target when the request was sent.
-    pub(super) software: SoftwareVersion,
-    pub(super) sent: Time,
-}
-
 /// Why an attempt failed that may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Failure {
@@ -236,7 +201,7 @@
 }
 
 /// Records what an attempt that failed shows of its target.
-fn record_failed_attempt<E: Edge>(
+pub(super) fn record_failed_attempt<E: Edge>(
     in_flight: &mut InFlight<E>,
     failure: Failure,
     params: SendParams<'_>,
@@ -357,218 +322,3 @@
         caller: params.head.extensions.get().cloned(),
     }))
 }
-
-enum Exchange {
-    Response(Box<response::Parts>, Incoming, Connection),
-    Unreachable,
-    Failed(Failure),
-}
-
-impl Exchange {
-    const fn name(&self) -> &'static str {
-        match self {
-            Self::Response(..) => "answer",
-            Self::Unreachable => "unreachable",
-            Self::Failed(Failure::Broken) => "broken",
-            Self::Failed(Failure::Silent) => "silent",
-            Self::Failed(Failure::Outdated) => "outdated",
-            Self::Failed(Failure::WrongAnswer) => "wrong_answer",
-            Self::Failed(Failure::TooLong) => "too_long",
-            Self::Failed(Failure::Quarantined) => "quarantined",
-        }
-    }
-}
-
-impl From<Result<Answer, SendFailure>> for Exchange {
-    fn from(sent: Result<Answer, SendFailure>) -> Self {
-        match sent {
-            Ok((response, connection)) => {
-                let (parts, body) = response.into_parts();
-                Self::Response(Box::new(parts), body, connection)
-            }
-            Err(SendFailure::NotSent(_)) => Self::Unreachable,
-            Err(SendFailure::Broken(_) | SendFailure::Ended(_)) => Self::Failed(Failure::Broken),
-            Err(SendFailure::WrongAnswer(_)) => Self::Failed(Failure::WrongAnswer),
-        }
-    }
-}
-
-async fn exchange<E: Edge>(
-    node: &Arc<Node<E>>,
-    target: &TargetId,
-    address: SocketAddr,
-    params: SendParams<'_>,
-    forward: &Forward<'_>,
-) -> Exchange {
-    let started = node.now();
-    let req = target_request(node, params, forward);
-    let sent = if params.reuse == Reuse::Never {
-        Err(SendFailure::NotSent(Box::new(req)))
-    } else {
-        node.pool.send(target, req).await
-    };
-    match sent {
-        Err(SendFailure::NotSent(req)) => {
-            match open(node, target, address, CONNECT_TIMEOUT).await {
-                Ok(connection) => connection.send(*req).await.into(),
-                Err(_unreachable) => Exchange::Unreachable,
-            }
-        }
-        Err(SendFailure::Ended(_))
-            if params.reuse == Reuse::Repeat && node.now().since(started) < MAX_TRANSIT =>
-        {
-            repeat(node, target, address, params, forward).await
-        }
-        sent => sent.into(),
-    }
-}
-
-/// Sends a request again to a target that closed its connection when the request was in transit, if the target still
-/// takes connections and the retry budget allows it: the request may have run.
-async fn repeat<E: Edge>(
-    node: &Arc<Node<E>>,
-    target: &TargetId,
-    address: SocketAddr,
-    params: SendParams<'_>,
-    forward: &Forward<'_>,
-) -> Exchange {
-    let Ok(connection) = open(node, target, address, CONNECT_TIMEOUT).await else {
-        return Exchange::Failed(Failure::Broken);
-    };
-    if !may_repeat(node, target, params.call) {
-        node.pool.put(target, connection, None);
-        return Exchange::Failed(Failure::Broken);
-    }
-    node.metrics.attempt_ended("ended_idle");
-    let req = target_request(node, params, forward);
-    match connection.send(req).await.into() {
-        Exchange::Unreachable => Exchange::Failed(Failure::Broken),
-        ended => ended,
-    }
-}
-
-/// Whether a request may be sent once more to the target that it was sent to, which may refuse it.
-fn may_repeat<E: Edge>(node: &Node<E>, target: &TargetId, call: &Call) -> bool {
-    let service = node
-        .tables()
-        .registry
-        .get(target)
-        .map(|known| known.service.clone());
-    let is_within_budget =
-        service.is_some_and(|service| take_retry(node, &service, &call.id, RetryCause::Ended));
-    let now = node.now();
-    is_within_budget && matches!(node.tables().way_to(target, now), Way::Direct { .. })
-}
-
-fn target_request<E: Edge>(
-    node: &Node<E>,
-    params: SendParams<'_>,
-    forward: &Forward<'_>,
-) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(params.body.clone()));
-    *req.method_mut() = params.head.method.clone();
-    *req.uri_mut() = params.head.uri.clone();
-    *req.headers_mut() = node.protocol.forward_headers(params.head, forward);
-    req
-}
-
-impl<E: Edge> TargetResponse<E> {
-    /// Reads the complete body, then returns the connection to the pool if it can be reused.
-    /// If memory is limited and there is no room for it, it is passed through.
-    pub(super) async fn collect(self, params: SendParams<'_>) -> Attempt<E> {
-        let time_left = params.max_wait.saturating_sub(self.in_flight.age());
-        let caller = self.caller.clone();
-        let (parts, mut source) = self.into_stream();
-        let end_by = source.in_flight.node.now() + time_left;
-        let reading = collect(&mut source.body, caller.as_ref());
-        let failure = match tokio::time::timeout(time_left, reading).await {
-            Ok(Ok(Buffered::Part(read))) => {
-                source.in_flight.node.metrics.memory.passed_through();
-                return source.collected(parts, |source| {
-                    CollectedBody::PassedThrough(Box::new(Passing::new(read, source, end_by)))
-                });
-            }
-            Ok(Ok(Buffered::TooLong)) => Failure::TooLong,
-            Ok(Ok(Buffered::Whole(_))) if !source.confirms_end().await => Failure::Broken,
-            Ok(Ok(Buffered::Whole(body))) => {
-                let outcome = if parts.status.is_server_error() {
-                    TargetOutcome::Failure
-                } else {
-                    TargetOutcome::Answer(source.in_flight.age())
-                };
-                source.in_flight.record_outcome(outcome);
-                return source.collected(parts, |source| {
-                    source.finish();
-                    CollectedBody::Whole(body)
-                });
-            }
-            Ok(Err(_cut)) => Failure::Broken,
-            Err(_elapsed) => Failure::Silent,
-        };
-        record_failed_attempt(&mut source.in_flight, failure, params);
-        source.in_flight.failed_attempt(failure)
-    }
-
-    /// Splits the response into its head and its stream.
-    pub(super) fn into_stream(self) -> (response::Parts, TargetStream<E>) {
-        let source = TargetStream {
-            head: self.head,
-            body: self.body,
-            in_flight: self.in_flight,
-            framing: self.framing,
-            connection: self.connection,
-        };
-        (self.parts, source)
-    }
-}
-
-/// The body of a response that is being read.
-#[derive(Debug)]
-pub(super) struct TargetStream<E: Edge> {
-    head: ResponseHead,
-    pub(super) body: Incoming,
-    pub(super) in_flight: InFlight<E>,
-    framing: Framing,
-    connection: Connection,
-}
-
-impl<E: Edge> TargetStream<E> {
-    /// Returns whether the end of the body shows that the stream is complete.
-    pub(super) async fn confirms_end(&self) -> bool {
-        self.in_flight.confirms_end(self.framing).await
-    }
-
-    /// Returns the response with the body that `body` makes of the rest.
-    fn collected(
-        self,
-        parts: response::Parts,
-        body: impl FnOnce(Self) -> CollectedBody<E>,
-    ) -> Attempt<E> {
-        let InFlight {
-            target,
-            software,
-            sent,
-            ..
-        } = &self.in_flight;
-        Attempt::Collected(Box::new(CollectedResponse {
-            parts,
-            target: target.clone(),
-            software: software.clone(),
-            sent: *sent,
-            body: body(self),
-        }))
-    }
-
-    /// Handles the regular end of the body: returns the connection to the pool.
-    pub(super) fn finish(self) {
-        self.in_flight.record_complete();
-        return_to_pool(&self.in_flight, &self.head, self.connection);
-    }
-}
-
-fn return_to_pool<E: Edge>(in_flight: &InFlight<E>, head: &ResponseHead, connection: Connection) {
-    if !head.closes_connection {
-        let pool = &in_flight.node.pool;
-        pool.put(&in_flight.target, connection, head.idle_timeout);
-    }
-}
--- a/crates/gateway/src/net/attempts.rs
+++ b/crates/gateway/src/net/attempts.rs
@@ -16,8 +16,7 @@
 use crate::edge::Edge;
 
 use super::attempt::{
-    AtDeadline, Attempt, CollectedResponse, FailedRun, Failure, MIN_BLAMED_WAIT, NotRunReason,
-    Reuse, SendParams, TargetResponse, send,
+    AtDeadline, Attempt, FailedRun, Failure, MIN_BLAMED_WAIT, NotRunReason, Reuse, SendParams, send,
 };
 use super::crash_check::record_interruption;
 use super::front::Job;
@@ -30,6 +29,7 @@
 use super::retries::take_retry;
 use super::search::Step;
 use super::search_outcome::{NO_RETRY_BUDGET, SearchOutcome};
+use super::target_response::{CollectedResponse, TargetResponse};
 
 /// Max wait for a response, as a multiple of the route's target latency, before another target is looked for.
 const RESPONSE_WAIT_FACTOR: u32 = 3;
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -69,6 +69,8 @@
 mod stream_source;
 mod sync;
 mod target_connection;
+mod target_exchange;
+mod target_response;
 mod target_socket;
 mod unknown_headers;
 mod wait_metrics;
--- a/crates/gateway/src/net/pass_through.rs
+++ b/crates/gateway/src/net/pass_through.rs
@@ -13,10 +13,11 @@
 use crate::decide::memory_budget::HeldKind;
 use crate::edge::Edge;
 
-use super::attempt::{MAX_BUFFERED_BYTES, TargetStream};
+use super::attempt::MAX_BUFFERED_BYTES;
 use super::caller_memory::CallerMemory;
 use super::held_buffer::HeldBuffer;
 use super::local_response::{ResponseBody, full_body};
+use super::target_response::TargetStream;
 
 /// What was read of a body.
 pub(super) enum Buffered {
--- a/crates/gateway/src/net/search_outcome.rs
+++ b/crates/gateway/src/net/search_outcome.rs
@@ -5,8 +5,8 @@
 use crate::decide::quarantine::Suspect;
 use crate::edge::Edge;
 
-use super::attempt::{CollectedResponse, TargetResponse};
 use super::peer_exchange::PeerResponse;
+use super::target_response::{CollectedResponse, TargetResponse};
 
 /// Message for a request that is rejected because it would wait in a queue for too long.
 pub(super) const TOO_LATE: &str = "engines would begin it too late: try again";
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -19,7 +19,6 @@
 use crate::decide::stream_times::StreamTimes;
 use crate::edge::Edge;
 
-use super::attempt::TargetResponse;
 use super::crash_check::record_interruption;
 use super::event_reader::{EventReader, Received};
 use super::front::Job;
@@ -31,6 +30,7 @@
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
 use super::stream_source::{Source, source_of};
+use super::target_response::TargetResponse;
 
 /// Time without an event, as a multiple of the route's target gap between events, after which another
 /// target is looked for. Callers time out after eight.
--- a/crates/gateway/src/net/stream_source.rs
+++ b/crates/gateway/src/net/stream_source.rs
@@ -10,9 +10,9 @@
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
-use super::attempt::TargetStream;
 use super::peer_exchange::PeerStream;
 use super::search_outcome::SearchOutcome;
+use super::target_response::TargetStream;
 
 /// The target or peer that sends the events of a stream.
 #[derive(Debug)]
