--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -65,6 +65,7 @@
 mod sockets;
 mod stop;
 mod stream;
+mod stream_end;
 mod stream_metrics;
 mod stream_source;
 mod sync;
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -11,24 +11,24 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use crate::decide::call::Call;
 use crate::decide::health::MAX_SILENCE;
-use crate::decide::quarantine::{Fingerprint, InterruptedRun};
 use crate::decide::retry_budget::RetryCause;
 use crate::decide::silence::{Silence, SilenceAction};
 use crate::decide::stream_times::StreamTimes;
 use crate::edge::Edge;
 
-use super::crash_check::record_interruption;
 use super::event_reader::{EventReader, Received};
 use super::front::Job;
 use super::local_response::{ResponseBody, full_body};
 use super::log::{LogEvent, event};
-use super::node::Node;
 use super::open_attempts::OpenAttempts;
 use super::peer_exchange::PeerResponse;
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
+use super::stream_end::{
+    BrokenRun, CONNECTION_BROKE, EndedSource, NO_EVENTS, SILENT, SearchReport, StreamFailure,
+    failure_of, silence_end,
+};
 use super::stream_source::{Source, source_of};
 use super::target_response::TargetResponse;
 
@@ -37,13 +37,6 @@
 const GAP_FACTOR: u32 = 4;
 /// The same before the first event, as a multiple of the target latency.
 const FIRST_EVENT_FACTOR: u32 = 3;
-/// Cause of a search while the connection to the target is open.
-const SILENT: &str = "the target fell silent";
-/// Cause of a search after the target has sent something else than the events that are due.
-const NO_EVENTS: &str = "the target sent no valid events";
-/// Cause of a search after the connection to the target has broken.
-const CONNECTION_BROKE: &str = "the connection to the target broke";
-
 #[derive(Debug)]
 struct StreamForwarder<E: Edge> {
     job: Job<E>,
@@ -63,45 +56,6 @@
     source_name: String,
 }
 
-/// Why a target's stream can't continue.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum StreamFailure {
-    /// The connection ended.
-    Interrupted(&'static str),
-    /// The target is connected but its stream can't be used.
-    Unusable(&'static str),
-    /// The time of the request is over.
-    TimedOut,
-}
-
-impl StreamFailure {
-    const fn reason(self) -> &'static str {
-        match self {
-            Self::Interrupted(reason) | Self::Unusable(reason) => reason,
-            Self::TimedOut => "the time of the request is over",
-        }
-    }
-}
-
-/// Returns why a stream can't go on after what was received; `None` if it can or has ended.
-const fn failure_of(received: &Received) -> Option<StreamFailure> {
-    match received {
-        Received::Invalid => Some(StreamFailure::Unusable(NO_EVENTS)),
-        Received::Broken => Some(StreamFailure::Interrupted(CONNECTION_BROKE)),
-        Received::Events(_) | Received::End => None,
-    }
-}
-
-/// Short name for metrics of what ends a silence.
-const fn silence_end(received: &Received) -> &'static str {
-    match received {
-        Received::Events(_) => "went_on",
-        Received::Invalid => "no_events",
-        Received::End => "ended",
-        Received::Broken => "broke",
-    }
-}
-
 /// Returns the response to the caller once there are events; its body forwards them as the target sends them.
 pub(super) async fn forward<E: Edge>(
     job: Job<E>,
@@ -501,65 +455,6 @@
     }
 }
 
-/// A run that can't go on, and what a crash check must know of its request.
-struct BrokenRun<E: Edge> {
-    node: Arc<Node<E>>,
-    fingerprint: Fingerprint,
-    call: Arc<Call>,
-}
-
-impl<E: Edge> BrokenRun<E> {
-    fn new(job: &Job<E>) -> Self {
-        Self {
-            node: Arc::clone(&job.node),
-            fingerprint: job.fingerprint,
-            call: Arc::clone(&job.call),
-        }
-    }
-
-    /// Ends the run. If its connection broke, it is checked whether its target crashed.
-    async fn end(self, reader: Option<EventReader<E>>, failure: StreamFailure) {
-        let source = reader.map(|reader| reader.source);
-        let Some(Source::Target(mut source)) = source else {
-            return;
-        };
-        if failure != StreamFailure::TimedOut {
-            source.in_flight.record_failure();
-        }
-        let (target, run_time) = (source.in_flight.target.clone(), source.in_flight.run_time());
-        // The connection is closed, so that this target stops before another one starts.
-        drop(source);
-        if let StreamFailure::Interrupted(_) = failure {
-            let run = InterruptedRun::new(self.fingerprint, run_time);
-            record_interruption(&self.node, &target, run, &self.call.prompt_parts).await;
-        }
-    }
-}
-
-/// A source that a stream no longer has.
-#[derive(Clone, Debug)]
-struct EndedSource {
-    /// Names of the target or peer and of its software version.
-    names: [String; 2],
-    cause: &'static str,
-}
-
-/// Why no other target took a stream up.
-#[derive(Clone, Copy, Debug)]
-struct SearchReport {
-    reason: &'static str,
-    took: Duration,
-}
-
-impl SearchReport {
-    const fn not_made() -> Self {
-        Self {
-            reason: "no further attempt is allowed",
-            took: Duration::ZERO,
-        }
-    }
-}
-
 impl<E: Edge> StreamForwarder<E> {
     /// Returns the milliseconds since the last event; empty before the first one.
     fn silent_ms(&self) -> String {
