--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -60,8 +60,8 @@
         simulation.set_full(0, true);
         simulation.set_full(1, true);
         simulation.run_ms(1_500);
-        assert!(simulation.worst_second <= usize::try_from(MAX_REFUSALS).unwrap());
-        assert_eq!(simulation.falls, 0);
+        assert!(simulation.worst_second() <= usize::try_from(MAX_REFUSALS).unwrap());
+        assert_eq!(simulation.falls(), 0);
         assert_served(&simulation);
     }
 }
@@ -74,7 +74,7 @@
         simulation.run_ms(1_500);
         simulation.set_full(0, true);
         simulation.run_ms(1_500);
-        assert_eq!(simulation.falls, 0);
+        assert_eq!(simulation.falls(), 0);
     }
 }
 
@@ -87,8 +87,8 @@
     simulation.run_ms(500);
     simulation.set_full(0, true);
     simulation.run_ms(2_000);
-    assert!(simulation.worst_second > 0);
-    assert!(simulation.worst_second <= usize::try_from(MAX_REFUSALS).unwrap());
+    assert!(simulation.worst_second() > 0);
+    assert!(simulation.worst_second() <= usize::try_from(MAX_REFUSALS).unwrap());
 }
 
 /// Guards against restarted instances that know nothing of brittle targets, nor of their owners' refusals.
@@ -111,7 +111,11 @@
             }
         }
         simulation.run_ms(1_500);
-        assert!(simulation.falls <= allowed_falls(6), "{}", simulation.falls);
+        assert!(
+            simulation.falls() <= allowed_falls(6),
+            "{}",
+            simulation.falls()
+        );
     }
 }
 
@@ -128,7 +132,7 @@
         simulation.run_ms(3_000);
         simulation.fleet.partitions.clear();
         simulation.run_ms(1_000);
-        assert_eq!(simulation.falls, 0);
+        assert_eq!(simulation.falls(), 0);
     }
 }
 
@@ -146,7 +150,7 @@
     simulation.run_ms(2_000);
     simulation.set_full(0, true);
     simulation.run_ms(2_000);
-    assert_eq!(simulation.falls, 0);
+    assert_eq!(simulation.falls(), 0);
 }
 
 fn brittle(max_refusals: u32) -> ReportedBrittleness {
--- a/crates/gateway/tests/support/brittle.rs
+++ b/crates/gateway/tests/support/brittle/mod.rs
@@ -1,32 +1,31 @@
 //! Simulation of a fleet before brittle plain targets, in virtual time. The real tables choose the target of each request
 //! and the way to it, and tell each other what they heard.
 
+mod target;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, TargetId, Time};
+use bluebellstage_core::{Incarnation, Revision, TargetId, Time};
 use bluebellstage_gateway::decide::brittle::ReportedBrittleness;
 use bluebellstage_gateway::decide::owner::Way;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::target::Target;
 
+pub use self::target::TargetModel;
+use self::target::{Arrival, SimulatedTarget};
 use super::fleet::Fleet;
 use super::{call, target};
 
-/// Refusals that a target bears in a second.
+/// Refusals that a target bears in a second, unless a test says otherwise.
 pub const MAX_REFUSALS: u32 = 6;
 /// One way between instances, or between an instance and a target.
 const HOP: Duration = Duration::from_millis(2);
-/// Time that a request takes at a target.
-const RUN_TIME: Duration = Duration::from_millis(15);
-/// Time for which a target that fell over is away.
-const AWAY: Duration = Duration::from_secs(3);
 /// Pause of a request that found no room.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time after which a request without room is refused.
 const PATIENCE: Duration = Duration::from_millis(250);
-const SECOND: Duration = Duration::from_secs(1);
 
 /// A request.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -43,8 +42,10 @@
 
 /// An attempt at a target.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Attempt {
+pub struct Attempt {
     request: Request,
+    /// Process that sent it.
+    sender: Incarnation,
     target: usize,
     born: u64,
     sent: Time,
@@ -60,21 +61,11 @@
     Served(Attempt),
 }
 
-#[derive(Clone, Debug, Default)]
-struct SimulatedTarget {
-    slots: u32,
-    born: u64,
-    running: u32,
-    /// Whether it has no room whatever it runs.
-    is_full: bool,
-    away_until: Option<Time>,
-    refusals: Vec<Time>,
-}
-
 /// A running simulation.
 #[derive(Debug)]
 pub struct Simulation {
     pub fleet: Fleet,
+    model: TargetModel,
     targets: Vec<SimulatedTarget>,
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     scheduled: u64,
@@ -85,10 +76,6 @@
     due: u64,
     pub served: usize,
     pub refused: usize,
-    /// Times that targets fell over.
-    pub falls: usize,
-    /// Largest number of refusals of a target in a second.
-    pub worst_second: usize,
 }
 
 fn id(number: usize) -> TargetId {
@@ -97,16 +84,25 @@
 
 impl Simulation {
     /// Starts with a fleet whose instances have discovered each other, and were told that the targets are brittle.
-    pub fn start(mut fleet: Fleet, targets: usize, slots: u32) -> Self {
+    pub fn start(fleet: Fleet, targets: usize, slots: u32) -> Self {
+        Self::with(fleet, targets, TargetModel::with_slots(slots))
+    }
+
+    /// Starts like [`Simulation::start`], with targets that behave as `model` says.
+    pub fn with(fleet: Fleet, targets: usize, model: TargetModel) -> Self {
+        let mut simulation = Self::untold(fleet, targets, model);
+        simulation.tell(0, 0);
+        simulation.fleet.run_ms(1_000);
+        simulation
+    }
+
+    /// Starts with a fleet whose instances have discovered each other, and know of no brittle target.
+    pub fn untold(mut fleet: Fleet, targets: usize, model: TargetModel) -> Self {
         fleet.run_ms(1_500);
-        let target = SimulatedTarget {
-            slots,
-            born: 1,
-            ..SimulatedTarget::default()
-        };
         let mut simulation = Self {
             fleet,
-            targets: vec![target; targets],
+            model,
+            targets: vec![SimulatedTarget::new(model); targets],
             events: BinaryHeap::new(),
             scheduled: 0,
             rate: 0,
@@ -114,22 +110,33 @@
             due: 0,
             served: 0,
             refused: 0,
-            falls: 0,
-            worst_second: 0,
         };
         for idx in 0..simulation.fleet.len() {
             simulation.register(idx);
         }
-        simulation.tell(0, 0);
-        simulation.fleet.run_ms(1_000);
         simulation
     }
 
+    /// Times that targets fell over.
+    pub fn falls(&self) -> usize {
+        self.targets.iter().map(|target| target.falls).sum()
+    }
+
+    /// Largest number of refusals of a target in a second.
+    pub fn worst_second(&self) -> usize {
+        let worst = self.targets.iter().map(|target| target.worst_second);
+        worst.max().unwrap()
+    }
+
+    const fn reported(&self) -> ReportedBrittleness {
+        ReportedBrittleness::Brittle(self.model.max_refusals)
+    }
+
     /// Makes one target say to one instance that it is brittle.
     fn tell(&mut self, idx: usize, number: usize) {
         let now = self.fleet.now;
         let target = self.registration(number);
-        let reported = ReportedBrittleness::Brittle(MAX_REFUSALS);
+        let reported = self.reported();
         let brittle = &mut self.fleet.tables_mut(idx).brittle;
         brittle.record(&target, target.born, reported, now, now);
     }
@@ -137,7 +144,7 @@
     fn registration(&self, number: usize) -> Target {
         Target {
             born: Some(self.targets[number].born),
-            slots: self.targets[number].slots,
+            slots: self.model.slots,
             ..target(id(number).as_str(), "court")
         }
     }
@@ -153,6 +160,26 @@
         }
     }
 
+    /// Kills all instances for which `is_killed` holds. Each starts again after `back_after` milliseconds.
+    pub fn restart_some(
+        &mut self,
+        is_killed: impl Fn(usize) -> bool,
+        back_after: impl Fn(usize) -> u64,
+    ) {
+        let killed = (0..self.fleet.len()).filter(|idx| is_killed(*idx));
+        let mut killed = killed.map(|idx| (back_after(idx), idx)).collect::<Vec<_>>();
+        killed.sort_unstable();
+        for (_, idx) in &killed {
+            self.fleet.kill(*idx);
+        }
+        let mut elapsed = 0;
+        for (back_after, idx) in killed {
+            self.run_ms(back_after - elapsed);
+            elapsed = back_after;
+            self.restart(idx);
+        }
+    }
+
     pub fn restart(&mut self, idx: usize) {
         self.fleet.restart(idx, false);
         self.register(idx);
@@ -163,6 +190,12 @@
         self.targets[number].is_full = is_full;
     }
 
+    /// Makes the process of a target stand still for a while.
+    pub fn silence(&mut self, number: usize, span: Duration) {
+        self.targets[number].silent_until = Some(self.fleet.now + span);
+    }
+
+    /// Runs for so many milliseconds, in steps of five.
     pub fn run_ms(&mut self, ms: u64) {
         for _ in 0..ms / 5 {
             self.fleet.run_ms(5);
@@ -190,11 +223,10 @@
     fn bring_back_targets(&mut self) {
         let now = self.fleet.now;
         for number in 0..self.targets.len() {
-            let target = &mut self.targets[number];
-            if target.away_until.is_some_and(|until| until <= now) {
-                target.away_until = None;
-                target.born += 1;
-                target.running = 0;
+            for attempt in self.targets[number].wake(now) {
+                self.arrive(attempt);
+            }
+            if self.targets[number].returns(now) {
                 for idx in 0..self.fleet.len() {
                     self.register(idx);
                 }
@@ -285,6 +317,7 @@
         let number = (0..self.targets.len()).find(|number| id(*number) == *target);
         let number = number.unwrap();
         let attempt = Attempt {
+            sender: self.fleet.tables(request.at).local.incarnation,
             request,
             target: number,
             born: self.targets[number].born,
@@ -332,39 +365,41 @@
 
     fn arrive(&mut self, attempt: Attempt) {
         let now = self.fleet.now;
-        let target = &mut self.targets[attempt.target];
-        if target.away_until.is_some() || target.born != attempt.born {
-            return self.schedule(HOP, Event::Unreachable(attempt));
+        match self.targets[attempt.target].arrive(&attempt, now) {
+            Arrival::Unreachable => self.schedule(HOP, Event::Unreachable(attempt)),
+            Arrival::Held => {}
+            Arrival::Runs => self.schedule(self.model.run_time, Event::Served(attempt)),
+            Arrival::Refused => self.schedule(HOP, Event::Refused(attempt)),
         }
-        if !target.is_full && target.running < target.slots {
-            target.running += 1;
-            return self.schedule(RUN_TIME, Event::Served(attempt));
-        }
-        target.refusals.retain(|at| now.since(*at) < SECOND);
-        target.refusals.push(now);
-        let refusals = target.refusals.len();
-        if refusals > usize::try_from(MAX_REFUSALS).unwrap() {
-            target.refusals.clear();
-            target.away_until = Some(now + AWAY);
-            self.falls += 1;
-        }
-        self.worst_second = self.worst_second.max(refusals);
-        self.schedule(HOP, Event::Refused(attempt));
+    }
+
+    /// Whether the process that sent an attempt still runs.
+    fn is_sender_running(&self, attempt: &Attempt) -> bool {
+        let idx = attempt.request.at;
+        let incarnation = self.fleet.tables(idx).local.incarnation;
+        self.fleet.is_running(idx) && incarnation == attempt.sender
     }
 
     fn end(&mut self, attempt: Attempt, is_refused: bool) {
         let now = self.fleet.now;
-        let is_same = self.targets[attempt.target].born == attempt.born;
-        if !is_refused && is_same {
-            let target = &mut self.targets[attempt.target];
-            target.running = target.running.saturating_sub(1);
+        let target = &mut self.targets[attempt.target];
+        if let Some(until) = target.silent_until
+            && !is_refused
+        {
+            return self.schedule(until.since(now), Event::Served(attempt));
         }
-        let idx = attempt.request.at;
-        if !self.fleet.is_running(idx) {
+        if !is_refused && (target.is_away() || target.born != attempt.born) {
+            return self.end_unreachable(attempt);
+        }
+        if !is_refused {
+            target.running -= 1;
+        }
+        if !self.is_sender_running(&attempt) {
             return;
         }
+        let idx = attempt.request.at;
         let registration = self.registration(attempt.target);
-        let reported = ReportedBrittleness::Brittle(MAX_REFUSALS);
+        let reported = self.reported();
         let id = registration.id.clone();
         let tables = self.fleet.tables_mut(idx);
         let (born, sent) = (Some(attempt.born), attempt.sent);
@@ -387,10 +422,10 @@
     }
 
     fn end_unreachable(&mut self, attempt: Attempt) {
-        let idx = attempt.request.at;
-        if !self.fleet.is_running(idx) {
+        if !self.is_sender_running(&attempt) {
             return;
         }
+        let idx = attempt.request.at;
         let id = id(attempt.target);
         let tables = self.fleet.tables_mut(idx);
         tables.end_request(&id);
