Show who owns brittle targets, and reports of relays that can't be read

Neither logs nor metrics told the hypotheses apart: whether requests are refused because no owner is known, how many requests at a brittle target are charged, and whether an instance drops a relay's reports on who is live.

The dump names the owner of each brittle target and the requests that it has refused or may still refuse. Metrics count brittle targets without a known owner, and reports that refer to a list of instances that the receiver does not have.

--- a/crates/gateway/src/decide/brittle/mod.rs
+++ b/crates/gateway/src/decide/brittle/mod.rs
@@ -170,9 +170,15 @@
             return true;
         };
         let usable = (f64::from(max_refusals) * USABLE_REFUSAL_FRACTION).max(1.0);
-        let window = self.windows.get(&target.id);
+        f64::from(self.possible_refusals(&target.id, now)) + 1.0 <= usable
+    }
+
+    /// Returns how many requests of this instance a target has refused lately, or may still refuse.
+    #[must_use]
+    pub fn possible_refusals(&self, target: &TargetId, now: Time) -> u32 {
+        let window = self.windows.get(target);
         let count = window.map_or(0, |window| window.count(now));
-        f64::from(u32::try_from(count).unwrap_or(u32::MAX)) + 1.0 <= usable
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     /// Records that a request is sent to a target, which may refuse it.
--- a/crates/gateway/src/decide/dump/mod.rs
+++ b/crates/gateway/src/decide/dump/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use bluebellstage_core::{Revision, Time};
+use bluebellstage_core::{InstanceId, Revision, Time};
 
 pub use self::types::{
     Dump, EvacuationDump, PeerDump, QuarantineDump, QuarantinedPartDump, QuotaDump, RetryDump,
@@ -13,10 +13,12 @@
     TargetDump, WaitingDump,
 };
 use super::availability::Availability;
+use super::owner::Owner;
 use super::quarantine::Suspect;
 use super::rendezvous::ShortHash;
 use super::store_position::StorePosition;
 use super::tables::Tables;
+use super::target::Target;
 use super::wait_queue::WaitingCounts;
 
 fn millis(span: Duration) -> u64 {
@@ -135,6 +137,8 @@
                 cold_ms: millis(self.cold_time_left(target, now)),
                 rest_ms: millis(self.rests.time_left(target, now)),
                 max_refusals: self.brittle.max_refusals(target, now),
+                owner: self.dump_owner(target, now),
+                possible_refusals: self.brittle.possible_refusals(&target.id, now),
                 standing: self.health.state(&target.id, now),
                 unreachable_ms: self
                     .paths
@@ -148,6 +152,16 @@
         dumped.collect()
     }
 
+    /// Returns the instance that sends requests to a brittle target.
+    fn dump_owner(&self, target: &Target, now: Time) -> Option<InstanceId> {
+        self.brittle.max_refusals(target, now)?;
+        match self.owner_of(target, now) {
+            Owner::Local => Some(self.local.name.clone()),
+            Owner::Peer(name) => Some(name),
+            Owner::Unknown => None,
+        }
+    }
+
     /// Returns the requests of this instance that wait for room.
     #[must_use]
     pub fn dump_waiting(&self) -> Vec<WaitingDump> {
--- a/crates/gateway/src/decide/dump/types.rs
+++ b/crates/gateway/src/decide/dump/types.rs
@@ -160,6 +160,12 @@
     pub rest_ms: u64,
     /// Refusals a second under which it falls over, if it is brittle.
     pub max_refusals: Option<u32>,
+    /// The instance that sends requests to it, if it is brittle and this instance can tell.
+    #[serde(default)]
+    pub owner: Option<InstanceId>,
+    /// Requests of this instance that it has refused lately or may still refuse, if it is brittle.
+    #[serde(default)]
+    pub possible_refusals: u32,
     /// Its health state.
     pub standing: HealthState,
     /// Milliseconds since connections to it began to fail, if the last one failed.
--- a/crates/gateway/src/decide/exchange/mod.rs
+++ b/crates/gateway/src/decide/exchange/mod.rs
@@ -67,6 +67,8 @@
     upstream: Option<Upstream>,
     roster: Roster,
     roster_digest: u64,
+    /// Reports on liveness that came without a roster that this instance has.
+    reports_without_roster: u64,
     /// Mean age of the statuses of all peers.
     lag: Duration,
 }
@@ -96,6 +98,12 @@
         self.subscribers.len()
     }
 
+    /// Number of a relay's reports on liveness that came without a roster that this instance has.
+    #[must_use]
+    pub const fn reports_without_roster(&self) -> u64 {
+        self.reports_without_roster
+    }
+
     fn update_role(&mut self, has_slot: bool, now: Time) {
         if !has_slot {
             self.slot_since = None;
--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -241,6 +241,7 @@
             if liveness.roster == self.exchange.roster_digest {
                 unknown.extend(self.apply_liveness(&liveness, &update.relay, now));
             } else {
+                self.exchange.reports_without_roster += 1;
                 responses.push(Message::RosterRequest);
             }
         }
--- a/crates/gateway/src/decide/owner.rs
+++ b/crates/gateway/src/decide/owner.rs
@@ -74,6 +74,15 @@
         live * 2 < others || (self.is_new(now) && (others == 0 || live < others))
     }
 
+    /// Number of brittle targets whose owner this instance can't tell.
+    #[must_use]
+    pub fn unowned_count(&self, now: Time) -> usize {
+        let brittle = self.registry.all();
+        let brittle = brittle.filter(|target| self.brittle.max_refusals(target, now).is_some());
+        let unowned = brittle.filter(|target| self.owner_of(target, now) == Owner::Unknown);
+        unowned.count()
+    }
+
     /// Returns the owner of a target; `None` if the target is not brittle, or its owner is not determined yet.
     pub(super) fn brittle_owner(&self, target: &Target, now: Time) -> Option<&Owner> {
         self.brittle.max_refusals(target, now)?;
--- a/crates/gateway/src/net/brittle_metrics.rs
+++ b/crates/gateway/src/net/brittle_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of brittle targets.
 
+use bluebellstage_core::Time;
 use bluebellstage_telemetry::instruments::Instruments;
 use opentelemetry::metrics::{Counter, Gauge};
 
@@ -8,6 +9,7 @@
 /// Instruments of brittle targets.
 pub(super) struct BrittleMetrics {
     targets: Gauge<u64>,
+    unowned: Gauge<u64>,
     refusals: Counter<u64>,
 }
 
@@ -18,6 +20,10 @@
                 "bluebellstage.brittle_targets",
                 "Targets that fall over when they have to refuse too many requests",
             ),
+            unowned: instruments.gauge(
+                "bluebellstage.brittle_targets_unowned",
+                "Brittle targets to which this instance can't tell who sends",
+            ),
             refusals: instruments.counter(
                 "bluebellstage.brittle_refusals",
                 "Requests that brittle targets refused",
@@ -30,8 +36,10 @@
         self.refusals.add(1, &[]);
     }
 
-    pub(super) fn record(&self, tables: &Tables) {
-        let count = u64::try_from(tables.brittle.count()).unwrap_or(u64::MAX);
-        self.targets.record(count, &[]);
+    pub(super) fn record(&self, tables: &Tables, now: Time) {
+        let [targets, unowned] = [tables.brittle.count(), tables.unowned_count(now)]
+            .map(|count| u64::try_from(count).unwrap_or(u64::MAX));
+        self.targets.record(targets, &[]);
+        self.unowned.record(unowned, &[]);
     }
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -65,6 +65,7 @@
     datagram_bytes: Counter<u64>,
     update_age: Gauge<u64>,
     subscribers: Gauge<u64>,
+    reports_without_roster: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -177,6 +178,10 @@
                 "bluebellstage.news_readers",
                 "Instances that this one relays news to",
             ),
+            reports_without_roster: gauge(
+                "bluebellstage.reports_without_roster",
+                "Reports of relays on who is live that came without a list of instances that this one has",
+            ),
             brittle: BrittleMetrics::new(&instruments),
             callers: ConnectionMetrics::new(&instruments),
             crashes: CrashMetrics::new(&instruments),
@@ -307,7 +312,7 @@
         self.streams.record(tables, now);
         self.waits.record(tables);
         self.departing.record(count(tables.departures.count()), &[]);
-        self.brittle.record(tables);
+        self.brittle.record(tables, now);
         self.resting.record(count(tables.rests.count(now)), &[]);
         self.targets
             .record(count(tables.registry.all().count()), &[]);
@@ -318,6 +323,8 @@
         self.update_age.record(age, &[]);
         self.subscribers
             .record(count(tables.exchange.subscriber_count()), &[]);
+        self.reports_without_roster
+            .record(tables.exchange.reports_without_roster(), &[]);
         self.shards.record(count(tables.shards.len()), &[]);
         self.instruments.text()
     }
