Tell a new subscriber at once who is live

An instance that changes its relay heard who is live up to 300 ms later, on top of the time for which it had heard nothing from the relay that died. In quick series of restarts that was long enough to take running instances for down.

The first updates, which hold all counts, hold the liveness, too.

--- a/crates/gateway/src/decide/exchange/updates.rs
+++ b/crates/gateway/src/decide/exchange/updates.rs
@@ -23,7 +23,8 @@
         subscribers.retain(|_, subscriber| now.since(subscriber.requested_at) < SUBSCRIPTION_TTL);
         let subscribers = subscribers.clone();
         let full = self.exchange.is_full_round();
-        let liveness = full.then(|| self.publish_liveness(now));
+        let is_liveness_due = full || subscribers.values().any(|subscriber| subscriber.wants_all);
+        let liveness = is_liveness_due.then(|| self.publish_liveness(now));
         let other_statuses = if full {
             self.statuses_to_forward(now)
         } else {
@@ -63,7 +64,7 @@
                 } else {
                     Vec::new()
                 },
-                liveness: liveness.clone(),
+                liveness: liveness.clone().filter(|_| full || subscriber.wants_all),
             };
             outgoing.push(OutgoingMessage {
                 to: vec![address(peer)],
--- a/crates/gateway/tests/fleet_restarts.rs
+++ b/crates/gateway/tests/fleet_restarts.rs
@@ -86,6 +86,13 @@
     assert_none_hidden((75, 3), 500, ROUNDS);
 }
 
+/// Guards against instances that hear for too long of nobody when the relays of their failure domain change all the time.
+#[test]
+fn restarts_in_quick_series_hide_no_running_instance() {
+    assert_none_hidden((24, 3), AWAY_MS, 60);
+    assert_none_hidden((75, 3), AWAY_MS, 60);
+}
+
 /// Guards against restarts in series that blind a fleet whose network loses datagrams: half of the running instances lack
 /// one in ten of the others at most.
 #[test]
