Count a request to a brittle target until the target shows that it has taken it

Callers were refused while no target was short of room: 42 in 100 with runs of 1.5 s and 20 refusals borne, 62 to 65 in 100 with runs of 0.8 s and 6 borne. And a target that stood still for 3.5 s and then was full refused 7 in a second where 6 are borne, and fell.

Cause: a request without an answer counted as one that may be refused for one second after it was sent, whatever its target did. That is too long where the target runs it and answers late, and too short where the target is silent: what was sent in three seconds arrives in one.

A refusal comes at once. So a request counts until its target has been heard for as long as it was silent since the request was sent, 50 ms at least and a second at most, and has not refused it. An owner that comes to half of what it may cause asks the target for a report, as a sign of life. While a target is silent, its requests count on; those of a former incarnation do not.

--- a/crates/gateway/src/decide/brittle/mod.rs
+++ b/crates/gateway/src/decide/brittle/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Such a target says so in all of its answers. The refusals that it bears are those of all instances together, and none
 //! of them can know in time what the others have sent. So one instance, its owner, sends all requests to it; the
-//! others forward theirs to the owner. What the owner has sent and the target has not taken counts as refused.
+//! others forward theirs to the owner. What the owner has sent and the target has not taken counts as refused, until it shows
+//! that the target runs and has not refused it.
 //!
 //! The targets of a service are brittle at the same time. One that has not spoken since its start, or to this instance,
 //! counts as brittle while others of its service say so.
@@ -23,9 +24,9 @@
 /// Fraction of a brittle target's slots that are used. The rest covers requests of former owners and runs whose
 /// callers have left.
 const USABLE_SLOT_FRACTION: f64 = 0.75;
-/// Fraction of the refusals that a target bears which one owner causes at most. A new owner does not know those of the
+/// Part of the refusals that a target bears which one owner causes at most. A new owner does not know those of the
 /// former one.
-const USABLE_REFUSAL_FRACTION: f64 = 0.5;
+const USABLE_REFUSAL_DIVISOR: u32 = 2;
 /// Time without a word after which a service's targets are taken as sound. A target that falls over is back sooner.
 const REPORT_TTL: Duration = Duration::from_secs(15);
 
@@ -61,6 +62,11 @@
     windows: BTreeMap<TargetId, RefusalWindow>,
 }
 
+/// Returns how many refusals a second one owner causes at most at a target that bears `max_refusals`.
+fn usable_refusals(max_refusals: u32) -> u32 {
+    (max_refusals / USABLE_REFUSAL_DIVISOR).max(1)
+}
+
 fn service_hash(target: &Target) -> ShortHash {
     ShortHash::of(target.service.as_str())
 }
@@ -169,35 +175,64 @@
         let Some(max_refusals) = self.max_refusals(target, now) else {
             return true;
         };
-        let usable = (f64::from(max_refusals) * USABLE_REFUSAL_FRACTION).max(1.0);
-        f64::from(self.possible_refusals(&target.id, now)) + 1.0 <= usable
+        self.possible_refusals(target, now) < usable_refusals(max_refusals)
     }
 
     /// Returns how many requests of this instance a target has refused lately, or may still refuse.
     #[must_use]
-    pub fn possible_refusals(&self, target: &TargetId, now: Time) -> u32 {
-        let window = self.windows.get(target);
+    pub fn possible_refusals(&self, target: &Target, now: Time) -> u32 {
+        let window = self.windows.get(&target.id);
+        let window = window.filter(|window| window.born == target.born);
         let count = window.map_or(0, |window| window.count(now));
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     /// Records that a request is sent to a target, which may refuse it.
-    pub fn record_sent(&mut self, target: &TargetId, now: Time) {
-        let window = self.windows.entry(target.clone()).or_default();
+    pub fn record_sent(&mut self, target: &Target, now: Time) {
+        let window = self.windows.entry(target.id.clone()).or_default();
+        if window.born != target.born {
+            // A new incarnation neither gets the requests of the former one nor remembers its refusals.
+            *window = RefusalWindow::new(target.born);
+        }
         window.record_sent(now);
     }
 
-    /// Records that a target took a request that was sent at `sent`.
+    /// Records that a target took a request that was sent at `sent`, or can't get it any more.
     pub fn record_taken(&mut self, target: &TargetId, sent: Time) {
         if let Some(window) = self.windows.get_mut(target) {
             window.record_taken(sent);
         }
     }
 
-    /// Records that a request that was sent at `sent` has ended, and was refused or may still be.
+    /// Records that a target refused a request that was sent at `sent`.
     pub fn record_refused(&mut self, target: &TargetId, sent: Time, now: Time) {
-        let window = self.windows.entry(target.clone()).or_default();
-        window.record_refused(sent, now);
+        if let Some(window) = self.windows.get_mut(target) {
+            window.record_refused(sent, now);
+        }
+    }
+
+    /// Records that something arrived from a target.
+    pub fn record_heard(&mut self, target: &TargetId, now: Time) {
+        if let Some(window) = self.windows.get_mut(target) {
+            window.record_heard(now);
+        }
+    }
+
+    /// Whether a target should be asked for a sign of life: it soon gets no further request unless one shows that it has
+    /// taken those without an answer. Counts it as asked then.
+    pub fn take_check(&mut self, target: &Target, now: Time) -> bool {
+        let Some(max_refusals) = self.max_refusals(target, now) else {
+            return false;
+        };
+        if self.possible_refusals(target, now) * 2 < usable_refusals(max_refusals) {
+            return false;
+        }
+        let window = self.windows.get_mut(&target.id);
+        let Some(window) = window.filter(|window| window.is_check_due(now)) else {
+            return false;
+        };
+        window.record_check(now);
+        true
     }
 
     /// Returns the number of targets that reported that they are brittle.
@@ -215,6 +250,7 @@
         let is_any_brittle = !self.by_service.is_empty();
         self.by_target
             .retain(|target, _| is_any_brittle && is_present(target));
-        self.windows.retain(|_, window| !window.is_empty(now));
+        self.windows
+            .retain(|target, window| is_present(target) && !window.is_empty(now));
     }
 }
--- a/crates/gateway/src/decide/dump/mod.rs
+++ b/crates/gateway/src/decide/dump/mod.rs
@@ -138,7 +138,7 @@
                 rest_ms: millis(self.rests.time_left(target, now)),
                 max_refusals: self.brittle.max_refusals(target, now),
                 owner: self.dump_owner(target, now),
-                possible_refusals: self.brittle.possible_refusals(&target.id, now),
+                possible_refusals: self.brittle.possible_refusals(target, now),
                 standing: self.health.state(&target.id, now),
                 unreachable_ms: self
                     .paths
--- a/crates/gateway/src/decide/owner.rs
+++ b/crates/gateway/src/decide/owner.rs
@@ -140,7 +140,7 @@
         };
         match self.brittle_owner(known, now) {
             Some(Owner::Local) if self.brittle.bears_refusal(known, now) => {
-                self.brittle.record_sent(target, now);
+                self.brittle.record_sent(known, now);
                 Way::Direct {
                     charged_at: Some(now),
                 }
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Returns the brittle targets that should be asked for a sign of life.
+    pub fn take_brittle_checks(&mut self, now: Time) -> Vec<TargetId> {
+        let Self {
+            registry, brittle, ..
+        } = self;
+        let due = registry.all();
+        let due = due.filter(|target| brittle.take_check(target, now));
+        due.map(|target| target.id.clone()).collect()
+    }
+
     fn live_member(&self, name: &InstanceId, now: Time) -> Option<Member> {
         let peer = self.peers.get(name)?;
         self.peers.is_live(name, now).then(|| peer.member.clone())
--- a/crates/gateway/src/decide/partition.rs
+++ b/crates/gateway/src/decide/partition.rs
@@ -117,6 +117,7 @@
     /// Records that an answer or an event arrived from a target, on any connection.
     pub fn record_answer(&mut self, target: &TargetId, now: Time) -> PathChange {
         self.paths.record_answer(target, now);
+        self.brittle.record_heard(target, now);
         if self.partitions.lost.is_empty() {
             return PathChange::None;
         }
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -124,7 +124,7 @@
         record_answer(&self.node, &self.target, now);
     }
 
-    /// Records whether the target refused the request for want of room.
+    /// Records whether the target refused the request for want of room. Without an answer it may still do so.
     pub(super) fn record_refusal(&mut self, is_refused: bool) {
         let Some(charged_at) = self.charged_at.take() else {
             return;
@@ -297,8 +297,6 @@
 
 impl<E: Edge> Drop for InFlight<E> {
     fn drop(&mut self) {
-        // Without an answer it may still be refused.
-        self.record_refusal(true);
         let now = self.node.now();
         let mut tables = self.node.tables();
         tables.end_request(&self.target);
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod attempt;
 mod attempts;
 mod batches;
+mod brittle_checks;
 mod brittle_metrics;
 mod caller_memory;
 mod caller_stream;
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -7,7 +7,6 @@
 use tokio::net::UdpSocket;
 
 use crate::decide::pace::DroppedReports;
-use crate::decide::wait_queue::Room;
 use crate::edge::{Edge, Kind};
 use crate::error::GatewayError;
 use crate::settings::NodeSettings;
@@ -18,8 +17,8 @@
 use super::signals::Signals;
 use super::sockets::{limit_buffers, listen};
 use super::{
-    follow, gossip, leases, loaders, memory, origins, paths, peer_copy, quarantine, reload,
-    restorations, stop, sync, wait_places,
+    brittle_checks, follow, gossip, leases, loaders, memory, origins, paths, peer_copy, quarantine,
+    reload, restorations, stop, sync, wait_places,
 };
 
 /// Interval between two removals of expired state.
@@ -91,6 +90,7 @@
     tokio::spawn(loaders::run(Arc::clone(&node)));
     tokio::spawn(paths::run(Arc::clone(&node)));
     tokio::spawn(wait_places::run(Arc::clone(&node)));
+    tokio::spawn(brittle_checks::run(Arc::clone(&node)));
     tokio::spawn(memory::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
     reload::run(Arc::clone(&node), source, signals.hangup);
@@ -108,7 +108,6 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = node.now();
         node.tables().sweep(now);
-        wake_for_brittle_targets(&node, now);
         log_ended_departures(&node, now);
         log_dropped_reports(&node);
         quarantine::sweep(&node, now);
@@ -119,13 +118,6 @@
     }
 }
 
-/// Wakes waiting requests, as brittle targets bear refusals again without any other sign.
-fn wake_for_brittle_targets<E: Edge>(node: &Node<E>, now: Time) {
-    if !node.tables().brittle.is_empty(now) {
-        node.room_came(&Room::Anywhere);
-    }
-}
-
 /// Counts and logs the reports on the speed of targets that were dropped since the last sweep.
 fn log_dropped_reports<E: Edge>(node: &Node<E>) {
     let dropped = node.tables().pace.take_dropped();
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -136,6 +136,12 @@
     }
 }
 
+/// Asks a target for a report, once, as a sign of life.
+pub(super) async fn ask_for_sign<E: Edge>(node: &Node<E>, target: &TargetId, address: SocketAddr) {
+    let until = node.now() + ANSWER_TIMEOUT;
+    let _recorded_if_it_answers = ask(node, target, address, until).await;
+}
+
 /// Asks for a report. The connection is new, as a late answer to an earlier request may arrive on a kept one.
 async fn ask<E: Edge>(
     node: &Node<E>,
