Keep brittle targets owned while instances restart or see a part of the fleet

With all instances killed and back after 0.2 to 0.5 s, brittle targets fell once for nearly each kill, and up to 70 in a hundred requests were refused after it: a new process took the targets for sound, and then owned none until it had heard all peers or 1.2 s were over. In a part of the fleet that is cut off, all requests were refused although the targets had room and could bear them.

Cause, one for both: an instance acted on the fleet that it had heard, and knew of the targets only from statuses and from answers to requests. A guard that fails closed then refuses, one that fails open sends.

- A new process asks up to three targets of each service for a report before it serves, 150 ms at most.
What targets say in any of their answers counts: reports, load orders, checks, not only answers to requests.
- A new process takes registered peers that it has not heard for running, and all take a peer that has just introduced itself so.
A restart does not change an owner.
One to which no connection can be opened is passed over until it is heard.
- A part of the fleet owns targets if its share of the refusals that they bear is one at least; owners of all parts together stay within them.
A new owner uses a third for its first second, then two thirds.
- An owner that may send nothing now returns a forwarded request at once, the last of three within 40 ms, so that other owners are asked; after a wait all may be asked again.

Two findings are in one commit, as they meet in the decision of who owns; weighed against a record in the store, the question to targets needs no store, holds no stale word, and costs a report or three a service and start.

--- a/crates/gateway/src/decide/admission.rs
+++ b/crates/gateway/src/decide/admission.rs
@@ -27,7 +27,7 @@
     ///
     /// Returns the refusal if the request is rejected.
     pub fn admit(&mut self, call: &Call, draw: u64, now: Time) -> Result<Ticket, Refusal> {
-        if !self.informed() {
+        if !self.is_prepared() {
             return Err(self.why_not_informed(now));
         }
         let (route, workspace) = match self.routes.find(call) {
@@ -103,7 +103,7 @@
         draw: u64,
         now: Time,
     ) -> Result<Ticket, Refusal> {
-        if !self.informed() {
+        if !self.is_prepared() {
             return Err(self.why_not_informed(now));
         }
         let route = self.routes.find_route(call).ok_or(Refusal::NoRoute)?;
--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -106,7 +106,8 @@
     /// admits none, as another may admit them.
     pub(super) fn owns_cold_target(&self, target: &TargetId, now: Time) -> bool {
         let known = self.registry.get(target);
-        known.is_some_and(|known| !self.is_new(now) && self.owner_of(known, now) == Owner::Local)
+        let may_own = !self.is_new(now) && self.brittle.part.is_majority();
+        known.is_some_and(|known| may_own && self.owner_of(known, now) == Owner::Local)
     }
 
     /// Admits a request to a cold target if this instance owns it and the target's rate allows it.
--- a/crates/gateway/src/decide/brittle/mod.rs
+++ b/crates/gateway/src/decide/brittle/mod.rs
@@ -18,15 +18,13 @@
 
 use self::refusal_window::{REFUSAL_PERIOD, RefusalWindow};
 pub use self::reports::{BrittleReport, ReportedBrittleness};
+use super::owner::{FleetPart, Tenure};
 use super::rendezvous::ShortHash;
 use super::target::Target;
 
 /// Fraction of a brittle target's slots that are used. The rest covers requests of former owners and runs whose
 /// callers have left.
 const USABLE_SLOT_FRACTION: f64 = 0.75;
-/// Part of the refusals that a target bears which one owner causes at most. A new owner does not know those of the
-/// former one.
-const USABLE_REFUSAL_DIVISOR: u32 = 2;
 /// Time without a word after which a service's targets are taken as sound. A target that falls over is back sooner.
 const REPORT_TTL: Duration = Duration::from_secs(15);
 
@@ -60,11 +58,10 @@
     by_target: BTreeMap<TargetId, TargetReport>,
     by_service: BTreeMap<ShortHash, ServiceReport>,
     windows: BTreeMap<TargetId, RefusalWindow>,
-}
-
-/// Returns how many refusals a second one owner causes at most at a target that bears `max_refusals`.
-fn usable_refusals(max_refusals: u32) -> u32 {
-    (max_refusals / USABLE_REFUSAL_DIVISOR).max(1)
+    /// Since when this instance has owned targets.
+    owned_since: BTreeMap<TargetId, Time>,
+    /// The part of the fleet that this instance sees.
+    pub(super) part: FleetPart,
 }
 
 fn service_hash(target: &Target) -> ShortHash {
@@ -175,7 +172,26 @@
         let Some(max_refusals) = self.max_refusals(target, now) else {
             return true;
         };
-        self.possible_refusals(target, now) < usable_refusals(max_refusals)
+        self.possible_refusals(target, now) < self.usable_refusals(target, max_refusals, now)
+    }
+
+    /// Records whether this instance owns a target.
+    pub(super) fn record_owned(&mut self, target: &TargetId, is_owned: bool, now: Time) {
+        if is_owned {
+            self.owned_since.entry(target.clone()).or_insert(now);
+        } else {
+            self.owned_since.remove(target);
+        }
+    }
+
+    /// Returns how many refusals a second this instance may cause at a target that bears `max_refusals`.
+    fn usable_refusals(&self, target: &Target, max_refusals: u32, now: Time) -> u32 {
+        let since = self.owned_since.get(&target.id);
+        let tenure = match since {
+            Some(since) if now.since(*since) < REFUSAL_PERIOD => Tenure::New,
+            _ => Tenure::Settled,
+        };
+        self.part.usable_refusals(max_refusals, tenure)
     }
 
     /// Returns how many requests of this instance a target has refused lately, or may still refuse.
@@ -224,7 +240,8 @@
         let Some(max_refusals) = self.max_refusals(target, now) else {
             return false;
         };
-        if self.possible_refusals(target, now) * 2 < usable_refusals(max_refusals) {
+        if self.possible_refusals(target, now) * 2 < self.usable_refusals(target, max_refusals, now)
+        {
             return false;
         }
         let window = self.windows.get_mut(&target.id);
@@ -250,6 +267,8 @@
         let is_any_brittle = !self.by_service.is_empty();
         self.by_target
             .retain(|target, _| is_any_brittle && is_present(target));
+        self.owned_since
+            .retain(|target, _| is_any_brittle && is_present(target));
         self.windows
             .retain(|target, window| is_present(target) && !window.is_empty(now));
     }
--- a/crates/gateway/src/decide/dump/mod.rs
+++ b/crates/gateway/src/decide/dump/mod.rs
@@ -65,7 +65,7 @@
     }
 
     fn stage(&self) -> Stage {
-        match (self.informed(), self.stopping) {
+        match (self.is_prepared(), self.stopping) {
             (_, true) => Stage::Stopping,
             (true, false) => Stage::Ready,
             (false, false) => Stage::Starting,
--- a/crates/gateway/src/decide/exchange/receive.rs
+++ b/crates/gateway/src/decide/exchange/receive.rs
@@ -61,7 +61,7 @@
             Message::Roster(roster) => self.receive_roster(roster),
             Message::MemberInfo(member) => {
                 if member.name != self.local.name {
-                    self.peers.set_member(*member);
+                    self.peers.set_member(*member, now);
                 }
                 Vec::new()
             }
--- a/crates/gateway/src/decide/exchange/updates.rs
+++ b/crates/gateway/src/decide/exchange/updates.rs
@@ -114,7 +114,7 @@
         let roster = published.roster();
         let changes = published.changes();
         let entries = roster.entries.iter().chain(changes);
-        let reports = entries.map(|entry| self.report_on(entry, now));
+        let reports = entries.map(|entry| self.report_on(*entry, now));
         let reports = reports.collect::<Vec<_>>();
         let column = |bit: fn(&EntryReport) -> bool| reports.iter().map(bit).collect();
         let services = reports.iter().flat_map(|report| &report.lost_services);
@@ -136,9 +136,9 @@
     }
 
     /// Reports on the instance of an entry; one that is not known in that incarnation is not live.
-    fn report_on(&self, entry: &RosterEntry, now: Time) -> EntryReport {
+    fn report_on(&self, entry: RosterEntry, now: Time) -> EntryReport {
         let local = RosterEntry::of(&self.local);
-        if *entry == local {
+        if entry == local {
             return EntryReport {
                 live: true,
                 ready: self.ready(),
@@ -180,6 +180,10 @@
 
 /// What a relay reports on the instance of a roster's entry.
 #[derive(Debug, Default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a column of bits in the report"
+)]
 struct EntryReport {
     live: bool,
     ready: bool,
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod event_stream;
 pub mod exchange;
 pub mod fair_share;
+mod first_reports;
 pub mod follower;
 pub mod health;
 pub mod kind;
--- a/crates/gateway/src/decide/owner.rs
+++ b/crates/gateway/src/decide/owner.rs
@@ -4,11 +4,15 @@
 
 use bluebellstage_core::{InstanceId, TargetId, Time};
 
-use super::peers::{Member, Peer};
+use super::peers::{DOWN_THRESHOLD, Member, Peer};
 use super::rendezvous::{name_hash, weight};
 use super::tables::Tables;
 use super::target::Target;
 
+/// Part of the refusals that a target bears which a new owner causes at most. Those of a former owner, of which it does not
+/// know, still count.
+const NEW_OWNER_REFUSAL_DIVISOR: u32 = 3;
+
 /// Who sends requests to a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Owner {
@@ -42,20 +46,84 @@
     /// Digest of the instances that can own targets.
     candidates: u64,
     by_target: HashMap<TargetId, Owner>,
+    /// Instances to which no request could be sent, and when.
+    unreached: HashMap<InstanceId, Time>,
+}
+
+impl Owners {
+    /// Whether no request could be sent to a peer, and nothing was heard of it since.
+    fn is_unreached(&self, peer: &Peer, now: Time) -> bool {
+        self.unreached.get(&peer.member.name).is_some_and(|at| {
+            let heard = peer.last_seen.max(peer.introduced_at);
+            now.since(*at) < DOWN_THRESHOLD && heard.is_none_or(|heard| heard <= *at)
+        })
+    }
+}
+
+/// For how long an instance has owned a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Tenure {
+    /// So briefly that refusals of a former owner may still count.
+    New,
+    /// For longer.
+    Settled,
+}
+
+/// The part of the fleet that an instance sees.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FleetPart {
+    /// Instances that it sees or expects to run, itself included.
+    pub seen: u32,
+    /// Instances that it knows.
+    pub known: u32,
+}
+
+impl Default for FleetPart {
+    fn default() -> Self {
+        Self { seen: 1, known: 1 }
+    }
+}
+
+impl FleetPart {
+    /// Whether no other part that sees each other is as large.
+    #[must_use]
+    pub const fn is_majority(self) -> bool {
+        self.seen * 2 > self.known
+    }
+
+    /// Returns how many refusals a second one owner in this part may cause at a target that bears `max_refusals`.
+    ///
+    /// All parts together stay within what the target bears. In each, a third is left for the next owner, which does not
+    /// know of the former one's, as long as that leaves one for each.
+    #[must_use]
+    pub fn usable_refusals(self, max_refusals: u32, tenure: Tenure) -> u32 {
+        let of_part = u64::from(max_refusals) * u64::from(self.seen) / u64::from(self.known);
+        let of_part = u32::try_from(of_part).unwrap_or(u32::MAX);
+        if of_part == 0 && !self.is_majority() {
+            return 0;
+        }
+        let of_new_owner = (of_part / NEW_OWNER_REFUSAL_DIVISOR).max(1);
+        match tenure {
+            Tenure::New => of_new_owner,
+            Tenure::Settled => of_part.saturating_sub(of_new_owner).max(1),
+        }
+    }
 }
 
 impl Tables {
     /// Returns the owner of a target: the first of the live, ready instances in the target's order that reach its
-    /// service.
+    /// service. Peers that are expected to run count as such, so that a restart does not change the owner.
     #[must_use]
     pub fn owner_of(&self, target: &Target, now: Time) -> Owner {
-        if self.sees_too_little(now) {
+        if !self.may_have_owner(target, now) {
             return Owner::Unknown;
         }
         let key = name_hash(target.id.as_str());
         let weight_of = |peer: &&Peer| weight(key, peer.member.name.as_str());
-        let first = self.peers_that_reach(&target.service, now);
-        let first = first.max_by_key(weight_of);
+        let expected = self.peers.expected(self.is_new(now), now);
+        let candidates = self.peers_that_reach(&target.service, now).chain(expected);
+        let reachable = candidates.filter(|peer| !self.owners.is_unreached(peer, now));
+        let first = reachable.max_by_key(weight_of);
         let can_own = self.ready() && !self.is_partitioned_from(&target.service);
         let local = weight(key, self.local.name.as_str());
         match first {
@@ -67,11 +135,28 @@
         }
     }
 
-    /// Whether another part of the fleet may choose other owners, or this instance has not heard of it yet.
-    fn sees_too_little(&self, now: Time) -> bool {
-        let others = self.peers.all().count();
-        let live = self.peers.live(now).count();
-        live * 2 < others || (self.is_new(now) && (others == 0 || live < others))
+    /// Whether the part of the fleet that this instance sees may send to a target.
+    fn may_have_owner(&self, target: &Target, now: Time) -> bool {
+        let is_alone_yet = self.is_new(now) && self.peers.all().next().is_none();
+        let part = self.brittle.part;
+        let is_allowed = match self.brittle.max_refusals(target, now) {
+            Some(max_refusals) => part.usable_refusals(max_refusals, Tenure::New) > 0,
+            None => part.is_majority(),
+        };
+        is_allowed && !is_alone_yet
+    }
+
+    /// Returns the part of the fleet that this instance sees.
+    fn fleet_part(&self, now: Time) -> FleetPart {
+        let seen = self.peers.live(now).count();
+        let expected = self.peers.expected(self.is_new(now), now).count();
+        let known = self.peers.all().count();
+        let [seen, known] =
+            [seen + expected, known].map(|peers| u32::try_from(peers).unwrap_or(u32::MAX - 1));
+        FleetPart {
+            seen: seen + 1,
+            known: known + 1,
+        }
     }
 
     /// Number of brittle targets whose owner this instance can't tell.
@@ -96,37 +181,57 @@
         let without = brittle.filter(|target| !self.owners.by_target.contains_key(&target.id));
         let found = without.map(|target| (target.id.clone(), self.owner_of(target, now)));
         let found = found.collect::<Vec<_>>();
+        for (target, owner) in &found {
+            self.brittle
+                .record_owned(target, *owner == Owner::Local, now);
+        }
         self.owners.by_target.extend(found);
     }
 
-    /// Forgets the owners of brittle targets if other instances can own them now.
+    /// Records that a request could not be sent to the owner of a target. Until that is seen again it owns none, as far as
+    /// this instance is concerned.
+    pub fn record_owner_unreached(&mut self, name: &InstanceId, now: Time) {
+        let unreached = Owner::Peer(name.clone());
+        self.owners.by_target.retain(|_, owner| *owner != unreached);
+        self.owners.unreached.insert(name.clone(), now);
+    }
+
+    /// Determines the owners of brittle targets anew if other instances can own them now.
     pub(super) fn sweep_owners(&mut self, now: Time) {
+        self.brittle.part = self.fleet_part(now);
         if self.brittle.is_empty(now) {
             self.owners = Owners::default();
             return;
         }
+        self.owners
+            .unreached
+            .retain(|_, at| now.since(*at) < DOWN_THRESHOLD);
         let candidates = self.owner_candidates(now);
         if candidates != self.owners.candidates {
-            self.owners = Owners {
-                candidates,
-                by_target: HashMap::new(),
-            };
+            self.owners.candidates = candidates;
+            self.owners.by_target.clear();
         }
+        self.update_owners(now);
     }
 
     /// Returns a digest of the instances that can own targets.
     fn owner_candidates(&self, now: Time) -> u64 {
         let live = self.peers.live(now).filter(|peer| peer.ready);
-        let digests = live.map(|peer| {
+        let expected = self.peers.expected(self.is_new(now), now);
+        let reachable = live.chain(expected);
+        let reachable = reachable.filter(|peer| !self.owners.is_unreached(peer, now));
+        let digests = reachable.map(|peer| {
             let name = name_hash(peer.member.name.as_str());
             let lost = peer.lost_services.iter();
             lost.fold(name, |digest, service| {
                 digest.wrapping_add(u64::from(service.bits()))
             })
         });
-        let local = [self.ready(), self.sees_too_little(now)].map(u64::from);
+        let FleetPart { seen, known } = self.brittle.part;
         let lost = self.lost_services().len();
-        let local = local[0] + 2 * local[1] + 4 * u64::try_from(lost).unwrap_or(0);
+        let local = [u64::from(self.ready()), u64::from(seen), u64::from(known)];
+        let local = local[0] + 2 * local[1] + (local[2] << 32);
+        let local = local.wrapping_add(u64::try_from(lost).unwrap_or(0) << 16);
         digests.fold(local, u64::wrapping_add)
     }
 
@@ -146,7 +251,9 @@
                 }
             }
             Some(Owner::Local) | None => Way::Later,
-            Some(Owner::Peer(name)) => self.live_member(name, now).map_or(Way::None, Way::Owner),
+            Some(Owner::Peer(name)) => self
+                .expected_member(name, now)
+                .map_or(Way::None, Way::Owner),
             _ => Way::None,
         }
     }
@@ -161,8 +268,10 @@
         due.map(|target| target.id.clone()).collect()
     }
 
-    fn live_member(&self, name: &InstanceId, now: Time) -> Option<Member> {
+    /// Returns the registration of a peer that is live or expected to run.
+    fn expected_member(&self, name: &InstanceId, now: Time) -> Option<Member> {
         let peer = self.peers.get(name)?;
-        self.peers.is_live(name, now).then(|| peer.member.clone())
+        let is_expected = peer.is_expected(self.is_new(now), now);
+        (is_expected || self.peers.is_live(name, now)).then(|| peer.member.clone())
     }
 }
--- a/crates/gateway/src/decide/peers.rs
+++ b/crates/gateway/src/decide/peers.rs
@@ -121,6 +121,8 @@
     pub member: Member,
     /// When it was last seen, or `None` if it is known only from its registration.
     pub last_seen: Option<Time>,
+    /// When it introduced itself, if it has not been seen since.
+    pub introduced_at: Option<Time>,
     /// Sequence number of its last status.
     pub seq: u32,
     /// Time in milliseconds since its incarnation started, as of its last status.
@@ -305,11 +307,14 @@
         self.view.as_ref()
     }
 
-    /// Sets the registration of a peer; a new incarnation replaces the old one.
-    pub fn set_member(&mut self, member: Member) {
+    /// Sets the registration of a peer that has introduced itself; a new incarnation replaces the old one.
+    pub fn set_member(&mut self, member: Member, now: Time) {
         let known = self.known.get(&member.name);
         if known.is_none_or(|peer| peer.member != member) {
-            self.insert(Peer::unseen(member));
+            self.insert(Peer {
+                introduced_at: Some(now),
+                ..Peer::unseen(member)
+            });
         }
     }
 
@@ -337,6 +342,13 @@
         peer.is_some_and(|peer| peer.seen_within(DOWN_THRESHOLD, now))
     }
 
+    /// Peers that have not been seen yet but are expected to run: those that have just introduced themselves, and to a
+    /// `new` instance all registered ones.
+    pub fn expected(&self, new: bool, now: Time) -> impl Iterator<Item = &Peer> {
+        let is_expected = move |peer: &&Peer| peer.is_expected(new, now);
+        self.known.values().filter(is_expected)
+    }
+
     /// Number of instances that share quotas, budgets and connections, including this one. One that is `new` may not have
     /// seen all registered peers yet; those that it has not seen are assumed to share, too.
     #[must_use]
@@ -397,6 +409,7 @@
         Self {
             member,
             last_seen: None,
+            introduced_at: None,
             seq: 0,
             uptime_ms: 0,
             role: Role::Subscriber,
@@ -425,6 +438,7 @@
         Self {
             member,
             last_seen: Some(last_seen),
+            introduced_at: None,
             seq: status.seq,
             uptime_ms: status.uptime_ms,
             role: status.role,
@@ -493,6 +507,14 @@
         }
     }
 
+    /// Whether the peer is expected to run although it has not been seen, from the point of view of an instance that is
+    /// `new` or not.
+    #[must_use]
+    pub fn is_expected(&self, new: bool, now: Time) -> bool {
+        let is_introduced = |at: Time| now.since(at) < DOWN_THRESHOLD;
+        self.last_seen.is_none() && (new || self.introduced_at.is_some_and(is_introduced))
+    }
+
     /// Whether the peer was seen within `span` before `now`.
     #[must_use]
     pub fn seen_within(&self, span: Duration, now: Time) -> bool {
--- a/crates/gateway/src/decide/relay_update.rs
+++ b/crates/gateway/src/decide/relay_update.rs
@@ -272,13 +272,13 @@
         &'a self,
         roster: &'a Roster,
     ) -> impl Iterator<Item = (usize, &'a RosterEntry)> {
-        let changed = self.changes.iter().map(|entry| entry.name);
-        let changed = changed.collect::<HashSet<_>>();
-        let kept = roster.entries.iter().enumerate();
-        let kept = kept.filter(move |(_, entry)| !changed.contains(&entry.name));
-        let changes = self.changes.iter().enumerate();
-        let changes = changes.map(|(idx, entry)| (roster.entries.len() + idx, entry));
-        kept.chain(changes)
+        let outdated = self.changes.iter().map(|entry| entry.name);
+        let outdated = outdated.collect::<HashSet<_>>();
+        let all = roster.entries.iter().chain(&self.changes).enumerate();
+        let is_current = move |idx, entry: &RosterEntry| {
+            idx >= roster.entries.len() || !outdated.contains(&entry.name)
+        };
+        all.filter(move |(idx, entry)| is_current(*idx, entry))
     }
 
     /// Returns the services whose targets an instance of the roster can't reach.
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -118,6 +118,8 @@
     pub stopping: bool,
     /// Whether no other process is known to have run under the name of this instance.
     pub is_first_process: bool,
+    /// Whether targets are still to be asked what they report about themselves before requests are sent.
+    pub awaits_first_reports: bool,
     /// Since when too few preferred instances follow the store.
     pub(super) follower_missing_since: Option<Time>,
     budget: RetryBudget,
@@ -166,6 +168,7 @@
             exchange: Exchange::default(),
             stopping: false,
             is_first_process: false,
+            awaits_first_reports: false,
             follower_missing_since: None,
             budget,
             in_flight: HashMap::new(),
@@ -193,10 +196,16 @@
         self.configured() && self.evacuations.is_known() && knows_targets
     }
 
+    /// Whether this instance knows enough to send requests to targets.
+    #[must_use]
+    pub fn is_prepared(&self) -> bool {
+        self.informed() && !self.awaits_first_reports
+    }
+
     /// Whether this instance accepts callers.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.informed() && !self.stopping
+        self.is_prepared() && !self.stopping
     }
 
     /// Puts a configuration in force if it is newer. Returns whether it is.
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -24,9 +24,7 @@
 use super::node::Node;
 use super::pool::Connection;
 use super::quarantine::until_refused;
-use super::response_head::{
-    ResponseSender, record_brittleness, record_response_head, record_taken,
-};
+use super::response_head::{ResponseSender, record_refusal, record_response_head, record_taken};
 use super::target_exchange::{Exchange, exchange};
 use super::target_response::{CollectedResponse, TargetResponse};
 
@@ -174,10 +172,11 @@
     match outcome {
         Exchange::Response(parts, body, connection) => {
             in_flight.record_answer();
-            let head = record_response_head(node, sender, &parts);
-            in_flight.record_refusal(head.not_run && parts.status.as_u16() != 421);
-            if parts.status.as_u16() != 421 {
-                record_brittleness(node, sender, &head, in_flight.sent);
+            let head = record_response_head(node, sender, &parts, in_flight.sent);
+            let is_refused = head.not_run && parts.status != StatusCode::MISDIRECTED_REQUEST;
+            in_flight.record_refusal(is_refused);
+            if is_refused {
+                record_refusal(node, sender, &head);
             }
             // A target that did not run the request may leave the limit out of its response.
             if !(head.not_run && head.limit == ReportedLimit::Unlimited) {
--- a/crates/gateway/src/net/forwarded_request.rs
+++ b/crates/gateway/src/net/forwarded_request.rs
@@ -32,6 +32,9 @@
     /// The brittle target as whose owner the peer gets it.
     #[serde(default)]
     pub(super) owned: Option<TargetId>,
+    /// Whether the request may wait for a short time at the peer for that target, as it asks no other owner before it waits.
+    #[serde(default)]
+    pub(super) waits_for_owned: bool,
 }
 
 /// What became of a request that was forwarded to a peer.
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -64,6 +64,10 @@
     pub(super) forwarded: Option<ForwardedRequest>,
     /// Peers to which it was forwarded.
     pub(super) tried_peers: Vec<InstanceId>,
+    /// Brittle targets whose owners have returned it since it last waited.
+    pub(super) returned: Vec<TargetId>,
+    /// Number of owners of brittle targets to which it was forwarded since it last waited.
+    pub(super) owners_asked: usize,
 }
 
 impl<E: Edge> Job<E> {
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -84,6 +84,7 @@
     req: Request<Bytes>,
     limits: ResponseLimits,
 ) -> Result<Response<Bytes>, GatewayError> {
+    let started = node.now();
     let calling = async {
         let sent = node.pool.send(&target.id, req.map(Full::new)).await;
         let sent = match sent {
@@ -100,7 +101,7 @@
         let res = read(target.address, response, limits.body_bytes).await?;
         let (head, body) = res.into_parts();
         record_answer(node, &target.id, node.now());
-        record_response_head(node, ResponseSender::of(target), &head);
+        record_response_head(node, ResponseSender::of(target), &head, started);
         node.pool.put(&target.id, connection, None);
         Ok(Response::from_parts(head, body))
     };
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -15,6 +15,7 @@
 use super::brittle_metrics::BrittleMetrics;
 use super::connection_metrics::ConnectionMetrics;
 use super::crash_metrics::CrashMetrics;
+use super::exchange_metrics::ExchangeMetrics;
 use super::memory_metrics::MemoryMetrics;
 use super::retry_metrics::RetryMetrics;
 use super::stream_metrics::StreamMetrics;
@@ -63,9 +64,7 @@
     shards: Gauge<u64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
-    update_age: Gauge<u64>,
-    subscribers: Gauge<u64>,
-    reports_without_roster: Gauge<u64>,
+    exchange: ExchangeMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -170,18 +169,7 @@
                 "bluebellstage.datagram_bytes",
                 "Bytes of datagrams between instances, by kind and direction",
             ),
-            update_age: gauge(
-                "bluebellstage.news_age_ms",
-                "Mean age in milliseconds of what is known of other instances",
-            ),
-            subscribers: gauge(
-                "bluebellstage.news_readers",
-                "Instances that this one relays news to",
-            ),
-            reports_without_roster: gauge(
-                "bluebellstage.reports_without_roster",
-                "Reports of relays on who is live that came without a list of instances that this one has",
-            ),
+            exchange: ExchangeMetrics::new(&instruments),
             brittle: BrittleMetrics::new(&instruments),
             callers: ConnectionMetrics::new(&instruments),
             crashes: CrashMetrics::new(&instruments),
@@ -319,12 +307,7 @@
         self.peers
             .record(count(tables.peers.live(now).count()), &[]);
         self.connections.record(count(connections), &[]);
-        let age = u64::try_from(tables.update_age(now).as_millis()).unwrap_or(u64::MAX);
-        self.update_age.record(age, &[]);
-        self.subscribers
-            .record(count(tables.exchange.subscriber_count()), &[]);
-        self.reports_without_roster
-            .record(tables.exchange.reports_without_roster(), &[]);
+        self.exchange.record(tables, now);
         self.shards.record(count(tables.shards.len()), &[]);
         self.instruments.text()
     }
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -115,6 +115,7 @@
     ) -> (Self, mpsc::Receiver<Outgoing>) {
         let mut tables = Tables::new(settings.member.clone(), settings.reloadable.retry_budget);
         tables.started = boot_time();
+        tables.awaits_first_reports = true;
         tables.rests.set_max_rest(settings.max_rest);
         let (outgoing, packets) = mpsc::channel(OUTGOING_QUEUE);
         let leases = Leases::new(&settings.member.name, settings.handover);
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::{InstanceId, TargetId};
+use bluebellstage_core::{InstanceId, TargetId, Time};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,6 +15,7 @@
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
 use crate::decide::peers::Member;
+use crate::decide::placement::Pick;
 use crate::decide::retry_budget::RetryCause;
 use crate::edge::{Edge, Protocol};
 
@@ -33,6 +34,10 @@
 
 /// Number of peers to which a request is forwarded one after the other.
 const MAX_PEERS: usize = 3;
+/// Number of owners to which a request is forwarded one after the other before it waits.
+const MAX_OWNERS: usize = 3;
+/// Time for which a request waits at the last of these owners.
+const MAX_OWNER_WAIT: Duration = Duration::from_millis(40);
 
 /// What becomes of a peer's response.
 pub(super) enum PeerResult<E: Edge> {
@@ -71,6 +76,37 @@
         forwarded.is_some_and(|forwarded| forwarded.owned.is_some())
     }
 
+    /// Whether the request is returned to the instance that forwarded it to the owner of a target, which gets no request
+    /// now: the owner of another target may have room.
+    pub(super) fn returns_from_owner(&self, pick: &Pick) -> bool {
+        if !self.is_for_owner() || *pick != Pick::Full {
+            return false;
+        }
+        self.owner_wait_end()
+            .is_some_and(|end| self.node.now() >= end)
+    }
+
+    /// Returns until when the request waits for the target as whose owner this instance got it; `None` if a caller sent
+    /// it.
+    pub(super) fn owner_wait_end(&self) -> Option<Time> {
+        let forwarded = self.forwarded.as_ref()?;
+        forwarded.owned.as_ref()?;
+        Some(if forwarded.waits_for_owned {
+            self.arrived + MAX_OWNER_WAIT
+        } else {
+            self.arrived
+        })
+    }
+
+    /// Lets the request go to the owners of targets again after it has waited.
+    pub(super) fn ask_owners_again(&mut self) {
+        if self.forwarded.is_none() {
+            self.returned.clear();
+            self.owners_asked = 0;
+            self.ticket.may_go_to_owner = true;
+        }
+    }
+
     /// Forwards the request to a peer that it was not forwarded to before.
     fn forward_to_peer(&mut self) -> Step<E> {
         while self.tried_peers.len() < MAX_PEERS && self.time_left() > MIN_ATTEMPT_TIME {
@@ -94,7 +130,8 @@
     /// Forwards the request to the owner of a brittle target.
     pub(super) fn forward_to_owner(&mut self, owner: &Member, target: TargetId) -> Step<E> {
         let step = self.forward(owner, Some(target.clone()));
-        self.ticket.may_go_to_owner = self.tried_peers.len() < MAX_PEERS;
+        self.owners_asked += 1;
+        self.ticket.may_go_to_owner = self.owners_asked < MAX_OWNERS;
         step.unwrap_or_else(|| {
             self.refused.push(target);
             Step::GoOn
@@ -119,6 +156,7 @@
             counts: counted_at.is_some(),
             stream: self.ticket.stream_origin(),
             owned,
+            waits_for_owned: self.owners_asked + 1 == MAX_OWNERS,
         };
         let running = self.open_peer_attempt(peer, forwarded)?;
         // It may run from now on, also if the search is dropped before it has ended. If it was sent before, the peer
@@ -150,13 +188,16 @@
         match attempt {
             PeerAttempt::Response(response) if !response.ends_search(owned.is_some()) => {
                 self.count_at_peer(before, &response.report);
-                self.refused.extend(owned);
+                self.returned.extend(owned);
                 Step::GoOn
             }
             PeerAttempt::NotSent => {
                 self.runs -= 1;
                 self.sends -= 1;
-                self.refused.extend(owned);
+                if owned.is_some() {
+                    let now = self.node.now();
+                    self.node.tables().record_owner_unreached(peer, now);
+                }
                 Step::GoOn
             }
             PeerAttempt::Response(response) => {
--- a/crates/gateway/src/net/response_head.rs
+++ b/crates/gateway/src/net/response_head.rs
@@ -1,7 +1,7 @@
 //! Records what targets report about themselves in the heads of their responses.
 
 use bluebellstage_core::{TargetId, Time};
-use http::response;
+use http::{StatusCode, response};
 
 use crate::decide::brittle::ReportedBrittleness;
 use crate::decide::call::ResponseHead;
@@ -31,33 +31,37 @@
     }
 }
 
-/// Decodes the head of a response and records what its target reports about itself, whatever the status and
-/// whatever becomes of the response.
+/// Decodes the head of a response to a request that was sent at `sent`, and records what its target reports about itself,
+/// whatever the request, the status and whatever becomes of the response.
 pub(super) fn record_response_head<E: Edge>(
     node: &Node<E>,
     sender: ResponseSender<'_>,
     parts: &response::Parts,
+    sent: Time,
 ) -> ResponseHead {
     record_unknown_headers(node, sender.target, &parts.headers);
     let head = node.protocol.response_head(parts);
     record_departure(node, sender, head.departure, parts);
     record_rest(node, sender, head.rest);
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        record_brittleness(node, sender, head.brittleness, sent);
+    }
     head
 }
 
 /// Records whether a target reports that it is brittle in its response to a request that was sent at `sent`.
-pub(super) fn record_brittleness<E: Edge>(
+fn record_brittleness<E: Edge>(
     node: &Node<E>,
     sender: ResponseSender<'_>,
-    head: &ResponseHead,
+    reported: ReportedBrittleness,
     sent: Time,
 ) {
-    let now = node.now();
-    if head.brittleness == ReportedBrittleness::Malformed {
+    if reported == ReportedBrittleness::Malformed {
         node.metrics.malformed_header("brittleness");
         let fields = [("target", sender.target.as_str())];
         event(LogEvent::BrittlenessMalformed, &fields);
     }
+    let now = node.now();
     let mut tables = node.tables();
     let Tables {
         registry, brittle, ..
@@ -65,35 +69,41 @@
     let Some(known) = registry.get(sender.target) else {
         return;
     };
-    let is_new = brittle.record(known, sender.born, head.brittleness, sent, now);
-    let borne = brittle.max_refusals(known, now);
-    if head.not_run && head.rest == ReportedRest::None {
+    let is_new = brittle.record(known, sender.born, reported, sent, now);
+    drop(tables);
+    if let ReportedBrittleness::Brittle(max_refusals) = reported
+        && is_new
+    {
+        log_brittle(LogEvent::TargetBrittle, sender.target, max_refusals);
+    }
+}
+
+/// Records that a target has refused a request.
+pub(super) fn record_refusal<E: Edge>(
+    node: &Node<E>,
+    sender: ResponseSender<'_>,
+    head: &ResponseHead,
+) {
+    let now = node.now();
+    let mut tables = node.tables();
+    let known = tables.registry.get(sender.target);
+    let borne = known.and_then(|known| tables.brittle.max_refusals(known, now));
+    if head.rest == ReportedRest::None {
         tables.record_refusal(sender.target, now);
     }
     drop(tables);
-    if let Some(max_refusals) = borne
-        && head.not_run
-    {
+    if let Some(max_refusals) = borne {
         node.metrics.brittle.target_refused();
-        let max_refusals = max_refusals.to_string();
-        let fields = [
-            ("target", sender.target.as_str()),
-            ("max_refusals", &max_refusals),
-        ];
-        event(LogEvent::BrittleRefused, &fields);
-    }
-    if let ReportedBrittleness::Brittle(max_refusals) = head.brittleness
-        && is_new
-    {
-        let max_refusals = max_refusals.to_string();
-        let fields = [
-            ("target", sender.target.as_str()),
-            ("max_refusals", &max_refusals),
-        ];
-        event(LogEvent::TargetBrittle, &fields);
+        log_brittle(LogEvent::BrittleRefused, sender.target, max_refusals);
     }
 }
 
+fn log_brittle(log_event: LogEvent, target: &TargetId, max_refusals: u32) {
+    let max_refusals = max_refusals.to_string();
+    let fields = [("target", target.as_str()), ("max_refusals", &max_refusals)];
+    event(log_event, &fields);
+}
+
 fn record_rest<E: Edge>(node: &Node<E>, sender: ResponseSender<'_>, reported: ReportedRest) {
     match reported {
         ReportedRest::None => {}
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -17,8 +17,8 @@
 use super::signals::Signals;
 use super::sockets::{limit_buffers, listen};
 use super::{
-    brittle_checks, follow, gossip, leases, loaders, memory, origins, paths, peer_copy, quarantine,
-    reload, restorations, stop, sync, wait_places,
+    brittle_checks, first_reports, follow, gossip, leases, loaders, memory, origins, paths,
+    peer_copy, quarantine, reload, restorations, stop, sync, wait_places,
 };
 
 /// Interval between two removals of expired state.
@@ -91,6 +91,7 @@
     tokio::spawn(paths::run(Arc::clone(&node)));
     tokio::spawn(wait_places::run(Arc::clone(&node)));
     tokio::spawn(brittle_checks::run(Arc::clone(&node)));
+    tokio::spawn(first_reports::run(Arc::clone(&node)));
     tokio::spawn(memory::run(Arc::clone(&node)));
     tokio::spawn(sweep(Arc::clone(&node)));
     reload::run(Arc::clone(&node), source, signals.hangup);
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -126,6 +126,7 @@
         self.ticket.set_patience(timeout, since);
         self.ticket.waits = false;
         self.refused.clear();
+        self.ask_owners_again();
         Search {
             started,
             rest_until: started + self.ticket.route().target_latency / 2,
@@ -189,6 +190,9 @@
                 return Step::Found(SearchOutcome::Quarantined(refused));
             }
             let pick = self.pick(search.reach(), draw, now);
+            if self.returns_from_owner(&pick) {
+                return Step::Found(self.unserved(ALL_FULL));
+            }
             if search.place.is_none()
                 && let Some(back_in) = self.gives_way(&pick, now)
             {
@@ -199,7 +203,10 @@
             }
             match self.wait_for_turn(&mut search.place, &pick, now).await {
                 AfterTurn::GoOn => {}
-                AfterTurn::PickAgain => continue,
+                AfterTurn::PickAgain => {
+                    self.ask_owners_again();
+                    continue;
+                }
                 AfterTurn::Refused(found) => return Step::Found(found),
             }
             match pick {
@@ -278,8 +285,10 @@
         let request = self.fingerprint;
         let mut tables = self.node.tables();
         let mut excluded = Cow::from(&self.tried);
-        if !self.refused.is_empty() {
-            excluded.to_mut().extend_from_slice(&self.refused);
+        for left_out in [&self.refused, &self.returned] {
+            if !left_out.is_empty() {
+                excluded.to_mut().extend_from_slice(left_out);
+            }
         }
         if reach == Reach::Heard {
             excluded.to_mut().extend(tables.health.silent(now).cloned());
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -117,6 +117,8 @@
         origin_age: None,
         forwarded,
         tried_peers: Vec::new(),
+        returned: Vec::new(),
+        owners_asked: 0,
     };
     job.run().await
 }
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -136,10 +136,14 @@
     }
 }
 
-/// Asks a target for a report, once, as a sign of life.
-pub(super) async fn ask_for_sign<E: Edge>(node: &Node<E>, target: &TargetId, address: SocketAddr) {
+/// Asks a target once for a report, as a sign of life and for what it says of itself. Returns whether it has answered.
+pub(super) async fn ask_for_sign<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+) -> bool {
     let until = node.now() + ANSWER_TIMEOUT;
-    let _recorded_if_it_answers = ask(node, target, address, until).await;
+    ask(node, target, address, until).await == Answer::Answered
 }
 
 /// Asks for a report. The connection is new, as a late answer to an earlier request may arrive on a kept one.
@@ -157,7 +161,8 @@
     };
     let born = start_time(node, target);
     let req = node.protocol.report_request(target, address).map(Full::new);
-    let timeout = ANSWER_TIMEOUT.min(until.since(node.now()));
+    let started = node.now();
+    let timeout = ANSWER_TIMEOUT.min(until.since(started));
     let sent = tokio::time::timeout(timeout, connection.send(req)).await;
     let (res, connection) = match sent {
         Ok(Ok(answer)) => answer,
@@ -169,7 +174,8 @@
         return Answer::Refused;
     }
     paths::record_answer(node, target, node.now());
-    let head = record_response_head(node, ResponseSender { target, born }, &parts);
+    let sender = ResponseSender { target, born };
+    let head = record_response_head(node, sender, &parts, started);
     let body = Limited::new(body, MAX_REPORT_BYTES).collect();
     let read = tokio::time::timeout(PROBE_TIMEOUT, body).await;
     if matches!(read, Ok(Ok(_))) && !head.closes_connection {
--- a/crates/gateway/src/net/wait_places.rs
+++ b/crates/gateway/src/net/wait_places.rs
@@ -142,6 +142,7 @@
                     );
                     self.node.wakers.wake(displaced);
                 }
+                let until = self.owner_wait_end().map_or(until, |end| until.min(end));
                 if let Some(place) = place {
                     self.node.wake_next(place.service);
                     place.wait(until).await;
@@ -158,7 +159,8 @@
     /// Decides the turn, and takes a place if the request has to wait.
     fn take_turn(&mut self, place: &mut Option<Place<E>>, pick: &Pick, now: Time) -> Turn {
         let held = place.as_ref().map(|place| place.key);
-        let has_tried = !self.tried.is_empty() || !self.refused.is_empty();
+        let left_out = [&self.tried, &self.refused, &self.returned];
+        let has_tried = left_out.iter().any(|targets| !targets.is_empty());
         let mut tables = self.node.tables();
         let turn = tables.take_turn(held, pick, (&self.ticket, &self.call), has_tried, now);
         let Turn::Wait { key, .. } = turn else {
--- a/crates/gateway/tests/brittle_requests.rs
+++ b/crates/gateway/tests/brittle_requests.rs
@@ -14,7 +14,7 @@
 const FLEETS: [(usize, usize); 4] = [(8, 3), (24, 3), (75, 3), (380, 18)];
 const TARGETS: usize = 6;
 
-/// A target that bears six refusals a second, of which its owner uses three for requests that were sent at zero.
+/// A target that bears six refusals a second, of which its owner uses four for requests that were sent at zero.
 struct OwnedTarget {
     targets: BrittleTargets,
     target: Target,
@@ -27,7 +27,7 @@
             target: target("c1", "court"),
         };
         owned.report(0);
-        for _ in 0..3 {
+        for _ in 0..4 {
             assert!(owned.bears_refusal(0));
             owned.targets.record_sent(&owned.target, at(0));
         }
--- a/crates/gateway/tests/support/brittle/mod.rs
+++ b/crates/gateway/tests/support/brittle/mod.rs
@@ -24,6 +24,15 @@
 const HOP: Duration = Duration::from_millis(2);
 /// Pause of a request that found no room.
 const PAUSE: Duration = Duration::from_millis(20);
+/// Owners that a request is forwarded to before it pauses.
+const MAX_HOPS: usize = 3;
+/// Time for which a request waits at the last owner, where it is woken when a request of the target ends.
+const OWNER_PATIENCE: Duration = Duration::from_millis(40);
+const OWNER_PAUSE: Duration = Duration::from_millis(5);
+/// Pause of a request at an instance that does not send requests yet.
+const PREPARATION_PAUSE: Duration = Duration::from_millis(5);
+/// Longest wait of a new process for what targets report.
+const MAX_REPORT_WAIT: Duration = Duration::from_millis(150);
 /// Time after which a request without room is refused.
 const PATIENCE: Duration = Duration::from_millis(250);
 
@@ -38,6 +47,8 @@
     tried: Vec<TargetId>,
     tried_here: Vec<TargetId>,
     hops: usize,
+    /// Since when it has waited at an owner.
+    waits_since: Option<Time>,
 }
 
 /// An attempt at a target.
@@ -63,6 +74,8 @@
     Check(usize, usize),
     /// A sign of life of a target arrives at an instance.
     Sign(usize, usize),
+    /// What a target says to a new process that asked it, or nothing.
+    FirstReport(usize, Incarnation, Option<usize>),
 }
 
 /// A running simulation.
@@ -200,6 +213,38 @@
     pub fn restart(&mut self, idx: usize) {
         self.fleet.restart(idx, false);
         self.register(idx);
+        self.ask_first(idx);
+    }
+
+    /// Lets a new process ask targets what they report before it sends requests.
+    fn ask_first(&mut self, idx: usize) {
+        let now = self.fleet.now;
+        let tables = self.fleet.tables_mut(idx);
+        tables.awaits_first_reports = true;
+        let incarnation = tables.local.incarnation;
+        let asked = tables.targets_to_ask_first(now);
+        let answers = |number: &usize| {
+            let target = &self.targets[*number];
+            let is_asked = asked.iter().any(|asked| asked.id == id(*number));
+            is_asked && !target.is_away() && target.silent_until.is_none()
+        };
+        let first = (0..self.targets.len()).find(answers);
+        let wait = if first.is_some() {
+            HOP * 2
+        } else {
+            MAX_REPORT_WAIT
+        };
+        self.schedule(wait, Event::FirstReport(idx, incarnation, first));
+    }
+
+    fn receive_report(&mut self, idx: usize, asker: Incarnation, number: Option<usize>) {
+        if self.fleet.tables(idx).local.incarnation != asker {
+            return;
+        }
+        if let Some(number) = number {
+            self.tell(idx, number);
+        }
+        self.fleet.tables_mut(idx).awaits_first_reports = false;
     }
 
     /// Sets whether a target has no room, whatever it runs.
@@ -265,6 +310,7 @@
             tried: Vec::new(),
             tried_here: Vec::new(),
             hops: 0,
+            waits_since: None,
         };
         self.schedule(Duration::ZERO, Event::Search(request));
     }
@@ -284,6 +330,7 @@
             Event::Served(attempt) => self.end(attempt, false),
             Event::Check(idx, number) => self.check(idx, number),
             Event::Sign(idx, number) => self.receive_sign(idx, number),
+            Event::FirstReport(idx, asker, number) => self.receive_report(idx, asker, number),
         }
     }
 
@@ -319,10 +366,16 @@
         let (now, idx) = (self.fleet.now, request.at);
         if !self.fleet.is_running(idx) {
             if request.owned.is_some() {
-                self.return_to_origin(request);
+                self.return_unsent(request);
             }
             return;
         }
+        if !self.fleet.tables(idx).is_prepared() {
+            if request.owned.is_some() {
+                return self.return_to_origin(request);
+            }
+            return self.schedule(PREPARATION_PAUSE, Event::Search(request));
+        }
         let sample = self.fleet.random_fraction();
         let tables = self.fleet.tables_mut(idx);
         let call = call("/file/1", Some("key-1"));
@@ -330,10 +383,10 @@
             self.refused += 1;
             return;
         };
-        ticket.may_go_to_owner = request.owned.is_none() && request.hops < 3;
+        ticket.may_go_to_owner = request.owned.is_none() && request.hops < MAX_HOPS;
         let pick = tables.pick(&ticket, &call, &request.tried_here, sample, now);
         let Pick::Send { target, .. } = pick else {
-            return self.find_no_room(request);
+            return self.find_no_room(request, &pick);
         };
         match tables.way_to(&target, now) {
             Way::Direct { charged_at } => self.send(request, &target, charged_at),
@@ -347,6 +400,7 @@
                     tried: request.tried_here,
                     tried_here: Vec::new(),
                     hops: request.hops + 1,
+                    waits_since: None,
                     ..request
                 };
                 self.schedule(HOP, Event::Search(forwarded));
@@ -375,11 +429,22 @@
         self.schedule(HOP, Event::Arrive(attempt));
     }
 
-    fn find_no_room(&mut self, request: Request) {
+    fn find_no_room(&mut self, request: Request, pick: &Pick) {
+        let now = self.fleet.now;
+        let is_patient = now.since(request.arrived) <= PATIENCE;
+        let waits_since = request.waits_since.unwrap_or(now);
+        let waits = request.hops >= MAX_HOPS && now.since(waits_since) < OWNER_PATIENCE;
+        if request.owned.is_some() && waits && *pick == Pick::Full {
+            let waiting = Request {
+                waits_since: Some(waits_since),
+                ..request
+            };
+            return self.schedule(OWNER_PAUSE, Event::Search(waiting));
+        }
         if request.owned.is_some() {
             return self.return_to_origin(request);
         }
-        if self.fleet.now.since(request.arrived) > PATIENCE {
+        if !is_patient {
             self.refused += 1;
             return;
         }
@@ -391,6 +456,22 @@
         self.schedule(PAUSE, Event::Search(again));
     }
 
+    /// Returns a request that could not be sent to an owner, as its process has ended.
+    fn return_unsent(&mut self, request: Request) {
+        let now = self.fleet.now;
+        let owner = self.fleet.tables(request.at).local.name.clone();
+        let origin = self.fleet.tables_mut(request.origin);
+        origin.record_owner_unreached(&owner, now);
+        let returned = Request {
+            at: request.origin,
+            owned: None,
+            tried_here: request.tried,
+            tried: Vec::new(),
+            ..request
+        };
+        self.schedule(HOP, Event::Search(returned));
+    }
+
     /// Returns a request that an owner did not serve; its origin leaves the target out.
     fn return_to_origin(&mut self, request: Request) {
         let now = self.fleet.now;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -72,6 +72,7 @@
     Peer {
         member: member(name, "north"),
         last_seen: Some(heard),
+        introduced_at: None,
         seq: 1,
         uptime_ms: 0,
         role: Role::Subscriber,
