--- a/crates/gateway/src/decide/brittle/mod.rs
+++ b/crates/gateway/src/decide/brittle/mod.rs
@@ -18,7 +18,7 @@
 
 use self::refusal_window::{REFUSAL_PERIOD, RefusalWindow};
 pub use self::reports::{BrittleReport, ReportedBrittleness};
-use super::owner::{FleetPart, Tenure};
+use super::fleet_part::{FleetPart, Tenure};
 use super::rendezvous::ShortHash;
 use super::target::Target;
 
--- a/crates/gateway/src/decide/brittle/refusal_window.rs
+++ b/crates/gateway/src/decide/brittle/refusal_window.rs
@@ -24,7 +24,8 @@
 }
 
 impl Unanswered {
-    /// Whether the target must have taken the request: it has been heard for as long as it was silent, up to a period.
+    /// Whether the target must have taken the request. After a silence it works through what has piled up, and what was lost
+    /// on a broken path is sent again after as long as the silence lasted; so it has that time to refuse it.
     fn is_taken(&self, now: Time) -> bool {
         self.heard.is_some_and(|heard| {
             let silence = heard.since(self.sent);
--- a/crates/gateway/src/decide/first_reports.rs
+++ b/crates/gateway/src/decide/first_reports.rs
@@ -15,7 +15,8 @@
 const TARGETS_PER_SERVICE: usize = 3;
 
 impl Tables {
-    /// Returns the targets to ask. Each instance asks others, and of each service some that do not leave.
+    /// Returns the targets to ask: a few of each service, without those that leave. Two instances usually ask different
+    /// ones.
     #[must_use]
     pub fn targets_to_ask_first(&self, now: Time) -> Vec<Target> {
         let key = name_hash(self.local.name.as_str());
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod exchange;
 pub mod fair_share;
 mod first_reports;
+pub mod fleet_part;
 pub mod follower;
 pub mod health;
 pub mod kind;
--- a/crates/gateway/tests/brittle_restarts.rs
+++ b/crates/gateway/tests/brittle_restarts.rs
@@ -4,7 +4,8 @@
 
 use bluebellstage_core::Time;
 use bluebellstage_gateway::decide::brittle::ReportedBrittleness;
-use bluebellstage_gateway::decide::owner::{FleetPart, Owner, Tenure};
+use bluebellstage_gateway::decide::fleet_part::{FleetPart, Tenure};
+use bluebellstage_gateway::decide::owner::Owner;
 use support::brittle::{Simulation, TargetModel};
 use support::fleet::{Fleet, Network};
 use support::target;
