Let requests wait that owners of brittle targets have returned

With one target full and one owner for the other, callers were refused although that one had room: an owner that may send nothing now returns a request at once, and its origin then took the target that rests for the only one left and did not wait for the other.

Cause: a target whose owner has returned the request was left out of the choice like one that has refused it.

--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -12,11 +12,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use rand::Rng;
 
+use crate::decide::availability::Availability;
 use crate::decide::call::Forward;
 use crate::decide::config::RouteKind;
 use crate::decide::peers::Member;
 use crate::decide::placement::Pick;
 use crate::decide::retry_budget::RetryCause;
+use crate::decide::target::Target;
 use crate::edge::{Edge, Protocol};
 
 use super::attempt::MAX_BUFFERED_BYTES;
@@ -86,6 +88,23 @@
             .is_some_and(|end| self.node.now() >= end)
     }
 
+    /// Whether no owner of another target is asked after that of `owned` before the request waits.
+    fn is_last_owner(&self, owned: Option<&TargetId>) -> bool {
+        if self.owners_asked + 1 == MAX_OWNERS {
+            return true;
+        }
+        let now = self.node.now();
+        let tables = self.node.tables();
+        let left_out = [&self.tried, &self.refused, &self.returned];
+        let is_left = |target: &&Target| {
+            Some(&target.id) != owned
+                && self.ticket.allows(target)
+                && tables.availability(target, now) == Availability::Open
+                && !left_out.iter().any(|targets| targets.contains(&target.id))
+        };
+        !tables.registry.all().any(|target| is_left(&target))
+    }
+
     /// Returns until when the request waits for the target as whose owner this instance got it; `None` if a caller sent
     /// it.
     pub(super) fn owner_wait_end(&self) -> Option<Time> {
@@ -148,6 +167,7 @@
             retries.forget_request(service, counted_at);
         }
         self.tried_peers.push(peer.name.clone());
+        let waits_for_owned = self.is_last_owner(owned.as_ref());
         let forwarded = ForwardedRequest {
             origin: self.node.settings.member.name.clone(),
             workspace: self.ticket.workspace.clone(),
@@ -156,7 +176,7 @@
             counts: counted_at.is_some(),
             stream: self.ticket.stream_origin(),
             owned,
-            waits_for_owned: self.owners_asked + 1 == MAX_OWNERS,
+            waits_for_owned,
         };
         let running = self.open_peer_attempt(peer, forwarded)?;
         // It may run from now on, also if the search is dropped before it has ended. If it was sent before, the peer
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -293,7 +293,12 @@
         if reach == Reach::Heard {
             excluded.to_mut().extend(tables.health.silent(now).cloned());
         }
-        tables.pick_apart(request, &self.ticket, &self.call, &excluded, draw, now)
+        let pick = tables.pick_apart(request, &self.ticket, &self.call, &excluded, draw, now);
+        match pick {
+            // The owners that returned the request may have room in a moment.
+            Pick::NoTarget | Pick::Resting { .. } if !self.returned.is_empty() => Pick::Full,
+            pick => pick,
+        }
     }
 
     fn load_wait(&self, started: Time, now: Time) -> LoadWaitAction {
