Tell by the present fleet who may admit requests to cold targets

Instances that are cut off admitted requests to cold engines in addition to the others: with 40 of 60 cut off, more arrived than the engines accept.

Cold targets ask for the fleet as it is now, as before.

Found by running the gateway's tests by hand.

--- a/crates/gateway/src/decide/availability.rs
+++ b/crates/gateway/src/decide/availability.rs
@@ -106,7 +106,7 @@
     /// admits none, as another may admit them.
     pub(super) fn owns_cold_target(&self, target: &TargetId, now: Time) -> bool {
         let known = self.registry.get(target);
-        let may_own = !self.is_new(now) && self.brittle.part.is_majority();
+        let may_own = !self.is_new(now) && self.fleet_part(now).is_majority();
         known.is_some_and(|known| may_own && self.owner_of(known, now) == Owner::Local)
     }
 
--- a/crates/gateway/src/decide/owner.rs
+++ b/crates/gateway/src/decide/owner.rs
@@ -88,13 +88,13 @@
         let part = self.brittle.part;
         let is_allowed = match self.brittle.max_refusals(target, now) {
             Some(max_refusals) => part.usable_refusals(max_refusals, Tenure::New) > 0,
-            None => part.is_majority(),
+            None => self.fleet_part(now).is_majority(),
         };
         is_allowed && !is_alone_yet
     }
 
     /// Returns the part of the fleet that this instance sees.
-    fn fleet_part(&self, now: Time) -> FleetPart {
+    pub(super) fn fleet_part(&self, now: Time) -> FleetPart {
         let seen = self.peers.live(now).count();
         let expected = self.peers.expected(self.is_new(now), now).count();
         let known = self.peers.all().count();
