Split the model of brittle targets, and name what two of its tests guard against

Requests and restarts stand in files of their own; the lines of two tests referred to the test before.

--- a/crates/gateway/src/decide/fleet_part.rs
+++ b/crates/gateway/src/decide/fleet_part.rs
@@ -29,7 +29,7 @@
 }
 
 impl FleetPart {
-    /// Whether no other part that sees each other is as large.
+    /// Whether it is more than half of the fleet.
     #[must_use]
     pub const fn is_majority(self) -> bool {
         self.seen * 2 > self.known
--- a/crates/gateway/tests/brittle_restarts.rs
+++ b/crates/gateway/tests/brittle_restarts.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// Guards against the same in a fleet in which most of the first instances that are back find no owner.
+/// Guards against requests that are refused after a kill of all, as the first instances that are back find no owner.
 #[test]
 fn kills_of_all_instances_of_a_large_fleet_do_not_make_brittle_targets_fall() {
     assert_kills_of_all_borne(LARGE_FLEET, BURSTS);
@@ -126,7 +126,7 @@
     }
 }
 
-/// Guards against the same in a fleet in which most of the first instances that are back find no owner.
+/// Guards against requests that the one instance left refuses, as it finds no owner until others are back.
 #[test]
 fn kills_of_all_instances_of_a_large_fleet_but_one_do_not_make_brittle_targets_fall() {
     assert_kills_of_all_but_one_borne(LARGE_FLEET, 81);
--- a/crates/gateway/tests/support/brittle/mod.rs
+++ b/crates/gateway/tests/support/brittle/mod.rs
@@ -1,18 +1,21 @@
 //! Simulation of a fleet before brittle plain targets, in virtual time. The real tables choose the target of each request
 //! and the way to it, and tell each other what they heard.
 
+mod event;
+mod restarts;
 mod target;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use bluebellstage_core::{Incarnation, Revision, TargetId, Time};
+use bluebellstage_core::{Revision, TargetId, Time};
 use bluebellstage_gateway::decide::brittle::ReportedBrittleness;
 use bluebellstage_gateway::decide::owner::Way;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::target::Target;
 
+use self::event::{Attempt, Event, Request};
 pub use self::target::TargetModel;
 use self::target::{Arrival, SimulatedTarget};
 use super::fleet::Fleet;
@@ -36,48 +39,6 @@
 /// Time after which a request without room is refused.
 const PATIENCE: Duration = Duration::from_millis(250);
 
-/// A request.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Request {
-    arrived: Time,
-    origin: usize,
-    /// The instance that looks for a target, and the target as whose owner it got the request.
-    at: usize,
-    owned: Option<TargetId>,
-    tried: Vec<TargetId>,
-    tried_here: Vec<TargetId>,
-    hops: usize,
-    /// Since when it has waited at an owner.
-    waits_since: Option<Time>,
-}
-
-/// An attempt at a target.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Attempt {
-    request: Request,
-    /// Process that sent it.
-    sender: Incarnation,
-    target: usize,
-    born: u64,
-    sent: Time,
-    charged_at: Option<Time>,
-}
-
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Event {
-    Search(Request),
-    Arrive(Attempt),
-    Refused(Attempt),
-    Unreachable(Attempt),
-    Served(Attempt),
-    /// A request for a sign of life arrives at a target, from an instance.
-    Check(usize, usize),
-    /// A sign of life of a target arrives at an instance.
-    Sign(usize, usize),
-    /// What a target says to a new process that asked it, or nothing.
-    FirstReport(usize, Incarnation, Option<usize>),
-}
-
 /// A running simulation.
 #[derive(Debug)]
 pub struct Simulation {
@@ -190,63 +151,6 @@
         }
     }
 
-    /// Kills all instances for which `is_killed` holds. Each starts again after `back_after` milliseconds.
-    pub fn restart_some(
-        &mut self,
-        is_killed: impl Fn(usize) -> bool,
-        back_after: impl Fn(usize) -> u64,
-    ) {
-        let killed = (0..self.fleet.len()).filter(|idx| is_killed(*idx));
-        let mut killed = killed.map(|idx| (back_after(idx), idx)).collect::<Vec<_>>();
-        killed.sort_unstable();
-        for (_, idx) in &killed {
-            self.fleet.kill(*idx);
-        }
-        let mut elapsed = 0;
-        for (back_after, idx) in killed {
-            self.run_ms(back_after - elapsed);
-            elapsed = back_after;
-            self.restart(idx);
-        }
-    }
-
-    pub fn restart(&mut self, idx: usize) {
-        self.fleet.restart(idx, false);
-        self.register(idx);
-        self.ask_first(idx);
-    }
-
-    /// Lets a new process ask targets what they report before it sends requests.
-    fn ask_first(&mut self, idx: usize) {
-        let now = self.fleet.now;
-        let tables = self.fleet.tables_mut(idx);
-        tables.awaits_first_reports = true;
-        let incarnation = tables.local.incarnation;
-        let asked = tables.targets_to_ask_first(now);
-        let answers = |number: &usize| {
-            let target = &self.targets[*number];
-            let is_asked = asked.iter().any(|asked| asked.id == id(*number));
-            is_asked && !target.is_away() && target.silent_until.is_none()
-        };
-        let first = (0..self.targets.len()).find(answers);
-        let wait = if first.is_some() {
-            HOP * 2
-        } else {
-            MAX_REPORT_WAIT
-        };
-        self.schedule(wait, Event::FirstReport(idx, incarnation, first));
-    }
-
-    fn receive_report(&mut self, idx: usize, asker: Incarnation, number: Option<usize>) {
-        if self.fleet.tables(idx).local.incarnation != asker {
-            return;
-        }
-        if let Some(number) = number {
-            self.tell(idx, number);
-        }
-        self.fleet.tables_mut(idx).awaits_first_reports = false;
-    }
-
     /// Sets whether a target has no room, whatever it runs.
     pub fn set_full(&mut self, number: usize, is_full: bool) {
         self.targets[number].is_full = is_full;
--- a/crates/gateway/tests/support/brittle/target.rs
+++ b/crates/gateway/tests/support/brittle/target.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::Time;
 
-use super::Attempt;
+use super::event::Attempt;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time for which a target that fell over is away.
