Review case 1: a request that is forwarded twice runs twice

Cause: an instance that passes on the failure of the owner of a brittle target adds no report of its own, and is taken by the instance before it for one that has read nothing.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""One odd entry among the servers, then the servers are replaced as planned."""
+"""A machine loses its links to all servers while they are brittle, and some of the servers' answers are lost."""
 
 import asyncio
 import os
@@ -7,69 +7,72 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins import BOUNDS, Callers, Deployment, main, trouble  # noqa: E402
+from standins import ZONES, Callers, Deployment, main, trouble  # noqa: E402
 
+# Eight machines as on the sheet, and two plain servers. The machines of a zone are cut off from all servers for 5 s, ten
+# times. One of the servers (share 0.5) loses the answers to 0.4 of the requests that it ran, for 4 s each time.
+FRONTS, SERVERS, CUT_S, LOST_S, GAP_S, ROUNDS, LOST_SHARE = 8, 2, 5.0, 4.0, 7.5, 10, 0.4
 
-def nested(levels):
-    return [nested(levels - 1)] if levels else []
 
-
-# Another writer's entry. Its zone is cut off in the middle of a character: the string ends with half of a surrogate
-# pair, which JSON writes as \ud83d. ODD=number and ODD=nested show the same with fields of another type.
-ODD_ENTRIES = {
-    "text": {"service": "case-registry", "address": "127.0.0.1:9", "zone": "sukhbaatar \ud83d"},
-    "number": {"service": "case-registry", "address": "127.0.0.1:9", "slots": 10**400},
-    "nested": {"service": "case-registry", "address": "127.0.0.1:9", "zone": nested(200)},
-}
-ODD_AT, RELEASE_AT, GAP_S, LEAVE_AFTER_S, SECONDS = 4.0, 8.0, 2.0, 5.0, 28.0
-
-
-async def replace(record, deployment, number, acknowledged):
-    """A new server starts, the old one drains, serves on for some seconds, and ends."""
-    await deployment.add_server(number + 10)
-    leaving = deployment.servers[number]
-    acknowledged[number] = leaving.drain()
-    record.say(f"server {number + 10} has started; the store acknowledges that server {number} is draining, "
-               f"at {acknowledged[number]:.3f}")
-    await asyncio.sleep(LEAVE_AFTER_S)
-    await leaving.leave()
-    record.say(f"server {number} has ended and its entry is removed")
-
-
-async def case(record):
-    deployment = Deployment(record, fronts=3, servers=4)
+async def play(record, cuts, loses):
+    """Plays one deployment. Returns its unsafe requests, how many ran, which ran twice, and how many were refused though they
+    ran."""
+    deployment = Deployment(record, fronts=FRONTS, servers=0, own_paths=True)
     try:
+        await deployment.store.start()
+        for number in range(SERVERS):
+            server = await deployment.add_server(number)
+            server.counts_beats = False
+            server.headers = [("Server-Brittle", "5")]
         await deployment.start()
-        callers = Callers(record, deployment, per_s=30)
-        started = record.now()
-        traffic = asyncio.create_task(callers.run(SECONDS))
-        await asyncio.sleep(ODD_AT)
-        if trouble():
-            record.say("another writer's entry appears among the servers: i-other")
-            deployment.store.put("servers", "i-other", ODD_ENTRIES[os.environ.get("ODD", "text")])
-        await asyncio.sleep(RELEASE_AT - ODD_AT)
-        acknowledged, replacing = {}, []
-        for number in range(4):
-            replacing.append(asyncio.create_task(replace(record, deployment, number, acknowledged)))
-            await asyncio.sleep(GAP_S)
-        await asyncio.gather(*replacing)
+        callers = Callers(record, deployment, per_s=80)
+        traffic = asyncio.create_task(callers.run(5 + ROUNDS * GAP_S))
+        await asyncio.sleep(6)
+        for number in range(ROUNDS):
+            zone = ZONES[number % 3]
+            links = [link for front in deployment.fronts if front.zone == zone for link in deployment.links[front.name]]
+            if cuts:
+                record.line(f"the machines of {zone} are cut off from all servers")
+                for link in links:
+                    link.cut()
+            if loses:
+                deployment.servers[number % SERVERS].lost_share = LOST_SHARE
+            await asyncio.sleep(LOST_S)
+            for server in deployment.servers:
+                server.lost_share = 0.0
+            await asyncio.sleep(CUT_S - LOST_S)
+            if cuts:
+                for link in links:
+                    await link.heal()
+                record.line(f"the machines of {zone} reach the servers again")
+            await asyncio.sleep(GAP_S - CUT_S)
         await traffic
-        late = []
-        for number, at in acknowledged.items():
-            arrivals = deployment.servers[number].arrivals
-            after = [arrived - at for arrived, _ in arrivals if arrived > at + BOUNDS["drainMs"] / 1000]
-            record.say(f"server {number} got {len(arrivals)} requests, {len(after)} of them later than drainMs after "
-                       f"the acknowledgement, the last {max(after, default=0):.3f} s after it")
-            late += after
-        for begin, end in ((0, ODD_AT), (ODD_AT, RELEASE_AT), (RELEASE_AT, 20), (20, SECONDS)):
-            sent = [request for request, (at, _, _) in callers.sent.items() if begin <= at - started < end]
-            served = [request for request in sent
-                      if isinstance(callers.answers.get(request, (0, ""))[1], tuple)
-                      and callers.answers[request][1][0] == 200]
-            record.say(f"of {len(sent)} requests sent from {begin} s to {end} s, {len(served)} were served")
-        return bool(late)
+        runs = {}
+        for server in deployment.servers:
+            for at, request in server.runs:
+                runs.setdefault(request, []).append((at, server.number))
+        unsafe = [request for request, (_, kind, _) in callers.sent.items() if kind == "unsafe"]
+        twice = [request for request in unsafe if len(runs.get(request, [])) > 1]
+        refused = [request for request in unsafe if request in runs
+                   and isinstance(callers.answers.get(request, (0, ""))[1], tuple)
+                   and callers.answers[request][1][0] in (408, 421, 429, 503)]
+        for request in twice[:5]:
+            _, answer = callers.answers[request]
+            record.say(f"{request}, sent to {callers.sent[request][2]}, ran {len(runs[request])} times: "
+                       f"{sorted((round(at, 3), number) for at, number in runs[request])}; its caller got "
+                       f"{answer[0] if isinstance(answer, tuple) else answer}")
+        record.say(f"{len(unsafe)} unsafe requests, {sum(request in runs for request in unsafe)} ran, {len(twice)} of them more "
+                   f"than once; {len(refused)} ran and were refused as not run")
+        return bool(twice)
     finally:
         await deployment.end()
 
 
+async def case(record):
+    cuts = trouble() and os.environ.get("CUT", "1") != "0"
+    loses = trouble() and os.environ.get("LOST", "1") != "0"
+    # Two deployments side by side: which machine owns a server follows from their names, which are drawn.
+    return any(await asyncio.gather(play(record, cuts, loses), play(record, cuts, loses)))
+
+
 main(Path(__file__).resolve().parent, case)
--- a/review/standins.py
+++ b/review/standins.py
@@ -174,6 +174,9 @@
         self.open = set()
         self.watched = {}
         self.conditional = []
+        # Addresses of servers as single callers see them, if there are links between them.
+        self.views = {}
+        self.first_seen = {}
 
     async def start(self):
         self.address = await self.listen()
@@ -280,6 +283,32 @@
             return 200, {}
         return 404, {}
 
+    def _seen_by(self, caller, target, found):
+        """An answer as a caller gets it whose links to the servers have addresses of their own.
+
+        The revision of the list is that of the last change of a server, so that no instance copies the list of another one,
+        with addresses that are not its own; for the same reason an instance that starts does not see the others at once.
+        """
+        view = self.views.get(caller)
+        kind = target.removeprefix("/api/objects/").partition("?")[0]
+        if view is None or kind not in ("servers", "bluebellstage-members"):
+            return found
+        if kind == "bluebellstage-members":
+            first = self.first_seen.setdefault(caller, time.monotonic())
+            return dict(found, items=[]) if "items" in found and time.monotonic() - first < 0.4 else found
+
+        def changed(entry):
+            address = view.get(entry["metadata"]["name"])
+            return dict(entry, spec=dict(entry["spec"], address=address)) if address else entry
+
+        found = dict(found)
+        if "items" in found:
+            found["items"] = [changed(entry) for entry in found["items"]]
+        if "events" in found:
+            found["events"] = [dict(one, object=changed(one["object"])) for one in found["events"]]
+        last = max(entry["metadata"]["revision"] for (of, _), entry in self.objects.items() if of == "servers")
+        return dict(found, currentRev=last)
+
     async def _serve(self, caller, reader, writer):
         if caller in self.turned_away:
             writer.transport.abort()
@@ -294,6 +323,8 @@
                     kind = target.removeprefix("/api/objects/").partition("?")[0]
                     self.watched[caller][kind] = time.monotonic()
                 status, found = await self._answer(method, target, body)
+                if method == "GET" and status == 200:
+                    found = self._seen_by(caller, target, found)
                 if method == "PUT" and status == 200 and '"revision"' in body.decode():
                     self.conditional.append((time.monotonic(), caller, target))
                 # Characters beyond ASCII leave as JSON's own escapes.
@@ -318,6 +349,11 @@
         self.number = number
         self.work_s = work_s
         self.state = "ready"
+        # Headers of all answers, and the share of answers that are lost, by a reset, after the request has run.
+        self.headers = []
+        self.lost_share = 0.0
+        # The entry changes when more than `seq` changes: without it there is no event at each heartbeat.
+        self.counts_beats = True
         self.seq = 0
         self.arrivals = []
         self.runs = []
@@ -339,7 +375,7 @@
 
     async def _beat(self):
         await asyncio.sleep(random.random() * HEARTBEAT_S)
-        while True:
+        while self.counts_beats:
             self.register()
             await asyncio.sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
 
@@ -371,7 +407,7 @@
                 if headers.get("bluebellstage-expect-instance", self.id) != self.id:
                     writer.write(response(421, b"", [("Bluebellstage-Not-Run", "1")]))
                 elif path == "/api/report":
-                    writer.write(response(404, b"{}"))
+                    writer.write(response(404, b"{}", self.headers))
                 elif path == "/health":
                     status = 200 if self.state == "ready" else 503
                     writer.write(response(status, b"", [("Bluebellstage-Instance-Id", self.id)]))
@@ -383,9 +419,13 @@
                     self.record.line(f"server {self.number} ({self.state}) runs {request} {method} {path}")
                     self.runs.append((at, request))
                     await asyncio.sleep(self.work_s)
+                    if random.random() < self.lost_share:
+                        self.record.line(f"server {self.number} has run {request}, and its answer is lost")
+                        writer.transport.abort()
+                        return
                     stamp = f"{self.number}.{random.getrandbits(32):08x}"
                     answer = [("Bluebellstage-Request-Id", request), ("Bluebellstage-Response-Stamp", stamp),
-                              ("Keep-Alive", "timeout=10")]
+                              ("Keep-Alive", "timeout=10"), *self.headers]
                     if self.state == "draining":
                         answer.append(("Connection", "close"))
                     writer.write(response(200, f"done by {self.number}".encode(), answer))
@@ -641,6 +681,57 @@
             writer.close()
 
 
+class Link:
+    """The link from one front to one server, which can be cut: new connections are refused and open ones reset."""
+
+    def __init__(self, server):
+        self.server, self.open, self.listener = server, set(), None
+
+    async def start(self):
+        self.ip = loopback()
+        self.port = free_ports(self.ip, 1)[0]
+        self.address = f"{self.ip}:{self.port}"
+        await self.heal()
+
+    async def heal(self):
+        self.listener = await asyncio.start_server(self._carry, self.ip, self.port)
+
+    def cut(self):
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def _carry(self, reader, writer):
+        ip, port = self.server.address.rsplit(":", 1)
+        try:
+            server_reader, server_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open |= {writer, server_writer}
+
+        async def pump(source, sink, other):
+            try:
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+                sink.close()
+            except OSError:
+                sink.transport.abort()
+                other.transport.abort()
+
+        try:
+            await asyncio.gather(pump(reader, server_writer, writer), pump(server_reader, writer, server_writer))
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self.open -= {writer, server_writer}
+            writer.close()
+            server_writer.close()
+
+
 # --- Front processes ----------------------------------------------------------------------------------------------
 
 
@@ -650,6 +741,7 @@
     def __init__(self, record, folder, store, number, fleet):
         self.record, self.folder, self.store, self.number, self.fleet = record, Path(folder), store, number, fleet
         self.store_address = store.address
+        self.has_seeds = True
         self.name = f"front-{ZONES[number % 3]}-{number // 3 + 1}"
         self.zone = ZONES[number % 3]
         self.ip = loopback()
@@ -661,7 +753,7 @@
         return f"{self.ip}:{self.ports[name]}"
 
     def write_settings(self):
-        seeds = [front.address("control") for front in self.fleet][:3]
+        seeds = [front.address("control") for front in self.fleet][:3] if self.has_seeds else []
         fields = {
             "node": self.name, "role": "instance", "machineClass": "front",
             "serves": ["front", "control", "directory"], "ip": self.ip, "zone": self.zone, "region": "ub-capital",
@@ -736,12 +828,12 @@
 class Deployment:
     """A store, plain servers and front processes, all ended by `end`."""
 
-    def __init__(self, record, fronts=3, servers=3, own_links=False):
+    def __init__(self, record, fronts=3, servers=3, own_links=False, own_paths=False):
         self.record = record
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.store = Store(record)
         self.front_count, self.server_count = fronts, servers
-        self.own_links = own_links
+        self.own_links, self.own_paths, self.links = own_links or own_paths, own_paths, {}
         self.fronts, self.servers = [], []
 
     async def start(self):
@@ -755,9 +847,22 @@
         for front in self.fronts:
             if self.own_links:
                 front.store_address = await self.store.listen()
+            if self.own_paths:
+                await self.lay_links(front)
             await front.start()
         await self.until_ready()
 
+    async def lay_links(self, front):
+        """Lays links of its own from a front to all servers, and lets it see their addresses in the store."""
+        front.has_seeds = False
+        view = self.store.views[self.store.callers[front.store_address]] = {}
+        self.links[front.name] = []
+        for server in self.servers:
+            link = Link(server)
+            await link.start()
+            view[server.id] = link.address
+            self.links[front.name].append(link)
+
     async def add_engine(self, number, kind=Engine, **options):
         engine = kind(self.record, self.store, ZONES[number % 3], number, **options)
         await engine.start()
@@ -787,6 +892,8 @@
         for server in self.servers:
             server.beats.cancel()
             server.close()
+        for link in sum(self.links.values(), []):
+            link.cut()
         self.folder.cleanup()
 
 
@@ -827,14 +934,17 @@
 
     async def run(self, seconds):
         until = time.monotonic() + seconds
-        found, asked = [], 0.0
+        # A third of the callers keep the addresses for three times as long as they are told.
+        found, kept, asked, kept_since = [], [], 0.0, 0.0
         while time.monotonic() < until:
             if time.monotonic() - asked > 1.0:
                 fresh = await self.addresses()
                 found, asked = fresh or found, time.monotonic()
+                if time.monotonic() - kept_since > 3.0:
+                    kept, kept_since = found, time.monotonic()
             if found:
                 kind = "unsafe" if random.random() < 0.7 else "safe"
-                task = asyncio.create_task(self.one(kind, found))
+                task = asyncio.create_task(self.one(kind, random.choice([found, found, kept])))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
             await asyncio.sleep(random.expovariate(self.per_s))
