--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,10 @@
-"""The last servers of a software version leave as planned, and then all processes are killed at the same moment."""
+"""The last servers of a software version leave as planned, and then all processes are killed at the same moment.
+
+STAY=1: no server leaves, so that servers of both versions serve all the time; what counts is then whether streams go on.
+"""
 
 import asyncio
-import json
+import os
 import random
 import signal
 import sys
@@ -9,10 +12,11 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins import HOST, KEY, MODEL, Callers, Deployment, Engine, main, read_body, read_head, response, trouble  # noqa: E402
+from standins import BOUNDS, HOST, KEY, MODEL, Callers, Deployment, Engine, main, read_body, read_head, trouble  # noqa: E402
 
 FRONTS, OLD, NEW, PER_S, EVENTS, GAP_S = 4, 3, 3, 12, 60, 0.1
-DEADLINE_S, RETRIES = 15.0, 3
+STAY = os.environ.get("STAY") == "1"
+DEADLINE_S, RETRIES = 15.0, 4 if STAY else 3
 LEAVE_AT, KILL_AFTER_S, RESTART_S, END_AFTER_S, SECONDS = 10.0, 2.5, 0.5, 9.0, 24.0
 
 
@@ -94,6 +98,8 @@
 
     def __init__(self, record, deployment):
         self.record, self.directory, self.addresses, self.streams = record, Callers(record, deployment, 1), [], []
+        # When each client attempt was sent, how many events its client had, and how many it got.
+        self.attempts = []
 
     async def look_up(self):
         while True:
@@ -112,7 +118,7 @@
                        ("Bluebellstage-Token-Counts", "628,300"), ("Bluebellstage-Prompt-Prefix", prefix)]
             if events:
                 headers += [("Last-Event-Id", str(events[-1][0])), ("Resumes", first)]
-            had = len(events)
+            had, at = len(events), self.record.now()
             try:
                 async with asyncio.timeout(left):
                     status, complete, pause = await attempt(address, headers, events)
@@ -121,6 +127,7 @@
             if first is None and events:
                 first = request
             tries.append((request, status, len(events) - had))
+            self.attempts.append((at, had, len(events) - had))
             self.record.line(f"client attempt {request} at {address} after {had} events of {first or request}: {status}, "
                              f"{len(events) - had} events, {'complete' if complete else 'not complete'}")
             if complete or status in (400, 401, 404, 413, 431, "timed out"):
@@ -151,9 +158,11 @@
 
         sending = asyncio.create_task(traffic())
         await asyncio.sleep(LEAVE_AT)
-        for engine in old:
-            engine.vanish()
-        record.say(f"the servers of v1 leave without a report, at {record.now():.3f}: their entries are removed, and they serve on")
+        if not STAY:
+            for engine in old:
+                engine.vanish()
+            record.say(f"the servers of v1 leave without a report, at {record.now():.3f}: their entries are removed, and they "
+                       f"serve on")
         await asyncio.sleep(KILL_AFTER_S)
         if trouble():
             record.say(f"all processes are killed, at {record.now():.3f}")
@@ -162,10 +171,12 @@
             await asyncio.gather(*(front.process.wait() for front in deployment.fronts))
             await asyncio.sleep(RESTART_S)
             await asyncio.gather(*(front.start() for front in deployment.fronts))
+        restarted = record.now()
         await asyncio.sleep(END_AFTER_S - KILL_AFTER_S)
-        for engine in old:
-            await engine.end()
-        record.say(f"the servers of v1 have ended, at {record.now():.3f}")
+        if not STAY:
+            for engine in old:
+                await engine.end()
+            record.say(f"the servers of v1 have ended, at {record.now():.3f}")
         await asyncio.sleep(SECONDS - LEAVE_AT - END_AFTER_S)
         sending.cancel()
         await asyncio.wait(tasks, timeout=DEADLINE_S)
@@ -178,6 +189,14 @@
                        f"client attempts: {tries}")
         record.say(f"{len(streams.streams)} streams, {len(complete)} with all events once and in order, {len(mixed)} with events of "
                    f"both software versions (two are allowed)")
+        # At machines in touch: those that have run for contactMs.
+        late = [one for one in streams.attempts if one[0] > restarted + BOUNDS["contactMs"] / 1000 + 0.2]
+        taken_up, fresh = [got for _, had, got in late if had], [got for _, had, got in late if not had]
+        gone_on, begun = sum(got > 0 for got in taken_up), sum(got > 0 for got in fresh)
+        record.say(f"at machines in touch, {gone_on} of {len(taken_up)} streams that were taken up again went on, and {begun} of "
+                   f"{len(fresh)} new ones began")
+        if STAY:
+            return len(taken_up) >= 12 and gone_on / len(taken_up) < begun / len(fresh) / 2
         return len(mixed) > 2
     finally:
         await deployment.end()
