Keep in the store where streams began while several versions serve

Cause: origins were kept by three instances and former versions by each, in memory only. A new process decided by the registrations of the moment, as if it had seen the minute before its start.

Change: the instances that follow the store keep the software versions of each service there, those of the last minute included. While a service has several, a few instances, one of which is a replica of each stream, write the origins that they keep, four times a second. A new process reads both before it takes a stream for one of any version; until then a lookup waits, for a second at most, and is then refused. No clocks are compared. With one version nothing is written but the set when it changes.

--- a/crates/gateway/src/decide/dump/mod.rs
+++ b/crates/gateway/src/decide/dump/mod.rs
@@ -48,6 +48,7 @@
             evacuated: self.dump_evacuations(now),
             software: self.dump_software(now),
             stream_origins: self.origins.count(),
+            recalled_origins: self.origins.recalled_count(),
             origin_lookups: self.origins.lookup_count(),
             targets: self.dump_targets(now),
             peers: self.dump_peers(now),
--- a/crates/gateway/src/decide/dump/types.rs
+++ b/crates/gateway/src/decide/dump/types.rs
@@ -51,6 +51,8 @@
     pub software: Vec<SoftwareDump>,
     /// Number of streams of which it keeps the software version.
     pub stream_origins: usize,
+    /// Number of streams whose software version it has read from the store.
+    pub recalled_origins: usize,
     /// Number of streams whose software version is being looked up.
     pub origin_lookups: usize,
     /// Targets, by name.
--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -170,6 +170,6 @@
         Kind::Config => CONFIG_WAIT,
         Kind::Targets => TARGETS_WAIT,
         Kind::AdapterVersions | Kind::Evacuations => VERSIONS_WAIT,
-        Kind::Members | Kind::Leases | Kind::Verdicts => LONG_WAIT,
+        Kind::Members | Kind::Leases | Kind::Verdicts | Kind::Streams => LONG_WAIT,
     }
 }
--- a/crates/gateway/src/decide/kind.rs
+++ b/crates/gateway/src/decide/kind.rs
@@ -20,6 +20,8 @@
     Leases,
     /// Quarantine decisions on requests under which targets crash.
     Verdicts,
+    /// Software versions and origins of streams.
+    Streams,
 }
 
 impl Kind {
@@ -34,6 +36,7 @@
             Self::Members => "members",
             Self::Leases => "leases",
             Self::Verdicts => "verdicts",
+            Self::Streams => "streams",
         }
     }
 }
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -13,6 +13,7 @@
 use super::rendezvous::{ShortHash, name_hash, weight};
 use super::software_history::SoftwareHistory;
 use super::store_position::StorePosition;
+use super::stream_origins::StoredVersions;
 use super::target::Target;
 
 /// Time after the store's recovery within which a registration that expired during the outage may
@@ -444,6 +445,26 @@
         versions.any(|version| Some(version) != first)
     }
 
+    /// Records the software versions that the store keeps: streams may have begun at them before this process started.
+    pub fn record_stored_versions(&mut self, stored: &StoredVersions, now: Time) {
+        for (service, version) in stored.iter() {
+            self.software.record_stored(service, version, now);
+        }
+    }
+
+    /// Returns the software versions at which streams may have begun that can still be continued.
+    #[must_use]
+    pub fn continuable_versions(&self, now: Time) -> StoredVersions {
+        let mut versions = StoredVersions::default();
+        for target in self.targets.values() {
+            versions.add(&target.service, &target.software);
+        }
+        for (service, version) in self.software.all(now) {
+            versions.add(service, version);
+        }
+        versions
+    }
+
     /// All targets, including those that are leaving.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/gateway/src/decide/software_history.rs
+++ b/crates/gateway/src/decide/software_history.rs
@@ -21,6 +21,27 @@
         of_service.insert(former.software.clone(), now);
     }
 
+    /// Records a version that the store keeps. When its last target left is not known: at the earliest just now.
+    pub(super) fn record_stored(
+        &mut self,
+        service: &ServiceId,
+        version: &SoftwareVersion,
+        now: Time,
+    ) {
+        let of_service = self.last_seen.entry(service.clone()).or_default();
+        of_service.entry(version.clone()).or_insert(now);
+    }
+
+    /// Returns the versions of former targets of all services.
+    pub(super) fn all(&self, now: Time) -> impl Iterator<Item = (&ServiceId, &SoftwareVersion)> {
+        let versions = self.last_seen.iter().flat_map(|(service, versions)| {
+            let versions = versions.iter();
+            versions.map(move |(version, seen)| (service, version, seen))
+        });
+        let recent = versions.filter(move |(.., seen)| now.since(**seen) < MAX_LIFETIME);
+        recent.map(|(service, version, _)| (service, version))
+    }
+
     /// Returns the versions of former targets of a service.
     pub(super) fn versions(
         &self,
--- a/crates/gateway/src/decide/stream_origins/key.rs
+++ b/crates/gateway/src/decide/stream_origins/key.rs
@@ -25,3 +25,9 @@
         self.0
     }
 }
+
+impl From<u64> for StreamKey {
+    fn from(number: u64) -> Self {
+        Self(number)
+    }
+}
--- a/crates/gateway/src/decide/stream_origins/lookup.rs
+++ b/crates/gateway/src/decide/stream_origins/lookup.rs
@@ -6,7 +6,7 @@
 use bluebellstage_core::Time;
 
 use super::replicas::{choose, ranked};
-use super::{StreamKey, StreamOrigin};
+use super::{KnownVersions, StreamKey, StreamOrigin};
 use crate::decide::peers::{DOWN_THRESHOLD, Member, Peer};
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::tables::Tables;
@@ -15,6 +15,8 @@
 const WAVE_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which a lookup ends. A machine that has used its share of a processor runs again after 100 ms.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after which a lookup ends whose instance, or each that it asks, has not read what the store keeps.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of instances that are asked beside the replicas: where the members were others when the stream began,
 /// a replica of then is among the next ones now.
 const MAX_OTHERS: usize = 13;
@@ -42,8 +44,9 @@
     },
     /// No instance that replied knows it.
     Unknown {
-        /// Whether several software versions of the service are known, so that the stream may be of any of them.
-        is_mixed: bool,
+        /// What is known of the software versions of the service. The stream may be of any of several, or of one that is
+        /// not known.
+        versions: KnownVersions,
     },
 }
 
@@ -122,30 +125,40 @@
         let has_replied =
             |peer: &SocketAddr| replies.is_some_and(|replies| replies.from.contains(peer));
         let all_replied = lookup.asked.iter().all(has_replied);
-        if lookup.next_wave <= now || all_replied {
-            let next = self.next_wave(lookup, now);
-            let next = next.into_iter().filter(|peer| !has_replied(peer));
-            let next = next.collect::<Vec<_>>();
-            let has_ended = now.since(lookup.started) >= LOOKUP_TIMEOUT;
-            if has_ended || next.is_empty() {
-                let told = replies.is_some_and(|replies| replies.is_mixed);
-                let is_mixed = told || self.registry.has_several_versions(lookup.service, now);
-                return LookupStep::End(LookupOutcome::Unknown { is_mixed });
-            }
-            lookup.waves += 1;
-            lookup.next_wave = now + WAVE_INTERVAL;
-            let first = next.iter().filter(|peer| !lookup.asked.contains(peer));
-            let first = first.copied().collect::<Vec<_>>();
-            lookup.asked.extend(first);
-            return LookupStep::Ask(next, WAVE_INTERVAL);
+        if now < lookup.next_wave && !all_replied {
+            return LookupStep::Wait(lookup.next_wave.since(now));
+        }
+        let next = self.next_wave(lookup, now);
+        let next = next.into_iter().filter(|peer| !has_replied(peer));
+        let next = next.collect::<Vec<_>>();
+        let told = replies.map_or(KnownVersions::Unknown, |replies| replies.versions);
+        let versions = told.or(self.known_versions(lookup.service, now));
+        let is_read_awaited = versions == KnownVersions::Unknown || self.awaits_records(now);
+        let timeout = if is_read_awaited {
+            READ_TIMEOUT
+        } else {
+            LOOKUP_TIMEOUT
+        };
+        let has_ended = now.since(lookup.started) >= timeout;
+        if has_ended || (next.is_empty() && !is_read_awaited) {
+            return LookupStep::End(LookupOutcome::Unknown { versions });
         }
-        LookupStep::Wait(lookup.next_wave.since(now))
+        lookup.waves += 1;
+        lookup.next_wave = now + WAVE_INTERVAL;
+        if next.is_empty() {
+            return LookupStep::Wait(WAVE_INTERVAL);
+        }
+        let first = next.iter().filter(|peer| !lookup.asked.contains(peer));
+        let first = first.copied().collect::<Vec<_>>();
+        lookup.asked.extend(first);
+        LookupStep::Ask(next, WAVE_INTERVAL)
     }
 
-    /// Returns the instances of the next wave: first the replicas of the stream as of now, then the next ones too.
+    /// Returns the instances of the next wave: first the replicas of the stream as of now, and if this instance does not
+    /// know what the store keeps, some that read it; then the next ones too.
     fn next_wave(&self, lookup: &OriginLookup, now: Time) -> Vec<SocketAddr> {
         let order = ranked(self.lookup_members(now), lookup.key);
-        let replicas = choose(&order);
+        let replicas = choose(&order, &self.origins.recorders);
         let others = order.iter().filter(|candidate| {
             let name = &candidate.member.name;
             replicas.iter().all(|replica| replica.member.name != *name)
@@ -153,7 +166,16 @@
         let others_asked = if lookup.waves == 0 { 0 } else { MAX_OTHERS };
         let others = others.take(others_asked);
         let wave = replicas.iter().chain(others);
-        wave.map(|candidate| candidate.member.gossip).collect()
+        let mut wave = wave
+            .map(|candidate| candidate.member.gossip)
+            .collect::<Vec<_>>();
+        if !self.knows_versions(now) {
+            let readers = self.readers_to_ask(lookup.key, now);
+            let others = readers.into_iter().filter(|reader| !wave.contains(reader));
+            let others = others.collect::<Vec<_>>();
+            wave.extend(others);
+        }
+        wave
     }
 
     /// Instances that may know origins: the live ones, and those that this one has not heard yet because it has just
--- a/crates/gateway/src/decide/stream_origins/message.rs
+++ b/crates/gateway/src/decide/stream_origins/message.rs
@@ -55,6 +55,40 @@
     }
 }
 
+/// What is known of the software versions at which streams of a service may have begun that can still be continued.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub enum KnownVersions {
+    /// There may have been others than those that are listed now.
+    #[default]
+    Unknown,
+    /// There was only one.
+    One,
+    /// There were several.
+    Several,
+}
+
+impl KnownVersions {
+    /// Combines what two instances know. One that knows several has seen each of them.
+    #[must_use]
+    pub fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Several, _) | (_, Self::Several) => Self::Several,
+            (Self::One, _) | (_, Self::One) => Self::One,
+            (Self::Unknown, Self::Unknown) => Self::Unknown,
+        }
+    }
+
+    /// Name in the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::One => "one",
+            Self::Several => "several",
+        }
+    }
+}
+
 /// The reply to a query.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct OriginReply {
@@ -62,8 +96,8 @@
     pub key: StreamKey,
     /// Its origin, if the sender knows it.
     pub record: Option<OriginRecord>,
-    /// Whether the sender has known several software versions of the service within the lifetime of a stream.
-    pub is_mixed: bool,
+    /// What the sender knows of the software versions of the service.
+    pub versions: KnownVersions,
 }
 
 /// A message about the origins of streams.
--- a/crates/gateway/src/decide/stream_origins/mod.rs
+++ b/crates/gateway/src/decide/stream_origins/mod.rs
@@ -2,12 +2,17 @@
 //!
 //! The instance that serves a stream stores its origin at a few replicas, before it forwards the first event. The
 //! replicas follow from the stream's key and the live instances, so that an instance at which a caller continues the
-//! stream finds them without the one that began it.
+//! stream finds them without the one that began it. While origins matter, because a service has or lately had several
+//! software versions, a few instances also write those that they keep to the store, which outlives all instances.
 
 mod key;
 mod lookup;
 mod message;
+mod recalled;
+mod recorder;
+mod recorders;
 mod replicas;
+mod stored;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -20,9 +25,13 @@
 
 pub use key::StreamKey;
 pub use lookup::{LookupOutcome, LookupStep, OriginLookup, OriginSource};
-pub use message::{OriginMessage, OriginRecord, OriginReply};
+pub use message::{KnownVersions, OriginMessage, OriginRecord, OriginReply};
+pub use recorder::{FoundRecord, RecordStep, RecordWrite};
 pub use replicas::OutgoingOrigins;
+pub use stored::{RecordName, StoredOrigins, StoredStream, StoredVersions, StreamRecord};
 
+use recalled::RecalledOrigins;
+use recorder::StreamRecorder;
 use replicas::MemberHash;
 
 /// Longest time for which an origin is kept.
@@ -48,7 +57,9 @@
     expires: Time,
     /// Instances that keep it, as far as known.
     replicas: Vec<MemberHash>,
-    /// Lowest weight of the replicas.
+    /// The one of them that writes it to the store; `None` if none does.
+    recorder: Option<MemberHash>,
+    /// Lowest weight of the replicas that were chosen by weight alone.
     min_weight: u64,
 }
 
@@ -58,8 +69,8 @@
     /// Requests that wait for them.
     waiting: u32,
     from: BTreeSet<SocketAddr>,
-    /// A peer knows several software versions of the service.
-    is_mixed: bool,
+    /// What the peers know of the software versions of the service.
+    versions: KnownVersions,
 }
 
 /// The origins that an instance keeps, and its queries for others.
@@ -70,6 +81,10 @@
     replies: HashMap<StreamKey, Replies>,
     /// Instances among which replicas were chosen last.
     members: BTreeSet<MemberHash>,
+    /// Those of them that wrote origins to the store.
+    recorders: BTreeSet<MemberHash>,
+    recalled: RecalledOrigins,
+    recorder: StreamRecorder,
 }
 
 impl StreamOrigins {
@@ -79,6 +94,12 @@
         self.entries.len()
     }
 
+    /// Number of origins that were read from the store and are still kept.
+    #[must_use]
+    pub fn recalled_count(&self) -> usize {
+        self.recalled.count()
+    }
+
     /// Number of streams whose origin is being looked up.
     #[must_use]
     pub fn lookup_count(&self) -> usize {
@@ -88,9 +109,10 @@
     /// Returns the origin of a stream and the time since it was recorded.
     #[must_use]
     pub fn get(&self, key: StreamKey, now: Time) -> Option<(&StreamOrigin, Duration)> {
-        let entry = self.entries.get(&key)?;
-        let age = now.since(entry.recorded);
-        (now < entry.expires).then_some((&entry.origin, age))
+        let entry = self.entries.get(&key);
+        let entry = entry.filter(|entry| now < entry.expires);
+        let kept = entry.map(|entry| (&entry.origin, now.since(entry.recorded)));
+        kept.or_else(|| self.recalled.get(key, now))
     }
 
     fn insert(&mut self, key: StreamKey, entry: Entry) {
@@ -114,5 +136,6 @@
             self.by_expiry.pop_first();
             self.entries.remove(&key);
         }
+        self.recalled.sweep(now);
     }
 }
--- /dev/null
+++ b/crates/gateway/src/decide/stream_origins/recorders.rs
@@ -0,0 +1,86 @@
+//! Choice of the instances that write origins to the store, and of those that read them from it.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use bluebellstage_core::Time;
+
+use super::StreamKey;
+use super::replicas::{choose, ranked};
+use crate::decide::exchange::MAX_DIRECT_FLEET;
+use crate::decide::peers::{GONE_THRESHOLD, Member, Peer};
+use crate::decide::rendezvous::name_hash;
+use crate::decide::tables::Tables;
+
+/// Number of instances that write origins. Each write is a call that is paid for.
+const RECORDERS: RangeInclusive<usize> = 4..=16;
+/// Instances of a fleet for each that writes origins.
+const INSTANCES_PER_RECORDER: usize = 8;
+/// Key for the precedence of instances.
+const RECORDER_KEY: &str = "stream-recorder";
+
+/// Returns those of `members` that come first.
+fn first<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let key = name_hash(RECORDER_KEY);
+    let mut members = members.collect::<Vec<_>>();
+    let count = members.len() / INSTANCES_PER_RECORDER;
+    members.sort_by_cached_key(|member| Reverse(member.precedence(key)));
+    members.truncate(count.clamp(*RECORDERS.start(), *RECORDERS.end()));
+    members
+}
+
+impl Tables {
+    /// Instances that write origins to the store, which reaches them. One replica of each stream is among them.
+    pub(super) fn recorders(&self, now: Time) -> Vec<&Member> {
+        let able = |peer: &&Peer| peer.ready && peer.store_reachable;
+        let peers = self.peers.live(now).filter(able).map(|peer| &peer.member);
+        let is_able = self.ready() && self.registry.is_store_reachable(now);
+        first(peers.chain(is_able.then_some(&self.local)))
+    }
+
+    /// Whether this instance writes the origins that it keeps. One that stops does: all may stop at the same moment.
+    pub(super) fn is_recorder(&self, now: Time) -> bool {
+        let is_first = || {
+            let recorders = self.recorders(now);
+            recorders
+                .iter()
+                .any(|member| member.name == self.local.name)
+        };
+        self.stopping || is_first()
+    }
+
+    /// Instances that read what the store keeps of streams when they start.
+    fn readers(&self, now: Time) -> Vec<&Member> {
+        let may_run =
+            |peer: &&Peer| peer.last_seen.is_none() || peer.seen_within(GONE_THRESHOLD, now);
+        let peers = self.peers.all().filter(may_run).map(|peer| &peer.member);
+        let members = peers.chain([&self.local]).collect::<Vec<_>>();
+        if members.len() <= MAX_DIRECT_FLEET {
+            return members;
+        }
+        first(members.into_iter())
+    }
+
+    /// Whether this instance reads what the store keeps of streams. Others ask it.
+    pub(super) fn reads_records(&self, now: Time) -> bool {
+        let is_reader = || {
+            let readers = self.readers(now);
+            readers.iter().any(|member| member.name == self.local.name)
+        };
+        self.follows_store(now) || is_reader()
+    }
+
+    /// Addresses of the readers to ask for a stream.
+    pub(super) fn readers_to_ask(&self, key: StreamKey, now: Time) -> Vec<SocketAddr> {
+        let readers = self.readers(now).into_iter();
+        let others = readers.filter(|member| member.name != self.local.name);
+        let order = ranked(others, key);
+        let chosen = choose(&order, &BTreeSet::new());
+        chosen
+            .iter()
+            .map(|candidate| candidate.member.gossip)
+            .collect()
+    }
+}
--- a/crates/gateway/src/decide/stream_origins/replicas.rs
+++ b/crates/gateway/src/decide/stream_origins/replicas.rs
@@ -1,14 +1,15 @@
 //! Choice of the instances that keep a stream's origin.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bluebellstage_core::Time;
 
 use super::{
-    Entry, MAX_LIFETIME, OriginMessage, OriginRecord, OriginReply, StreamKey, StreamOrigin,
+    Entry, KnownVersions, MAX_LIFETIME, OriginMessage, OriginRecord, OriginReply, StreamKey,
+    StreamOrigin,
 };
 use crate::decide::peers::Member;
 use crate::decide::rendezvous::{ShortHash, weight};
@@ -30,7 +31,7 @@
     pub records: Vec<OriginRecord>,
 }
 
-fn incarnation_hash(member: &Member) -> MemberHash {
+pub(super) fn incarnation_hash(member: &Member) -> MemberHash {
     ShortHash::of(&format!("{}/{}", member.name, member.incarnation.0))
 }
 
@@ -55,8 +56,26 @@
     candidates
 }
 
-/// Chooses replicas from `ranked`: the first ones, in different failure domains as far as there are enough.
-pub(super) fn choose<'a>(ranked: &[ReplicaCandidate<'a>]) -> Vec<ReplicaCandidate<'a>> {
+/// Chooses replicas from `ranked`: the first ones, in different failure domains as far as there are enough. If there are
+/// `recorders`, one replica is among them.
+pub(super) fn choose<'a>(
+    ranked: &[ReplicaCandidate<'a>],
+    recorders: &BTreeSet<MemberHash>,
+) -> Vec<ReplicaCandidate<'a>> {
+    let mut chosen = first_in_different_domains(ranked);
+    let records =
+        |candidate: &&ReplicaCandidate<'_>| recorders.contains(&incarnation_hash(candidate.member));
+    if recorders.is_empty() || chosen.iter().any(|candidate| records(&candidate)) {
+        return chosen;
+    }
+    if let Some(recorder) = ranked.iter().find(records) {
+        chosen.pop();
+        chosen.push(*recorder);
+    }
+    chosen
+}
+
+fn first_in_different_domains<'a>(ranked: &[ReplicaCandidate<'a>]) -> Vec<ReplicaCandidate<'a>> {
     let mut chosen = Vec::<ReplicaCandidate<'_>>::new();
     for candidate in ranked {
         let domain = &candidate.member.failure_domain;
@@ -79,6 +98,11 @@
 }
 
 impl Tables {
+    fn recorder_hashes(&self, now: Time) -> BTreeSet<MemberHash> {
+        let recorders = self.recorders(now).into_iter();
+        recorders.map(incarnation_hash).collect()
+    }
+
     /// Instances that may keep origins: the live ones that accept callers.
     fn replica_members(&self, now: Time) -> impl Iterator<Item = &Member> {
         let ready = self.peers.live(now).filter(|peer| peer.ready);
@@ -100,9 +124,10 @@
         let local = &self.local.name;
         let others = self.replica_members(now);
         let others = others.filter(|member| member.name != *local);
-        let chosen = choose(&ranked(others, key));
+        let recorders = self.recorder_hashes(now);
+        let chosen = choose(&ranked(others, key), &recorders);
         let to = chosen.iter().map(|replica| replica.member.gossip).collect();
-        let entry = Entry::new(record.clone(), &chosen, now);
+        let entry = Entry::new(record.clone(), &chosen, &recorders, now);
         self.origins.insert(key, entry);
         (record, to)
     }
@@ -114,8 +139,9 @@
             return;
         }
         let key = record.key;
-        let chosen = choose(&ranked(self.replica_members(now), key));
-        let entry = Entry::new(record, &chosen, now);
+        let recorders = self.recorder_hashes(now);
+        let chosen = choose(&ranked(self.replica_members(now), key), &recorders);
+        let entry = Entry::new(record, &chosen, &recorders, now);
         self.origins.insert(key, entry);
     }
 
@@ -134,20 +160,39 @@
                 }
             }
             OriginMessage::Query { key, service } => {
-                return Some(OriginMessage::Reply(self.origin_reply(key, service, now)));
+                let reply = self.origin_reply(key, service, now);
+                return reply.map(OriginMessage::Reply);
             }
             OriginMessage::Reply(reply) => self.receive_origin_reply(reply, from, now),
         }
         None
     }
 
-    fn origin_reply(&self, key: StreamKey, service: ShortHash, now: Time) -> OriginReply {
+    /// Returns what this instance knows of a stream; `None` if it is about to read it from the store: it is asked again.
+    fn origin_reply(&self, key: StreamKey, service: ShortHash, now: Time) -> Option<OriginReply> {
         let entry = self.origins.entries.get(&key);
         let entry = entry.filter(|entry| now < entry.expires);
-        OriginReply {
+        let record = entry.map(|entry| entry.record(key, now));
+        let record = record.or_else(|| self.origins.recalled.record(key, now));
+        if record.is_none() && self.awaits_records(now) {
+            return None;
+        }
+        Some(OriginReply {
             key,
-            record: entry.map(|entry| entry.record(key, now)),
-            is_mixed: self.registry.has_several_versions(service, now),
+            record,
+            versions: self.known_versions(service, now),
+        })
+    }
+
+    /// Returns what this instance knows of the software versions of a service.
+    #[must_use]
+    pub fn known_versions(&self, service: ShortHash, now: Time) -> KnownVersions {
+        if self.registry.has_several_versions(service, now) {
+            KnownVersions::Several
+        } else if self.knows_versions(now) {
+            KnownVersions::One
+        } else {
+            KnownVersions::Unknown
         }
     }
 
@@ -156,7 +201,7 @@
             return;
         };
         replies.from.insert(from);
-        replies.is_mixed |= reply.is_mixed;
+        replies.versions = replies.versions.or(reply.versions);
         if let Some(record) = reply.record
             && record.key == reply.key
         {
@@ -170,10 +215,12 @@
         let members = self.replica_members(now);
         let members = members.map(|member| (incarnation_hash(member), member.clone()));
         let members = members.collect::<BTreeMap<_, _>>();
+        let recorders = self.recorder_hashes(now);
         let known = &self.origins.members;
         let joined = members.iter().filter(|(hash, _)| !known.contains(*hash));
         let joined = joined.map(|(_, member)| member).collect::<Vec<_>>();
-        if joined.is_empty() && known.len() == members.len() {
+        let is_unchanged = joined.is_empty() && known.len() == members.len();
+        if is_unchanged && recorders == self.origins.recorders {
             return Vec::new();
         }
         let mut outgoing = BTreeMap::<SocketAddr, Vec<OriginRecord>>::new();
@@ -185,10 +232,13 @@
             let outranks =
                 |member: &&Member| weight(key.number(), member.name.as_str()) >= entry.min_weight;
             let lacks_one = entry.replicas.len() < REPLICAS;
-            if !has_lost_one && !lacks_one && !joined.iter().any(outranks) {
+            let is_recorded = entry.recorder.is_some_and(|hash| recorders.contains(&hash));
+            let lacks_recorder = !recorders.is_empty() && !is_recorded;
+            let is_incomplete = has_lost_one || lacks_one || lacks_recorder;
+            if !is_incomplete && !joined.iter().any(outranks) {
                 continue;
             }
-            let chosen = choose(&ranked(members.values(), *key));
+            let chosen = choose(&ranked(members.values(), *key), &recorders);
             for replica in &chosen {
                 let is_new = !entry.replicas.contains(&incarnation_hash(replica.member));
                 if is_new && replica.member.name != self.local.name {
@@ -196,8 +246,9 @@
                     records.push(entry.record(*key, now));
                 }
             }
-            entry.set_replicas(&chosen);
+            entry.set_replicas(&chosen, &recorders);
         }
+        self.origins.recorders = recorders;
         self.origins.members = members.into_keys().collect();
         let outgoing = outgoing.into_iter();
         outgoing
@@ -207,25 +258,42 @@
 }
 
 impl Entry {
-    fn new(record: OriginRecord, replicas: &[ReplicaCandidate<'_>], now: Time) -> Self {
+    fn new(
+        record: OriginRecord,
+        replicas: &[ReplicaCandidate<'_>],
+        recorders: &BTreeSet<MemberHash>,
+        now: Time,
+    ) -> Self {
         let recorded = now - record.age();
         let mut entry = Self {
             expires: recorded + record.lifetime(),
             recorded,
             origin: record.origin,
             replicas: Vec::new(),
+            recorder: None,
             min_weight: 0,
         };
-        entry.set_replicas(replicas);
+        entry.set_replicas(replicas, recorders);
         entry
     }
 
-    fn set_replicas(&mut self, replicas: &[ReplicaCandidate<'_>]) {
+    fn set_replicas(
+        &mut self,
+        replicas: &[ReplicaCandidate<'_>],
+        recorders: &BTreeSet<MemberHash>,
+    ) {
         let hashes = replicas
             .iter()
             .map(|replica| incarnation_hash(replica.member));
         self.replicas = hashes.collect();
-        let weights = replicas.iter().map(|replica| replica.weight);
+        self.recorder = self
+            .replicas
+            .iter()
+            .find(|hash| recorders.contains(hash))
+            .copied();
+        // The last one may be there because it writes to the store.
+        let by_weight = &replicas[..replicas.len().min(REPLICAS - 1)];
+        let weights = by_weight.iter().map(|replica| replica.weight);
         self.min_weight = weights.min().unwrap_or(0);
     }
 
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -19,6 +19,7 @@
 use crate::decide::peers::Member;
 use crate::decide::quarantine::QuarantineDecision;
 use crate::decide::store_position::Era;
+use crate::decide::stream_origins::StreamRecord;
 use crate::decide::target::Target;
 use crate::error::{GatewayError, StoreError};
 use crate::settings::NodeSettings;
@@ -117,6 +118,8 @@
     Lease(LeaseRecord),
     /// A quarantine decision on a request.
     QuarantineDecision(QuarantineDecision),
+    /// A record about streams.
+    Streams(StreamRecord),
     /// The object can't be decoded; contains the cause. It was written by another program, or is malformed.
     Malformed(Box<str>),
 }
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -109,6 +109,10 @@
     RelayChanged = 3207, Info, "instance started or stopped relaying updates";
     /// The store was restored from an older copy.
     StoreRestored = 3208, Warn, "store was restored from an older copy";
+    /// What the store keeps of streams was read.
+    StreamRecordsRead = 3209, Info, "records of streams read from the store";
+    /// A call about what the store keeps of streams failed.
+    StreamRecordFailed = 3210, Info, "call about records of streams failed: it is repeated";
 
     /// The lease of a loader shard was acquired.
     LeaseTaken = 3301, Info, "loader lease taken";
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -70,6 +70,7 @@
 mod stream;
 mod stream_end;
 mod stream_metrics;
+mod stream_records;
 mod stream_source;
 mod sync;
 mod target_connection;
--- a/crates/gateway/src/net/origins.rs
+++ b/crates/gateway/src/net/origins.rs
@@ -7,8 +7,8 @@
 use crate::decide::config::RouteKind;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::stream_origins::{
-    LookupOutcome, LookupStep, OriginLookup, OriginMessage, OriginRecord, OriginSource,
-    OutgoingOrigins, StreamKey,
+    KnownVersions, LookupOutcome, LookupStep, OriginLookup, OriginMessage, OriginRecord,
+    OriginSource, OutgoingOrigins, StreamKey,
 };
 use crate::edge::Edge;
 use crate::packet::Packet;
@@ -36,8 +36,10 @@
             OriginSource::Local => "local",
             OriginSource::Peer => "peer",
         },
-        LookupOutcome::Unknown { is_mixed: false } => "unknown",
-        LookupOutcome::Unknown { is_mixed: true } => "unknown_refused",
+        LookupOutcome::Unknown {
+            versions: KnownVersions::One,
+        } => "unknown",
+        LookupOutcome::Unknown { .. } => "unknown_refused",
     }
 }
 
@@ -84,18 +86,18 @@
         let source = outcome_name(&outcome);
         self.origin_source = Some(source);
         self.node.metrics.streams.origin_looked_up(source);
-        let is_mixed = match outcome {
+        let versions = match outcome {
             LookupOutcome::Found { origin, age, .. } => {
                 self.origin_age = Some(age);
                 self.ticket.hold_to(&origin);
                 return Continuation::Allowed;
             }
-            LookupOutcome::Unknown { is_mixed } => is_mixed,
+            LookupOutcome::Unknown { versions } => versions,
         };
         // A caller without an event gets a stream that begins anew.
-        let is_refused = is_mixed && is_continued;
+        let is_refused = versions != KnownVersions::One && is_continued;
         if is_named || is_refused {
-            self.log_unknown_origin(asked, is_refused);
+            self.log_unknown_origin(asked, versions, is_refused);
         }
         if is_refused {
             Continuation::Refused
@@ -104,7 +106,7 @@
         }
     }
 
-    fn log_unknown_origin(&self, asked: usize, is_refused: bool) {
+    fn log_unknown_origin(&self, asked: usize, versions: KnownVersions, is_refused: bool) {
         let resumes = match &self.call.resumes {
             ResumedAttempt::Id(id) => id,
             ResumedAttempt::Unnamed => "",
@@ -117,6 +119,7 @@
                 ("resumes", resumes),
                 ("service", self.ticket.service.as_str()),
                 ("asked", &asked.to_string()),
+                ("versions", versions.name()),
                 ("refused", if is_refused { "true" } else { "false" }),
             ],
         );
@@ -126,14 +129,17 @@
     /// too.
     async fn look_up_origin(&self) -> (LookupOutcome, usize) {
         let service = ShortHash::of(self.ticket.service.as_str());
-        let ResumedAttempt::Id(attempt) = &self.call.resumes else {
-            let now = self.node.now();
-            let is_mixed = self
-                .node
-                .tables()
-                .registry
-                .has_several_versions(service, now);
-            return (LookupOutcome::Unknown { is_mixed }, 0);
+        let attempt = match &self.call.resumes {
+            ResumedAttempt::Id(attempt) => attempt,
+            ResumedAttempt::Unnamed | ResumedAttempt::Malformed => {
+                let now = self.node.now();
+                let versions = self.node.tables().known_versions(service, now);
+                if versions != KnownVersions::Unknown {
+                    return (LookupOutcome::Unknown { versions }, 0);
+                }
+                // No stream began under the id of this attempt yet: what is asked for are the versions.
+                &self.call.id
+            }
         };
         let key = StreamKey::of(self.ticket.workspace.as_ref(), attempt);
         let query = Packet::StreamOrigins(OriginMessage::Query { key, service });
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -56,7 +56,7 @@
     }
 }
 
-fn log_malformed(name: &str, cause: &str) {
+pub(super) fn log_malformed(name: &str, cause: &str) {
     event(
         LogEvent::ObjectMalformed,
         &[("object", name), ("cause", cause)],
@@ -110,7 +110,7 @@
                 .quarantine
                 .adopt(decision, Duration::ZERO, now);
         }
-        Some(Content::Evacuation(_) | Content::Lease(_)) | None => {}
+        Some(Content::Evacuation(_) | Content::Lease(_) | Content::Streams(_)) | None => {}
     }
 }
 
@@ -185,7 +185,8 @@
         | Kind::AdapterVersions
         | Kind::Evacuations
         | Kind::Leases
-        | Kind::Verdicts => {}
+        | Kind::Verdicts
+        | Kind::Streams => {}
     }
 }
 
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -15,16 +15,19 @@
 use bluebellstage_gateway::decide::exchange::{Message, ROUND_INTERVAL};
 use bluebellstage_gateway::decide::peers::{Member, Strength};
 use bluebellstage_gateway::decide::quota::{ChargeOutcome, PeerVisibility};
+use bluebellstage_gateway::decide::registry::Registry;
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::status::Role;
 use bluebellstage_gateway::decide::stream_origins::OriginMessage;
 use bluebellstage_gateway::decide::tables::Tables;
+use bluebellstage_gateway::decide::target::Target;
 use bluebellstage_gateway::packet::Packet;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{at, config, inform, member, quota, target};
+use super::records::Records;
+use super::{at, config, inform, member, quota, software, target};
 
 /// Step of the virtual time.
 const TICK: Duration = Duration::from_millis(5);
@@ -74,6 +77,8 @@
     tables: Tables,
     state: State,
     next_round: Time,
+    /// When it looks after the records of streams next.
+    next_records: Time,
     /// Datagrams that arrived while it was suspended.
     held: Vec<(SocketAddr, Vec<u8>)>,
     /// Bytes of datagrams sent and received.
@@ -94,6 +99,10 @@
     pub network: Network,
     /// Pairs of failure domains; datagrams from the first to the second are lost.
     pub partitions: Vec<(usize, usize)>,
+    /// The records of streams in the store.
+    pub records: Records,
+    /// Software versions of the targets, in turn.
+    versions: Vec<&'static str>,
     domains: usize,
     quota: Quota,
     incarnations: u64,
@@ -122,6 +131,16 @@
         Self::with_quota(count, domains, seed, quota(1, 1_000_000_000))
     }
 
+    /// Creates a fleet whose targets have these software versions, in turn.
+    pub fn of_versions(count: usize, domains: usize, seed: u64, versions: &[&'static str]) -> Self {
+        let mut fleet = Self::start(count, domains, seed);
+        for node in &mut fleet.nodes {
+            node.tables.registry = Registry::default();
+        }
+        fleet.set_versions(versions);
+        fleet
+    }
+
     /// Creates a fleet with a quota of the workspace.
     pub fn with_quota(count: usize, domains: usize, seed: u64, quota: Quota) -> Self {
         let mut fleet = Self {
@@ -131,6 +150,8 @@
             sent: 0,
             network: Network::RELIABLE,
             partitions: Vec::new(),
+            records: Records::default(),
+            versions: vec!["v1"],
             domains,
             quota,
             incarnations: 1,
@@ -182,7 +203,7 @@
         assert!(tables.adopt(config(1), self.now));
         inform(&mut tables);
         for idx in 0..TARGETS {
-            let target = target(target_id(idx).as_str(), "writers");
+            let target = self.target(idx);
             tables.registry.put(target, Revision(1), self.now);
         }
         let undiscovered = if incarnation > 1 {
@@ -200,12 +221,47 @@
             tables,
             state: State::Running,
             next_round: self.now + offset,
+            next_records: self.now + offset,
             held: Vec::new(),
             bytes: 0,
             origin_bytes: 0,
         }
     }
 
+    fn target(&self, idx: usize) -> Target {
+        let version = self.versions[idx % self.versions.len()];
+        Target {
+            software: software(version),
+            ..target(target_id(idx).as_str(), "writers")
+        }
+    }
+
+    /// Changes the software versions of the targets, which the running instances learn.
+    pub fn set_versions(&mut self, versions: &[&'static str]) {
+        self.versions = versions.to_vec();
+        let targets = (0..TARGETS).map(|idx| self.target(idx));
+        let targets = targets.collect::<Vec<_>>();
+        let now = self.now;
+        for node in &mut self.nodes {
+            let revision = Revision(node.tables.registry.revision().0 + 1);
+            node.tables.registry.replace(targets.clone(), revision, now);
+        }
+    }
+
+    /// Kills all instances at the same moment.
+    pub fn kill_all(&mut self) {
+        for idx in 0..self.len() {
+            self.kill(idx);
+        }
+    }
+
+    /// Restarts all instances at the same moment.
+    pub fn restart_all(&mut self) {
+        for idx in 0..self.len() {
+            self.restart(idx, false);
+        }
+    }
+
     pub fn len(&self) -> usize {
         self.nodes.len()
     }
@@ -392,6 +448,10 @@
                 if self.is_running(idx) && self.nodes[idx].next_round <= self.now {
                     self.round(idx);
                 }
+                if self.is_running(idx) && self.nodes[idx].next_records <= self.now {
+                    let node = &mut self.nodes[idx];
+                    node.next_records = self.records.serve(&mut node.tables, self.now);
+                }
             }
         }
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod limited;
 pub mod load_simulation;
+pub mod records;
 pub mod shared_room;
 pub mod store;
 pub mod streams;
--- /dev/null
+++ b/crates/gateway/tests/support/records.rs
@@ -0,0 +1,101 @@
+//! The store's records of streams in a simulated fleet, which outlive its instances.
+
+use std::collections::BTreeMap;
+
+use bluebellstage_core::Revision;
+use bluebellstage_gateway::decide::store_position::Era;
+use bluebellstage_gateway::decide::stream_origins::{
+    FoundRecord, RecordName, RecordStep, RecordWrite, StoredVersions, StreamRecord,
+};
+use bluebellstage_gateway::decide::tables::Tables;
+
+use bluebellstage_core::Time;
+
+/// The records of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// Whether the store rejects all calls.
+    pub is_away: bool,
+    objects: BTreeMap<String, (Revision, StreamRecord)>,
+    revision: u64,
+    era: u32,
+    writes: usize,
+}
+
+impl Records {
+    /// Number of calls that wrote or removed something, and of those in vain.
+    pub const fn writes(&self) -> usize {
+        self.writes
+    }
+
+    /// Number of objects with origins.
+    pub fn origin_objects(&self) -> usize {
+        let is_of_origins =
+            |(_, record): &&(Revision, StreamRecord)| matches!(record, StreamRecord::Origins(_));
+        self.objects.values().filter(is_of_origins).count()
+    }
+
+    /// The stored software versions.
+    pub fn versions(&self) -> StoredVersions {
+        match self.objects.get(&RecordName::Versions.to_string()) {
+            Some((_, StreamRecord::Versions(versions))) => versions.clone(),
+            _ => StoredVersions::default(),
+        }
+    }
+
+    /// Restores the objects of a copy.
+    pub fn restore(&mut self, copy: &Self) {
+        self.objects.clone_from(&copy.objects);
+        self.revision = copy.revision;
+        self.era += 1;
+    }
+
+    /// Lets an instance take steps until it sleeps. Returns when it goes on.
+    pub fn serve(&mut self, tables: &mut Tables, now: Time) -> Time {
+        loop {
+            match tables.next_record_step(Era(self.era), now) {
+                RecordStep::Sleep(pause) => return now + pause,
+                RecordStep::List if self.is_away => tables.record_list_failed(now),
+                RecordStep::List => {
+                    let found = self.objects.keys().filter_map(|name| self.found(name));
+                    tables.record_listed(found.collect(), now);
+                }
+                RecordStep::Read(name) if self.is_away => tables.record_call_failed(&name, now),
+                RecordStep::Read(name) => {
+                    tables.record_read(&name, self.found(&name.to_string()), now);
+                }
+                RecordStep::Write(write) => self.write(write, tables, now),
+                RecordStep::Remove(name) if self.is_away => tables.record_call_failed(&name, now),
+                RecordStep::Remove(name) => {
+                    self.writes += 1;
+                    self.objects.remove(&name.to_string());
+                    tables.record_removed(&name);
+                }
+            }
+        }
+    }
+
+    fn found(&self, name: &str) -> Option<FoundRecord> {
+        let (revision, record) = self.objects.get(name)?;
+        Some(FoundRecord {
+            name: RecordName::parse(name)?,
+            revision: *revision,
+            record: Some(record.clone()),
+        })
+    }
+
+    fn write(&mut self, write: RecordWrite, tables: &mut Tables, now: Time) {
+        self.writes += 1;
+        let name = write.name.to_string();
+        let known = self.objects.get(&name).map(|(revision, _)| *revision);
+        if self.is_away || known != write.at {
+            tables.record_call_failed(&write.name, now);
+            return;
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let record = write.record.clone();
+        self.objects.insert(name, (revision, record));
+        tables.record_written(write, revision, now);
+    }
+}
--- a/crates/gateway/tests/support/streams.rs
+++ b/crates/gateway/tests/support/streams.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::stream_origins::{
-    LookupOutcome, LookupStep, OriginLookup, OriginMessage, StreamKey, StreamOrigin,
+    KnownVersions, LookupOutcome, LookupStep, OriginLookup, OriginMessage, StreamKey, StreamOrigin,
 };
 use bluebellstage_gateway::packet::Packet;
 
@@ -58,6 +58,19 @@
     }
 }
 
+/// Returns streams of which no instance has heard.
+pub fn unheard(count: usize) -> Vec<Stream> {
+    let unheard = (0..count).map(|number| Stream {
+        key: StreamKey::of(None, &format!("unheard-{number}")),
+        instance: 0,
+        origin: StreamOrigin {
+            service: ShortHash::of(SERVICE),
+            software: software("v1"),
+        },
+    });
+    unheard.collect()
+}
+
 /// What instances found out about the streams that they continued.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Found {
@@ -65,6 +78,8 @@
     pub known: usize,
     /// Streams whose origin was not found.
     pub unknown: usize,
+    /// Those of them that are refused, as they may have begun at another software version.
+    pub refused: usize,
     /// Streams of which a wrong origin was found.
     pub wrong: usize,
     /// Longest time that a lookup took.
@@ -141,7 +156,10 @@
         match outcome {
             LookupOutcome::Found { origin, .. } if *origin == stream.origin => self.known += 1,
             LookupOutcome::Found { .. } => self.wrong += 1,
-            LookupOutcome::Unknown { .. } => self.unknown += 1,
+            LookupOutcome::Unknown { versions } => {
+                self.unknown += 1;
+                self.refused += usize::from(*versions != KnownVersions::One);
+            }
         }
     }
 
