Bound the calls and waits of the records of streams

- a writer whose reads succeed and whose writes fail called the store ten times a second, without growing backoff: 600 calls in 10 s at 8 instances, where a store that takes writes gets 160.
Each record has a backoff of its own now, which only a success resets.
- instances that read the records were taken from all that were ever registered: where the first ones stayed away after a kill of all, 300 of 300 streams of a service with one version waited a second and were refused.
Each process reads the versions by itself now, and only live ones are asked for origins.
- each instance that stops wrote what it keeps; the first of those that run do now, if none accepts callers any more.
- a lookup waited for a second though a peer had said that there is one version; a versions record that can't be decoded, or a list of an unknown kind, counted as nothing kept; a removal that failed was not tried again; a process that had known no target for its first minute took itself for one that knows all versions.
- the set of writers was computed for each stream.

--- a/crates/gateway/src/decide/software_history.rs
+++ b/crates/gateway/src/decide/software_history.rs
@@ -21,7 +21,7 @@
         of_service.insert(former.software.clone(), now);
     }
 
-    /// Records a version that the store keeps. When its last target left is not known: at the earliest just now.
+    /// Records a version that the store keeps. When its last target left is not known: it may have been just now.
     pub(super) fn record_stored(
         &mut self,
         service: &ServiceId,
@@ -29,7 +29,7 @@
         now: Time,
     ) {
         let of_service = self.last_seen.entry(service.clone()).or_default();
-        of_service.entry(version.clone()).or_insert(now);
+        of_service.insert(version.clone(), now);
     }
 
     /// Returns the versions of former targets of all services.
--- a/crates/gateway/src/decide/stream_origins/lookup.rs
+++ b/crates/gateway/src/decide/stream_origins/lookup.rs
@@ -15,7 +15,7 @@
 const WAVE_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which a lookup ends. A machine that has used its share of a processor runs again after 100 ms.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time after which a lookup ends whose instance, or each that it asks, has not read what the store keeps.
+/// Time after which a lookup ends that waits for what the store keeps.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of instances that are asked beside the replicas: where the members were others when the stream began,
 /// a replica of then is among the next ones now.
@@ -133,7 +133,11 @@
         let next = next.collect::<Vec<_>>();
         let told = replies.map_or(KnownVersions::Unknown, |replies| replies.versions);
         let versions = told.or(self.known_versions(lookup.service, now));
-        let is_read_awaited = versions == KnownVersions::Unknown || self.awaits_records(now);
+        let is_read_awaited = match versions {
+            KnownVersions::Unknown => true,
+            KnownVersions::One => false,
+            KnownVersions::Several => self.awaits_origins(lookup.key, &has_replied, now),
+        };
         let timeout = if is_read_awaited {
             READ_TIMEOUT
         } else {
@@ -154,8 +158,21 @@
         LookupStep::Ask(next, WAVE_INTERVAL)
     }
 
-    /// Returns the instances of the next wave: first the replicas of the stream as of now, and if this instance does not
-    /// know what the store keeps, some that read it; then the next ones too.
+    /// Whether the stored origins have yet to be read: by this instance, or by those that it asks.
+    fn awaits_origins(
+        &self,
+        key: StreamKey,
+        has_replied: &impl Fn(&SocketAddr) -> bool,
+        now: Time,
+    ) -> bool {
+        if self.has_read_origins(now) {
+            return false;
+        }
+        self.reads_origins(now) || !self.readers_to_ask(key, now).iter().all(has_replied)
+    }
+
+    /// Returns the instances of the next wave: first the replicas of the stream as of now, and if this instance has not
+    /// read the stored origins, some that read them; then the next ones too.
     fn next_wave(&self, lookup: &OriginLookup, now: Time) -> Vec<SocketAddr> {
         let order = ranked(self.lookup_members(now), lookup.key);
         let replicas = choose(&order, &self.origins.recorders);
@@ -169,7 +186,7 @@
         let mut wave = wave
             .map(|candidate| candidate.member.gossip)
             .collect::<Vec<_>>();
-        if !self.knows_versions(now) {
+        if !self.has_read_origins(now) {
             let readers = self.readers_to_ask(lookup.key, now);
             let others = readers.into_iter().filter(|reader| !wave.contains(reader));
             let others = others.collect::<Vec<_>>();
--- a/crates/gateway/src/decide/stream_origins/mod.rs
+++ b/crates/gateway/src/decide/stream_origins/mod.rs
@@ -81,7 +81,7 @@
     replies: HashMap<StreamKey, Replies>,
     /// Instances among which replicas were chosen last.
     members: BTreeSet<MemberHash>,
-    /// Those of them that wrote origins to the store.
+    /// Those of them that wrote origins to the store then.
     recorders: BTreeSet<MemberHash>,
     recalled: RecalledOrigins,
     recorder: StreamRecorder,
--- a/crates/gateway/src/decide/stream_origins/recalled.rs
+++ b/crates/gateway/src/decide/stream_origins/recalled.rs
@@ -12,12 +12,12 @@
 /// Maximum number of origins that are read from the store: those of the largest fleet.
 const MAX_RECALLED: usize = 150_000;
 
-/// Whose origins are read.
+/// Who has stored an origin.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Recorder {
-    /// Those of a former process of this instance.
-    Local,
-    /// Those of another instance.
+pub(super) enum Writer {
+    /// A former process of this instance.
+    FormerProcess,
+    /// Another instance.
     Other,
 }
 
@@ -26,7 +26,7 @@
     origin: Arc<StreamOrigin>,
     read_at: Time,
     expires: Time,
-    recorder: Recorder,
+    writer: Writer,
 }
 
 /// Origins read from the store.
@@ -41,7 +41,7 @@
     }
 
     /// Adds what an instance has stored. The store does not say when: the origins are kept as long as if it was now.
-    pub(super) fn add(&mut self, stored: &StoredOrigins, recorder: Recorder, now: Time) {
+    pub(super) fn add(&mut self, stored: &StoredOrigins, writer: Writer, now: Time) {
         for (origin, streams) in stored.decode() {
             let origin = Arc::new(origin.clone());
             for StoredStream { key, left } in streams {
@@ -52,7 +52,7 @@
                     origin: Arc::clone(&origin),
                     read_at: now,
                     expires: now + left,
-                    recorder,
+                    writer,
                 };
                 self.by_key.insert(key, recalled);
             }
@@ -86,7 +86,7 @@
     ) -> impl Iterator<Item = (&StreamOrigin, StoredStream)> {
         let recalled = self.by_key.iter();
         let own = recalled.filter(move |(_, recalled)| {
-            recalled.recorder == Recorder::Local && now < recalled.expires
+            recalled.writer == Writer::FormerProcess && now < recalled.expires
         });
         own.map(move |(key, recalled)| {
             let left = recalled.expires.since(now);
--- a/crates/gateway/src/decide/stream_origins/recorder.rs
+++ b/crates/gateway/src/decide/stream_origins/recorder.rs
@@ -8,7 +8,7 @@
 
 use bluebellstage_core::{Revision, Time};
 
-use super::recalled::Recorder;
+use super::recalled::Writer;
 use super::stored::{RecordName, StoredOrigins, StoredStream, StoredVersions, StreamRecord};
 use super::{MAX_LIFETIME, StreamOrigin};
 use crate::decide::rendezvous::ShortHash;
@@ -17,8 +17,8 @@
 
 /// Time between two writes of origins: streams that began later than the last one are lost in a kill of all.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
-/// Most bytes of origins that an instance writes in a second.
-const WRITE_BYTES_PER_S: usize = 128 * 1_024;
+/// Most bytes of origins that an instance writes in a millisecond, on average.
+const WRITE_BYTES_PER_MS: u64 = 128;
 /// Maximum number of streams in one object, which the store limits to a megabyte.
 const MAX_STREAMS: usize = 50_000;
 /// Initial and maximum backoff after a failed call.
@@ -89,19 +89,46 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct StreamsDigest(u64);
 
+/// When a call is made again after failures.
+#[derive(Debug, Default)]
+struct Backoff {
+    next_at: Time,
+    last: Duration,
+}
+
+impl Backoff {
+    fn is_due(&self, now: Time) -> bool {
+        now >= self.next_at
+    }
+
+    fn record_failure(&mut self, now: Time) {
+        self.last = (self.last * 2).clamp(BACKOFF[0], BACKOFF[1]);
+        self.next_at = now + self.last;
+    }
+
+    fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
+
 /// State of an instance's part in the store's records of streams.
 #[derive(Debug, Default)]
 pub struct StreamRecorder {
-    /// Whether all records were read.
-    is_loaded: bool,
+    /// Whether the stored versions were read, and whether all stored origins were.
+    has_read_versions: bool,
+    has_read_origins: bool,
+    /// Since when the targets are known.
+    informed_since: Option<Time>,
     era: Option<Era>,
     versions: Known<StoredVersions>,
     origins: Known<StreamsDigest>,
+    /// Whether this process has written origins.
+    has_written: bool,
     /// Objects of other instances that were there at the start.
     leftovers: Vec<RecordName>,
-    next_step_at: Time,
+    versions_backoff: Backoff,
+    origins_backoff: Backoff,
     next_write_at: Time,
-    backoff: Duration,
 }
 
 impl StreamRecorder {
@@ -113,54 +140,77 @@
         }
     }
 
-    fn back_off(&mut self, now: Time) {
-        let backoff = self.backoff.max(BACKOFF[0]);
-        self.next_step_at = now + backoff;
-        self.backoff = (backoff * 2).min(BACKOFF[1]);
+    /// Whether this process has known the targets for longer than a stream can be continued.
+    fn has_run_long(&self, now: Time) -> bool {
+        let since = self.informed_since;
+        since.is_some_and(|since| now.since(since) >= MAX_LIFETIME)
     }
 }
 
 impl Tables {
-    /// Whether this instance knows all software versions at which streams may have begun that can still be continued:
-    /// it has read them, or has run for longer than a stream can be continued.
+    /// Whether this instance knows all software versions at which streams may have begun that can still be continued.
     pub(super) fn knows_versions(&self, now: Time) -> bool {
-        self.origins.recorder.is_loaded || now.since(self.started) >= MAX_LIFETIME
+        let recorder = &self.origins.recorder;
+        recorder.has_read_versions || recorder.has_run_long(now)
     }
 
-    /// Whether this instance is about to read what the store keeps of streams.
-    pub(super) fn awaits_records(&self, now: Time) -> bool {
-        !self.knows_versions(now) && self.reads_records(now)
+    /// Whether this instance needs no stored origins: it has read them, or those that it has not read have expired.
+    pub(super) fn has_read_origins(&self, now: Time) -> bool {
+        let recorder = &self.origins.recorder;
+        recorder.has_read_origins || recorder.has_run_long(now)
     }
 
     /// Returns the next step. Its result is to be recorded before the next call.
     pub fn next_record_step(&mut self, era: Era, now: Time) -> RecordStep {
-        self.origins.recorder.set_era(era);
-        let next_step_at = self.origins.recorder.next_step_at;
-        if now < next_step_at {
-            return RecordStep::Sleep(next_step_at.since(now));
-        }
-        if !self.origins.recorder.is_loaded && self.reads_records(now) {
-            return RecordStep::List;
+        let is_informed = self.registry.revision() > Revision::default();
+        let recorder = &mut self.origins.recorder;
+        recorder.set_era(era);
+        recorder.informed_since = recorder.informed_since.or(is_informed.then_some(now));
+        let step = self.reading_step(now);
+        let step = step.or_else(|| self.writing_step(now));
+        step.unwrap_or(RecordStep::Sleep(WRITE_INTERVAL))
+    }
+
+    /// Reads what the store keeps, if this process has not done so.
+    fn reading_step(&self, now: Time) -> Option<RecordStep> {
+        let recorder = &self.origins.recorder;
+        let lacks_origins = !recorder.has_read_origins && self.reads_origins(now);
+        if lacks_origins {
+            let is_due = recorder.origins_backoff.is_due(now);
+            return Some(if is_due {
+                RecordStep::List
+            } else {
+                RecordStep::Sleep(BACKOFF[0])
+            });
         }
+        let lacks_versions = !recorder.has_read_versions && recorder.versions_backoff.is_due(now);
+        lacks_versions.then_some(RecordStep::Read(RecordName::Versions))
+    }
+
+    /// Writes or removes what has changed.
+    fn writing_step(&self, now: Time) -> Option<RecordStep> {
         let versions = self.registry.continuable_versions(now);
-        let mixed = versions.0.iter().filter(|(_, versions)| versions.len() > 1);
-        let mixed = mixed.map(|(service, _)| ShortHash::of(service.as_str()));
-        let mixed = mixed.collect::<Vec<_>>();
-        if let Some(step) = self.versions_step(versions, now) {
-            return step;
+        if versions.0.is_empty() {
+            return None;
         }
-        let step = if mixed.is_empty() {
-            self.removal_step(now)
-        } else {
-            self.origins_step(&mixed, now)
-        };
-        step.unwrap_or(RecordStep::Sleep(WRITE_INTERVAL))
+        let several = versions
+            .0
+            .iter()
+            .filter(|(_, of_service)| of_service.len() > 1);
+        let mixed = several.map(|(service, _)| ShortHash::of(service.as_str()));
+        let mixed = mixed.collect::<Vec<_>>();
+        let step = self.versions_step(versions, now);
+        step.or_else(|| match mixed.as_slice() {
+            [] => self.removal_step(now),
+            mixed => self.origins_step(mixed, now),
+        })
     }
 
     /// Keeps the software versions in the store, if this instance follows it.
     fn versions_step(&self, versions: StoredVersions, now: Time) -> Option<RecordStep> {
         let recorder = &self.origins.recorder;
-        if !recorder.is_loaded || versions.0.is_empty() || !self.follows_store(now) {
+        let is_due = recorder.versions_backoff.is_due(now);
+        if !is_due || !self.knows_versions(now) || !self.follows_store(now) {
             return None;
         }
         match &recorder.versions {
@@ -178,7 +228,8 @@
     /// Stores the origins that this instance keeps of streams of services with several versions.
     fn origins_step(&self, mixed: &[ShortHash], now: Time) -> Option<RecordStep> {
         let recorder = &self.origins.recorder;
-        if now < recorder.next_write_at || !self.is_recorder(now) {
+        let is_due = now >= recorder.next_write_at && recorder.origins_backoff.is_due(now);
+        if !is_due || !self.is_recorder(now) {
             return None;
         }
         let name = RecordName::origins_of(&self.local.name);
@@ -204,99 +255,112 @@
     }
 
     /// Removes origins that nobody needs because no service has several versions.
-    fn removal_step(&mut self, now: Time) -> Option<RecordStep> {
-        if self.origins.recorder.origins.revision().is_some() {
-            let name = RecordName::origins_of(&self.local.name);
-            return Some(RecordStep::Remove(name));
+    fn removal_step(&self, now: Time) -> Option<RecordStep> {
+        let recorder = &self.origins.recorder;
+        if !recorder.origins_backoff.is_due(now) {
+            return None;
+        }
+        let own = RecordName::origins_of(&self.local.name);
+        match &recorder.origins {
+            Known::Present(..) => return Some(RecordStep::Remove(own)),
+            Known::Unread if recorder.has_written => return Some(RecordStep::Read(own)),
+            Known::Unread | Known::Absent => {}
         }
         if !self.follows_store(now) {
             return None;
         }
-        let leftover = self.origins.recorder.leftovers.pop();
-        leftover.map(RecordStep::Remove)
+        let leftover = recorder.leftovers.last();
+        leftover.cloned().map(RecordStep::Remove)
     }
 
     /// Records all records as read from the store. Returns the number of streams in them.
     pub fn record_listed(&mut self, found: Vec<FoundRecord>, now: Time) -> usize {
         let own = RecordName::origins_of(&self.local.name);
-        let is_found = |name: &RecordName| found.iter().any(|record| record.name == *name);
         for name in [&own, &RecordName::Versions] {
-            if !is_found(name) {
+            if !found.iter().any(|record| record.name == *name) {
                 self.record_read(name, None, now);
             }
         }
         for record in found {
-            if record.name != own && record.name != RecordName::Versions {
-                self.origins.recorder.leftovers.push(record.name.clone());
-            }
             let name = record.name.clone();
+            if name != own && name != RecordName::Versions {
+                self.origins.recorder.leftovers.push(name.clone());
+            }
             self.record_read(&name, Some(record), now);
         }
-        self.origins.recorder.is_loaded = true;
+        self.origins.recorder.has_read_origins = true;
+        self.origins.recorder.origins_backoff.reset();
         self.origins.recalled.count()
     }
 
     /// Records a record as read from the store; `None` if there is none.
     pub fn record_read(&mut self, name: &RecordName, found: Option<FoundRecord>, now: Time) {
-        let is_own = *name == RecordName::origins_of(&self.local.name);
-        let revision = found.as_ref().map(|found| found.revision);
-        let record = found.and_then(|found| found.record);
+        match name {
+            RecordName::Versions => self.record_versions_read(found, now),
+            RecordName::Origins(_) => self.record_origins_read(name, found, now),
+        }
+    }
+
+    fn record_versions_read(&mut self, found: Option<FoundRecord>, now: Time) {
         let recorder = &mut self.origins.recorder;
-        recorder.backoff = Duration::ZERO;
-        match (name, record) {
-            (RecordName::Versions, Some(StreamRecord::Versions(stored))) => {
-                self.registry.record_stored_versions(&stored, now);
-                if let Some(revision) = revision {
-                    recorder.versions = Known::Present(revision, stored);
-                }
-            }
-            (RecordName::Versions, _) => {
-                recorder.versions = revision.map_or(Known::Absent, |revision| {
-                    Known::Present(revision, StoredVersions::default())
-                });
-            }
-            (RecordName::Origins(_), record) => {
-                if is_own {
-                    let written = StreamsDigest::default();
-                    let present = |revision| Known::Present(revision, written);
-                    recorder.origins = revision.map_or(Known::Absent, present);
-                }
-                if let Some(StreamRecord::Origins(stored)) = record {
-                    let recorder = if is_own {
-                        Recorder::Local
-                    } else {
-                        Recorder::Other
-                    };
-                    self.origins.recalled.add(&stored, recorder, now);
-                }
-            }
+        let Some(found) = found else {
+            recorder.versions = Known::Absent;
+            recorder.has_read_versions = true;
+            return;
+        };
+        let Some(StreamRecord::Versions(stored)) = found.record else {
+            // It says nothing, and is written over when no stream is left of what it may have named.
+            recorder.versions = Known::Present(found.revision, StoredVersions::default());
+            recorder.versions_backoff.record_failure(now);
+            return;
+        };
+        self.registry.record_stored_versions(&stored, now);
+        recorder.versions = Known::Present(found.revision, stored);
+        recorder.has_read_versions = true;
+    }
+
+    fn record_origins_read(&mut self, name: &RecordName, found: Option<FoundRecord>, now: Time) {
+        let is_own = *name == RecordName::origins_of(&self.local.name);
+        if is_own {
+            let revision = found.as_ref().map(|found| found.revision);
+            let present = |revision| Known::Present(revision, StreamsDigest::default());
+            self.origins.recorder.origins = revision.map_or(Known::Absent, present);
+        }
+        let writer = if is_own {
+            Writer::FormerProcess
+        } else {
+            Writer::Other
+        };
+        if let Some(StreamRecord::Origins(stored)) = found.and_then(|found| found.record) {
+            self.origins.recalled.add(&stored, writer, now);
         }
     }
 
     /// Records that a write took effect at a revision.
     pub fn record_written(&mut self, write: RecordWrite, revision: Revision, now: Time) {
         let recorder = &mut self.origins.recorder;
-        recorder.backoff = Duration::ZERO;
         match write.record {
             StreamRecord::Versions(versions) => {
                 recorder.versions = Known::Present(revision, versions);
+                recorder.versions_backoff.reset();
             }
             StreamRecord::Origins(stored) => {
                 let keys = stored.decode().flat_map(|(_, streams)| streams);
                 let digest = StreamsDigest::of(keys.map(|stream| stream.key.number()));
                 recorder.origins = Known::Present(revision, digest);
-                let bytes = u64::try_from(stored.estimated_bytes()).unwrap_or(u64::MAX);
-                let bytes_per_ms = u64::try_from(WRITE_BYTES_PER_S / 1_000).unwrap_or(1);
-                let pause = Duration::from_millis(bytes / bytes_per_ms);
-                recorder.next_write_at = now + pause.max(WRITE_INTERVAL);
+                recorder.has_written = true;
+                recorder.origins_backoff.reset();
+                recorder.next_write_at = now + pause_after(&stored);
             }
         }
     }
 
     /// Records that a record was removed, or that there was none.
     pub fn record_removed(&mut self, name: &RecordName) {
+        let recorder = &mut self.origins.recorder;
+        recorder.leftovers.retain(|leftover| leftover != name);
         if *name == RecordName::origins_of(&self.local.name) {
-            self.origins.recorder.origins = Known::Absent;
+            recorder.origins = Known::Absent;
         }
     }
 
@@ -305,19 +369,31 @@
         let own = RecordName::origins_of(&self.local.name);
         let recorder = &mut self.origins.recorder;
         match name {
-            RecordName::Versions => recorder.versions = Known::Unread,
-            RecordName::Origins(_) if *name == own => recorder.origins = Known::Unread,
-            RecordName::Origins(_) => {}
+            RecordName::Versions => {
+                recorder.versions = Known::Unread;
+                recorder.versions_backoff.record_failure(now);
+            }
+            RecordName::Origins(_) => {
+                if *name == own {
+                    recorder.origins = Known::Unread;
+                }
+                recorder.origins_backoff.record_failure(now);
+            }
         }
-        recorder.back_off(now);
     }
 
     /// Records that the records could not be listed.
     pub fn record_list_failed(&mut self, now: Time) {
-        self.origins.recorder.back_off(now);
+        self.origins.recorder.origins_backoff.record_failure(now);
     }
 }
 
+/// Returns the time after a write of origins before the next one.
+fn pause_after(written: &StoredOrigins) -> Duration {
+    let bytes = u64::try_from(written.estimated_bytes()).unwrap_or(u64::MAX);
+    Duration::from_millis(bytes / WRITE_BYTES_PER_MS).max(WRITE_INTERVAL)
+}
+
 impl StreamsDigest {
     fn of(keys: impl Iterator<Item = u64>) -> Self {
         // Keys are hashes: two sets have the same sum by chance only.
--- a/crates/gateway/src/decide/stream_origins/recorders.rs
+++ b/crates/gateway/src/decide/stream_origins/recorders.rs
@@ -10,7 +10,7 @@
 use super::StreamKey;
 use super::replicas::{choose, ranked};
 use crate::decide::exchange::MAX_DIRECT_FLEET;
-use crate::decide::peers::{GONE_THRESHOLD, Member, Peer};
+use crate::decide::peers::{DOWN_THRESHOLD, GONE_THRESHOLD, Member, Peer};
 use crate::decide::rendezvous::name_hash;
 use crate::decide::tables::Tables;
 
@@ -40,21 +40,23 @@
         first(peers.chain(is_able.then_some(&self.local)))
     }
 
-    /// Whether this instance writes the origins that it keeps. One that stops does: all may stop at the same moment.
+    /// Whether this instance writes the origins that it keeps. If no instance accepts callers any more, as all stop at the
+    /// same moment, the first of those that still run do.
     pub(super) fn is_recorder(&self, now: Time) -> bool {
-        let is_first = || {
-            let recorders = self.recorders(now);
-            recorders
-                .iter()
-                .any(|member| member.name == self.local.name)
-        };
-        self.stopping || is_first()
+        let mut recorders = self.recorders(now);
+        if recorders.is_empty() {
+            let peers = self.peers.live(now).map(|peer| &peer.member);
+            recorders = first(peers.chain([&self.local]));
+        }
+        self.is_among(&recorders)
     }
 
-    /// Instances that read what the store keeps of streams when they start.
-    fn readers(&self, now: Time) -> Vec<&Member> {
-        let may_run =
-            |peer: &&Peer| peer.last_seen.is_none() || peer.seen_within(GONE_THRESHOLD, now);
+    /// Instances that read the stored origins when they start.
+    fn origin_readers(&self, now: Time) -> Vec<&Member> {
+        let is_new = self.is_new(now);
+        let may_run = |peer: &&Peer| {
+            peer.seen_within(GONE_THRESHOLD, now) || (is_new && peer.last_seen.is_none())
+        };
         let peers = self.peers.all().filter(may_run).map(|peer| &peer.member);
         let members = peers.chain([&self.local]).collect::<Vec<_>>();
         if members.len() <= MAX_DIRECT_FLEET {
@@ -63,24 +65,28 @@
         first(members.into_iter())
     }
 
-    /// Whether this instance reads what the store keeps of streams. Others ask it.
-    pub(super) fn reads_records(&self, now: Time) -> bool {
-        let is_reader = || {
-            let readers = self.readers(now);
-            readers.iter().any(|member| member.name == self.local.name)
-        };
-        self.follows_store(now) || is_reader()
+    /// Whether this instance reads the stored origins. Others ask it.
+    pub(super) fn reads_origins(&self, now: Time) -> bool {
+        self.is_among(&self.origin_readers(now))
     }
 
-    /// Addresses of the readers to ask for a stream.
+    /// Addresses of instances that have read the stored origins, to ask for a stream.
     pub(super) fn readers_to_ask(&self, key: StreamKey, now: Time) -> Vec<SocketAddr> {
-        let readers = self.readers(now).into_iter();
-        let others = readers.filter(|member| member.name != self.local.name);
+        let readers = self.origin_readers(now).into_iter();
+        let others = readers.filter(|member| self.may_reply(member, now));
         let order = ranked(others, key);
         let chosen = choose(&order, &BTreeSet::new());
-        chosen
-            .iter()
-            .map(|candidate| candidate.member.gossip)
-            .collect()
+        let addresses = chosen.iter().map(|candidate| candidate.member.gossip);
+        addresses.collect()
+    }
+
+    fn may_reply(&self, member: &Member, now: Time) -> bool {
+        let peer = self.peers.get(&member.name);
+        peer.is_some_and(|peer| peer.last_seen.is_none() || peer.seen_within(DOWN_THRESHOLD, now))
+    }
+
+    fn is_among(&self, members: &[&Member]) -> bool {
+        let local = &self.local.name;
+        members.iter().any(|member| member.name == *local)
     }
 }
--- a/crates/gateway/src/decide/stream_origins/replicas.rs
+++ b/crates/gateway/src/decide/stream_origins/replicas.rs
@@ -124,10 +124,10 @@
         let local = &self.local.name;
         let others = self.replica_members(now);
         let others = others.filter(|member| member.name != *local);
-        let recorders = self.recorder_hashes(now);
-        let chosen = choose(&ranked(others, key), &recorders);
+        let recorders = &self.origins.recorders;
+        let chosen = choose(&ranked(others, key), recorders);
         let to = chosen.iter().map(|replica| replica.member.gossip).collect();
-        let entry = Entry::new(record.clone(), &chosen, &recorders, now);
+        let entry = Entry::new(record.clone(), &chosen, recorders, now);
         self.origins.insert(key, entry);
         (record, to)
     }
@@ -139,9 +139,9 @@
             return;
         }
         let key = record.key;
-        let recorders = self.recorder_hashes(now);
-        let chosen = choose(&ranked(self.replica_members(now), key), &recorders);
-        let entry = Entry::new(record, &chosen, &recorders, now);
+        let recorders = &self.origins.recorders;
+        let chosen = choose(&ranked(self.replica_members(now), key), recorders);
+        let entry = Entry::new(record, &chosen, recorders, now);
         self.origins.insert(key, entry);
     }
 
@@ -174,7 +174,7 @@
         let entry = entry.filter(|entry| now < entry.expires);
         let record = entry.map(|entry| entry.record(key, now));
         let record = record.or_else(|| self.origins.recalled.record(key, now));
-        if record.is_none() && self.awaits_records(now) {
+        if record.is_none() && !self.has_read_origins(now) && self.reads_origins(now) {
             return None;
         }
         Some(OriginReply {
--- a/crates/gateway/src/net/stream_records.rs
+++ b/crates/gateway/src/net/stream_records.rs
@@ -52,7 +52,6 @@
     node.metrics.stream_record_call("list", &listed);
     let objects = match listed {
         Ok(Listing { objects, .. }) => objects,
-        Err(StoreError::Missing) => Vec::new(),
         Err(err) => {
             log_failure("list", "all", &err);
             let now = node.now();
--- a/crates/gateway/tests/stream_records.rs
+++ b/crates/gateway/tests/stream_records.rs
@@ -221,3 +221,70 @@
     assert_eq!(kept.sum::<usize>(), 0);
     assert_eq!(continue_all(&mut fleet, &streams).known, 0);
 }
+
+/// Guards against writers that call a store again and again that answers reads and takes no writes.
+#[test]
+fn a_store_that_takes_no_writes_is_called_no_more_often_than_one_that_does() {
+    let mut fleet = started(8, 3, 113, &VERSIONS);
+    let writes_in = |fleet: &mut Fleet| {
+        let before = fleet.records.writes();
+        for step in 0..50 {
+            begin(fleet, STREAMS * step, 20);
+            fleet.run_ms(200);
+        }
+        fleet.records.writes() - before
+    };
+    let taken = writes_in(&mut fleet);
+    fleet.records.is_read_only = true;
+    fleet.set_versions(&["v1.6"]);
+    let refused = writes_in(&mut fleet);
+    assert!(refused <= taken, "{refused} of {taken}");
+}
+
+/// Guards against writes of each of many instances that are stopped at once in a release.
+#[test]
+fn instances_that_stop_leave_the_writing_to_others() {
+    let mut fleet = started(60, 3, 114, &VERSIONS);
+    begin_and_store(&mut fleet);
+    for idx in (0..60).step_by(3) {
+        fleet.tables_mut(idx).stopping = true;
+    }
+    let before = fleet.records.writes();
+    for second in 1..4 {
+        begin(&mut fleet, STREAMS * second, STREAMS);
+        fleet.run_ms(1_000);
+    }
+    let writes = fleet.records.writes() - before;
+    assert!(writes <= 3 * MAX_WRITES_A_SECOND, "{writes}");
+}
+
+/// Guards against origins that all instances take with them that are stopped at the same moment.
+#[test]
+fn origins_outlive_a_planned_stop_of_all_instances() {
+    for (count, domains) in SMALL_FLEETS {
+        let mut fleet = started(count, domains, 115, &VERSIONS);
+        let streams = begin(&mut fleet, 0, STREAMS);
+        for idx in 0..count {
+            fleet.tables_mut(idx).stopping = true;
+        }
+        fleet.run_ms(STORING_TIME_MS);
+        kill_and_restart_all(&mut fleet);
+        let found = continue_all(&mut fleet, &streams);
+        assert_eq!((found.known, found.wrong), (STREAMS, 0), "{count}");
+    }
+}
+
+/// Guards against streams of one version that are refused because the instances that read the store first do not come back.
+#[test]
+fn streams_go_on_though_the_first_readers_stay_away_after_a_kill_of_all() {
+    let mut fleet = started(60, 3, 116, &VERSIONS[..1]);
+    fleet.kill_all();
+    fleet.run_ms(DOWN_MS);
+    // The strongest instances come first.
+    for idx in 9..60 {
+        fleet.restart(idx, false);
+    }
+    let found = continue_all(&mut fleet, &unheard(STREAMS));
+    assert_eq!((found.unknown, found.refused), (STREAMS, 0));
+    assert!(found.longest <= MAX_LOOKUP, "{found:?}");
+}
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -16,6 +16,8 @@
 pub struct Records {
     /// Whether the store rejects all calls.
     pub is_away: bool,
+    /// Whether it rejects all writes.
+    pub is_read_only: bool,
     objects: BTreeMap<String, (Revision, StreamRecord)>,
     revision: u64,
     era: u32,
@@ -88,7 +90,7 @@
         self.writes += 1;
         let name = write.name.to_string();
         let known = self.objects.get(&name).map(|(revision, _)| *revision);
-        if self.is_away || known != write.at {
+        if self.is_away || self.is_read_only || known != write.at {
             tables.record_call_failed(&write.name, now);
             return;
         }
