--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -34,6 +34,7 @@
 #[serde(deny_unknown_fields)]
 pub struct WorkspaceEntry {
     /// The entry's name.
+    #[serde(deserialize_with = "crate::ids::own")]
     pub id: WorkspaceId,
     /// Tokens per second over all instances.
     pub rate: Rate,
@@ -48,6 +49,7 @@
     /// The key's public name.
     pub id: KeyId,
     /// The workspace that the key belongs to.
+    #[serde(deserialize_with = "crate::ids::own")]
     pub workspace: WorkspaceId,
     /// Digest of the key.
     pub digest: KeyDigest,
@@ -60,8 +62,10 @@
     /// The entry's name.
     pub id: AdapterId,
     /// The workspace that owns the adapter. Only this workspace may use it.
+    #[serde(deserialize_with = "crate::ids::own")]
     pub owner: WorkspaceId,
     /// The base model that the adapter extends.
+    #[serde(deserialize_with = "crate::ids::own")]
     pub base_model: BaseModel,
     /// The version that runs if the caller names none.
     pub current: AdapterVersion,
@@ -80,8 +84,10 @@
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// The entry's name.
+    #[serde(deserialize_with = "crate::ids::own")]
     pub id: ServiceId,
     /// The workspaces that may call it.
+    #[serde(deserialize_with = "crate::ids::own_set")]
     pub workspaces: BTreeSet<WorkspaceId>,
     /// Tokens charged to the workspace for each call.
     #[serde(default)]
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -12,6 +12,16 @@
         /// The text, truncated to the maximum length of an identifier.
         raw: Box<str>,
     },
+    /// The text is not a name that can be carried.
+    #[error(
+        "`{raw}` is no {kind} name: use 1 to 512 bytes without control characters, and no blank at either end"
+    )]
+    MalformedName {
+        /// The kind of thing that the name is for.
+        kind: &'static str,
+        /// The text, truncated to the maximum length of an identifier.
+        raw: Box<str>,
+    },
     /// The text is not a whole number.
     #[error("`{raw}` is no {kind}: use a whole number of at most 20 digits")]
     MalformedNumber {
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -1,9 +1,11 @@
 //! Identifiers: newtypes over validated text and numbers.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::CoreError;
 
@@ -22,8 +24,48 @@
     })
 }
 
+/// Maximum length of a name that is taken from outside, in bytes; a batch of requests that each hold one fits a datagram.
+pub const MAX_NAME_BYTES: usize = 512;
+
+/// Accepts each name that a header, a line of the log and a hashed key can carry. Other control characters than tabs
+/// separate the parts of hashed keys, and blanks around a header's value are no part of it.
+fn validate_name(kind: &'static str, raw: &str) -> Result<Box<str>, CoreError> {
+    let fits = !raw.is_empty() && raw.len() <= MAX_NAME_BYTES;
+    let is_control = |c: char| c.is_ascii_control() && c != '\t';
+    if fits && raw.trim_matches([' ', '\t']) == raw && !raw.contains(is_control) {
+        return Ok(raw.into());
+    }
+    Err(CoreError::MalformedName {
+        kind,
+        raw: raw.chars().take(MAX_ID_BYTES).collect(),
+    })
+}
+
+/// Deserializes a name that callers or operators of the own interface choose, by the rule for identifiers.
+pub(crate) fn own<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: FromStr<Err = CoreError>,
+{
+    let raw = Box::<str>::deserialize(deserializer)?;
+    raw.parse().map_err(D::Error::custom)
+}
+
+/// Deserializes a set of such names.
+pub(crate) fn own_set<'de, D, T>(deserializer: D) -> Result<BTreeSet<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: FromStr<Err = CoreError> + Ord,
+{
+    let raw = Vec::<Box<str>>::deserialize(deserializer)?;
+    let names = raw.iter().map(|raw| raw.parse().map_err(D::Error::custom));
+    names.collect()
+}
+
+/// Defines identifiers by the rule for all that is taken from outside. What users of the own interface write is parsed
+/// with [`FromStr`], by the rule for identifiers.
 macro_rules! text_id {
-    ($($(#[$doc:meta])* $name:ident, $kind:literal;)+) => {$(
+    ($($(#[$doc:meta])* $name:ident, $kind:literal, $validate:ident;)+) => {$(
         $(#[$doc])*
         #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
         #[serde(try_from = "Box<str>", into = "Box<str>")]
@@ -41,7 +83,7 @@
             type Error = CoreError;
 
             fn try_from(raw: &str) -> Result<Self, CoreError> {
-                validate($kind, raw).map(Self)
+                $validate($kind, raw).map(Self)
             }
         }
 
@@ -49,7 +91,7 @@
             type Error = CoreError;
 
             fn try_from(raw: Box<str>) -> Result<Self, CoreError> {
-                validate($kind, &raw).map(Self)
+                $validate($kind, &raw).map(Self)
             }
         }
 
@@ -77,29 +119,29 @@
 
 text_id! {
     /// Name of an adapter in the catalogue.
-    AdapterId, "adapter";
+    AdapterId, "adapter", validate;
     /// Name of a base model, shared by engines and adapters.
-    BaseModel, "base model";
+    BaseModel, "base model", validate_name;
     /// Name of a catalogue change, chosen by its author; makes a retried change idempotent.
-    ChangeId, "change";
+    ChangeId, "change", validate;
     /// Name of a failure domain.
-    FailureDomain, "failure domain";
+    FailureDomain, "failure domain", validate;
     /// Name of a group of engines that one owner schedules together.
-    GroupId, "engine group";
+    GroupId, "engine group", validate;
     /// Name that a caller chooses for a request that may not be repeated.
-    IdempotencyKey, "idempotency key";
+    IdempotencyKey, "idempotency key", validate;
     /// Name of an instance; kept across its restarts.
-    InstanceId, "instance";
+    InstanceId, "instance", validate;
     /// Public name of a workspace's key, not the key itself.
-    KeyId, "key";
+    KeyId, "key", validate;
     /// Name of an object in the platform's object API.
-    ObjectName, "object";
+    ObjectName, "object", validate;
     /// Name of a plain service.
-    ServiceId, "service";
+    ServiceId, "service", validate_name;
     /// Name of a target: an engine or one replica of a plain service.
-    TargetId, "target";
+    TargetId, "target", validate;
     /// Name of a workspace.
-    WorkspaceId, "workspace";
+    WorkspaceId, "workspace", validate_name;
 }
 
 macro_rules! number_id {
--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -24,7 +24,8 @@
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
         let text = value.to_string();
-        let quoted = text.is_empty() || text.contains([' ', '"', '=', '\n']);
+        let breaks_fields = |c: char| c.is_whitespace() || c.is_control() || matches!(c, '"' | '=');
+        let quoted = text.is_empty() || text.contains(breaks_fields);
         let written = match (key.as_str(), quoted) {
             ("code", _) => fmt::write(&mut self.0, format_args!(" code=BS{text}")),
             (key, true) => fmt::write(&mut self.0, format_args!(" {key}={text:?}")),
