Let a part of the configuration that can't be decoded cost itself alone

Callers saw: a tenant, route or service of which one field can't be read kept the configuration and each later one out of force, with a withdrawn key in use. Cause: the configuration was decoded in one piece. Change: each tenant, route, service and limit is decoded alone. Requests that need one that can't be get 503, all others are in force, a withdrawn key stops, and tenants that can't be read never count as none. Told by BS3124, the dump and two metrics. The path of peers' copies changes with their form.

--- a/crates/gateway/src/decide/admission.rs
+++ b/crates/gateway/src/decide/admission.rs
@@ -34,9 +34,13 @@
             Routed::To { route, workspace } => (route, workspace),
             Routed::NoRoute => return Err(Refusal::NoRoute),
             Routed::UnknownKey => return Err(Refusal::UnknownKey),
+            Routed::Malformed => return Err(Refusal::MalformedConfig),
         };
         let routes = Arc::clone(&self.routes);
         let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
+        if routes.config().is_malformed_service(service) {
+            return Err(Refusal::MalformedConfig);
+        }
         let workspace = workspace.map(|idx| routes.workspace(idx));
         let mut charge = 0;
         let mut quota_wait = Duration::ZERO;
@@ -106,10 +110,23 @@
         if !self.is_prepared() {
             return Err(self.why_not_informed(now));
         }
-        let route = self.routes.find_route(call).ok_or(Refusal::NoRoute)?;
         let routes = Arc::clone(&self.routes);
+        let Some(route) = routes.find_route(call) else {
+            return Err(match routes.without_route(call) {
+                Routed::Malformed => Refusal::MalformedConfig,
+                _ => Refusal::NoRoute,
+            });
+        };
         let service = pick_service(routes.route(route), draw).ok_or(Refusal::NoTarget)?;
-        let known = workspace.map(|name| routes.workspace_named(name).ok_or(Refusal::UnknownKey));
+        if routes.config().is_malformed_service(service) {
+            return Err(Refusal::MalformedConfig);
+        }
+        let unknown = if routes.config().has_malformed_workspace() {
+            Refusal::MalformedConfig
+        } else {
+            Refusal::UnknownKey
+        };
+        let known = workspace.map(|name| routes.workspace_named(name).ok_or(unknown));
         let rank = known.transpose()?.and_then(|known| known.rank);
         let counted_at = counts.then_some(now);
         if counts {
--- a/crates/gateway/src/decide/config.rs
+++ b/crates/gateway/src/decide/config.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::cold::ColdStart;
+use super::malformed_part::{MalformedPart, MalformedScope, PartKind};
 
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -18,8 +19,10 @@
     pub services: Vec<Service>,
     /// Limits on callers' requests; shared by all routes.
     pub limits: Limits,
-    /// Workspaces; if empty, requests need no key.
+    /// Workspaces; if there are none, malformed ones included, requests need no key.
     pub workspaces: Vec<Workspace>,
+    /// Parts that can't be decoded.
+    pub malformed: Vec<MalformedPart>,
 }
 
 /// A route.
@@ -193,4 +196,28 @@
     pub fn service(&self, name: &ServiceId) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
     }
+
+    /// Whether requests need a key, unless their route is public.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        !self.workspaces.is_empty() || self.has_malformed_workspace()
+    }
+
+    /// Whether a workspace is one of the malformed parts.
+    #[must_use]
+    pub fn has_malformed_workspace(&self) -> bool {
+        let mut malformed = self.malformed.iter();
+        malformed.any(|part| part.kind == PartKind::Workspace)
+    }
+
+    /// Whether a service is one of the malformed parts.
+    #[must_use]
+    pub fn is_malformed_service(&self, name: &ServiceId) -> bool {
+        let mut malformed = self.malformed.iter();
+        malformed.any(|part| match &part.scope {
+            MalformedScope::Service(service) => service == name,
+            MalformedScope::OtherServices => self.service(name).is_none(),
+            _ => false,
+        })
+    }
 }
--- a/crates/gateway/src/decide/dump/mod.rs
+++ b/crates/gateway/src/decide/dump/mod.rs
@@ -8,9 +8,9 @@
 use bluebellstage_core::{InstanceId, Revision, Time};
 
 pub use self::types::{
-    Dump, EvacuationDump, PeerDump, QuarantineDump, QuarantinedPartDump, QuotaDump, RetryDump,
-    ShareDump, SoftwareDump, Stage, StoreCallDump, StoreLink, SuspectDump, SuspectedPartDump,
-    TargetDump, WaitingDump,
+    Dump, EvacuationDump, MalformedPartDump, PeerDump, QuarantineDump, QuarantinedPartDump,
+    QuotaDump, RetryDump, ShareDump, SoftwareDump, Stage, StoreCallDump, StoreLink, SuspectDump,
+    SuspectedPartDump, TargetDump, WaitingDump,
 };
 use super::availability::Availability;
 use super::owner::Owner;
@@ -41,6 +41,7 @@
             news_age_ms: millis(self.update_age(now)),
             readers: self.exchange.subscriber_count(),
             config: self.routes.version(),
+            malformed_config: self.dump_malformed_config(),
             targets_revision: Revision(position.counter),
             store_era: position.era,
             shards: self.shards.clone(),
@@ -64,6 +65,16 @@
         }
     }
 
+    fn dump_malformed_config(&self) -> Vec<MalformedPartDump> {
+        let parts = self.routes.config().malformed.iter();
+        let dumped = parts.map(|part| MalformedPartDump {
+            kind: part.kind,
+            name: part.name.clone(),
+            cause: part.cause.clone(),
+        });
+        dumped.collect()
+    }
+
     fn stage(&self) -> Stage {
         match (self.is_prepared(), self.stopping) {
             (_, true) => Stage::Stopping,
--- a/crates/gateway/src/decide/dump/types.rs
+++ b/crates/gateway/src/decide/dump/types.rs
@@ -9,6 +9,7 @@
 use crate::decide::health::HealthState;
 use crate::decide::kind::Kind;
 use crate::decide::limits::RequestRate;
+use crate::decide::malformed_part::PartKind;
 use crate::decide::memory_budget::MemoryDump;
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::status::Role;
@@ -37,6 +38,9 @@
     pub readers: usize,
     /// Version of the configuration in force.
     pub config: Revision,
+    /// Parts of the configuration that can't be decoded.
+    #[serde(default)]
+    pub malformed_config: Vec<MalformedPartDump>,
     /// Revision of its list of targets.
     pub targets_revision: Revision,
     /// Number of times that the store was restored from a copy, as of that revision.
@@ -117,6 +121,17 @@
     pub answered_ms: Option<u64>,
 }
 
+/// A part of the configuration that can't be decoded.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct MalformedPartDump {
+    /// What the part describes.
+    pub kind: PartKind,
+    /// Its name, as far as it can be told.
+    pub name: Box<str>,
+    /// Why it can't be decoded.
+    pub cause: Box<str>,
+}
+
 /// An evacuated failure domain.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EvacuationDump {
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub mod limits;
 pub mod load_wait;
 pub mod loader;
+pub mod malformed_part;
 pub mod memory_budget;
 pub mod owner;
 mod owner_picking;
--- a/crates/gateway/src/decide/refusal.rs
+++ b/crates/gateway/src/decide/refusal.rs
@@ -17,6 +17,8 @@
     NoRoute,
     /// The key is unknown.
     UnknownKey,
+    /// The part of the configuration that says how to serve the request can't be decoded.
+    MalformedConfig,
     /// The workspace's quota is used up.
     OverQuota {
         /// Time until the request would fit.
@@ -44,6 +46,7 @@
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::MalformedConfig => "malformed_config",
             Self::OverQuota { .. } => "over_quota",
             Self::Full => "full",
             Self::NoTarget => "no_target",
--- a/crates/gateway/src/decide/routes.rs
+++ b/crates/gateway/src/decide/routes.rs
@@ -8,6 +8,7 @@
 
 use super::call::Call;
 use super::config::{Config, Route, Workspace};
+use super::malformed_part::MalformedScope;
 use super::ranked_tokens::RankClass;
 use super::service_ranks::ServiceRanks;
 
@@ -16,7 +17,8 @@
 pub struct RouteTable {
     config: Arc<Config>,
     by_host: HashMap<Box<str>, Vec<usize>>,
-    by_key: HashMap<Box<str>, usize>,
+    /// Workspaces by key; `None` for a malformed one.
+    by_key: HashMap<Box<str>, Option<usize>>,
     ranks: HashMap<ServiceId, ServiceRanks>,
 }
 
@@ -35,6 +37,8 @@
     NoRoute,
     /// The key is unknown.
     UnknownKey,
+    /// The route or the workspace is malformed, or may be.
+    Malformed,
 }
 
 impl RouteTable {
@@ -48,10 +52,19 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|idx| std::cmp::Reverse(config.routes[*idx].prefix.len()));
         }
+        let malformed = config
+            .malformed
+            .iter()
+            .filter_map(|part| match &part.scope {
+                MalformedScope::Keys(keys) => Some(keys.iter().map(|key| (key.clone(), None))),
+                _ => None,
+            });
         let keys = config.workspaces.iter().enumerate();
-        let by_key = keys
-            .flat_map(|(idx, workspace)| workspace.keys.iter().map(move |key| (key.clone(), idx)))
-            .collect();
+        let keys = keys.flat_map(|(idx, workspace)| {
+            let keys = workspace.keys.iter();
+            keys.map(move |key| (key.clone(), Some(idx)))
+        });
+        let by_key = malformed.flatten().chain(keys).collect();
         let ranks = ServiceRanks::of_services(&config);
         Self {
             config,
@@ -103,9 +116,9 @@
     #[must_use]
     pub fn find(&self, call: &Call) -> Routed {
         let Some(route) = self.find_route(call) else {
-            return Routed::NoRoute;
+            return self.without_route(call);
         };
-        if self.config.workspaces.is_empty() {
+        if !self.config.needs_keys() {
             return Routed::To {
                 route,
                 workspace: None,
@@ -113,20 +126,52 @@
         }
         let workspace = call.key.as_ref().and_then(|key| self.by_key.get(key));
         match (workspace, self.config.routes[route].public) {
+            (Some(None), _) => Routed::Malformed,
+            (None, false) if self.has_malformed(&MalformedScope::OtherKeys) => Routed::Malformed,
             (None, false) => Routed::UnknownKey,
             (workspace, _) => Routed::To {
                 route,
-                workspace: workspace.copied(),
+                workspace: workspace.copied().flatten(),
             },
         }
     }
 
-    /// Looks up the route of `call` without regard to its key.
+    fn has_malformed(&self, scope: &MalformedScope) -> bool {
+        let mut parts = self.config.malformed.iter();
+        parts.any(|part| part.scope == *scope)
+    }
+
+    /// Returns the longest prefix of the malformed routes that match `call`.
+    fn malformed_prefix(&self, call: &Call) -> Option<usize> {
+        let parts = self.config.malformed.iter();
+        let prefixes = parts.filter_map(|part| match &part.scope {
+            MalformedScope::Route { host, prefix } if *host == call.host => Some(prefix),
+            _ => None,
+        });
+        let matching = prefixes.filter(|prefix| call.path.starts_with(&***prefix));
+        matching.map(|prefix| prefix.len()).max()
+    }
+
+    /// Returns why `call`, which [`Self::find_route`] finds no route for, has none.
+    #[must_use]
+    pub fn without_route(&self, call: &Call) -> Routed {
+        let is_malformed = self.malformed_prefix(call).is_some();
+        if is_malformed || self.has_malformed(&MalformedScope::OtherRoutes) {
+            Routed::Malformed
+        } else {
+            Routed::NoRoute
+        }
+    }
+
+    /// Looks up the route of `call` without regard to its key. There is none if a malformed one matches better.
     #[must_use]
     pub fn find_route(&self, call: &Call) -> Option<usize> {
         let routes = self.by_host.get(&call.host)?;
         let matches = |idx: &&usize| call.path.starts_with(&*self.config.routes[**idx].prefix);
-        routes.iter().find(matches).copied()
+        let found = routes.iter().find(matches).copied()?;
+        let len = self.config.routes[found].prefix.len();
+        let is_best = self.malformed_prefix(call).is_none_or(|other| other <= len);
+        is_best.then_some(found)
     }
 
     /// Returns the names of the route and of the workspace of `call`, as far as they are known, by log key.
@@ -161,8 +206,8 @@
     /// Returns the name of the workspace that `key` belongs to.
     #[must_use]
     pub fn workspace_of(&self, key: &str) -> Option<&WorkspaceId> {
-        let idx = self.by_key.get(key)?;
-        Some(&self.config.workspaces[*idx].name)
+        let idx = (*self.by_key.get(key)?)?;
+        Some(&self.config.workspaces[idx].name)
     }
 }
 
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -25,7 +25,7 @@
 
 /// Path of the state copy on the control address. A change of the copy's format changes the path, so that
 /// instances of two releases never misread each other.
-pub(super) const COPY_PATH: &str = "/peer/copy/6";
+pub(super) const COPY_PATH: &str = "/peer/copy/7";
 
 /// Path of the metrics, on the control address and on the metrics address.
 const METRICS_PATH: &str = "/metrics";
--- a/crates/gateway/src/net/local_response.rs
+++ b/crates/gateway/src/net/local_response.rs
@@ -104,6 +104,11 @@
             "unknown key: use one of your workspace's current keys",
             None,
         ),
+        Refusal::MalformedConfig => (
+            unavailable,
+            "the configuration of this route, service or key can't be read: try again",
+            Some(late_retry_after(timeout)),
+        ),
         Refusal::OverQuota { retry_after, .. } => (
             StatusCode::TOO_MANY_REQUESTS,
             "the workspace's quota is used up: wait, or ask for a larger one",
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -93,6 +93,9 @@
     /// A part of prompts was quarantined: requests with it are no longer sent to targets.
     PartQuarantined = 3123, Warn, "part of prompts quarantined: targets crash under it";
 
+    /// A part of the configuration can't be decoded.
+    ConfigPartMalformed = 3124, Warn, "part of the configuration can't be decoded: requests that need it are refused";
+
     /// The store can't be reached.
     StoreLost = 3201, Warn, "store can't be reached";
     /// The store is reachable again.
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -58,6 +58,8 @@
     store_restorations: Counter<u64>,
     store_open_call: Gauge<u64>,
     config_version: Gauge<u64>,
+    malformed_parts: Gauge<u64>,
+    malformed_objects: Counter<u64>,
     targets: Gauge<u64>,
     peers: Gauge<u64>,
     connections: Gauge<u64>,
@@ -157,6 +159,14 @@
                 "Age of the open watch or list in milliseconds, by kind of objects",
             ),
             config_version: gauge("bluebellstage.config_version", "Configuration in force"),
+            malformed_parts: gauge(
+                "bluebellstage.malformed_config_parts",
+                "Parts of the configuration in force that can't be decoded",
+            ),
+            malformed_objects: counter(
+                "bluebellstage.malformed_objects",
+                "Objects of the store that can't be decoded, by kind",
+            ),
             targets: gauge("bluebellstage.targets", "Targets known"),
             peers: gauge("bluebellstage.live_peers", "Other instances heard lately"),
             connections: gauge("bluebellstage.connections", "Connections of callers"),
@@ -272,6 +282,12 @@
         self.store_calls.add(1, &[kind, outcome]);
     }
 
+    /// Counts an object of the store that can't be decoded.
+    pub(super) fn malformed_object(&self, kind: Kind) {
+        let kind = KeyValue::new("kind", kind.name());
+        self.malformed_objects.add(1, &[kind]);
+    }
+
     fn record_open_store_calls(&self, tables: &Tables, now: Time) {
         for (kind, wait) in tables.store_calls.all() {
             let age = wait
@@ -286,6 +302,8 @@
     /// Updates the gauges and returns all metrics as Prometheus text.
     pub(super) fn text(&self, tables: &Tables, connections: usize, now: Time) -> String {
         self.config_version.record(tables.routes.version().0, &[]);
+        self.malformed_parts
+            .record(count(tables.routes.config().malformed.len()), &[]);
         self.record_open_store_calls(tables, now);
         self.beyond_share
             .record(count(tables.fair_shares.beyond_count()), &[]);
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -22,7 +22,11 @@
 pub(super) fn apply<E: Edge>(node: &Node<E>, kind: Kind, listing: Listing, is_full_list: bool) {
     let revision = listing.revision;
     if is_full_list && kind == Kind::Targets {
-        let targets = listing.objects.into_iter().filter_map(target_of).collect();
+        let targets = listing
+            .objects
+            .into_iter()
+            .filter_map(|object| target_of(node, object));
+        let targets = targets.collect();
         replace_targets(node, targets, revision);
         return;
     }
@@ -45,18 +49,19 @@
     node.changed.notify_waiters();
 }
 
-fn target_of(object: Object) -> Option<Target> {
+fn target_of<E: Edge>(node: &Node<E>, object: Object) -> Option<Target> {
     match object.content? {
         Content::Target(target) => Some(*target),
         Content::Malformed(cause) => {
-            log_malformed(&object.name, &cause);
+            record_malformed(node, Kind::Targets, &object.name, &cause);
             None
         }
         _ => None,
     }
 }
 
-fn log_malformed(name: &str, cause: &str) {
+fn record_malformed<E: Edge>(node: &Node<E>, kind: Kind, name: &str, cause: &str) {
+    node.metrics.malformed_object(kind);
     event(
         LogEvent::ObjectMalformed,
         &[("object", name), ("cause", cause)],
@@ -98,7 +103,7 @@
             }
         }
         Some(Content::Malformed(cause)) => {
-            log_malformed(&name, &cause);
+            record_malformed(node, kind, &name, &cause);
             if kind == Kind::Targets {
                 remove(node, kind, &name, revision);
             }
@@ -116,7 +121,10 @@
 
 /// Applies the store's list of evacuations, or changes of them.
 fn apply_evacuations<E: Edge>(node: &Node<E>, listing: Listing, is_full_list: bool) {
-    let changes = listing.objects.into_iter().filter_map(evacuation_of);
+    let changes = listing
+        .objects
+        .into_iter()
+        .filter_map(|object| evacuation_of(node, object));
     let changes = changes.collect::<Vec<_>>();
     let now = node.now();
     let revision = listing.revision;
@@ -134,7 +142,7 @@
 }
 
 /// Returns the failure domain that an object names, and whether the object says that it is evacuated.
-fn evacuation_of(object: Object) -> Option<(FailureDomain, bool)> {
+fn evacuation_of<E: Edge>(node: &Node<E>, object: Object) -> Option<(FailureDomain, bool)> {
     if object.removed {
         let domain = FailureDomain::try_from(&*object.name).ok()?;
         return Some((domain, false));
@@ -142,7 +150,7 @@
     match object.content? {
         Content::Evacuation(domain) => Some((domain, true)),
         Content::Malformed(cause) => {
-            log_malformed(&object.name, &cause);
+            record_malformed(node, Kind::Evacuations, &object.name, &cause);
             None
         }
         _ => None,
@@ -191,9 +199,19 @@
 
 pub(super) fn adopt_config<E: Edge>(node: &Node<E>, config: crate::decide::config::Config) {
     let version = config.version.to_string();
+    let malformed = config.malformed.clone();
     let now = node.now();
     if node.tables().adopt(config, now) {
         event(LogEvent::ConfigAdopted, &[("version", &version)]);
+        for part in malformed {
+            let fields = [
+                ("version", &*version),
+                ("part", part.kind.name()),
+                ("name", &part.name),
+                ("cause", &part.cause),
+            ];
+            event(LogEvent::ConfigPartMalformed, &fields);
+        }
         node.changed.notify_waiters();
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -199,6 +199,7 @@
         services: vec![service("writers", Some(engine)), service("court", None)],
         limits: Limits::default(),
         workspaces: vec![workspace("north", "key-1", None)],
+        malformed: Vec::new(),
     }
 }
 
