--- a/crates/gateway/src/net/stream_records.rs
+++ b/crates/gateway/src/net/stream_records.rs
@@ -11,7 +11,7 @@
 
 use super::log::{LogEvent, event};
 use super::node::Node;
-use super::sync::log_malformed;
+use super::sync::record_malformed;
 
 /// Reads and writes records until the process ends.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
@@ -30,12 +30,12 @@
 }
 
 /// Returns a record as found; `None` if no instance writes an object of that name.
-fn found(object: Object) -> Option<FoundRecord> {
+fn found<E: Edge>(node: &Node<E>, object: Object) -> Option<FoundRecord> {
     let name = RecordName::parse(&object.name)?;
     let record = match object.content {
         Some(Content::Streams(record)) => Some(record),
         Some(Content::Malformed(cause)) => {
-            log_malformed(&object.name, &cause);
+            record_malformed(node, Kind::Streams, &object.name, &cause);
             None
         }
         _ => None,
@@ -59,7 +59,10 @@
             return;
         }
     };
-    let records = objects.into_iter().filter_map(found).collect::<Vec<_>>();
+    let records = objects
+        .into_iter()
+        .filter_map(|object| found(node, object))
+        .collect::<Vec<_>>();
     let count = records.len().to_string();
     let now = node.now();
     let streams = node.tables().record_listed(records, now).to_string();
@@ -77,7 +80,7 @@
     let now = node.now();
     match result {
         Ok(object) => {
-            let record = object.and_then(found);
+            let record = object.and_then(|object| found(node, object));
             node.tables().record_read(&name, record, now);
         }
         Err(err) => record_failure(node, "read", &name, &err),
