Leases: the record says how long its holder must still wait

Targets got orders of two holders less than the handover apart: a holder that was killed within its handover and started again ordered at once.

Cause: from when a holder may order was known to its process only. A process that found its own instance on the record went on without a delay, as did one whose claim had no response.

Change: the record carries how much of the handover is left, as a span. A process that finds its own instance on a record waits for the rest before it orders, and the end of a handover is stored at once. Records without the field count as ones whose handover has just begun.

--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -32,6 +32,32 @@
 /// tokens of an era are higher than all earlier ones.
 const TOKENS_PER_ERA: u64 = 1 << 24;
 
+/// How long the holder of a lease still has to wait, as targets that the holder before has ordered may get no orders of
+/// another one yet. It is stored, as no process knows what an earlier process of the same instance had to wait for, and
+/// as a span, as the clocks of processes can't be compared.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Handover {
+    /// The record is of a release that stores no handover: it may just have begun.
+    #[default]
+    Unknown,
+    /// It ends so many milliseconds after the record was written.
+    EndsInMs(u32),
+    /// The holder may order, and so may a next process of the same instance.
+    Ended,
+}
+
+impl Handover {
+    /// Returns the handover that ends at `end`, as of `now`.
+    fn ending_at(end: Time, now: Time) -> Self {
+        if now >= end {
+            return Self::Ended;
+        }
+        let left = end.since(now).as_millis() + 1;
+        u32::try_from(left).map_or(Self::Unknown, Self::EndsInMs)
+    }
+}
+
 /// Content of the lease object.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct LeaseRecord {
@@ -49,6 +75,9 @@
     /// start, and would otherwise reserve slots on each engine for such orders.
     #[serde(default)]
     pub settled: Vec<ShortHash>,
+    /// The handover from the holder before.
+    #[serde(default)]
+    pub handover: Handover,
 }
 
 /// Next action for a shard's lease.
@@ -72,6 +101,9 @@
     settled: Vec<ShortHash>,
     /// Whether this instance held the object in its last known state.
     was_held_locally: bool,
+    /// Fencing token of the lease that this process held last.
+    held_token: Option<u64>,
+    /// End of the handover under that token.
     no_orders_before: Time,
     next_step_at: Time,
     /// The store's era as of the last step; `None` before the first one.
@@ -116,6 +148,7 @@
             state: State::Unread,
             settled: Vec::new(),
             was_held_locally: false,
+            held_token: None,
             no_orders_before: Time::default(),
             next_step_at: Time::default(),
             era: None,
@@ -190,10 +223,11 @@
         self.settled = incarnations;
     }
 
-    fn renewal_of(&self, record: &LeaseRecord) -> LeaseRecord {
+    fn renewal_of(&self, record: &LeaseRecord, now: Time) -> LeaseRecord {
         LeaseRecord {
             renewal: record.renewal + 1,
             settled: self.settled.clone(),
+            handover: Handover::ending_at(self.no_orders_before, now),
             ..record.clone()
         }
     }
@@ -210,11 +244,11 @@
                 revision,
                 renewed_at,
             } => {
-                let due = *renewed_at + RENEW_INTERVAL;
+                let due = self.renewal_due(record, *renewed_at);
                 if now < due {
                     return LeaseStep::Sleep(due);
                 }
-                LeaseStep::Write(self.renewal_of(record), Some(*revision))
+                LeaseStep::Write(self.renewal_of(record, now), Some(*revision))
             }
             State::Unread if !wanted && !self.was_held_locally => {
                 LeaseStep::Sleep(now + POLL_INTERVAL)
@@ -233,8 +267,18 @@
         }
     }
 
+    /// Returns when the next renewal is due. The end of a handover is stored at once, so that a next process need not
+    /// wait for another one.
+    fn renewal_due(&self, record: &LeaseRecord, renewed_at: Time) -> Time {
+        let due = renewed_at + RENEW_INTERVAL;
+        match record.handover {
+            Handover::Unknown | Handover::EndsInMs(_) => due.min(self.no_orders_before),
+            Handover::Ended => due,
+        }
+    }
+
     /// Returns whether the record names this instance, from an earlier incarnation or before a
-    /// conflict. Engines treat both as the same holder, so it continues without a delay.
+    /// conflict. Engines treat both as the same holder, so it claims the lease without a delay.
     fn names_local_instance(&self, record: Option<&LeaseRecord>) -> bool {
         record.is_some_and(|record| record.holder == self.local_instance)
     }
@@ -266,6 +310,37 @@
         }
     }
 
+    /// Returns from when this instance may order if it claims the lease whose record is unchanged since `since`.
+    ///
+    /// A holder that released its lease may have sent orders until then; an unresponsive one has sent none since its
+    /// last renewal, observed or not, expired. If an earlier process of this instance has claimed the lease and its
+    /// handover has not ended, the holder before had sent its last order when the record was written.
+    fn orders_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
+        let continues = self
+            .restoration
+            .is_some_and(|restoration| restoration.held_lease);
+        if continues && self.is_from_before_restoration(record) {
+            return self.no_orders_before;
+        }
+        let Some(record) = record else {
+            return since;
+        };
+        if record.holder == self.local_instance {
+            return match record.handover {
+                Handover::Ended => since,
+                _ if self.held_token == Some(record.fencing) => self.no_orders_before,
+                Handover::EndsInMs(left) => since + Duration::from_millis(left.into()),
+                Handover::Unknown => since + self.handover,
+            };
+        }
+        let last_order = if record.released {
+            since
+        } else {
+            since + LEASE_DURATION
+        };
+        last_order + self.handover
+    }
+
     fn claim(
         &self,
         record: Option<&LeaseRecord>,
@@ -284,6 +359,7 @@
             renewal: 1,
             released: false,
             settled: record.map_or_else(Vec::new, |record| record.settled.clone()),
+            handover: Handover::ending_at(self.orders_from(record, since), now),
         };
         LeaseStep::Write(claim, revision)
     }
@@ -315,26 +391,18 @@
 
     /// Records that a write sent at `sent` took effect at `revision`.
     pub fn record_write(&mut self, record: LeaseRecord, revision: Revision, sent: Time, now: Time) {
-        let continues = self
-            .restoration
-            .is_some_and(|restoration| restoration.held_lease);
-        if let State::Observed {
-            record: Some(previous),
-            since,
-            ..
-        } = &self.state
-            && previous.holder != self.local_instance
-            && !(continues && self.is_from_before_restoration(Some(previous)))
-        {
-            // A holder that released its lease may have sent orders until then; an unresponsive one
-            // has sent none since its last renewal, observed or not, expired.
-            let last_order = if previous.released {
-                *since
-            } else {
-                *since + LEASE_DURATION
-            };
-            self.no_orders_before = last_order + self.handover;
+        match &self.state {
+            State::Observed {
+                record: previous,
+                since,
+                ..
+            } => self.no_orders_before = self.orders_from(previous.as_ref(), *since),
+            State::Unread if record.handover != Handover::Ended => {
+                self.no_orders_before = now + self.handover;
+            }
+            State::Unread | State::Held { .. } => {}
         }
+        self.held_token = Some(record.fencing);
         self.was_held_locally = true;
         self.restoration = None;
         self.state = State::Held {
@@ -365,7 +433,7 @@
         };
         let released = LeaseRecord {
             released: true,
-            ..self.renewal_of(record)
+            ..self.renewal_of(record, now)
         };
         self.is_held(now).then_some((released, *revision))
     }
--- a/crates/gateway/tests/store_restoration.rs
+++ b/crates/gateway/tests/store_restoration.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bluebellstage_core::{InstanceId, Revision, TargetId, Time};
-use bluebellstage_gateway::decide::lease::{LEASE_DURATION, LeaseRecord, LeaseStep, ShardLease};
+use bluebellstage_gateway::decide::lease::{
+    Handover, LEASE_DURATION, LeaseRecord, LeaseStep, ShardLease,
+};
 use bluebellstage_gateway::decide::registry::Registry;
 use bluebellstage_gateway::decide::store_position::{Era, StorePosition};
 use bluebellstage_gateway::decide::target::Target;
@@ -183,6 +185,7 @@
         renewal: 9,
         released: false,
         settled: Vec::new(),
+        handover: Handover::Ended,
     };
     for copy in [None, Some(former)] {
         let mut store = Store {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod crashes;
 pub mod engine;
 pub mod fleet;
+pub mod lease_holders;
 pub mod limited;
 pub mod load_simulation;
 pub mod shared_room;
