Forwarding: a response exists only together with its report

Unsafe requests ran at two targets, about 20 ms apart, and their callers got 200; a few that had run were refused with 503.

Cause: an instance without paths forwards to a peer, which forwards once more to the owner of a brittle target. If the run failed there, the peer in between passed the refusal on without a report of its own, and the missing report was filled in as that of a request that was never read. Its origin believed that and sent it to the next peer.

Change: whoever makes a response to a request returns it with the report, also for requests that were not read, so no hop can leave the runs out. The receiver takes a refusal after a counted run, a refusal with the status of a failure, and a response whose report can't be read or is missing for one that may have run: an unsafe request is not sent again and gets 502.

--- a/crates/gateway/src/net/forwarded_request.rs
+++ b/crates/gateway/src/net/forwarded_request.rs
@@ -1,15 +1,17 @@
 //! What an instance and the peer to which it forwards a request tell each other.
 
 use bluebellstage_core::{InstanceId, TargetId, WorkspaceId};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::decide::stream_origins::StreamOrigin;
 
+use super::open_attempts::AttemptCounts;
+
 /// Header of a request that an instance forwards to a peer; contains a [`ForwardedRequest`].
 pub(super) const REQUEST_HEADER: HeaderName = HeaderName::from_static("peer-forwarded-request");
 /// Header of the peer's response; contains a [`ForwardReport`].
-pub(super) const REPORT_HEADER: HeaderName = HeaderName::from_static("peer-forward-report");
+const REPORT_HEADER: HeaderName = HeaderName::from_static("peer-forward-report");
 
 /// What a peer must know of a request that is forwarded to it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -95,6 +97,37 @@
 }
 
 impl ForwardReport {
+    /// Returns the report on a request that was refused before it was read, and so not sent by this instance.
+    pub(super) fn not_read(forwarded: Option<&ForwardedRequest>) -> Self {
+        Self {
+            outcome: ForwardOutcome::NoPath,
+            runs: forwarded.map_or(0, |forwarded| forwarded.runs),
+            sends: forwarded.map_or(0, |forwarded| forwarded.sends),
+            reason: "refused before it was read".into(),
+            stream: None,
+            rest_ms: 0,
+        }
+    }
+
+    /// Returns the attempts since the request was forwarded with these counts. A refusal with the status of a failure is
+    /// doubtful: the request may have run.
+    pub(super) fn attempts_since(
+        &self,
+        before: AttemptCounts,
+        status: StatusCode,
+    ) -> AttemptCounts {
+        let runs = self.runs.saturating_sub(before.runs);
+        let sends = self.sends.saturating_sub(before.sends);
+        let is_failure = status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE;
+        match self.outcome {
+            ForwardOutcome::NotRun | ForwardOutcome::NoPath if is_failure => AttemptCounts {
+                runs: runs.max(1),
+                sends: sends.max(1),
+            },
+            _ => AttemptCounts { runs, sends },
+        }
+    }
+
     /// Adds the report to a response.
     pub(super) fn add_to(&self, headers: &mut HeaderMap) {
         if let Some(value) = header_value(self) {
@@ -102,7 +135,9 @@
         }
     }
 
-    pub(super) fn take_from(headers: &mut HeaderMap) -> Option<Self> {
-        serde_json::from_slice(headers.remove(REPORT_HEADER)?.as_bytes()).ok()
+    /// Takes the report out of a response; `None` if the peer reports nothing.
+    pub(super) fn take_from(headers: &mut HeaderMap) -> Option<Result<Self, serde_json::Error>> {
+        let value = headers.remove(REPORT_HEADER)?;
+        Some(serde_json::from_slice(value.as_bytes()))
     }
 }
--- a/crates/gateway/src/net/front.rs
+++ b/crates/gateway/src/net/front.rs
@@ -5,7 +5,7 @@
 
 use bluebellstage_core::{InstanceId, SoftwareVersion, TargetId, Time};
 use bytes::Bytes;
-use http::{Response, request};
+use http::request;
 
 use crate::decide::call::Call;
 use crate::decide::quarantine::Fingerprint;
@@ -14,11 +14,11 @@
 use crate::edge::Edge;
 
 use super::forwarded_request::ForwardedRequest;
-use super::local_response::ResponseBody;
 use super::node::Node;
 use super::open_attempts::OpenAttempts;
 use super::origins::Continuation;
 use super::peer_forwarding::PeerResult;
+use super::reported_response::ReportedResponse;
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
 use super::stream;
@@ -71,7 +71,7 @@
 }
 
 impl<E: Edge> Job<E> {
-    pub(super) async fn run(mut self) -> Response<ResponseBody> {
+    pub(super) async fn run(mut self) -> ReportedResponse {
         if let Some(refused) = self.refused_suspect() {
             return self.local_response(&SearchOutcome::Quarantined(refused));
         }
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -20,6 +20,7 @@
     share_retry_after, spread_retry_after,
 };
 use super::log::{LogEvent, event};
+use super::reported_response::ReportedResponse;
 use super::search_outcome::SearchOutcome;
 
 impl<E: Edge> Job<E> {
@@ -150,7 +151,7 @@
         (StatusCode::SERVICE_UNAVAILABLE, Some(after))
     }
 
-    pub(super) fn local_response(&self, found: &SearchOutcome<E>) -> Response<ResponseBody> {
+    pub(super) fn local_response(&self, found: &SearchOutcome<E>) -> ReportedResponse {
         self.record_want_of_room(found);
         if self.is_refunded(found) {
             self.node.tables().refund(&self.ticket);
@@ -186,27 +187,25 @@
             fields.push(("origin", forwarded.origin.as_str()));
         }
         event(LogEvent::RequestRefused, &fields);
-        let mut res = error_response(&self.node.protocol, status, message, after);
+        let res = error_response(&self.node.protocol, status, message, after);
         let outcome = match found {
             SearchOutcome::NoPath => ForwardOutcome::NoPath,
             _ if status == StatusCode::SERVICE_UNAVAILABLE => ForwardOutcome::NotRun,
             _ => ForwardOutcome::Failed,
         };
-        self.add_report(&mut res, outcome, message);
-        res
+        let report = self.report(outcome, message);
+        ReportedResponse { res, report }
     }
 
-    /// Adds a report for the peer that forwarded the request, if one did.
-    fn add_report(&self, res: &mut Response<ResponseBody>, outcome: ForwardOutcome, reason: &str) {
-        let Some(forwarded) = &self.forwarded else {
-            return;
-        };
+    /// Returns the report for the peer that forwarded the request, if one did.
+    fn report(&self, outcome: ForwardOutcome, reason: &str) -> ForwardReport {
         let now = self.node.now();
-        let owned = forwarded.owned.as_ref();
+        let owned = self.forwarded.as_ref();
+        let owned = owned.and_then(|forwarded| forwarded.owned.as_ref());
         let rest = owned.map_or(Duration::ZERO, |target| {
             self.node.tables().rest_left(target, now)
         });
-        let report = ForwardReport {
+        ForwardReport {
             outcome,
             runs: self.runs,
             sends: self.sends,
@@ -216,8 +215,7 @@
                 software,
             }),
             rest_ms: u32::try_from(rest.as_millis()).unwrap_or(u32::MAX),
-        };
-        report.add_to(res.headers_mut());
+        }
     }
 
     /// Passes a peer's refusal or failure on to the caller.
@@ -227,7 +225,7 @@
         report: &ForwardReport,
         peer: &InstanceId,
         body: ResponseBody,
-    ) -> Response<ResponseBody> {
+    ) -> ReportedResponse {
         if report.outcome == ForwardOutcome::NotRun {
             self.node.tables().refund(&self.ticket);
         }
@@ -250,7 +248,8 @@
                 ("ms", &self.elapsed_ms()),
             ],
         );
-        res
+        let report = self.report(report.outcome, &report.reason);
+        ReportedResponse { res, report }
     }
 
     /// Forwards a target's response to the caller.
@@ -258,7 +257,7 @@
         &self,
         parts: &http::response::Parts,
         body: ResponseBody,
-    ) -> Response<ResponseBody> {
+    ) -> ReportedResponse {
         let mut res = Response::new(body);
         *res.status_mut() = parts.status;
         *res.headers_mut() = self.node.protocol.response_headers(parts);
@@ -302,7 +301,7 @@
             fields.push(("peer", peer.as_str()));
         }
         event(LogEvent::RequestAnswered, &fields);
-        self.add_report(&mut res, ForwardOutcome::Answered, "");
-        res
+        let report = self.report(ForwardOutcome::Answered, "");
+        ReportedResponse { res, report }
     }
 }
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -56,6 +56,7 @@
 mod quarantine;
 mod refused_body;
 mod reload;
+mod reported_response;
 mod request_body;
 mod residency_updates;
 mod response_body;
--- a/crates/gateway/src/net/peer_exchange.rs
+++ b/crates/gateway/src/net/peer_exchange.rs
@@ -15,6 +15,7 @@
 
 use super::forwarded_request::{ForwardOutcome, ForwardReport};
 use super::node::Node;
+use super::open_attempts::AttemptCounts;
 use super::pool::{Answer, BUF_SIZE, Connection, SendFailure};
 use super::sockets::connect;
 
@@ -59,14 +60,9 @@
         is_answered && !self.parts.status.is_server_error()
     }
 
-    /// Whether the request is not sent elsewhere after it: a peer that got it as the owner of a target may refuse it while
-    /// other targets have room.
-    pub(super) fn ends_search(&self, to_owner: bool) -> bool {
-        match self.report.outcome {
-            ForwardOutcome::NoPath => false,
-            ForwardOutcome::NotRun => !to_owner,
-            ForwardOutcome::Answered | ForwardOutcome::Failed => true,
-        }
+    /// Returns the attempts that the peer has made, or may have, since it got the request with these counts.
+    pub(super) fn attempts_since(&self, before: AttemptCounts) -> AttemptCounts {
+        self.report.attempts_since(before, self.parts.status)
     }
 
     /// Whether a target answered the request with success.
@@ -110,7 +106,7 @@
     Response(Box<PeerResponse<E>>),
     /// It was not sent, or the peer is of a release that does not accept forwarded requests.
     NotSent,
-    /// It was sent, and there is no response.
+    /// It was sent, and there is no response, or none that tells what became of it.
     Broken,
 }
 
@@ -127,8 +123,10 @@
     match tokio::time::timeout(time_left, sending).await {
         Ok(Ok((response, connection))) => {
             let (mut parts, body) = response.into_parts();
-            let Some(report) = ForwardReport::take_from(&mut parts.headers) else {
-                return PeerAttempt::NotSent;
+            let report = match ForwardReport::take_from(&mut parts.headers) {
+                Some(Ok(report)) => report,
+                None if parts.status.is_client_error() => return PeerAttempt::NotSent,
+                Some(Err(_)) | None => return PeerAttempt::Broken,
             };
             let stream = PeerStream {
                 body,
--- a/crates/gateway/src/net/peer_forwarding.rs
+++ b/crates/gateway/src/net/peer_forwarding.rs
@@ -8,7 +8,7 @@
 
 use bluebellstage_core::{InstanceId, TargetId, Time};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
 use rand::Rng;
 
@@ -23,14 +23,13 @@
 
 use super::attempt::MAX_BUFFERED_BYTES;
 use super::caller_memory::CallerMemory;
-use super::forwarded_request::{
-    ForwardOutcome, ForwardReport, ForwardedRequest, REQUEST_HEADER, header_value,
-};
+use super::forwarded_request::{ForwardOutcome, ForwardedRequest, REQUEST_HEADER, header_value};
 use super::front::{Job, MIN_ATTEMPT_TIME};
-use super::local_response::{ResponseBody, full_body};
+use super::local_response::full_body;
 use super::log::{LogEvent, event};
 use super::open_attempts::{AttemptCounts, EndedAttempt, Recipient, RunningAttempt, SentAttempt};
 use super::peer_exchange::{PeerAttempt, PeerResponse, exchange};
+use super::reported_response::ReportedResponse;
 use super::search::Step;
 use super::search_outcome::SearchOutcome;
 
@@ -44,7 +43,7 @@
 /// What becomes of a peer's response.
 pub(super) enum PeerResult<E: Edge> {
     /// It is forwarded to the caller.
-    Response(Response<ResponseBody>),
+    Response(ReportedResponse),
     /// It is a stream that is forwarded event by event.
     Stream(Box<PeerResponse<E>>),
     /// It was interrupted; the request is sent again.
@@ -206,10 +205,10 @@
             self.node.tables().record_rest_at_owner(target, rest, now);
         }
         match attempt {
-            PeerAttempt::Response(response) if !response.ends_search(owned.is_some()) => {
-                self.count_at_peer(before, &response.report);
-                self.returned.extend(owned);
-                Step::GoOn
+            PeerAttempt::Response(response) => {
+                let attempts = response.attempts_since(before);
+                self.count_at_peer(attempts);
+                self.settle_peer_response(response, owned, attempts)
             }
             PeerAttempt::NotSent => {
                 self.runs -= 1;
@@ -220,10 +219,6 @@
                 }
                 Step::GoOn
             }
-            PeerAttempt::Response(response) => {
-                self.count_at_peer(before, &response.report);
-                Step::Found(SearchOutcome::PeerResponse(response))
-            }
             PeerAttempt::Broken if self.may_retry() => Step::GoOn,
             PeerAttempt::Broken => Step::Found(SearchOutcome::MayHaveRun(
                 "the peer that it was forwarded to gave no whole answer",
@@ -231,10 +226,39 @@
         }
     }
 
+    /// Decides what a peer's response means after which the request may have run so often there. A peer that got it as the
+    /// owner of a target may refuse it while other targets have room.
+    fn settle_peer_response(
+        &mut self,
+        response: Box<PeerResponse<E>>,
+        owned: Option<TargetId>,
+        attempts: AttemptCounts,
+    ) -> Step<E> {
+        match response.report.outcome {
+            ForwardOutcome::Answered | ForwardOutcome::Failed => {
+                Step::Found(SearchOutcome::PeerResponse(response))
+            }
+            ForwardOutcome::NotRun | ForwardOutcome::NoPath
+                if attempts.runs > 0 && !self.may_retry() =>
+            {
+                Step::Found(SearchOutcome::MayHaveRun(
+                    "the peer that it was forwarded to refused it after a run",
+                ))
+            }
+            ForwardOutcome::NotRun if owned.is_none() && attempts.runs == 0 => {
+                Step::Found(SearchOutcome::PeerResponse(response))
+            }
+            ForwardOutcome::NotRun | ForwardOutcome::NoPath => {
+                self.returned.extend(owned);
+                Step::GoOn
+            }
+        }
+    }
+
     /// Counts what a peer has sent in place of the one attempt that was counted when the request was forwarded.
-    fn count_at_peer(&mut self, before: AttemptCounts, report: &ForwardReport) {
-        self.runs = self.runs - 1 + report.runs.saturating_sub(before.runs);
-        self.sends = self.sends - 1 + report.sends.saturating_sub(before.sends);
+    fn count_at_peer(&mut self, attempts: AttemptCounts) {
+        self.runs = self.runs - 1 + attempts.runs;
+        self.sends = self.sends - 1 + attempts.sends;
     }
 
     /// Forwards a peer's response to the caller, or decides that the request is sent again.
--- a/crates/gateway/src/net/serve.rs
+++ b/crates/gateway/src/net/serve.rs
@@ -16,13 +16,12 @@
 use crate::edge::{Edge, Protocol};
 
 use super::caller_memory::CallerMemory;
-use super::forwarded_request::{
-    ForwardOutcome, ForwardReport, ForwardedRequest, REPORT_HEADER, REQUEST_HEADER,
-};
+use super::forwarded_request::{ForwardReport, ForwardedRequest, REQUEST_HEADER};
 use super::front::{Job, RESPONSE_MARGIN, time_limit};
 use super::local_response::{ResponseBody, error_response, refusal_response, spread_retry_after};
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::reported_response::ReportedResponse;
 use super::request_body::{BodyFailure, RequestBody, read_body};
 
 /// Reason of a refusal in metrics and the log.
@@ -34,7 +33,7 @@
     head: request::Parts,
     body: &mut RequestBody,
 ) -> Response<ResponseBody> {
-    serve_from(node, head, body, None).await
+    serve_from(node, head, body, None).await.into_response()
 }
 
 /// Serves one request that a peer forwards.
@@ -47,20 +46,8 @@
         return malformed_response(&node, body, "malformed forwarded request");
     };
     head.headers.remove(REQUEST_HEADER);
-    let (runs, sends) = (forwarded.runs, forwarded.sends);
-    let mut res = serve_from(node, head, body, Some(forwarded)).await;
-    if !res.headers().contains_key(REPORT_HEADER) {
-        let report = ForwardReport {
-            outcome: ForwardOutcome::NoPath,
-            runs,
-            sends,
-            reason: "refused before it was read".into(),
-            stream: None,
-            rest_ms: 0,
-        };
-        report.add_to(res.headers_mut());
-    }
-    res
+    let served = serve_from(node, head, body, Some(forwarded)).await;
+    served.into_forwarded()
 }
 
 async fn serve_from<E: Edge>(
@@ -68,18 +55,23 @@
     head: request::Parts,
     body: &mut RequestBody,
     forwarded: Option<ForwardedRequest>,
-) -> Response<ResponseBody> {
+) -> ReportedResponse {
     let arrived = body.arrived();
+    let not_read = |res| ReportedResponse {
+        res,
+        report: ForwardReport::not_read(forwarded.as_ref()),
+    };
     let call = match node.protocol.call(&head) {
         Ok(call) => call,
-        Err(bad) => return malformed_response(&node, body, &bad.to_string()),
+        Err(bad) => return not_read(malformed_response(&node, body, &bad.to_string())),
     };
     body.bounds = UploadBounds::of_caller(node.tables().routes.config(), call.timeout);
     let ticket = match admit(&node, &call, forwarded.as_ref(), arrived) {
         Ok(ticket) => ticket,
         Err(refusal) => {
             log_refusal(&node, &call, body, refusal.name(), &refusal.inputs());
-            return refusal_response(&node.protocol, &refusal, call.timeout);
+            let res = refusal_response(&node.protocol, &refusal, call.timeout);
+            return not_read(res);
         }
     };
     let caller = head.extensions.get::<Arc<CallerMemory>>();
@@ -91,7 +83,7 @@
         Ok(data) => data,
         Err(failure) => {
             node.tables().refund(&ticket);
-            return unread_response(&node, &call, body, failure);
+            return not_read(unread_response(&node, &call, body, failure));
         }
     };
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures::stream::unfold;
-use http::{Response, response};
+use http::response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
@@ -19,10 +19,11 @@
 
 use super::event_reader::{EventReader, Received};
 use super::front::Job;
-use super::local_response::{ResponseBody, full_body};
+use super::local_response::full_body;
 use super::log::{LogEvent, event};
 use super::open_attempts::OpenAttempts;
 use super::peer_exchange::PeerResponse;
+use super::reported_response::ReportedResponse;
 use super::search::Reach;
 use super::search_outcome::SearchOutcome;
 use super::stream_end::{
@@ -57,10 +58,7 @@
 }
 
 /// Returns the response to the caller once there are events; its body forwards them as the target sends them.
-pub(super) async fn forward<E: Edge>(
-    job: Job<E>,
-    response: TargetResponse<E>,
-) -> Response<ResponseBody> {
+pub(super) async fn forward<E: Edge>(job: Job<E>, response: TargetResponse<E>) -> ReportedResponse {
     let (parts, source) = response.into_stream();
     forward_source(job, &parts, Source::Target(Box::new(source))).await
 }
@@ -69,7 +67,7 @@
 pub(super) async fn forward_from_peer<E: Edge>(
     job: Job<E>,
     response: Box<PeerResponse<E>>,
-) -> Response<ResponseBody> {
+) -> ReportedResponse {
     let PeerResponse { parts, stream, .. } = *response;
     forward_source(job, &parts, Source::Peer(stream)).await
 }
@@ -78,7 +76,7 @@
     job: Job<E>,
     parts: &response::Parts,
     source: Source<E>,
-) -> Response<ResponseBody> {
+) -> ReportedResponse {
     let last_id = job.call.resume_after;
     let is_single_source = job.ticket.software.is_none();
     let [source_name, _software] = source.names();
@@ -105,7 +103,7 @@
             SearchOutcome::MayHaveRun("the target's stream broke off before its first event")
         });
     };
-    let mut res = forwarder
+    let mut served = forwarder
         .job
         .forward_response(parts, full_body(Bytes::new()));
     let state = (first, Some(forwarder));
@@ -120,8 +118,8 @@
             Err(err) => Some((Err(err), (None, None))),
         }
     });
-    *res.body_mut() = StreamBody::new(frames).boxed_unsync();
-    res
+    *served.res.body_mut() = StreamBody::new(frames).boxed_unsync();
+    served
 }
 
 impl<E: Edge> StreamForwarder<E> {
