Leases: a copy from before a restoration says nothing about later holders

Targets got orders of two holders at once: a process that started after the store was restored found its own instance on an older record and ordered, while the holder that the copy lacked was cut from the store and ordered until its lease ended.

Cause: only an instance that had noticed the restoration itself took an older record for outdated, and one that named itself never.

Change: the token of a record tells that it is of an earlier era. Whoever has not held the lease through the restoration waits until the orders of an unknown holder are over, and then for the handover.

--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -184,10 +184,27 @@
         u64::from(self.era().0) * TOKENS_PER_ERA + 1
     }
 
-    /// Whether the record was written before the store was restored.
+    /// Whether the store was restored after the record was written, or lost. Holders of that time may be unknown.
     fn is_from_before_restoration(&self, record: Option<&LeaseRecord>) -> bool {
-        let is_current = record.is_some_and(|record| record.fencing >= self.first_token());
-        self.restoration.is_some() && !is_current
+        match record {
+            Some(record) => record.fencing < self.first_token(),
+            None => self.restoration.is_some(),
+        }
+    }
+
+    /// Whether this instance held the lease when the store was restored, and so is the only one that may have ordered.
+    fn continues_from_before(&self, record: Option<&LeaseRecord>) -> bool {
+        let held_lease = self
+            .restoration
+            .is_some_and(|restoration| restoration.held_lease);
+        held_lease && self.is_from_before_restoration(record)
+    }
+
+    /// Returns a time after which a holder that the restored store does not know can't have renewed its lease: when the
+    /// restoration was noticed, or when the record was read if that was before this process started.
+    fn last_unknown_renewal(&self, since: Time) -> Time {
+        self.restoration
+            .map_or(since, |restoration| restoration.noticed_at)
     }
 
     /// Returns the fencing token to send orders with, while this instance may send them.
@@ -293,14 +310,11 @@
     /// A record from before a restoration of the store may name a former holder, or be missing. The holder of
     /// that time claims the lease at once; others wait until its orders are over.
     fn claimable_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
-        if let Some(restoration) = self.restoration
-            && self.is_from_before_restoration(record)
-        {
-            return if restoration.held_lease {
-                since
-            } else {
-                restoration.noticed_at + LEASE_DURATION + TAKEOVER_MARGIN
-            };
+        if self.continues_from_before(record) {
+            return since;
+        }
+        if self.is_from_before_restoration(record) {
+            return self.last_unknown_renewal(since) + LEASE_DURATION + TAKEOVER_MARGIN;
         }
         match record {
             None => since,
@@ -316,15 +330,15 @@
     /// last renewal, observed or not, expired. If an earlier process of this instance has claimed the lease and its
     /// handover has not ended, the holder before had sent its last order when the record was written.
     fn orders_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
-        let continues = self
-            .restoration
-            .is_some_and(|restoration| restoration.held_lease);
-        if continues && self.is_from_before_restoration(record) {
+        if self.continues_from_before(record) {
             return self.no_orders_before;
         }
         let Some(record) = record else {
             return since;
         };
+        if self.is_from_before_restoration(Some(record)) {
+            return self.last_unknown_renewal(since) + LEASE_DURATION + self.handover;
+        }
         if record.holder == self.local_instance {
             return match record.handover {
                 Handover::Ended => since,
--- a/crates/gateway/tests/lease_restarts.rs
+++ b/crates/gateway/tests/lease_restarts.rs
@@ -150,6 +150,60 @@
     assert!((wait..wait + CALLS).contains(&first), "{first:?}");
 }
 
+/// Longest time without orders after a holder was lost together with the store's knowledge of it.
+const LOST_HOLDER: Duration = Duration::from_secs(10);
+
+/// Guards against a process that starts after the store was restored from a copy that names its instance, and that does not
+/// wait for the holder that the copy lacks.
+#[test]
+fn a_process_that_finds_an_older_copy_waits_for_a_holder_that_it_lacks() {
+    let mut holders = Holders::start(2);
+    holders.run_until_ordering(0);
+    holders.run_for(5_000);
+    let copy = holders.object.record.clone();
+    holders.kill(0, 60_000);
+    holders.run_until_ordering(1);
+    holders.run_for(1_000);
+    holders.object.restore(copy);
+    holders.set_link(1, Link::Cut);
+    let restored_at = holders.now_ms();
+    holders.kill(0, AWAY_MS);
+    holders.run_for(15_000);
+    assert_eq!(holders.early_turns(), []);
+    let first = holders.first_order_after(0, restored_at).unwrap();
+    assert!(first <= LOST_HOLDER, "{first:?}");
+}
+
+/// Guards against early turns when the store is restored again and again from copies that are some seconds old.
+#[test]
+fn holders_take_no_early_turns_when_the_store_is_restored() {
+    let mut early = Vec::new();
+    for seed in 0..100 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut holders = Holders::start(4);
+        let mut copies = Vec::new();
+        for _ in 0..40 {
+            let pause = rng.random_range(10..6_000) / 10 * 10;
+            holders.run_for(pause);
+            copies.push(holders.object.record.clone().unwrap());
+            if rng.random_bool(0.2) {
+                let newest = copies.len() - 1;
+                let copy = copies[rng.random_range(newest.saturating_sub(3)..=newest)].clone();
+                let former = holders.named().filter(|_| rng.random_bool(0.7));
+                holders.object.restore(Some(copy));
+                if let Some(former) = former {
+                    holders.set_link(former, Link::Cut);
+                }
+            }
+            trouble(&mut holders, &mut rng, 4);
+        }
+        let turns = holders.early_turns();
+        early.extend(turns.into_iter().map(|gap| (seed, gap)));
+    }
+    println!("{} early turns", early.len());
+    assert_eq!(early, []);
+}
+
 /// A trouble of one instance, at random.
 fn trouble(holders: &mut Holders, rng: &mut ChaCha8Rng, count: usize) {
     let idx = match holders.named() {
