Leases: a lease that the restored store lacks is used after the handover

Targets got orders of two holders 1.86 s apart: a holder that is cut from the store when it is restored without the lease orders until its lease ends, and who claims the lease then ordered 0.2 s later.

Cause: nothing was waited for after a record that is missing.

Change: the handover is waited for as after any holder that may have ordered.

--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -333,12 +333,12 @@
         if self.continues_from_before(record) {
             return self.no_orders_before;
         }
+        if self.is_from_before_restoration(record) {
+            return self.last_unknown_renewal(since) + LEASE_DURATION + self.handover;
+        }
         let Some(record) = record else {
             return since;
         };
-        if self.is_from_before_restoration(Some(record)) {
-            return self.last_unknown_renewal(since) + LEASE_DURATION + self.handover;
-        }
         if record.holder == self.local_instance {
             return match record.handover {
                 Handover::Ended => since,
--- a/crates/gateway/tests/lease_restarts.rs
+++ b/crates/gateway/tests/lease_restarts.rs
@@ -174,6 +174,22 @@
     assert!(first <= LOST_HOLDER, "{first:?}");
 }
 
+/// Guards against an instance that takes a lease which the restored store lacks, right after the last order of a holder that
+/// is cut from the store.
+#[test]
+fn a_lease_that_the_restored_store_lacks_is_not_used_early() {
+    let mut holders = Holders::start(2);
+    holders.run_until_ordering(0);
+    holders.run_for(5_000);
+    holders.object.restore(None);
+    holders.set_link(0, Link::Cut);
+    let restored_at = holders.now_ms();
+    holders.run_for(15_000);
+    assert_eq!(holders.early_turns(), []);
+    let first = holders.first_order_after(1, restored_at).unwrap();
+    assert!(first <= LOST_HOLDER, "{first:?}");
+}
+
 /// Guards against early turns when the store is restored again and again from copies that are some seconds old.
 #[test]
 fn holders_take_no_early_turns_when_the_store_is_restored() {
