Take an answer without a length for whole only by a sign of its own process

Callers got streams, reads and filings that ended early and looked whole when the target's process ended in the middle of an answer that had neither a length nor chunks, and started again under its id.

Cause: the end of such an answer was confirmed by any answer to a report, also that of the next process. The start time in the report was not read, that of the registry was compared with itself at the end of the answer, an unknown one compared as equal, and two connections closed in a row counted as a sign of life.

Change: the start time known when a connection is opened goes with it. An end counts if a report names that start time, if a connection that was open before the request answers, or if such a connection is still open 250 ms later while new ones are closed. All else is broken: resumed, repeated or 502. An idle connection is kept beside an answer without a length for that; where reports name no start time, one is opened before the request. The crash check compares start times as well.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -68,6 +68,9 @@
     /// Decodes an engine's report; `None` if it is malformed.
     fn report(&self, body: &[u8]) -> Option<Report>;
 
+    /// Returns when the process that sent a report started, by its own clock; `None` if the report does not say that.
+    fn start_time(&self, report: &[u8]) -> Option<u64>;
+
     /// Returns the request that sends an order to an engine.
     fn order_request(
         &self,
--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends one attempt of a request to one target.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +26,8 @@
 use super::pool::Connection;
 use super::quarantine::until_refused;
 use super::response_head::{ResponseSender, record_refusal, record_response_head, record_taken};
-use super::target_exchange::{Exchange, exchange};
+use super::target_connection::open;
+use super::target_exchange::{CONNECT_TIMEOUT, Exchange, exchange};
 use super::target_response::{CollectedResponse, TargetResponse};
 
 /// Max size of a response body that is no stream.
@@ -155,7 +157,9 @@
     let Ok(bytes_at_target) = start_at_target(node, target, params) else {
         return Attempt::Busy;
     };
+    let witness = open_witness(node, target, address).await;
     let mut in_flight = InFlight::begin(node, target, (address, software), params);
+    in_flight.witness = witness;
     in_flight.bytes_at_target = bytes_at_target.map(Box::new);
     let exchange = exchange(node, target, address, params, forward);
     let outcome = tokio::select! {
@@ -171,6 +175,7 @@
     node.metrics.attempt_ended(outcome.name());
     match outcome {
         Exchange::Response(parts, body, connection) => {
+            in_flight.born = connection.born;
             in_flight.record_answer();
             let head = record_response_head(node, sender, &parts, in_flight.sent);
             let is_refused = head.not_run && parts.status != StatusCode::MISDIRECTED_REQUEST;
@@ -199,6 +204,22 @@
     }
 }
 
+/// Opens a connection that shows afterwards whether the process that got a request still runs, if nothing else will.
+async fn open_witness<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+) -> Option<Connection> {
+    {
+        let tables = node.tables();
+        let service = &tables.registry.get(target)?.service;
+        if !node.witnesses.is_needed(service) {
+            return None;
+        }
+    }
+    open(node, target, address, CONNECT_TIMEOUT).await.ok()
+}
+
 /// Records what an attempt that failed shows of its target.
 pub(super) fn record_failed_attempt<E: Edge>(
     in_flight: &mut InFlight<E>,
@@ -311,8 +332,12 @@
     if parts.status.is_success() {
         in_flight.record_started();
     }
+    let framing = Framing::of(&parts, &body);
+    if framing == Framing::Connection {
+        in_flight.keep_witness();
+    }
     Attempt::Response(Box::new(TargetResponse {
-        framing: Framing::of(&parts, &body),
+        framing,
         parts,
         head,
         body,
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -22,8 +22,9 @@
 
 use super::log::{LogEvent, event};
 use super::node::Node;
+use super::process::Process;
 use super::quarantine;
-use super::target_connection::{PROBE_TIMEOUT, ProcessState, connect_to_target, process_state};
+use super::target_connection::{PROBE_TIMEOUT, connect_to_target, process_sign};
 
 /// Number of other targets that are probed to find out whether this instance reaches any.
 const PATH_PROBES: usize = 3;
@@ -104,6 +105,7 @@
     id: TargetId,
     incarnation: ShortHash,
     address: SocketAddr,
+    born: Option<u64>,
     /// Number of live targets of its service, this target included.
     live_count: u32,
 }
@@ -125,6 +127,7 @@
         id: id.clone(),
         incarnation: incarnation(target),
         address: target.address,
+        born: target.born,
         live_count: u32::try_from(live_count).unwrap_or(u32::MAX),
     })
 }
@@ -217,8 +220,13 @@
 
 async fn has_crashed<E: Edge>(node: &Node<E>, target: &Serving) -> bool {
     let until = node.now() + CHECK_TIMEOUT;
-    let state = process_state(node, &target.id, target.address, until).await;
-    state == ProcessState::Ended && reaches_others(node, target).await
+    let process = Process {
+        target: &target.id,
+        address: target.address,
+        born: target.born,
+    };
+    let sign = process_sign(node, process, until).await;
+    sign.shows_that_it_ended() && reaches_others(node, target).await
 }
 
 /// Whether another target of the service can be reached, or there is none. If none can be, the network of this
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bluebellstage_core::{SoftwareVersion, TargetId, Time};
 
@@ -19,13 +19,16 @@
 use crate::edge::Edge;
 use crate::packet::{AdapterRequest, AdapterRequestKind};
 
-use super::attempt::{Attempt, FailedRun, Failure, SendParams};
+use super::attempt::{Attempt, FailedRun, Failure, Reuse, SendParams};
 use super::framing::Framing;
 use super::log::{LogEvent, event};
 use super::memory::BytesAtTarget;
 use super::node::Node;
 use super::paths::record_answer;
-use super::target_connection::still_runs;
+use super::pool::Connection;
+use super::process::Process;
+use super::process_sign::ProcessSign;
+use super::target_connection::look_for;
 
 /// Counts a request as in flight at a target until it is dropped.
 #[derive(Debug)]
@@ -35,14 +38,21 @@
     /// Software version of the target when the request was sent.
     pub(super) software: SoftwareVersion,
     address: SocketAddr,
+    /// Start time of the process that got the request, as known before its connection was opened.
+    pub(super) born: Option<u64>,
     adapter: Option<AdapterKey>,
     /// Its entry in the engine's queue; `None` once the request has started, and at plain targets.
     waiting: Option<WaitingKey>,
     /// Its run, if its prompt has shared parts.
     run: Option<RunKey>,
     pub(super) sent: Time,
+    began_at: Instant,
+    /// A connection to the same process that was open before.
+    pub(super) witness: Option<Connection>,
     /// Until when its end may be confirmed.
     end_by: Time,
+    /// Whether another target may run it again or go on with it.
+    may_go_on_elsewhere: bool,
     /// The request was in flight at a target that crashed.
     suspect: bool,
     /// Since when it counts as one that a brittle target may refuse.
@@ -86,11 +96,15 @@
             target: target.clone(),
             software,
             address,
+            born: None,
             adapter: Tables::adapter_of(params.call).cloned(),
             waiting,
             run,
             sent: now,
+            began_at: Instant::now(),
+            witness: None,
             end_by: now + params.max_wait,
+            may_go_on_elsewhere: params.reuse == Reuse::Repeat,
             suspect: params.suspect,
             charged_at: params.charged_at,
             responding_since: None,
@@ -247,17 +261,67 @@
         registered.map_or(&self.software, |known| &known.software)
     }
 
+    /// Returns the process that got the request.
+    const fn process(&self) -> Process<'_> {
+        Process {
+            target: &self.target,
+            address: self.address,
+            born: self.born,
+        }
+    }
+
+    /// Keeps an idle connection to the process until the end of its answer: the end alone will not show whether it
+    /// still runs.
+    pub(super) fn keep_witness(&mut self) {
+        if self.witness.is_none() {
+            let pool = &self.node.pool;
+            self.witness = pool.take_open_since(&self.target, self.process(), self.began_at);
+        }
+    }
+
     /// Returns whether the end of the response's body shows that the response is complete. If the end of the
-    /// connection marks it, the target must still run: a crash ends the connection alike. A target that is silent
-    /// is asked again until the time of the request is over.
-    pub(super) async fn confirms_end(&self, framing: Framing) -> bool {
+    /// connection marks it, the process that got the request must still run: a crash ends the connection alike. A target
+    /// that is silent is asked again until the time of the request is over.
+    pub(super) async fn confirms_end(&mut self, framing: Framing) -> bool {
         if framing == Framing::Explicit {
             return true;
         }
-        let is_confirmed = still_runs(&self.node, &self.target, self.address, self.end_by).await;
+        if let Some(witness) = self.witness.take() {
+            self.node.pool.put(&self.target, witness, None);
+        }
+        let process = self.process();
+        let ended = self.node.now();
+        let sign = look_for(
+            &self.node,
+            process,
+            self.began_at,
+            self.end_by,
+            self.may_go_on_elsewhere,
+        )
+        .await;
+        self.record_end(sign, self.node.now().since(ended));
+        sign.shows_that_it_runs()
+    }
+
+    /// Records by which sign an answer that ended with its connection counts as whole or not.
+    fn record_end(&self, sign: ProcessSign, took: Duration) {
+        let is_whole = sign.shows_that_it_runs();
+        if sign == ProcessSign::Unnamed {
+            let tables = self.node.tables();
+            if let Some(known) = tables.registry.get(&self.target) {
+                self.node.witnesses.record_unnamed(&known.service);
+            }
+        }
         let metrics = &self.node.metrics.crashes;
-        metrics.unframed_response_ended(is_confirmed);
-        is_confirmed
+        metrics.unframed_response_ended(is_whole);
+        let ms = took.as_millis().to_string();
+        let fields = [
+            ("target", self.target.as_str()),
+            ("counts_as", if is_whole { "whole" } else { "broken" }),
+            ("sign", sign.name()),
+            ("ms", &*ms),
+        ];
+        event(LogEvent::AnswerEndJudged, &fields);
     }
 
     /// Time since the request was sent.
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -25,6 +25,7 @@
 use super::residency_updates::ResidencyQueue;
 use super::unknown_headers::UnknownHeaders;
 use super::wait_places::Wakers;
+use super::witnesses::Witnesses;
 
 /// Destination of a datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -57,6 +58,7 @@
     tables: Mutex<Tables>,
     pub(super) pool: Pool<TargetId>,
     pub(super) peer_pool: Pool<InstanceId>,
+    pub(super) witnesses: Witnesses,
     pub(super) loaders: Loaders,
     pub(super) residency_updates: ResidencyQueue,
     pub(super) metrics: Metrics,
@@ -128,6 +130,7 @@
             tables: Mutex::new(tables),
             pool: Pool::default(),
             peer_pool: Pool::default(),
+            witnesses: Witnesses::default(),
             loaders: Loaders::default(),
             residency_updates: ResidencyQueue::default(),
             metrics: Metrics::new(Instruments::new()),
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::hash::Hash;
+use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 
 use crate::decide::response_heads::ResponseHeads;
 
+use super::process::Process;
 use super::target_socket::{SharedHeads, SocketHandle, TargetSocket};
 
 /// Fraction of a target's idle limit for which a connection is reused. The target started its idle timer
@@ -73,11 +75,17 @@
     reused: bool,
     /// Whether a request was sent that has no response yet.
     awaits_response: bool,
+    /// Start time of the process at the other side, as it was known before the connection was opened.
+    pub(super) born: Option<u64>,
+    address: Option<SocketAddr>,
+    opened_at: Instant,
 }
 
 impl Connection {
     pub(super) async fn handshake(stream: TcpStream, buf_size: usize) -> hyper::Result<Self> {
         let heads = SharedHeads::default();
+        let address = stream.peer_addr().ok();
+        let opened_at = Instant::now();
         let socket = TargetSocket::new(stream, heads.clone());
         let handle = socket.handle();
         let (tx, driver) = Builder::new()
@@ -95,6 +103,9 @@
             socket: handle,
             reused: false,
             awaits_response: false,
+            born: None,
+            address,
+            opened_at,
         })
     }
 
@@ -137,6 +148,17 @@
         }
     }
 
+    /// Whether it carried a request before: a late answer to that one may arrive on it.
+    pub(super) const fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Whether it leads to the process to which another connection led from `since` on, if that process still runs.
+    fn leads_to(&self, process: Process<'_>, since: Instant) -> bool {
+        let is_alike = self.born == process.born && self.address == Some(process.address);
+        is_alike && self.opened_at <= since
+    }
+
     /// Whether it can carry a request, as far as this process and the kernel know.
     fn is_usable(&self) -> bool {
         self.tx.is_ready() && self.socket.is_open_and_empty()
@@ -229,6 +251,37 @@
         }
     }
 
+    /// Takes a connection that was open at `since`, and as far as known to the same process as others were.
+    pub(super) fn take_open_since(
+        &self,
+        id: &I,
+        process: Process<'_>,
+        since: Instant,
+    ) -> Option<Connection> {
+        let mut idle_connections = self
+            .idle_connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let stack = idle_connections.get_mut(id)?;
+        let found = stack.iter().position(|idle| {
+            idle.connection.leads_to(process, since) && idle.connection.is_usable()
+        })?;
+        let mut connection = stack.remove(found).connection;
+        connection.reused = true;
+        Some(connection)
+    }
+
+    /// Whether a connection that [`Self::take_open_since`] would return is there.
+    pub(super) fn has_open_since(&self, id: &I, process: Process<'_>, since: Instant) -> bool {
+        let idle_connections = self
+            .idle_connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let stack = idle_connections.get(id).into_iter().flatten();
+        let mut connections = stack.map(|idle| &idle.connection);
+        connections.any(|open| open.leads_to(process, since) && open.is_usable())
+    }
+
     /// Closes expired and broken connections.
     pub(super) fn sweep(&self) {
         let now = Instant::now();
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -115,6 +115,9 @@
         origins::replicate(&node);
         node.pool.sweep();
         node.peer_pool.sweep();
+        let config = Arc::clone(node.tables().routes.config());
+        node.witnesses
+            .sweep(|service| config.service(service).is_some());
         node.crash_checks.sweep(now);
     }
 }
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -183,8 +183,8 @@
         true
     }
 
-    async fn is_end_confirmed(&self) -> bool {
-        match &self.source {
+    async fn is_end_confirmed(&mut self) -> bool {
+        match &mut self.source {
             Some(reader) => reader.source.confirms_end().await,
             None => true,
         }
--- a/crates/gateway/src/net/stream_source.rs
+++ b/crates/gateway/src/net/stream_source.rs
@@ -115,7 +115,7 @@
     }
 
     /// Returns whether the end of the body shows that the stream is complete. A peer's body has chunks.
-    pub(super) async fn confirms_end(&self) -> bool {
+    pub(super) async fn confirms_end(&mut self) -> bool {
         match self {
             Self::Target(source) => source.confirms_end().await,
             Self::Peer(_) => true,
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -2,7 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bluebellstage_core::{TargetId, Time};
 use http::StatusCode;
@@ -15,6 +15,8 @@
 use super::node::Node;
 use super::paths;
 use super::pool::{BUF_SIZE, Connection, SMALL_BUF_SIZE, SendFailure};
+use super::process::Process;
+use super::process_sign::ProcessSign;
 use super::response_head::{ResponseSender, record_response_head};
 use super::sockets::connect;
 
@@ -28,7 +30,12 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout for a response on such a connection.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Max size of a report that is read so that its connection can be kept.
+/// Time after the end of a process after which its connections here have ended as well: longer than the end of one that
+/// is lost on the way takes to be sent again.
+const ALL_ENDED_AFTER: Duration = Duration::from_millis(250);
+/// Time for which a request that may go on elsewhere waits while its target closes all connections.
+const MAX_CLOSED_WAIT: Duration = Duration::from_millis(500);
+/// Max size of a report.
 const MAX_REPORT_BYTES: usize = 1_024 * 1_024;
 
 /// Opens a connection to a target.
@@ -70,69 +77,111 @@
     address: SocketAddr,
     timeout: Duration,
 ) -> std::io::Result<Connection> {
+    let born = start_time(node, target);
     let stream = connect_to_target(node, target, address, timeout).await?;
     let buf_size = match node.memory {
         Some(_) => SMALL_BUF_SIZE,
         None => BUF_SIZE,
     };
     let connection = Connection::handshake(stream, buf_size).await;
-    connection.map_err(std::io::Error::other)
-}
-
-/// Whether the process of a target that has closed a connection still runs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ProcessState {
-    Runs,
-    Ended,
-    /// The target or the path to it is silent, or the target closes new connections.
-    Unknown,
+    let mut connection = connection.map_err(std::io::Error::other)?;
+    connection.born = born;
+    Ok(connection)
 }
 
-/// What a request to a target that has closed a connection shows.
+/// What a request for a report shows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Answer {
-    Answered,
-    /// Nothing listens at the address, or another process does.
+    /// The target answered, and named its start time or not.
+    Answered(Option<u64>),
+    /// Nothing listens at the address.
     Refused,
-    /// The connection was opened, and closed without an answer: the process is ending, or has too many connections.
+    /// Another target listens there.
+    OfAnother,
+    /// The connection was opened, and closed without an answer.
     Closed,
     Silent,
 }
 
-/// Returns whether a target that has just closed a connection still runs, as far as this instance can tell by the
-/// time `until`.
-pub(super) async fn still_runs<E: Edge>(
+impl Answer {
+    /// Returns what it shows of a process.
+    fn sign_of(self, process: Process<'_>) -> ProcessSign {
+        match (self, process.born) {
+            (Self::Answered(None), _) | (Self::Answered(_), None) => ProcessSign::Unnamed,
+            (Self::Answered(Some(named)), Some(born)) if named == born => ProcessSign::SameStart,
+            (Self::Answered(Some(_)), Some(_)) | (Self::OfAnother, _) => ProcessSign::OtherProcess,
+            (Self::Refused, _) => ProcessSign::Refused,
+            (Self::Closed, _) => ProcessSign::Closed,
+            (Self::Silent, _) => ProcessSign::Silent,
+        }
+    }
+}
+
+/// Asks a target whose process has just closed a connection, on which it got a request at `sent`, for signs of that very
+/// process until some are conclusive or the time `until`.
+///
+/// An answer alone proves nothing: the process may have started again under its id.
+///
+/// If the request may go on elsewhere, it is not kept waiting for a target that closes all connections.
+pub(super) async fn look_for<E: Edge>(
     node: &Node<E>,
-    target: &TargetId,
-    address: SocketAddr,
+    process: Process<'_>,
+    sent: Instant,
     until: Time,
-) -> bool {
-    let started = start_time(node, target);
-    let state = process_state(node, target, address, until).await;
-    state == ProcessState::Runs && !has_restarted(started, start_time(node, target))
+    may_go_on_elsewhere: bool,
+) -> ProcessSign {
+    let started = node.now();
+    loop {
+        let sign = ask(node, process.target, process.address, until).await;
+        let sign = sign.sign_of(process);
+        match sign {
+            ProcessSign::OtherProcess | ProcessSign::Refused | ProcessSign::Unnamed => {
+                let answers = kept_connection_answers(node, process, sent, until).await;
+                return if answers {
+                    ProcessSign::KeptAnswers
+                } else {
+                    sign
+                };
+            }
+            ProcessSign::Closed
+                if node.now().since(started) >= ALL_ENDED_AFTER
+                    && node.pool.has_open_since(process.target, process, sent) =>
+            {
+                return ProcessSign::KeptOpen;
+            }
+            ProcessSign::Closed
+                if may_go_on_elsewhere && node.now().since(started) >= MAX_CLOSED_WAIT =>
+            {
+                return sign;
+            }
+            ProcessSign::Closed | ProcessSign::Silent => {}
+            ProcessSign::SameStart | ProcessSign::KeptAnswers | ProcessSign::KeptOpen => {
+                return sign;
+            }
+        }
+        if node.now() + PROBE_INTERVAL >= until {
+            return sign;
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
 }
 
-/// Asks a target that has just closed a connection until it answers, or refuses a connection, or the time `until`.
+/// Asks a target whose process has closed connections until it answers, or refuses a connection, or the time `until`.
 ///
 /// An open connection proves nothing: the kernel accepts it for a process that is about to end.
-pub(super) async fn process_state<E: Edge>(
+pub(super) async fn process_sign<E: Edge>(
     node: &Node<E>,
-    target: &TargetId,
-    address: SocketAddr,
+    process: Process<'_>,
     until: Time,
-) -> ProcessState {
-    let mut was_closed = false;
+) -> ProcessSign {
     loop {
-        match ask(node, target, address, until).await {
-            Answer::Answered => return ProcessState::Runs,
-            // A process that ends closes what it has not accepted together with its listener, and then refuses. One whose
-            // listener takes a connection after that closes connections because it has too many.
-            Answer::Closed if was_closed => return ProcessState::Runs,
-            Answer::Closed => was_closed = true,
-            Answer::Refused => return ProcessState::Ended,
-            Answer::Silent if node.now() + PROBE_INTERVAL >= until => return ProcessState::Unknown,
-            Answer::Silent => tokio::time::sleep(PROBE_INTERVAL).await,
+        let answer = ask(node, process.target, process.address, until).await;
+        let sign = answer.sign_of(process);
+        let is_open = matches!(sign, ProcessSign::Closed | ProcessSign::Silent);
+        if !is_open || node.now() + PROBE_INTERVAL >= until {
+            return sign;
         }
+        tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
 
@@ -143,7 +192,7 @@
     address: SocketAddr,
 ) -> bool {
     let until = node.now() + ANSWER_TIMEOUT;
-    ask(node, target, address, until).await == Answer::Answered
+    matches!(ask(node, target, address, until).await, Answer::Answered(_))
 }
 
 /// Asks for a report. The connection is new, as a late answer to an earlier request may arrive on a kept one.
@@ -153,13 +202,42 @@
     address: SocketAddr,
     until: Time,
 ) -> Answer {
-    let connection = match open(node, target, address, PROBE_TIMEOUT).await {
-        Ok(connection) => connection,
-        Err(err) if err.kind() == ErrorKind::ConnectionRefused => return Answer::Refused,
-        Err(err) if err.kind() == ErrorKind::ConnectionReset => return Answer::Closed,
-        Err(_timed_out_or_local) => return Answer::Silent,
-    };
-    let born = start_time(node, target);
+    match open(node, target, address, PROBE_TIMEOUT).await {
+        Ok(connection) => ask_on(node, target, address, connection, until).await,
+        Err(err) if err.kind() == ErrorKind::ConnectionRefused => Answer::Refused,
+        Err(err) if err.kind() == ErrorKind::ConnectionReset => Answer::Closed,
+        Err(_timed_out_or_local) => Answer::Silent,
+    }
+}
+
+/// Whether a process answers on a connection that was open at `since`: such a connection ends with its process.
+async fn kept_connection_answers<E: Edge>(
+    node: &Node<E>,
+    process: Process<'_>,
+    since: Instant,
+    until: Time,
+) -> bool {
+    let Process {
+        target, address, ..
+    } = process;
+    while let Some(kept) = node.pool.take_open_since(target, process, since) {
+        match ask_on(node, target, address, kept, until).await {
+            Answer::Answered(_) => return true,
+            Answer::Silent => return false,
+            Answer::Closed | Answer::Refused | Answer::OfAnother => {}
+        }
+    }
+    false
+}
+
+async fn ask_on<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    address: SocketAddr,
+    connection: Connection,
+    until: Time,
+) -> Answer {
+    let (born, was_kept) = (connection.born, connection.is_reused());
     let req = node.protocol.report_request(target, address).map(Full::new);
     let started = node.now();
     let timeout = ANSWER_TIMEOUT.min(until.since(started));
@@ -171,22 +249,24 @@
     };
     let (parts, body) = res.into_parts();
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        return Answer::Refused;
+        return Answer::OfAnother;
     }
     paths::record_answer(node, target, node.now());
-    let sender = ResponseSender { target, born };
-    let head = record_response_head(node, sender, &parts, started);
+    let head = record_response_head(node, ResponseSender { target, born }, &parts, started);
     let body = Limited::new(body, MAX_REPORT_BYTES).collect();
-    let read = tokio::time::timeout(PROBE_TIMEOUT, body).await;
-    if matches!(read, Ok(Ok(_))) && !head.closes_connection {
+    let report = match tokio::time::timeout(PROBE_TIMEOUT, body).await {
+        Ok(Ok(report)) => report.to_bytes(),
+        Ok(Err(_cut)) => return Answer::Closed,
+        Err(_elapsed) => return Answer::Silent,
+    };
+    // A late answer to another request.
+    if was_kept && head.id.is_some() {
+        return Answer::Closed;
+    }
+    if !head.closes_connection {
         node.pool.put(target, connection, head.idle_timeout);
     }
-    Answer::Answered
-}
-
-/// Whether another process has started at the target's address, if the target reports that.
-fn has_restarted(before: Option<u64>, now: Option<u64>) -> bool {
-    before.zip(now).is_some_and(|(before, now)| before != now)
+    Answer::Answered(node.protocol.start_time(&report))
 }
 
 /// Returns when the target's process started, if the target reports it.
--- a/crates/gateway/src/net/target_exchange.rs
+++ b/crates/gateway/src/net/target_exchange.rs
@@ -22,7 +22,7 @@
 use super::target_connection::open;
 
 /// Timeout for a connection. If the target's accept queue is full, the SYN is resent only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which a connection that was closed when a request was in transit ends. Later, the request has begun to
 /// run, and its target must not be given the same time again.
 const MAX_TRANSIT: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/net/target_response.rs
+++ b/crates/gateway/src/net/target_response.rs
@@ -103,7 +103,7 @@
 
 impl<E: Edge> TargetStream<E> {
     /// Returns whether the end of the body shows that the stream is complete.
-    pub(super) async fn confirms_end(&self) -> bool {
+    pub(super) async fn confirms_end(&mut self) -> bool {
         self.in_flight.confirms_end(self.framing).await
     }
 
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -259,6 +259,10 @@
         None
     }
 
+    fn start_time(&self, _report: &[u8]) -> Option<u64> {
+        None
+    }
+
     fn order_request(
         &self,
         _target: &Target,
