--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -192,7 +192,7 @@
     /// A request is sent to a target once more.
     RequestRetried = 3418, Debug, "request sent once more";
     /// An answer with neither a length nor chunks has ended with its connection.
-    AnswerEndJudged = 3440, Info, "answer without a length ended with its connection";
+    AnswerEndJudged = 3440, Debug, "answer without a length ended with its connection";
     /// Reports of other instances on the speed of targets were dropped.
     PaceDropped = 3420, Info, "reports on the speed of targets dropped";
 }
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -11,7 +11,6 @@
 use crate::decide::config::RouteKind;
 use crate::decide::kind::Kind;
 use crate::decide::tables::Tables;
-use crate::error::StoreError;
 
 use super::brittle_metrics::BrittleMetrics;
 use super::connection_metrics::ConnectionMetrics;
@@ -56,7 +55,6 @@
     resting: Gauge<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
-    stream_record_calls: Counter<u64>,
     store_restorations: Counter<u64>,
     store_open_call: Gauge<u64>,
     config_version: Gauge<u64>,
@@ -148,10 +146,6 @@
             ),
             resting: gauge("bluebellstage.resting_targets", "Targets that rest"),
             orders: counter("bluebellstage.orders", "Orders to engines, by answer"),
-            stream_record_calls: counter(
-                "bluebellstage.stream_record_calls",
-                "Calls about what the store keeps of streams, by call and outcome",
-            ),
             store_calls: counter(
                 "bluebellstage.store_calls",
                 "Watches and lists, by kind of objects and outcome",
@@ -281,18 +275,6 @@
         self.store_restorations.add(1, &[]);
     }
 
-    /// Counts a call about what the store keeps of streams.
-    pub(super) fn stream_record_call<T>(&self, call: &'static str, result: &Result<T, StoreError>) {
-        let outcome = match result {
-            Ok(_) => "answered",
-            Err(StoreError::Conflict) => "conflict",
-            Err(_) => "failed",
-        };
-        let call = KeyValue::new("call", call);
-        let outcome = KeyValue::new("outcome", outcome);
-        self.stream_record_calls.add(1, &[call, outcome]);
-    }
-
     /// Counts a finished watch or list of the store.
     pub(super) fn store_call_ended(&self, kind: Kind, outcome: &'static str) {
         let kind = KeyValue::new("kind", kind.name());
--- a/crates/gateway/src/net/stream_metrics.rs
+++ b/crates/gateway/src/net/stream_metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::decide::tables::Tables;
+use crate::error::StoreError;
 
 /// Bounds of the buckets of gaps and holding times, in seconds.
 const SECONDS_BUCKETS: &[f64] = &[0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
@@ -19,6 +20,7 @@
     silences: Histogram<f64>,
     versions_gone: Counter<u64>,
     lookups: Counter<u64>,
+    record_calls: Counter<u64>,
     origins: Gauge<u64>,
     max_gap: Histogram<f64>,
     max_held: Histogram<f64>,
@@ -49,6 +51,10 @@
                 "bluebellstage.origin_lookups",
                 "Requests that continue a stream, by how its software version was found",
             ),
+            record_calls: instruments.counter(
+                "bluebellstage.stream_record_calls",
+                "Calls about what the store keeps of streams, by call and outcome",
+            ),
             origins: instruments.gauge(
                 "bluebellstage.stream_origins",
                 "Streams of which this instance keeps the software version",
@@ -109,6 +115,18 @@
             .add(count, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a call about what the store keeps of streams.
+    pub(super) fn record_call<T>(&self, call: &'static str, result: &Result<T, StoreError>) {
+        let outcome = match result {
+            Ok(_) => "answered",
+            Err(StoreError::Conflict) => "conflict",
+            Err(_) => "failed",
+        };
+        let call = KeyValue::new("call", call);
+        let outcome = KeyValue::new("outcome", outcome);
+        self.record_calls.add(1, &[call, outcome]);
+    }
+
     /// Updates the gauges.
     pub(super) fn record(&self, tables: &Tables, now: Time) {
         let origins = u64::try_from(tables.origins.count()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/net/stream_records.rs
+++ b/crates/gateway/src/net/stream_records.rs
@@ -49,7 +49,7 @@
 
 async fn list<E: Edge>(node: &Node<E>) {
     let listed = node.store.list(Kind::Streams).await;
-    node.metrics.stream_record_call("list", &listed);
+    node.metrics.streams.record_call("list", &listed);
     let objects = match listed {
         Ok(Listing { objects, .. }) => objects,
         Err(err) => {
@@ -76,7 +76,7 @@
 
 async fn read<E: Edge>(node: &Node<E>, name: RecordName) {
     let result = node.store.read(Kind::Streams, &name.to_string()).await;
-    node.metrics.stream_record_call("read", &result);
+    node.metrics.streams.record_call("read", &result);
     let now = node.now();
     match result {
         Ok(object) => {
@@ -94,7 +94,7 @@
         .store
         .write(Kind::Streams, &name, write.at, &content)
         .await;
-    node.metrics.stream_record_call("write", &written);
+    node.metrics.streams.record_call("write", &written);
     let now = node.now();
     match written {
         Ok(revision) => node.tables().record_written(write, revision, now),
@@ -104,7 +104,7 @@
 
 async fn remove<E: Edge>(node: &Node<E>, name: RecordName) {
     let removed = node.store.remove(Kind::Streams, &name.to_string()).await;
-    node.metrics.stream_record_call("remove", &removed);
+    node.metrics.streams.record_call("remove", &removed);
     match removed {
         Ok(()) | Err(StoreError::Missing) => node.tables().record_removed(&name),
         Err(err) => record_failure(node, "remove", &name, &err),
