--- a/crates/gateway/src/net/stream_records.rs
+++ b/crates/gateway/src/net/stream_records.rs
@@ -1,6 +1,7 @@
 //! Reads and writes what the store keeps of streams.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bluebellstage_core::Revision;
 
@@ -13,10 +14,18 @@
 use super::node::Node;
 use super::sync::record_malformed;
 
+/// Interval of the checks whether the store has responded to this instance.
+const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Reads and writes records until the process ends.
 pub(super) async fn run<E: Edge>(node: Arc<Node<E>>) {
     node.wait_for_peer_list().await;
     loop {
+        // Another kind of objects shows whether the store responds to a new instance.
+        if !node.is_store_reached() {
+            node.wait_for_store(STORE_CHECK_INTERVAL).await;
+            continue;
+        }
         let era = node.store_era();
         let step = node.tables().next_record_step(era, node.now());
         match step {
