Write over a record of software versions that can't be decoded

A reader of the final code found that such a record is read again and again, and never written over: each new process would wait and refuse streams of unknown origin for a minute after each kill of all. A process that has known the targets for a minute knows the versions and needs no record; a list that fails keeps it from nothing else; nothing is removed before the versions are known.

--- a/crates/gateway/src/decide/stream_origins/recorder.rs
+++ b/crates/gateway/src/decide/stream_origins/recorder.rs
@@ -175,15 +175,10 @@
     fn reading_step(&self, now: Time) -> Option<RecordStep> {
         let recorder = &self.origins.recorder;
         let lacks_origins = !recorder.has_read_origins && self.reads_origins(now);
-        if lacks_origins {
-            let is_due = recorder.origins_backoff.is_due(now);
-            return Some(if is_due {
-                RecordStep::List
-            } else {
-                RecordStep::Sleep(BACKOFF[0])
-            });
+        if lacks_origins && recorder.origins_backoff.is_due(now) {
+            return Some(RecordStep::List);
         }
-        let lacks_versions = !recorder.has_read_versions && recorder.versions_backoff.is_due(now);
+        let lacks_versions = !self.knows_versions(now) && recorder.versions_backoff.is_due(now);
         lacks_versions.then_some(RecordStep::Read(RecordName::Versions))
     }
 
@@ -257,7 +252,7 @@
     /// Removes origins that nobody needs because no service has several versions.
     fn removal_step(&self, now: Time) -> Option<RecordStep> {
         let recorder = &self.origins.recorder;
-        if !recorder.origins_backoff.is_due(now) {
+        if !recorder.origins_backoff.is_due(now) || !self.knows_versions(now) {
             return None;
         }
         let own = RecordName::origins_of(&self.local.name);
--- a/crates/gateway/tests/stream_records.rs
+++ b/crates/gateway/tests/stream_records.rs
@@ -288,3 +288,21 @@
     assert_eq!((found.unknown, found.refused), (STREAMS, 0));
     assert!(found.longest <= MAX_LOOKUP, "{found:?}");
 }
+
+/// Guards against a record that can't be decoded and is never written over, so that each new process refuses streams.
+#[test]
+fn a_record_of_the_versions_that_cannot_be_decoded_is_written_over() {
+    let mut fleet = started(8, 3, 117, &VERSIONS);
+    let streams = begin_and_store(&mut fleet);
+    fleet.records.garble_versions();
+    kill_and_restart_all(&mut fleet);
+    fleet.run_ms(STORING_TIME_MS);
+    let found = continue_all(&mut fleet, &streams);
+    assert_eq!((found.known, found.wrong), (STREAMS, 0));
+    assert!(fleet.records.origin_objects() > 0);
+    fleet.run(MAX_LIFETIME + Duration::from_secs(5));
+    assert!(!fleet.records.is_garbled());
+    let before = fleet.records.calls();
+    fleet.run_ms(2_000);
+    assert_eq!(fleet.records.calls(), before);
+}
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -22,6 +22,9 @@
     revision: u64,
     era: u32,
     writes: usize,
+    calls: usize,
+    /// Revision of a record of the software versions that can't be decoded.
+    garbled_at: Option<Revision>,
 }
 
 impl Records {
@@ -30,6 +33,11 @@
         self.writes
     }
 
+    /// Number of all calls.
+    pub const fn calls(&self) -> usize {
+        self.calls
+    }
+
     /// Number of objects with origins.
     pub fn origin_objects(&self) -> usize {
         let is_of_origins =
@@ -55,7 +63,9 @@
     /// Lets an instance take steps until it sleeps. Returns when it goes on.
     pub fn serve(&mut self, tables: &mut Tables, now: Time) -> Time {
         loop {
-            match tables.next_record_step(Era(self.era), now) {
+            let step = tables.next_record_step(Era(self.era), now);
+            self.calls += usize::from(!matches!(step, RecordStep::Sleep(_)));
+            match step {
                 RecordStep::Sleep(pause) => return now + pause,
                 RecordStep::List if self.is_away => tables.record_list_failed(now),
                 RecordStep::List => {
@@ -77,10 +87,29 @@
         }
     }
 
+    /// Replaces the record of the software versions by one that can't be decoded.
+    pub fn garble_versions(&mut self) {
+        self.revision += 1;
+        self.garbled_at = Some(Revision(self.revision));
+    }
+
+    /// Whether the record of the software versions can't be decoded.
+    pub const fn is_garbled(&self) -> bool {
+        self.garbled_at.is_some()
+    }
+
     fn found(&self, name: &str) -> Option<FoundRecord> {
-        let (revision, record) = self.objects.get(name)?;
+        let name = RecordName::parse(name)?;
+        if let Some(revision) = self.garbled_at.filter(|_| name == RecordName::Versions) {
+            return Some(FoundRecord {
+                name,
+                revision,
+                record: None,
+            });
+        }
+        let (revision, record) = self.objects.get(&name.to_string())?;
         Some(FoundRecord {
-            name: RecordName::parse(name)?,
+            name,
             revision: *revision,
             record: Some(record.clone()),
         })
@@ -89,13 +118,20 @@
     fn write(&mut self, write: RecordWrite, tables: &mut Tables, now: Time) {
         self.writes += 1;
         let name = write.name.to_string();
-        let known = self.objects.get(&name).map(|(revision, _)| *revision);
+        let stored = self.objects.get(&name).map(|(revision, _)| *revision);
+        let garbled = self
+            .garbled_at
+            .filter(|_| write.name == RecordName::Versions);
+        let known = garbled.or(stored);
         if self.is_away || self.is_read_only || known != write.at {
             tables.record_call_failed(&write.name, now);
             return;
         }
         self.revision += 1;
         let revision = Revision(self.revision);
+        if write.name == RecordName::Versions {
+            self.garbled_at = None;
+        }
         let record = write.record.clone();
         self.objects.insert(name, (revision, record));
         tables.record_written(write, revision, now);
