Hold the connection by which a response's end is judged

A reader of the final code found, by reading, that the connection kept beside a request went into the pool before it was needed, where another request could take it, so that a sound answer without a length counted as broken; that each request of such a service opened one more connection and dropped it unused; that it was opened before the request counted as in flight; and that a lapsed registration marked a service for that for good. Now the request holds it, one from the pool is used first, it goes back to the pool if the response has a length, it is opened within the request's time, and only a report that names no start time marks a service. A target that closes all connections is asked less and less often.

Names a reader stumbled over are others: what was a witness is a check connection.

--- a/crates/gateway/src/net/attempt.rs
+++ b/crates/gateway/src/net/attempt.rs
@@ -1,8 +1,7 @@
 //! Sends one attempt of a request to one target.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bluebellstage_core::{AdapterVersion, TargetId, Time};
 use bytes::Bytes;
@@ -24,10 +23,11 @@
 use super::memory::BytesAtTarget;
 use super::node::Node;
 use super::pool::Connection;
+use super::process::Process;
 use super::quarantine::until_refused;
 use super::response_head::{ResponseSender, record_refusal, record_response_head, record_taken};
 use super::target_connection::open;
-use super::target_exchange::{CONNECT_TIMEOUT, Exchange, exchange};
+use super::target_exchange::{Exchange, exchange};
 use super::target_response::{CollectedResponse, TargetResponse};
 
 /// Max size of a response body that is no stream.
@@ -157,11 +157,18 @@
     let Ok(bytes_at_target) = start_at_target(node, target, params) else {
         return Attempt::Busy;
     };
-    let witness = open_witness(node, target, address).await;
     let mut in_flight = InFlight::begin(node, target, (address, software), params);
-    in_flight.witness = witness;
     in_flight.bytes_at_target = bytes_at_target.map(Box::new);
-    let exchange = exchange(node, target, address, params, forward);
+    let process = Process {
+        target,
+        address,
+        born,
+    };
+    let mut check_connection = None;
+    let exchange = async {
+        check_connection = open_check_connection(node, process).await;
+        exchange(node, target, address, params, forward).await
+    };
     let outcome = tokio::select! {
         outcome = tokio::time::timeout(params.max_wait, exchange) => match outcome {
             Ok(outcome) => outcome,
@@ -172,6 +179,7 @@
             Exchange::Failed(Failure::Quarantined)
         }
     };
+    in_flight.check_connection = check_connection;
     node.metrics.attempt_ended(outcome.name());
     match outcome {
         Exchange::Response(parts, body, connection) => {
@@ -204,20 +212,29 @@
     }
 }
 
-/// Opens a connection that shows afterwards whether the process that got a request still runs, if nothing else will.
-async fn open_witness<E: Edge>(
+/// Timeout for a connection that is kept idle beside a request, which waits for it.
+const CHECK_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Returns an idle connection whose state shows afterwards whether the process that got a request still runs, if nothing
+/// else will. It is opened before the request is sent: later it might lead to the next process.
+async fn open_check_connection<E: Edge>(
     node: &Node<E>,
-    target: &TargetId,
-    address: SocketAddr,
+    process: Process<'_>,
 ) -> Option<Connection> {
     {
         let tables = node.tables();
-        let service = &tables.registry.get(target)?.service;
-        if !node.witnesses.is_needed(service) {
+        let service = &tables.registry.get(process.target)?.service;
+        if !node.unnamed_services.contains(service) {
             return None;
         }
     }
-    open(node, target, address, CONNECT_TIMEOUT).await.ok()
+    let now = Instant::now();
+    let idle = node.pool.take_open_since(process.target, process, now);
+    if idle.is_some() {
+        return idle;
+    }
+    let opened = open(node, process.target, process.address, CHECK_CONNECT_TIMEOUT);
+    opened.await.ok()
 }
 
 /// Records what an attempt that failed shows of its target.
@@ -333,8 +350,9 @@
         in_flight.record_started();
     }
     let framing = Framing::of(&parts, &body);
-    if framing == Framing::Connection {
-        in_flight.keep_witness();
+    match framing {
+        Framing::Connection => in_flight.keep_check_connection(),
+        Framing::Explicit => in_flight.leave_check_connection(),
     }
     Attempt::Response(Box::new(TargetResponse {
         framing,
--- a/crates/gateway/src/net/crash_check.rs
+++ b/crates/gateway/src/net/crash_check.rs
@@ -24,7 +24,7 @@
 use super::node::Node;
 use super::process::Process;
 use super::quarantine;
-use super::target_connection::{PROBE_TIMEOUT, connect_to_target, process_sign};
+use super::target_connection::{PROBE_TIMEOUT, connect_to_target, probe_process};
 
 /// Number of other targets that are probed to find out whether this instance reaches any.
 const PATH_PROBES: usize = 3;
@@ -225,7 +225,7 @@
         address: target.address,
         born: target.born,
     };
-    let sign = process_sign(node, process, until).await;
+    let sign = probe_process(node, process, until).await;
     sign.shows_that_it_ended() && reaches_others(node, target).await
 }
 
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -28,7 +28,7 @@
 use super::pool::Connection;
 use super::process::Process;
 use super::process_sign::ProcessSign;
-use super::target_connection::look_for;
+use super::target_connection::{EndedRequest, find_process_sign};
 
 /// Counts a request as in flight at a target until it is dropped.
 #[derive(Debug)]
@@ -47,8 +47,9 @@
     run: Option<RunKey>,
     pub(super) sent: Time,
     began_at: Instant,
-    /// A connection to the same process that was open before.
-    pub(super) witness: Option<Connection>,
+    /// An idle connection that was open before the request was sent: its state shows afterwards whether the same
+    /// process still runs.
+    pub(super) check_connection: Option<Connection>,
     /// Until when its end may be confirmed.
     end_by: Time,
     /// Whether another target may run it again or go on with it.
@@ -102,7 +103,7 @@
             run,
             sent: now,
             began_at: Instant::now(),
-            witness: None,
+            check_connection: None,
             end_by: now + params.max_wait,
             may_go_on_elsewhere: params.reuse == Reuse::Repeat,
             suspect: params.suspect,
@@ -272,10 +273,18 @@
 
     /// Keeps an idle connection to the process until the end of its answer: the end alone will not show whether it
     /// still runs.
-    pub(super) fn keep_witness(&mut self) {
-        if self.witness.is_none() {
+    pub(super) fn keep_check_connection(&mut self) {
+        if self.check_connection.is_none() {
             let pool = &self.node.pool;
-            self.witness = pool.take_open_since(&self.target, self.process(), self.began_at);
+            self.check_connection =
+                pool.take_open_since(&self.target, self.process(), self.began_at);
+        }
+    }
+
+    /// Leaves the connection to other requests, as this one's response does not end with its connection.
+    pub(super) fn leave_check_connection(&mut self) {
+        if let Some(connection) = self.check_connection.take() {
+            self.node.pool.put(&self.target, connection, None);
         }
     }
 
@@ -286,32 +295,36 @@
         if framing == Framing::Explicit {
             return true;
         }
-        if let Some(witness) = self.witness.take() {
-            self.node.pool.put(&self.target, witness, None);
-        }
-        let process = self.process();
+        let mut check_connection = self.check_connection.take();
         let ended = self.node.now();
-        let sign = look_for(
-            &self.node,
-            process,
-            self.began_at,
-            self.end_by,
-            self.may_go_on_elsewhere,
-        )
-        .await;
+        let request = EndedRequest {
+            process: self.process(),
+            sent: self.began_at,
+            until: self.end_by,
+            may_go_on_elsewhere: self.may_go_on_elsewhere,
+        };
+        let sign = find_process_sign(&self.node, request, &mut check_connection).await;
+        self.check_connection = check_connection;
+        self.leave_check_connection();
+        self.record_unnamed_service(sign);
         self.record_end(sign, self.node.now().since(ended));
         sign.shows_that_it_runs()
     }
 
+    /// Records that connections have to be kept beside the requests of the service.
+    fn record_unnamed_service(&self, sign: ProcessSign) {
+        if sign != ProcessSign::Unnamed {
+            return;
+        }
+        let tables = self.node.tables();
+        if let Some(known) = tables.registry.get(&self.target) {
+            self.node.unnamed_services.record(&known.service);
+        }
+    }
+
     /// Records by which sign an answer that ended with its connection counts as whole or not.
     fn record_end(&self, sign: ProcessSign, took: Duration) {
         let is_whole = sign.shows_that_it_runs();
-        if sign == ProcessSign::Unnamed {
-            let tables = self.node.tables();
-            if let Some(known) = tables.registry.get(&self.target) {
-                self.node.witnesses.record_unnamed(&known.service);
-            }
-        }
         let metrics = &self.node.metrics.crashes;
         metrics.unframed_response_ended(is_whole);
         let ms = took.as_millis().to_string();
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -81,6 +81,6 @@
 mod target_response;
 mod target_socket;
 mod unknown_headers;
+mod unnamed_services;
 mod wait_metrics;
 mod wait_places;
-mod witnesses;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -24,8 +24,8 @@
 use super::pool::Pool;
 use super::residency_updates::ResidencyQueue;
 use super::unknown_headers::UnknownHeaders;
+use super::unnamed_services::UnnamedServices;
 use super::wait_places::Wakers;
-use super::witnesses::Witnesses;
 
 /// Destination of a datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -58,7 +58,7 @@
     tables: Mutex<Tables>,
     pub(super) pool: Pool<TargetId>,
     pub(super) peer_pool: Pool<InstanceId>,
-    pub(super) witnesses: Witnesses,
+    pub(super) unnamed_services: UnnamedServices,
     pub(super) loaders: Loaders,
     pub(super) residency_updates: ResidencyQueue,
     pub(super) metrics: Metrics,
@@ -130,7 +130,7 @@
             tables: Mutex::new(tables),
             pool: Pool::default(),
             peer_pool: Pool::default(),
-            witnesses: Witnesses::default(),
+            unnamed_services: UnnamedServices::default(),
             loaders: Loaders::default(),
             residency_updates: ResidencyQueue::default(),
             metrics: Metrics::new(Instruments::new()),
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -153,10 +153,20 @@
         self.reused
     }
 
-    /// Whether it leads to the process to which another connection led from `since` on, if that process still runs.
+    /// Marks a connection that was idle: its other side may have closed it.
+    pub(super) const fn mark_reused(&mut self) {
+        self.reused = true;
+    }
+
+    /// Whether it was opened by `since`, to the address of a process, while the same start time was registered.
     fn leads_to(&self, process: Process<'_>, since: Instant) -> bool {
-        let is_alike = self.born == process.born && self.address == Some(process.address);
-        is_alike && self.opened_at <= since
+        let is_same_process = self.born == process.born && self.address == Some(process.address);
+        is_same_process && self.opened_at <= since
+    }
+
+    /// Whether it is open, to the address of a process, and the same start time was registered when it was opened.
+    pub(super) fn is_open_to(&self, process: Process<'_>) -> bool {
+        self.leads_to(process, self.opened_at) && self.is_usable()
     }
 
     /// Whether it can carry a request, as far as this process and the kernel know.
--- a/crates/gateway/src/net/process_sign.rs
+++ b/crates/gateway/src/net/process_sign.rs
@@ -13,8 +13,10 @@
     OtherProcess,
     /// Nothing listens at the address.
     Refused,
-    /// An answer that does not tell which process it comes from.
+    /// A report that names no start time.
     Unnamed,
+    /// A report with a start time, while that of the process that got the request is not known.
+    Unregistered,
     /// New connections are opened, and closed without an answer: the process is ending, is starting, or has too many.
     Closed,
     /// The target or the path to it is silent.
@@ -41,6 +43,7 @@
             Self::OtherProcess => "other_process",
             Self::Refused => "refused",
             Self::Unnamed => "unnamed",
+            Self::Unregistered => "unregistered",
             Self::Closed => "closed",
             Self::Silent => "silent",
         }
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -117,7 +117,7 @@
         node.pool.sweep();
         node.peer_pool.sweep();
         let config = Arc::clone(node.tables().routes.config());
-        node.witnesses
+        node.unnamed_services
             .sweep(|service| config.service(service).is_some());
         node.crash_checks.sweep(now);
     }
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -28,10 +28,13 @@
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause between two such connections.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest pause between two connections to a target that closes all of them: each is one more at a target that has too
+/// many.
+const MAX_CLOSED_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout for a response on such a connection.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after the end of a process after which its connections here have ended as well: longer than the end of one that
-/// is lost on the way takes to be sent again.
+/// Time from the first check after which the connections of a process that has ended are closed here, too; allows for one
+/// retransmission of a lost packet.
 const ALL_ENDED_AFTER: Duration = Duration::from_millis(250);
 /// Time for which a request that may go on elsewhere waits while its target closes all connections.
 const MAX_CLOSED_WAIT: Duration = Duration::from_millis(500);
@@ -107,7 +110,8 @@
     /// Returns what it shows of a process.
     fn sign_of(self, process: Process<'_>) -> ProcessSign {
         match (self, process.born) {
-            (Self::Answered(None), _) | (Self::Answered(_), None) => ProcessSign::Unnamed,
+            (Self::Answered(None), _) => ProcessSign::Unnamed,
+            (Self::Answered(Some(_)), None) => ProcessSign::Unregistered,
             (Self::Answered(Some(named)), Some(born)) if named == born => ProcessSign::SameStart,
             (Self::Answered(Some(_)), Some(_)) | (Self::OfAnother, _) => ProcessSign::OtherProcess,
             (Self::Refused, _) => ProcessSign::Refused,
@@ -117,26 +121,44 @@
     }
 }
 
-/// Asks a target whose process has just closed a connection, on which it got a request at `sent`, for signs of that very
-/// process until some are conclusive or the time `until`.
+/// A request whose response has ended with its connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndedRequest<'a> {
+    /// The process that got it.
+    pub(super) process: Process<'a>,
+    pub(super) sent: Instant,
+    /// Until when the end may be confirmed.
+    pub(super) until: Time,
+    /// Whether another target may run it again or go on with it. If so, it is not kept waiting for a target that closes
+    /// all connections.
+    pub(super) may_go_on_elsewhere: bool,
+}
+
+/// Asks a target that has just ended a response with its connection for signs of the very process that sent it, until
+/// some are conclusive or the time of the request is over. `check_connection` was open before the request was sent.
 ///
 /// An answer alone proves nothing: the process may have started again under its id.
-///
-/// If the request may go on elsewhere, it is not kept waiting for a target that closes all connections.
-pub(super) async fn look_for<E: Edge>(
+pub(super) async fn find_process_sign<E: Edge>(
     node: &Node<E>,
-    process: Process<'_>,
-    sent: Instant,
-    until: Time,
-    may_go_on_elsewhere: bool,
+    request: EndedRequest<'_>,
+    check_connection: &mut Option<Connection>,
 ) -> ProcessSign {
+    let process = request.process;
     let started = node.now();
+    let mut pause = PROBE_INTERVAL;
     loop {
-        let sign = ask(node, process.target, process.address, until).await;
-        let sign = sign.sign_of(process);
+        let answer = ask(node, process.target, process.address, request.until).await;
+        let sign = answer.sign_of(process);
+        let waited = node.now().since(started);
         match sign {
-            ProcessSign::OtherProcess | ProcessSign::Refused | ProcessSign::Unnamed => {
-                let answers = kept_connection_answers(node, process, sent, until).await;
+            ProcessSign::SameStart | ProcessSign::KeptAnswers | ProcessSign::KeptOpen => {
+                return sign;
+            }
+            ProcessSign::OtherProcess
+            | ProcessSign::Refused
+            | ProcessSign::Unnamed
+            | ProcessSign::Unregistered => {
+                let answers = kept_connection_answers(node, request, check_connection).await;
                 return if answers {
                     ProcessSign::KeptAnswers
                 } else {
@@ -144,32 +166,30 @@
                 };
             }
             ProcessSign::Closed
-                if node.now().since(started) >= ALL_ENDED_AFTER
-                    && node.pool.has_open_since(process.target, process, sent) =>
+                if waited >= ALL_ENDED_AFTER
+                    && is_kept_open(node, request, check_connection.as_ref()) =>
             {
                 return ProcessSign::KeptOpen;
             }
-            ProcessSign::Closed
-                if may_go_on_elsewhere && node.now().since(started) >= MAX_CLOSED_WAIT =>
-            {
+            ProcessSign::Closed if request.may_go_on_elsewhere && waited >= MAX_CLOSED_WAIT => {
                 return sign;
             }
-            ProcessSign::Closed | ProcessSign::Silent => {}
-            ProcessSign::SameStart | ProcessSign::KeptAnswers | ProcessSign::KeptOpen => {
-                return sign;
+            ProcessSign::Closed if waited >= ALL_ENDED_AFTER => {
+                pause = (pause * 2).min(MAX_CLOSED_INTERVAL);
             }
+            ProcessSign::Closed | ProcessSign::Silent => {}
         }
-        if node.now() + PROBE_INTERVAL >= until {
+        if node.now() + pause >= request.until {
             return sign;
         }
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
 /// Asks a target whose process has closed connections until it answers, or refuses a connection, or the time `until`.
 ///
 /// An open connection proves nothing: the kernel accepts it for a process that is about to end.
-pub(super) async fn process_sign<E: Edge>(
+pub(super) async fn probe_process<E: Edge>(
     node: &Node<E>,
     process: Process<'_>,
     until: Time,
@@ -177,8 +197,8 @@
     loop {
         let answer = ask(node, process.target, process.address, until).await;
         let sign = answer.sign_of(process);
-        let is_open = matches!(sign, ProcessSign::Closed | ProcessSign::Silent);
-        if !is_open || node.now() + PROBE_INTERVAL >= until {
+        let is_inconclusive = matches!(sign, ProcessSign::Closed | ProcessSign::Silent);
+        if !is_inconclusive || node.now() + PROBE_INTERVAL >= until {
             return sign;
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
@@ -210,21 +230,43 @@
     }
 }
 
-/// Whether a process answers on a connection that was open at `since`: such a connection ends with its process.
+/// Whether a connection that was open before a request was sent still is.
+fn is_kept_open<E: Edge>(
+    node: &Node<E>,
+    request: EndedRequest<'_>,
+    check_connection: Option<&Connection>,
+) -> bool {
+    let EndedRequest { process, sent, .. } = request;
+    let is_open = check_connection.is_some_and(|connection| connection.is_open_to(process));
+    is_open || node.pool.has_open_since(process.target, process, sent)
+}
+
+/// Whether a process answers on a connection that was open before a request was sent: such a connection ends with its
+/// process.
 async fn kept_connection_answers<E: Edge>(
     node: &Node<E>,
-    process: Process<'_>,
-    since: Instant,
-    until: Time,
+    request: EndedRequest<'_>,
+    check_connection: &mut Option<Connection>,
 ) -> bool {
+    let EndedRequest {
+        process,
+        sent,
+        until,
+        ..
+    } = request;
     let Process {
         target, address, ..
     } = process;
-    while let Some(kept) = node.pool.take_open_since(target, process, since) {
+    let held = check_connection.take();
+    let mut next = held.filter(|connection| connection.is_open_to(process));
+    if let Some(connection) = &mut next {
+        connection.mark_reused();
+    }
+    while let Some(kept) = next.or_else(|| node.pool.take_open_since(target, process, sent)) {
         match ask_on(node, target, address, kept, until).await {
             Answer::Answered(_) => return true,
             Answer::Silent => return false,
-            Answer::Closed | Answer::Refused | Answer::OfAnother => {}
+            Answer::Closed | Answer::Refused | Answer::OfAnother => next = None,
         }
     }
     false
--- a/crates/gateway/src/net/witnesses.rs
+++ b/crates/gateway/src/net/unnamed_services.rs
@@ -1,30 +1,29 @@
-//! Services whose targets' reports don't tell which process sends them.
+//! Services whose targets' reports don't name the process that sends them.
 
 use std::collections::HashSet;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bluebellstage_core::ServiceId;
 
-/// Services whose targets' answers end with their connection, and whose targets' reports don't tell which process sends
-/// them. A connection that was open before a request was sent shows afterwards whether the process that got it still
-/// runs.
+/// Services whose targets' answers end with their connection, and whose targets' reports name no start time. Only a
+/// connection that was open before a request was sent shows afterwards whether the process that got it still runs.
 #[derive(Debug, Default)]
-pub(super) struct Witnesses {
-    needed: Mutex<HashSet<ServiceId>>,
+pub(super) struct UnnamedServices {
+    services: Mutex<HashSet<ServiceId>>,
 }
 
-impl Witnesses {
+impl UnnamedServices {
     fn lock(&self) -> MutexGuard<'_, HashSet<ServiceId>> {
-        self.needed.lock().unwrap_or_else(PoisonError::into_inner)
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that the report of a target named no start time after an answer that ended with its connection.
-    pub(super) fn record_unnamed(&self, service: &ServiceId) {
+    pub(super) fn record(&self, service: &ServiceId) {
         self.lock().insert(service.clone());
     }
 
-    /// Whether a connection beside that of a request is needed.
-    pub(super) fn is_needed(&self, service: &ServiceId) -> bool {
+    /// Whether such a report of the service is known.
+    pub(super) fn contains(&self, service: &ServiceId) -> bool {
         self.lock().contains(service)
     }
 
