--- a/crates/core/src/catalogue/change.rs
+++ b/crates/core/src/catalogue/change.rs
@@ -13,7 +13,7 @@
     /// Add or replace a workspace.
     PutWorkspace(WorkspaceEntry),
     /// Remove a workspace and its keys; rejected while the workspace owns adapters.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     RemoveWorkspace(WorkspaceId),
     /// Add a key.
     IssueKey(KeyEntry),
@@ -26,7 +26,7 @@
     /// Add or replace a plain service.
     PutService(ServiceEntry),
     /// Remove a plain service.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     RemoveService(ServiceId),
 }
 
--- a/crates/core/src/catalogue/entry.rs
+++ b/crates/core/src/catalogue/entry.rs
@@ -34,7 +34,7 @@
 #[serde(deny_unknown_fields)]
 pub struct WorkspaceEntry {
     /// The entry's name.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     pub id: WorkspaceId,
     /// Tokens per second over all instances.
     pub rate: Rate,
@@ -49,7 +49,7 @@
     /// The key's public name.
     pub id: KeyId,
     /// The workspace that the key belongs to.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     pub workspace: WorkspaceId,
     /// Digest of the key.
     pub digest: KeyDigest,
@@ -62,10 +62,10 @@
     /// The entry's name.
     pub id: AdapterId,
     /// The workspace that owns the adapter. Only this workspace may use it.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     pub owner: WorkspaceId,
     /// The base model that the adapter extends.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     pub base_model: BaseModel,
     /// The version that runs if the caller names none.
     pub current: AdapterVersion,
@@ -84,10 +84,10 @@
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// The entry's name.
-    #[serde(deserialize_with = "crate::ids::own")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id")]
     pub id: ServiceId,
     /// The workspaces that may call it.
-    #[serde(deserialize_with = "crate::ids::own_set")]
+    #[serde(deserialize_with = "crate::ids::deserialize_id_set")]
     pub workspaces: BTreeSet<WorkspaceId>,
     /// Tokens charged to the workspace for each call.
     #[serde(default)]
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -42,7 +42,7 @@
 }
 
 /// Deserializes a name that callers or operators of the own interface choose, by the rule for identifiers.
-pub(crate) fn own<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+pub(crate) fn deserialize_id<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
     T: FromStr<Err = CoreError>,
@@ -52,7 +52,7 @@
 }
 
 /// Deserializes a set of such names.
-pub(crate) fn own_set<'de, D, T>(deserializer: D) -> Result<BTreeSet<T>, D::Error>
+pub(crate) fn deserialize_id_set<'de, D, T>(deserializer: D) -> Result<BTreeSet<T>, D::Error>
 where
     D: Deserializer<'de>,
     T: FromStr<Err = CoreError> + Ord,
--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -32,9 +32,9 @@
 /// tokens of an era are higher than all earlier ones.
 const TOKENS_PER_ERA: u64 = 1 << 24;
 
-/// How long the holder of a lease still has to wait, as targets that the holder before has ordered may get no orders of
-/// another one yet. It is stored, as no process knows what an earlier process of the same instance had to wait for, and
-/// as a span, as the clocks of processes can't be compared.
+/// Remaining time before the holder of a lease may order: targets must not get orders of two holders in quick succession.
+/// Stored because the next process of the instance has to wait for it, too; a duration because the clocks of processes
+/// can't be compared.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Handover {
@@ -75,7 +75,7 @@
     /// start, and would otherwise reserve slots on each engine for such orders.
     #[serde(default)]
     pub settled: Vec<ShortHash>,
-    /// The handover from the holder before.
+    /// The handover from the previous holder.
     #[serde(default)]
     pub handover: Handover,
 }
--- a/crates/gateway/src/decide/malformed_part.rs
+++ b/crates/gateway/src/decide/malformed_part.rs
@@ -5,7 +5,7 @@
 use bluebellstage_core::ServiceId;
 use serde::{Deserialize, Serialize};
 
-/// A part of a configuration that can't be decoded. The other parts are in force; requests that need it are refused.
+/// A part of a configuration that can't be decoded. The other parts are in force; `scope` says which requests are refused.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct MalformedPart {
     /// What the part describes.
--- a/crates/gateway/src/decide/stream_origins/lookup.rs
+++ b/crates/gateway/src/decide/stream_origins/lookup.rs
@@ -13,7 +13,7 @@
 
 /// Time after which further instances are asked, and those asked before once more: a datagram may be lost.
 const WAVE_INTERVAL: Duration = Duration::from_millis(40);
-/// Time after which a lookup ends. A machine that has used its share of a processor runs again after 100 ms.
+/// Time after which a lookup ends; outlasts a pause of 100 ms by the processor quota.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a lookup ends that waits for what the store keeps.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,9 +24,9 @@
 /// Where an instance has an origin from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OriginSource {
-    /// It keeps the origin itself.
+    /// It was known before any other instance was asked.
     Local,
-    /// Another instance told it.
+    /// It was known after others were asked: from a reply, or read from the store meanwhile.
     Peer,
 }
 
@@ -37,7 +37,7 @@
     Found {
         /// The origin.
         origin: StreamOrigin,
-        /// Time since it was recorded.
+        /// Time since it was recorded, or since it was read from the store.
         age: Duration,
         /// Where it is from.
         source: OriginSource,
@@ -152,9 +152,9 @@
         if next.is_empty() {
             return LookupStep::Wait(WAVE_INTERVAL);
         }
-        let first = next.iter().filter(|peer| !lookup.asked.contains(peer));
-        let first = first.copied().collect::<Vec<_>>();
-        lookup.asked.extend(first);
+        let newly_asked = next.iter().filter(|peer| !lookup.asked.contains(peer));
+        let newly_asked = newly_asked.copied().collect::<Vec<_>>();
+        lookup.asked.extend(newly_asked);
         LookupStep::Ask(next, WAVE_INTERVAL)
     }
 
--- a/crates/gateway/src/decide/stream_origins/mod.rs
+++ b/crates/gateway/src/decide/stream_origins/mod.rs
@@ -9,7 +9,7 @@
 mod lookup;
 mod message;
 mod recalled;
-mod recorder;
+mod record_state;
 mod recorders;
 mod replicas;
 mod stored;
@@ -26,12 +26,12 @@
 pub use key::StreamKey;
 pub use lookup::{LookupOutcome, LookupStep, OriginLookup, OriginSource};
 pub use message::{KnownVersions, OriginMessage, OriginRecord, OriginReply};
-pub use recorder::{FoundRecord, RecordStep, RecordWrite};
+pub use record_state::{FoundRecord, RecordStep, RecordWrite};
 pub use replicas::OutgoingOrigins;
 pub use stored::{RecordName, StoredOrigins, StoredStream, StoredVersions, StreamRecord};
 
 use recalled::RecalledOrigins;
-use recorder::StreamRecorder;
+use record_state::RecordState;
 use replicas::MemberHash;
 
 /// Longest time for which an origin is kept.
@@ -84,7 +84,7 @@
     /// Those of them that wrote origins to the store then.
     recorders: BTreeSet<MemberHash>,
     recalled: RecalledOrigins,
-    recorder: StreamRecorder,
+    record_state: RecordState,
 }
 
 impl StreamOrigins {
@@ -106,7 +106,7 @@
         self.replies.len()
     }
 
-    /// Returns the origin of a stream and the time since it was recorded.
+    /// Returns the origin of a stream and the time since it was recorded, or read from the store.
     #[must_use]
     pub fn get(&self, key: StreamKey, now: Time) -> Option<(&StreamOrigin, Duration)> {
         let entry = self.entries.get(&key);
--- a/crates/gateway/src/decide/stream_origins/recorder.rs
+++ b/crates/gateway/src/decide/stream_origins/record_state.rs
@@ -15,19 +15,22 @@
 use crate::decide::store_position::Era;
 use crate::decide::tables::Tables;
 
-/// Time between two writes of origins: streams that began later than the last one are lost in a kill of all.
+/// Minimum time between two writes of origins; streams that began after the last write are lost if all instances are
+/// killed.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 /// Most bytes of origins that an instance writes in a millisecond, on average.
 const WRITE_BYTES_PER_MS: u64 = 128;
 /// Maximum number of streams in one object, which the store limits to a megabyte.
 const MAX_STREAMS: usize = 50_000;
-/// Initial and maximum backoff after a failed call.
-const BACKOFF: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
+/// Initial backoff after a failed call.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+/// Maximum backoff after failed calls.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
 /// What an instance does next about the store's records of streams.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RecordStep {
-    /// Nothing for this time.
+    /// Do nothing for this time.
     Sleep(Duration),
     /// Read all records.
     List,
@@ -67,6 +70,7 @@
     /// It has to be read.
     #[default]
     Unread,
+    /// The store has no such object.
     Absent,
     /// The store has it at a revision.
     Present(Revision, T),
@@ -102,7 +106,7 @@
     }
 
     fn record_failure(&mut self, now: Time) {
-        self.last = (self.last * 2).clamp(BACKOFF[0], BACKOFF[1]);
+        self.last = (self.last * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
         self.next_at = now + self.last;
     }
 
@@ -113,7 +117,7 @@
 
 /// State of an instance's part in the store's records of streams.
 #[derive(Debug, Default)]
-pub struct StreamRecorder {
+pub struct RecordState {
     /// Whether the stored versions were read, and whether all stored origins were.
     has_read_versions: bool,
     has_read_origins: bool,
@@ -131,7 +135,7 @@
     next_write_at: Time,
 }
 
-impl StreamRecorder {
+impl RecordState {
     /// A restored store may have other revisions, or lack what was written.
     fn set_era(&mut self, era: Era) {
         if self.era.replace(era).is_some_and(|known| known != era) {
@@ -150,22 +154,22 @@
 impl Tables {
     /// Whether this instance knows all software versions at which streams may have begun that can still be continued.
     pub(super) fn knows_versions(&self, now: Time) -> bool {
-        let recorder = &self.origins.recorder;
-        recorder.has_read_versions || recorder.has_run_long(now)
+        let state = &self.origins.record_state;
+        state.has_read_versions || state.has_run_long(now)
     }
 
     /// Whether this instance needs no stored origins: it has read them, or those that it has not read have expired.
     pub(super) fn has_read_origins(&self, now: Time) -> bool {
-        let recorder = &self.origins.recorder;
-        recorder.has_read_origins || recorder.has_run_long(now)
+        let state = &self.origins.record_state;
+        state.has_read_origins || state.has_run_long(now)
     }
 
     /// Returns the next step. Its result is to be recorded before the next call.
     pub fn next_record_step(&mut self, era: Era, now: Time) -> RecordStep {
         let is_informed = self.registry.revision() > Revision::default();
-        let recorder = &mut self.origins.recorder;
-        recorder.set_era(era);
-        recorder.informed_since = recorder.informed_since.or(is_informed.then_some(now));
+        let state = &mut self.origins.record_state;
+        state.set_era(era);
+        state.informed_since = state.informed_since.or(is_informed.then_some(now));
         let step = self.reading_step(now);
         let step = step.or_else(|| self.writing_step(now));
         step.unwrap_or(RecordStep::Sleep(WRITE_INTERVAL))
@@ -173,12 +177,12 @@
 
     /// Reads what the store keeps, if this process has not done so.
     fn reading_step(&self, now: Time) -> Option<RecordStep> {
-        let recorder = &self.origins.recorder;
-        let lacks_origins = !recorder.has_read_origins && self.reads_origins(now);
-        if lacks_origins && recorder.origins_backoff.is_due(now) {
+        let state = &self.origins.record_state;
+        let lacks_origins = !state.has_read_origins && self.reads_origins(now);
+        if lacks_origins && state.origins_backoff.is_due(now) {
             return Some(RecordStep::List);
         }
-        let lacks_versions = !self.knows_versions(now) && recorder.versions_backoff.is_due(now);
+        let lacks_versions = !self.knows_versions(now) && state.versions_backoff.is_due(now);
         lacks_versions.then_some(RecordStep::Read(RecordName::Versions))
     }
 
@@ -203,68 +207,68 @@
 
     /// Keeps the software versions in the store, if this instance follows it.
     fn versions_step(&self, versions: StoredVersions, now: Time) -> Option<RecordStep> {
-        let recorder = &self.origins.recorder;
-        let is_due = recorder.versions_backoff.is_due(now);
+        let state = &self.origins.record_state;
+        let is_due = state.versions_backoff.is_due(now);
         if !is_due || !self.knows_versions(now) || !self.follows_store(now) {
             return None;
         }
-        match &recorder.versions {
+        match &state.versions {
             Known::Unread => return Some(RecordStep::Read(RecordName::Versions)),
             Known::Present(_, stored) if *stored == versions => return None,
             Known::Present(..) | Known::Absent => {}
         }
         Some(RecordStep::Write(RecordWrite {
             name: RecordName::Versions,
-            at: recorder.versions.revision(),
+            at: state.versions.revision(),
             record: StreamRecord::Versions(versions),
         }))
     }
 
     /// Stores the origins that this instance keeps of streams of services with several versions.
     fn origins_step(&self, mixed: &[ShortHash], now: Time) -> Option<RecordStep> {
-        let recorder = &self.origins.recorder;
-        let is_due = now >= recorder.next_write_at && recorder.origins_backoff.is_due(now);
+        let state = &self.origins.record_state;
+        let is_due = now >= state.next_write_at && state.origins_backoff.is_due(now);
         if !is_due || !self.is_recorder(now) {
             return None;
         }
         let name = RecordName::origins_of(&self.local.name);
         // A former process of this instance may have written some that are needed yet.
-        if recorder.origins.is_unread() {
+        if state.origins.is_unread() {
             return Some(RecordStep::Read(name));
         }
         let digest = self.origins.stored_digest(mixed, now);
-        if let Known::Present(_, stored) = &recorder.origins
+        if let Known::Present(_, stored) = &state.origins
             && *stored == digest
         {
             return None;
         }
-        if digest == StreamsDigest::default() {
+        if digest.is_empty() {
             return None;
         }
         let streams = self.origins.streams_to_store(mixed, now);
         Some(RecordStep::Write(RecordWrite {
             name,
-            at: recorder.origins.revision(),
+            at: state.origins.revision(),
             record: StreamRecord::Origins(StoredOrigins::encode(streams)),
         }))
     }
 
     /// Removes origins that nobody needs because no service has several versions.
     fn removal_step(&self, now: Time) -> Option<RecordStep> {
-        let recorder = &self.origins.recorder;
-        if !recorder.origins_backoff.is_due(now) || !self.knows_versions(now) {
+        let state = &self.origins.record_state;
+        if !state.origins_backoff.is_due(now) || !self.knows_versions(now) {
             return None;
         }
         let own = RecordName::origins_of(&self.local.name);
-        match &recorder.origins {
+        match &state.origins {
             Known::Present(..) => return Some(RecordStep::Remove(own)),
-            Known::Unread if recorder.has_written => return Some(RecordStep::Read(own)),
+            Known::Unread if state.has_written => return Some(RecordStep::Read(own)),
             Known::Unread | Known::Absent => {}
         }
         if !self.follows_store(now) {
             return None;
         }
-        let leftover = recorder.leftovers.last();
+        let leftover = state.leftovers.last();
         leftover.cloned().map(RecordStep::Remove)
     }
 
@@ -279,12 +283,12 @@
         for record in found {
             let name = record.name.clone();
             if name != own && name != RecordName::Versions {
-                self.origins.recorder.leftovers.push(name.clone());
+                self.origins.record_state.leftovers.push(name.clone());
             }
             self.record_read(&name, Some(record), now);
         }
-        self.origins.recorder.has_read_origins = true;
-        self.origins.recorder.origins_backoff.reset();
+        self.origins.record_state.has_read_origins = true;
+        self.origins.record_state.origins_backoff.reset();
         self.origins.recalled.count()
     }
 
@@ -297,29 +301,30 @@
     }
 
     fn record_versions_read(&mut self, found: Option<FoundRecord>, now: Time) {
-        let recorder = &mut self.origins.recorder;
+        let state = &mut self.origins.record_state;
         let Some(found) = found else {
-            recorder.versions = Known::Absent;
-            recorder.has_read_versions = true;
+            state.versions = Known::Absent;
+            state.has_read_versions = true;
             return;
         };
         let Some(StreamRecord::Versions(stored)) = found.record else {
             // It says nothing, and is written over when no stream is left of what it may have named.
-            recorder.versions = Known::Present(found.revision, StoredVersions::default());
-            recorder.versions_backoff.record_failure(now);
+            state.versions = Known::Present(found.revision, StoredVersions::default());
+            state.versions_backoff.record_failure(now);
             return;
         };
         self.registry.record_stored_versions(&stored, now);
-        recorder.versions = Known::Present(found.revision, stored);
-        recorder.has_read_versions = true;
+        state.versions = Known::Present(found.revision, stored);
+        state.has_read_versions = true;
     }
 
     fn record_origins_read(&mut self, name: &RecordName, found: Option<FoundRecord>, now: Time) {
         let is_own = *name == RecordName::origins_of(&self.local.name);
         if is_own {
             let revision = found.as_ref().map(|found| found.revision);
+            // The content is not compared: the next set that is not empty is written.
             let present = |revision| Known::Present(revision, StreamsDigest::default());
-            self.origins.recorder.origins = revision.map_or(Known::Absent, present);
+            self.origins.record_state.origins = revision.map_or(Known::Absent, present);
         }
         let writer = if is_own {
             Writer::FormerProcess
@@ -333,53 +338,56 @@
 
     /// Records that a write took effect at a revision.
     pub fn record_written(&mut self, write: RecordWrite, revision: Revision, now: Time) {
-        let recorder = &mut self.origins.recorder;
+        let state = &mut self.origins.record_state;
         match write.record {
             StreamRecord::Versions(versions) => {
-                recorder.versions = Known::Present(revision, versions);
-                recorder.versions_backoff.reset();
+                state.versions = Known::Present(revision, versions);
+                state.versions_backoff.reset();
             }
             StreamRecord::Origins(stored) => {
                 let keys = stored.decode().flat_map(|(_, streams)| streams);
                 let digest = StreamsDigest::of(keys.map(|stream| stream.key.number()));
-                recorder.origins = Known::Present(revision, digest);
-                recorder.has_written = true;
-                recorder.origins_backoff.reset();
-                recorder.next_write_at = now + pause_after(&stored);
+                state.origins = Known::Present(revision, digest);
+                state.has_written = true;
+                state.origins_backoff.reset();
+                state.next_write_at = now + pause_after(&stored);
             }
         }
     }
 
     /// Records that a record was removed, or that there was none.
     pub fn record_removed(&mut self, name: &RecordName) {
-        let recorder = &mut self.origins.recorder;
-        recorder.leftovers.retain(|leftover| leftover != name);
+        let state = &mut self.origins.record_state;
+        state.leftovers.retain(|leftover| leftover != name);
         if *name == RecordName::origins_of(&self.local.name) {
-            recorder.origins = Known::Absent;
+            state.origins = Known::Absent;
         }
     }
 
     /// Records that a call about a record failed, so that its state is not known.
     pub fn record_call_failed(&mut self, name: &RecordName, now: Time) {
         let own = RecordName::origins_of(&self.local.name);
-        let recorder = &mut self.origins.recorder;
+        let state = &mut self.origins.record_state;
         match name {
             RecordName::Versions => {
-                recorder.versions = Known::Unread;
-                recorder.versions_backoff.record_failure(now);
+                state.versions = Known::Unread;
+                state.versions_backoff.record_failure(now);
             }
             RecordName::Origins(_) => {
                 if *name == own {
-                    recorder.origins = Known::Unread;
+                    state.origins = Known::Unread;
                 }
-                recorder.origins_backoff.record_failure(now);
+                state.origins_backoff.record_failure(now);
             }
         }
     }
 
     /// Records that the records could not be listed.
     pub fn record_list_failed(&mut self, now: Time) {
-        self.origins.recorder.origins_backoff.record_failure(now);
+        self.origins
+            .record_state
+            .origins_backoff
+            .record_failure(now);
     }
 }
 
@@ -390,6 +398,10 @@
 }
 
 impl StreamsDigest {
+    fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+
     fn of(keys: impl Iterator<Item = u64>) -> Self {
         // Keys are hashes: two sets have the same sum by chance only.
         Self(keys.fold(0, u64::wrapping_add))
--- a/crates/gateway/src/decide/stream_origins/recorders.rs
+++ b/crates/gateway/src/decide/stream_origins/recorders.rs
@@ -15,19 +15,19 @@
 use crate::decide::tables::Tables;
 
 /// Number of instances that write origins. Each write is a call that is paid for.
-const RECORDERS: RangeInclusive<usize> = 4..=16;
+const RECORDER_COUNT: RangeInclusive<usize> = 4..=16;
 /// Instances of a fleet for each that writes origins.
 const INSTANCES_PER_RECORDER: usize = 8;
 /// Key for the precedence of instances.
 const RECORDER_KEY: &str = "stream-recorder";
 
 /// Returns those of `members` that come first.
-fn first<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+fn first_by_precedence<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
     let key = name_hash(RECORDER_KEY);
     let mut members = members.collect::<Vec<_>>();
     let count = members.len() / INSTANCES_PER_RECORDER;
     members.sort_by_cached_key(|member| Reverse(member.precedence(key)));
-    members.truncate(count.clamp(*RECORDERS.start(), *RECORDERS.end()));
+    members.truncate(count.clamp(*RECORDER_COUNT.start(), *RECORDER_COUNT.end()));
     members
 }
 
@@ -37,7 +37,7 @@
         let able = |peer: &&Peer| peer.ready && peer.store_reachable;
         let peers = self.peers.live(now).filter(able).map(|peer| &peer.member);
         let is_able = self.ready() && self.registry.is_store_reachable(now);
-        first(peers.chain(is_able.then_some(&self.local)))
+        first_by_precedence(peers.chain(is_able.then_some(&self.local)))
     }
 
     /// Whether this instance writes the origins that it keeps. If no instance accepts callers any more, as all stop at the
@@ -46,7 +46,7 @@
         let mut recorders = self.recorders(now);
         if recorders.is_empty() {
             let peers = self.peers.live(now).map(|peer| &peer.member);
-            recorders = first(peers.chain([&self.local]));
+            recorders = first_by_precedence(peers.chain([&self.local]));
         }
         self.is_among(&recorders)
     }
@@ -62,7 +62,7 @@
         if members.len() <= MAX_DIRECT_FLEET {
             return members;
         }
-        first(members.into_iter())
+        first_by_precedence(members.into_iter())
     }
 
     /// Whether this instance reads the stored origins. Others ask it.
--- a/crates/gateway/src/net/stream_records.rs
+++ b/crates/gateway/src/net/stream_records.rs
@@ -32,7 +32,7 @@
             RecordStep::Sleep(pause) => tokio::time::sleep(pause).await,
             RecordStep::List => list(&node).await,
             RecordStep::Read(name) => read(&node, name).await,
-            RecordStep::Write(write) => self::write(&node, write).await,
+            RecordStep::Write(record) => write(&node, record).await,
             RecordStep::Remove(name) => remove(&node, name).await,
         }
     }
--- a/crates/gateway/tests/planned_restarts.rs
+++ b/crates/gateway/tests/planned_restarts.rs
@@ -105,7 +105,7 @@
     assert_within_budget(&seen);
 }
 
-/// Guards against the same when instances are stopped one after the other.
+/// Guards against retries beyond the budget when instances are stopped one after the other.
 #[test]
 fn planned_restarts_in_turn_leave_retries_within_their_budget() {
     let (mut fleet, mut seen) = (start(), Seen::default());
--- a/crates/gateway/tests/quota_restarts.rs
+++ b/crates/gateway/tests/quota_restarts.rs
@@ -80,7 +80,7 @@
     assert_within_quota(9, &[]);
 }
 
-/// Guards against the same in a fleet with relays.
+/// Guards against parts of a fleet with relays that spend a quota each while they are cut off.
 #[test]
 fn parts_of_a_relayed_fleet_stay_within_a_quota() {
     assert_within_quota(60, &[]);
@@ -92,7 +92,7 @@
     assert_within_quota(9, &[0]);
 }
 
-/// Guards against the same in a fleet with relays.
+/// Guards against new processes in a part of a fleet with relays, which forget instances that they can't hear.
 #[test]
 fn a_part_of_a_relayed_fleet_that_restarts_leaves_the_others_their_share_of_a_quota() {
     assert_within_quota(60, &[0]);
@@ -104,7 +104,7 @@
     assert_within_quota(9, &[0, 1, 2]);
 }
 
-/// Guards against the same in a fleet with relays.
+/// Guards against new processes in all parts of a fleet with relays, which spend a quota for each part.
 #[test]
 fn parts_of_a_relayed_fleet_that_all_restart_stay_within_a_quota() {
     assert_within_quota(60, &[0, 1, 2]);
