--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 //! of instances.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::time::Duration;
@@ -99,6 +99,10 @@
     pub network: Network,
     /// Pairs of failure domains; datagrams from the first to the second are lost.
     pub partitions: Vec<(usize, usize)>,
+    /// Instances without a path to the others, by the group within which they reach each other.
+    cut_off: BTreeMap<usize, usize>,
+    /// Instances without a path to the store.
+    pub cut_from_store: BTreeSet<usize>,
     /// The records of streams in the store.
     pub records: Records,
     /// Software versions of the targets, in turn.
@@ -150,6 +154,8 @@
             sent: 0,
             network: Network::RELIABLE,
             partitions: Vec::new(),
+            cut_off: BTreeMap::new(),
+            cut_from_store: BTreeSet::new(),
             records: Records::default(),
             versions: vec!["v1"],
             domains,
@@ -236,18 +242,34 @@
         }
     }
 
-    /// Changes the software versions of the targets, which the running instances learn.
+    /// Changes the software versions of the targets, which all instances learn but those that are cut off from the
+    /// others or suspended.
     pub fn set_versions(&mut self, versions: &[&'static str]) {
         self.versions = versions.to_vec();
         let targets = (0..TARGETS).map(|idx| self.target(idx));
         let targets = targets.collect::<Vec<_>>();
         let now = self.now;
-        for node in &mut self.nodes {
+        for (idx, node) in self.nodes.iter_mut().enumerate() {
+            if self.cut_off.contains_key(&idx) || node.state == State::Suspended {
+                continue;
+            }
             let revision = Revision(node.tables.registry.revision().0 + 1);
             node.tables.registry.replace(targets.clone(), revision, now);
         }
     }
 
+    /// Cuts instances off from all others, but not from each other.
+    pub fn cut_from_peers(&mut self, group: &[usize]) {
+        let first = group[0];
+        self.cut_off.extend(group.iter().map(|idx| (*idx, first)));
+    }
+
+    /// Cuts instances off from all others and from the store, but not from each other.
+    pub fn cut_off(&mut self, group: &[usize]) {
+        self.cut_from_peers(group);
+        self.cut_from_store.extend(group);
+    }
+
     /// Kills all instances at the same moment.
     pub fn kill_all(&mut self) {
         for idx in 0..self.len() {
@@ -450,7 +472,8 @@
                 }
                 if self.is_running(idx) && self.nodes[idx].next_records <= self.now {
                     let node = &mut self.nodes[idx];
-                    node.next_records = self.records.serve(&mut node.tables, self.now);
+                    let is_reached = !self.cut_from_store.contains(&idx);
+                    node.next_records = self.records.serve(&mut node.tables, is_reached, self.now);
                 }
             }
         }
@@ -515,6 +538,9 @@
     }
 
     fn is_partitioned(&self, from: usize, to: usize) -> bool {
+        if self.cut_off.get(&from) != self.cut_off.get(&to) {
+            return true;
+        }
         let pair = (from % self.domains, to % self.domains);
         self.partitions.contains(&pair)
     }
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -61,23 +61,27 @@
     }
 
     /// Lets an instance take steps until it sleeps. Returns when it goes on.
-    pub fn serve(&mut self, tables: &mut Tables, now: Time) -> Time {
+    pub fn serve(&mut self, tables: &mut Tables, is_reached: bool, now: Time) -> Time {
+        let is_away = self.is_away || !is_reached;
         loop {
             let step = tables.next_record_step(Era(self.era), now);
             self.calls += usize::from(!matches!(step, RecordStep::Sleep(_)));
             match step {
                 RecordStep::Sleep(pause) => return now + pause,
-                RecordStep::List if self.is_away => tables.record_list_failed(now),
+                RecordStep::List if is_away => tables.record_list_failed(now),
                 RecordStep::List => {
                     let found = self.objects.keys().filter_map(|name| self.found(name));
                     tables.record_listed(found.collect(), now);
                 }
-                RecordStep::Read(name) if self.is_away => tables.record_call_failed(&name, now),
+                RecordStep::Read(name) if is_away => tables.record_call_failed(&name, now),
                 RecordStep::Read(name) => {
                     tables.record_read(&name, self.found(&name.to_string()), now);
                 }
+                RecordStep::Write(write) if is_away => {
+                    tables.record_call_failed(&write.name, now);
+                }
                 RecordStep::Write(write) => self.write(write, tables, now),
-                RecordStep::Remove(name) if self.is_away => tables.record_call_failed(&name, now),
+                RecordStep::Remove(name) if is_away => tables.record_call_failed(&name, now),
                 RecordStep::Remove(name) => {
                     self.writes += 1;
                     self.objects.remove(&name.to_string());
@@ -123,7 +127,7 @@
             .garbled_at
             .filter(|_| write.name == RecordName::Versions);
         let known = garbled.or(stored);
-        if self.is_away || self.is_read_only || known != write.at {
+        if self.is_read_only || known != write.at {
             tables.record_call_failed(&write.name, now);
             return;
         }
--- a/crates/gateway/tests/support/streams.rs
+++ b/crates/gateway/tests/support/streams.rs
@@ -94,11 +94,39 @@
 
 /// Continues streams at random running instances.
 pub fn continue_all(fleet: &mut Fleet, streams: &[Stream]) -> Found {
-    let mut found = Found::default();
-    let started = fleet.now;
+    let instances = streams.iter().map(|_| random_running(fleet));
+    let instances = instances.collect::<Vec<_>>();
+    let running = look_up(fleet, streams, &instances);
+    finish(fleet, running)
+}
+
+/// Continues streams at these instances, in turn.
+pub fn continue_at(fleet: &mut Fleet, streams: &[Stream], instances: &[usize]) -> Found {
+    let running = look_up(fleet, streams, instances);
+    finish(fleet, running)
+}
+
+/// Begins to look up streams at an instance, which is then suspended for `span`, and finishes.
+pub fn continue_suspended(
+    fleet: &mut Fleet,
+    streams: &[Stream],
+    instance: usize,
+    span: Duration,
+) -> Found {
+    let mut running = look_up(fleet, streams, &[instance]);
+    for lookup in &mut running {
+        assert_eq!(step(fleet, lookup), None);
+    }
+    fleet.suspend(instance);
+    fleet.run(span);
+    fleet.resume(instance);
+    finish(fleet, running)
+}
+
+fn look_up<'a>(fleet: &mut Fleet, streams: &'a [Stream], instances: &[usize]) -> Vec<Running<'a>> {
     let mut running = Vec::new();
-    for stream in streams {
-        let instance = random_running(fleet);
+    for (stream, instance) in streams.iter().zip(instances.iter().cycle()) {
+        let instance = *instance;
         let now = fleet.now;
         let service = ShortHash::of(SERVICE);
         let lookup = fleet
@@ -110,6 +138,12 @@
             lookup,
         });
     }
+    running
+}
+
+fn finish(fleet: &mut Fleet, mut running: Vec<Running<'_>>) -> Found {
+    let mut found = Found::default();
+    let started = fleet.now;
     while !running.is_empty() {
         let mut waiting = Vec::new();
         for mut lookup in running {
