Take the known software version for the only one by the store's word only

Callers saw streams that had begun at one software version go on at another, when they took them up at an instance that was cut off, or suspended, while targets of that version joined.

Cause: a stream of which nobody knows may go on at any version if there is one only. That belief had no age. It rested on the targets that the instance knew and on a lookup in which nobody said otherwise, so that silence counted as a reply.

Change: such a stream goes on only once the store has been asked for changes of the targets by a call that began after the request came. Followers of the store do so for the others, one call for all requests that wait; a query tells for how long its request has waited, so that a reply says no more than it can know, however late it is read. The format of datagrams has a new number.

--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -445,6 +445,12 @@
         versions.any(|version| Some(version) != first)
     }
 
+    /// Records the software version of a target that the store lists, which may not be known here yet.
+    pub fn record_software(&mut self, listed: &Target, now: Time) {
+        self.software
+            .record_stored(&listed.service, &listed.software, now);
+    }
+
     /// Records the software versions that the store keeps: streams may have begun at them before this process started.
     pub fn record_stored_versions(&mut self, stored: &StoredVersions, now: Time) {
         for (service, version) in stored.iter() {
--- a/crates/gateway/src/decide/store_access.rs
+++ b/crates/gateway/src/decide/store_access.rs
@@ -15,7 +15,7 @@
 
 /// Instances that follow the store. Each watch is paid for at every heartbeat of a target, and two
 /// followers may lose the store at once.
-const FOLLOWER_COUNT: usize = 3;
+pub(super) const FOLLOWER_COUNT: usize = 3;
 /// Instances that read from the store first when many start at once; enough to serve copies to
 /// hundreds.
 const INITIAL_READERS: usize = 8;
@@ -31,7 +31,7 @@
 /// lease do not take it.
 const LEASE_CANDIDATES: usize = 8;
 /// Key for the precedence of instances as followers.
-const FOLLOWER_KEY: &str = "follower";
+pub(super) const FOLLOWER_KEY: &str = "follower";
 
 /// Key for the precedence of instances as holders of a shard's lease.
 #[must_use]
--- a/crates/gateway/src/decide/stream_origins/lookup.rs
+++ b/crates/gateway/src/decide/stream_origins/lookup.rs
@@ -5,8 +5,9 @@
 
 use bluebellstage_core::Time;
 
+use super::confirmation::FOLLOWERS_CONFIRM_FOR;
 use super::replicas::{choose, ranked};
-use super::{KnownVersions, StreamKey, StreamOrigin};
+use super::{KnownVersions, OriginQuery, StreamKey, StreamOrigin};
 use crate::decide::peers::{DOWN_THRESHOLD, Member, Peer};
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::tables::Tables;
@@ -61,6 +62,17 @@
     End(LookupOutcome),
 }
 
+/// What a lookup waits for that has not found the origin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Awaited {
+    /// Replies of other instances.
+    Peers,
+    /// What the store keeps of streams.
+    Read,
+    /// The store's word that the known version is the only one.
+    Confirmation,
+}
+
 /// A lookup that is in progress. It must be ended with [`Tables::end_lookup`].
 #[derive(Debug)]
 pub struct OriginLookup {
@@ -75,6 +87,24 @@
 }
 
 impl OriginLookup {
+    /// Returns what to send to the instances that are asked now.
+    #[must_use]
+    pub fn query(&self, now: Time) -> OriginQuery {
+        OriginQuery {
+            key: self.key,
+            service: self.service,
+            waited_ms: u32::try_from(self.waited(now).as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    pub(super) fn waited(&self, now: Time) -> Duration {
+        now.since(self.started)
+    }
+
+    pub(super) const fn service(&self) -> ShortHash {
+        self.service
+    }
+
     /// Number of instances that were asked.
     #[must_use]
     pub fn asked_count(&self) -> usize {
@@ -85,7 +115,12 @@
 impl Tables {
     /// Begins to look up the origin of a stream that a target of `service` would continue.
     pub fn begin_lookup(&mut self, key: StreamKey, service: ShortHash, now: Time) -> OriginLookup {
-        self.origins.replies.entry(key).or_default().waiting += 1;
+        let replies = self.origins.replies.entry(key).or_default();
+        replies.waiting += 1;
+        // What was confirmed for another request may be older than this one.
+        if replies.versions == KnownVersions::One {
+            replies.versions = KnownVersions::Unconfirmed;
+        }
         OriginLookup {
             key,
             service,
@@ -107,7 +142,7 @@
     }
 
     /// Returns what a lookup does next. Called again after the returned time, or when a reply has arrived.
-    pub fn next_lookup_step(&self, lookup: &mut OriginLookup, now: Time) -> LookupStep {
+    pub fn next_lookup_step(&mut self, lookup: &mut OriginLookup, now: Time) -> LookupStep {
         if let Some((origin, age)) = self.origins.get(lookup.key, now) {
             let source = if lookup.asked.is_empty() {
                 OriginSource::Local
@@ -121,32 +156,30 @@
                 source,
             });
         }
-        let replies = self.origins.replies.get(&lookup.key);
-        let has_replied =
-            |peer: &SocketAddr| replies.is_some_and(|replies| replies.from.contains(peer));
-        let all_replied = lookup.asked.iter().all(has_replied);
-        if now < lookup.next_wave && !all_replied {
+        let versions = self.versions_of(lookup, now);
+        let awaited = self.awaited(lookup, versions, now);
+        if awaited == Awaited::Confirmation && self.confirms_itself(lookup, now) {
+            self.want_confirmation(lookup.waited(now), now);
+        }
+        if now < lookup.next_wave && !self.have_all_replied(lookup) {
             return LookupStep::Wait(lookup.next_wave.since(now));
         }
         let next = self.next_wave(lookup, now);
-        let next = next.into_iter().filter(|peer| !has_replied(peer));
+        let next = next
+            .into_iter()
+            .filter(|peer| !self.has_replied(lookup, peer));
         let next = next.collect::<Vec<_>>();
-        let told = replies.map_or(KnownVersions::Unknown, |replies| replies.versions);
-        let versions = told.or(self.known_versions(lookup.service, now));
-        let is_read_awaited = match versions {
-            KnownVersions::Unknown => true,
-            KnownVersions::One => false,
-            KnownVersions::Several => self.awaits_origins(lookup.key, &has_replied, now),
-        };
-        let timeout = if is_read_awaited {
-            READ_TIMEOUT
-        } else {
-            LOOKUP_TIMEOUT
-        };
-        let has_ended = now.since(lookup.started) >= timeout;
-        if has_ended || (next.is_empty() && !is_read_awaited) {
+        let has_ended = lookup.waited(now) >= self.timeout(lookup, awaited);
+        if has_ended || (next.is_empty() && awaited == Awaited::Peers) {
             return LookupStep::End(LookupOutcome::Unknown { versions });
         }
+        if next.is_empty() && now < lookup.next_wave {
+            return LookupStep::Wait(lookup.next_wave.since(now));
+        }
+        let next = match awaited {
+            Awaited::Confirmation if lookup.waves > 0 => self.with_confirmers(next, lookup, now),
+            _ => next,
+        };
         lookup.waves += 1;
         lookup.next_wave = now + WAVE_INTERVAL;
         if next.is_empty() {
@@ -158,6 +191,72 @@
         LookupStep::Ask(next, WAVE_INTERVAL)
     }
 
+    /// Returns what is known of the software versions of the service, by this instance and those that have replied.
+    fn versions_of(&self, lookup: &OriginLookup, now: Time) -> KnownVersions {
+        let replies = self.origins.replies.get(&lookup.key);
+        let told = replies.map_or(KnownVersions::Unknown, |replies| replies.versions);
+        told.or(self.known_to_lookup(lookup, now))
+    }
+
+    fn has_replied(&self, lookup: &OriginLookup, peer: &SocketAddr) -> bool {
+        let replies = self.origins.replies.get(&lookup.key);
+        replies.is_some_and(|replies| replies.from.contains(peer))
+    }
+
+    fn have_all_replied(&self, lookup: &OriginLookup) -> bool {
+        let mut asked = lookup.asked.iter();
+        asked.all(|peer| self.has_replied(lookup, peer))
+    }
+
+    fn awaited(&self, lookup: &OriginLookup, versions: KnownVersions, now: Time) -> Awaited {
+        let has_replied = |peer: &SocketAddr| self.has_replied(lookup, peer);
+        match versions {
+            KnownVersions::Unknown => Awaited::Read,
+            KnownVersions::Unconfirmed => Awaited::Confirmation,
+            KnownVersions::Several if self.awaits_origins(lookup.key, &has_replied, now) => {
+                Awaited::Read
+            }
+            KnownVersions::One | KnownVersions::Several => Awaited::Peers,
+        }
+    }
+
+    /// Returns the time after which a lookup ends. An instance that nobody answers is likely to be cut off, from the
+    /// store too.
+    fn timeout(&self, lookup: &OriginLookup, awaited: Awaited) -> Duration {
+        let mut asked = lookup.asked.iter();
+        let is_alone = self.peers.all().next().is_none();
+        let is_answered = is_alone || asked.any(|peer| self.has_replied(lookup, peer));
+        match awaited {
+            Awaited::Read => READ_TIMEOUT,
+            Awaited::Confirmation if is_answered => READ_TIMEOUT,
+            Awaited::Confirmation | Awaited::Peers => LOOKUP_TIMEOUT,
+        }
+    }
+
+    /// Whether this instance asks the store itself: as a follower, or because none has done so for it.
+    fn confirms_itself(&self, lookup: &OriginLookup, now: Time) -> bool {
+        lookup.waves > 0 && self.is_confirmer(lookup.waited(now), now)
+    }
+
+    /// Adds the instances that are asked for a confirmation, also again.
+    fn with_confirmers(
+        &self,
+        mut peers: Vec<SocketAddr>,
+        lookup: &OriginLookup,
+        now: Time,
+    ) -> Vec<SocketAddr> {
+        let mut confirmers = self.confirmers(now);
+        if lookup.waited(now) >= FOLLOWERS_CONFIRM_FOR {
+            confirmers.extend(&lookup.asked);
+        }
+        for confirmer in confirmers {
+            if !peers.contains(&confirmer) {
+                peers.push(confirmer);
+            }
+        }
+        peers
+    }
+
     /// Whether the stored origins have yet to be read: by this instance, or by those that it asks.
     fn awaits_origins(
         &self,
--- a/crates/gateway/src/decide/stream_origins/message.rs
+++ b/crates/gateway/src/decide/stream_origins/message.rs
@@ -61,7 +61,9 @@
     /// There may have been others than those that are listed now.
     #[default]
     Unknown,
-    /// There was only one.
+    /// Only one is known, but the store has not been asked since the request came.
+    Unconfirmed,
+    /// There was only one, which the store has confirmed since the request came.
     One,
     /// There were several.
     Several,
@@ -74,6 +76,7 @@
         match (self, other) {
             (Self::Several, _) | (_, Self::Several) => Self::Several,
             (Self::One, _) | (_, Self::One) => Self::One,
+            (Self::Unconfirmed, _) | (_, Self::Unconfirmed) => Self::Unconfirmed,
             (Self::Unknown, Self::Unknown) => Self::Unknown,
         }
     }
@@ -83,12 +86,30 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Unknown => "unknown",
+            Self::Unconfirmed => "unconfirmed",
             Self::One => "one",
             Self::Several => "several",
         }
     }
 }
 
+/// Asks for the origin of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct OriginQuery {
+    /// The stream.
+    pub key: StreamKey,
+    /// Hash of the name of the service that would continue it.
+    pub service: ShortHash,
+    /// Milliseconds for which the request has waited that would continue it.
+    pub waited_ms: u32,
+}
+
+impl OriginQuery {
+    pub(super) const fn waited(&self) -> Duration {
+        Duration::from_millis(self.waited_ms as u64)
+    }
+}
+
 /// The reply to a query.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct OriginReply {
@@ -108,12 +129,7 @@
     /// Origins to keep, from another replica.
     Copy(Vec<OriginRecord>),
     /// Asks for the origin of a stream.
-    Query {
-        /// The stream.
-        key: StreamKey,
-        /// Hash of the name of the service that would continue it.
-        service: ShortHash,
-    },
+    Query(OriginQuery),
     /// Replies to a query.
     Reply(OriginReply),
 }
--- a/crates/gateway/src/decide/stream_origins/mod.rs
+++ b/crates/gateway/src/decide/stream_origins/mod.rs
@@ -5,6 +5,7 @@
 //! stream finds them without the one that began it. While origins matter, because a service has or lately had several
 //! software versions, a few instances also write those that they keep to the store, which outlives all instances.
 
+mod confirmation;
 mod key;
 mod lookup;
 mod message;
@@ -25,11 +26,12 @@
 
 pub use key::StreamKey;
 pub use lookup::{LookupOutcome, LookupStep, OriginLookup, OriginSource};
-pub use message::{KnownVersions, OriginMessage, OriginRecord, OriginReply};
+pub use message::{KnownVersions, OriginMessage, OriginQuery, OriginRecord, OriginReply};
 pub use record_state::{FoundRecord, RecordStep, RecordWrite};
 pub use replicas::OutgoingOrigins;
 pub use stored::{RecordName, StoredOrigins, StoredStream, StoredVersions, StreamRecord};
 
+use confirmation::Confirmation;
 use recalled::RecalledOrigins;
 use record_state::RecordState;
 use replicas::MemberHash;
@@ -85,6 +87,7 @@
     recorders: BTreeSet<MemberHash>,
     recalled: RecalledOrigins,
     record_state: RecordState,
+    confirmation: Confirmation,
 }
 
 impl StreamOrigins {
--- a/crates/gateway/src/decide/stream_origins/record_state.rs
+++ b/crates/gateway/src/decide/stream_origins/record_state.rs
@@ -95,22 +95,22 @@
 
 /// When a call is made again after failures.
 #[derive(Debug, Default)]
-struct Backoff {
+pub(super) struct Backoff {
     next_at: Time,
     last: Duration,
 }
 
 impl Backoff {
-    fn is_due(&self, now: Time) -> bool {
+    pub(super) fn is_due(&self, now: Time) -> bool {
         now >= self.next_at
     }
 
-    fn record_failure(&mut self, now: Time) {
+    pub(super) fn record_failure(&mut self, now: Time) {
         self.last = (self.last * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
         self.next_at = now + self.last;
     }
 
-    fn reset(&mut self) {
+    pub(super) fn reset(&mut self) {
         *self = Self::default();
     }
 }
--- a/crates/gateway/src/decide/stream_origins/replicas.rs
+++ b/crates/gateway/src/decide/stream_origins/replicas.rs
@@ -8,8 +8,8 @@
 use bluebellstage_core::Time;
 
 use super::{
-    Entry, KnownVersions, MAX_LIFETIME, OriginMessage, OriginRecord, OriginReply, StreamKey,
-    StreamOrigin,
+    Entry, KnownVersions, MAX_LIFETIME, OriginLookup, OriginMessage, OriginQuery, OriginRecord,
+    OriginReply, StreamKey, StreamOrigin,
 };
 use crate::decide::peers::Member;
 use crate::decide::rendezvous::{ShortHash, weight};
@@ -159,8 +159,8 @@
                     self.add_origin(record, true, now);
                 }
             }
-            OriginMessage::Query { key, service } => {
-                let reply = self.origin_reply(key, service, now);
+            OriginMessage::Query(query) => {
+                let reply = self.origin_reply(&query, now);
                 return reply.map(OriginMessage::Reply);
             }
             OriginMessage::Reply(reply) => self.receive_origin_reply(reply, from, now),
@@ -169,7 +169,8 @@
     }
 
     /// Returns what this instance knows of a stream; `None` if it is about to read it from the store: it is asked again.
-    fn origin_reply(&self, key: StreamKey, service: ShortHash, now: Time) -> Option<OriginReply> {
+    fn origin_reply(&mut self, query: &OriginQuery, now: Time) -> Option<OriginReply> {
+        let key = query.key;
         let entry = self.origins.entries.get(&key);
         let entry = entry.filter(|entry| now < entry.expires);
         let record = entry.map(|entry| entry.record(key, now));
@@ -177,25 +178,37 @@
         if record.is_none() && !self.has_read_origins(now) && self.reads_origins(now) {
             return None;
         }
+        let versions = self.known_versions(query.service, query.waited(), now);
+        let is_unconfirmed = record.is_none() && versions == KnownVersions::Unconfirmed;
+        if is_unconfirmed && self.is_confirmer(query.waited(), now) {
+            self.want_confirmation(query.waited(), now);
+        }
         Some(OriginReply {
             key,
             record,
-            versions: self.known_versions(service, now),
+            versions,
         })
     }
 
-    /// Returns what this instance knows of the software versions of a service.
-    #[must_use]
-    pub fn known_versions(&self, service: ShortHash, now: Time) -> KnownVersions {
+    /// Returns what this instance knows of the software versions of a service, for a request that has waited for
+    /// `waited`.
+    fn known_versions(&self, service: ShortHash, waited: Duration, now: Time) -> KnownVersions {
         if self.registry.has_several_versions(service, now) {
             KnownVersions::Several
-        } else if self.knows_versions(now) {
+        } else if !self.knows_versions(now) {
+            KnownVersions::Unknown
+        } else if self.origins.confirmation.is_within(waited, now) {
             KnownVersions::One
         } else {
-            KnownVersions::Unknown
+            KnownVersions::Unconfirmed
         }
     }
 
+    /// Returns what this instance knows of the software versions of the service of a lookup.
+    pub(super) fn known_to_lookup(&self, lookup: &OriginLookup, now: Time) -> KnownVersions {
+        self.known_versions(lookup.service(), lookup.waited(now), now)
+    }
+
     fn receive_origin_reply(&mut self, reply: OriginReply, from: SocketAddr, now: Time) {
         let Some(replies) = self.origins.replies.get_mut(&reply.key) else {
             return;
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -116,6 +116,8 @@
     StreamRecordsRead = 3209, Info, "records of streams read from the store";
     /// A call about what the store keeps of streams failed.
     StreamRecordFailed = 3210, Info, "call about records of streams failed: it is repeated";
+    /// The store was asked whether targets have other software versions than those that are known.
+    VersionsConfirmed = 3211, Debug, "store asked for software versions";
 
     /// The lease of a loader shard was acquired.
     LeaseTaken = 3301, Info, "loader lease taken";
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -20,6 +20,7 @@
 mod brittle_metrics;
 mod caller_memory;
 mod caller_stream;
+mod confirmations;
 mod connection_activity;
 mod connection_metrics;
 mod control;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -80,6 +80,8 @@
     pub(super) quarantine_changed: Notify,
     /// Notified when a peer has replied to a query for the origin of a stream.
     pub(super) origin_replied: Notify,
+    /// A request waits for the store to confirm the software versions.
+    pub(super) confirmation_wanted: Notify,
     /// Notified when a connection to a target failed.
     pub(super) path_doubted: Notify,
     /// Counts how often paths to targets were lost or regained.
@@ -144,6 +146,7 @@
             wakers: Wakers::default(),
             quarantine_changed: Notify::new(),
             origin_replied: Notify::new(),
+            confirmation_wanted: Notify::new(),
             path_doubted: Notify::new(),
             paths_changed: watch::Sender::new(0),
             loader_work: Notify::new(),
--- a/crates/gateway/src/net/origins.rs
+++ b/crates/gateway/src/net/origins.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bluebellstage_core::Time;
+
 use crate::decide::call::ResumedAttempt;
 use crate::decide::config::RouteKind;
 use crate::decide::rendezvous::ShortHash;
@@ -131,29 +133,21 @@
         let service = ShortHash::of(self.ticket.service.as_str());
         let attempt = match &self.call.resumes {
             ResumedAttempt::Id(attempt) => attempt,
-            ResumedAttempt::Unnamed | ResumedAttempt::Malformed => {
-                let now = self.node.now();
-                let versions = self.node.tables().known_versions(service, now);
-                if versions != KnownVersions::Unknown {
-                    return (LookupOutcome::Unknown { versions }, 0);
-                }
-                // No stream began under the id of this attempt yet: what is asked for are the versions.
-                &self.call.id
-            }
+            // No stream began under the id of this attempt yet: what is asked for are the versions.
+            ResumedAttempt::Unnamed | ResumedAttempt::Malformed => &self.call.id,
         };
         let key = StreamKey::of(self.ticket.workspace.as_ref(), attempt);
-        let query = Packet::StreamOrigins(OriginMessage::Query { key, service });
         let mut running = RunningLookup::begin(&self.node, key, service);
         let outcome = loop {
             let replied = self.node.origin_replied.notified();
-            let step = self
-                .node
-                .tables()
-                .next_lookup_step(&mut running.lookup, self.node.now());
+            let now = self.node.now();
+            let step = self.next_lookup_step(&mut running.lookup, now);
             let pause = match step {
                 LookupStep::End(outcome) => break outcome,
                 LookupStep::Wait(pause) => pause,
                 LookupStep::Ask(peers, pause) => {
+                    let query = OriginMessage::Query(running.lookup.query(now));
+                    let query = Packet::StreamOrigins(query);
                     for peer in peers {
                         self.node.send(Destination::Address(peer), query.clone());
                     }
@@ -165,6 +159,15 @@
         (outcome, running.lookup.asked_count())
     }
 
+    fn next_lookup_step(&self, lookup: &mut OriginLookup, now: Time) -> LookupStep {
+        let mut tables = self.node.tables();
+        let step = tables.next_lookup_step(lookup, now);
+        if tables.wants_confirmation() {
+            self.node.confirmation_wanted.notify_one();
+        }
+        step
+    }
+
     /// Stores where the stream began, under the ids by which its caller may continue it.
     pub(super) fn store_origin(&self) {
         let route = self.ticket.route();
@@ -207,7 +210,13 @@
     from: std::net::SocketAddr,
 ) -> Option<OriginMessage> {
     let is_reply = matches!(message, OriginMessage::Reply(_));
-    let reply = node.tables().receive_origins(message, from, node.now());
+    let now = node.now();
+    let mut tables = node.tables();
+    let reply = tables.receive_origins(message, from, now);
+    if tables.wants_confirmation() {
+        node.confirmation_wanted.notify_one();
+    }
+    drop(tables);
     if is_reply {
         node.origin_replied.notify_waiters();
     }
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -17,8 +17,8 @@
 use super::signals::Signals;
 use super::sockets::{limit_buffers, listen};
 use super::{
-    brittle_checks, first_reports, follow, gossip, leases, loaders, memory, origins, paths,
-    peer_copy, quarantine, reload, restorations, stop, stream_records, sync, wait_places,
+    brittle_checks, confirmations, first_reports, follow, gossip, leases, loaders, memory, origins,
+    paths, peer_copy, quarantine, reload, restorations, stop, stream_records, sync, wait_places,
 };
 
 /// Interval between two removals of expired state.
@@ -84,6 +84,7 @@
     }
     tokio::spawn(quarantine::load_decisions(Arc::clone(&node)));
     tokio::spawn(stream_records::run(Arc::clone(&node)));
+    tokio::spawn(confirmations::run(Arc::clone(&node)));
     tokio::spawn(sync::register(Arc::clone(&node)));
     tokio::spawn(restorations::run(Arc::clone(&node)));
     tokio::spawn(peer_copy::run(Arc::clone(&node)));
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -34,7 +34,7 @@
 
 /// First byte of a datagram: identifies the format. A release that changes the format changes this byte, so
 /// that two releases never misread each other's datagrams.
-const FORMAT: u8 = 0xBA;
+const FORMAT: u8 = 0xBB;
 
 /// Why a datagram can't be encoded or decoded.
 #[derive(Debug, thiserror::Error)]
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -33,6 +33,9 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Origins in one datagram, which has room for them.
 const RECORDS_PER_DATAGRAM: usize = 100;
+/// Time in which the store responds, and after which a call without a response has failed.
+const STORE_RESPONSE_TIME: Duration = Duration::from_millis(5);
+const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Number of targets.
 pub const TARGETS: usize = 20;
 /// The workspace whose spending is counted.
@@ -81,6 +84,8 @@
     next_records: Time,
     /// Datagrams that arrived while it was suspended.
     held: Vec<(SocketAddr, Vec<u8>)>,
+    /// When the store's response to its question for other versions is due.
+    confirmed_at: Option<Time>,
     /// Bytes of datagrams sent and received.
     bytes: u64,
     /// Bytes of received datagrams about the origins of streams.
@@ -229,6 +234,7 @@
             next_round: self.now + offset,
             next_records: self.now + offset,
             held: Vec::new(),
+            confirmed_at: None,
             bytes: 0,
             origin_bytes: 0,
         }
@@ -470,6 +476,9 @@
                 if self.is_running(idx) && self.nodes[idx].next_round <= self.now {
                     self.round(idx);
                 }
+                if self.is_running(idx) {
+                    self.confirm(idx);
+                }
                 if self.is_running(idx) && self.nodes[idx].next_records <= self.now {
                     let node = &mut self.nodes[idx];
                     let is_reached = !self.cut_from_store.contains(&idx);
@@ -479,6 +488,34 @@
         }
     }
 
+    /// Lets an instance ask the store for the versions of targets, which responds if it is reached.
+    fn confirm(&mut self, idx: usize) {
+        let now = self.now;
+        let is_reached = !self.records.is_away && !self.cut_from_store.contains(&idx);
+        let response_time = if is_reached {
+            STORE_RESPONSE_TIME
+        } else {
+            STORE_TIMEOUT
+        };
+        let tables = &mut self.nodes[idx].tables;
+        if tables.begin_confirmation(now).is_some() {
+            self.nodes[idx].confirmed_at = Some(now + response_time);
+        }
+        let is_due = self.nodes[idx].confirmed_at.is_some_and(|due| due <= now);
+        if !is_due {
+            return;
+        }
+        let targets = (0..TARGETS).map(|target| self.target(target));
+        let targets = targets.collect::<Vec<_>>();
+        let node = &mut self.nodes[idx];
+        node.confirmed_at = None;
+        if is_reached {
+            node.tables.record_confirmed(targets.iter(), now);
+        } else {
+            node.tables.record_confirmation_failed(now);
+        }
+    }
+
     fn round(&mut self, idx: usize) {
         let now = self.now;
         let node = &mut self.nodes[idx];
--- a/crates/gateway/tests/support/streams.rs
+++ b/crates/gateway/tests/support/streams.rs
@@ -168,16 +168,10 @@
         LookupStep::End(outcome) => return Some(outcome),
         LookupStep::Wait(_) => {}
         LookupStep::Ask(peers, _) => {
-            let query = OriginMessage::Query {
-                key: running.stream.key,
-                service: ShortHash::of(SERVICE),
-            };
+            let query = OriginMessage::Query(running.lookup.query(now));
+            let query = Packet::StreamOrigins(query);
             for peer in peers {
-                fleet.send(
-                    running.instance,
-                    peer,
-                    &Packet::StreamOrigins(query.clone()),
-                );
+                fleet.send(running.instance, peer, &query);
             }
         }
     }
