Load no adapter at an engine that does not report

Callers whose streams had broken off with an engine were refused when they took them up, "its adapter could not be loaded in time", though other engines of their version served.

Cause: an engine that has crashed stays registered for some seconds. It has no load, so it is the best place for an adapter; the holder of its shard can't reach it, but nobody else knows. An instance that has tried it leaves it alone for 0.7 s only.

Change: the holder tells with an engine's slots that it does not report, for 2 s from the last failure; no adapter is loaded there meanwhile.

Result: the test of the choice of engine takes the silent one without the change to the choice.

--- a/crates/gateway/src/decide/loader/engine_state.rs
+++ b/crates/gateway/src/decide/loader/engine_state.rs
@@ -17,6 +17,9 @@
 /// A crashed engine refuses connections at once and would otherwise receive hundreds of orders a
 /// second.
 const UNANSWERED_BACKOFF: Duration = Duration::from_millis(120);
+/// Time for which an engine counts as silent after a report that could not be read: an engine that has crashed stays
+/// registered for some seconds.
+const SILENCE_PERIOD: Duration = Duration::from_secs(2);
 /// Delay after a report that could not be read.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Delay while the engine carries out an order on a base model, which blocks all other orders.
@@ -145,6 +148,7 @@
     pub fn apply_report(&mut self, report: Option<Report>, now: Time) {
         let Some(report) = report else {
             self.not_before = now + REPORT_RETRY_DELAY;
+            self.silent_until = now + SILENCE_PERIOD;
             return;
         };
         if report.accepted < self.min_accepted {
@@ -157,6 +161,7 @@
                 return;
             }
         }
+        self.silent_until = Time::default();
         self.stale_since = None;
         self.last_confirmed_at = now;
         self.last_report_at = now;
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -87,6 +87,8 @@
     requested_model: Option<BaseModel>,
     not_before: Time,
     must_read_report: bool,
+    /// Until this time, the engine counts as silent because it did not report when it was asked.
+    silent_until: Time,
     /// Time of the last report that was accepted as current.
     last_report_at: Time,
     /// Time at which the engine last confirmed the loader's view, by a report or by accepting an
@@ -123,6 +125,7 @@
             requested_model: None,
             not_before: Time::default(),
             must_read_report: false,
+            silent_until: Time::default(),
             last_report_at: Time::default(),
             last_confirmed_at: Time::default(),
             unknown_loads_until: Time::default(),
--- a/crates/gateway/src/decide/loader/slots.rs
+++ b/crates/gateway/src/decide/loader/slots.rs
@@ -14,6 +14,8 @@
     pub waiting_adapters: u8,
     /// Estimated number of adapters that the engine keeps copies of in host memory.
     pub host_copies: u8,
+    /// The engine did not report lately when it was asked: adapters are loaded elsewhere.
+    pub is_silent: bool,
 }
 
 impl Loader {
@@ -32,6 +34,7 @@
             free: to_u8(free),
             waiting_adapters: to_u8(self.waiting_adapters()),
             host_copies: to_u8(self.host_copies),
+            is_silent: now < self.silent_until,
         }
     }
 }
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -255,6 +255,7 @@
                 Some(Owner::Local) => owner_limit,
                 _ => limit,
             };
+            let adapter_slots = self.adapter_slots(&target.id, now);
             Candidate {
                 target,
                 in_flight: local + others.requests,
@@ -267,8 +268,9 @@
                     && self.bears_request(target, local + others.requests, now),
                 // An adapter loaded on a target with a low limit would serve few requests.
                 can_load: self.loader_reachable(&target.id, now)
+                    && !adapter_slots.is_silent
                     && self.limits.get(&target.id).is_none(),
-                adapter_slots: self.adapter_slots(&target.id, now),
+                adapter_slots,
             }
         });
         let candidates = candidates.collect::<Vec<_>>();
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -423,3 +423,16 @@
         assert_eq!(order, load(expected));
     }
 }
+
+/// Guards against requests that wait for an adapter at an engine that has crashed and is still registered.
+#[test]
+fn an_engine_that_does_not_report_counts_as_silent_until_it_does() {
+    let mut loader = Loader::new(2);
+    assert!(!loader.adapter_slots(at(0)).is_silent);
+    loader.apply_report(None, at(100));
+    assert!(loader.adapter_slots(at(101)).is_silent);
+    loader.apply_report(Some(report(1, &[])), at(500));
+    assert!(!loader.adapter_slots(at(501)).is_silent);
+    loader.apply_report(None, at(600));
+    assert!(!loader.adapter_slots(at(2_600)).is_silent);
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -415,6 +415,7 @@
         free,
         waiting_adapters,
         host_copies: 36,
+        is_silent: false,
     };
     tables
         .loads
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -8,6 +8,7 @@
 use bluebellstage_core::{FailureDomain, Revision, ServiceId, TargetId};
 use bluebellstage_gateway::decide::health::TargetOutcome;
 use bluebellstage_gateway::decide::limits::{ReportedLimit, RequestRate};
+use bluebellstage_gateway::decide::loader::AdapterSlots;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
@@ -119,6 +120,26 @@
     assert!(OLD.contains(&target.as_str()), "{target}");
 }
 
+/// Guards against a stream that waits for its adapter at an engine that has crashed, though another of its version serves.
+#[test]
+fn the_adapter_of_a_begun_stream_is_not_loaded_at_a_silent_engine() {
+    for silent in OLD {
+        let mut tables = tables(&[], &["a1"]);
+        let mut holder = peer("holder", at(0));
+        let slots = AdapterSlots {
+            is_silent: true,
+            free: 8,
+            ..AdapterSlots::default()
+        };
+        holder.adapter_slots.insert(ShortHash::of(silent), slots);
+        tables.peers.update(holder);
+        let Pick::Load(target) = pick(&mut tables, &[], 0.5, 0) else {
+            panic!("the other engine can load it");
+        };
+        assert_ne!(target.as_str(), silent);
+    }
+}
+
 /// Guards against a caller that waits for a version that no target has any more.
 #[test]
 fn a_begun_stream_without_targets_of_its_version_is_refused_at_once() {
