Let begun streams wait for room and adapters as long as their callers do

Cause: a request that continues a stream was judged like one that begins: refused if its first event would be late for the route's target latency ("engines would begin it too late", 30 of 56 refusals in the logs), and given up 0.58 s after it began to wait for its adapter if many adapters waited (20 of 56). Its caller has the first event; it can go on only at the engines of its version, which are few in a release, and what it has sent is lost if it does not.

Change: a stream that has begun may go on for as long as its caller is expected to wait, and its adapter is waited for as if the weight store were free.

The two tests of the decisions fail without them.

--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -349,6 +349,13 @@
         share.max(1)
     }
 
+    /// Returns whether a load that has not begun would come too late for the request. A stream that has begun waits for
+    /// it all the same: what it has sent would be lost.
+    #[must_use]
+    pub fn is_load_in_vain(&self, ticket: &Ticket, now: Time) -> bool {
+        !ticket.has_begun() && self.is_loading_congested(ticket, now)
+    }
+
     /// Returns whether so many adapters wait for a load that the weight store will be busy for a
     /// while.
     #[must_use]
--- a/crates/gateway/src/decide/ticket.rs
+++ b/crates/gateway/src/decide/ticket.rs
@@ -76,6 +76,12 @@
         self.routes.version()
     }
 
+    /// Whether the request's stream has begun. Its caller waits for it to go on, and for no first event in time.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        self.software.is_some()
+    }
+
     /// Returns where the request's stream began; `None` if it has not.
     #[must_use]
     pub fn stream_origin(&self) -> Option<StreamOrigin> {
--- a/crates/gateway/src/decide/wait_queue/turn.rs
+++ b/crates/gateway/src/decide/wait_queue/turn.rs
@@ -141,6 +141,7 @@
             1.0 - self.reserved_fraction(ticket, now)
         };
         let limit = match ticket.patience {
+            Some(patience) if ticket.has_begun() => limit.max(patience.useful_until().since(now)),
             Some(patience) if ticket.waits => patience.time_left(now),
             _ => limit,
         };
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -303,12 +303,12 @@
 
     fn load_wait(&self, started: Time, now: Time) -> LoadWaitAction {
         let route = self.ticket.route();
-        let is_congested = self.node.tables().is_loading_congested(&self.ticket, now);
+        let is_in_vain = self.node.tables().is_load_in_vain(&self.ticket, now);
         load_wait(
             now.since(started),
             self.call.timeout.unwrap_or(route.timeout),
             route.target_latency,
-            is_congested,
+            is_in_vain,
         )
     }
 
@@ -337,8 +337,7 @@
     }
 
     fn is_version_gone(&self, now: Time) -> bool {
-        let is_held = self.ticket.software.is_some();
-        is_held && !self.node.tables().has_serving_target(&self.ticket, now)
+        self.ticket.has_begun() && !self.node.tables().has_serving_target(&self.ticket, now)
     }
 
     /// Reports that no target of the version that began the stream may get requests.
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -11,6 +11,7 @@
 use bluebellstage_gateway::decide::loader::AdapterSlots;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
+use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::stream_origins::StreamOrigin;
 use bluebellstage_gateway::decide::tables::Tables;
@@ -140,6 +141,52 @@
     }
 }
 
+/// Queues prompts of a tenth of a second at an engine.
+fn queue_prompts(tables: &mut Tables, engine: &str, count: usize, ms: u64) {
+    let prompt = (RankClass::default(), 1_000);
+    for _ in 0..count {
+        let queues = &mut tables.queues;
+        queues.record_sent(&id(engine), prompt, RankedTokens::default(), at(ms));
+    }
+}
+
+/// Guards against a begun stream that is refused because its next event would be late for a first one.
+#[test]
+fn a_begun_stream_goes_on_where_a_new_one_would_begin_too_late() {
+    let mut tables = tables(&["a1"], &[]);
+    for engine in OLD {
+        let queues = &mut tables.queues;
+        let prompt = (RankClass::default(), 1_000);
+        let sent = queues.record_sent(&id(engine), prompt, RankedTokens::default(), at(0));
+        tables.record_started(sent, at(100));
+        queue_prompts(&mut tables, engine, 7, 200);
+    }
+    let pick = |tables: &mut Tables, begun: Option<&str>| {
+        let call = draft("a1");
+        let mut ticket = tables.admit(&call, 0, at(201)).unwrap();
+        ticket.software = begun.map(software);
+        ticket.set_patience(Duration::from_secs(10), at(201));
+        tables.pick(&ticket, &call, &[], 0.5, at(201))
+    };
+    assert!(matches!(pick(&mut tables, None), Pick::Late { .. }));
+    assert!(matches!(pick(&mut tables, Some("v1")), Pick::Send { .. }));
+    for engine in OLD {
+        queue_prompts(&mut tables, engine, 6, 201);
+    }
+    assert!(matches!(pick(&mut tables, Some("v1")), Pick::Late { .. }));
+}
+
+/// Guards against a begun stream whose adapter is given up early while many others wait for theirs.
+#[test]
+fn a_begun_stream_waits_for_its_adapter_while_loading_is_congested() {
+    let mut tables = tables(&[], &[]);
+    tables.loads.waiting = 1_000;
+    let mut ticket = tables.admit(&draft("a1"), 0, at(0)).unwrap();
+    assert!(tables.is_load_in_vain(&ticket, at(0)));
+    ticket.software = Some(software("v1"));
+    assert!(!tables.is_load_in_vain(&ticket, at(0)));
+}
+
 /// Guards against a caller that waits for a version that no target has any more.
 #[test]
 fn a_begun_stream_without_targets_of_its_version_is_refused_at_once() {
