Look up no origin of a stream that is not named while several versions are known

A test that uses an id twice found the origin of another attempt and went on. Change: as before, such a stream is refused at once.

--- a/crates/gateway/src/decide/stream_origins/replicas.rs
+++ b/crates/gateway/src/decide/stream_origins/replicas.rs
@@ -192,7 +192,8 @@
 
     /// Returns what this instance knows of the software versions of a service, for a request that has waited for
     /// `waited`.
-    fn known_versions(&self, service: ShortHash, waited: Duration, now: Time) -> KnownVersions {
+    #[must_use]
+    pub fn known_versions(&self, service: ShortHash, waited: Duration, now: Time) -> KnownVersions {
         if self.registry.has_several_versions(service, now) {
             KnownVersions::Several
         } else if !self.knows_versions(now) {
--- a/crates/gateway/src/net/origins.rs
+++ b/crates/gateway/src/net/origins.rs
@@ -133,8 +133,16 @@
         let service = ShortHash::of(self.ticket.service.as_str());
         let attempt = match &self.call.resumes {
             ResumedAttempt::Id(attempt) => attempt,
-            // No stream began under the id of this attempt yet: what is asked for are the versions.
-            ResumedAttempt::Unnamed | ResumedAttempt::Malformed => &self.call.id,
+            ResumedAttempt::Unnamed | ResumedAttempt::Malformed => {
+                let now = self.node.now();
+                let tables = self.node.tables();
+                let versions = tables.known_versions(service, Duration::ZERO, now);
+                if versions == KnownVersions::Several {
+                    return (LookupOutcome::Unknown { versions }, 0);
+                }
+                // No stream began under the id of this attempt yet: what is asked for are the versions.
+                &self.call.id
+            }
         };
         let key = StreamKey::of(self.ticket.workspace.as_ref(), attempt);
         let mut running = RunningLookup::begin(&self.node, key, service);
