List in place of a watch whose response can't be read

Callers had requests sent to servers that had left, and none to new ones, for as long as the store kept its history, after another writer had left entries of 12 MB in all among those of the servers: no process ended, but none followed.

Cause: a watch returns all changes at once, and the client takes 8 MiB. What was too long counted as no response, and the follower asked again for the same.

Change: a response that has begun and can't be read to its end, or decoded, is told from none (StoreError::Unread). A follower that can't read a watch lists instead, in pages, and is spaced like one whose history is gone; BS3212 and the metric of the store's calls (outcome unread) tell it. Other calls are as before.

--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/follower.rs
@@ -145,6 +145,12 @@
         Duration::ZERO
     }
 
+    /// Records that a watch's response could not be read. The next request is a list, which has pages. Returns the delay
+    /// before it: none, unless no watch has been read since the last list either.
+    pub fn record_unread(&mut self, took: Duration, spread: f64) -> Duration {
+        self.record_history_gone(took, spread)
+    }
+
     const fn max_backoff(&self) -> Duration {
         match (self.kind, self.after) {
             (Kind::Members, None) => FIRST_CONTACT_BACKOFF,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -34,6 +34,16 @@
         /// The decoder's error.
         cause: Box<str>,
     },
+    /// A response began and could not be read to its end.
+    #[error(
+        "response of {address} not read to its end ({cause}): the request is changed or retried"
+    )]
+    Unread {
+        /// Address of the request's destination.
+        address: SocketAddr,
+        /// What went wrong.
+        cause: Box<str>,
+    },
     /// An exchange with a peer or target failed.
     #[error("no response from {address} ({cause}): the request is retried")]
     Exchange {
@@ -57,6 +67,9 @@
     /// The store no longer keeps the requested changes.
     #[error("the requested changes are no longer kept: list again")]
     HistoryGone,
+    /// The store has responded, with more than can be read, or something that can't be.
+    #[error("the store's response can't be read ({0}): list in place of a watch")]
+    Unread(Box<str>),
     /// The store rejected the call and changed nothing.
     #[error("the store rejected the call with status {0}: try again later")]
     Refused(u16),
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -68,6 +68,12 @@
             Err(StoreError::HistoryGone) => {
                 follower.record_history_gone(started.elapsed(), spread())
             }
+            // The same watch would have the same response.
+            Err(StoreError::Unread(cause)) if follower.after().is_some() => {
+                let fields = [("kind", kind.name()), ("cause", &*cause)];
+                event(LogEvent::WatchUnread, &fields);
+                follower.record_unread(started.elapsed(), spread())
+            }
             Err(err) => {
                 if !std::mem::replace(&mut is_store_lost, true) {
                     let cause = err.to_string();
@@ -161,10 +167,14 @@
     let outcome = match listing {
         Ok(_) => "answered",
         Err(StoreError::HistoryGone) => "history_gone",
+        Err(StoreError::Unread(_)) => "unread",
         Err(_) => "failed",
     };
     node.metrics.store_call_ended(kind, outcome);
-    let has_responded = matches!(listing, Ok(_) | Err(StoreError::HistoryGone));
+    let has_responded = matches!(
+        listing,
+        Ok(_) | Err(StoreError::HistoryGone | StoreError::Unread(_))
+    );
     node.tables()
         .store_calls
         .record_end(kind, has_responded, now);
--- a/crates/gateway/src/net/http_client.rs
+++ b/crates/gateway/src/net/http_client.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::decide::target::Target;
 use crate::edge::Edge;
@@ -67,14 +68,24 @@
     req: Request<Bytes>,
     limits: ResponseLimits,
 ) -> Result<Response<Bytes>, GatewayError> {
+    let until = Instant::now() + limits.timeout;
     let calling = async {
         let connection = open(address).await?;
         let sent = connection.send(req.map(Full::new)).await;
-        let (response, _connection) = sent.map_err(|err| failed(address, &err))?;
-        read(address, response, limits.body_bytes).await
+        sent.map_err(|err| failed(address, &err))
     };
-    let result = tokio::time::timeout(limits.timeout, calling).await;
-    result.map_err(|elapsed| failed(address, &elapsed))?
+    let sent = tokio::time::timeout_at(until, calling).await;
+    let (response, _connection) = sent.map_err(|elapsed| failed(address, &elapsed))??;
+    let unread = |cause: &dyn fmt::Display| GatewayError::Unread {
+        address,
+        cause: cause.to_string().into(),
+    };
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = tokio::time::timeout_at(until, body).await;
+    let body = body.map_err(|elapsed| unread(&elapsed))?;
+    let body = body.map_err(|err| unread(&err))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 /// Sends a request to a target, on a pooled connection if there is one.
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -118,6 +118,8 @@
     StreamRecordFailed = 3210, Info, "call about records of streams failed: it is repeated";
     /// The store was asked whether targets have other software versions than those that are known.
     VersionsConfirmed = 3211, Debug, "store asked for software versions";
+    /// The response to a watch was too long, cut or malformed.
+    WatchUnread = 3212, Warn, "changes could not be read from the store: all objects are listed";
 
     /// The lease of a loader shard was acquired.
     LeaseTaken = 3301, Info, "loader lease taken";
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -488,3 +488,17 @@
     let after_a_watch = follower.record_history_gone(Duration::ZERO, 1.0);
     assert_eq!(after_a_watch, Duration::ZERO);
 }
+
+/// Guards against a follower that asks again for changes that it could not read, or lists in a tight loop.
+#[test]
+fn a_watch_that_can_not_be_read_is_followed_by_a_list() {
+    let mut follower = Follower::new(Kind::Targets, Some(Revision(7)));
+    let took = Duration::from_millis(5);
+    assert_eq!(follower.record_unread(took, 1.0), Duration::ZERO);
+    assert_eq!(follower.next_request(), StoreRequest::List);
+    follower.record_copy(Revision(7));
+    assert_eq!(follower.next_request(), StoreRequest::List);
+    follower.record_response(Revision(9), true, took);
+    assert!(follower.record_unread(took, 1.0) > Duration::ZERO);
+    assert_eq!(follower.next_request(), StoreRequest::List);
+}
