Refuse at once where the store was asked in vain

Instances that are cut off together hear each other, and made a stream of unknown origin wait for the store's word for 1 s, again and again. Once a call to the store has failed, a lookup ends after 200 ms until one is answered. The steps of a lookup are split. Result: instances_that_are_cut_off_together_do_not_confirm_each_other asks for 250 ms at the second take-up.

--- a/crates/gateway/src/decide/stream_origins/confirmation.rs
+++ b/crates/gateway/src/decide/stream_origins/confirmation.rs
@@ -35,6 +35,11 @@
 }
 
 impl Confirmation {
+    /// Whether the store has not responded to the last call.
+    pub(super) const fn has_failed(&self) -> bool {
+        self.backoff.is_set()
+    }
+
     /// Whether the store has responded to a call that began in the last `waited`.
     pub(super) fn is_within(&self, waited: Duration, now: Time) -> bool {
         self.confirmed_at
--- a/crates/gateway/src/decide/stream_origins/lookup.rs
+++ b/crates/gateway/src/decide/stream_origins/lookup.rs
@@ -105,6 +105,18 @@
         self.service
     }
 
+    fn begin_wave(&mut self, peers: Vec<SocketAddr>, now: Time) -> LookupStep {
+        self.waves += 1;
+        self.next_wave = now + WAVE_INTERVAL;
+        if peers.is_empty() {
+            return LookupStep::Wait(WAVE_INTERVAL);
+        }
+        let newly_asked = peers.iter().filter(|peer| !self.asked.contains(peer));
+        let newly_asked = newly_asked.copied().collect::<Vec<_>>();
+        self.asked.extend(newly_asked);
+        LookupStep::Ask(peers, WAVE_INTERVAL)
+    }
+
     /// Number of instances that were asked.
     #[must_use]
     pub fn asked_count(&self) -> usize {
@@ -143,18 +155,8 @@
 
     /// Returns what a lookup does next. Called again after the returned time, or when a reply has arrived.
     pub fn next_lookup_step(&mut self, lookup: &mut OriginLookup, now: Time) -> LookupStep {
-        if let Some((origin, age)) = self.origins.get(lookup.key, now) {
-            let source = if lookup.asked.is_empty() {
-                OriginSource::Local
-            } else {
-                OriginSource::Peer
-            };
-            let origin = origin.clone();
-            return LookupStep::End(LookupOutcome::Found {
-                origin,
-                age,
-                source,
-            });
+        if let Some(found) = self.found(lookup, now) {
+            return LookupStep::End(found);
         }
         let versions = self.versions_of(lookup, now);
         let awaited = self.awaited(lookup, versions, now);
@@ -180,15 +182,21 @@
             Awaited::Confirmation if lookup.waves > 0 => self.with_confirmers(next, lookup, now),
             _ => next,
         };
-        lookup.waves += 1;
-        lookup.next_wave = now + WAVE_INTERVAL;
-        if next.is_empty() {
-            return LookupStep::Wait(WAVE_INTERVAL);
-        }
-        let newly_asked = next.iter().filter(|peer| !lookup.asked.contains(peer));
-        let newly_asked = newly_asked.copied().collect::<Vec<_>>();
-        lookup.asked.extend(newly_asked);
-        LookupStep::Ask(next, WAVE_INTERVAL)
+        lookup.begin_wave(next, now)
+    }
+
+    fn found(&self, lookup: &OriginLookup, now: Time) -> Option<LookupOutcome> {
+        let (origin, age) = self.origins.get(lookup.key, now)?;
+        let source = if lookup.asked.is_empty() {
+            OriginSource::Local
+        } else {
+            OriginSource::Peer
+        };
+        Some(LookupOutcome::Found {
+            origin: origin.clone(),
+            age,
+            source,
+        })
     }
 
     /// Returns what is known of the software versions of the service, by this instance and those that have replied.
@@ -226,9 +234,10 @@
         let mut asked = lookup.asked.iter();
         let is_alone = self.peers.all().next().is_none();
         let is_answered = is_alone || asked.any(|peer| self.has_replied(lookup, peer));
+        let may_be_confirmed = is_answered && !self.origins.confirmation.has_failed();
         match awaited {
             Awaited::Read => READ_TIMEOUT,
-            Awaited::Confirmation if is_answered => READ_TIMEOUT,
+            Awaited::Confirmation if may_be_confirmed => READ_TIMEOUT,
             Awaited::Confirmation | Awaited::Peers => LOOKUP_TIMEOUT,
         }
     }
--- a/crates/gateway/src/decide/stream_origins/record_state.rs
+++ b/crates/gateway/src/decide/stream_origins/record_state.rs
@@ -101,6 +101,10 @@
 }
 
 impl Backoff {
+    pub(super) const fn is_set(&self) -> bool {
+        !self.last.is_zero()
+    }
+
     pub(super) fn is_due(&self, now: Time) -> bool {
         now >= self.next_at
     }
--- a/crates/gateway/tests/out_of_step.rs
+++ b/crates/gateway/tests/out_of_step.rs
@@ -72,6 +72,10 @@
         fleet.run_ms(cut_ms);
         let found = take_up_after_release(&mut fleet, &[1, 2]);
         assert_eq!(found.refused, STREAMS, "{cut_ms} ms");
+        // Once the store was asked in vain, nobody waits for it.
+        let found = continue_at(&mut fleet, &unheard(STREAMS), &[1, 2]);
+        assert_eq!(found.refused, STREAMS, "{cut_ms} ms");
+        assert!(found.longest <= MAX_LOOKUP, "{cut_ms}: {found:?}");
     }
 }
 
