Confirm versions from a list that is whole

A copy that leaves a difference has the newest revision and lacks targets, so changes after that revision could miss a version. The store is asked from the revision up to which nothing is missing. By reading; out_of_step passes.

--- a/crates/gateway/src/decide/stream_origins/confirmation.rs
+++ b/crates/gateway/src/decide/stream_origins/confirmation.rs
@@ -56,7 +56,7 @@
         confirmation.is_wanted |= !is_served;
     }
 
-    /// Whether a call is to begin, as far as this instance can tell without the time.
+    /// Whether a call is to begin, now or when the backoff after a failed one is over.
     #[must_use]
     pub const fn wants_confirmation(&self) -> bool {
         self.origins.confirmation.is_wanted
@@ -72,7 +72,7 @@
         }
         confirmation.is_wanted = false;
         confirmation.running_since = Some(now);
-        Some(self.registry.revision())
+        Some(self.registry.copied_revision())
     }
 
     /// Records the targets that have changed, as the store has responded.
