--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -276,6 +276,12 @@
         self.cut_from_store.extend(group);
     }
 
+    /// Gives an instance its paths to the others and to the store back. It has missed what they have learned.
+    pub fn reconnect(&mut self, idx: usize) {
+        self.cut_off.remove(&idx);
+        self.cut_from_store.remove(&idx);
+    }
+
     /// Kills all instances at the same moment.
     pub fn kill_all(&mut self) {
         for idx in 0..self.len() {
