Learn a process's start from its own report while it is registered late

Cause: the end of an answer without a length is judged by the start time of its process, which a connection took from the registration. A process serves before its registration is seen, so its answers counted as ones of the process before it.

A start time that a report on a new connection names is kept until another one is registered, and counts for connections that are opened afterwards, and for the one on which it came. A process that answered before a connection was opened and still answers at its end is the one that sent the answer.

Ruled out: the mends of streams out of step; no lookup was made, and the code of ends is older than they are.

--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -81,6 +81,7 @@
 mod target_exchange;
 mod target_response;
 mod target_socket;
+mod told_starts;
 mod unknown_headers;
 mod unnamed_services;
 mod wait_metrics;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -23,6 +23,7 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::residency_updates::ResidencyQueue;
+use super::told_starts::ToldStarts;
 use super::unknown_headers::UnknownHeaders;
 use super::unnamed_services::UnnamedServices;
 use super::wait_places::Wakers;
@@ -68,6 +69,7 @@
     pub(super) leases: Leases,
     /// Checks of targets on which runs were interrupted.
     pub(super) crash_checks: CrashChecks,
+    pub(super) told_starts: ToldStarts,
     /// Notified when a peer has newer state than this instance.
     pub(super) peer_is_newer: Notify,
     /// Notified when an adapter was loaded, or a target was added or removed.
@@ -140,6 +142,7 @@
             unknown_headers: UnknownHeaders::default(),
             leases,
             crash_checks: CrashChecks::default(),
+            told_starts: ToldStarts::default(),
             peer_is_newer: Notify::new(),
             changed: Notify::new(),
             loads_changed: Notify::new(),
--- a/crates/gateway/src/net/pool.rs
+++ b/crates/gateway/src/net/pool.rs
@@ -75,7 +75,8 @@
     reused: bool,
     /// Whether a request was sent that has no response yet.
     awaits_response: bool,
-    /// Start time of the process at the other side, as it was known before the connection was opened.
+    /// Start time of the process at the other side, as it was known before the connection was opened, or as that process
+    /// has told it on the connection.
     pub(super) born: Option<u64>,
     address: Option<SocketAddr>,
     opened_at: Instant,
--- a/crates/gateway/src/net/run.rs
+++ b/crates/gateway/src/net/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellstage_core::Time;
+use bluebellstage_core::{TargetId, Time};
 use tokio::net::UdpSocket;
 
 use crate::decide::pace::DroppedReports;
@@ -121,6 +121,8 @@
         node.unnamed_services
             .sweep(|service| config.service(service).is_some());
         node.crash_checks.sweep(now);
+        let registered = |target: &TargetId| node.tables().registry.get(target)?.born;
+        node.told_starts.sweep(registered);
     }
 }
 
--- a/crates/gateway/src/net/target_connection.rs
+++ b/crates/gateway/src/net/target_connection.rs
@@ -80,7 +80,8 @@
     address: SocketAddr,
     timeout: Duration,
 ) -> std::io::Result<Connection> {
-    let born = start_time(node, target);
+    let registered = registered_start(node, target);
+    let born = registered.map(|registered| node.told_starts.current(target, registered));
     let stream = connect_to_target(node, target, address, timeout).await?;
     let buf_size = match node.memory {
         Some(_) => SMALL_BUF_SIZE,
@@ -222,14 +223,33 @@
     address: SocketAddr,
     until: Time,
 ) -> Answer {
+    let registered = registered_start(node, target);
     match open(node, target, address, PROBE_TIMEOUT).await {
-        Ok(connection) => ask_on(node, target, address, connection, until).await,
+        Ok(connection) => {
+            let answer = ask_on(node, target, address, connection, until).await;
+            record_told_start(node, target, registered, answer);
+            answer
+        }
         Err(err) if err.kind() == ErrorKind::ConnectionRefused => Answer::Refused,
         Err(err) if err.kind() == ErrorKind::ConnectionReset => Answer::Closed,
         Err(_timed_out_or_local) => Answer::Silent,
     }
 }
 
+/// Records the start time that a target told on a new connection, unless another one was registered meanwhile.
+fn record_told_start<E: Edge>(
+    node: &Node<E>,
+    target: &TargetId,
+    registered: Option<u64>,
+    answer: Answer,
+) {
+    if let (Answer::Answered(Some(told)), Some(registered)) = (answer, registered)
+        && registered_start(node, target) == Some(registered)
+    {
+        node.told_starts.record(target, registered, told);
+    }
+}
+
 /// Whether a connection that was open before a request was sent still is.
 fn is_kept_open<E: Edge>(
     node: &Node<E>,
@@ -284,7 +304,7 @@
     let started = node.now();
     let timeout = ANSWER_TIMEOUT.min(until.since(started));
     let sent = tokio::time::timeout(timeout, connection.send(req)).await;
-    let (res, connection) = match sent {
+    let (res, mut connection) = match sent {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendFailure::WrongAnswer(_))) | Err(_) => return Answer::Silent,
         Ok(Err(_closed)) => return Answer::Closed,
@@ -305,14 +325,17 @@
     if was_kept && head.id.is_some() {
         return Answer::Closed;
     }
+    let told = node.protocol.start_time(&report);
     if !head.closes_connection {
+        // The process at the other side has told it itself.
+        connection.born = born.and(told).or(born);
         node.pool.put(target, connection, head.idle_timeout);
     }
-    Answer::Answered(node.protocol.start_time(&report))
+    Answer::Answered(told)
 }
 
-/// Returns when the target's process started, if the target reports it.
-fn start_time<E: Edge>(node: &Node<E>, target: &TargetId) -> Option<u64> {
+/// Returns when the target's process started, as far as it is registered.
+fn registered_start<E: Edge>(node: &Node<E>, target: &TargetId) -> Option<u64> {
     let tables = node.tables();
     tables.registry.get(target).and_then(|known| known.born)
 }
