Claim a lease that can't be read once no holder can have it

Operators saw no more adapters loaded at the engines of a shard whose lease object another writer had overwritten with what can't be decoded, for good.

Cause: whoever read the object took it for a failed call and read it again. The holder lost it at its next renewal, which conflicts.

An object that can't be read now counts as a lease that any holder may just have renewed: it is claimed after it was unchanged for a lease's duration, and orders wait for the handover. Its fencing token is unknown; each claim was a change of the store, so the count of changes in its revision is no less than any token of its era.

--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rendezvous::ShortHash;
-use super::store_position::Era;
+use super::store_position::{Era, StorePosition};
 
 /// Number of shards: the maximum number of instances that order loads at the same time, and the
 /// inverse of the fraction of engines that wait when one of them dies.
@@ -31,6 +31,8 @@
 /// Number of fencing tokens of one era of the store. The store may forget holders when it is restored, so the
 /// tokens of an era are higher than all earlier ones.
 const TOKENS_PER_ERA: u64 = 1 << 24;
+/// No lease is claimed more often in an era of the store, by a wide margin.
+const MAX_CLAIMS_PER_ERA: u64 = TOKENS_PER_ERA / 2;
 
 /// Remaining time before the holder of a lease may order: targets must not get orders of two holders in quick succession.
 /// Stored because the next process of the instance has to wait for it, too; a duration because the clocks of processes
@@ -103,6 +105,8 @@
     was_held_locally: bool,
     /// Fencing token of the lease that this process held last.
     held_token: Option<u64>,
+    /// Highest fencing token that this process has seen.
+    highest_token: u64,
     /// End of the handover under that token.
     no_orders_before: Time,
     next_step_at: Time,
@@ -119,13 +123,33 @@
     held_lease: bool,
 }
 
+/// What was read of the lease object.
+#[derive(Clone, Debug)]
+enum Found {
+    /// There is none.
+    Absent,
+    /// It can't be decoded: its holder and fencing token are not known.
+    Unreadable,
+    /// A record of any holder.
+    Record(LeaseRecord),
+}
+
+impl Found {
+    const fn record(&self) -> Option<&LeaseRecord> {
+        match self {
+            Self::Record(record) => Some(record),
+            Self::Absent | Self::Unreadable => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum State {
     /// The object has not been read.
     Unread,
-    /// A record of any holder, unchanged since this time.
+    /// What any holder has written, unchanged since this time.
     Observed {
-        record: Option<LeaseRecord>,
+        found: Found,
         revision: Option<Revision>,
         since: Time,
     },
@@ -149,6 +173,7 @@
             settled: Vec::new(),
             was_held_locally: false,
             held_token: None,
+            highest_token: 0,
             no_orders_before: Time::default(),
             next_step_at: Time::default(),
             era: None,
@@ -184,20 +209,28 @@
         u64::from(self.era().0) * TOKENS_PER_ERA + 1
     }
 
+    /// Returns a token that is higher than all that were claimed in the store's era: each claim was a change of the store.
+    fn token_after_unreadable(&self, revision: Option<Revision>) -> u64 {
+        let changes = revision.map_or(0, |revision| StorePosition::from(revision).counter);
+        let by_changes = self.first_token() + changes.min(MAX_CLAIMS_PER_ERA);
+        by_changes.max(self.highest_token + 1)
+    }
+
     /// Whether the store was restored after the record was written, or lost. Holders of that time may be unknown.
-    fn is_from_before_restoration(&self, record: Option<&LeaseRecord>) -> bool {
-        match record {
-            Some(record) => record.fencing < self.first_token(),
-            None => self.restoration.is_some(),
+    fn is_from_before_restoration(&self, found: &Found) -> bool {
+        match found {
+            Found::Record(record) => record.fencing < self.first_token(),
+            Found::Absent => self.restoration.is_some(),
+            Found::Unreadable => false,
         }
     }
 
     /// Whether this instance held the lease when the store was restored, and so is the only one that may have ordered.
-    fn continues_from_before(&self, record: Option<&LeaseRecord>) -> bool {
+    fn continues_from_before(&self, found: &Found) -> bool {
         let held_lease = self
             .restoration
             .is_some_and(|restoration| restoration.held_lease);
-        held_lease && self.is_from_before_restoration(record)
+        held_lease && self.is_from_before_restoration(found)
     }
 
     /// Returns a time after which a holder that the restored store does not know can't have renewed its lease: when the
@@ -271,16 +304,16 @@
                 LeaseStep::Sleep(now + POLL_INTERVAL)
             }
             State::Unread => LeaseStep::Read,
-            State::Observed { record, .. }
-                if !wanted && !self.names_local_instance(record.as_ref()) =>
+            State::Observed { found, .. }
+                if !wanted && !self.names_local_instance(found.record()) =>
             {
                 LeaseStep::Sleep(now + POLL_INTERVAL)
             }
             State::Observed {
-                record,
+                found,
                 revision,
                 since,
-            } => self.claim(record.as_ref(), *revision, *since, now),
+            } => self.claim(found, *revision, *since, now),
         }
     }
 
@@ -309,18 +342,20 @@
     ///
     /// A record from before a restoration of the store may name a former holder, or be missing. The holder of
     /// that time claims the lease at once; others wait until its orders are over.
-    fn claimable_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
-        if self.continues_from_before(record) {
+    ///
+    /// An object that can't be read may hide a renewal of any holder, even of this one's successor.
+    fn claimable_from(&self, found: &Found, since: Time) -> Time {
+        if self.continues_from_before(found) {
             return since;
         }
-        if self.is_from_before_restoration(record) {
+        if self.is_from_before_restoration(found) {
             return self.last_unknown_renewal(since) + LEASE_DURATION + TAKEOVER_MARGIN;
         }
-        match record {
-            None => since,
-            Some(record) if record.holder == self.local_instance => since,
-            Some(record) if record.released => since + self.handover,
-            Some(_) => since + LEASE_DURATION + TAKEOVER_MARGIN,
+        match found {
+            Found::Absent => since,
+            Found::Record(record) if record.holder == self.local_instance => since,
+            Found::Record(record) if record.released => since + self.handover,
+            Found::Record(_) | Found::Unreadable => since + LEASE_DURATION + TAKEOVER_MARGIN,
         }
     }
 
@@ -329,15 +364,17 @@
     /// A holder that released its lease may have sent orders until then; an unresponsive one has sent none since its
     /// last renewal, observed or not, expired. If an earlier process of this instance has claimed the lease and its
     /// handover has not ended, the holder before had sent its last order when the record was written.
-    fn orders_from(&self, record: Option<&LeaseRecord>, since: Time) -> Time {
-        if self.continues_from_before(record) {
+    fn orders_from(&self, found: &Found, since: Time) -> Time {
+        if self.continues_from_before(found) {
             return self.no_orders_before;
         }
-        if self.is_from_before_restoration(record) {
+        if self.is_from_before_restoration(found) {
             return self.last_unknown_renewal(since) + LEASE_DURATION + self.handover;
         }
-        let Some(record) = record else {
-            return since;
+        let record = match found {
+            Found::Absent => return since,
+            Found::Unreadable => return since + LEASE_DURATION + self.handover,
+            Found::Record(record) => record,
         };
         if record.holder == self.local_instance {
             return match record.handover {
@@ -357,15 +394,20 @@
 
     fn claim(
         &self,
-        record: Option<&LeaseRecord>,
+        found: &Found,
         revision: Option<Revision>,
         since: Time,
         now: Time,
     ) -> LeaseStep {
-        if now < self.claimable_from(record, since) {
+        if now < self.claimable_from(found, since) {
             return LeaseStep::Read;
         }
-        let next_token = record.map_or(1, |record| record.fencing + 1);
+        let record = found.record();
+        let next_token = match found {
+            Found::Absent => 1,
+            Found::Unreadable => self.token_after_unreadable(revision),
+            Found::Record(record) => record.fencing + 1,
+        };
         let fencing = next_token.max(self.first_token());
         let claim = LeaseRecord {
             holder: self.local_instance.clone(),
@@ -373,18 +415,29 @@
             renewal: 1,
             released: false,
             settled: record.map_or_else(Vec::new, |record| record.settled.clone()),
-            handover: Handover::ending_at(self.orders_from(record, since), now),
+            handover: Handover::ending_at(self.orders_from(found, since), now),
         };
         LeaseStep::Write(claim, revision)
     }
 
     /// Records the object as read from the store; `None` if there is none.
     pub fn record_read(&mut self, found: Option<(LeaseRecord, Revision)>, now: Time) {
+        match found {
+            Some((record, revision)) => {
+                self.highest_token = self.highest_token.max(record.fencing);
+                self.observe(Found::Record(record), Some(revision), now);
+            }
+            None => self.observe(Found::Absent, None, now),
+        }
+    }
+
+    /// Records that the object was read and can't be decoded.
+    pub fn record_unreadable(&mut self, revision: Revision, now: Time) {
+        self.observe(Found::Unreadable, Some(revision), now);
+    }
+
+    fn observe(&mut self, found: Found, revision: Option<Revision>, now: Time) {
         self.was_held_locally = false;
-        let (record, revision) = match found {
-            Some((record, revision)) => (Some(record), Some(revision)),
-            None => (None, None),
-        };
         let unchanged = match &self.state {
             State::Observed {
                 revision: previous,
@@ -394,10 +447,10 @@
             _ => None,
         };
         let since = unchanged.unwrap_or(now);
-        let claimable_from = self.claimable_from(record.as_ref(), since);
+        let claimable_from = self.claimable_from(&found, since);
         self.next_step_at = claimable_from.max(now).min(now + POLL_INTERVAL);
         self.state = State::Observed {
-            record,
+            found,
             revision,
             since,
         };
@@ -407,16 +460,17 @@
     pub fn record_write(&mut self, record: LeaseRecord, revision: Revision, sent: Time, now: Time) {
         match &self.state {
             State::Observed {
-                record: previous,
+                found: previous,
                 since,
                 ..
-            } => self.no_orders_before = self.orders_from(previous.as_ref(), *since),
+            } => self.no_orders_before = self.orders_from(previous, *since),
             State::Unread if record.handover != Handover::Ended => {
                 self.no_orders_before = now + self.handover;
             }
             State::Unread | State::Held { .. } => {}
         }
         self.held_token = Some(record.fencing);
+        self.highest_token = self.highest_token.max(record.fencing);
         self.was_held_locally = true;
         self.restoration = None;
         self.state = State::Held {
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -189,7 +189,7 @@
     match found {
         Ok(Some(object)) => match object.content {
             Some(Content::Lease(record)) => lease.record_read(Some((record, object.revision)), now),
-            _ => lease.record_write_failure(false, now),
+            _ => lease.record_unreadable(object.revision, now),
         },
         Ok(None) => lease.record_read(None, now),
         Err(_unavailable) => lease.record_write_failure(false, now),
--- a/crates/gateway/tests/lease.rs
+++ b/crates/gateway/tests/lease.rs
@@ -18,6 +18,8 @@
 #[derive(Default)]
 struct Store {
     object: Option<(LeaseRecord, Revision)>,
+    /// Whether another writer has overwritten the object.
+    is_unreadable: bool,
 }
 
 impl Store {
@@ -28,6 +30,7 @@
         }
         let next = Revision(revision.map_or(1, |revision| revision.0 + 1));
         self.object = Some((record.clone(), next));
+        self.is_unreadable = false;
         Some(next)
     }
 
@@ -35,6 +38,9 @@
     fn run(&mut self, lease: &mut ShardLease, wanted: bool, now: Time) {
         match lease.step(wanted, now) {
             LeaseStep::Sleep(_) => {}
+            LeaseStep::Read if self.is_unreadable => {
+                lease.record_unreadable(self.object.clone().unwrap().1, now);
+            }
             LeaseStep::Read => lease.record_read(self.object.clone(), now),
             LeaseStep::Write(record, at) => match self.write(&record, at) {
                 Some(revision) => lease.record_write(record, revision, now, now),
@@ -242,3 +248,24 @@
     let unchanged = support::target("e0", "writers").incarnation();
     assert_eq!(known, Vec::from_iter(unchanged));
 }
+
+/// Guards against a claim with a fencing token that a former holder had, as its record could not be read: engines would
+/// take the orders of both. The claimant is a process that knows no earlier token.
+#[test]
+fn a_claim_of_a_lease_that_can_not_be_read_has_a_token_of_its_own() {
+    let mut store = Store::default();
+    let mut tokens = Vec::new();
+    for idx in 0..6 {
+        let mut holder = lease(&format!("holder-{idx}"));
+        let started = idx * 20_000;
+        for ms in (started..started + 15_000).step_by(50) {
+            store.run(&mut holder, true, at(ms));
+        }
+        tokens.push(holder.may_order(at(started + 15_000)));
+        let (record, revision) = store.object.clone().unwrap();
+        store.write(&record, Some(revision));
+        store.is_unreadable = idx % 2 == 0;
+    }
+    assert!(tokens[0].is_some());
+    assert!(tokens.is_sorted_by(|one, next| one < next), "{tokens:?}");
+}
