Let an adapter whose name can't be read cost itself and its slot alone

Operators saw an engine that got no adapters any more, for as long as one text in its report could not be decoded: half of a surrogate pair, bytes that are no characters, a number, a list.

Cause: a report was decoded as a whole, and an engine without a report gets no orders. Names that are text but name no version were left out, so their slots counted as free.

A name that can't be read takes a slot, of no more than the engine has beside those that can be read, so that none of those is unloaded for it; it is told (BS3305).

--- a/crates/gateway/src/decide/loader/engine_state.rs
+++ b/crates/gateway/src/decide/loader/engine_state.rs
@@ -195,6 +195,11 @@
             self.pending_loads
                 .insert(pending.key, PendingLoad { version, ..known });
         }
+        // The engine has no slots for more, whatever it reports: adapters that can be read are not unloaded for them.
+        let other_slots = self
+            .slots
+            .saturating_sub(self.resident.len() + self.pending_loads.len());
+        self.unreadable_adapters = report.unreadable_adapters.min(other_slots);
         self.changed = true;
     }
 }
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/loader/mod.rs
@@ -81,6 +81,8 @@
     /// Time since which reports have shown a lower count.
     stale_since: Option<Time>,
     resident: BTreeMap<AdapterKey, ResidentAdapter>,
+    /// Number of adapters on the engine whose names can't be read.
+    unreadable_adapters: usize,
     pending_loads: BTreeMap<AdapterKey, PendingLoad>,
     load_requests: BTreeMap<AdapterKey, LoadRequest>,
     usage: BTreeMap<AdapterKey, AdapterUsage>,
@@ -119,6 +121,7 @@
             min_accepted: 0,
             stale_since: None,
             resident: BTreeMap::new(),
+            unreadable_adapters: 0,
             pending_loads: BTreeMap::new(),
             load_requests: BTreeMap::new(),
             usage: BTreeMap::new(),
@@ -177,6 +180,11 @@
         counts.len().max(unknown).min(self.slots / 2)
     }
 
+    /// Returns the number of slots for adapters that can be named in an order.
+    fn usable_slots(&self, reserved: usize) -> usize {
+        (self.slots - reserved).saturating_sub(self.unreadable_adapters)
+    }
+
     /// Records that a request waits for `key` at `version` or newer.
     pub fn request_load(&mut self, key: AdapterKey, version: Option<AdapterVersion>, now: Time) {
         self.request_load_for(RankClass::default(), key, version, now);
@@ -319,7 +327,7 @@
             return LoadStep::Read;
         }
         self.retry_late_adapters(now);
-        let slots = self.slots - reserved;
+        let slots = self.usable_slots(reserved);
         if self.resident.len() + self.pending_loads.len() > slots {
             // A late load has taken a reserved slot; another one would overfill the engine.
             return self.evict(expected_accepted, now);
--- a/crates/gateway/src/decide/loader/order.rs
+++ b/crates/gateway/src/decide/loader/order.rs
@@ -17,6 +17,8 @@
     pub adapters: Vec<VersionedAdapter>,
     /// Adapters being loaded.
     pub pending_loads: Vec<VersionedAdapter>,
+    /// Number of adapters, resident or being loaded, whose names can't be read. They take slots until the engine drops them.
+    pub unreadable_adapters: usize,
 }
 
 /// An order to an engine.
--- a/crates/gateway/src/decide/loader/slots.rs
+++ b/crates/gateway/src/decide/loader/slots.rs
@@ -23,7 +23,7 @@
     #[must_use]
     pub fn adapter_slots(&self, now: Time) -> AdapterSlots {
         let reserved = self.reserved_slots(self.accepted.unwrap_or(0), now);
-        let usable = self.slots - reserved;
+        let usable = self.usable_slots(reserved);
         let in_use = self
             .resident
             .keys()
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -377,12 +377,20 @@
         Ok(res) if res.status().is_success() => node.protocol.report(res.body()),
         Ok(_) | Err(_) => None,
     };
-    if report.is_none() {
-        let id = target.id.to_string();
-        event(
+    let id = target.id.to_string();
+    match &report {
+        None => event(
             LogEvent::OrderFailed,
             &[("target", &id), ("cause", "no report")],
-        );
+        ),
+        Some(report) if report.unreadable_adapters > 0 => {
+            let count = report.unreadable_adapters.to_string();
+            event(
+                LogEvent::AdaptersUnread,
+                &[("target", &id), ("count", &count)],
+            );
+        }
+        Some(_) => {}
     }
     let now = node.now();
     if let Some(entry) = node.loaders.lock().get_mut(&target.id) {
--- a/crates/gateway/src/net/log.rs
+++ b/crates/gateway/src/net/log.rs
@@ -129,6 +129,8 @@
     OrderSent = 3303, Debug, "order sent to engine";
     /// An engine did not accept an order or gave no report.
     OrderFailed = 3304, Info, "order not accepted by engine";
+    /// An engine's report names adapters that can't be read.
+    AdaptersUnread = 3305, Warn, "adapters in a report can't be read: they only take slots";
 
     /// What is held for callers has reached a mark of the memory budget.
     MemoryMarkReached = 3435, Warn, "memory held for callers reached a mark";
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -436,3 +436,32 @@
     loader.apply_report(None, at(600));
     assert!(!loader.adapter_slots(at(2_600)).is_silent);
 }
+
+/// Guards against a load into a slot that an adapter takes whose name can't be read.
+#[test]
+fn an_adapter_that_can_not_be_read_takes_a_slot() {
+    let mut loader = Loader::new(2);
+    let held = Report {
+        unreadable_adapters: 1,
+        ..report(0, &["a1"])
+    };
+    loader.apply_report(Some(held), at(0));
+    assert_eq!(loader.adapter_slots(at(1_000)).free, 1);
+    loader.request_load(adapter("a2"), None, at(1_000));
+    assert_eq!(
+        expect_order(step(&mut loader, at(1_000))),
+        OrderKind::UnloadAdapter(adapter("a1"))
+    );
+}
+
+/// Guards against unloading adapters that serve because a report names more than the engine has room for.
+#[test]
+fn adapters_that_can_not_be_read_unload_no_others() {
+    let mut loader = Loader::new(2);
+    let held = Report {
+        unreadable_adapters: 9,
+        ..report(0, &["a1", "a2"])
+    };
+    loader.apply_report(Some(held), at(0));
+    assert_eq!(step(&mut loader, at(1_000)), LoadStep::Idle);
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -195,6 +195,7 @@
             pending_loads: pending
                 .map(|(key, (version, _))| at((key, version)))
                 .collect(),
+            unreadable_adapters: 0,
         }
     }
 }
