--- a/crates/gateway/src/decide/lease.rs
+++ b/crates/gateway/src/decide/lease.rs
@@ -343,7 +343,7 @@
     /// A record from before a restoration of the store may name a former holder, or be missing. The holder of
     /// that time claims the lease at once; others wait until its orders are over.
     ///
-    /// An object that can't be read may hide a renewal of any holder, even of this one's successor.
+    /// An object that can't be read may hide a renewal of any holder.
     fn claimable_from(&self, found: &Found, since: Time) -> Time {
         if self.continues_from_before(found) {
             return since;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -69,6 +69,7 @@
     pub(super) leases: Leases,
     /// Checks of targets on which runs were interrupted.
     pub(super) crash_checks: CrashChecks,
+    /// Start times that targets have told, where another one is registered.
     pub(super) told_starts: ToldStarts,
     /// Notified when a peer has newer state than this instance.
     pub(super) peer_is_newer: Notify,
--- a/crates/gateway/src/net/told_starts.rs
+++ b/crates/gateway/src/net/told_starts.rs
@@ -1,16 +1,17 @@
 //! Start times that targets have told themselves, where their registration still has that of a former process.
 //!
-//! A process serves before its registration is seen here. Whether an answer of it is whole is judged by its start time, so
-//! an answer would be broken off at its end if only the registered one counted.
+//! A process serves before its registration is seen here. Whether an answer without a length is whole is judged by the start
+//! time of its process: by the registered one, sound answers of the next process would be broken off at their ends.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bluebellstage_core::TargetId;
 
+/// A start time that a target has told.
 #[derive(Clone, Copy, Debug)]
 struct ToldStart {
-    /// The start time that was registered meanwhile. What was told holds until another one is.
+    /// The start time that was registered then. What was told counts until another one is.
     registered: u64,
     told: u64,
 }
@@ -38,7 +39,7 @@
         }
     }
 
-    /// Returns the start time of the process that a connection which is opened now leads to, or a later one.
+    /// Returns the newest known start time. A connection that is opened from now on leads to that process or to a later one.
     pub(super) fn current(&self, target: &TargetId, registered: u64) -> u64 {
         let by_target = self.lock();
         let told = by_target.get(target);
