Group the files of decide that follow the store, serve streams and load adapters

Moves only: `store` (access, calls, position, follower, reload, change_log, kind), `streams` (events, times, origins, software_history, connection_end) and `adapters` (adapter, choice, load_wait, residency, loader, versions).

--- a/crates/gateway/src/decide/adapter_choice.rs
+++ b/crates/gateway/src/decide/adapters/choice.rs
@@ -4,8 +4,8 @@
 
 use bluebellstage_core::{AdapterVersion, TargetId};
 
-use super::adapter::AdapterKey;
-use super::placement::{Candidate, Pick, PickContext, send_to};
+use crate::decide::adapters::adapter::AdapterKey;
+use crate::decide::placement::{Candidate, Pick, PickContext, send_to};
 
 /// Maximum number of replicas of an adapter that are requested at once when all engines that hold
 /// it are full. As many are requested as exist, so a hot adapter spreads over ten engines within a
@@ -31,7 +31,7 @@
 }
 
 /// Picks among `engines`, which hold the base model and are in the adapter's order.
-pub(super) fn pick_for_adapter(
+pub(in crate::decide) fn pick_for_adapter(
     engines: &[&Candidate<'_>],
     key: &AdapterKey,
     cx: &PickContext<'_>,
--- a/crates/gateway/src/decide/loader/engine_state.rs
+++ b/crates/gateway/src/decide/adapters/loader/engine_state.rs
@@ -9,7 +9,7 @@
 use super::{
     LATE_ARRIVAL_GRACE, LOAD_FROM_HOST, LOAD_FROM_STORE, Loader, MAX_ORDER_DELAY, REPORT_LAG,
 };
-use crate::decide::adapter::AdapterKey;
+use crate::decide::adapters::adapter::AdapterKey;
 
 /// Maximum age of the state in a report.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/decide/loader/host_copies.rs
+++ b/crates/gateway/src/decide/adapters/loader/host_copies.rs
@@ -2,7 +2,7 @@
 //! take.
 
 use super::Loader;
-use crate::decide::adapter::AdapterKey;
+use crate::decide::adapters::adapter::AdapterKey;
 
 /// Maximum number of recently used adapters that are remembered for one engine, to estimate which
 /// of them it has copies of in host memory.
--- a/crates/gateway/src/decide/loader/load_request.rs
+++ b/crates/gateway/src/decide/adapters/loader/load_request.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::{AdapterVersion, Time};
 
-use crate::decide::load_wait::LOAD_REQUEST_INTERVAL;
+use crate::decide::adapters::load_wait::LOAD_REQUEST_INTERVAL;
 use crate::decide::ranked_tokens::{CLASSES, RankClass};
 
 /// Age after which a load request that is not repeated is dropped: three repeats were lost or late.
--- a/crates/gateway/src/decide/loader/mod.rs
+++ b/crates/gateway/src/decide/adapters/loader/mod.rs
@@ -22,8 +22,8 @@
 use self::load_request::LoadRequest;
 pub use self::order::{Order, OrderKind, OrderOutcome, Report};
 pub use self::slots::AdapterSlots;
-use super::adapter::{AdapterKey, VersionedAdapter};
-use super::ranked_tokens::RankClass;
+use crate::decide::adapters::adapter::{AdapterKey, VersionedAdapter};
+use crate::decide::ranked_tokens::RankClass;
 
 /// Maximum number of adapters that an engine loads concurrently.
 pub const MAX_CONCURRENT_LOADS: usize = 4;
--- a/crates/gateway/src/decide/loader/order.rs
+++ b/crates/gateway/src/decide/adapters/loader/order.rs
@@ -2,7 +2,7 @@
 
 use bluebellstage_core::{AdapterVersion, BaseModel};
 
-use crate::decide::adapter::{AdapterKey, VersionedAdapter};
+use crate::decide::adapters::adapter::{AdapterKey, VersionedAdapter};
 
 /// State that an engine reports.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/crates/gateway/src/decide/residency.rs
+++ b/crates/gateway/src/decide/adapters/residency.rs
@@ -6,8 +6,8 @@
 use bluebellstage_core::{AdapterVersion, TargetId, Time};
 use serde::{Deserialize, Serialize};
 
-use super::adapter::{AdapterKey, VersionedAdapter};
-use super::target::Target;
+use crate::decide::adapters::adapter::{AdapterKey, VersionedAdapter};
+use crate::decide::target::Target;
 
 /// Age of the last loader update after which the engine's own registration is used again.
 const LOADER_UPDATE_TTL: Duration = Duration::from_secs(12);
--- a/crates/gateway/src/decide/versions.rs
+++ b/crates/gateway/src/decide/adapters/versions.rs
@@ -6,7 +6,7 @@
 use bluebellstage_core::{AdapterVersion, Time};
 use serde::{Deserialize, Serialize};
 
-use super::adapter::{AdapterKey, VersionedAdapter};
+use crate::decide::adapters::adapter::{AdapterKey, VersionedAdapter};
 
 /// Time for which requests may still start on an older version after a newer one was announced.
 ///
--- a/crates/gateway/src/decide/call.rs
+++ b/crates/gateway/src/decide/call.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::{Tokens, WorkspaceId};
 
-use super::adapter::RequestedModel;
+use super::adapters::adapter::RequestedModel;
 use super::brittle::ReportedBrittleness;
 use super::departures::ReportedDeparture;
 use super::limits::ReportedLimit;
--- a/crates/gateway/src/decide/dump/mod.rs
+++ b/crates/gateway/src/decide/dump/mod.rs
@@ -16,7 +16,7 @@
 use super::owner::Owner;
 use super::quarantine::Suspect;
 use super::rendezvous::ShortHash;
-use super::store_position::StorePosition;
+use super::store::position::StorePosition;
 use super::tables::Tables;
 use super::target::Target;
 use super::wait_queue::WaitingCounts;
--- a/crates/gateway/src/decide/dump/types.rs
+++ b/crates/gateway/src/decide/dump/types.rs
@@ -7,13 +7,13 @@
 
 use crate::decide::drain_state::DrainState;
 use crate::decide::health::HealthState;
-use crate::decide::kind::Kind;
 use crate::decide::limits::RequestRate;
 use crate::decide::malformed_part::PartKind;
 use crate::decide::memory_budget::MemoryDump;
 use crate::decide::quarantine::Fingerprint;
 use crate::decide::status::Role;
-use crate::decide::store_position::Era;
+use crate::decide::store::kind::Kind;
+use crate::decide::store::position::Era;
 
 /// State of an instance.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
--- a/crates/gateway/src/decide/lease/mod.rs
+++ b/crates/gateway/src/decide/lease/mod.rs
@@ -13,7 +13,7 @@
 use bluebellstage_core::{InstanceId, Revision, Time};
 
 use super::rendezvous::ShortHash;
-use super::store_position::{Era, StorePosition};
+use super::store::position::{Era, StorePosition};
 use record::Found;
 
 pub use record::{Handover, LeaseRecord};
--- a/crates/gateway/src/decide/pace/mod.rs
+++ b/crates/gateway/src/decide/pace/mod.rs
@@ -20,7 +20,7 @@
 use self::report::MAX_AMOUNT_PER_MILLI;
 use self::turns::Turns;
 use super::rendezvous::ShortHash;
-use super::stream_times::EventGap;
+use super::streams::times::EventGap;
 use super::target::Target;
 
 /// Time after which a report that was not repeated is dropped.
--- a/crates/gateway/src/decide/peers/peer.rs
+++ b/crates/gateway/src/decide/peers/peer.rs
@@ -6,8 +6,8 @@
 use bluebellstage_core::{Revision, Time};
 
 use super::{DOWN_THRESHOLD, Load, Member};
+use crate::decide::adapters::loader::AdapterSlots;
 use crate::decide::evacuations::EvacuationsVersion;
-use crate::decide::loader::AdapterSlots;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::status::{Role, Status};
 use crate::decide::wait_queue::WaitingCounts;
--- a/crates/gateway/src/decide/picking.rs
+++ b/crates/gateway/src/decide/picking.rs
@@ -4,10 +4,10 @@
 
 use bluebellstage_core::{ServiceId, TargetId, Time};
 
+use super::adapters::loader::AdapterSlots;
 use super::availability::Availability;
 use super::call::Call;
 use super::config::Config;
-use super::loader::AdapterSlots;
 use super::owner::Owner;
 use super::pace::{PaceTarget, are_uneven};
 use super::placement::{Candidate, Pick, PickContext, pick_engine, pick_plain};
--- a/crates/gateway/src/decide/placement.rs
+++ b/crates/gateway/src/decide/placement.rs
@@ -4,15 +4,15 @@
 
 use bluebellstage_core::{AdapterVersion, FailureDomain, TargetId, Time};
 
-use super::adapter::RequestedModel;
-use super::adapter_choice::pick_for_adapter;
+use super::adapters::adapter::RequestedModel;
+use super::adapters::choice::pick_for_adapter;
+use super::adapters::loader::AdapterSlots;
+use super::adapters::residency::Residency;
+use super::adapters::versions::Versions;
 use super::health::{Health, HealthState};
-use super::loader::AdapterSlots;
 use super::pace::Speed;
 use super::rendezvous::{name_hash, weight};
-use super::residency::Residency;
 use super::target::Target;
-use super::versions::Versions;
 
 /// Utilization of an engine, as a fraction of its slots, up to which requests stay where their
 /// adapter and prompt prefix are. An engine's step takes little longer with all slots taken than
--- a/crates/gateway/src/decide/registry.rs
+++ b/crates/gateway/src/decide/registry.rs
@@ -8,12 +8,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::change_log::ChangeLog;
 use super::cold::{ColdSign, ColdTargets};
 use super::rendezvous::{ShortHash, name_hash, weight};
-use super::software_history::SoftwareHistory;
-use super::store_position::StorePosition;
-use super::stream_origins::StoredVersions;
+use super::store::change_log::ChangeLog;
+use super::store::position::StorePosition;
+use super::streams::origins::StoredVersions;
+use super::streams::software_history::SoftwareHistory;
 use super::target::Target;
 
 /// Time after the store's recovery within which a registration that expired during the outage may
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -3,9 +3,9 @@
 use bluebellstage_core::Revision;
 use serde::{Deserialize, Serialize};
 
+use super::adapters::loader::AdapterSlots;
 use super::brittle::BrittleReport;
 use super::evacuations::EvacuationsVersion;
-use super::loader::AdapterSlots;
 use super::pace::PaceReports;
 use super::peers::Load;
 use super::quota::SpendReport;
--- a/crates/gateway/src/decide/store_access.rs
+++ b/crates/gateway/src/decide/store/access.rs
@@ -8,14 +8,14 @@
 
 use bluebellstage_core::Time;
 
-use super::lease::SHARDS;
-use super::peers::{DOWN_THRESHOLD, Peer};
-use super::rendezvous::name_hash;
-use super::tables::Tables;
+use crate::decide::lease::SHARDS;
+use crate::decide::peers::{DOWN_THRESHOLD, Peer};
+use crate::decide::rendezvous::name_hash;
+use crate::decide::tables::Tables;
 
 /// Instances that follow the store. Each watch is paid for at every heartbeat of a target, and two
 /// followers may lose the store at once.
-pub(super) const FOLLOWER_COUNT: usize = 3;
+pub(in crate::decide) const FOLLOWER_COUNT: usize = 3;
 /// Instances that read from the store first when many start at once; enough to serve copies to
 /// hundreds.
 const INITIAL_READERS: usize = 8;
@@ -31,7 +31,7 @@
 /// lease do not take it.
 const LEASE_CANDIDATES: usize = 8;
 /// Key for the precedence of instances as followers.
-pub(super) const FOLLOWER_KEY: &str = "follower";
+pub(in crate::decide) const FOLLOWER_KEY: &str = "follower";
 
 /// Key for the precedence of instances as holders of a shard's lease.
 #[must_use]
--- a/crates/gateway/src/decide/store_calls.rs
+++ b/crates/gateway/src/decide/store/calls.rs
@@ -7,7 +7,7 @@
 
 use bluebellstage_core::Time;
 
-use super::kind::Kind;
+use crate::decide::store::kind::Kind;
 
 /// The calls for one kind of objects.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/gateway/src/decide/follower.rs
+++ b/crates/gateway/src/decide/store/follower.rs
@@ -4,7 +4,7 @@
 
 use bluebellstage_core::Revision;
 
-use super::kind::Kind;
+use crate::decide::store::kind::Kind;
 
 /// Maximum wait of a watch for kinds whose changes are not urgent. Each watch is a call that is
 /// paid for. The store keeps 20 s of history, so a longer wait may end in a full list.
--- a/crates/gateway/src/decide/stream_origins/confirmation.rs
+++ b/crates/gateway/src/decide/streams/origins/confirmation.rs
@@ -14,7 +14,7 @@
 use super::record_state::Backoff;
 use crate::decide::peers::{Member, Peer};
 use crate::decide::rendezvous::name_hash;
-use crate::decide::store_access::{FOLLOWER_COUNT, FOLLOWER_KEY};
+use crate::decide::store::access::{FOLLOWER_COUNT, FOLLOWER_KEY};
 use crate::decide::tables::Tables;
 use crate::decide::target::Target;
 
--- a/crates/gateway/src/decide/stream_origins/mod.rs
+++ b/crates/gateway/src/decide/streams/origins/mod.rs
@@ -22,7 +22,7 @@
 use bluebellstage_core::{SoftwareVersion, Time};
 use serde::{Deserialize, Serialize};
 
-use super::rendezvous::ShortHash;
+use crate::decide::rendezvous::ShortHash;
 
 pub use key::StreamKey;
 pub use lookup::{LookupOutcome, LookupStep, OriginLookup, OriginSource};
--- a/crates/gateway/src/decide/stream_origins/record_state.rs
+++ b/crates/gateway/src/decide/streams/origins/record_state.rs
@@ -12,7 +12,7 @@
 use super::stored::{RecordName, StoredOrigins, StoredStream, StoredVersions, StreamRecord};
 use super::{MAX_LIFETIME, StreamOrigin};
 use crate::decide::rendezvous::ShortHash;
-use crate::decide::store_position::Era;
+use crate::decide::store::position::Era;
 use crate::decide::tables::Tables;
 
 /// Minimum time between two writes of origins; streams that began after the last write are lost if all instances are
--- a/crates/gateway/src/decide/software_history.rs
+++ b/crates/gateway/src/decide/streams/software_history.rs
@@ -4,25 +4,25 @@
 
 use bluebellstage_core::{ServiceId, SoftwareVersion, Time};
 
-use super::rendezvous::ShortHash;
-use super::stream_origins::MAX_LIFETIME;
-use super::target::Target;
+use crate::decide::rendezvous::ShortHash;
+use crate::decide::streams::origins::MAX_LIFETIME;
+use crate::decide::target::Target;
 
 /// When a target of a service last had each software version, for as long as a stream of it may be continued.
 #[derive(Debug, Default)]
-pub(super) struct SoftwareHistory {
+pub(in crate::decide) struct SoftwareHistory {
     last_seen: HashMap<ServiceId, HashMap<SoftwareVersion, Time>>,
 }
 
 impl SoftwareHistory {
     /// Records that a target is gone or has restarted.
-    pub(super) fn record_former(&mut self, former: &Target, now: Time) {
+    pub(in crate::decide) fn record_former(&mut self, former: &Target, now: Time) {
         let of_service = self.last_seen.entry(former.service.clone()).or_default();
         of_service.insert(former.software.clone(), now);
     }
 
     /// Records a version that the store keeps. When its last target left is not known: it may have been just now.
-    pub(super) fn record_stored(
+    pub(in crate::decide) fn record_stored(
         &mut self,
         service: &ServiceId,
         version: &SoftwareVersion,
@@ -33,7 +33,10 @@
     }
 
     /// Returns the versions of former targets of all services.
-    pub(super) fn all(&self, now: Time) -> impl Iterator<Item = (&ServiceId, &SoftwareVersion)> {
+    pub(in crate::decide) fn all(
+        &self,
+        now: Time,
+    ) -> impl Iterator<Item = (&ServiceId, &SoftwareVersion)> {
         let versions = self.last_seen.iter().flat_map(|(service, versions)| {
             let versions = versions.iter();
             versions.map(move |(version, seen)| (service, version, seen))
@@ -43,7 +46,7 @@
     }
 
     /// Returns the versions of former targets of a service.
-    pub(super) fn versions(
+    pub(in crate::decide) fn versions(
         &self,
         service: ShortHash,
         now: Time,
@@ -56,7 +59,7 @@
     }
 
     /// Removes versions of which no stream is left.
-    pub(super) fn sweep(&mut self, now: Time) {
+    pub(in crate::decide) fn sweep(&mut self, now: Time) {
         self.last_seen.retain(|_, versions| {
             versions.retain(|_, seen| now.since(*seen) < MAX_LIFETIME);
             !versions.is_empty()
--- a/crates/gateway/src/decide/tables.rs
+++ b/crates/gateway/src/decide/tables.rs
@@ -6,7 +6,10 @@
 
 use bluebellstage_core::{Revision, ServiceId, TargetId, Time};
 
-use super::adapter::{AdapterKey, RequestedModel};
+use super::adapters::adapter::{AdapterKey, RequestedModel};
+use super::adapters::loader::AdapterSlots;
+use super::adapters::residency::Residency;
+use super::adapters::versions::Versions;
 use super::brittle::BrittleTargets;
 use super::call::Call;
 use super::config::Config;
@@ -18,7 +21,6 @@
 use super::health::Health;
 use super::lease::SHARDS;
 use super::limits::Limits;
-use super::loader::AdapterSlots;
 use super::owner::Owners;
 use super::pace::{Pace, PaceTarget};
 use super::partition::Partitions;
@@ -32,15 +34,13 @@
 pub use super::refusal::Refusal;
 use super::registry::Registry;
 use super::rendezvous::{ShortHash, name_hash};
-use super::residency::Residency;
 use super::rests::Rests;
 use super::retry_budget::{RetryBudget, RetryCounts, RetryShare};
 use super::routes::RouteTable;
-use super::store_calls::StoreCalls;
-use super::stream_origins::StreamOrigins;
-use super::stream_times::EventGap;
+use super::store::calls::StoreCalls;
+use super::streams::origins::StreamOrigins;
+use super::streams::times::EventGap;
 pub use super::ticket::Ticket;
-use super::versions::Versions;
 use super::wait_queue::WaitQueue;
 
 /// Loads on the engines whose shards this instance holds.
@@ -421,7 +421,7 @@
 
     /// Returns the adapter that the request needs, if it needs one.
     #[must_use]
-    pub fn adapter_of(call: &Call) -> Option<&super::adapter::AdapterKey> {
+    pub fn adapter_of(call: &Call) -> Option<&super::adapters::adapter::AdapterKey> {
         match &call.wanted {
             Some(RequestedModel::Adapter(key)) => Some(key),
             _ => None,
--- a/crates/gateway/src/decide/target.rs
+++ b/crates/gateway/src/decide/target.rs
@@ -6,7 +6,7 @@
 use bluebellstage_core::{BaseModel, FailureDomain, ServiceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 
-use super::adapter::VersionedAdapter;
+use super::adapters::adapter::VersionedAdapter;
 use super::rendezvous::ShortHash;
 
 /// A target as described by its latest registration.
--- a/crates/gateway/src/decide/ticket.rs
+++ b/crates/gateway/src/decide/ticket.rs
@@ -9,7 +9,7 @@
 use super::ranked_tokens::RankClass;
 use super::rendezvous::ShortHash;
 use super::routes::RouteTable;
-use super::stream_origins::StreamOrigin;
+use super::streams::origins::StreamOrigin;
 use super::target::Target;
 use super::wait_queue::Patience;
 
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -10,16 +10,16 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, StatusCode, request, response};
 
-use crate::decide::adapter::VersionedAdapter;
+use crate::decide::adapters::adapter::VersionedAdapter;
+use crate::decide::adapters::loader::{Order, OrderOutcome, Report};
 use crate::decide::call::{Call, Forward, ResponseHead};
 use crate::decide::config::Config;
-pub use crate::decide::kind::Kind;
 use crate::decide::lease::LeaseRecord;
-use crate::decide::loader::{Order, OrderOutcome, Report};
 use crate::decide::peers::Member;
 use crate::decide::quarantine::QuarantineDecision;
-use crate::decide::store_position::Era;
-use crate::decide::stream_origins::StreamRecord;
+pub use crate::decide::store::kind::Kind;
+use crate::decide::store::position::Era;
+use crate::decide::streams::origins::StreamRecord;
 use crate::decide::target::Target;
 use crate::error::{GatewayError, StoreError};
 use crate::settings::NodeSettings;
@@ -153,7 +153,7 @@
 ///
 /// Revisions are packed [`StorePosition`]s.
 ///
-/// [`StorePosition`]: crate::decide::store_position::StorePosition
+/// [`StorePosition`]: crate::decide::store::position::StorePosition
 pub trait ObjectStore: Debug + Send + Sync + 'static {
     /// Returns the newest era that the store has reported to this process.
     fn era(&self) -> Era;
--- a/crates/gateway/src/net/accept.rs
+++ b/crates/gateway/src/net/accept.rs
@@ -14,8 +14,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::decide::connection_end::{CHECK_INTERVAL, ConnectionState, NextStep, next_step};
 use crate::decide::refused_body::UploadBounds;
+use crate::decide::streams::connection_end::{
+    CHECK_INTERVAL, ConnectionState, NextStep, next_step,
+};
 use crate::edge::Edge;
 
 use super::caller_memory::CallerMemory;
--- a/crates/gateway/src/net/confirmations.rs
+++ b/crates/gateway/src/net/confirmations.rs
@@ -5,7 +5,7 @@
 
 use bluebellstage_core::Revision;
 
-use crate::decide::kind::Kind;
+use crate::decide::store::kind::Kind;
 use crate::edge::{Content, Edge, Listing, ObjectStore};
 use crate::error::StoreError;
 
--- a/crates/gateway/src/net/connection_activity.rs
+++ b/crates/gateway/src/net/connection_activity.rs
@@ -5,7 +5,7 @@
 
 use bluebellstage_core::Time;
 
-use crate::decide::connection_end::Use;
+use crate::decide::streams::connection_end::Use;
 use crate::edge::Edge;
 
 use super::caller_stream::CloseReason;
--- a/crates/gateway/src/net/control.rs
+++ b/crates/gateway/src/net/control.rs
@@ -10,13 +10,13 @@
 use http::{Method, Response, StatusCode, request};
 use serde::{Deserialize, Serialize};
 
+use crate::decide::adapters::versions::Announcement;
 use crate::decide::config::Config;
 use crate::decide::evacuations::EvacuationsCopy;
 use crate::decide::peers::Member;
 use crate::decide::quarantine::{AgedDecision, Suspect};
 use crate::decide::registry::RegistryCopy;
 use crate::decide::tables::Tables;
-use crate::decide::versions::Announcement;
 use crate::edge::Edge;
 
 use super::local_response::{ResponseBody, error_response, full_body};
--- a/crates/gateway/src/net/event_reader.rs
+++ b/crates/gateway/src/net/event_reader.rs
@@ -4,7 +4,7 @@
 use http_body_util::BodyExt;
 
 use crate::decide::call::Call;
-use crate::decide::event_stream::{EventSplitter, SplitResult};
+use crate::decide::streams::events::{EventSplitter, SplitResult};
 use crate::edge::Edge;
 
 use super::stream_source::Source;
--- a/crates/gateway/src/net/follow.rs
+++ b/crates/gateway/src/net/follow.rs
@@ -8,9 +8,9 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::decide::follower::{Follower, StoreRequest};
-use crate::decide::kind::Kind;
-use crate::decide::store_position::StorePosition;
+use crate::decide::store::follower::{Follower, StoreRequest};
+use crate::decide::store::kind::Kind;
+use crate::decide::store::position::StorePosition;
 use crate::edge::{Edge, Listing, ObjectStore};
 use crate::error::StoreError;
 
--- a/crates/gateway/src/net/forwarded_request.rs
+++ b/crates/gateway/src/net/forwarded_request.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::decide::stream_origins::StreamOrigin;
+use crate::decide::streams::origins::StreamOrigin;
 
 use super::open_attempts::AttemptCounts;
 
--- a/crates/gateway/src/net/in_flight.rs
+++ b/crates/gateway/src/net/in_flight.rs
@@ -6,14 +6,14 @@
 
 use bluebellstage_core::{SoftwareVersion, TargetId, Time};
 
-use crate::decide::adapter::AdapterKey;
+use crate::decide::adapters::adapter::AdapterKey;
 use crate::decide::health::TargetOutcome;
 use crate::decide::paths::ANSWER_INTERVAL;
 use crate::decide::prompt_queues::WaitingKey;
 use crate::decide::quarantine::RunKey;
 use crate::decide::ranked_tokens::RankClass;
 use crate::decide::silence::SenderNews;
-use crate::decide::stream_times::EventGap;
+use crate::decide::streams::times::EventGap;
 use crate::decide::tables::Tables;
 use crate::decide::wait_queue::Room;
 use crate::edge::Edge;
--- a/crates/gateway/src/net/job_response.rs
+++ b/crates/gateway/src/net/job_response.rs
@@ -8,7 +8,7 @@
 use crate::decide::call::ResumedAttempt;
 use crate::decide::quarantine::Suspect;
 use crate::decide::rendezvous::ShortHash;
-use crate::decide::stream_origins::StreamOrigin;
+use crate::decide::streams::origins::StreamOrigin;
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, Protocol};
 
--- a/crates/gateway/src/net/leases.rs
+++ b/crates/gateway/src/net/leases.rs
@@ -6,12 +6,12 @@
 
 use bluebellstage_core::{InstanceId, Revision, TargetId, Time};
 
+use crate::decide::adapters::loader::MAX_ORDER_DELAY;
 use crate::decide::lease::{LeaseRecord, LeaseStep, SHARDS, ShardLease};
-use crate::decide::loader::MAX_ORDER_DELAY;
 use crate::decide::peers::Peer;
 use crate::decide::rendezvous::ShortHash;
-use crate::decide::store_access::lease_key;
-use crate::decide::store_position::{Era, StorePosition};
+use crate::decide::store::access::lease_key;
+use crate::decide::store::position::{Era, StorePosition};
 use crate::decide::tables::shard_of;
 use crate::edge::{Content, Edge, Kind, ObjectStore};
 use crate::error::StoreError;
--- a/crates/gateway/src/net/loaders.rs
+++ b/crates/gateway/src/net/loaders.rs
@@ -7,11 +7,11 @@
 
 use bluebellstage_core::{TargetId, Time};
 
+use crate::decide::adapters::loader::{LoadStep, Loader, Order, OrderKind, OrderOutcome};
+use crate::decide::adapters::residency::ResidencyVersion;
 use crate::decide::drain_state::DrainState;
 use crate::decide::lease::SHARDS;
-use crate::decide::loader::{LoadStep, Loader, Order, OrderKind, OrderOutcome};
 use crate::decide::rendezvous::ShortHash;
-use crate::decide::residency::ResidencyVersion;
 use crate::decide::tables::{LocalLoads, Tables, shard_of};
 use crate::decide::target::Target;
 use crate::edge::{Edge, Protocol};
--- a/crates/gateway/src/net/metrics.rs
+++ b/crates/gateway/src/net/metrics.rs
@@ -9,7 +9,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::decide::config::RouteKind;
-use crate::decide::kind::Kind;
+use crate::decide::store::kind::Kind;
 use crate::decide::tables::Tables;
 
 use super::brittle_metrics::BrittleMetrics;
--- a/crates/gateway/src/net/node.rs
+++ b/crates/gateway/src/net/node.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::boot_time;
-use crate::decide::store_position::{Era, StorePosition};
+use crate::decide::store::position::{Era, StorePosition};
 use crate::decide::tables::Tables;
 use crate::edge::{Edge, ObjectStore};
 use crate::packet::{AdapterRequest, Packet};
--- a/crates/gateway/src/net/origins.rs
+++ b/crates/gateway/src/net/origins.rs
@@ -8,7 +8,7 @@
 use crate::decide::call::ResumedAttempt;
 use crate::decide::config::RouteKind;
 use crate::decide::rendezvous::ShortHash;
-use crate::decide::stream_origins::{
+use crate::decide::streams::origins::{
     KnownVersions, LookupOutcome, LookupStep, OriginLookup, OriginMessage, OriginRecord,
     OriginSource, OutgoingOrigins, StreamKey,
 };
--- a/crates/gateway/src/net/peer_exchange.rs
+++ b/crates/gateway/src/net/peer_exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::decide::peers::Member;
-use crate::decide::stream_origins::StreamOrigin;
+use crate::decide::streams::origins::StreamOrigin;
 use crate::edge::Edge;
 
 use super::forwarded_request::{ForwardOutcome, ForwardReport};
--- a/crates/gateway/src/net/reload.rs
+++ b/crates/gateway/src/net/reload.rs
@@ -5,7 +5,7 @@
 
 use tokio::signal::unix::Signal;
 
-use crate::decide::reload::{Reload, compare};
+use crate::decide::store::reload::{Reload, compare};
 use crate::edge::{Edge, SettingsSource};
 
 use super::log::{LogEvent, event};
--- a/crates/gateway/src/net/search.rs
+++ b/crates/gateway/src/net/search.rs
@@ -6,7 +6,7 @@
 use bluebellstage_core::{TargetId, Time};
 use rand::Rng;
 
-use crate::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
+use crate::decide::adapters::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
 use crate::decide::placement::Pick;
 use crate::decide::quarantine::Suspect;
 use crate::decide::silence::SEARCH_INTERVAL;
--- a/crates/gateway/src/net/stream.rs
+++ b/crates/gateway/src/net/stream.rs
@@ -14,7 +14,7 @@
 use crate::decide::health::MAX_SILENCE;
 use crate::decide::retry_budget::RetryCause;
 use crate::decide::silence::{Silence, SilenceAction};
-use crate::decide::stream_times::StreamTimes;
+use crate::decide::streams::times::StreamTimes;
 use crate::edge::Edge;
 
 use super::event_reader::{EventReader, Received};
--- a/crates/gateway/src/net/stream_records.rs
+++ b/crates/gateway/src/net/stream_records.rs
@@ -5,8 +5,8 @@
 
 use bluebellstage_core::Revision;
 
-use crate::decide::kind::Kind;
-use crate::decide::stream_origins::{FoundRecord, RecordName, RecordStep, RecordWrite};
+use crate::decide::store::kind::Kind;
+use crate::decide::streams::origins::{FoundRecord, RecordName, RecordStep, RecordWrite};
 use crate::edge::{Content, Edge, Listing, Object, ObjectStore};
 use crate::error::StoreError;
 
--- a/crates/gateway/src/net/stream_source.rs
+++ b/crates/gateway/src/net/stream_source.rs
@@ -6,7 +6,7 @@
 use crate::decide::health::TargetOutcome;
 use crate::decide::rendezvous::ShortHash;
 use crate::decide::silence::SenderNews;
-use crate::decide::stream_origins::StreamOrigin;
+use crate::decide::streams::origins::StreamOrigin;
 use crate::decide::tables::Ticket;
 use crate::edge::Edge;
 
--- a/crates/gateway/src/net/sync.rs
+++ b/crates/gateway/src/net/sync.rs
@@ -5,10 +5,10 @@
 
 use bluebellstage_core::{FailureDomain, InstanceId, Revision, TargetId};
 
-use crate::decide::adapter::VersionedAdapter;
+use crate::decide::adapters::adapter::VersionedAdapter;
+use crate::decide::adapters::versions::MAX_ANNOUNCEMENT_AGE;
 use crate::decide::evacuations::EvacuationChange;
 use crate::decide::target::Target;
-use crate::decide::versions::MAX_ANNOUNCEMENT_AGE;
 use crate::edge::{Content, Edge, Kind, Listing, Object, ObjectStore};
 use crate::error::StoreError;
 
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -7,12 +7,12 @@
 use bluebellstage_core::{AdapterId, AdapterVersion, BaseModel, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::decide::adapter::{AdapterKey, VersionedAdapter};
+use crate::decide::adapters::adapter::{AdapterKey, VersionedAdapter};
+use crate::decide::adapters::residency::ResidencyVersion;
 use crate::decide::exchange::Message;
 use crate::decide::quarantine::QuarantineMessage;
 use crate::decide::ranked_tokens::RankClass;
-use crate::decide::residency::ResidencyVersion;
-use crate::decide::stream_origins::OriginMessage;
+use crate::decide::streams::origins::OriginMessage;
 
 /// Max size of a datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 16 * 1_024;
--- a/crates/gateway/tests/connection_end.rs
+++ b/crates/gateway/tests/connection_end.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bluebellstage_gateway::decide::connection_end::{
+use bluebellstage_gateway::decide::streams::connection_end::{
     CHECK_INTERVAL, ConnectionState, NextStep, Use, next_step,
 };
 
--- a/crates/gateway/tests/event_stream_fuzz.rs
+++ b/crates/gateway/tests/event_stream_fuzz.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bluebellstage_gateway::decide::event_stream::{EventSplitter, SplitResult};
+use bluebellstage_gateway::decide::streams::events::{EventSplitter, SplitResult};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bluebellstage_core::Revision;
-use bluebellstage_gateway::decide::follower::{Follower, StoreRequest};
-use bluebellstage_gateway::decide::kind::Kind;
 use bluebellstage_gateway::decide::peers::{Load, Peer, Strength};
 use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
+use bluebellstage_gateway::decide::store::follower::{Follower, StoreRequest};
+use bluebellstage_gateway::decide::store::kind::Kind;
 use bluebellstage_gateway::decide::tables::Tables;
 use support::{adapter_at, at, config, peer, tables, target};
 
--- a/crates/gateway/tests/forgotten_leases.rs
+++ b/crates/gateway/tests/forgotten_leases.rs
@@ -6,7 +6,7 @@
 
 use bluebellstage_core::{Revision, Time};
 use bluebellstage_gateway::decide::lease::{LeaseRecord, LeaseStep, ShardLease};
-use bluebellstage_gateway::decide::store_position::{Era, StorePosition};
+use bluebellstage_gateway::decide::store::position::{Era, StorePosition};
 use support::{at, member};
 
 /// Minimum time between the orders of two holders.
--- a/crates/gateway/tests/loader.rs
+++ b/crates/gateway/tests/loader.rs
@@ -3,14 +3,14 @@
 mod support;
 
 use bluebellstage_core::{AdapterVersion, Revision, Time};
-use bluebellstage_gateway::decide::loader::{
+use bluebellstage_gateway::decide::adapters::loader::{
     LoadStep, Loader, Order, OrderKind, OrderOutcome, Report,
 };
 use bluebellstage_gateway::decide::ranked_tokens::RankClass;
 use support::{adapter, adapter_at, at};
 
 const NO_VERSIONS: fn(
-    &bluebellstage_gateway::decide::adapter::AdapterKey,
+    &bluebellstage_gateway::decide::adapters::adapter::AdapterKey,
 ) -> Option<AdapterVersion> = |_| None;
 
 fn step(loader: &mut Loader, now: Time) -> LoadStep {
@@ -110,7 +110,7 @@
     };
     loader.record_outcome(&order, OrderOutcome::Accepted, 1.0, at(2));
     loader.request_load(adapter("a2"), None, at(3));
-    let stale = bluebellstage_gateway::decide::loader::Order {
+    let stale = bluebellstage_gateway::decide::adapters::loader::Order {
         kind: load("a2"),
         expected_accepted: 1,
     };
--- a/crates/gateway/tests/loader_limits.rs
+++ b/crates/gateway/tests/loader_limits.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use bluebellstage_core::Time;
-use bluebellstage_gateway::decide::adapter::AdapterKey;
-use bluebellstage_gateway::decide::loader::{LoadStep, Loader, Order, OrderOutcome};
+use bluebellstage_gateway::decide::adapters::adapter::AdapterKey;
+use bluebellstage_gateway::decide::adapters::loader::{LoadStep, Loader, Order, OrderOutcome};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::engine::Engine;
--- a/crates/gateway/tests/pace.rs
+++ b/crates/gateway/tests/pace.rs
@@ -6,7 +6,7 @@
 
 use bluebellstage_gateway::decide::pace::{Pace, PaceReport, PaceTarget, Work};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
-use bluebellstage_gateway::decide::stream_times::EventGap;
+use bluebellstage_gateway::decide::streams::times::EventGap;
 use bluebellstage_gateway::decide::target::Target;
 use support::{at, engine};
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, Revision, TargetId, Time};
+use bluebellstage_gateway::decide::adapters::loader::AdapterSlots;
+use bluebellstage_gateway::decide::adapters::residency::ResidencyVersion;
+use bluebellstage_gateway::decide::adapters::versions::MAX_ANNOUNCEMENT_AGE;
 use bluebellstage_gateway::decide::call::Call;
 use bluebellstage_gateway::decide::config::{Route, RouteKind};
 use bluebellstage_gateway::decide::health::TargetOutcome;
-use bluebellstage_gateway::decide::loader::AdapterSlots;
 use bluebellstage_gateway::decide::peers::Load;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
-use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::tables::{Refusal, Tables, shard_of};
-use bluebellstage_gateway::decide::versions::MAX_ANNOUNCEMENT_AGE;
 use support::{adapter, adapter_at, at, call, config, draft, peer, route, tables, target};
 
 fn id(name: &str) -> TargetId {
--- a/crates/gateway/tests/reload.rs
+++ b/crates/gateway/tests/reload.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::Incarnation;
-use bluebellstage_gateway::decide::reload::{Reload, compare};
+use bluebellstage_gateway::decide::store::reload::{Reload, compare};
 use bluebellstage_gateway::settings::NodeSettings;
 use support::{member, settings};
 
--- a/crates/gateway/tests/retry_after.rs
+++ b/crates/gateway/tests/retry_after.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bluebellstage_gateway::decide::evacuations::Evacuations;
-use bluebellstage_gateway::decide::kind::Kind;
 use bluebellstage_gateway::decide::retry_after::when_nothing_can_run;
+use bluebellstage_gateway::decide::store::kind::Kind;
 use bluebellstage_gateway::decide::tables::Refusal;
 use support::{at, call, peer, tables};
 
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use bluebellstage_core::{FailureDomain, Revision, ServiceId, TargetId};
+use bluebellstage_gateway::decide::adapters::loader::AdapterSlots;
 use bluebellstage_gateway::decide::health::TargetOutcome;
 use bluebellstage_gateway::decide::limits::{ReportedLimit, RequestRate};
-use bluebellstage_gateway::decide::loader::AdapterSlots;
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::quarantine::Fingerprint;
 use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
-use bluebellstage_gateway::decide::stream_origins::StreamOrigin;
+use bluebellstage_gateway::decide::streams::origins::StreamOrigin;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::decide::target::Target;
 use support::{at, config, draft, engine, peer, software, tables_with_engines};
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -7,7 +7,7 @@
 
 use bluebellstage_core::{FailureDomain, Revision};
 use bluebellstage_gateway::decide::evacuations::DRAIN_PERIOD;
-use bluebellstage_gateway::decide::follower::Follower;
+use bluebellstage_gateway::decide::store::follower::Follower;
 use bluebellstage_gateway::edge::{Content, Kind};
 use support::store::{Fault, ScriptedStore, follow_for};
 use support::{adapter_at, config, target};
--- a/crates/gateway/tests/store_restoration.rs
+++ b/crates/gateway/tests/store_restoration.rs
@@ -9,7 +9,7 @@
     Handover, LEASE_DURATION, LeaseRecord, LeaseStep, ShardLease,
 };
 use bluebellstage_gateway::decide::registry::Registry;
-use bluebellstage_gateway::decide::store_position::{Era, StorePosition};
+use bluebellstage_gateway::decide::store::position::{Era, StorePosition};
 use bluebellstage_gateway::decide::target::Target;
 use support::{at, member, peer, tables, target};
 
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::WorkspaceId;
-use bluebellstage_gateway::decide::stream_origins::StreamKey;
+use bluebellstage_gateway::decide::streams::origins::StreamKey;
 use support::fleet::{Fleet, Network};
 use support::streams::{LIFETIME, Stream, begin, continue_all};
 
--- a/crates/gateway/tests/stream_times.rs
+++ b/crates/gateway/tests/stream_times.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bluebellstage_core::Time;
-use bluebellstage_gateway::decide::stream_times::StreamTimes;
+use bluebellstage_gateway::decide::streams::times::StreamTimes;
 use support::at;
 
 /// Times of a stream whose events were each asked for and arrived at these milliseconds.
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bluebellstage_core::ServiceId;
-use bluebellstage_gateway::decide::event_stream::{EventSplitter, SplitResult};
 use bluebellstage_gateway::decide::retry_budget::{RetryBudget, RetryCounts, RetryShare};
+use bluebellstage_gateway::decide::streams::events::{EventSplitter, SplitResult};
 use support::at;
 
 fn event(id: u64) -> String {
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bluebellstage_core::{AdapterVersion, Time};
-use bluebellstage_gateway::decide::adapter::{AdapterKey, VersionedAdapter};
-use bluebellstage_gateway::decide::loader::{Order, OrderKind, OrderOutcome, Report};
+use bluebellstage_gateway::decide::adapters::adapter::{AdapterKey, VersionedAdapter};
+use bluebellstage_gateway::decide::adapters::loader::{Order, OrderKind, OrderOutcome, Report};
 
 /// Age of the state in a report.
 const REPORT_LAG: Duration = Duration::from_millis(100);
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -19,7 +19,7 @@
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
 use bluebellstage_gateway::decide::status::Role;
-use bluebellstage_gateway::decide::stream_origins::OriginMessage;
+use bluebellstage_gateway::decide::streams::origins::OriginMessage;
 use bluebellstage_gateway::decide::tables::Tables;
 use bluebellstage_gateway::decide::target::Target;
 use bluebellstage_gateway::packet::Packet;
--- a/crates/gateway/tests/support/lease_holders.rs
+++ b/crates/gateway/tests/support/lease_holders.rs
@@ -5,7 +5,7 @@
 
 use bluebellstage_core::{InstanceId, Revision, Time};
 use bluebellstage_gateway::decide::lease::{LeaseRecord, LeaseStep, ShardLease};
-use bluebellstage_gateway::decide::store_position::{Era, StorePosition};
+use bluebellstage_gateway::decide::store::position::{Era, StorePosition};
 
 use super::at;
 
--- a/crates/gateway/tests/support/load_simulation.rs
+++ b/crates/gateway/tests/support/load_simulation.rs
@@ -9,20 +9,22 @@
 use std::time::Duration;
 
 use bluebellstage_core::{Revision, TargetId, Time, Tokens};
-use bluebellstage_gateway::decide::adapter::AdapterKey;
+use bluebellstage_gateway::decide::adapters::adapter::AdapterKey;
+use bluebellstage_gateway::decide::adapters::load_wait::{
+    LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait,
+};
+use bluebellstage_gateway::decide::adapters::loader::{LoadStep, Loader, Order, OrderOutcome};
+use bluebellstage_gateway::decide::adapters::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::call::Call;
 use bluebellstage_gateway::decide::config::{Route, RouteKind};
-use bluebellstage_gateway::decide::load_wait::{LOAD_REQUEST_INTERVAL, LoadWaitAction, load_wait};
-use bluebellstage_gateway::decide::loader::{LoadStep, Loader, Order, OrderOutcome};
 use bluebellstage_gateway::decide::peers::{Load, Peer};
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::prompt_queues::WaitingKey;
 use bluebellstage_gateway::decide::ranked_tokens::RankClass;
 use bluebellstage_gateway::decide::relay_update::RelayView;
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
-use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::retry_budget::RetryBudget;
-use bluebellstage_gateway::decide::stream_times::EventGap;
+use bluebellstage_gateway::decide::streams::times::EventGap;
 use bluebellstage_gateway::decide::tables::{Tables, shard_of};
 use bluebellstage_gateway::decide::wait_queue::{Room, Turn, WaitKey, WaitingCounts};
 use rand::{Rng, SeedableRng};
@@ -465,7 +467,7 @@
             prompt_tokens: Tokens(request.prompt_tokens),
             timeout: Some(CALLER_TIMEOUT),
             wanted: Some(
-                bluebellstage_gateway::decide::adapter::RequestedModel::Adapter(
+                bluebellstage_gateway::decide::adapters::adapter::RequestedModel::Adapter(
                     request.key.clone(),
                 ),
             ),
@@ -915,8 +917,10 @@
     }
 }
 
-fn loaded_adapter(kind: &bluebellstage_gateway::decide::loader::OrderKind) -> Option<&AdapterKey> {
-    use bluebellstage_gateway::decide::loader::OrderKind;
+fn loaded_adapter(
+    kind: &bluebellstage_gateway::decide::adapters::loader::OrderKind,
+) -> Option<&AdapterKey> {
+    use bluebellstage_gateway::decide::adapters::loader::OrderKind;
     match kind {
         OrderKind::LoadAdapter(key, _) => Some(key),
         OrderKind::LoadModel(_) | OrderKind::UnloadAdapter(_) => None,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -22,7 +22,9 @@
     AdapterId, AdapterVersion, BaseModel, FailureDomain, Incarnation, InstanceId, Rate, Revision,
     ServiceId, SoftwareVersion, TargetId, Time, Tokens, WorkspaceId,
 };
-use bluebellstage_gateway::decide::adapter::{AdapterKey, RequestedModel, VersionedAdapter};
+use bluebellstage_gateway::decide::adapters::adapter::{
+    AdapterKey, RequestedModel, VersionedAdapter,
+};
 use bluebellstage_gateway::decide::call::{Call, ResumedAttempt};
 use bluebellstage_gateway::decide::cold::ColdStart;
 use bluebellstage_gateway::decide::config::{
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bluebellstage_core::Revision;
-use bluebellstage_gateway::decide::store_position::Era;
-use bluebellstage_gateway::decide::stream_origins::{
+use bluebellstage_gateway::decide::store::position::Era;
+use bluebellstage_gateway::decide::streams::origins::{
     FoundRecord, RecordName, RecordStep, RecordWrite, StoredVersions, StreamRecord,
 };
 use bluebellstage_gateway::decide::tables::Tables;
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bluebellstage_core::{Revision, TargetId};
+use bluebellstage_gateway::decide::adapters::loader::{Order, OrderOutcome, Report};
 use bluebellstage_gateway::decide::call::{Call, Forward, ResponseHead};
-use bluebellstage_gateway::decide::loader::{Order, OrderOutcome, Report};
 use bluebellstage_gateway::decide::peers::Member;
-use bluebellstage_gateway::decide::store_position::Era;
+use bluebellstage_gateway::decide::store::position::Era;
 use bluebellstage_gateway::decide::target::Target;
 use bluebellstage_gateway::edge::{
     BadRequest, Content, Edge, Kind, Listing, Object, ObjectStore, Protocol, SettingsSource,
--- a/crates/gateway/tests/support/streams.rs
+++ b/crates/gateway/tests/support/streams.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
-use bluebellstage_gateway::decide::stream_origins::{
+use bluebellstage_gateway::decide::streams::origins::{
     KnownVersions, LookupOutcome, LookupStep, OriginLookup, OriginMessage, StreamKey, StreamOrigin,
 };
 use bluebellstage_gateway::packet::Packet;
--- a/crates/gateway/tests/wait_queue.rs
+++ b/crates/gateway/tests/wait_queue.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bluebellstage_core::{Revision, TargetId, Time, Tokens};
+use bluebellstage_gateway::decide::adapters::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::call::Call;
 use bluebellstage_gateway::decide::config::{Route, RouteKind};
 use bluebellstage_gateway::decide::placement::Pick;
 use bluebellstage_gateway::decide::ranked_tokens::{RankClass, RankedTokens};
 use bluebellstage_gateway::decide::rendezvous::ShortHash;
-use bluebellstage_gateway::decide::residency::ResidencyVersion;
 use bluebellstage_gateway::decide::tables::{Tables, Ticket};
 use bluebellstage_gateway::decide::wait_queue::{
     Contended, Entered, MAX_WAITING, Patience, Room, Standing, Turn, WaitKey, WaitQueue, Waiter,
